Lay out the workspace, shared types and architecture

Cause: the repository was empty, and the parts of the system can only be built side by side once they share ids, the verdict type and the messages. Change: nine crates, the shared types of core, the edge's Backend trait, the architecture page and the platform's interfaces.

--- /dev/null
+++ b/crates/cli/src/lib.rs
@@ -0,0 +1,1 @@
+//! The programs trefoilring and trefoilctl.
--- /dev/null
+++ b/crates/config/src/lib.rs
@@ -0,0 +1,1 @@
+//! Declarations and settings: raw input to checked types.
--- /dev/null
+++ b/crates/core/src/hlc.rs
@@ -0,0 +1,52 @@
+//! A hybrid logical clock, by which events of all processes are put in one order.
+//!
+//! Method: Kulkarni et al., "Logical Physical Clocks", OPODIS 2014. A stamp is never behind the
+//! wall clock of its process and is above every stamp that the process has seen.
+
+use derive_more::Display;
+
+/// A point in the order of events over all processes.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    Display,
+    Eq,
+    Hash,
+    Ord,
+    PartialEq,
+    PartialOrd,
+    serde::Deserialize,
+    serde::Serialize,
+)]
+#[display("{wall_us}.{count}")]
+pub struct Stamp {
+    /// Wall clock in microseconds since 1970.
+    pub wall_us: u64,
+    /// Orders events of the same microsecond.
+    pub count: u32,
+}
+
+/// The clock of one process.
+#[derive(Debug, Default)]
+pub struct Clock {
+    last: Stamp,
+}
+
+impl Clock {
+    /// Returns a stamp for a local event, given the wall clock in microseconds since 1970.
+    pub fn tick(&mut self, wall_us: u64) -> Stamp {
+        self.last = if wall_us > self.last.wall_us {
+            Stamp { wall_us, count: 0 }
+        } else {
+            Stamp { wall_us: self.last.wall_us, count: self.last.count + 1 }
+        };
+        self.last
+    }
+
+    /// Takes in a stamp that came with a message: later local stamps are above it.
+    pub fn observe(&mut self, remote: Stamp) {
+        self.last = self.last.max(remote);
+    }
+}
--- /dev/null
+++ b/crates/core/src/lib.rs
@@ -0,0 +1,15 @@
+//! Decisions of the scheduler, without input or output.
+//!
+//! Every state machine in this crate takes the present time and an event and returns commands.
+//! Sockets, files, timers and the clock belong to the callers, so that each decision can be
+//! tested in virtual time with a fixed seed, and the same code runs in the daemon.
+
+pub mod call;
+pub mod catalog;
+pub mod event;
+pub mod hlc;
+pub mod ids;
+pub mod journal;
+pub mod message;
+pub mod sched;
+pub mod verdict;
--- /dev/null
+++ b/crates/edge/src/lib.rs
@@ -0,0 +1,8 @@
+//! The callers' HTTP interface.
+//!
+//! This crate bounds, parses and answers HTTP; all else is behind [`Backend`], so that it can be
+//! tested with a fake and reused with another home.
+
+mod backend;
+
+pub use backend::{Answer, Backend, Readiness};
--- /dev/null
+++ b/crates/host/src/lib.rs
@@ -0,0 +1,1 @@
+//! The daemon as a library.
--- /dev/null
+++ b/crates/load/src/lib.rs
@@ -0,0 +1,1 @@
+//! Load and experiment tool.
--- /dev/null
+++ b/crates/platform/src/lib.rs
@@ -0,0 +1,1 @@
+//! Clients of the platform and of upstreams.
--- /dev/null
+++ b/crates/proto/src/lib.rs
@@ -0,0 +1,1 @@
+//! Services and messages between hosts.
--- /dev/null
+++ b/crates/standin/src/lib.rs
@@ -0,0 +1,1 @@
+//! Small stand-ins for the platform and for upstreams.
