Bound the callers' interface by options, and name a default class

The interface needs its limits and a stop signal as types before the daemon can be wired to it. A chat client that knows no programs names no class either, so the backend now tells the class for such a caller.

--- a/crates/edge/src/backend.rs
+++ b/crates/edge/src/backend.rs
@@ -4,7 +4,7 @@
     std::future::Future,
     trefoilring_core::{
         call::{Call, Caller, Chunk, CreateProgram, ProgramInfo, ProgramQuery},
-        ids::ProgramId,
+        ids::{ClassId, ProgramId},
         message::Message,
         verdict::Refusal,
     },
@@ -28,10 +28,13 @@
     /// Finds the caller for a key's secret, in time that doesn't depend on the secret.
     fn authenticate(&self, secret: &str) -> Result<Caller, Refusal>;
 
+    /// The class for a caller that names none: the first that its team may use.
+    fn default_class(&self, caller: &Caller) -> Result<ClassId, Refusal>;
+
     /// Completes when the key no longer holds; the edge then ends what runs with it.
     fn withdrawn(&self, caller: &Caller) -> impl Future<Output = ()> + Send;
 
-    /// Finds the team for an open route, or `None` where a key is needed.
+    /// Returns whether a route of a service needs no key.
     fn is_open_route(&self, service: &str, method: &str, path: &str) -> bool;
 
     /// Creates a program.
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -4,5 +4,11 @@
 //! tested with a fake and reused with another home.
 
 mod backend;
+mod options;
+mod stop;
 
-pub use backend::{Answer, Backend, Readiness};
+pub use {
+    backend::{Answer, Backend, Readiness},
+    options::{EdgeOptions, MAX_HEAD_BYTES, MAX_HEADERS},
+    stop::{Stop, Stopper, stop_signal},
+};
