Add the clients of the platform and of upstreams

Cause: hosts need the Object API, the host list, engines and services.

Change: a client for each over async-h1. Connections are made here, so that a failure says whether any byte of the request was written. Connections are reused for reads, store changes and engine administration; turns and service calls take a connection of their own, because a server that closes an idle connection would turn a call that did not run into one that may have.

async-h1 ends a cut body without an error, makes up a Date header with a line break, drops the body of an answer without a length and panics on a header that is not ASCII; each is caught here.

--- /dev/null
+++ b/crates/platform/src/engine/chat.rs
@@ -0,0 +1,242 @@
+//! Model turns as streams of events.
+
+use {
+    super::sse::{EventReader, SseError},
+    crate::{
+        error::{CallError, ErrorKind},
+        http::{Client, Exchange, Reply, Reuse, before, status_error},
+    },
+    serde_json::{Map, Value, json},
+    std::time::Instant,
+    trefoilring_core::{
+        ids::{Epoch, ProgramId},
+        message::{Message, Usage},
+    },
+};
+
+/// The largest answer to a turn.
+const MAX_STREAM_BYTES: usize = 64 * 1024 * 1024;
+/// The largest body of an error that is read.
+const MAX_ERROR_BYTES: usize = 64 * 1024;
+/// The data of the last event of a stream.
+const DONE: &str = "[DONE]";
+
+/// A model turn.
+#[derive(Clone, Debug)]
+pub struct ChatRequest {
+    /// Holder of the memory that the engine caches.
+    pub program: ProgramId,
+    /// The model.
+    pub model: String,
+    /// The whole history with the new messages.
+    pub messages: Vec<Message>,
+    /// All other fields, passed on unread. `stream` and `stream_options` are set here.
+    pub options: Map<String, Value>,
+    /// Names the stream, so that it can be resumed.
+    pub resume_id: Option<String>,
+    /// The epoch of the program's home, for engines that check it.
+    pub fencing_epoch: Option<Epoch>,
+    /// When the turn is given up.
+    pub deadline: Instant,
+}
+
+/// One event of a turn.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ChatEvent {
+    /// The event's JSON as it came, without `data: `.
+    pub json: String,
+    /// `choices[0].delta`; empty where there is none.
+    pub delta: Map<String, Value>,
+    /// `choices[0].finish_reason`.
+    pub finish_reason: Option<String>,
+    /// Tokens used; in the last event.
+    pub usage: Option<Usage>,
+}
+
+impl ChatEvent {
+    /// The text that the event adds.
+    pub fn content(&self) -> &str {
+        self.delta.get("content").and_then(Value::as_str).unwrap_or_default()
+    }
+}
+
+/// A turn under way. Dropping it closes the connection, which cancels the turn at the engine.
+#[derive(Debug)]
+pub struct ChatStream {
+    reader: EventReader,
+    deadline: Instant,
+    resume_id: Option<String>,
+    events_seen: u64,
+    is_ended: bool,
+}
+
+impl ChatStream {
+    /// Returns the next event; `None` after the engine marked the end.
+    ///
+    /// An error is the last item. A stream that ends without the mark is an error.
+    pub async fn next(&mut self) -> Option<Result<ChatEvent, CallError>> {
+        if self.is_ended {
+            return None;
+        }
+        let item = match before(self.deadline, self.reader.next()).await {
+            None => Err(CallError::may_have_run(ErrorKind::TimedOut, "the turn took too long")),
+            Some(Ok(Some(data))) if data == DONE => {
+                self.is_ended = true;
+                return None;
+            }
+            Some(Ok(Some(data))) => parse(data),
+            Some(Ok(None)) => Err(CallError::may_have_run(ErrorKind::Broken, "the stream was cut")),
+            Some(Err(error)) => Err(sse_error(&error)),
+        };
+        match &item {
+            Ok(_) => self.events_seen += 1,
+            Err(_) => self.is_ended = true,
+        }
+        Some(item)
+    }
+
+    /// The name under which the engine resumes the stream.
+    pub fn resume_id(&self) -> Option<&str> {
+        self.resume_id.as_deref()
+    }
+
+    /// Events of the turn seen so far, with those before a resumption.
+    pub fn events_seen(&self) -> u64 {
+        self.events_seen
+    }
+}
+
+pub(super) async fn start(client: &Client, request: ChatRequest) -> Result<ChatStream, CallError> {
+    let deadline = request.deadline;
+    let mut exchange = Exchange::new("POST", "v1/chat/completions", MAX_STREAM_BYTES)
+        .header("Content-Type", "application/json")
+        .header("Program-Id", &request.program);
+    if let Some(id) = &request.resume_id {
+        exchange = exchange.header("Resume-Id", id);
+    }
+    if let Some(epoch) = request.fencing_epoch {
+        exchange = exchange.header("Fencing-Epoch", epoch);
+    }
+    let exchange = exchange.body(body(&request)?);
+    open(client, exchange, 0, deadline).await
+}
+
+pub(super) async fn resume(
+    client: &Client,
+    resume_id: &str,
+    after: u64,
+    deadline: Instant,
+) -> Result<ChatStream, CallError> {
+    let exchange = Exchange::new("POST", "v1/chat/completions", MAX_STREAM_BYTES)
+        .header("Content-Type", "application/json")
+        .header("Resume-Id", resume_id)
+        .header("Resume-After", after)
+        .body(b"{}".to_vec());
+    open(client, exchange, after, deadline).await
+}
+
+async fn open(
+    client: &Client,
+    exchange: Exchange,
+    events_seen: u64,
+    deadline: Instant,
+) -> Result<ChatStream, CallError> {
+    // A broken connection counts against the request as a suspect of crashing the engine, so a
+    // turn never takes a connection that the engine may just be closing.
+    let reply = client.send(exchange, Reuse::Fresh, deadline).await?;
+    if !(200..=299).contains(&reply.status) {
+        return Err(refused(reply, deadline).await);
+    }
+    let resume_id = reply.header("resume-id").map(str::to_owned);
+    let reader = EventReader::new(reply.body);
+    Ok(ChatStream { reader, deadline, resume_id, events_seen, is_ended: false })
+}
+
+/// The engine's own error. Its body only explains; when it can't be read the status still holds.
+async fn refused(mut reply: Reply, deadline: Instant) -> CallError {
+    let (status, headers) = (reply.status, reply.headers.clone());
+    reply.limit_body(MAX_ERROR_BYTES);
+    let body = reply.read_all(deadline).await.map(|answer| answer.body).unwrap_or_default();
+    status_error(status, &headers, &body)
+}
+
+fn body(request: &ChatRequest) -> Result<Vec<u8>, CallError> {
+    #[derive(serde::Serialize)]
+    struct Body<'a> {
+        model: &'a str,
+        messages: &'a [Message],
+        #[serde(flatten)]
+        options: &'a Map<String, Value>,
+    }
+    let mut options = request.options.clone();
+    // A field that stands twice would be read differently by different engines.
+    options.remove("model");
+    options.remove("messages");
+    options.insert("stream".into(), true.into());
+    options.insert("stream_options".into(), json!({ "include_usage": true }));
+    let (model, messages) = (&*request.model, &*request.messages);
+    serde_json::to_vec(&Body { model, messages, options: &options })
+        .map_err(|error| CallError::not_run(ErrorKind::Invalid, error.to_string()))
+}
+
+fn sse_error(error: &SseError) -> CallError {
+    let kind = match error {
+        SseError::Read(_) => ErrorKind::Broken,
+        SseError::TooLong => ErrorKind::TooLarge,
+        SseError::NotText => ErrorKind::Malformed,
+    };
+    CallError::may_have_run(kind, error.to_string())
+}
+
+/// The parts of an event that the system reads. All else passes on in the raw text.
+#[derive(Default, serde::Deserialize)]
+#[serde(default)]
+struct Wire {
+    choices: Vec<Choice>,
+    usage: Option<WireUsage>,
+    error: Option<Value>,
+}
+
+#[derive(Default, serde::Deserialize)]
+#[serde(default)]
+struct Choice {
+    delta: Option<Map<String, Value>>,
+    finish_reason: Option<String>,
+}
+
+#[derive(Default, serde::Deserialize)]
+#[serde(default)]
+struct WireUsage {
+    prompt_tokens: u64,
+    completion_tokens: u64,
+    prompt_tokens_details: Option<Details>,
+}
+
+#[derive(Default, serde::Deserialize)]
+#[serde(default)]
+struct Details {
+    cached_tokens: Option<u64>,
+}
+
+fn parse(json: String) -> Result<ChatEvent, CallError> {
+    let malformed = |detail: String| CallError::may_have_run(ErrorKind::Malformed, detail);
+    let wire: Wire =
+        serde_json::from_str(&json).map_err(|error| malformed(format!("event: {error}")))?;
+    if let Some(error) = wire.error {
+        let detail = format!("the engine reports {error}");
+        return Err(CallError::may_have_run(ErrorKind::Broken, detail));
+    }
+    let choice = wire.choices.into_iter().next().unwrap_or_default();
+    let (delta, finish_reason) = (choice.delta.unwrap_or_default(), choice.finish_reason);
+    Ok(ChatEvent { json, delta, finish_reason, usage: wire.usage.map(to_usage) })
+}
+
+fn to_usage(wire: WireUsage) -> Usage {
+    let cached_tokens =
+        wire.prompt_tokens_details.and_then(|details| details.cached_tokens).unwrap_or_default();
+    Usage {
+        prompt_tokens: wire.prompt_tokens,
+        cached_tokens,
+        completion_tokens: wire.completion_tokens,
+    }
+}
--- /dev/null
+++ b/crates/platform/src/engine/sse.rs
@@ -0,0 +1,88 @@
+//! Reads server-sent events, bounded.
+
+use {
+    derive_more::{Display, Error, From},
+    http_types::Body,
+    smol::io::{AsyncBufReadExt, AsyncReadExt, BufReader, Take},
+};
+
+/// The largest event, with its field names.
+const MAX_EVENT_BYTES: usize = 1024 * 1024;
+
+/// Why no event could be read.
+#[derive(Debug, Display, Error, From)]
+pub(super) enum SseError {
+    #[display("the stream broke: {_0}")]
+    Read(std::io::Error),
+    #[display("an event is larger than {MAX_EVENT_BYTES} bytes")]
+    #[from(skip)]
+    TooLong,
+    #[display("an event is not UTF-8")]
+    #[from(skip)]
+    NotText,
+}
+
+/// Reads the data of events from a body.
+#[derive(Debug)]
+pub(super) struct EventReader {
+    /// The limit bounds one line; it is set anew before each.
+    reader: Take<BufReader<Body>>,
+}
+
+impl EventReader {
+    pub(super) fn new(body: Body) -> Self {
+        Self { reader: BufReader::new(body).take(0) }
+    }
+
+    /// Returns the data of the next event, or `None` at the end of the body.
+    ///
+    /// Lines of other fields and comments are skipped. An event that the end cuts off is dropped.
+    pub(super) async fn next(&mut self) -> Result<Option<String>, SseError> {
+        let mut data: Option<String> = None;
+        let mut event_bytes = 0;
+        loop {
+            let Some(line) = self.line().await? else {
+                return Ok(None);
+            };
+            event_bytes += line.len();
+            if event_bytes > MAX_EVENT_BYTES {
+                return Err(SseError::TooLong);
+            }
+            if line.is_empty() {
+                match data.take() {
+                    Some(data) => return Ok(Some(data)),
+                    None => continue,
+                }
+            }
+            if let Some(value) = line.strip_prefix("data:") {
+                append(&mut data, value.strip_prefix(' ').unwrap_or(value));
+            }
+        }
+    }
+
+    /// Returns a line without its end.
+    async fn line(&mut self) -> Result<Option<String>, SseError> {
+        let mut line = Vec::new();
+        self.reader.set_limit(MAX_EVENT_BYTES as u64 + 1);
+        self.reader.read_until(b'\n', &mut line).await?;
+        match line.last() {
+            Some(b'\n') => line.pop(),
+            Some(_) if line.len() > MAX_EVENT_BYTES => return Err(SseError::TooLong),
+            _ => return Ok(None),
+        };
+        if line.last() == Some(&b'\r') {
+            line.pop();
+        }
+        String::from_utf8(line).map(Some).map_err(|_| SseError::NotText)
+    }
+}
+
+fn append(data: &mut Option<String>, value: &str) {
+    match data {
+        None => *data = Some(value.into()),
+        Some(data) => {
+            data.push('\n');
+            data.push_str(value);
+        }
+    }
+}
--- /dev/null
+++ b/crates/platform/src/http/connection.rs
@@ -0,0 +1,103 @@
+//! A connection that counts what was written and bounds what is read.
+
+use {
+    smol::{
+        io::{AsyncRead, AsyncWrite},
+        net::TcpStream,
+    },
+    std::{
+        io,
+        pin::Pin,
+        sync::{
+            Arc,
+            atomic::{AtomicU64, Ordering},
+        },
+        task::{Context, Poll, Waker},
+    },
+};
+
+/// A stream whose clones are the same connection. It closes when the last clone is dropped.
+#[derive(Clone, Debug)]
+pub(crate) struct Connection {
+    stream: TcpStream,
+    counts: Arc<Counts>,
+}
+
+#[derive(Debug, Default)]
+struct Counts {
+    /// Bytes written since the exchange began.
+    written: AtomicU64,
+    /// Bytes that may still be read in this exchange.
+    readable: AtomicU64,
+}
+
+impl Connection {
+    pub(crate) fn new(stream: TcpStream) -> Self {
+        Self { stream, counts: Arc::default() }
+    }
+
+    /// Starts an exchange of which at most `max_read_bytes` may be read.
+    pub(crate) fn begin(&self, max_read_bytes: u64) {
+        self.counts.written.store(0, Ordering::Relaxed);
+        self.counts.readable.store(max_read_bytes, Ordering::Relaxed);
+    }
+
+    /// Returns whether any byte of the exchange was handed to the kernel.
+    pub(crate) fn has_written(&self) -> bool {
+        self.counts.written.load(Ordering::Relaxed) > 0
+    }
+
+    /// Returns whether the exchange has read all that it may.
+    pub(crate) fn is_exhausted(&self) -> bool {
+        self.counts.readable.load(Ordering::Relaxed) == 0
+    }
+
+    /// Returns whether the other side has neither closed the connection nor sent unasked bytes.
+    pub(crate) fn is_idle(&self) -> bool {
+        let mut buffer = [0];
+        let mut context = Context::from_waker(Waker::noop());
+        let peeked = Box::pin(self.stream.peek(&mut buffer)).as_mut().poll(&mut context);
+        peeked.is_pending()
+    }
+}
+
+impl AsyncRead for Connection {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut [u8],
+    ) -> Poll<io::Result<usize>> {
+        let readable = self.counts.readable.load(Ordering::Relaxed);
+        if readable == 0 && !buffer.is_empty() {
+            return Poll::Ready(Err(io::Error::other("answer larger than the bound")));
+        }
+        let length = buffer.len().min(usize::try_from(readable).unwrap_or(usize::MAX));
+        let polled = Pin::new(&mut self.stream).poll_read(context, &mut buffer[..length]);
+        if let Poll::Ready(Ok(count)) = polled {
+            self.counts.readable.fetch_sub(count as u64, Ordering::Relaxed);
+        }
+        polled
+    }
+}
+
+impl AsyncWrite for Connection {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        let polled = Pin::new(&mut self.stream).poll_write(context, buffer);
+        if let Poll::Ready(Ok(count)) = polled {
+            self.counts.written.fetch_add(count as u64, Ordering::Relaxed);
+        }
+        polled
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(context)
+    }
+
+    fn poll_close(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_close(context)
+    }
+}
--- /dev/null
+++ b/crates/platform/src/http/exchange.rs
@@ -0,0 +1,294 @@
+//! One request and its answer.
+
+use {
+    super::{
+        Client, before,
+        connection::Connection,
+        headers::{check, is_forbidden_header, is_plain},
+    },
+    crate::error::{CallError, ErrorKind},
+    async_h1::client::{Encoder, decode},
+    http_types::{Body, Method, Request, Response, StatusCode, Url, headers::HeaderValues},
+    smol::{
+        future::FutureExt,
+        io::{AsyncReadExt, copy},
+    },
+    std::{net::SocketAddr, panic::AssertUnwindSafe, str::FromStr, time::Duration, time::Instant},
+};
+
+/// Bytes of an answer beside its body: head, chunk sizes and what the reader takes ahead.
+const MAX_FRAMING_BYTES: u64 = 64 * 1024;
+/// Bytes read at a time.
+const READ_BYTES: usize = 16 * 1024;
+
+/// A request to be sent.
+#[derive(Clone, Debug)]
+pub(crate) struct Exchange {
+    /// HTTP method, upper case.
+    pub method: String,
+    /// Path and query, without the leading slash.
+    pub path: String,
+    /// Headers, checked when sent.
+    pub headers: Vec<(String, String)>,
+    /// The body.
+    pub body: Vec<u8>,
+    /// The largest body of an answer.
+    pub max_body_bytes: usize,
+}
+
+impl Exchange {
+    pub(crate) fn new(method: &str, path: impl Into<String>, max_body_bytes: usize) -> Self {
+        let (method, path) = (method.into(), path.into());
+        Self { method, path, headers: Vec::new(), body: Vec::new(), max_body_bytes }
+    }
+
+    pub(crate) fn header(mut self, name: &str, value: impl ToString) -> Self {
+        self.headers.push((name.into(), value.to_string()));
+        self
+    }
+
+    pub(crate) fn body(mut self, body: Vec<u8>) -> Self {
+        self.body = body;
+        self
+    }
+
+    /// Chunked framing may add as much as the body itself where chunks are small.
+    pub(super) fn max_read_bytes(&self) -> u64 {
+        2 * self.max_body_bytes as u64 + MAX_FRAMING_BYTES
+    }
+
+    pub(super) fn to_request(&self, address: SocketAddr) -> Result<Request, CallError> {
+        let invalid = |detail: String| CallError::not_run(ErrorKind::Invalid, detail);
+        let method = Method::from_str(&self.method)
+            .map_err(|_| invalid(format!("method {:?} is not known", self.method)))?;
+        let path = self.path.trim_start_matches('/');
+        let url = Url::parse(&format!("http://{address}/{path}"))
+            .map_err(|error| invalid(format!("path: {error}")))?;
+        let mut request = Request::new(method, url);
+        for (name, value) in &self.headers {
+            check(name, value)?;
+            request.append_header(name.as_str(), value.as_str());
+        }
+        let has_type = request.header("content-type").is_some();
+        request.set_body(Body::from_bytes(self.body.clone()));
+        if !has_type {
+            // The library names a type of its own for every body.
+            request.remove_header("content-type");
+        }
+        Ok(request)
+    }
+}
+
+/// The head of an answer, with the body still to be read.
+#[derive(Debug)]
+pub(crate) struct Reply {
+    /// HTTP status.
+    pub status: u16,
+    /// Headers that may pass on.
+    pub headers: Vec<(String, String)>,
+    /// The body as it comes.
+    pub body: Body,
+    /// Length of the body where the head tells it.
+    length: Option<usize>,
+    max_body_bytes: usize,
+    is_reusable: bool,
+    connection: Connection,
+    client: Client,
+}
+
+/// A whole answer.
+#[derive(Clone, Debug)]
+pub(crate) struct Answer {
+    /// HTTP status.
+    pub status: u16,
+    /// Headers that may pass on.
+    pub headers: Vec<(String, String)>,
+    /// The body.
+    pub body: Vec<u8>,
+}
+
+impl Answer {
+    pub(crate) fn header(&self, name: &str) -> Option<&str> {
+        find(&self.headers, name)
+    }
+
+    /// Reads the body as JSON. The call ran, so a malformed answer leaves its effect unknown.
+    pub(crate) fn json<T: serde::de::DeserializeOwned>(&self) -> Result<T, CallError> {
+        serde_json::from_slice(&self.body)
+            .map_err(|error| CallError::may_have_run(ErrorKind::Malformed, error.to_string()))
+    }
+
+    /// Turns an error status into a failure.
+    pub(crate) fn expect_success(self) -> Result<Self, CallError> {
+        match self.status {
+            200..=299 => Ok(self),
+            status => Err(status_error(status, &self.headers, &self.body)),
+        }
+    }
+}
+
+/// What an error status says about the effect: 429 and 503 mean that nothing ran.
+pub(crate) fn status_error(status: u16, headers: &[(String, String)], body: &[u8]) -> CallError {
+    const DETAIL_CHARS: usize = 200;
+    let text: String = String::from_utf8_lossy(body).chars().take(DETAIL_CHARS).collect();
+    let detail = format!("answered {status} {}", text.trim());
+    let mut error = match status {
+        429 | 503 => CallError::not_run(ErrorKind::Busy, detail),
+        _ => CallError::may_have_run(ErrorKind::Status(status), detail),
+    };
+    let seconds = find(headers, "retry-after").and_then(|value| value.trim().parse().ok());
+    error.retry_after = seconds.map(Duration::from_secs);
+    error
+}
+
+fn find<'a>(headers: &'a [(String, String)], name: &str) -> Option<&'a str> {
+    headers.iter().find(|(other, _)| other.eq_ignore_ascii_case(name)).map(|(_, value)| &**value)
+}
+
+/// Writes a request and reads the head of its answer.
+pub(super) async fn run(
+    client: Client,
+    connection: Connection,
+    request: Request,
+    exchange: Exchange,
+    deadline: Instant,
+) -> Result<Reply, CallError> {
+    let is_head = request.method() == Method::Head;
+    let mut writer = connection.clone();
+    let work = async {
+        copy(&mut Encoder::new(request), &mut writer).await?;
+        // The library panics on a header that is not ASCII; that is the upstream's fault, and must
+        // not end the thread.
+        let decoded = AssertUnwindSafe(decode(connection.clone())).catch_unwind().await;
+        decoded.unwrap_or_else(|_| Err(http_types::format_err!("head of the answer is not ASCII")))
+    };
+    let response = match before(deadline, work).await {
+        None => return Err(failed(&connection, ErrorKind::TimedOut, "no answer in time")),
+        Some(Err(error)) => return Err(head_error(&connection, &error)),
+        Some(Ok(response)) => response,
+    };
+    let mut reply = to_reply(response, is_head, client, connection)?;
+    reply.max_body_bytes = exchange.max_body_bytes;
+    Ok(reply)
+}
+
+fn head_error(connection: &Connection, error: &http_types::Error) -> CallError {
+    let kind = match error.downcast_ref::<std::io::Error>() {
+        Some(_) if connection.is_exhausted() => ErrorKind::TooLarge,
+        Some(_) => ErrorKind::Broken,
+        // The library reports a closed connection as a plain message.
+        None if error.to_string().contains("connection closed") => ErrorKind::Broken,
+        None if error.to_string().contains("empty response") => ErrorKind::Broken,
+        None => ErrorKind::Malformed,
+    };
+    failed(connection, kind, &error.to_string())
+}
+
+/// A failure whose verdict follows from whether anything was written.
+fn failed(connection: &Connection, kind: ErrorKind, detail: &str) -> CallError {
+    match connection.has_written() {
+        true => CallError::may_have_run(kind, detail),
+        false => CallError::not_run(kind, detail),
+    }
+}
+
+fn to_reply(
+    mut response: Response,
+    is_head: bool,
+    client: Client,
+    connection: Connection,
+) -> Result<Reply, CallError> {
+    let status = response.status();
+    let has_no_body =
+        is_head || status == StatusCode::NoContent || status == StatusCode::NotModified;
+    let last = |values: &HeaderValues| values.last().as_str().to_ascii_lowercase();
+    let length = response.header("content-length").map(last);
+    let is_chunked = response.header("transfer-encoding").map(last).is_some_and(|e| e == "chunked");
+    let is_closing = response.header("connection").map(last).is_some_and(|value| value == "close");
+    let length = match length {
+        _ if has_no_body => Some(0),
+        Some(text) => Some(text.parse::<usize>().map_err(|_| {
+            CallError::may_have_run(ErrorKind::Malformed, "Content-Length is not a number")
+        })?),
+        None if is_chunked => None,
+        None => {
+            let detail = "the answer has neither Content-Length nor chunked coding";
+            return Err(CallError::may_have_run(ErrorKind::Malformed, detail));
+        }
+    };
+    let body = if has_no_body { Body::empty() } else { response.take_body() };
+    let headers = reply_headers(&response);
+    let is_reusable = !is_closing && !is_head;
+    let (status, max_body_bytes) = (u16::from(status), 0);
+    Ok(Reply { status, headers, body, length, max_body_bytes, is_reusable, connection, client })
+}
+
+/// Headers for the caller. The library makes up a `Date` with a line break where none came; a
+/// value with control characters would break the framing of the answer to the caller.
+fn reply_headers(response: &Response) -> Vec<(String, String)> {
+    let pairs = response.iter().flat_map(|(name, values)| {
+        values.iter().map(|value| (name.as_str().to_owned(), value.as_str().to_owned()))
+    });
+    pairs
+        .filter(|(name, value)| !is_forbidden_header(name) && value.bytes().all(is_plain))
+        .collect()
+}
+
+impl Reply {
+    pub(crate) fn header(&self, name: &str) -> Option<&str> {
+        find(&self.headers, name)
+    }
+
+    /// Bounds the body more tightly than the request did.
+    pub(crate) fn limit_body(&mut self, max_body_bytes: usize) {
+        self.max_body_bytes = max_body_bytes;
+    }
+
+    /// Reads the whole body and gives the connection back for reuse.
+    pub(crate) async fn read_all(mut self, deadline: Instant) -> Result<Answer, CallError> {
+        let mut body = Vec::with_capacity(self.length.unwrap_or(0).min(self.max_body_bytes));
+        match before(deadline, self.read_into(&mut body)).await {
+            Some(result) => result?,
+            None => {
+                let detail = "the answer was not whole in time";
+                return Err(CallError::may_have_run(ErrorKind::TimedOut, detail));
+            }
+        }
+        let Self { status, headers, body: reader, is_reusable, connection, client, .. } = self;
+        drop(reader);
+        if is_reusable {
+            client.give_back(connection);
+        }
+        Ok(Answer { status, headers, body })
+    }
+
+    async fn read_into(&mut self, body: &mut Vec<u8>) -> Result<(), CallError> {
+        let mut buffer = vec![0; READ_BYTES];
+        loop {
+            let count =
+                self.body.read(&mut buffer).await.map_err(|error| self.body_error(&error))?;
+            if count == 0 {
+                break;
+            }
+            body.extend_from_slice(&buffer[..count]);
+            if body.len() > self.max_body_bytes {
+                let detail = format!("the answer is larger than {} bytes", self.max_body_bytes);
+                return Err(CallError::may_have_run(ErrorKind::TooLarge, detail));
+            }
+        }
+        // The library ends a cut body without an error.
+        match self.length {
+            Some(length) if length != body.len() => {
+                let detail = format!("{} of {length} bytes of the answer came", body.len());
+                Err(CallError::may_have_run(ErrorKind::Broken, detail))
+            }
+            _ => Ok(()),
+        }
+    }
+
+    fn body_error(&self, error: &std::io::Error) -> CallError {
+        let kind =
+            if self.connection.is_exhausted() { ErrorKind::TooLarge } else { ErrorKind::Broken };
+        CallError::may_have_run(kind, error.to_string())
+    }
+}
--- /dev/null
+++ b/crates/platform/src/http/headers.rs
@@ -0,0 +1,62 @@
+//! Which headers pass from a caller to an upstream and back.
+
+use crate::error::{CallError, ErrorKind};
+
+/// Headers that no upstream sees: the caller's key, and what belongs to one connection only. The
+/// length and the host are set anew for each request.
+const FORBIDDEN: [&str; 15] = [
+    "authorization",
+    "connection",
+    "content-length",
+    "cookie",
+    "expect",
+    "host",
+    "keep-alive",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+    "http2-settings",
+];
+
+/// Returns whether a header never passes on, in either direction.
+pub fn is_forbidden_header(name: &str) -> bool {
+    FORBIDDEN.iter().any(|forbidden| name.eq_ignore_ascii_case(forbidden))
+}
+
+/// Returns the headers that may pass on. A header that `Connection` names stays behind too.
+pub(crate) fn passed_headers(headers: &[(String, String)]) -> Vec<(String, String)> {
+    let is_connection = |name: &str| name.eq_ignore_ascii_case("connection");
+    let named: Vec<&str> = headers
+        .iter()
+        .filter(|(name, _)| is_connection(name))
+        .flat_map(|(_, value)| value.split(','))
+        .map(str::trim)
+        .collect();
+    let is_named = |name: &str| named.iter().any(|other| other.eq_ignore_ascii_case(name));
+    let passes = |name: &str| !is_forbidden_header(name) && !is_named(name);
+    headers.iter().filter(|(name, _)| passes(name)).cloned().collect()
+}
+
+/// Refuses a header that would break the framing of the request, or that the library can't hold.
+pub(crate) fn check(name: &str, value: &str) -> Result<(), CallError> {
+    let is_token = |byte: u8| byte.is_ascii_alphanumeric() || b"!#$%&'*+-.^_`|~".contains(&byte);
+    if name.is_empty() || !name.bytes().all(is_token) {
+        let detail = format!("{:?} is not a header name", name.escape_default().to_string());
+        return Err(CallError::not_run(ErrorKind::Invalid, detail));
+    }
+    if !value.bytes().all(is_plain) {
+        let detail =
+            format!("the value of header {name} has other than printable ASCII characters");
+        return Err(CallError::not_run(ErrorKind::Invalid, detail));
+    }
+    Ok(())
+}
+
+/// Returns whether a byte may stand in a header value.
+pub(crate) fn is_plain(byte: u8) -> bool {
+    byte == b'\t' || (b' '..=b'~').contains(&byte)
+}
--- /dev/null
+++ b/crates/platform/src/http/mod.rs
@@ -0,0 +1,142 @@
+//! HTTP/1.1 calls to one address over async-h1, with reuse of connections.
+//!
+//! The connection is made here and not by the library, so that it is known whether any byte of a
+//! request was written. A connection goes back to the pool only after its answer was read to the
+//! end.
+
+mod connection;
+mod exchange;
+mod headers;
+
+pub use headers::is_forbidden_header;
+
+pub(crate) use {
+    exchange::{Answer, Exchange, Reply, status_error},
+    headers::passed_headers,
+};
+
+use {
+    crate::error::{CallError, ErrorKind},
+    connection::Connection,
+    smol::{Timer, future::FutureExt, net::TcpStream},
+    std::{
+        future::Future,
+        net::SocketAddr,
+        sync::{Arc, Mutex, PoisonError},
+        time::{Duration, Instant},
+    },
+};
+
+/// Connections kept open without a call, for each address.
+const MAX_IDLE_CONNECTIONS: usize = 32;
+/// A connection that was idle for longer is closed, before the other side does so.
+const MAX_IDLE: Duration = Duration::from_secs(15);
+/// The longest wait for a connection to be made.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Whether a call may use a connection that was used before.
+///
+/// A server may close an idle connection at the moment at which a request is written to it. Such a
+/// call gets `may_have_run` although it did not run, so calls whose verdict matters most take a
+/// connection of their own.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Reuse {
+    /// Take an idle connection if there is one.
+    Pooled,
+    /// Make a new connection.
+    Fresh,
+}
+
+/// A client of one address. Clones share the idle connections.
+#[derive(Clone, Debug)]
+pub(crate) struct Client {
+    address: SocketAddr,
+    pool: Arc<Mutex<Vec<Idle>>>,
+}
+
+#[derive(Debug)]
+struct Idle {
+    connection: Connection,
+    since: Instant,
+}
+
+impl Client {
+    pub(crate) fn new(address: SocketAddr) -> Self {
+        Self { address, pool: Arc::default() }
+    }
+
+    pub(crate) fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Sends a request and returns once the head of the answer is there.
+    pub(crate) async fn send(
+        &self,
+        exchange: Exchange,
+        reuse: Reuse,
+        deadline: Instant,
+    ) -> Result<Reply, CallError> {
+        let request = exchange.to_request(self.address)?;
+        let connection = self.connection(reuse, deadline).await?;
+        connection.begin(exchange.max_read_bytes());
+        exchange::run(self.clone(), connection, request, exchange, deadline).await
+    }
+
+    /// Sends a request and reads the whole answer.
+    pub(crate) async fn call(
+        &self,
+        exchange: Exchange,
+        reuse: Reuse,
+        deadline: Instant,
+    ) -> Result<Answer, CallError> {
+        self.send(exchange, reuse, deadline).await?.read_all(deadline).await
+    }
+
+    async fn connection(&self, reuse: Reuse, deadline: Instant) -> Result<Connection, CallError> {
+        if reuse == Reuse::Pooled
+            && let Some(connection) = self.take_idle()
+        {
+            return Ok(connection);
+        }
+        let limit = deadline.min(Instant::now() + CONNECT_TIMEOUT);
+        let stream = before(limit, TcpStream::connect(self.address)).await.ok_or_else(|| {
+            CallError::not_run(
+                ErrorKind::Connect,
+                format!("{}: no connection in time", self.address),
+            )
+        })?;
+        let stream = stream.map_err(|error| {
+            CallError::not_run(ErrorKind::Connect, format!("{}: {error}", self.address))
+        })?;
+        // Without this the last packet of a request waits for the acknowledgement of the first.
+        stream.set_nodelay(true).ok();
+        Ok(Connection::new(stream))
+    }
+
+    fn take_idle(&self) -> Option<Connection> {
+        let mut pool = self.pool.lock().unwrap_or_else(PoisonError::into_inner);
+        pool.retain(|idle| idle.since.elapsed() < MAX_IDLE);
+        while let Some(idle) = pool.pop() {
+            if idle.connection.is_idle() {
+                return Some(idle.connection);
+            }
+        }
+        None
+    }
+
+    fn give_back(&self, connection: Connection) {
+        let mut pool = self.pool.lock().unwrap_or_else(PoisonError::into_inner);
+        if pool.len() < MAX_IDLE_CONNECTIONS {
+            pool.push(Idle { connection, since: Instant::now() });
+        }
+    }
+}
+
+/// Runs a future until the deadline; `None` when the deadline came first.
+pub(crate) async fn before<T>(deadline: Instant, work: impl Future<Output = T>) -> Option<T> {
+    let timer = async {
+        Timer::at(deadline).await;
+        None
+    };
+    async { Some(work.await) }.or(timer).await
+}
