--- a/crates/core/src/journal/record.rs
+++ b/crates/core/src/journal/record.rs
@@ -18,9 +18,20 @@
     pub epoch: Epoch,
     /// The owner that wrote it.
     pub writer: Member,
-    /// Set on the first entry of an owner.
+    /// Highest position that the writer knew to be in the store. Proof that it will never again
+    /// try to create a position up to this one, so that those may be deleted.
+    #[serde(default)]
+    pub stored_seq: u64,
+    /// Set on the first entry of an owner. Invariant: such an entry has no records and is never
+    /// deleted, for it is what stops the former owner.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub takeover: Option<Opening>,
+    /// Position of the former owner's entry whose records this entry repeats, read from a backup.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub adopted: Option<u64>,
+    /// A checkpoint: earlier records of programs that aren't listed no longer count.
     #[serde(default, skip_serializing_if = "Option::is_none")]
-    pub takeover: Option<Takeover>,
+    pub live: Option<Vec<ProgramId>>,
     /// What happened, in order.
     #[serde(default)]
     pub records: Vec<Record>,
@@ -28,13 +39,26 @@
 
 /// The start of an ownership.
 #[derive(Clone, Debug, PartialEq, serde::Deserialize, serde::Serialize)]
-pub struct Takeover {
+pub struct Opening {
     /// Hosts that hold copies while the store is down, in other failure domains.
     #[serde(default)]
     pub backups: Vec<Member>,
     /// Whether the former owner handed over and stopped by itself.
     #[serde(default)]
     pub is_planned: bool,
+    /// While set, `backups` are those of the owner named here, and its copies that aren't in the
+    /// journal are still to be adopted.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub adopts: Option<Owner>,
+}
+
+/// One ownership of a journal.
+#[derive(Clone, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
+pub struct Owner {
+    /// Who writes.
+    pub member: Member,
+    /// Under which epoch.
+    pub epoch: Epoch,
 }
 
 /// One change of one program.
@@ -120,6 +144,28 @@
     },
 }
 
+impl Record {
+    /// The program that the record changes.
+    pub fn program(&self) -> &ProgramId {
+        match self {
+            Self::Created { program, .. }
+            | Self::Intended { program, .. }
+            | Self::TurnEnded { program, .. }
+            | Self::CallEnded { program, .. }
+            | Self::NotRun { program, .. }
+            | Self::Unknown { program, .. }
+            | Self::Ended { program, .. } => program,
+        }
+    }
+}
+
+impl Entry {
+    /// The ownership under which the entry was written.
+    pub fn owner(&self) -> Owner {
+        Owner { member: self.writer.clone(), epoch: self.epoch }
+    }
+}
+
 /// A recorded answer.
 #[derive(Clone, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
 pub struct StepResult {
--- /dev/null
+++ b/crates/core/src/journal/recovery.rs
@@ -0,0 +1,98 @@
+//! What a journal says, read from its entries.
+
+use {
+    crate::{
+        ids::{Epoch, Member, ProgramId},
+        journal::{Entry, Opening, Owner, Record},
+    },
+    std::collections::BTreeSet,
+};
+
+/// A journal as read from the store, without what doesn't count.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Recovery {
+    /// Entries in order of position, with those repeated from copies. Invariant: the epoch never
+    /// falls.
+    pub entries: Vec<Entry>,
+    /// Highest epoch of any entry that was seen, also of those that don't count.
+    pub max_epoch: Epoch,
+}
+
+/// Reads a journal from all its entries, in any order.
+///
+/// An entry whose epoch is above that of a later one was created by a slow successor at a position
+/// that had been deleted: it never counted, and is left out.
+pub fn recover(mut entries: Vec<Entry>) -> Recovery {
+    entries.sort_by_key(|entry| entry.seq);
+    entries.dedup_by_key(|entry| entry.seq);
+    let max_epoch = entries.iter().map(|entry| entry.epoch).max().unwrap_or(0);
+    let mut lowest = Epoch::MAX;
+    let mut valid: Vec<Entry> = Vec::with_capacity(entries.len());
+    for entry in entries.into_iter().rev() {
+        if entry.epoch <= lowest {
+            lowest = entry.epoch;
+            valid.push(entry);
+        }
+    }
+    valid.reverse();
+    Recovery { entries: valid, max_epoch }
+}
+
+impl Recovery {
+    /// First position after the last entry.
+    pub fn next_seq(&self) -> u64 {
+        self.entries.last().map_or(1, |entry| entry.seq + 1)
+    }
+
+    /// The records that count, in order.
+    pub fn records(&self) -> impl Iterator<Item = &Record> {
+        let checkpoint = self.entries.iter().rev().find_map(|entry| {
+            let live = entry.live.as_ref()?;
+            Some((entry.seq, live.iter().collect::<BTreeSet<&ProgramId>>()))
+        });
+        self.entries
+            .iter()
+            .flat_map(|entry| entry.records.iter().map(move |r| (entry.seq, r)))
+            .filter_map(move |(seq, record)| {
+                let is_garbage = checkpoint
+                    .as_ref()
+                    .is_some_and(|(at, live)| seq < *at && !live.contains(record.program()));
+                (!is_garbage).then_some(record)
+            })
+    }
+
+    /// Programs that have records that count.
+    pub fn programs(&self) -> BTreeSet<ProgramId> {
+        self.records().map(|record| record.program().clone()).collect()
+    }
+
+    /// The last start of an ownership.
+    pub fn takeover(&self) -> Option<(Owner, &Opening)> {
+        self.entries.iter().rev().find_map(|entry| Some((entry.owner(), entry.takeover.as_ref()?)))
+    }
+
+    /// The present owner.
+    pub fn owner(&self) -> Option<Owner> {
+        self.entries.last().map(Entry::owner)
+    }
+
+    /// The owner whose copies at the named backups count, and those backups.
+    pub fn copies(&self) -> Option<(Owner, Vec<Member>)> {
+        let (owner, takeover) = self.takeover()?;
+        let copier = takeover.adopts.clone().unwrap_or(owner);
+        Some((copier, takeover.backups.clone()))
+    }
+
+    /// Returns those of a backup's copies whose records are not in the journal yet, in order.
+    pub fn missing(&self, copies: Vec<Entry>) -> Vec<Entry> {
+        let Some((copier, _)) = self.copies() else { return Vec::new() };
+        let own =
+            self.entries.iter().filter(|entry| entry.owner() == copier).map(|entry| entry.seq);
+        let adopted = self.entries.iter().filter_map(|entry| entry.adopted);
+        let known = own.chain(adopted).max().unwrap_or(0);
+        let is_missing = |copy: &Entry| copy.owner() == copier && copy.seq > known;
+        let mut missing: Vec<Entry> = copies.into_iter().filter(is_missing).collect();
+        missing.sort_by_key(|copy| copy.seq);
+        missing
+    }
+}
