Add the dispatcher of a pool

Order by slack, fair queueing between teams, placement by expected delay, learned limits, shedding of new programs, ejection and quarantine, all as one state machine without I/O.

--- /dev/null
+++ b/crates/core/src/sched/dispatcher/grant.rs
@@ -0,0 +1,260 @@
+//! Handing out slots.
+
+use {
+    super::{Dispatcher, Lane, Slot, Waiting},
+    crate::{
+        event::Kind,
+        sched::{
+            Command, Note, SlotGrant, SlotRequest,
+            fair::cost_tokens,
+            order::{Standing, rank},
+            suspects::Suspicion,
+            upstream::{Position, UpstreamKey, WaitKey},
+        },
+    },
+    std::time::Instant,
+};
+
+/// One upstream in so many, at least one, may be kept for suspected requests at a time.
+const RESERVED_SHARE: usize = 4;
+
+impl Dispatcher {
+    /// Grants slots at an upstream while it has room for a request.
+    pub(super) fn pump(&mut self, now: Instant, key: UpstreamKey) {
+        while let Some(wait) = self.next_for(now, key) {
+            self.grant(now, wait, key, false);
+        }
+    }
+
+    /// Grants slots at all upstreams that have room.
+    pub(super) fn pump_all(&mut self, now: Instant) {
+        self.pump_suspected(now);
+        if self.waiting.is_empty() {
+            return;
+        }
+        let keys: Vec<UpstreamKey> = self.upstreams.keys().collect();
+        for key in keys {
+            self.pump(now, key);
+        }
+    }
+
+    /// Ranks all waiting requests anew, after targets have changed.
+    pub(super) fn rank_anew(&mut self) {
+        let keys: Vec<WaitKey> = self.waiting.keys().collect();
+        for key in keys {
+            let waiting = &self.waiting[key];
+            let (came, request) = (waiting.came, waiting.request.clone());
+            let rank = self.rank(came, &request);
+            let Lane::Upstream(upstream) = waiting.lane else {
+                self.waiting[key].rank = rank;
+                continue;
+            };
+            self.take_from_lane(key);
+            self.waiting[key].rank = rank;
+            self.enqueue(key, upstream);
+        }
+    }
+
+    /// Where a request stands among those that wait.
+    pub(super) fn rank(&self, came: Instant, request: &SlotRequest) -> i64 {
+        let target = self.targets.get(&request.class).copied().unwrap_or(request.target);
+        let program = self.programs.get(&request.program);
+        let standing = Standing {
+            age: request.program_age,
+            target,
+            remaining: self.estimates.remaining(&request.class, request.calls_done),
+            attained_tokens: program.map_or(0, |program| program.attained_tokens),
+        };
+        let origin = self.started.unwrap_or(came);
+        rank(self.options.order, self.options.overtake, origin, came, &standing)
+    }
+
+    /// Tries suspected requests alone, one to an upstream.
+    pub(super) fn pump_suspected(&mut self, now: Instant) {
+        let waiting: Vec<WaitKey> = self.suspected.iter().map(|&(_, key)| key).collect();
+        for key in waiting {
+            if let Some(waiting) = self.waiting.get(key) {
+                let fingerprint = waiting.request.fingerprint;
+                self.try_suspected(now, key, fingerprint);
+            }
+        }
+    }
+
+    fn try_suspected(&mut self, now: Instant, key: WaitKey, fingerprint: u64) {
+        match self.suspects.check(now, fingerprint) {
+            Suspicion::Quarantined(left) => self.refuse_quarantined(now, key, left),
+            Suspicion::Clear => {
+                self.unreserve(key);
+                self.take_from_lane(key);
+                self.settle(now, key);
+            }
+            Suspicion::Suspected if self.running.contains_key(&fingerprint) => (),
+            Suspicion::Suspected => self.try_alone(now, key),
+        }
+    }
+
+    fn try_alone(&mut self, now: Instant, key: WaitKey) {
+        let reserved = self.upstreams.iter().find(|(_, up)| up.reserved_for == Some(key));
+        let Some(upstream) =
+            reserved.map(|(upstream, _)| upstream).or_else(|| self.reserve(now, key))
+        else {
+            return;
+        };
+        if self.upstreams[upstream].in_flight == 0 {
+            self.grant(now, key, upstream, true);
+        }
+    }
+
+    /// Keeps the least busy upstream for a suspected request, if not too many are kept.
+    fn reserve(&mut self, now: Instant, key: WaitKey) -> Option<UpstreamKey> {
+        let request = self.waiting[key].request.clone();
+        let listed = self.upstreams.values().filter(|up| up.is_listed && !up.view.is_leaving);
+        let most = (listed.count() / RESERVED_SHARE).max(1);
+        let reserved = self.upstreams.values().filter(|up| up.is_reserved()).count();
+        if reserved >= most {
+            return None;
+        }
+        let usable = self.upstreams.iter().filter(|(key, _)| self.is_usable(*key, &request));
+        let (upstream, _) = usable.min_by_key(|(key, up)| (up.in_flight, *key))?;
+        self.change(upstream, |upstream| upstream.reserved_for = Some(key));
+        self.evacuate(now, upstream);
+        Some(upstream)
+    }
+
+    /// Gives up the upstream that is kept for a request.
+    pub(super) fn unreserve(&mut self, key: WaitKey) {
+        let reserved = self.upstreams.iter().find(|(_, up)| up.reserved_for == Some(key));
+        if let Some((upstream, _)) = reserved {
+            self.change(upstream, |upstream| upstream.reserved_for = None);
+        }
+    }
+
+    /// The next request for a free slot at an upstream: from its queue, or from a longer one.
+    fn next_for(&mut self, now: Instant, key: UpstreamKey) -> Option<WaitKey> {
+        loop {
+            let (_, number, wait) = match self.head(key) {
+                Some(position) => position,
+                None => return self.move_here(key),
+            };
+            let waiting = &self.waiting[wait];
+            debug_assert_eq!(waiting.number, number, "a queue names another request");
+            let elsewhere = self.running.get(&waiting.request.fingerprint);
+            if elsewhere.is_some_and(|&(upstream, _)| upstream != key) {
+                self.take_from_lane(wait);
+                self.settle(now, wait);
+                continue;
+            }
+            let tokens = self.tokens_of(&self.waiting[wait].request);
+            return self.upstreams[key].has_room(tokens).then_some(wait);
+        }
+    }
+
+    /// The first request in an upstream's queue: of the eligible teams, the least rank.
+    fn head(&self, key: UpstreamKey) -> Option<Position> {
+        let queue = &self.upstreams.get(key)?.queue;
+        let heads = || queue.iter().filter_map(|(team, set)| Some((*team, *set.first()?)));
+        let eligible = heads().filter(|(team, _)| self.teams.is_eligible(*team));
+        let first = eligible.min_by_key(|(_, position)| *position);
+        let behind = || heads().min_by_key(|(team, _)| self.teams.virtual_tokens(*team));
+        first.or_else(behind).map(|(_, position)| position)
+    }
+
+    fn move_here(&mut self, key: UpstreamKey) -> Option<WaitKey> {
+        if self.crowded.is_empty() || !self.upstreams.get(key)?.has_room(0) {
+            return None;
+        }
+        let wait = self.find_to_move(key)?;
+        self.take_from_lane(wait);
+        self.enqueue(wait, key);
+        self.counts.spilled += 1;
+        Some(wait)
+    }
+
+    fn grant(&mut self, now: Instant, key: WaitKey, upstream: UpstreamKey, is_alone: bool) {
+        let Some(waiting) = self.remove_waiting(key) else {
+            return;
+        };
+        let ticket = self.next_ticket;
+        self.next_ticket += 1;
+        self.counts.granted += 1;
+        let view = &self.upstreams[upstream].view;
+        let waited = now.duration_since(waiting.came);
+        let grant = SlotGrant {
+            ticket,
+            upstream: view.upstream.clone(),
+            address: view.address.clone(),
+            waited,
+        };
+        self.out.push(Command::Grant { waiter: waiting.waiter, grant });
+        let charged_tokens = self.charge_expected(now, &waiting, upstream);
+        self.occupy(now, ticket, upstream, waiting.request, waiting.team, charged_tokens, is_alone);
+    }
+
+    /// Charges the team what the call will likely cost; the release corrects it.
+    fn charge_expected(&mut self, now: Instant, waiting: &Waiting, upstream: UpstreamKey) -> u64 {
+        let request = &waiting.request;
+        let cached = self.programs.cached(&request.program, upstream).min(request.prompt_tokens);
+        let generated = self.tokens_of(request).saturating_sub(request.prompt_tokens);
+        let charged = cost_tokens(request.prompt_tokens - cached, generated);
+        self.teams.charge(self.now_s(now), waiting.team, charged as i64);
+        charged
+    }
+
+    /// Counts a call at an upstream.
+    #[allow(clippy::too_many_arguments)] // The parts of a slot, in one place.
+    pub(super) fn occupy(
+        &mut self,
+        granted: Instant,
+        ticket: u64,
+        upstream: UpstreamKey,
+        request: SlotRequest,
+        team: usize,
+        charged_tokens: u64,
+        is_alone: bool,
+    ) {
+        let tokens = self.tokens_of(&request);
+        self.change(upstream, |upstream| {
+            upstream.in_flight += 1;
+            upstream.in_flight_tokens += tokens;
+            upstream.tickets.insert(ticket);
+            upstream.runs_alone |= is_alone;
+        });
+        self.running.entry(request.fingerprint).or_insert((upstream, 0)).1 += 1;
+        self.programs.touch(granted, &request.program).paused_at = None;
+        let slot = Slot {
+            upstream,
+            request,
+            team,
+            granted,
+            tokens,
+            charged_tokens,
+            is_alone,
+            is_struck: false,
+        };
+        self.slots.insert(ticket, slot);
+    }
+
+    /// Gives a slot's place at its upstream back.
+    pub(super) fn vacate(&mut self, ticket: u64) -> Option<Slot> {
+        let slot = self.slots.remove(&ticket)?;
+        self.change(slot.upstream, |upstream| {
+            upstream.in_flight -= 1;
+            upstream.in_flight_tokens -= slot.tokens;
+            upstream.tickets.remove(&ticket);
+            upstream.runs_alone &= !slot.is_alone;
+        });
+        if let Some((_, count)) = self.running.get_mut(&slot.request.fingerprint) {
+            *count -= 1;
+            if *count == 0 {
+                self.running.remove(&slot.request.fingerprint);
+            }
+        }
+        Some(slot)
+    }
+
+    fn refuse_quarantined(&mut self, now: Instant, key: WaitKey, left: std::time::Duration) {
+        let request = &self.waiting[key].request;
+        self.note(Note::new(Kind::Quarantined).about(&request.clone()));
+        self.refuse(now, key, super::intake::quarantined(left));
+    }
+}
--- /dev/null
+++ b/crates/core/src/sched/dispatcher/memory.rs
@@ -0,0 +1,57 @@
+//! What engines are believed to hold for programs.
+
+use {
+    super::{Dispatcher, SWEEP_INTERVAL},
+    crate::{
+        ids::ProgramId,
+        sched::{CacheEvent, upstream::UpstreamKey},
+    },
+    std::time::Instant,
+};
+
+impl Dispatcher {
+    /// Takes a cache event into the map.
+    pub(super) fn note_cache(&mut self, now: Instant, key: UpstreamKey, event: &CacheEvent) {
+        let last = self.upstreams[key].last_event;
+        if last.is_some_and(|last| event.sequence <= last) {
+            return;
+        }
+        if last.is_some_and(|last| event.sequence > last + 1) {
+            self.programs.saw_gap(key);
+        }
+        self.upstreams[key].last_event = Some(event.sequence);
+        if event.tokens > 0 {
+            self.programs.touch(now, &event.program);
+        }
+        self.hold(key, &event.program, event.tokens);
+    }
+
+    /// Records what an engine holds for a program.
+    pub(super) fn hold(&mut self, key: UpstreamKey, program: &ProgramId, tokens: u64) {
+        let change = self.programs.hold(program, key, tokens);
+        self.change(key, |upstream| upstream.resident_tokens += change);
+    }
+
+    /// An engine broke, and with it went its memory.
+    pub(super) fn forget_memory(&mut self, key: UpstreamKey) {
+        self.programs.forget_upstream(key);
+        self.change(key, |upstream| {
+            upstream.resident_tokens = 0;
+            upstream.last_event = None;
+        });
+    }
+
+    /// Forgets what has expired, at most once in a while.
+    pub(super) fn sweep(&mut self, now: Instant) {
+        self.teams.refresh(self.now_s(now));
+        if self.last_sweep.is_some_and(|last| now.duration_since(last) < SWEEP_INTERVAL) {
+            return;
+        }
+        self.last_sweep = Some(now);
+        self.suspects.expire(now);
+        self.retries.expire(now);
+        for program in self.programs.stale(now) {
+            self.forget_program(&program);
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/sched/dispatcher/mod.rs
@@ -0,0 +1,397 @@
+//! The dispatcher of one pool: which waiting request gets which slot, and when.
+//!
+//! A dispatcher is soft state. A new one starts empty with cautious limits; homes tell it the
+//! slots they hold by [`Dispatcher::adopt`] and ask again for those they wait for. Nothing that
+//! must hold depends on what it remembers, except that a request it refuses was not sent.
+
+mod grant;
+mod health;
+mod intake;
+mod memory;
+mod place;
+
+use {
+    super::{
+        AdoptedSlot, CacheEvent, Command, DispatcherOptions, LoadReport, Note, SlotRelease,
+        SlotRequest, Ticket, UpstreamView, Waiter,
+        estimate::Estimates,
+        fair::{FairShare, TeamIndex},
+        programs::Programs,
+        retry::RetryBudget,
+        shed::Shedding,
+        suspects::Suspects,
+        upstream::{Upstream, UpstreamKey, WaitKey},
+    },
+    crate::{
+        catalog::Catalog,
+        event::Kind,
+        ids::{ClassId, DomainId, HostId, ProgramId, UpstreamId},
+    },
+    rand::{RngExt, SeedableRng, rngs::StdRng},
+    slotmap::SlotMap,
+    std::{
+        collections::{BTreeMap, BTreeSet, HashMap},
+        time::{Duration, Instant},
+    },
+};
+
+/// Time between ticks while requests wait.
+const TICK: Duration = Duration::from_millis(250);
+/// Slots are freed when their call has run this much longer than the service's deadline: the
+/// home must have died without a word.
+const LEAK_MARGIN: Duration = Duration::from_secs(30);
+/// The longest call where the catalog names no deadline.
+const DEFAULT_DEADLINE: Duration = Duration::from_secs(600);
+/// Time after its start in which a dispatcher counts calls that it did not grant itself.
+const SETTLING: Duration = Duration::from_secs(30);
+/// Time between two sweeps over all programs.
+const SWEEP_INTERVAL: Duration = Duration::from_secs(60);
+/// Prefill rate while none has been seen.
+const DEFAULT_PREFILL_TOKENS_PER_S: f64 = 5_000.0;
+
+/// A request that waits.
+#[derive(Clone, Debug)]
+struct Waiting {
+    waiter: Waiter,
+    request: SlotRequest,
+    team: TeamIndex,
+    came: Instant,
+    number: u64,
+    rank: i64,
+    lane: Lane,
+}
+
+/// Where a request waits.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Lane {
+    /// In the queue of an upstream.
+    Upstream(UpstreamKey),
+    /// For any upstream to come back.
+    Parked,
+    /// For an upstream on which to run alone.
+    Suspected,
+}
+
+/// A slot in use.
+#[derive(Clone, Debug)]
+struct Slot {
+    upstream: UpstreamKey,
+    request: SlotRequest,
+    team: TeamIndex,
+    granted: Instant,
+    /// Tokens counted at the upstream.
+    tokens: u64,
+    /// Prefilled and generated tokens charged to the team.
+    charged_tokens: u64,
+    is_alone: bool,
+    /// Whether the upstream broke for another call meanwhile.
+    is_struck: bool,
+}
+
+/// What a dispatcher counted since it began.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct DispatcherCounts {
+    /// Slots granted.
+    pub granted: u64,
+    /// Requests refused.
+    pub refused: u64,
+    /// New programs refused under overload.
+    pub shed: u64,
+    /// Requests moved to another upstream than the one they waited for.
+    pub spilled: u64,
+    /// Prompt tokens of answered turns that the engine found in its cache.
+    pub cached_tokens: u64,
+    /// Prompt tokens of answered turns that the engine prefilled.
+    pub prefilled_tokens: u64,
+}
+
+/// Order, fairness, placement and admission for one pool of upstreams.
+#[derive(Debug)]
+pub struct Dispatcher {
+    options: DispatcherOptions,
+    started: Option<Instant>,
+    targets: BTreeMap<ClassId, Duration>,
+    deadline: Duration,
+    hosts: BTreeMap<HostId, DomainId>,
+    upstreams: SlotMap<UpstreamKey, Upstream>,
+    by_id: HashMap<UpstreamId, UpstreamKey>,
+    /// Available upstreams of each domain by load.
+    index: BTreeMap<DomainId, BTreeSet<(u64, UpstreamKey)>>,
+    /// Upstreams with waiting requests, by load.
+    crowded: BTreeSet<(u64, UpstreamKey)>,
+    /// Ejected upstreams by the end of their ejection.
+    ejected: BTreeSet<(Instant, UpstreamKey)>,
+    /// What runs and waits at available upstreams.
+    occupied: i64,
+    /// Sum of their limits.
+    available_slots: i64,
+    slots: HashMap<Ticket, Slot>,
+    waiting: SlotMap<WaitKey, Waiting>,
+    by_waiter: HashMap<Waiter, WaitKey>,
+    parked: BTreeSet<(u64, WaitKey)>,
+    suspected: BTreeSet<(u64, WaitKey)>,
+    /// Where a fingerprint runs, and how often.
+    running: HashMap<u64, (UpstreamKey, u32)>,
+    programs: Programs,
+    estimates: Estimates,
+    teams: FairShare,
+    shedding: Shedding,
+    suspects: Suspects,
+    retries: RetryBudget,
+    prefill_tokens_per_s: f64,
+    counts: DispatcherCounts,
+    next_number: u64,
+    next_ticket: Ticket,
+    round_robin: usize,
+    last_tick: Option<Instant>,
+    last_sweep: Option<Instant>,
+    wake_at: Option<Instant>,
+    rng: StdRng,
+    out: Vec<Command>,
+}
+
+impl Dispatcher {
+    /// Starts without upstreams.
+    pub fn new(options: DispatcherOptions) -> Self {
+        let mut rng = StdRng::seed_from_u64(options.seed);
+        // Tickets of two dispatchers must not meet: a home may release one at the other.
+        let next_ticket = rng.random::<u64>() >> 1 & !0xffff_ffff;
+        Self {
+            teams: FairShare::new(options.fairness_window_tokens, options.is_fair),
+            options,
+            started: None,
+            targets: BTreeMap::new(),
+            deadline: DEFAULT_DEADLINE,
+            hosts: BTreeMap::new(),
+            upstreams: SlotMap::with_key(),
+            by_id: HashMap::new(),
+            index: BTreeMap::new(),
+            crowded: BTreeSet::new(),
+            ejected: BTreeSet::new(),
+            occupied: 0,
+            available_slots: 0,
+            slots: HashMap::new(),
+            waiting: SlotMap::with_key(),
+            by_waiter: HashMap::new(),
+            parked: BTreeSet::new(),
+            suspected: BTreeSet::new(),
+            running: HashMap::new(),
+            programs: Programs::default(),
+            estimates: Estimates::default(),
+            shedding: Shedding::default(),
+            suspects: Suspects::default(),
+            retries: RetryBudget::default(),
+            prefill_tokens_per_s: DEFAULT_PREFILL_TOKENS_PER_S,
+            counts: DispatcherCounts::default(),
+            next_number: 0,
+            next_ticket,
+            round_robin: 0,
+            last_tick: None,
+            last_sweep: None,
+            wake_at: None,
+            rng,
+            out: Vec::new(),
+        }
+    }
+
+    /// Takes targets, team weights and the service's deadline from a catalog. Waiting requests
+    /// are put in order anew, so that a changed target takes effect at once.
+    pub fn set_catalog(&mut self, catalog: &Catalog) {
+        self.targets =
+            catalog.classes.iter().map(|(id, class)| (id.clone(), class.target())).collect();
+        self.teams
+            .set_weights(catalog.teams.iter().map(|(id, team)| (id.clone(), team.rate_per_s)));
+        let service = catalog.services.get(&self.options.service);
+        self.deadline = service.map_or(DEFAULT_DEADLINE, |service| service.deadline());
+        self.rank_anew();
+    }
+
+    /// Tells in which failure domain each host is, so that homes get upstreams near to them.
+    pub fn set_hosts(&mut self, hosts: BTreeMap<HostId, DomainId>) {
+        self.hosts = hosts;
+    }
+
+    /// Replaces the list of upstreams.
+    pub fn set_upstreams(&mut self, now: Instant, views: Vec<UpstreamView>) -> Vec<Command> {
+        self.begin(now);
+        let listed: BTreeSet<UpstreamId> = views.iter().map(|view| view.upstream.clone()).collect();
+        let gone: Vec<UpstreamKey> = self
+            .upstreams
+            .iter()
+            .filter(|(_, upstream)| upstream.is_listed && !listed.contains(&upstream.view.upstream))
+            .map(|(key, _)| key)
+            .collect();
+        for view in views {
+            self.see_upstream(view);
+        }
+        for key in gone {
+            self.lose_upstream(now, key);
+        }
+        self.place_parked(now);
+        self.pump_all(now);
+        self.finish(now)
+    }
+
+    /// A request asks for a slot. It gets a grant or a refusal, now or later.
+    pub fn request(&mut self, now: Instant, request: SlotRequest, waiter: Waiter) -> Vec<Command> {
+        self.begin(now);
+        self.take_in(now, request, waiter);
+        self.finish(now)
+    }
+
+    /// A waiting request is no longer wanted. Unknown waiters are ignored.
+    pub fn cancel(&mut self, now: Instant, waiter: Waiter) -> Vec<Command> {
+        self.begin(now);
+        if let Some(&key) = self.by_waiter.get(&waiter) {
+            self.remove_waiting(key);
+        }
+        self.finish(now)
+    }
+
+    /// A slot is given back. Unknown tickets are ignored.
+    pub fn release(&mut self, now: Instant, release: SlotRelease) -> Vec<Command> {
+        self.begin(now);
+        self.take_back(now, release);
+        self.finish(now)
+    }
+
+    /// A home holds a slot that another dispatcher granted. Known tickets are ignored.
+    pub fn adopt(&mut self, now: Instant, adopted: AdoptedSlot) -> Vec<Command> {
+        self.begin(now);
+        self.take_over(now, adopted);
+        self.finish(now)
+    }
+
+    /// An upstream reported its load. Unknown upstreams are ignored.
+    pub fn load_report(
+        &mut self,
+        now: Instant,
+        upstream: &UpstreamId,
+        report: LoadReport,
+    ) -> Vec<Command> {
+        self.begin(now);
+        let is_settled = self.started.is_some_and(|at| now.duration_since(at) > SETTLING);
+        if let Some(&key) = self.by_id.get(upstream) {
+            self.change(key, |upstream| upstream.on_report(now, &report, is_settled));
+            self.pump(now, key);
+        }
+        self.finish(now)
+    }
+
+    /// An engine's cache changed. Unknown upstreams and old events are ignored.
+    pub fn cache_event(
+        &mut self,
+        now: Instant,
+        upstream: &UpstreamId,
+        event: CacheEvent,
+    ) -> Vec<Command> {
+        self.begin(now);
+        if let Some(&key) = self.by_id.get(upstream) {
+            self.note_cache(now, key, &event);
+        }
+        self.finish(now)
+    }
+
+    /// A program has ended: its places are forgotten and engines are told to free its memory.
+    pub fn program_ended(&mut self, now: Instant, program: &ProgramId) -> Vec<Command> {
+        self.begin(now);
+        self.forget_program(program);
+        self.finish(now)
+    }
+
+    /// A home is gone. Its slots stay until their calls must have ended; its requests go.
+    pub fn home_lost(&mut self, now: Instant, home: &HostId) -> Vec<Command> {
+        self.begin(now);
+        let lost = self.waiting.iter().filter(|(_, waiting)| waiting.request.home == *home);
+        let lost: Vec<WaitKey> = lost.map(|(key, _)| key).collect();
+        for key in lost {
+            self.remove_waiting(key);
+        }
+        self.finish(now)
+    }
+
+    /// Time passes: ends ejections, gives up on what can't be served in time, moves what waits.
+    pub fn tick(&mut self, now: Instant) -> Vec<Command> {
+        self.begin(now);
+        self.last_tick = Some(now);
+        self.return_upstreams(now);
+        self.place_parked(now);
+        self.give_up(now);
+        self.free_leaked(now);
+        self.sweep(now);
+        self.pump_all(now);
+        self.finish(now)
+    }
+
+    /// What was counted since the start.
+    pub fn counts(&self) -> DispatcherCounts {
+        self.counts
+    }
+
+    /// Requests that wait.
+    pub fn waiting(&self) -> usize {
+        self.waiting.len()
+    }
+
+    /// Slots in use and the limit at an upstream, or `None` if it is unknown.
+    pub fn slots(&self, upstream: &UpstreamId) -> Option<(u32, u32)> {
+        let upstream = &self.upstreams[*self.by_id.get(upstream)?];
+        Some((upstream.in_flight, upstream.limit.slots()))
+    }
+
+    /// What runs and waits over what the pool serves well, smoothed.
+    pub fn pressure(&self) -> f64 {
+        self.shedding.pressure()
+    }
+
+    fn begin(&mut self, now: Instant) {
+        if self.started.is_none() {
+            self.started = Some(now);
+        }
+        self.observe_pressure(now);
+    }
+
+    fn finish(&mut self, now: Instant) -> Vec<Command> {
+        self.set_wake(now);
+        std::mem::take(&mut self.out)
+    }
+
+    fn now_s(&self, now: Instant) -> f64 {
+        self.started.map_or(0.0, |started| now.duration_since(started).as_secs_f64())
+    }
+
+    fn set_wake(&mut self, now: Instant) {
+        let ejected = self.ejected.first().map(|&(at, _)| at);
+        let next_tick = self.last_tick.map_or(now, |last| (last + TICK).max(now));
+        let waits = !self.waiting.is_empty();
+        let wake = if waits { Some(next_tick) } else { ejected };
+        if let Some(at) = wake.filter(|_| wake != self.wake_at) {
+            self.out.push(Command::WakeAt(at));
+        }
+        self.wake_at = wake;
+    }
+
+    fn note(&mut self, note: Note) {
+        self.out.push(Command::Note(note));
+    }
+
+    fn draw(&mut self) -> f64 {
+        self.rng.random()
+    }
+
+    fn forget_program(&mut self, program: &ProgramId) {
+        for holding in self.programs.remove(program) {
+            self.change(holding.upstream, |upstream| {
+                upstream.resident_tokens -= holding.tokens as i64;
+            });
+            let Some(upstream) = self.upstreams.get(holding.upstream) else {
+                continue;
+            };
+            let id = upstream.view.upstream.clone();
+            let mut note = Note::new(Kind::MemoryReleased).at(&id);
+            note.program = Some(program.clone());
+            self.out.push(Command::Release { upstream: id, program: program.clone() });
+            self.note(note.with("tokens", holding.tokens));
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/sched/dispatcher/place.rs
@@ -0,0 +1,290 @@
+//! Which upstream a request waits for, and how it moves.
+
+use {
+    super::{Dispatcher, Lane, Waiting},
+    crate::{
+        ids::DomainId,
+        sched::{
+            Placement, SlotRequest,
+            fair::TeamIndex,
+            upstream::{Position, Upstream, UpstreamKey, WaitKey},
+        },
+    },
+    std::time::Instant,
+};
+
+/// Upstreams looked at in each failure domain before all are.
+const LOOKED_AT: usize = 8;
+/// What another failure domain costs: a few round trips, so that it only breaks ties.
+const DOMAIN_COST_S: f64 = 0.004;
+/// A prefill also holds up the calls that run beside it, so it costs this many times its length.
+const PREFILL_FACTOR: f64 = 2.0;
+/// Crowded upstreams looked at for requests to take over.
+const CROWDED_LOOKED_AT: usize = 3;
+/// Requests looked at in each of their queues.
+const QUEUE_LOOKED_AT: usize = 16;
+/// A move must save this much, so that requests don't go to and fro.
+const MOVE_GAIN_S: f64 = 0.05;
+
+impl Dispatcher {
+    /// Chooses an upstream for a request, or `None` where none is available.
+    pub(super) fn place(&mut self, request: &SlotRequest) -> Option<UpstreamKey> {
+        if let Some(&(key, _)) = self.running.get(&request.fingerprint) {
+            // The same content runs there: if it breaks upstreams, it shall break only that one.
+            return self.is_usable(key, request).then_some(key);
+        }
+        match self.options.placement {
+            Placement::RoundRobin => self.place_in_turn(request),
+            Placement::LeastLoaded => self.least_loaded(request),
+            Placement::Sticky => self.holder(request).or_else(|| self.least_loaded(request)),
+            Placement::LeastDelay => self.place_by_delay(request),
+        }
+    }
+
+    /// Puts a waiting request into the queue of an upstream.
+    pub(super) fn enqueue(&mut self, key: WaitKey, upstream: UpstreamKey) {
+        let waiting = &mut self.waiting[key];
+        waiting.lane = Lane::Upstream(upstream);
+        let (team, position) = (waiting.team, (waiting.rank, waiting.number, key));
+        self.change(upstream, |upstream| {
+            upstream.queue.entry(team).or_default().insert(position);
+            upstream.queued += 1;
+        });
+    }
+
+    /// Takes a waiting request out of its lane, but keeps it waiting.
+    pub(super) fn take_from_lane(&mut self, key: WaitKey) {
+        let Some(waiting) = self.waiting.get(key) else {
+            return;
+        };
+        let (lane, number) = (waiting.lane, waiting.number);
+        let (team, position) = (waiting.team, (waiting.rank, number, key));
+        match lane {
+            Lane::Parked => {
+                self.parked.remove(&(number, key));
+            }
+            Lane::Suspected => {
+                self.suspected.remove(&(number, key));
+            }
+            Lane::Upstream(upstream) => {
+                self.change(upstream, |upstream| upstream.remove_queued(team, &position));
+            }
+        }
+    }
+
+    /// Ends the waiting of a request.
+    pub(super) fn remove_waiting(&mut self, key: WaitKey) -> Option<Waiting> {
+        self.take_from_lane(key);
+        let waiting = self.waiting.remove(key)?;
+        self.by_waiter.remove(&waiting.waiter);
+        self.teams.dequeue(waiting.team);
+        if waiting.lane == Lane::Suspected {
+            self.unreserve(key);
+        }
+        Some(waiting)
+    }
+
+    /// Moves all requests away from an upstream that can't serve them any more.
+    pub(super) fn evacuate(&mut self, now: Instant, upstream: UpstreamKey) {
+        let queue = &self.upstreams[upstream].queue;
+        let mut keys: Vec<Position> = queue.values().flatten().copied().collect();
+        keys.sort_unstable();
+        for (_, _, key) in keys {
+            self.take_from_lane(key);
+            self.settle(now, key);
+        }
+    }
+
+    /// Finds a lane for a waiting request that is in none.
+    pub(super) fn settle(&mut self, now: Instant, key: WaitKey) {
+        let request = self.waiting[key].request.clone();
+        match self.place(&request) {
+            Some(upstream) => {
+                self.enqueue(key, upstream);
+                self.pump(now, upstream);
+            }
+            None => {
+                self.waiting[key].lane = Lane::Parked;
+                self.parked.insert((self.waiting[key].number, key));
+            }
+        }
+    }
+
+    /// Finds a lane for all that had none.
+    pub(super) fn place_parked(&mut self, now: Instant) {
+        for (number, key) in std::mem::take(&mut self.parked) {
+            if self.waiting.contains_key(key) {
+                self.settle(now, key);
+            } else {
+                debug_assert!(false, "parked request {number} is gone");
+            }
+        }
+    }
+
+    /// Finds a request that waits elsewhere and would be served sooner at a free upstream.
+    pub(super) fn find_to_move(&self, to: UpstreamKey) -> Option<WaitKey> {
+        if matches!(self.options.placement, Placement::Sticky | Placement::RoundRobin) {
+            return None;
+        }
+        let crowded = self.crowded.iter().rev().filter(|(_, from)| *from != to);
+        crowded.take(CROWDED_LOOKED_AT).find_map(|&(_, from)| self.movable(from, to))
+    }
+
+    fn movable(&self, from: UpstreamKey, to: UpstreamKey) -> Option<WaitKey> {
+        let source = &self.upstreams[from];
+        let queue = source.queue.values().flatten().take(QUEUE_LOOKED_AT);
+        let mut positions: Vec<Position> = queue.copied().collect();
+        positions.sort_unstable();
+        positions.iter().enumerate().find_map(|(ahead, &(_, _, key))| {
+            let request = &self.waiting[key].request;
+            let wait_s = if self.options.placement == Placement::LeastLoaded {
+                f64::INFINITY
+            } else {
+                source.wait_behind_s(ahead)
+            };
+            let stay_s = wait_s + self.prefill_s(request, from);
+            let go_s = self.prefill_s(request, to) + MOVE_GAIN_S;
+            let may_go = self.is_usable(to, request)
+                && !self.running.contains_key(&request.fingerprint)
+                && self.upstreams[to].has_room(self.tokens_of(request));
+            (may_go && go_s < stay_s).then_some(key)
+        })
+    }
+
+    /// Tokens that a call will need in cache memory.
+    pub(super) fn tokens_of(&self, request: &SlotRequest) -> u64 {
+        if request.prompt_tokens == 0 {
+            return 0;
+        }
+        let generated = self.estimates.completion_tokens(&request.class);
+        request.prompt_tokens + generated.min(request.completion_tokens.max(1))
+    }
+
+    /// Applies a change to an upstream and keeps the indexes in step with it.
+    pub(super) fn change(&mut self, key: UpstreamKey, change: impl FnOnce(&mut Upstream)) {
+        let Some(upstream) = self.upstreams.get_mut(key) else {
+            return;
+        };
+        let entry = (upstream.load, key);
+        let domain = upstream.view.domain.clone();
+        let before = upstream.shares();
+        let ejected_before = upstream.ejected_until;
+        change(upstream);
+        let after = upstream.shares();
+        let ejected_after = upstream.ejected_until;
+        upstream.load = upstream.load_key();
+        let is_available = upstream.is_available();
+        let (load, has_queue) = (upstream.load, upstream.queued > 0);
+        let by_load = self.index.entry(domain).or_default();
+        by_load.remove(&entry);
+        if is_available {
+            by_load.insert((load, key));
+        }
+        self.crowded.remove(&entry);
+        if has_queue {
+            self.crowded.insert((load, key));
+        }
+        self.occupied += after.0 - before.0;
+        self.available_slots += after.1 - before.1;
+        if ejected_before != ejected_after {
+            ejected_before.map(|at| self.ejected.remove(&(at, key)));
+            ejected_after.map(|at| self.ejected.insert((at, key)));
+        }
+    }
+
+    /// Whether an upstream may get the request, now or when a slot is free.
+    pub(super) fn is_usable(&self, key: UpstreamKey, request: &SlotRequest) -> bool {
+        let upstream = self.upstreams.get(key);
+        upstream.is_some_and(|up| up.is_available() && up.serves(request.model.as_deref()))
+    }
+
+    fn place_in_turn(&mut self, request: &SlotRequest) -> Option<UpstreamKey> {
+        let usable: Vec<UpstreamKey> =
+            self.upstreams.keys().filter(|&key| self.is_usable(key, request)).collect();
+        self.round_robin += 1;
+        usable.get(self.round_robin % usable.len().max(1)).copied()
+    }
+
+    fn place_by_delay(&self, request: &SlotRequest) -> Option<UpstreamKey> {
+        let home = self.hosts.get(&request.home);
+        let holders = self.holders(request);
+        let candidates = holders.into_iter().chain(self.lightest(request));
+        let delays = candidates.map(|key| (self.delay_s(request, key, home), key));
+        delays.min_by(|a, b| a.0.total_cmp(&b.0)).map(|(_, key)| key)
+    }
+
+    /// Expected time until the request's first token at an upstream, with its cost to others.
+    fn delay_s(&self, request: &SlotRequest, key: UpstreamKey, home: Option<&DomainId>) -> f64 {
+        let upstream = &self.upstreams[key];
+        let is_far = home.is_some_and(|domain| *domain != upstream.view.domain);
+        let domain_s = if is_far { DOMAIN_COST_S } else { 0.0 };
+        let crowding_s = upstream.occupancy().min(1.0) * upstream.hold_s() * 0.5;
+        let prefill_s = self.prefill_s(request, key);
+        let memory_s = if prefill_s > 0.0 { memory_s(upstream) } else { 0.0 };
+        upstream.expected_wait_s() + crowding_s + memory_s + prefill_s + domain_s
+    }
+
+    /// Time for the part of the prompt that an upstream doesn't hold.
+    fn prefill_s(&self, request: &SlotRequest, key: UpstreamKey) -> f64 {
+        let cached = self.programs.cached(&request.program, key).min(request.prompt_tokens);
+        let missing = (request.prompt_tokens - cached) as f64;
+        PREFILL_FACTOR * missing / self.prefill_tokens_per_s
+    }
+
+    /// Usable upstreams that hold some of the prefix.
+    fn holders(&self, request: &SlotRequest) -> Vec<UpstreamKey> {
+        let program = self.programs.get(&request.program);
+        let holdings = program.map_or(&[][..], |program| &program.holdings);
+        let held = holdings.iter().map(|holding| holding.upstream);
+        let last = request.last_upstream.as_ref().and_then(|id| self.by_id.get(id).copied());
+        held.chain(last).filter(|&key| self.is_usable(key, request)).collect()
+    }
+
+    fn holder(&self, request: &SlotRequest) -> Option<UpstreamKey> {
+        let holders = self.holders(request);
+        holders.into_iter().max_by_key(|&key| self.programs.cached(&request.program, key))
+    }
+
+    /// The least loaded usable upstream of each failure domain.
+    fn lightest(&self, request: &SlotRequest) -> Vec<UpstreamKey> {
+        let first = |by_load: &std::collections::BTreeSet<(u64, UpstreamKey)>| {
+            let mut keys = by_load.iter().map(|&(_, key)| key).take(LOOKED_AT);
+            keys.find(|&key| self.is_usable(key, request))
+        };
+        let mut lightest: Vec<UpstreamKey> = self.index.values().filter_map(first).collect();
+        if lightest.is_empty() {
+            // The model is served by few: look at all.
+            let all = self.index.values().flatten().map(|&(_, key)| key);
+            lightest.extend(all.filter(|&key| self.is_usable(key, request)));
+        }
+        lightest
+    }
+
+    fn least_loaded(&self, request: &SlotRequest) -> Option<UpstreamKey> {
+        self.lightest(request).into_iter().min_by_key(|&key| (self.upstreams[key].load, key))
+    }
+}
+
+/// What it costs that programs cached at an upstream will be evicted for a new one.
+fn memory_s(upstream: &Upstream) -> f64 {
+    let capacity = upstream.kv_capacity_tokens;
+    if capacity == 0 {
+        return 0.0;
+    }
+    let fill = upstream.resident_tokens.max(0) as f64 / capacity as f64;
+    fill * upstream.hold_s()
+}
+
+impl Upstream {
+    fn remove_queued(&mut self, team: TeamIndex, position: &Position) {
+        let Some(queue) = self.queue.get_mut(&team) else {
+            return;
+        };
+        if queue.remove(position) {
+            self.queued -= 1;
+        }
+        if queue.is_empty() {
+            self.queue.remove(&team);
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/sched/fair.rs
@@ -0,0 +1,177 @@
+//! Token-weighted fair queueing between teams.
+//!
+//! Each team has a virtual time: the weighted tokens that it was served, over its weight. A team
+//! is eligible while its virtual time is at most one window ahead of the least among the waiting
+//! teams; within the window the order of requests decides. So two teams that both wait all the
+//! time are served, over any period, amounts that differ by at most the window plus one request
+//! each, over their weights.
+
+use {
+    crate::ids::TeamId,
+    std::collections::{BTreeMap, BTreeSet},
+};
+
+/// Names a team within the dispatcher.
+pub(super) type TeamIndex = usize;
+
+/// What one prefilled token costs.
+const PREFILL_COST: u64 = 1;
+/// What one generated token costs, in prefilled ones: a decode step holds the batch much longer.
+const DECODE_COST: u64 = 8;
+/// What a call costs whatever its size.
+const CALL_COST: u64 = 256;
+/// Recent use halves in this time.
+const USE_HALF_LIFE_S: f64 = 30.0;
+/// A team with less recent use than this isn't in use.
+const MIN_RECENT_TOKENS: f64 = 1.0;
+
+/// Weighted tokens of a call.
+pub(super) fn cost_tokens(prefilled: u64, generated: u64) -> u64 {
+    CALL_COST + PREFILL_COST * prefilled + DECODE_COST * generated
+}
+
+#[derive(Clone, Debug)]
+struct Team {
+    weight: f64,
+    /// Weighted tokens over weight.
+    virtual_tokens: u64,
+    waiting: usize,
+    recent_tokens: f64,
+    recent_at_s: f64,
+}
+
+/// The virtual times of all teams.
+#[derive(Clone, Debug)]
+pub(super) struct FairShare {
+    window_tokens: u64,
+    is_on: bool,
+    by_id: BTreeMap<TeamId, TeamIndex>,
+    weights: BTreeMap<TeamId, f64>,
+    teams: Vec<Team>,
+    /// Waiting teams by virtual time.
+    backlog: BTreeSet<(u64, TeamIndex)>,
+    /// The least virtual time of a waiting team, ever. Invariant: never falls.
+    floor_tokens: u64,
+    mean_recent_tokens: f64,
+}
+
+impl FairShare {
+    /// Without teams. With `is_on` false every team is always eligible.
+    pub(super) fn new(window_tokens: u64, is_on: bool) -> Self {
+        Self {
+            window_tokens,
+            is_on,
+            by_id: BTreeMap::new(),
+            weights: BTreeMap::new(),
+            teams: Vec::new(),
+            backlog: BTreeSet::new(),
+            floor_tokens: 0,
+            mean_recent_tokens: 0.0,
+        }
+    }
+
+    /// Sets the weights, relative to their mean. Teams not named weigh one.
+    pub(super) fn set_weights(&mut self, rates: impl Iterator<Item = (TeamId, f64)>) {
+        self.weights = rates.collect();
+        let mean = self.weights.values().sum::<f64>() / self.weights.len().max(1) as f64;
+        self.weights.values_mut().for_each(|weight| *weight /= mean);
+        for (id, &index) in &self.by_id {
+            self.teams[index].weight = self.weights.get(id).copied().unwrap_or(1.0);
+        }
+    }
+
+    /// Finds a team, adding it when it is new.
+    pub(super) fn index(&mut self, id: &TeamId) -> TeamIndex {
+        if let Some(&index) = self.by_id.get(id) {
+            return index;
+        }
+        let weight = self.weights.get(id).copied().unwrap_or(1.0);
+        let team = Team {
+            weight,
+            virtual_tokens: self.floor_tokens,
+            waiting: 0,
+            recent_tokens: 0.0,
+            recent_at_s: 0.0,
+        };
+        self.teams.push(team);
+        let index = self.teams.len() - 1;
+        self.by_id.insert(id.clone(), index);
+        index
+    }
+
+    /// A request of the team begins to wait.
+    pub(super) fn enqueue(&mut self, index: TeamIndex) {
+        let floor = self.floor_tokens;
+        let team = &mut self.teams[index];
+        team.waiting += 1;
+        if team.waiting == 1 {
+            // What was used while nobody else waited is no debt beyond one window.
+            team.virtual_tokens = team.virtual_tokens.clamp(floor, floor + self.window_tokens);
+            self.backlog.insert((team.virtual_tokens, index));
+        }
+    }
+
+    /// A request of the team waits no more.
+    pub(super) fn dequeue(&mut self, index: TeamIndex) {
+        let team = &mut self.teams[index];
+        team.waiting -= 1;
+        if team.waiting == 0 {
+            self.backlog.remove(&(team.virtual_tokens, index));
+        }
+        self.raise_floor();
+    }
+
+    /// Charges the team, or gives back what was charged too much.
+    pub(super) fn charge(&mut self, now_s: f64, index: TeamIndex, cost_tokens: i64) {
+        let team = &mut self.teams[index];
+        let before = team.virtual_tokens;
+        let share = (cost_tokens as f64 / team.weight) as i64;
+        team.virtual_tokens = before.saturating_add_signed(share).max(self.floor_tokens);
+        team.recent_tokens = team.recent_at(now_s) + share as f64;
+        team.recent_at_s = now_s;
+        let after = team.virtual_tokens;
+        if team.waiting > 0 {
+            self.backlog.remove(&(before, index));
+            self.backlog.insert((after, index));
+        }
+        self.raise_floor();
+    }
+
+    /// Whether the team may go before others.
+    pub(super) fn is_eligible(&self, index: TeamIndex) -> bool {
+        let limit = self.floor_tokens + self.window_tokens;
+        !self.is_on || self.teams[index].virtual_tokens <= limit
+    }
+
+    /// The team's virtual time.
+    pub(super) fn virtual_tokens(&self, index: TeamIndex) -> u64 {
+        self.teams[index].virtual_tokens
+    }
+
+    /// The team's recent use over its weight, in relation to the mean of all teams in use.
+    pub(super) fn relative_use(&self, now_s: f64, index: TeamIndex) -> f64 {
+        let mean = self.mean_recent_tokens;
+        if mean <= 0.0 { 1.0 } else { self.teams[index].recent_at(now_s) / mean }
+    }
+
+    /// Takes the mean of recent use anew. Costs time that grows with the number of teams, so it
+    /// belongs to the tick and not to a request.
+    pub(super) fn refresh(&mut self, now_s: f64) {
+        let recent = self.teams.iter().map(|team| team.recent_at(now_s));
+        let in_use: Vec<f64> = recent.filter(|&tokens| tokens >= MIN_RECENT_TOKENS).collect();
+        self.mean_recent_tokens = in_use.iter().sum::<f64>() / in_use.len().max(1) as f64;
+    }
+
+    fn raise_floor(&mut self) {
+        if let Some(&(least, _)) = self.backlog.first() {
+            self.floor_tokens = self.floor_tokens.max(least);
+        }
+    }
+}
+
+impl Team {
+    fn recent_at(&self, now_s: f64) -> f64 {
+        let halvings = (now_s - self.recent_at_s).max(0.0) / USE_HALF_LIFE_S;
+        self.recent_tokens * 0.5f64.powf(halvings)
+    }
+}
--- a/crates/core/src/sched/mod.rs
+++ b/crates/core/src/sched/mod.rs
@@ -1,5 +1,22 @@
 //! Order, fairness, placement and admission for one pool of upstreams.
 
+mod command;
+mod dispatcher;
+mod estimate;
+mod fair;
+mod limit;
+mod options;
+mod order;
+mod programs;
 mod request;
+mod retry;
+mod shed;
+mod suspects;
+mod upstream;
 
-pub use request::{Outcome, SlotGrant, SlotRelease, SlotRequest, Ticket};
+pub use {
+    command::{AdoptedSlot, CacheEvent, Command, LoadReport, Note, UpstreamView, Waiter},
+    dispatcher::{Dispatcher, DispatcherCounts},
+    options::{DispatcherOptions, LimitPolicy, Order, Placement},
+    request::{Outcome, SlotGrant, SlotRelease, SlotRequest, Ticket},
+};
