Serve the callers' HTTP interface in front of the backend

Callers had no way in. Requests are now bounded and checked before the HTTP library sees them: it panics on header values outside ASCII, resolves '..' in paths before they could be refused, and keeps bytes of the next request in a buffer that it drops. Events are written as they come; a withdrawn key or a caller that is gone ends the stream; a stop lets running requests finish.

--- /dev/null
+++ b/crates/edge/src/body.rs
@@ -0,0 +1,167 @@
+//! Bodies of requests: raw JSON to checked requests.
+
+use {
+    crate::{head::Head, problem::Problem},
+    http_types::StatusCode,
+    serde_json::{Map, Value},
+    trefoilring_core::{
+        call::Turn,
+        catalog::Budget,
+        ids::{ClassId, StepKey},
+        message::Message,
+    },
+};
+
+/// Stands for a part of a budget that the caller does not limit; the class does.
+const UNLIMITED: u32 = u32::MAX;
+const MAX_STEP_CHARS: usize = 128;
+const ROLES: [&str; 6] = ["system", "developer", "user", "assistant", "tool", "function"];
+
+/// A request for a program, before its class is known.
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) struct ProgramRequest {
+    pub class: Option<ClassId>,
+    pub budget: Option<Budget>,
+}
+
+#[derive(Default, serde::Deserialize)]
+#[serde(deny_unknown_fields)]
+struct RawProgram {
+    class: Option<String>,
+    budget: Option<RawBudget>,
+}
+
+#[derive(serde::Deserialize)]
+#[serde(deny_unknown_fields)]
+struct RawBudget {
+    turns: Option<u32>,
+    tokens: Option<u64>,
+    wall_ms: Option<u64>,
+}
+
+/// Reads a request for a program. An empty body asks for all defaults.
+pub(crate) fn program(head: &Head, body: &[u8]) -> Result<ProgramRequest, Problem> {
+    if body.iter().all(u8::is_ascii_whitespace) {
+        return ProgramRequest::try_from(RawProgram::default());
+    }
+    require_json(head)?;
+    let raw: RawProgram = serde_json::from_slice(body).map_err(malformed)?;
+    ProgramRequest::try_from(raw)
+}
+
+impl TryFrom<RawProgram> for ProgramRequest {
+    type Error = Problem;
+
+    fn try_from(raw: RawProgram) -> Result<Self, Problem> {
+        let class = raw.class.as_deref().map(class).transpose()?;
+        let budget = raw.budget.map(budget).transpose()?;
+        Ok(Self { class, budget })
+    }
+}
+
+fn budget(raw: RawBudget) -> Result<Budget, Problem> {
+    if raw.turns.is_none() && raw.tokens.is_none() && raw.wall_ms.is_none() {
+        return Err(Problem::bad_request("budget: turns, tokens or wall_ms has to be given"));
+    }
+    let most = u64::from(UNLIMITED);
+    let budget = Budget {
+        turns: raw.turns.unwrap_or(UNLIMITED),
+        tokens: raw.tokens.unwrap_or(most).min(most),
+        wall_ms: raw.wall_ms.unwrap_or(most).min(most),
+    };
+    if budget.turns == 0 || budget.tokens == 0 || budget.wall_ms == 0 {
+        return Err(Problem::bad_request("budget: each part has to be above zero"));
+    }
+    Ok(budget)
+}
+
+/// Reads a class name from a header or a body.
+pub(crate) fn class(name: &str) -> Result<ClassId, Problem> {
+    let is_known = |byte: u8| byte.is_ascii_alphanumeric() || b"-_".contains(&byte);
+    if !name.is_empty() && name.len() <= MAX_STEP_CHARS && name.bytes().all(is_known) {
+        return Ok(name.into());
+    }
+    Err(Problem::bad_request("class: a name of letters, digits, - and _ has to be given"))
+}
+
+/// Reads the step key of a request, if it has one.
+pub(crate) fn step(head: &Head) -> Result<Option<StepKey>, Problem> {
+    let Some(key) = head.single("idempotency-key")? else { return Ok(None) };
+    let is_visible = key.bytes().all(|byte| byte.is_ascii_graphic());
+    if !key.is_empty() && key.len() <= MAX_STEP_CHARS && is_visible {
+        return Ok(Some(key.into()));
+    }
+    let detail = format!("Idempotency-Key: 1 to {MAX_STEP_CHARS} visible characters are accepted");
+    Err(Problem::bad_request(detail))
+}
+
+/// Reads a model turn in the chat-completions form.
+pub(crate) fn turn(head: &Head, body: &[u8]) -> Result<Turn, Problem> {
+    require_json(head)?;
+    let fields: Map<String, Value> = serde_json::from_slice(body).map_err(malformed)?;
+    RawTurn(fields).try_into()
+}
+
+/// The fields of a chat completion, unchecked.
+struct RawTurn(Map<String, Value>);
+
+impl TryFrom<RawTurn> for Turn {
+    type Error = Problem;
+
+    fn try_from(RawTurn(mut fields): RawTurn) -> Result<Self, Problem> {
+        let model = match fields.remove("model") {
+            Some(Value::String(model)) if !model.is_empty() => model,
+            _ => return Err(Problem::bad_request("model: a name has to be given")),
+        };
+        let messages = match fields.remove("messages") {
+            Some(Value::Array(messages)) if !messages.is_empty() => messages,
+            _ => {
+                return Err(Problem::bad_request("messages: an array of messages has to be given"));
+            }
+        };
+        let messages = messages.into_iter().enumerate().map(|(index, raw)| message(index, raw));
+        let messages = messages.collect::<Result<Vec<_>, _>>()?;
+        let is_streamed = match fields.remove("stream") {
+            None | Some(Value::Null) => false,
+            Some(Value::Bool(is_streamed)) => is_streamed,
+            Some(_) => return Err(Problem::bad_request("stream: true or false is accepted")),
+        };
+        // The history takes one answer a turn.
+        if fields.get("n").is_some_and(|n| !n.is_null() && n != 1) {
+            return Err(Problem::bad_request("n: only 1 is accepted"));
+        }
+        Ok(Self { model, messages, is_streamed, options: fields })
+    }
+}
+
+fn message(index: usize, raw: Value) -> Result<Message, Problem> {
+    let refused = |what: &str| Problem::bad_request(format!("messages[{index}]{what}"));
+    let Value::Object(fields) = &raw else {
+        return Err(refused(": an object has to be given"));
+    };
+    match fields.get("role") {
+        Some(Value::String(role)) if ROLES.contains(&role.as_str()) => {}
+        _ => return Err(refused(&format!(".role: accepted are {}", ROLES.join(", ")))),
+    }
+    let is_content =
+        |content: &Value| content.is_null() || content.is_string() || content.is_array();
+    if !fields.get("content").is_none_or(is_content) {
+        return Err(refused(".content: text, an array of parts or null is accepted"));
+    }
+    serde_json::from_value(raw).map_err(|error| refused(&format!(": {error}")))
+}
+
+/// Refuses a body of another declared type. A body without a declared type is taken for JSON.
+fn require_json(head: &Head) -> Result<(), Problem> {
+    let Some(value) = head.single("content-type")? else { return Ok(()) };
+    let essence = value.split(';').next().unwrap_or_default().trim();
+    if essence.eq_ignore_ascii_case("application/json") {
+        return Ok(());
+    }
+    let detail = format!("Content-Type: {essence:?} is not accepted here, application/json is");
+    Err(Problem::bad_request(detail).with_status(StatusCode::UnsupportedMediaType))
+}
+
+fn malformed(error: serde_json::Error) -> Problem {
+    Problem::bad_request(format!("malformed JSON: {error}"))
+}
--- /dev/null
+++ b/crates/edge/src/forward.rs
@@ -0,0 +1,75 @@
+//! What crosses between callers and upstreams: headers by rule, and never a caller's key.
+
+use {crate::problem::Problem, memchr::memmem};
+
+/// Headers that go from a caller to a service. All others stay here.
+const TO_SERVICE: [&str; 14] = [
+    "accept",
+    "accept-language",
+    "cache-control",
+    "content-encoding",
+    "content-language",
+    "content-type",
+    "if-match",
+    "if-modified-since",
+    "if-none-match",
+    "if-unmodified-since",
+    "prefer",
+    "range",
+    "traceparent",
+    "tracestate",
+];
+
+/// Headers of an answer that stay here: they are about one connection, or are written anew.
+const NOT_TO_CALLER: [&str; 14] = [
+    "connection",
+    "content-length",
+    "date",
+    "keep-alive",
+    "proxy-authenticate",
+    "proxy-authentication-info",
+    "proxy-authorization",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "trailers",
+    "transfer-encoding",
+    "upgrade",
+    "server",
+];
+
+/// A shorter secret would be found in harmless content by chance.
+const MIN_SEARCHED_SECRET_BYTES: usize = 16;
+
+/// Picks the headers that are passed on to a service.
+pub(crate) fn to_service(headers: &[(String, String)]) -> Vec<(String, String)> {
+    let is_passed = |name: &str| TO_SERVICE.iter().any(|known| name.eq_ignore_ascii_case(known));
+    headers.iter().filter(|(name, _)| is_passed(name)).cloned().collect()
+}
+
+/// Picks the headers that are passed on to a caller; what could not be written is left out.
+pub(crate) fn to_caller(headers: Vec<(String, String)>) -> Vec<(String, String)> {
+    headers.into_iter().filter(|(name, value)| is_for_caller(name, value)).collect()
+}
+
+fn is_for_caller(name: &str, value: &str) -> bool {
+    let is_token = |byte: u8| byte.is_ascii_alphanumeric() || b"-_.!#$%&'*+^`|~".contains(&byte);
+    let is_printable = |byte: u8| byte == b'\t' || (b' '..=b'~').contains(&byte);
+    let has_name = !name.is_empty() && name.bytes().all(is_token);
+    let is_kept = !NOT_TO_CALLER.iter().any(|known| name.eq_ignore_ascii_case(known));
+    has_name && is_kept && value.bytes().all(is_printable)
+}
+
+/// Refuses a request that carries its caller's key where an upstream would see it.
+pub(crate) fn check_no_key(secret: &str, parts: &[&[u8]]) -> Result<(), Problem> {
+    if secret.len() < MIN_SEARCHED_SECRET_BYTES {
+        return Ok(());
+    }
+    let finder = memmem::Finder::new(secret);
+    match parts.iter().any(|part| finder.find(part).is_some()) {
+        true => Err(Problem::bad_request(
+            "the key has to come in Authorization only, so that no upstream sees it",
+        )),
+        false => Ok(()),
+    }
+}
--- /dev/null
+++ b/crates/edge/src/handler.rs
@@ -0,0 +1,345 @@
+//! Runs one request: from its head and body to a reply.
+
+use {
+    crate::{
+        backend::{Answer, Backend},
+        body::{self, ProgramRequest},
+        forward,
+        head::Head,
+        implicit::Implicit,
+        problem::Problem,
+        relay::{self, Form, Relay, Relayed},
+        reply::Reply,
+        route::{self, Route, Target},
+        view::ProgramView,
+    },
+    http_types::{Method, StatusCode},
+    smol::{Executor, future::or},
+    std::{future::Future, sync::Arc},
+    trefoilring_core::{
+        call::{Call, Caller, CreateProgram, ProgramQuery, ServiceCall, Work},
+        ids::{ProgramId, RequestId, StepKey, random_suffix},
+        verdict::{Reason, Refusal},
+    },
+};
+
+/// Methods that service calls take.
+const SERVICE_METHODS: &str = "GET, HEAD, POST, PUT, PATCH, DELETE";
+
+/// A request whose head was checked and whose key, where one is needed, holds.
+pub(crate) struct Request {
+    pub head: Head,
+    pub route: Route,
+    /// The caller and the secret that came; none on a route open to all.
+    pub caller: Option<(Caller, String)>,
+    pub id: RequestId,
+}
+
+/// A reply and what has to outlive it.
+pub(crate) struct Outcome<B: Backend> {
+    pub relayed: Relayed<B>,
+    /// Ends a program that lives for this request only.
+    pub implicit: Option<Implicit<B>>,
+}
+
+impl<B: Backend> From<Reply> for Outcome<B> {
+    fn from(reply: Reply) -> Self {
+        Self { relayed: Relayed { reply, rest: None }, implicit: None }
+    }
+}
+
+impl<B: Backend> From<Relayed<B>> for Outcome<B> {
+    fn from(relayed: Relayed<B>) -> Self {
+        Self { relayed, implicit: None }
+    }
+}
+
+/// Checks all that can be checked before the body is read.
+pub(crate) fn admit<B: Backend>(backend: &B, head: Head) -> Result<Request, Problem> {
+    let route = Route::try_from(head.target.as_str())?;
+    check_method(&route, head.method)?;
+    let caller = match is_open(backend, &route, head.method) {
+        true => None,
+        false => Some(authenticate(backend, &head)?),
+    };
+    Ok(Request { head, route, caller, id: random_suffix(&mut rand::rng()).into() })
+}
+
+fn check_method(route: &Route, method: Method) -> Result<(), Problem> {
+    let allow = match route {
+        Route::Health | Route::Ready | Route::Metrics => "GET, HEAD",
+        Route::Programs | Route::Children(_) | Route::Chat => "POST",
+        Route::Program(_) => "GET, DELETE",
+        Route::History(_) => "GET",
+        Route::Call(..) | Route::Open(_) => SERVICE_METHODS,
+    };
+    match allow.split(", ").any(|known| known == method.as_ref()) {
+        true => Ok(()),
+        false => Err(Problem::method(allow)),
+    }
+}
+
+fn is_open<B: Backend>(backend: &B, route: &Route, method: Method) -> bool {
+    match route {
+        Route::Health | Route::Ready | Route::Metrics => true,
+        Route::Open(target) => {
+            backend.is_open_route(&target.service, method.as_ref(), &target.path)
+        }
+        _ => false,
+    }
+}
+
+fn authenticate<B: Backend>(backend: &B, head: &Head) -> Result<(Caller, String), Problem> {
+    let value = head.single("authorization")?;
+    let bearer = value.and_then(|value| {
+        let (scheme, secret) = value.split_once(' ')?;
+        scheme.eq_ignore_ascii_case("bearer").then(|| secret.trim())
+    });
+    let Some(secret) = bearer.filter(|secret| !secret.is_empty()) else {
+        let detail = "this route needs a key: Authorization: Bearer KEY";
+        return Err(Problem::not_run(Reason::Unauthorized, detail));
+    };
+    let caller = backend.authenticate(secret)?;
+    Ok((caller, secret.to_owned()))
+}
+
+/// Runs requests against a backend.
+pub(crate) struct Handler<B> {
+    pub backend: B,
+    pub executor: Arc<Executor<'static>>,
+    pub has_open_metrics: bool,
+}
+
+impl<B: Backend> Handler<B> {
+    /// Runs a request. What goes on after the reply's head is in the outcome.
+    pub async fn run(&self, request: Request, body: Vec<u8>) -> Result<Outcome<B>, Problem> {
+        match &request.route {
+            Route::Health => Ok(Reply::text(StatusCode::Ok, "ok\n").into()),
+            Route::Ready => Ok(self.ready().into()),
+            Route::Metrics => self.metrics().map(Outcome::from),
+            Route::Open(target) => self.open(&request, target, body).await.map(Outcome::from),
+            _ => self.run_keyed(&request, body).await,
+        }
+    }
+
+    fn ready(&self) -> Reply {
+        let readiness = self.backend.readiness();
+        let status = match readiness.is_ready {
+            true => StatusCode::Ok,
+            false => StatusCode::ServiceUnavailable,
+        };
+        Reply::json(status, &readiness)
+    }
+
+    fn metrics(&self) -> Result<Reply, Problem> {
+        match self.has_open_metrics {
+            true => Ok(Reply::text(StatusCode::Ok, self.backend.metrics())),
+            false => Err(Problem::not_run(Reason::NotFound, "metrics are not served here")),
+        }
+    }
+
+    async fn open(
+        &self,
+        request: &Request,
+        target: &Target,
+        body: Vec<u8>,
+    ) -> Result<Relayed<B>, Problem> {
+        if request.caller.is_some() {
+            let detail = "this route is not open; call it by /v1/programs/{id}/calls/";
+            return Err(Problem::not_run(Reason::NotFound, detail));
+        }
+        let call = service_call(&request.head, target, body);
+        let answer = self.backend.open_call(call).await?;
+        self.relay(None, answer, Form::Service).begin().await
+    }
+
+    async fn run_keyed(&self, request: &Request, body: Vec<u8>) -> Result<Outcome<B>, Problem> {
+        let Some((caller, secret)) = request.caller.clone() else {
+            return Err(Problem::not_run(Reason::Unauthorized, "this route needs a key"));
+        };
+        forward::check_no_key(&secret, &[request.head.target.as_bytes(), &body])?;
+        match &request.route {
+            Route::Programs => {
+                let asked = body::program(&request.head, &body)?;
+                self.create(&request.head, caller, asked).await.map(Outcome::from)
+            }
+            Route::Children(parent) => {
+                let asked = body::program(&request.head, &body)?;
+                let child = self.create_child(&request.head, caller, parent.clone(), asked);
+                child.await.map(Outcome::from)
+            }
+            Route::Program(id) => self.query_info(request, caller, id).await.map(Outcome::from),
+            Route::History(id) => self.history(caller, id).await.map(Outcome::from),
+            Route::Chat => self.chat(request, caller, &body).await,
+            Route::Call(program, target) => {
+                let call = service_call(&request.head, target, body);
+                let headers = call.headers.iter().map(|(_, value)| value.as_bytes());
+                forward::check_no_key(&secret, &headers.collect::<Vec<_>>())?;
+                let step = step_of(&request.head)?;
+                let work = Work::Service(call);
+                let call = self.new_call(request, program.clone(), caller, step, work);
+                self.call(call, Form::Service).await.map(Outcome::from)
+            }
+            Route::Health | Route::Ready | Route::Metrics | Route::Open(_) => {
+                Err(Problem::not_run(Reason::Internal, "an open route came here"))
+            }
+        }
+    }
+
+    async fn create(
+        &self,
+        head: &Head,
+        caller: Caller,
+        asked: ProgramRequest,
+    ) -> Result<Reply, Problem> {
+        let class = match asked.class {
+            Some(class) => class,
+            None => self.backend.default_class(&caller)?,
+        };
+        let step = body::step(head)?;
+        let request = CreateProgram { class, budget: asked.budget, parent: None, step };
+        self.created(caller, request).await
+    }
+
+    /// Creates a child, whose class is that of its parent.
+    async fn create_child(
+        &self,
+        head: &Head,
+        caller: Caller,
+        parent: ProgramId,
+        asked: ProgramRequest,
+    ) -> Result<Reply, Problem> {
+        if asked.class.is_some() {
+            return Err(Problem::bad_request("class: a child has the class of its parent"));
+        }
+        let query = self.backend.query(caller.clone(), parent.clone(), ProgramQuery::Info);
+        let (info, _) = self.until_withdrawn(&caller, query).await?;
+        let step = body::step(head)?;
+        let parent = Some(parent);
+        let request = CreateProgram { class: info.class, budget: asked.budget, parent, step };
+        self.created(caller, request).await
+    }
+
+    async fn created(&self, caller: Caller, request: CreateProgram) -> Result<Reply, Problem> {
+        let create = self.backend.create(caller.clone(), request);
+        let info = self.until_withdrawn(&caller, create).await?;
+        let location = format!("/v1/programs/{}", info.program);
+        let view = ProgramView::from(&info);
+        Ok(Reply::json(StatusCode::Created, &view).with("Location", location))
+    }
+
+    async fn query_info(
+        &self,
+        request: &Request,
+        caller: Caller,
+        id: &ProgramId,
+    ) -> Result<Reply, Problem> {
+        let query = match request.head.method {
+            Method::Delete => ProgramQuery::End,
+            _ => ProgramQuery::Info,
+        };
+        let query = self.backend.query(caller.clone(), id.clone(), query);
+        let (info, _) = self.until_withdrawn(&caller, query).await?;
+        Ok(Reply::json(StatusCode::Ok, &ProgramView::from(&info)))
+    }
+
+    async fn history(&self, caller: Caller, id: &ProgramId) -> Result<Reply, Problem> {
+        let query = self.backend.query(caller.clone(), id.clone(), ProgramQuery::History);
+        let (_, messages) = self.until_withdrawn(&caller, query).await?;
+        Ok(Reply::json(StatusCode::Ok, &serde_json::json!({ "messages": messages })))
+    }
+
+    /// Runs a turn: of the program that the header names, or of one made for this request.
+    async fn chat(
+        &self,
+        request: &Request,
+        caller: Caller,
+        body: &[u8],
+    ) -> Result<Outcome<B>, Problem> {
+        let turn = body::turn(&request.head, body)?;
+        let step = step_of(&request.head)?;
+        let named = request.head.single("trefoil-program")?.map(route::program).transpose()?;
+        let implicit = match named {
+            Some(_) => None,
+            None => Some(self.implicit_program(&request.head, &caller).await?),
+        };
+        let program = named.or_else(|| implicit.as_ref().map(|made| made.program().clone()));
+        let Some(program) = program else {
+            return Err(Problem::not_run(Reason::Internal, "a turn without a program"));
+        };
+        let form = match turn.is_streamed {
+            true => Form::StreamedTurn,
+            false => Form::WholeTurn,
+        };
+        let call = self.new_call(request, program, caller, step, Work::Turn(turn));
+        let relayed = self.call(call, form).await?;
+        Ok(Outcome { relayed, implicit })
+    }
+
+    /// Makes a program for a client that knows of none and sends its whole history each time.
+    async fn implicit_program(&self, head: &Head, caller: &Caller) -> Result<Implicit<B>, Problem> {
+        let class = match head.single("trefoil-class")? {
+            Some(class) => body::class(class)?,
+            None => self.backend.default_class(caller)?,
+        };
+        let step = body::step(head)?;
+        let request = CreateProgram { class, budget: None, parent: None, step };
+        let create = self.backend.create(caller.clone(), request);
+        let info = self.until_withdrawn(caller, create).await?;
+        let executor = Arc::clone(&self.executor);
+        Ok(Implicit::new(self.backend.clone(), executor, caller.clone(), info.program))
+    }
+
+    fn new_call(
+        &self,
+        request: &Request,
+        program: ProgramId,
+        caller: Caller,
+        step: StepKey,
+        work: Work,
+    ) -> Call {
+        Call { request: request.id.clone(), program, caller, step, work }
+    }
+
+    async fn call(&self, call: Call, form: Form) -> Result<Relayed<B>, Problem> {
+        let caller = call.caller.clone();
+        let (program, step) = (call.program.to_string(), call.step.to_string());
+        let answer = self.until_withdrawn(&caller, self.backend.call(call)).await?;
+        let mut relayed = self.relay(Some(caller), answer, form).begin().await?;
+        relayed.reply = relayed.reply.with("Trefoil-Program", program).with("Trefoil-Step", step);
+        Ok(relayed)
+    }
+
+    fn relay(&self, caller: Option<Caller>, answer: Answer, form: Form) -> Relay<B> {
+        Relay { backend: self.backend.clone(), caller, answer, form }
+    }
+
+    /// Waits for the backend, but no longer than the key holds.
+    async fn until_withdrawn<T>(
+        &self,
+        caller: &Caller,
+        work: impl Future<Output = Result<T, Refusal>>,
+    ) -> Result<T, Refusal> {
+        let withdrawn = async {
+            self.backend.withdrawn(caller).await;
+            Err(relay::key_withdrawn())
+        };
+        or(withdrawn, work).await
+    }
+}
+
+/// The step that the caller names, or a new one.
+fn step_of(head: &Head) -> Result<StepKey, Problem> {
+    let named = body::step(head)?;
+    Ok(named.unwrap_or_else(|| random_suffix(&mut rand::rng()).into()))
+}
+
+fn service_call(head: &Head, target: &Target, body: Vec<u8>) -> ServiceCall {
+    ServiceCall {
+        service: target.service.clone(),
+        method: head.method.to_string(),
+        path: target.path.clone(),
+        headers: forward::to_service(&head.headers),
+        body,
+    }
+}
--- /dev/null
+++ b/crates/edge/src/problem.rs
@@ -0,0 +1,167 @@
+//! Refusals as HTTP answers: problem+json (RFC 9457) with a verdict.
+
+use {
+    http_types::StatusCode,
+    std::time::Duration,
+    trefoilring_core::verdict::{Reason, Refusal, Verdict},
+};
+
+/// Media type of a problem.
+pub(crate) const PROBLEM_JSON: &str = "application/problem+json";
+
+/// A refusal with its HTTP status, where it differs from that of the reason.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(crate) struct Problem {
+    pub refusal: Refusal,
+    pub status: StatusCode,
+    /// Methods that the route takes, for 405.
+    pub allow: Option<&'static str>,
+}
+
+impl From<Refusal> for Problem {
+    fn from(refusal: Refusal) -> Self {
+        let status = status_of(refusal.reason);
+        Self { refusal, status, allow: None }
+    }
+}
+
+impl Problem {
+    /// A problem found before anything was sent.
+    pub fn not_run(reason: Reason, detail: impl Into<String>) -> Self {
+        Refusal::not_run(reason, detail).into()
+    }
+
+    /// A malformed request.
+    pub fn bad_request(detail: impl Into<String>) -> Self {
+        Self::not_run(Reason::BadRequest, detail)
+    }
+
+    /// Sets another status than that of the reason.
+    pub fn with_status(mut self, status: StatusCode) -> Self {
+        self.status = status;
+        self
+    }
+
+    /// A method that the route does not take.
+    pub fn method(allow: &'static str) -> Self {
+        let detail = format!("this route takes {allow}");
+        let problem = Self::bad_request(detail).with_status(StatusCode::MethodNotAllowed);
+        Self { allow: Some(allow), ..problem }
+    }
+
+    /// The problem as JSON.
+    pub fn json(&self) -> String {
+        let body = ProblemJson {
+            kind: format!("urn:trefoilring:problem:{}", self.refusal.reason),
+            title: title_of(self.refusal.reason),
+            status: self.status.into(),
+            detail: &self.refusal.detail,
+            verdict: self.refusal.verdict,
+            reason: self.refusal.reason,
+            retry_after_ms: self.refusal.retry_after.map(|after| after.as_millis()),
+        };
+        serde_json::to_string(&body).unwrap_or_default()
+    }
+
+    /// Headers that go with the problem, beside its media type.
+    pub fn headers(&self) -> Vec<(String, String)> {
+        let mut headers = vec![("X-Should-Retry".into(), self.should_retry().to_string())];
+        if let Some(after) = self.refusal.retry_after {
+            headers.push(("Retry-After".into(), whole_seconds(after).to_string()));
+        }
+        if let Some(allow) = self.allow {
+            headers.push(("Allow".into(), allow.into()));
+        }
+        if self.status == StatusCode::Unauthorized {
+            headers.push(("WWW-Authenticate".into(), "Bearer".into()));
+        }
+        headers
+    }
+
+    /// Whether sending the same request again may help and can't repeat an effect. Chat clients
+    /// that retry by status alone would otherwise repeat a turn of which nobody knows the end.
+    fn should_retry(&self) -> bool {
+        let is_passing = matches!(
+            self.refusal.reason,
+            Reason::OverAllowance
+                | Reason::Overloaded
+                | Reason::NoUpstream
+                | Reason::HomeUnavailable
+                | Reason::StoreUnavailable
+                | Reason::Draining
+                | Reason::TooMany
+                | Reason::SlowRequest
+                | Reason::UpstreamFailed
+                | Reason::Timeout
+        );
+        is_passing && self.refusal.verdict == Verdict::NotRun
+    }
+}
+
+#[derive(serde::Serialize)]
+struct ProblemJson<'a> {
+    #[serde(rename = "type")]
+    kind: String,
+    title: &'static str,
+    status: u16,
+    detail: &'a str,
+    verdict: Verdict,
+    reason: Reason,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    retry_after_ms: Option<u128>,
+}
+
+/// Rounds up, so that a caller that waits as told doesn't come too early.
+fn whole_seconds(after: Duration) -> u64 {
+    after.as_secs() + u64::from(after.subsec_nanos() > 0)
+}
+
+/// The status of a reason. Common chat clients repeat 408, 409, 429 and 5xx by themselves, so
+/// that what can't succeed by repetition has another status.
+fn status_of(reason: Reason) -> StatusCode {
+    match reason {
+        Reason::BadRequest => StatusCode::BadRequest,
+        Reason::Unauthorized => StatusCode::Unauthorized,
+        Reason::Forbidden | Reason::BudgetSpent => StatusCode::Forbidden,
+        Reason::NotFound => StatusCode::NotFound,
+        Reason::ProgramEnded => StatusCode::Gone,
+        Reason::StepConflict | Reason::Quarantined => StatusCode::UnprocessableEntity,
+        Reason::OverAllowance => StatusCode::TooManyRequests,
+        Reason::UpstreamFailed => StatusCode::BadGateway,
+        Reason::Timeout => StatusCode::GatewayTimeout,
+        Reason::TooLarge => StatusCode::PayloadTooLarge,
+        Reason::SlowRequest => StatusCode::RequestTimeout,
+        Reason::Internal => StatusCode::InternalServerError,
+        Reason::Overloaded
+        | Reason::NoUpstream
+        | Reason::HomeUnavailable
+        | Reason::StoreUnavailable
+        | Reason::Draining
+        | Reason::TooMany => StatusCode::ServiceUnavailable,
+    }
+}
+
+fn title_of(reason: Reason) -> &'static str {
+    match reason {
+        Reason::BadRequest => "The request is malformed",
+        Reason::Unauthorized => "No valid key",
+        Reason::Forbidden => "Not allowed for this team",
+        Reason::NotFound => "Not found",
+        Reason::StepConflict => "The step was used for another request",
+        Reason::OverAllowance => "Over the team's allowance",
+        Reason::BudgetSpent => "The program's budget is spent",
+        Reason::ProgramEnded => "The program has ended",
+        Reason::Overloaded => "Overloaded",
+        Reason::NoUpstream => "No live upstream",
+        Reason::Quarantined => "The content is quarantined",
+        Reason::UpstreamFailed => "The upstream failed",
+        Reason::Timeout => "The upstream did not answer in time",
+        Reason::HomeUnavailable => "The program's home is unavailable",
+        Reason::StoreUnavailable => "The store is unavailable",
+        Reason::Draining => "The host is stopping",
+        Reason::TooLarge => "The request is too large",
+        Reason::SlowRequest => "The request came too slowly",
+        Reason::TooMany => "Too many connections or requests",
+        Reason::Internal => "Internal error",
+    }
+}
--- /dev/null
+++ b/crates/edge/src/receive.rs
@@ -0,0 +1,174 @@
+//! Reads one request from a connection within the bounds of the options.
+
+use {
+    crate::{
+        conn::Conn,
+        head::{Framing, HEAD_END, Head, RawHead},
+        options::EdgeOptions,
+        problem::Problem,
+        stop::Stop,
+    },
+    http_types::{Request, StatusCode},
+    memchr::memmem,
+    smol::{
+        Timer,
+        future::or,
+        io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt},
+    },
+    std::time::Duration,
+    trefoilring_core::verdict::Reason,
+};
+
+const CONTINUE: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
+const BODY_READ_BYTES: usize = 16 * 1024;
+
+/// What comes next on a connection.
+pub(crate) enum Next {
+    /// A request's head.
+    Head(Head),
+    /// The connection is to be closed without an answer: it ended, was idle or is to stop.
+    Closed,
+}
+
+/// Waits for the head of the next request.
+pub(crate) async fn next_head<S>(
+    conn: &Conn<S>,
+    options: &EdgeOptions,
+    stop: &Stop,
+) -> Result<Next, Problem>
+where
+    S: AsyncRead + Unpin,
+{
+    let closes = async {
+        stop.wait().await;
+        false
+    };
+    let is_idle = async {
+        Timer::after(options.idle_timeout).await;
+        false
+    };
+    let has_bytes = async {
+        let is_buffered = conn.peek(|bytes| !bytes.is_empty());
+        is_buffered || matches!(conn.fill().await, Ok(count) if count > 0)
+    };
+    if !or(has_bytes, or(closes, is_idle)).await {
+        return Ok(Next::Closed);
+    }
+    let is_late = timeout(options.head_timeout, "the head");
+    or(async { read_head(conn, options).await }, async { Err(is_late.await) }).await
+}
+
+async fn read_head<S>(conn: &Conn<S>, options: &EdgeOptions) -> Result<Next, Problem>
+where
+    S: AsyncRead + Unpin,
+{
+    let mut searched_bytes = 0;
+    loop {
+        let end = conn.peek(|bytes| memmem::find(&bytes[searched_bytes..], HEAD_END));
+        let read_bytes = conn.peek(<[u8]>::len);
+        let head_bytes = end.map(|end| searched_bytes + end + HEAD_END.len());
+        if head_bytes.unwrap_or(read_bytes) > options.max_head_bytes {
+            return Err(head_too_large(options.max_head_bytes));
+        }
+        if let Some(head_bytes) = head_bytes {
+            return take_head(conn, head_bytes, options);
+        }
+        // The end may have been cut in two by the last read.
+        searched_bytes = read_bytes.saturating_sub(HEAD_END.len() - 1);
+        if !matches!(conn.fill().await, Ok(count) if count > 0) {
+            return Ok(Next::Closed);
+        }
+    }
+}
+
+/// Takes a head off the connection and leaves in its place what the HTTP library has to see.
+fn take_head<S>(conn: &Conn<S>, head_bytes: usize, options: &EdgeOptions) -> Result<Next, Problem> {
+    let max_headers = options.max_headers;
+    let head = conn.peek(|bytes| {
+        let bytes = &bytes[..head_bytes];
+        Head::try_from(RawHead { bytes, max_headers })
+    })?;
+    match head.framing {
+        Framing::None | Framing::Length(0) => conn.replace(head_bytes, &[], 0),
+        Framing::Length(bytes) => conn.replace(head_bytes, head.for_body().as_bytes(), bytes),
+        Framing::Chunked => conn.replace(head_bytes, head.for_body().as_bytes(), u64::MAX),
+    }
+    Ok(Next::Head(head))
+}
+
+fn head_too_large(max_bytes: usize) -> Problem {
+    let detail = format!("the request line and the headers are longer than {max_bytes} bytes");
+    Problem::not_run(Reason::TooLarge, detail).with_status(StatusCode::RequestHeaderFieldsTooLarge)
+}
+
+/// Reads the body of a request. A body that ends early is refused, not run in part.
+pub(crate) async fn body<S>(
+    conn: &Conn<S>,
+    head: &Head,
+    options: &EdgeOptions,
+) -> Result<Vec<u8>, Problem>
+where
+    S: AsyncRead + AsyncWrite + Send + Unpin + 'static,
+{
+    let max_bytes = options.max_body_bytes;
+    match head.framing {
+        Framing::None | Framing::Length(0) => return Ok(Vec::new()),
+        Framing::Length(bytes) if bytes > max_bytes as u64 => return Err(too_large(max_bytes)),
+        Framing::Length(_) | Framing::Chunked => {}
+    }
+    let is_late = timeout(options.body_timeout, "the body");
+    or(async { read_body(conn, head, max_bytes).await }, async { Err(is_late.await) }).await
+}
+
+async fn read_body<S>(conn: &Conn<S>, head: &Head, max_bytes: usize) -> Result<Vec<u8>, Problem>
+where
+    S: AsyncRead + AsyncWrite + Send + Unpin + 'static,
+{
+    if head.expects_continue() {
+        let mut writer = conn.clone();
+        writer.write_all(CONTINUE).await.map_err(unreadable)?;
+        writer.flush().await.map_err(unreadable)?;
+    }
+    let decoded = async_h1::server::decode(conn.clone()).await.map_err(unreadable)?;
+    let Some((mut request, _)) = decoded else {
+        return Err(unreadable("the connection ended"));
+    };
+    let bytes = read_bounded(&mut request, max_bytes).await?;
+    match head.framing {
+        Framing::Length(expected) if expected != bytes.len() as u64 => {
+            let detail = format!("it ended after {} of {expected} bytes", bytes.len());
+            Err(unreadable(detail))
+        }
+        _ => Ok(bytes),
+    }
+}
+
+async fn read_bounded(request: &mut Request, max_bytes: usize) -> Result<Vec<u8>, Problem> {
+    let mut body = request.take_body();
+    let mut bytes = Vec::with_capacity(body.len().unwrap_or_default().min(max_bytes));
+    let mut part = vec![0; BODY_READ_BYTES];
+    loop {
+        let count = body.read(&mut part).await.map_err(unreadable)?;
+        if count == 0 {
+            return Ok(bytes);
+        }
+        if bytes.len() + count > max_bytes {
+            return Err(too_large(max_bytes));
+        }
+        bytes.extend_from_slice(&part[..count]);
+    }
+}
+
+fn too_large(max_bytes: usize) -> Problem {
+    Problem::not_run(Reason::TooLarge, format!("the body is longer than {max_bytes} bytes"))
+}
+
+fn unreadable(cause: impl std::fmt::Display) -> Problem {
+    Problem::bad_request(format!("the body can't be read: {cause}"))
+}
+
+async fn timeout(after: Duration, what: &str) -> Problem {
+    Timer::after(after).await;
+    let detail = format!("{what} did not come within {} ms", after.as_millis());
+    Problem::not_run(Reason::SlowRequest, detail)
+}
--- /dev/null
+++ b/crates/edge/src/reply.rs
@@ -0,0 +1,214 @@
+//! Answers as they are written to the caller.
+
+use {
+    crate::{
+        conn::Conn,
+        forward,
+        head::Head,
+        problem::{PROBLEM_JSON, Problem},
+    },
+    async_h1::server::Encoder,
+    http_types::{Body, Method, Response, StatusCode},
+    smol::{
+        Timer,
+        channel::Receiver,
+        future::or,
+        io::{AsyncBufRead, AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt},
+        stream::Stream,
+    },
+    std::{
+        io,
+        pin::Pin,
+        task::{Context, Poll, ready},
+        time::Duration,
+    },
+};
+
+/// Bytes that are written at once.
+const WRITE_BYTES: usize = 16 * 1024;
+
+/// The start of an answer.
+#[derive(Clone, Debug)]
+pub(crate) struct ReplyHead {
+    pub status: StatusCode,
+    pub headers: Vec<(String, String)>,
+}
+
+impl ReplyHead {
+    pub fn new(status: StatusCode) -> Self {
+        Self { status, headers: Vec::new() }
+    }
+
+    pub fn with(mut self, name: &str, value: impl Into<String>) -> Self {
+        self.headers.push((name.to_owned(), value.into()));
+        self
+    }
+
+    /// Takes the head of an upstream's answer.
+    pub fn from_upstream(status: u16, headers: Vec<(String, String)>) -> Self {
+        let headers = forward::to_caller(headers);
+        match StatusCode::try_from(status) {
+            Ok(status) if !status.is_informational() => Self { status, headers },
+            // The library knows registered codes only; the class of the code stays the same.
+            _ => Self { status: nearest(status), headers }
+                .with("Trefoil-Upstream-Status", status.to_string()),
+        }
+    }
+}
+
+fn nearest(status: u16) -> StatusCode {
+    match status {
+        200..300 => StatusCode::Ok,
+        400..500 => StatusCode::BadRequest,
+        500..600 => StatusCode::InternalServerError,
+        _ => StatusCode::BadGateway,
+    }
+}
+
+/// A part of a streamed body, or that it breaks off.
+pub(crate) type Part = Result<Vec<u8>, BrokenOff>;
+
+/// The body can't be completed. The connection is cut before its end, so that the caller can't
+/// take the part for the whole.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct BrokenOff;
+
+/// The body of an answer.
+pub(crate) enum ReplyBody {
+    Whole(Vec<u8>),
+    Parts(Receiver<Part>),
+}
+
+/// An answer.
+pub(crate) struct Reply {
+    pub head: ReplyHead,
+    pub body: ReplyBody,
+}
+
+impl Reply {
+    pub fn whole(head: ReplyHead, body: Vec<u8>) -> Self {
+        Self { head, body: ReplyBody::Whole(body) }
+    }
+
+    pub fn text(status: StatusCode, text: impl Into<String>) -> Self {
+        let head = ReplyHead::new(status).with("Content-Type", "text/plain; charset=utf-8");
+        Self::whole(head, text.into().into_bytes())
+    }
+
+    pub fn json(status: StatusCode, value: &impl serde::Serialize) -> Self {
+        let head = ReplyHead::new(status).with("Content-Type", "application/json");
+        // These values are made of maps with text keys, which always serialize.
+        Self::whole(head, serde_json::to_vec(value).unwrap_or_default())
+    }
+
+    /// Adds a header.
+    pub fn with(mut self, name: &str, value: impl Into<String>) -> Self {
+        self.head = self.head.with(name, value);
+        self
+    }
+}
+
+impl From<Problem> for Reply {
+    fn from(problem: Problem) -> Self {
+        let mut head = ReplyHead::new(problem.status).with("Content-Type", PROBLEM_JSON);
+        head.headers.extend(problem.headers());
+        Self::whole(head, problem.json().into_bytes())
+    }
+}
+
+/// Writes an answer. Each part is flushed as it comes. An error means that the caller is gone, is
+/// too slow, or that the body broke off.
+pub(crate) async fn write<S>(
+    conn: &Conn<S>,
+    reply: Reply,
+    method: Method,
+    timeout: Duration,
+) -> io::Result<()>
+where
+    S: AsyncWrite + Unpin,
+{
+    let mut writer = conn.clone();
+    let mut encoder = Encoder::new(response(reply), method);
+    let mut bytes = vec![0; WRITE_BYTES];
+    loop {
+        let count = encoder.read(&mut bytes).await?;
+        if count == 0 {
+            return Ok(());
+        }
+        let write = async {
+            writer.write_all(&bytes[..count]).await?;
+            writer.flush().await
+        };
+        let is_late = async {
+            Timer::after(timeout).await;
+            Err(io::ErrorKind::TimedOut.into())
+        };
+        or(write, is_late).await?;
+    }
+}
+
+fn response(reply: Reply) -> Response {
+    let mut response = Response::new(reply.head.status);
+    for (name, value) in &reply.head.headers {
+        response.append_header(name.as_str(), value.as_str());
+    }
+    match reply.body {
+        ReplyBody::Whole(bytes) => response.set_body(Body::from_bytes(bytes)),
+        ReplyBody::Parts(parts) => {
+            response.set_body(Body::from_reader(PartsReader::new(parts), None));
+        }
+    }
+    response
+}
+
+/// Whether the connection has to close after the answer to this request. A chunked body may have
+/// made the HTTP library read into the next request.
+pub(crate) fn closes_after(head: &Head) -> bool {
+    head.wants_close() || head.framing == crate::head::Framing::Chunked
+}
+
+/// Reads the parts of a body. One read gives bytes of one part, so that parts are not held back.
+struct PartsReader {
+    parts: Pin<Box<Receiver<Part>>>,
+    part: Vec<u8>,
+    read_bytes: usize,
+}
+
+impl PartsReader {
+    fn new(parts: Receiver<Part>) -> Self {
+        Self { parts: Box::pin(parts), part: Vec::new(), read_bytes: 0 }
+    }
+}
+
+impl AsyncBufRead for PartsReader {
+    fn poll_fill_buf(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<&[u8]>> {
+        let this = self.get_mut();
+        while this.read_bytes >= this.part.len() {
+            match ready!(this.parts.as_mut().poll_next(cx)) {
+                Some(Ok(part)) => this.part = part,
+                Some(Err(BrokenOff)) => return Poll::Ready(Err(io::ErrorKind::BrokenPipe.into())),
+                None => return Poll::Ready(Ok(&[])),
+            }
+            this.read_bytes = 0;
+        }
+        Poll::Ready(Ok(&this.part[this.read_bytes..]))
+    }
+
+    fn consume(self: Pin<&mut Self>, count: usize) {
+        self.get_mut().read_bytes += count;
+    }
+}
+
+impl AsyncRead for PartsReader {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bytes: &mut [u8],
+    ) -> Poll<io::Result<usize>> {
+        let part = ready!(self.as_mut().poll_fill_buf(cx))?;
+        let count = part.len().min(bytes.len());
+        bytes[..count].copy_from_slice(&part[..count]);
+        self.consume(count);
+        Poll::Ready(Ok(count))
+    }
+}
--- /dev/null
+++ b/crates/edge/src/view.rs
@@ -0,0 +1,42 @@
+//! Programs as callers see them.
+
+use trefoilring_core::{call::ProgramInfo, catalog::Budget};
+
+/// The JSON of one program.
+#[derive(serde::Serialize)]
+pub(crate) struct ProgramView<'a> {
+    id: &'a str,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    parent: Option<&'a str>,
+    class: &'a str,
+    team: &'a str,
+    /// Why it ended; null while it runs.
+    ended: Option<&'a str>,
+    budget: Budget,
+    spent: Spent,
+    age_ms: u128,
+    history_messages: usize,
+}
+
+/// What a program and its children spent.
+#[derive(serde::Serialize)]
+struct Spent {
+    turns: u32,
+    tokens: u64,
+}
+
+impl<'a> From<&'a ProgramInfo> for ProgramView<'a> {
+    fn from(info: &'a ProgramInfo) -> Self {
+        Self {
+            id: &info.program,
+            parent: info.parent.as_deref(),
+            class: &info.class,
+            team: &info.team,
+            ended: info.ended.as_deref(),
+            budget: info.budget,
+            spent: Spent { turns: info.turns, tokens: info.tokens },
+            age_ms: info.age.as_millis(),
+            history_messages: info.history_messages,
+        }
+    }
+}
