Add rendezvous hashing and the membership machine

Cause: roles, leases and the view have to be agreed on through the store alone, with it down for long, regions cut and hosts paused. Change: core::rendezvous and core::membership: heartbeats to a delegate per failure domain, rosters by conditional update, leases from the sending time, leases without the store by confirmation of guards, roles by rendezvous.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -10,6 +10,8 @@
 pub mod hlc;
 pub mod ids;
 pub mod journal;
+pub mod membership;
 pub mod message;
+pub mod rendezvous;
 pub mod sched;
 pub mod verdict;
--- /dev/null
+++ b/crates/core/src/membership/follower.rs
@@ -0,0 +1,310 @@
+//! A host that sends heartbeats to its domain's delegate, and takes its place when it is gone.
+
+use {
+    super::{
+        Body, Command, Delegate, Duty, Heartbeat, HeartbeatReply, HostState, Membership, Note,
+        ROSTER_PREFIX, Roster, StoreError, StoreOp, StoreReply, StoreResult, store::Purpose,
+    },
+    crate::ids::HostId,
+    std::{collections::BTreeMap, time::Instant},
+};
+
+/// Places in the order of succession that wait longer than the one before.
+const STAGGERED_MAX: usize = 5;
+
+/// What a follower knows of its delegate.
+#[derive(Debug)]
+pub(super) struct Follower {
+    delegate: Option<(HostId, String)>,
+    /// When the delegate last acknowledged a heartbeat, or was chosen.
+    heard_at: Instant,
+    /// The roster's version in the store and since when it has been the same.
+    observed: Option<(u64, Instant)>,
+    is_observing: bool,
+    /// The roster that this host is trying to write as the new delegate.
+    claim: Option<Roster>,
+    is_store_up: bool,
+}
+
+impl Follower {
+    pub fn new(now: Instant) -> Self {
+        Self {
+            delegate: None,
+            heard_at: now,
+            observed: None,
+            is_observing: false,
+            claim: None,
+            is_store_up: true,
+        }
+    }
+
+    pub fn delegate(&self) -> Option<&HostId> {
+        self.delegate.as_ref().map(|(host, _)| host)
+    }
+
+    pub fn is_store_up(&self) -> bool {
+        self.is_store_up
+    }
+}
+
+impl Membership {
+    /// Sends a heartbeat, and looks at the store when the delegate is silent.
+    pub(super) fn follow(&mut self, now: Instant) {
+        self.send_heartbeat(now);
+        let takeover = self.options.takeover;
+        let leaves = self.entry.state == HostState::Left;
+        let delegate_stops = self.delegate_stops();
+        let Duty::Follower(follower) = &mut self.duty else { return };
+        let is_silent = now.saturating_duration_since(follower.heard_at) >= takeover;
+        let must_look = follower.delegate.is_none() || is_silent || delegate_stops;
+        if !must_look || follower.is_observing || follower.claim.is_some() || leaves {
+            return;
+        }
+        follower.is_observing = true;
+        let op = StoreOp::Read { key: self.roster_key() };
+        self.operate_directly(now, Purpose::Observe, op);
+    }
+
+    pub(super) fn send_heartbeat(&mut self, now: Instant) {
+        let Duty::Follower(follower) = &self.duty else { return };
+        let Some((host, address)) = follower.delegate.clone() else { return };
+        let heartbeat = Heartbeat {
+            seq: self.lease.send(now),
+            entry: self.entry.clone(),
+            view: self.view.stamp().clone(),
+        };
+        self.send(&host, &address, Body::Heartbeat(heartbeat));
+    }
+
+    pub(super) fn roster_key(&self) -> String {
+        format!("{ROSTER_PREFIX}{}", self.me.domain)
+    }
+
+    /// Returns whether the delegate is known to be stopping.
+    fn delegate_stops(&self) -> bool {
+        let Some(delegate) = self.delegate() else { return false };
+        self.view.get(delegate).is_some_and(|entry| !entry.is_live())
+    }
+
+    pub(super) fn reply_received(
+        &mut self,
+        now: Instant,
+        from: HostId,
+        address: String,
+        reply: HeartbeatReply,
+    ) {
+        let known_beat = self.beat;
+        let Duty::Follower(follower) = &mut self.duty else { return };
+        let is_current = follower.delegate().is_some_and(|delegate| *delegate == from);
+        let is_same_domain = self.view.get(&from).is_none_or(|e| e.domain == self.me.domain);
+        if reply.beat < known_beat || (!is_current && (reply.beat == known_beat || !is_same_domain))
+        {
+            return;
+        }
+        self.beat = reply.beat;
+        follower.heard_at = now;
+        follower.observed = None;
+        if !is_current {
+            follower.delegate = Some((from, address));
+        }
+        let was_up = std::mem::replace(&mut follower.is_store_up, reply.is_store_up);
+        if was_up != reply.is_store_up {
+            let note = if reply.is_store_up { Note::StoreUp } else { Note::StoreDown };
+            self.out.push(Command::Note(note));
+        }
+        if reply.acked_seq > 0 {
+            self.take_reply(now, reply);
+        }
+    }
+
+    fn take_reply(&mut self, now: Instant, reply: HeartbeatReply) {
+        let view = reply.view;
+        let known = self.view.stamp();
+        // A change that builds on a state which this host doesn't have is of no use: the next
+        // heartbeat says what it has. The same holds for the lease, which rests on the view.
+        let is_next = view.is_whole || view.stamp.delegate == known.delegate;
+        if !is_next || (!view.is_whole && view.stamp.number < known.number) {
+            return;
+        }
+        let changes = self.view.apply(now, view);
+        self.acknowledged(now, reply.acked_seq, reply.manifest_version);
+        self.view_changed(now, changes);
+    }
+
+    /// Renews the lease.
+    pub(super) fn acknowledged(&mut self, now: Instant, seq: u64, manifest: Option<u64>) {
+        let is_known =
+            self.view.get(&self.me.member.host).is_some_and(|entry| entry.member == self.me.member);
+        if !is_known || self.entry.state == HostState::Left {
+            return;
+        }
+        let Some(as_of) = self.lease.renew(now, seq) else { return };
+        if let Some(version) = manifest {
+            self.out.push(Command::ManifestSeen { version, as_of });
+        }
+    }
+
+    pub(super) fn observed(&mut self, now: Instant, result: StoreResult) {
+        let Duty::Follower(follower) = &mut self.duty else { return };
+        follower.is_observing = false;
+        match result {
+            Ok(StoreReply::Absent) => self.claim(now, 0, None),
+            Ok(StoreReply::Value { version, bytes }) => {
+                match serde_json::from_slice::<Roster>(&bytes) {
+                    Ok(roster) => self.roster_observed(now, version, roster),
+                    // An unreadable roster names no host, so no lease is written in it that
+                    // could be lost; it is replaced like a stale one.
+                    Err(_) => self.claim_if_stale(now, version, None),
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn roster_observed(&mut self, now: Instant, version: u64, roster: Roster) {
+        if roster.writer == self.me.member {
+            // The answer to this host's own claim was lost.
+            self.become_delegate(now, version, roster);
+            return;
+        }
+        let writer = roster.writer.host.clone();
+        let entry = roster.hosts.get(&writer).cloned();
+        let is_gone = entry.is_none();
+        let stops = entry.as_ref().is_some_and(|entry| !entry.is_live());
+        let Duty::Follower(follower) = &mut self.duty else { return };
+        let is_other = follower.delegate() != Some(&writer) && writer != self.me.member.host;
+        if let (Some(entry), true) = (&entry, is_other) {
+            follower.delegate = Some((writer.clone(), entry.address.clone()));
+            follower.heard_at = now;
+            self.beat = roster.beat;
+            self.send_heartbeat(now);
+        }
+        let is_next = self.succession(&roster) == 0;
+        if roster.hosts.is_empty() || ((is_gone || stops) && is_next) {
+            self.claim(now, version, Some(roster));
+        } else {
+            self.claim_if_stale(now, version, Some(roster));
+        }
+    }
+
+    /// Takes the delegate's place when the roster hasn't changed for long enough.
+    fn claim_if_stale(&mut self, now: Instant, version: u64, roster: Option<Roster>) {
+        let place = roster.as_ref().map_or(0, |roster| self.succession(roster));
+        let wait = self.options.takeover
+            + self.options.heartbeat * u32::try_from(place.min(STAGGERED_MAX)).unwrap_or(0);
+        let Duty::Follower(follower) = &mut self.duty else { return };
+        match follower.observed {
+            Some((known, since)) if known == version => {
+                if now.saturating_duration_since(since) >= wait {
+                    self.claim(now, version, roster);
+                }
+            }
+            _ => follower.observed = Some((version, now)),
+        }
+    }
+
+    /// Returns how many live hosts of the domain come before this one, without the delegate.
+    fn succession(&self, roster: &Roster) -> usize {
+        roster
+            .hosts
+            .values()
+            .filter(|entry| entry.is_live() && entry.member.host != roster.writer.host)
+            .filter(|entry| entry.member.host < self.me.member.host)
+            .count()
+    }
+
+    /// Writes the roster as its new delegate. The condition on the version decides a race.
+    fn claim(&mut self, now: Instant, version: u64, former: Option<Roster>) {
+        if self.entry.state != HostState::Live {
+            return;
+        }
+        let roster = self.claiming_roster(former);
+        let Duty::Follower(follower) = &mut self.duty else { return };
+        if follower.claim.is_some() {
+            return;
+        }
+        let bytes = encode(&roster);
+        follower.claim = Some(roster);
+        let key = self.roster_key();
+        self.operate_directly(
+            now,
+            Purpose::Claim,
+            StoreOp::Write { key, if_version: version, bytes },
+        );
+    }
+
+    fn claiming_roster(&self, former: Option<Roster>) -> Roster {
+        let Some(mut roster) = former else {
+            return Roster {
+                domain: self.me.domain.clone(),
+                writer: self.me.member.clone(),
+                beat: self.beat + 1,
+                hosts: BTreeMap::new(),
+                guards: Vec::new(),
+                former_guards: Vec::new(),
+                seen: BTreeMap::new(),
+            };
+        };
+        let guards = std::mem::take(&mut roster.guards);
+        if !guards.is_empty() && !roster.former_guards.contains(&guards) {
+            roster.former_guards.push(guards);
+        }
+        for entry in roster.hosts.values_mut() {
+            entry.is_inherited = entry.member != self.me.member;
+        }
+        roster.writer = self.me.member.clone();
+        roster.beat = roster.beat.max(self.beat) + 1;
+        roster
+    }
+
+    pub(super) fn claimed(&mut self, now: Instant, result: StoreResult) {
+        let Duty::Follower(follower) = &mut self.duty else { return };
+        let Some(roster) = follower.claim.take() else { return };
+        follower.observed = None;
+        match result {
+            Ok(StoreReply::Written { version }) => self.become_delegate(now, version, roster),
+            // Lost to another host, or the answer was lost: the next look at the store tells.
+            Ok(_) | Err(StoreError::Conflict | StoreError::NotRun | StoreError::Unknown) => {}
+        }
+    }
+
+    fn become_delegate(&mut self, now: Instant, version: u64, roster: Roster) {
+        self.beat = roster.beat;
+        self.view.count_as(&self.me.member);
+        let others: Vec<(HostId, String)> = roster
+            .hosts
+            .values()
+            .filter(|entry| entry.member.host != self.me.member.host)
+            .map(|entry| (entry.member.host.clone(), entry.address.clone()))
+            .collect();
+        let beat = roster.beat;
+        self.duty = Duty::Delegate(Box::new(Delegate::new(now, version, roster)));
+        self.out.push(Command::Note(Note::DelegateTaken));
+        // Tells the domain where to send heartbeats. Nothing is acknowledged yet.
+        for (host, address) in others {
+            let reply = HeartbeatReply {
+                acked_seq: 0,
+                beat,
+                view: super::ViewUpdate::default(),
+                is_store_up: true,
+                manifest_version: None,
+            };
+            self.send(&host, &address, Body::Reply(reply));
+        }
+        self.lead(now);
+    }
+
+    /// Sends heartbeats to whoever writes the roster now.
+    pub(super) fn become_follower(&mut self, now: Instant) {
+        self.store.forget_rounds();
+        self.store.go_direct();
+        self.duty = Duty::Follower(Box::new(Follower::new(now)));
+        self.out.push(Command::Note(Note::DelegateLost));
+        self.follow(now);
+    }
+}
+
+/// Encodes a roster for the store. Rosters hold only strings and numbers, which always encode.
+pub(super) fn encode(roster: &Roster) -> Vec<u8> {
+    serde_json::to_vec(roster).unwrap_or_default()
+}
--- /dev/null
+++ b/crates/core/src/membership/freeze.rs
@@ -0,0 +1,264 @@
+//! Leases without the store, and the promises that keep them apart from removals.
+//!
+//! A delegate that can't reach the store may let its domain's leases go on when enough guards
+//! confirm that they can't reach it either. A guard is a process that the stored roster names. To
+//! remove hosts of a domain that may be going on like this, enough of the same guards must have
+//! released it. "Enough" is such that any two groups share a guard, and a guard that confirmed
+//! doesn't release before the leases that rest on its word have ended.
+
+use {
+    super::{
+        Answer, Ask, Body, Command, Duty, Guard, Membership, Note, StoreOp, round::Included,
+        store::Purpose,
+    },
+    crate::ids::{DomainId, HostId, Member},
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        time::{Duration, Instant},
+    },
+};
+
+/// Failed rounds after which the store counts as down in reports.
+const FAILURES_TO_REPORT: u32 = 2;
+
+/// What this process has promised other delegates.
+#[derive(Debug)]
+pub(super) struct Promises {
+    started_at: Instant,
+    /// When leases of a domain were last allowed to go on.
+    confirmed: BTreeMap<DomainId, Instant>,
+    /// Beat of the roster up to which leases of a domain may not go on.
+    released: BTreeMap<DomainId, u64>,
+}
+
+impl Promises {
+    pub fn new(now: Instant) -> Self {
+        Self { started_at: now, confirmed: BTreeMap::new(), released: BTreeMap::new() }
+    }
+
+    fn confirm(&mut self, now: Instant, domain: &DomainId) -> bool {
+        if self.released.contains_key(domain) {
+            return false;
+        }
+        self.confirmed.insert(domain.clone(), now);
+        true
+    }
+
+    fn release(&mut self, now: Instant, domain: &DomainId, beat: u64, expiry: Duration) -> bool {
+        let is_recent = |at: &Instant| now.saturating_duration_since(*at) <= expiry;
+        if self.confirmed.get(domain).is_some_and(is_recent) {
+            return false;
+        }
+        let released = self.released.entry(domain.clone()).or_insert(beat);
+        *released = beat.max(*released);
+        true
+    }
+
+    /// A newer roster was read: what was released is decided.
+    pub fn roster_read(&mut self, domain: &DomainId, beat: u64) {
+        if self.released.get(domain).is_some_and(|released| beat > *released) {
+            self.released.remove(domain);
+        }
+    }
+}
+
+/// Guards that must confirm, of a group of this size.
+fn freeze_quorum(guards: usize) -> usize {
+    guards.div_ceil(2).max(1)
+}
+
+/// Guards that must release. Any such group shares one with any group that may confirm.
+fn release_quorum(guards: usize) -> usize {
+    (guards + 1).saturating_sub(freeze_quorum(guards))
+}
+
+fn count(set: &[Guard], members: &BTreeSet<Member>) -> usize {
+    set.iter().filter(|guard| members.contains(&guard.member)).count()
+}
+
+/// Returns whether leases may go on, for each group that may be the stored one.
+pub(super) fn may_freeze(sets: &[Vec<Guard>], confirmed: &BTreeSet<Member>) -> bool {
+    sets.iter().all(|set| count(set, confirmed) >= freeze_quorum(set.len()))
+}
+
+/// Returns whether hosts may be removed.
+pub(super) fn may_remove(sets: &[Vec<Guard>], released: &BTreeSet<Member>) -> bool {
+    sets.iter().all(|set| count(set, released) >= release_quorum(set.len()))
+}
+
+/// One attempt to let the leases go on.
+#[derive(Debug)]
+pub(super) struct FreezeRound {
+    number: u64,
+    started: Instant,
+    included: Vec<Included>,
+    confirmed: BTreeSet<Member>,
+    down_domains: BTreeSet<DomainId>,
+    is_acked: bool,
+    is_manifest_acked: bool,
+}
+
+impl FreezeRound {
+    pub fn new(number: u64, started: Instant, included: Vec<Included>) -> Self {
+        Self {
+            number,
+            started,
+            included,
+            confirmed: BTreeSet::new(),
+            down_domains: BTreeSet::new(),
+            is_acked: false,
+            is_manifest_acked: false,
+        }
+    }
+}
+
+impl Membership {
+    /// Asks the guards, and where a guard has been silent also another host of its domain, whose
+    /// word counts for the configuration only.
+    pub(super) fn freeze_round(&mut self, now: Instant) {
+        let Duty::Delegate(delegate) = &mut self.duty else { return };
+        if !delegate.has_view() {
+            return;
+        }
+        let silent = delegate.silent_domains();
+        let number = delegate.start_freeze(now);
+        let mut asked: BTreeMap<HostId, String> = delegate
+            .guard_sets()
+            .iter()
+            .flatten()
+            .map(|guard| (guard.member.host.clone(), guard.address.clone()))
+            .collect();
+        for domain in silent {
+            let hosts: Vec<_> =
+                self.view.entries().filter(|entry| entry.domain == domain).collect();
+            let turn = usize::try_from(number).unwrap_or(0) % hosts.len().max(1);
+            if let Some(entry) = hosts.get(turn) {
+                asked.insert(entry.member.host.clone(), entry.address.clone());
+            }
+        }
+        for (host, address) in asked {
+            let ask = Ask::Freeze { round: number, domain: self.me.domain.clone() };
+            self.send(&host, &address, Body::Ask(ask));
+        }
+    }
+
+    pub(super) fn round_failed(&mut self, now: Instant) {
+        self.store.forget_rounds();
+        self.store.go_direct();
+        let Duty::Delegate(delegate) = &mut self.duty else { return };
+        delegate.round = None;
+        delegate.failures += 1;
+        if delegate.failures == FAILURES_TO_REPORT {
+            self.out.push(Command::Note(Note::StoreDown));
+        }
+        self.freeze_round(now);
+    }
+
+    pub(super) fn asked(&mut self, now: Instant, from: Member, address: String, ask: Ask) {
+        match ask {
+            Ask::Freeze { round, domain } => self.freeze_asked(now, from, address, round, domain),
+            Ask::Release { domain, beat, guard } => {
+                if self.release(now, &domain, beat, &guard) {
+                    let answer = Answer::Release { domain, beat, guard };
+                    self.send(&from.host, &address, Body::Answer(answer));
+                }
+            }
+        }
+    }
+
+    fn freeze_asked(
+        &mut self,
+        now: Instant,
+        from: Member,
+        address: String,
+        round: u64,
+        domain: DomainId,
+    ) {
+        let Duty::Delegate(delegate) = &self.duty else {
+            // A follower makes no store calls of its own, so it tries one. Its word counts for
+            // the configuration, not for leases.
+            let op = StoreOp::List { prefix: super::MANIFEST_KEY.into() };
+            let purpose = Purpose::Probe { to: from.host, address, round };
+            self.operate_directly(now, purpose, op);
+            return;
+        };
+        let is_store_up = delegate.is_store_up();
+        let is_writer = delegate.writer_of(&domain) == Some(&from);
+        let is_confirmed = !is_store_up && is_writer && self.promises.confirm(now, &domain);
+        let answer =
+            Answer::Freeze { round, domain: self.me.domain.clone(), is_store_up, is_confirmed };
+        self.send(&from.host, &address, Body::Answer(answer));
+    }
+
+    /// Returns whether this process releases a domain as a guard. It also answers for a former
+    /// incarnation of the same host, once that one's word can no longer carry a lease.
+    pub(super) fn release(
+        &mut self,
+        now: Instant,
+        domain: &DomainId,
+        beat: u64,
+        guard: &Member,
+    ) -> bool {
+        let expiry = self.options.expiry();
+        if *guard == self.me.member {
+            return self.promises.release(now, domain, beat, expiry);
+        }
+        let is_former =
+            guard.host == self.me.member.host && guard.incarnation < self.me.member.incarnation;
+        is_former && now.saturating_duration_since(self.promises.started_at) > expiry
+    }
+
+    pub(super) fn answered(&mut self, now: Instant, from: Member, address: String, answer: Answer) {
+        match answer {
+            Answer::Freeze { round, domain, is_store_up, is_confirmed } => {
+                if is_store_up {
+                    self.store.relay_through(from.host, address);
+                } else {
+                    self.freeze_answered(now, round, from, domain, is_confirmed);
+                }
+            }
+            Answer::Release { domain, beat, guard } => {
+                if let Duty::Delegate(delegate) = &mut self.duty {
+                    delegate.note_release(domain, beat, guard);
+                }
+            }
+        }
+    }
+
+    fn freeze_answered(
+        &mut self,
+        now: Instant,
+        number: u64,
+        from: Member,
+        domain: DomainId,
+        is_confirmed: bool,
+    ) {
+        let Duty::Delegate(delegate) = &mut self.duty else { return };
+        let domains = delegate.other_domains();
+        let sets = delegate.guard_sets().to_vec();
+        let manifest = delegate.manifest;
+        let Some(freeze) = delegate.freeze.as_mut().filter(|freeze| freeze.number == number) else {
+            return;
+        };
+        let is_late = now.saturating_duration_since(freeze.started) > self.options.lease;
+        if is_late {
+            return;
+        }
+        if is_confirmed {
+            freeze.confirmed.insert(from);
+        }
+        freeze.down_domains.insert(domain.clone());
+        let may_go_on = may_freeze(&sets, &freeze.confirmed);
+        let is_down_for_all = domains.is_subset(&freeze.down_domains);
+        let is_new = !freeze.is_acked || (is_down_for_all && !freeze.is_manifest_acked);
+        let ack = (may_go_on && is_new).then(|| {
+            freeze.is_acked = true;
+            freeze.is_manifest_acked |= is_down_for_all;
+            (freeze.included.clone(), manifest.filter(|_| is_down_for_all))
+        });
+        delegate.note_answer(domain);
+        if let Some((included, manifest)) = ack {
+            self.acknowledge(now, included, manifest, false);
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/membership/mod.rs
@@ -0,0 +1,311 @@
+//! Which hosts are there, which of them plays which role, and until when this host may act.
+//!
+//! Every host sends heartbeats to the delegate of its failure domain. The delegate writes the
+//! domain's roster by conditional update and reads the others. A lease runs from when a host sent
+//! the heartbeat that a written roster includes, on the host's own clock. Hosts go from a roster
+//! only when their leases have ended for certain. `docs/decisions/0001-membership-and-leases.md`
+//! has the rules and why they hold.
+
+mod ask_release;
+mod delegate;
+mod follower;
+mod freeze;
+mod lease;
+mod message;
+mod options;
+mod role;
+mod round;
+mod store;
+#[cfg(test)]
+mod tests;
+mod view;
+
+pub use {
+    message::{
+        Answer, Ask, Body, Command, Event, Guard, Heartbeat, HeartbeatReply, HostEntry, HostState,
+        Message, Note, OwnedJournal, Roster, StoreError, StoreOp, StoreReply, StoreResult,
+        ViewStamp, ViewUpdate,
+    },
+    options::{Identity, Options},
+    role::{BACKUPS, HALVES, RoleKey, Standing},
+};
+
+use {
+    crate::ids::{ConfigVersion, HostId},
+    delegate::Delegate,
+    follower::Follower,
+    freeze::Promises,
+    lease::Lease,
+    options::Rule,
+    std::{collections::BTreeSet, time::Instant},
+    store::StoreLink,
+    view::{Changes, View},
+};
+
+/// Prefix of the rosters' keys.
+pub const ROSTER_PREFIX: &str = "roster/";
+/// Key of the configuration's manifest, whose version delegates look at.
+pub const MANIFEST_KEY: &str = "config/manifest";
+
+/// The membership machine of one host. Events in, commands out, time passed in.
+#[derive(Debug)]
+pub struct Membership {
+    options: Options,
+    me: Identity,
+    entry: HostEntry,
+    lease: Lease,
+    was_leased: bool,
+    /// Since when every leased host has known that this one is live.
+    settled_at: Option<Instant>,
+    view: View,
+    lost_peers: BTreeSet<HostId>,
+    duty: Duty,
+    store: StoreLink,
+    promises: Promises,
+    /// The highest beat of the own domain's roster that this host knows.
+    beat: u64,
+    last_tick: Instant,
+    next_heartbeat: Instant,
+    out: Vec<Command>,
+}
+
+/// What a host does for the roster of its domain.
+#[derive(Debug)]
+enum Duty {
+    /// Sends heartbeats to the delegate.
+    Follower(Box<Follower>),
+    /// Writes the roster.
+    Delegate(Box<Delegate>),
+}
+
+impl Membership {
+    /// Makes the machine of a host that starts now.
+    pub fn new(now: Instant, me: Identity, options: Options) -> Self {
+        let entry = HostEntry {
+            member: me.member.clone(),
+            address: me.address.clone(),
+            domain: me.domain.clone(),
+            state: HostState::Live,
+            journals: Vec::new(),
+            config: 0,
+            live_beat: 0,
+            is_settled: false,
+            is_inherited: false,
+        };
+        Self {
+            lease: Lease::new(options.lease),
+            store: StoreLink::new(options.store_timeout),
+            promises: Promises::new(now),
+            view: View::new(now),
+            duty: Duty::Follower(Box::new(Follower::new(now))),
+            was_leased: false,
+            settled_at: None,
+            lost_peers: BTreeSet::new(),
+            beat: 0,
+            last_tick: now,
+            next_heartbeat: now,
+            out: Vec::new(),
+            options,
+            me,
+            entry,
+        }
+    }
+
+    /// Takes in an event and returns what is to be done.
+    pub fn handle(&mut self, now: Instant, event: Event) -> Vec<Command> {
+        match event {
+            Event::Tick => self.tick(now),
+            Event::Received(message) => self.receive(now, message),
+            Event::Stored { token, result } => self.stored(now, token, result),
+            Event::PeerLost(host) => {
+                self.lost_peers.insert(host);
+            }
+            Event::PeerSeen(host) => {
+                self.lost_peers.remove(&host);
+            }
+            Event::Drain => self.stop(now, HostState::Draining),
+            Event::Leave => self.stop(now, HostState::Left),
+        }
+        self.note_lease(now);
+        std::mem::take(&mut self.out)
+    }
+
+    /// Returns whether this host may act as home, limiter or delegate. Ask immediately before
+    /// each effect: a process that was paused finds its lease lapsed.
+    pub fn may_act(&self, now: Instant) -> bool {
+        self.lease.held_since(now).is_some() || !self.options.has(Rule::Lease)
+    }
+
+    /// Returns when the lease ends unless it is renewed.
+    pub fn lease_until(&self) -> Option<Instant> {
+        self.lease.until()
+    }
+
+    /// Announces the journals that this host owns, from its next heartbeat on.
+    pub fn set_journals(&mut self, journals: Vec<OwnedJournal>) {
+        self.entry.journals = journals;
+    }
+
+    /// Announces the configuration in force, from the next heartbeat on.
+    pub fn set_config(&mut self, version: ConfigVersion) {
+        self.entry.config = version;
+    }
+
+    /// Returns this host.
+    pub fn me(&self) -> &Identity {
+        &self.me
+    }
+
+    /// Returns where this host stands, as far as the view has it.
+    pub fn state(&self) -> HostState {
+        if self.entry.state != HostState::Live {
+            return self.entry.state;
+        }
+        let known = self.view.get(&self.me.member.host);
+        let is_known = known.is_some_and(|known| known.member == self.me.member);
+        if is_known { HostState::Live } else { HostState::Joining }
+    }
+
+    /// Returns all known hosts, in the order of their ids.
+    pub fn hosts(&self) -> impl Iterator<Item = &HostEntry> {
+        self.view.entries()
+    }
+
+    /// Returns the hosts that take roles, in the order of their ids.
+    pub fn live_hosts(&self) -> impl Iterator<Item = &HostEntry> {
+        self.view.entries().filter(|entry| entry.is_live())
+    }
+
+    /// Returns all known hosts but this one.
+    pub fn peers(&self) -> impl Iterator<Item = &HostEntry> {
+        self.view.entries().filter(|entry| entry.member.host != self.me.member.host)
+    }
+
+    /// Returns a known host.
+    pub fn host(&self, host: &str) -> Option<&HostEntry> {
+        self.view.get(host)
+    }
+
+    /// Returns the delegate of this host's domain, if one is known.
+    pub fn delegate(&self) -> Option<&HostId> {
+        match &self.duty {
+            Duty::Delegate(_) => Some(&self.me.member.host),
+            Duty::Follower(follower) => follower.delegate(),
+        }
+    }
+
+    /// Returns whether this host writes its domain's roster.
+    pub fn is_delegate(&self) -> bool {
+        matches!(self.duty, Duty::Delegate(_))
+    }
+
+    /// Returns whether the store answered the domain's delegate lately, as far as is known here.
+    pub fn is_store_up(&self) -> bool {
+        match &self.duty {
+            Duty::Delegate(delegate) => delegate.is_store_up(),
+            Duty::Follower(follower) => follower.is_store_up(),
+        }
+    }
+
+    /// Returns whether this host takes roles, as it knows itself.
+    fn takes_roles(&self) -> bool {
+        self.entry.state == HostState::Live
+    }
+
+    fn tick(&mut self, now: Instant) {
+        let is_after_pause = now.saturating_duration_since(self.last_tick) > self.options.takeover;
+        self.last_tick = now;
+        for purpose in self.store.expire(now) {
+            self.operation_ended(now, purpose, Err(StoreError::Unknown));
+        }
+        if is_after_pause {
+            self.resume_after_pause(now);
+        }
+        if now < self.next_heartbeat {
+            return;
+        }
+        self.next_heartbeat = now + self.options.heartbeat;
+        match self.duty {
+            Duty::Follower(_) => self.follow(now),
+            Duty::Delegate(_) => self.lead(now),
+        }
+    }
+
+    /// Messages that came during the pause may still be unread: nobody is judged silent yet.
+    fn resume_after_pause(&mut self, now: Instant) {
+        if let Duty::Delegate(delegate) = &mut self.duty {
+            delegate.forgive_silence(now);
+        }
+    }
+
+    fn stop(&mut self, now: Instant, state: HostState) {
+        if self.entry.state == HostState::Left {
+            return;
+        }
+        self.entry.state = state;
+        if state == HostState::Left {
+            self.lease.give_up();
+        }
+        self.next_heartbeat = now;
+        self.tick(now);
+    }
+
+    fn note_lease(&mut self, now: Instant) {
+        let is_leased = self.lease.held_since(now).is_some();
+        if is_leased == self.was_leased {
+            return;
+        }
+        self.was_leased = is_leased;
+        self.out.push(Command::Note(if is_leased { Note::LeaseRegained } else { Note::LeaseLost }));
+    }
+
+    fn receive(&mut self, now: Instant, message: Message) {
+        if message.from == self.me.member {
+            return;
+        }
+        self.lost_peers.remove(&message.from.host);
+        let Message { from, address, body } = message;
+        match body {
+            Body::Heartbeat(heartbeat) => self.heartbeat_received(now, heartbeat),
+            Body::Reply(reply) => self.reply_received(now, from.host, address, reply),
+            Body::Ask(ask) => self.asked(now, from, address, ask),
+            Body::Answer(answer) => self.answered(now, from, address, answer),
+            Body::Relay { token, op } => self.relay(now, from.host, address, token, op),
+            Body::Relayed { token, result } => self.relayed(now, token, result),
+        }
+    }
+
+    fn send(&mut self, to: &HostId, address: &str, body: Body) {
+        let message =
+            Message { from: self.me.member.clone(), address: self.me.address.clone(), body };
+        self.out.push(Command::Send { to: to.clone(), address: address.into(), message });
+    }
+
+    fn view_changed(&mut self, now: Instant, changes: Changes) {
+        if changes.is_changed {
+            self.out.push(Command::ViewChanged);
+        }
+        self.out.extend(changes.notes.into_iter().map(Command::Note));
+        self.note_settled(now);
+    }
+
+    /// Follows what the view says about this host. An entry that went and came again starts
+    /// anew, even if this host never saw it gone.
+    fn note_settled(&mut self, now: Instant) {
+        let known = self.view.get(&self.me.member.host);
+        let known = known.filter(|known| known.member == self.me.member && known.is_live());
+        let Some(known) = known else {
+            self.settled_at = None;
+            return;
+        };
+        let is_other_life = known.live_beat != self.entry.live_beat;
+        self.entry.live_beat = known.live_beat;
+        if is_other_life {
+            self.settled_at = None;
+        }
+        let is_settled = known.is_settled || !self.options.has(Rule::Settling);
+        if is_settled && self.settled_at.is_none() {
+            self.settled_at = Some(now);
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/membership/round.rs
@@ -0,0 +1,296 @@
+//! A delegate's round at the store: write the own roster, list, read what changed, acknowledge.
+//!
+//! The reads start after the write, and the write after the heartbeats that it includes came. So
+//! a host whose heartbeat is acknowledged has a view that is newer than that heartbeat.
+
+use {
+    super::{
+        Body, Command, Duty, HeartbeatReply, HostState, MANIFEST_KEY, Membership, Note,
+        ROSTER_PREFIX, Roster, StoreError, StoreOp, StoreReply, StoreResult, ViewStamp,
+        ask_release::Stale,
+        delegate::{Heard, Other},
+        follower::encode,
+        store::Purpose,
+    },
+    crate::ids::{DomainId, Member},
+    std::time::Instant,
+};
+
+/// A heartbeat that a round includes.
+#[derive(Clone, Debug)]
+pub(super) struct Included {
+    pub member: Member,
+    pub address: String,
+    pub seq: u64,
+    pub view: ViewStamp,
+}
+
+/// A round under way.
+#[derive(Debug)]
+pub(super) struct Round {
+    beat: u64,
+    included: Vec<Included>,
+    has_listed: bool,
+    manifest: Option<u64>,
+    reads_left: usize,
+}
+
+impl Membership {
+    /// Counts the own heartbeat and starts a round.
+    pub(super) fn lead(&mut self, now: Instant) {
+        let seq = self.lease.send(now);
+        let heard =
+            Heard { at: now, seq, entry: self.entry.clone(), view: self.view.stamp().clone() };
+        let me = self.me.member.clone();
+        let Duty::Delegate(delegate) = &mut self.duty else { return };
+        delegate.heard.insert(me, heard);
+        let has_left = self.entry.state == HostState::Left
+            && !delegate.roster.hosts.contains_key(&self.me.member.host);
+        if has_left {
+            return;
+        }
+        let is_frozen = delegate.failures > 0;
+        if delegate.round.is_none() {
+            self.start_round(now);
+        }
+        if is_frozen {
+            self.freeze_round(now);
+        }
+        self.try_direct(now);
+    }
+
+    fn start_round(&mut self, now: Instant) {
+        let Duty::Delegate(delegate) = &mut self.duty else { return };
+        let roster = delegate.next_roster(now, &self.me, &self.options);
+        let bytes = encode(&roster);
+        delegate.round = Some(Round {
+            beat: roster.beat,
+            included: delegate.included_in(&roster),
+            has_listed: false,
+            manifest: None,
+            reads_left: 0,
+        });
+        delegate.attempt(roster);
+        let if_version = delegate.version;
+        let key = self.roster_key();
+        self.operate(now, Purpose::RoundWrite, StoreOp::Write { key, if_version, bytes });
+    }
+
+    pub(super) fn round_operation_ended(
+        &mut self,
+        now: Instant,
+        purpose: Purpose,
+        result: StoreResult,
+    ) {
+        let Duty::Delegate(delegate) = &mut self.duty else { return };
+        if delegate.round.is_none() {
+            return;
+        }
+        match purpose {
+            Purpose::RoundWrite => self.round_written(now, result),
+            Purpose::RoundReadBack => self.round_read_back(now, result),
+            Purpose::RoundList => self.round_listed(now, result),
+            Purpose::RoundManifest => self.round_manifest(now, result),
+            Purpose::RoundRead(domain) => self.round_read(now, domain, result),
+            // What became of it is seen when the roster is next listed.
+            _ => {}
+        }
+    }
+
+    fn round_written(&mut self, now: Instant, result: StoreResult) {
+        match result {
+            Ok(StoreReply::Written { version }) => self.round_reads(now, version),
+            Err(StoreError::Conflict | StoreError::Unknown) => {
+                let key = self.roster_key();
+                self.operate(now, Purpose::RoundReadBack, StoreOp::Read { key });
+            }
+            _ => self.round_failed(now),
+        }
+    }
+
+    /// Finds out whether a write took effect whose answer was lost, or who wrote instead.
+    fn round_read_back(&mut self, now: Instant, result: StoreResult) {
+        let Duty::Delegate(delegate) = &mut self.duty else { return };
+        match result {
+            Ok(StoreReply::Value { version, bytes }) => {
+                let Ok(roster) = serde_json::from_slice::<Roster>(&bytes) else {
+                    delegate.version = version;
+                    self.round_failed(now);
+                    return;
+                };
+                let beat = delegate.round.as_ref().map(|round| round.beat);
+                if roster.writer != self.me.member {
+                    self.beat = self.beat.max(roster.beat);
+                    self.become_follower(now);
+                } else if Some(roster.beat) == beat {
+                    self.round_reads(now, version);
+                } else {
+                    // An earlier write took effect late. The next round builds on it.
+                    delegate.version = version;
+                    delegate.roster = roster;
+                    delegate.round = None;
+                    self.next_heartbeat = now;
+                }
+            }
+            Ok(StoreReply::Absent) => {
+                delegate.version = 0;
+                self.round_failed(now);
+            }
+            _ => self.round_failed(now),
+        }
+    }
+
+    fn round_reads(&mut self, now: Instant, version: u64) {
+        let Duty::Delegate(delegate) = &mut self.duty else { return };
+        delegate.written(version);
+        self.beat = delegate.roster.beat;
+        self.operate(now, Purpose::RoundList, StoreOp::List { prefix: ROSTER_PREFIX.into() });
+        let prefix = MANIFEST_KEY.into();
+        self.operate(now, Purpose::RoundManifest, StoreOp::List { prefix });
+    }
+
+    fn round_listed(&mut self, now: Instant, result: StoreResult) {
+        let Ok(StoreReply::Listed(keys)) = result else { return self.round_failed(now) };
+        let Duty::Delegate(delegate) = &mut self.duty else { return };
+        let listed: Vec<(DomainId, u64)> = keys
+            .iter()
+            .filter_map(|(key, version)| {
+                key.strip_prefix(ROSTER_PREFIX).map(|domain| (domain.into(), *version))
+            })
+            .filter(|(domain, _)| *domain != self.me.domain)
+            .collect();
+        delegate.others.retain(|domain, _| listed.iter().any(|(known, _)| known == domain));
+        let changed: Vec<DomainId> = listed
+            .into_iter()
+            .filter(|(domain, version)| {
+                delegate.others.get(domain).is_none_or(|other| other.version != *version)
+            })
+            .map(|(domain, _)| domain)
+            .collect();
+        if let Some(round) = &mut delegate.round {
+            round.has_listed = true;
+            round.reads_left = changed.len();
+        }
+        for domain in changed {
+            let key = format!("{ROSTER_PREFIX}{domain}");
+            self.operate(now, Purpose::RoundRead(domain), StoreOp::Read { key });
+        }
+        self.round_progressed(now);
+    }
+
+    fn round_manifest(&mut self, now: Instant, result: StoreResult) {
+        let Ok(StoreReply::Listed(keys)) = result else { return self.round_failed(now) };
+        let Duty::Delegate(delegate) = &mut self.duty else { return };
+        let version =
+            keys.iter().find(|(key, _)| key == MANIFEST_KEY).map_or(0, |(_, version)| *version);
+        if let Some(round) = &mut delegate.round {
+            round.manifest = Some(version);
+        }
+        self.round_progressed(now);
+    }
+
+    fn round_read(&mut self, now: Instant, domain: DomainId, result: StoreResult) {
+        let Duty::Delegate(delegate) = &mut self.duty else { return };
+        match result {
+            Ok(StoreReply::Value { version, bytes }) => {
+                let known = delegate.others.get(&domain).map(|other| other.roster.clone());
+                // A roster that can't be read keeps what was known: nobody is removed for it.
+                let roster = serde_json::from_slice::<Roster>(&bytes).ok().or(known);
+                if let Some(roster) = roster {
+                    self.promises.roster_read(&domain, roster.beat);
+                    delegate.others.insert(domain, Other { version, since: now, roster });
+                }
+            }
+            Ok(StoreReply::Absent) => {
+                delegate.others.remove(&domain);
+            }
+            _ => return self.round_failed(now),
+        }
+        if let Some(round) = &mut delegate.round {
+            round.reads_left = round.reads_left.saturating_sub(1);
+        }
+        self.round_progressed(now);
+    }
+
+    fn round_progressed(&mut self, now: Instant) {
+        let Duty::Delegate(delegate) = &mut self.duty else { return };
+        let is_done =
+            |round: &Round| round.has_listed && round.manifest.is_some() && round.reads_left == 0;
+        if !delegate.round.as_ref().is_some_and(is_done) {
+            return;
+        }
+        let Some(round) = delegate.round.take() else { return };
+        let gap = delegate.last_ok.map(|at| now.saturating_duration_since(at));
+        if gap.is_some_and(|gap| gap > self.options.takeover) {
+            delegate.forget_staleness(now);
+        }
+        delegate.last_ok = Some(now);
+        delegate.manifest = round.manifest;
+        let was_down = std::mem::replace(&mut delegate.failures, 0) > 1;
+        delegate.freeze = None;
+        delegate.settle(now, &self.options);
+        if was_down {
+            self.out.push(Command::Note(Note::StoreUp));
+        }
+        self.rebuild_view(now);
+        self.acknowledge(now, round.included, round.manifest, true);
+        self.judge_others(now);
+    }
+
+    fn rebuild_view(&mut self, now: Instant) {
+        let Duty::Delegate(delegate) = &self.duty else { return };
+        let others = delegate.others.values().map(|other| &other.roster);
+        let changes = self.view.rebuild(now, std::iter::once(&delegate.roster).chain(others));
+        self.view_changed(now, changes);
+    }
+
+    /// Tells hosts that their heartbeats count.
+    pub(super) fn acknowledge(
+        &mut self,
+        now: Instant,
+        included: Vec<Included>,
+        manifest: Option<u64>,
+        is_store_up: bool,
+    ) {
+        let beat = self.beat;
+        for host in included {
+            if host.member == self.me.member {
+                self.acknowledged(now, host.seq, manifest);
+                continue;
+            }
+            let reply = HeartbeatReply {
+                acked_seq: host.seq,
+                beat,
+                view: self.view.update_since(&host.view),
+                is_store_up,
+                manifest_version: manifest,
+            };
+            self.send(&host.member.host, &host.address, Body::Reply(reply));
+        }
+    }
+
+    /// Asks for the release of hosts that are silent, and empties the rosters of domains that are
+    /// gone.
+    fn judge_others(&mut self, now: Instant) {
+        let Duty::Delegate(delegate) = &self.duty else { return };
+        let wait = self.options.expiry() + self.options.takeover * 2;
+        let mut stale: Vec<Stale> = Vec::new();
+        if let Some((beat, sets)) = delegate.inherited_guards() {
+            stale.push(Stale { domain: self.me.domain.clone(), beat, sets: sets.to_vec() });
+        }
+        for (domain, other) in &delegate.others {
+            let is_stale = now.saturating_duration_since(other.since) > wait;
+            if is_stale && !other.roster.hosts.is_empty() {
+                let mut sets = other.roster.former_guards.clone();
+                sets.push(other.roster.guards.clone());
+                stale.push(Stale { domain: domain.clone(), beat: other.roster.beat, sets });
+            }
+        }
+        for stale in stale {
+            self.ask_releases(now, &stale);
+            if stale.domain != self.me.domain {
+                self.clear_if_released(now, &stale);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/membership/view.rs
@@ -0,0 +1,290 @@
+//! What a host knows of all hosts, and how it learns the changes.
+//!
+//! A delegate builds its view from the rosters and counts its changes; a host of its domain gets
+//! what changed since the state that it has, so that a quiet site costs a few bytes a heartbeat.
+
+use {
+    super::{
+        message::{HostEntry, Note, Roster, ViewStamp, ViewUpdate},
+        role::{Candidate, RoleKey},
+    },
+    crate::ids::{DomainId, HostId, JournalId, Member},
+    std::{
+        collections::{BTreeMap, VecDeque},
+        time::{Duration, Instant},
+    },
+};
+
+/// Removals that a delegate remembers for its hosts. A host that missed more gets the whole view.
+const REMOVALS_MAX: usize = 1_024;
+/// Departures that a host remembers to tell since when it holds a role.
+const DEPARTURES_MAX: usize = 512;
+/// Age from which on a departure no longer matters: any bucket is full again by then.
+const DEPARTURE_AGE_MAX: Duration = Duration::from_secs(3_600);
+
+/// An entry with what is needed to rank it.
+#[derive(Clone, Debug)]
+struct Known {
+    entry: HostEntry,
+    candidate: Candidate,
+    changed: u64,
+}
+
+/// All hosts that are known, by id.
+#[derive(Clone, Debug)]
+pub(super) struct View {
+    hosts: BTreeMap<HostId, Known>,
+    delegates: BTreeMap<DomainId, (HostId, u64)>,
+    stamp: ViewStamp,
+    removed: VecDeque<(u64, HostId)>,
+    /// Invariant: `removed` holds all removals after this number.
+    removed_floor: u64,
+    departures: VecDeque<(Instant, Candidate)>,
+    /// Invariant: `departures` holds all departures after this time.
+    departures_floor: Instant,
+}
+
+/// What an update changed.
+#[derive(Debug, Default)]
+pub(super) struct Changes {
+    pub is_changed: bool,
+    pub notes: Vec<Note>,
+}
+
+impl View {
+    pub fn new(now: Instant) -> Self {
+        Self {
+            hosts: BTreeMap::new(),
+            delegates: BTreeMap::new(),
+            stamp: ViewStamp::default(),
+            removed: VecDeque::new(),
+            removed_floor: 0,
+            departures: VecDeque::new(),
+            departures_floor: now,
+        }
+    }
+
+    pub fn stamp(&self) -> &ViewStamp {
+        &self.stamp
+    }
+
+    pub fn get(&self, host: &str) -> Option<&HostEntry> {
+        self.hosts.get(host).map(|known| &known.entry)
+    }
+
+    pub fn entries(&self) -> impl Iterator<Item = &HostEntry> {
+        self.hosts.values().map(|known| &known.entry)
+    }
+
+    pub fn delegate_of(&self, domain: &str) -> Option<&HostId> {
+        self.delegates.get(domain).map(|(host, _)| host)
+    }
+
+    /// Returns the first host for a role among those that `accepts` lets through.
+    pub fn winner(
+        &self,
+        key: &RoleKey,
+        accepts: impl Fn(&HostEntry) -> bool,
+    ) -> Option<&HostEntry> {
+        self.hosts
+            .values()
+            .filter(|known| accepts(&known.entry))
+            .max_by(|a, b| key.compare(&a.candidate, &b.candidate))
+            .map(|known| &known.entry)
+    }
+
+    /// Returns hosts for a role, the winner first.
+    pub fn ranked(&self, key: &RoleKey, accepts: impl Fn(&HostEntry) -> bool) -> Vec<&HostEntry> {
+        let mut ranked: Vec<&Known> =
+            self.hosts.values().filter(|known| accepts(&known.entry)).collect();
+        ranked.sort_by(|a, b| key.compare(&b.candidate, &a.candidate));
+        ranked.into_iter().map(|known| &known.entry).collect()
+    }
+
+    /// Returns the latest time at which a host went that came before `host` for the role.
+    pub fn last_departure_before(&self, key: &RoleKey, host: &str) -> Instant {
+        let Some(known) = self.hosts.get(host) else { return self.departures_floor };
+        self.departures
+            .iter()
+            .rev()
+            .find(|(_, gone)| key.compare(gone, &known.candidate).is_gt())
+            .map_or(self.departures_floor, |(at, _)| *at)
+    }
+
+    /// Returns the host that announces a journal under the highest epoch.
+    pub fn owner_of(&self, journal: &JournalId) -> Option<&HostEntry> {
+        let owned = |entry: &HostEntry| {
+            entry.journals.iter().find(|owned| owned.journal == *journal).map(|owned| owned.epoch)
+        };
+        self.entries()
+            .filter_map(|entry| owned(entry).map(|epoch| (epoch, entry)))
+            .max_by_key(|(epoch, _)| *epoch)
+            .map(|(_, entry)| entry)
+    }
+
+    /// Takes over the counting: `me` is a delegate from now on.
+    pub fn count_as(&mut self, me: &Member) {
+        let number = self.stamp.number + 1;
+        self.stamp = ViewStamp { delegate: Some(me.clone()), number };
+        self.removed.clear();
+        self.removed_floor = number;
+    }
+
+    /// Rebuilds the view from all rosters.
+    pub fn rebuild<'a>(
+        &mut self,
+        now: Instant,
+        rosters: impl Iterator<Item = &'a Roster>,
+    ) -> Changes {
+        let number = self.stamp.number + 1;
+        let mut hosts: BTreeMap<HostId, HostEntry> = BTreeMap::new();
+        let mut delegates = BTreeMap::new();
+        for roster in rosters {
+            if roster.hosts.contains_key(&roster.writer.host) {
+                delegates.insert(roster.domain.clone(), roster.writer.host.clone());
+            }
+            for (host, entry) in &roster.hosts {
+                insert_older(&mut hosts, host, entry);
+            }
+        }
+        let gone: Vec<HostId> =
+            self.hosts.keys().filter(|host| !hosts.contains_key(*host)).cloned().collect();
+        let mut changes = Changes::default();
+        for host in gone {
+            self.remove(now, &host, number, &mut changes);
+        }
+        for entry in hosts.into_values() {
+            self.insert(now, entry, number, &mut changes);
+        }
+        self.set_delegates(delegates, number, &mut changes);
+        if changes.is_changed {
+            self.stamp.number = number;
+        }
+        changes
+    }
+
+    /// Takes in what a delegate sent.
+    pub fn apply(&mut self, now: Instant, update: ViewUpdate) -> Changes {
+        let mut changes = Changes::default();
+        let number = update.stamp.number;
+        if update.is_whole {
+            let kept: Vec<&HostId> =
+                update.changed.iter().map(|entry| &entry.member.host).collect();
+            let gone: Vec<HostId> =
+                self.hosts.keys().filter(|host| !kept.contains(host)).cloned().collect();
+            for host in gone {
+                self.remove(now, &host, number, &mut changes);
+            }
+            self.delegates.clear();
+        }
+        for host in &update.removed {
+            self.remove(now, host, number, &mut changes);
+        }
+        for entry in update.changed {
+            self.insert(now, entry, number, &mut changes);
+        }
+        for (domain, host) in update.delegates {
+            self.delegates.insert(domain, (host, number));
+        }
+        self.stamp = update.stamp;
+        changes
+    }
+
+    /// Returns what a host with the state `since` has missed.
+    pub fn update_since(&self, since: &ViewStamp) -> ViewUpdate {
+        let is_whole = since.delegate != self.stamp.delegate || since.number < self.removed_floor;
+        let number = if is_whole { 0 } else { since.number };
+        let is_new = |changed: u64| is_whole || changed > number;
+        ViewUpdate {
+            stamp: self.stamp.clone(),
+            is_whole,
+            changed: self
+                .hosts
+                .values()
+                .filter(|known| is_new(known.changed))
+                .map(|known| known.entry.clone())
+                .collect(),
+            removed: self
+                .removed
+                .iter()
+                .filter(|(at, host)| !is_whole && *at > number && !self.hosts.contains_key(host))
+                .map(|(_, host)| host.clone())
+                .collect(),
+            delegates: self
+                .delegates
+                .iter()
+                .filter(|(_, (_, changed))| is_new(*changed))
+                .map(|(domain, (host, _))| (domain.clone(), host.clone()))
+                .collect(),
+        }
+    }
+
+    fn set_delegates(
+        &mut self,
+        delegates: BTreeMap<DomainId, HostId>,
+        number: u64,
+        changes: &mut Changes,
+    ) {
+        for (domain, host) in delegates {
+            if self.delegate_of(&domain) != Some(&host) {
+                self.delegates.insert(domain, (host, number));
+                changes.is_changed = true;
+            }
+        }
+    }
+
+    fn insert(&mut self, now: Instant, entry: HostEntry, number: u64, changes: &mut Changes) {
+        let before = self.hosts.get(&entry.member.host);
+        if before.is_some_and(|known| known.entry == entry) {
+            return;
+        }
+        changes.is_changed = true;
+        let was_live = before.is_some_and(|known| known.entry.is_live());
+        let is_new = before.is_none_or(|known| known.entry.member != entry.member);
+        let candidate = Candidate::new(&entry.member.host, &entry.domain);
+        if was_live && (is_new || !entry.is_live()) {
+            self.note_departure(now, candidate.clone());
+        }
+        if is_new {
+            changes.notes.push(Note::HostSeen(entry.member.clone()));
+        }
+        self.hosts.insert(entry.member.host.clone(), Known { entry, candidate, changed: number });
+    }
+
+    fn remove(&mut self, now: Instant, host: &HostId, number: u64, changes: &mut Changes) {
+        let Some(known) = self.hosts.remove(host) else { return };
+        changes.is_changed = true;
+        changes.notes.push(Note::HostLost(known.entry.member.clone()));
+        if known.entry.is_live() {
+            self.note_departure(now, known.candidate);
+        }
+        self.removed.push_back((number, host.clone()));
+        while self.removed.len() > REMOVALS_MAX {
+            if let Some((number, _)) = self.removed.pop_front() {
+                self.removed_floor = number;
+            }
+        }
+    }
+
+    fn note_departure(&mut self, now: Instant, candidate: Candidate) {
+        self.departures.push_back((now, candidate));
+        while let Some((at, _)) = self.departures.front().cloned() {
+            let is_old = now.saturating_duration_since(at) > DEPARTURE_AGE_MAX;
+            if !is_old && self.departures.len() <= DEPARTURES_MAX {
+                break;
+            }
+            self.departures.pop_front();
+            self.departures_floor = at;
+        }
+    }
+}
+
+/// Keeps the older of two incarnations of one host. The newer one doesn't count before the older
+/// one's lease has ended and its entry is gone.
+fn insert_older(hosts: &mut BTreeMap<HostId, HostEntry>, host: &HostId, entry: &HostEntry) {
+    let is_older =
+        hosts.get(host).is_none_or(|known| entry.member.incarnation < known.member.incarnation);
+    if is_older {
+        hosts.insert(host.clone(), entry.clone());
+    }
+}
