Add stand-ins for the platform and for upstreams

Cause: the daemon, the load tool and the contract tests need an Object API, a host list, engines and services with faults that can be switched.

Change: four stand-ins over async-h1, in process and as trefoil-standin processes. The engine batches in one loop, takes time by a roofline cost model, shares cached prefixes in limited memory and evicts the least recently used; its text follows from the whole prompt, so that a lost or mixed history shows.

--- /dev/null
+++ b/crates/standin/src/engine/cache/tests.rs
@@ -0,0 +1,73 @@
+use {super::*, crate::engine::text, trefoilring_core::message::Message};
+
+/// Blocks of ten tokens each, one for a letter of the name.
+fn blocks(name: &str) -> Vec<Block> {
+    let mut hash = text::EMPTY_PREFIX;
+    let extended = name.chars().map(|letter| {
+        hash = text::extend(&hash, &Message::text("user", &letter.to_string()));
+        Block { hash, tokens: 10 }
+    });
+    extended.collect()
+}
+
+fn run(cache: &mut Cache, program: &str, name: &str) -> Option<(usize, BTreeSet<ProgramId>)> {
+    let (blocks, mut evicted) = (blocks(name), BTreeSet::new());
+    let pinned = cache.admit(&blocks, 0, &mut evicted)?;
+    let reserved = 10 * (blocks.len() - pinned) as u64;
+    cache.finish(&blocks, pinned, reserved, Some((&program.into(), 0)));
+    Some((pinned, evicted))
+}
+
+fn held(cache: &Cache) -> Vec<(&str, u64)> {
+    cache.programs().iter().map(|(program, held)| (&**program, held.tokens)).collect()
+}
+
+#[test]
+fn shares_prefixes_and_evicts_the_least_recently_used() {
+    let mut cache = Cache::new(60);
+    assert_eq!(run(&mut cache, "p", "abc"), Some((0, BTreeSet::new())));
+    assert_eq!(run(&mut cache, "q", "abd"), Some((2, BTreeSet::new())));
+    assert_eq!(cache.used_tokens(), 40);
+    assert_eq!(held(&cache), [("p", 30), ("q", 30)]);
+    // Room for two blocks is there; the third comes from p, which was used before q.
+    assert_eq!(run(&mut cache, "r", "xyz"), Some((0, ["p".into()].into())));
+    assert_eq!(held(&cache), [("p", 20), ("q", 30), ("r", 30)]);
+    assert_eq!(cache.used_tokens(), 60);
+}
+
+#[test]
+fn release_frees_only_what_no_other_holds() {
+    let mut cache = Cache::new(100);
+    run(&mut cache, "p", "abc");
+    run(&mut cache, "q", "abd");
+    assert!(cache.release("p"));
+    assert!(!cache.release("p"));
+    assert_eq!((cache.used_tokens(), held(&cache)), (30, vec![("q", 30)]));
+    assert!(cache.release("q"));
+    assert_eq!(cache.used_tokens(), 0);
+}
+
+#[test]
+fn a_sequence_under_way_keeps_its_memory() {
+    let mut cache = Cache::new(50);
+    run(&mut cache, "p", "abc");
+    let (own, mut evicted) = (blocks("abce"), BTreeSet::new());
+    assert_eq!(cache.admit(&own, 10, &mut evicted), Some(3));
+    // 30 pinned and 20 reserved: nothing else fits, and nothing is evicted in vain.
+    assert_eq!(run(&mut cache, "q", "x"), None);
+    assert!(cache.release("p"));
+    assert_eq!(cache.used_tokens(), 50);
+    cache.finish(&own, 3, 20, None);
+    assert_eq!(cache.used_tokens(), 0);
+}
+
+#[test]
+fn export_and_import_move_the_whole_chain() {
+    let (mut from, mut to) = (Cache::new(50), Cache::new(50));
+    run(&mut from, "p", "abc");
+    let moved = from.blocks_of("p");
+    assert_eq!(moved, blocks("abc"));
+    assert!(to.import(&moved, &"p".into(), 0, &mut BTreeSet::new()));
+    assert_eq!(to.cached_blocks(&blocks("abcd")), 3);
+    assert!(!to.import(&blocks("abcdef"), &"p".into(), 0, &mut BTreeSet::new()));
+}
--- /dev/null
+++ b/crates/standin/src/main.rs
@@ -0,0 +1,5 @@
+//! Runs one stand-in as a process. See `trefoil-standin --help`.
+
+fn main() {
+    trefoilring_standin::cli::main();
+}
