Test the callers' interface over a socket

Streaming, withdrawal, a caller that leaves, a stop and connections above the limit run against a fake backend on a real socket.

--- a/crates/edge/src/body.rs
+++ b/crates/edge/src/body.rs
@@ -163,5 +163,6 @@
 }
 
 fn malformed(error: serde_json::Error) -> Problem {
-    Problem::bad_request(format!("malformed JSON: {error}"))
+    let what = if error.is_data() { "the body is not accepted" } else { "malformed JSON" };
+    Problem::bad_request(format!("{what}: {error}"))
 }
--- a/crates/edge/src/handler.rs
+++ b/crates/edge/src/handler.rs
@@ -11,7 +11,7 @@
         relay::{self, Form, Relay, Relayed},
         reply::Reply,
         route::{self, Route, Target},
-        view::ProgramView,
+        view::{HistoryView, ProgramView},
     },
     http_types::{Method, StatusCode},
     smol::{Executor, future::or},
@@ -246,7 +246,7 @@
     async fn history(&self, caller: Caller, id: &ProgramId) -> Result<Reply, Problem> {
         let query = self.backend.query(caller.clone(), id.clone(), ProgramQuery::History);
         let (_, messages) = self.until_withdrawn(&caller, query).await?;
-        Ok(Reply::json(StatusCode::Ok, &serde_json::json!({ "messages": messages })))
+        Ok(Reply::json(StatusCode::Ok, &HistoryView { messages }))
     }
 
     /// Runs a turn: of the program that the header names, or of one made for this request.
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -22,6 +22,8 @@
 mod route;
 mod server;
 mod stop;
+#[cfg(test)]
+mod tests;
 mod view;
 
 pub use {
--- a/crates/edge/src/view.rs
+++ b/crates/edge/src/view.rs
@@ -1,6 +1,6 @@
 //! Programs as callers see them.
 
-use trefoilring_core::{call::ProgramInfo, catalog::Budget};
+use trefoilring_core::{call::ProgramInfo, catalog::Budget, message::Message};
 
 /// The JSON of one program.
 #[derive(serde::Serialize)]
@@ -40,3 +40,9 @@
         }
     }
 }
+
+/// The JSON of a history.
+#[derive(serde::Serialize)]
+pub(crate) struct HistoryView {
+    pub messages: Vec<Message>,
+}
--- /dev/null
+++ b/crates/edge/tests/edge/interface.rs
@@ -0,0 +1,349 @@
+//! What callers may do, and what the backend is asked for it.
+
+use {
+    crate::fake::{
+        Asked, PROGRAM, SECRET, event, head, read_all, read_until, request, summary, with_server,
+    },
+    expect_test::expect,
+    smol::io::AsyncWriteExt,
+    std::time::Duration,
+    trefoilring_core::{
+        call::{Chunk, ProgramQuery, Work},
+        verdict::{Reason, Refusal},
+    },
+    trefoilring_edge::EdgeOptions,
+};
+
+const CHAT: &str = "POST /v1/chat/completions";
+const TURN: &str =
+    r#"{"model":"m","messages":[{"role":"user","content":"hi"}],"stream":true,"temperature":0.5}"#;
+
+#[test]
+fn programs_are_created_asked_for_and_ended() {
+    with_server(EdgeOptions::default(), async |server| {
+        let step = "Idempotency-Key: make-1\r\nContent-Type: application/json\r\n";
+        let body = r#"{"class":"counter","budget":{"turns":5}}"#;
+        let answer = server.exchange(&request("POST /v1/programs", step, body)).await;
+        expect![[r#"
+            HTTP/1.1 201 Created
+            connection: close
+            content-type: application/json
+            location: /v1/programs/fake-1.0123456789abcdef
+
+            {"id":"fake-1.0123456789abcdef","class":"counter","team":"team-a","ended":null,"budget":{"turns":3,"tokens":1000,"wall_ms":60000},"spent":{"turns":1,"tokens":12},"age_ms":250,"history_messages":1}"#]]
+        .assert_eq(&summary(&answer));
+        expect![[r#"Create(CreateProgram { class: "counter", budget: Some(Budget { turns: 5, tokens: 4294967295, wall_ms: 4294967295 }), parent: None, step: Some("make-1") })"#]]
+            .assert_eq(&format!("{:?}", server.asked.recv().await.unwrap()));
+
+        // A child takes its parent's class, which is asked for first.
+        let children = format!("POST /v1/programs/{PROGRAM}/children");
+        server.exchange(&request(&children, "", "")).await;
+        let Ok(Asked::Query(parent, ProgramQuery::Info)) = server.asked.recv().await else {
+            panic!("no question")
+        };
+        assert_eq!(&*parent, PROGRAM);
+        let Ok(Asked::Create(child)) = server.asked.recv().await else { panic!("no creation") };
+        assert_eq!((child.parent.as_deref(), &*child.class), (Some(PROGRAM), "counter"));
+
+        let history = format!("GET /v1/programs/{PROGRAM}/history");
+        let answer = server.exchange(&request(&history, "", "")).await;
+        assert!(answer.ends_with(r#"{"messages":[{"role":"user","content":"hello"}]}"#));
+        assert!(matches!(server.asked.recv().await, Ok(Asked::Query(_, ProgramQuery::History))));
+
+        let end = format!("DELETE /v1/programs/{PROGRAM}");
+        server.exchange(&request(&end, "", "")).await;
+        assert!(matches!(server.asked.recv().await, Ok(Asked::Query(_, ProgramQuery::End))));
+    });
+}
+
+#[test]
+fn open_routes_need_no_key() {
+    with_server(EdgeOptions::default(), async |server| {
+        let get =
+            |path: &str| format!("GET {path} HTTP/1.1\r\nHost: t\r\nConnection: close\r\n\r\n");
+        let mut answers = String::new();
+        for path in ["/healthz", "/readyz", "/metrics", "/v1/open/shop/prices"] {
+            let answer = server.exchange(get(path).as_bytes()).await;
+            answers.push_str(&summary(&answer));
+            answers.push_str("\n\n");
+        }
+        expect![[r#"
+            HTTP/1.1 200 OK
+            connection: close
+            content-type: text/plain; charset=utf-8
+
+            ok
+
+
+            HTTP/1.1 503 Service Unavailable
+            connection: close
+            content-type: application/json
+
+            {"is_ready":false,"detail":"no roster yet"}
+
+            HTTP/1.1 200 OK
+            connection: close
+            content-type: text/plain; charset=utf-8
+
+            trefoilring.requests:1|c
+
+
+            HTTP/1.1 401 Unauthorized
+            connection: close
+            content-type: application/problem+json
+            www-authenticate: Bearer
+            x-should-retry: false
+
+            {"type":"urn:trefoilring:problem:unauthorized","title":"No valid key","status":401,"detail":"this route needs a key: Authorization: Bearer KEY","verdict":"not_run","reason":"unauthorized"}
+
+        "#]]
+        .assert_eq(&answers);
+
+        let mut stream = server.connect().await;
+        stream.write_all(get("/v1/open/shop/hours?day=2").as_bytes()).await.unwrap();
+        let Ok(Asked::Open(call, feed)) = server.asked.recv().await else { panic!("no call") };
+        assert_eq!(call.path, "hours?day=2");
+        feed.try_send(head(200, "text/plain")).unwrap();
+        feed.try_send(Ok(Chunk::Body(b"9 to 5".to_vec()))).unwrap();
+        drop(feed);
+        expect![[r#"
+            HTTP/1.1 200 OK
+            connection: close
+            content-type: text/plain
+
+            9 to 5"#]]
+        .assert_eq(&summary(&read_all(&mut stream).await));
+    });
+}
+
+#[test]
+fn events_reach_the_caller_one_by_one() {
+    with_server(EdgeOptions::default(), async |server| {
+        let mut stream = server.connect().await;
+        let program = format!("Trefoil-Program: {PROGRAM}\r\nIdempotency-Key: step-7\r\n");
+        stream.write_all(&request(CHAT, &program, TURN)).await.unwrap();
+        let (call, feed) = server.next_call().await;
+        assert_eq!((&*call.program, &*call.step), (PROGRAM, "step-7"));
+        let Work::Turn(turn) = call.work else { panic!("no turn") };
+        assert!(turn.is_streamed);
+        assert_eq!(serde_json::to_string(&turn.options).unwrap(), r#"{"temperature":0.5}"#);
+
+        feed.try_send(head(200, "text/event-stream")).unwrap();
+        let start = read_until(&mut stream, "\r\n\r\n").await;
+        assert!(start.contains("content-type: text/event-stream\r\n"), "{start}");
+        assert!(start.contains("trefoil-step: step-7\r\n"), "{start}");
+        // Each event is read before the next one is made, so that none can be held back.
+        for n in 0..3 {
+            feed.try_send(event(&format!("{{\"n\":{n}}}"))).unwrap();
+            let part = read_until(&mut stream, "\n\n\r\n").await;
+            assert_eq!(part, format!("F\r\ndata: {{\"n\":{n}}}\n\n\r\n"));
+        }
+        drop(feed);
+        assert_eq!(read_all(&mut stream).await, "E\r\ndata: [DONE]\n\n\r\n0\r\n\r\n");
+    });
+}
+
+#[test]
+fn a_stream_that_fails_says_so_and_is_not_done() {
+    with_server(EdgeOptions::default(), async |server| {
+        let mut stream = server.connect().await;
+        let program = format!("Trefoil-Program: {PROGRAM}\r\n");
+        stream.write_all(&request(CHAT, &program, TURN)).await.unwrap();
+        let (_, feed) = server.next_call().await;
+        feed.try_send(head(200, "text/event-stream")).unwrap();
+        feed.try_send(event("{}")).unwrap();
+        let refusal = Refusal::may_have_run(Reason::UpstreamFailed, "the engine is gone");
+        feed.try_send(Err(refusal.retry_after(Duration::from_millis(1500)))).unwrap();
+        let answer = read_all(&mut stream).await;
+        let data: Vec<_> = answer.lines().filter(|line| line.starts_with("data: ")).collect();
+        expect![[r#"
+            data: {}
+            data: {"error":{"type":"urn:trefoilring:problem:upstream_failed","title":"The upstream failed","status":502,"detail":"the engine is gone","verdict":"may_have_run","reason":"upstream_failed","retry_after_ms":1500}}"#]]
+        .assert_eq(&data.join("\n"));
+    });
+}
+
+#[test]
+fn a_withdrawn_key_ends_a_stream_and_a_wait() {
+    with_server(EdgeOptions::default(), async |server| {
+        let program = format!("Trefoil-Program: {PROGRAM}\r\n");
+        let mut streaming = server.connect().await;
+        streaming.write_all(&request(CHAT, &program, TURN)).await.unwrap();
+        let (_, feed) = server.next_call().await;
+        feed.try_send(head(200, "text/event-stream")).unwrap();
+        read_until(&mut streaming, "\r\n\r\n").await;
+        let mut waiting = server.connect().await;
+        waiting.write_all(&request(CHAT, &program, TURN)).await.unwrap();
+        let (_, waiting_feed) = server.next_call().await;
+
+        server.withdraw.close();
+        let streamed = read_all(&mut streaming).await;
+        assert!(streamed.contains(r#""verdict":"may_have_run","reason":"unauthorized""#));
+        assert!(!streamed.contains("[DONE]"));
+        let refused = read_all(&mut waiting).await;
+        assert!(refused.starts_with("HTTP/1.1 401 Unauthorized\r\n"), "{refused}");
+        assert!(refused.contains(r#""verdict":"may_have_run""#), "{refused}");
+        assert!(feed.is_closed() && waiting_feed.is_closed());
+    });
+}
+
+#[test]
+fn a_client_without_programs_gets_one_for_each_request() {
+    with_server(EdgeOptions::default(), async |server| {
+        let mut stream = server.connect().await;
+        let body = TURN.replace("true", "false");
+        let class = "Trefoil-Class: night\r\n";
+        stream.write_all(&request(CHAT, class, &body)).await.unwrap();
+        let Ok(Asked::Create(created)) = server.asked.recv().await else { panic!("no creation") };
+        assert_eq!(&*created.class, "night");
+        let (call, feed) = server.next_call().await;
+        assert_eq!(&*call.program, PROGRAM);
+        feed.try_send(head(200, "application/json")).unwrap();
+        feed.try_send(Ok(Chunk::Body(b"{\"choices\":".to_vec()))).unwrap();
+        feed.try_send(Ok(Chunk::Body(b"[]}".to_vec()))).unwrap();
+        drop(feed);
+        let answer = read_all(&mut stream).await;
+        assert!(answer.ends_with("\r\n\r\n{\"choices\":[]}"), "{answer}");
+        assert!(matches!(server.asked.recv().await, Ok(Asked::Query(_, ProgramQuery::End))));
+
+        // It ends too when the caller leaves before the answer.
+        let mut stream = server.connect().await;
+        stream.write_all(&request(CHAT, "", TURN)).await.unwrap();
+        let Ok(Asked::Create(created)) = server.asked.recv().await else { panic!("no creation") };
+        assert_eq!(&*created.class, "counter");
+        let (_, feed) = server.next_call().await;
+        drop(stream);
+        assert!(matches!(server.asked.recv().await, Ok(Asked::Query(_, ProgramQuery::End))));
+        assert!(feed.is_closed());
+    });
+}
+
+#[test]
+fn services_get_chosen_headers_and_never_the_key() {
+    with_server(EdgeOptions::default(), async |server| {
+        let call = format!("PUT /v1/programs/{PROGRAM}/calls/dealer-desk/book%69ngs/a%20b?x=%2F");
+        let headers = "Content-Type: text/csv\r\nCookie: c=1\r\nX-Api-Key: k\r\nTE: trailers\r\n\
+                       Proxy-Authorization: p\r\nTraceparent: 00-1\r\n";
+        let mut stream = server.connect().await;
+        stream.write_all(&request(&call, headers, "a,b")).await.unwrap();
+        let (call, feed) = server.next_call().await;
+        let Work::Service(call) = call.work else { panic!("no service call") };
+        expect![[r#"ServiceCall { service: "dealer-desk", method: "PUT", path: "bookings/a%20b?x=%2F", headers: [("Content-Type", "text/csv"), ("Traceparent", "00-1")], body: [97, 44, 98] }"#]]
+            .assert_eq(&format!("{call:?}"));
+        feed.try_send(head(299, "text/plain")).unwrap();
+        drop(feed);
+        expect![[r#"
+            HTTP/1.1 200 OK
+            connection: close
+            content-type: text/plain
+            trefoil-program: fake-1.0123456789abcdef
+            trefoil-upstream-status: 299
+
+        "#]]
+        .assert_eq(&summary(&read_all(&mut stream).await));
+
+        let target = format!("GET /v1/programs/{PROGRAM}/calls/dealer-desk/x");
+        let leaks = [
+            request(&format!("{target}?key={SECRET}"), "", ""),
+            request(&target, "", SECRET),
+            request(&target, &format!("Prefer: {SECRET}\r\n"), ""),
+        ];
+        for leak in leaks {
+            let answer = server.exchange(&leak).await;
+            assert!(answer.contains("so that no upstream sees it"), "{answer}");
+        }
+        assert!(server.asked.is_empty());
+    });
+}
+
+#[test]
+fn a_large_body_is_passed_on_and_cut_if_it_breaks_off() {
+    with_server(EdgeOptions::default(), async |server| {
+        let target = format!("GET /v1/programs/{PROGRAM}/calls/dealer-desk/catalog");
+        for breaks_off in [false, true] {
+            let mut stream = server.connect().await;
+            stream.write_all(&request(&target, "", "")).await.unwrap();
+            let (_, feed) = server.next_call().await;
+            feed.try_send(head(200, "text/plain")).unwrap();
+            for _ in 0..3 {
+                feed.try_send(Ok(Chunk::Body(vec![b'x'; 600_000]))).unwrap();
+            }
+            if breaks_off {
+                let refusal = Refusal::may_have_run(Reason::UpstreamFailed, "cut");
+                feed.try_send(Err(refusal)).unwrap();
+            }
+            drop(feed);
+            let answer = read_all(&mut stream).await;
+            assert!(answer.matches('x').count() >= 1_800_000);
+            assert_eq!(answer.ends_with("\r\n0\r\n\r\n"), !breaks_off);
+        }
+    });
+}
+
+#[test]
+fn a_stop_lets_running_requests_finish() {
+    with_server(EdgeOptions::default(), async |server| {
+        let mut idle = server.connect().await;
+        idle.write_all(b"GET /healthz HTTP/1.1\r\nHost: t\r\n\r\n").await.unwrap();
+        read_until(&mut idle, "ok\n").await;
+        let mut running = server.connect().await;
+        let keep_alive = String::from_utf8(request(CHAT, "Trefoil-Class: c\r\n", TURN)).unwrap();
+        let keep_alive = keep_alive.replace("Connection: close\r\n", "");
+        running.write_all(keep_alive.as_bytes()).await.unwrap();
+        server.asked.recv().await.unwrap();
+        let (_, feed) = server.next_call().await;
+
+        server.stopper.stop();
+        assert_eq!(read_all(&mut idle).await, "");
+        assert!(server.stopped.is_empty());
+        feed.try_send(head(200, "text/event-stream")).unwrap();
+        feed.try_send(event("{}")).unwrap();
+        drop(feed);
+        let answer = read_all(&mut running).await;
+        assert!(answer.contains("\r\nconnection: close\r\n"), "{answer}");
+        assert!(answer.ends_with("data: [DONE]\n\n\r\n0\r\n\r\n"), "{answer}");
+        server.stopped.recv().await.unwrap();
+    });
+}
+
+#[test]
+fn one_connection_carries_many_requests() {
+    with_server(EdgeOptions::default(), async |server| {
+        let mut stream = server.connect().await;
+        // The second request comes with the first, the body of the third in chunks after a 100.
+        let create = request("POST /v1/programs", "", r#"{"class":"a"}"#);
+        let create = String::from_utf8(create).unwrap().replace("Connection: close\r\n", "");
+        let chunked = create
+            .replace("Content-Length: 13", "Expect: 100-continue\r\nTransfer-Encoding: chunked")
+            .replace(r#"{"class":"a"}"#, "");
+        let together = format!("{create}{create}{chunked}");
+        stream.write_all(together.as_bytes()).await.unwrap();
+        for _ in 0..2 {
+            let answer = read_until(&mut stream, "\"history_messages\":1}").await;
+            assert!(answer.starts_with("HTTP/1.1 201 Created\r\n"), "{answer}");
+        }
+        assert_eq!(read_until(&mut stream, "\r\n\r\n").await, "HTTP/1.1 100 Continue\r\n\r\n");
+        stream.write_all(b"5\r\n{\"cla\r\n8\r\nss\":\"b\"}\r\n0\r\n\r\n").await.unwrap();
+        let answer = read_all(&mut stream).await;
+        assert!(answer.starts_with("HTTP/1.1 201 Created\r\n"), "{answer}");
+        let classes: Vec<_> = std::iter::from_fn(|| match server.asked.try_recv() {
+            Ok(Asked::Create(created)) => Some(created.class.to_string()),
+            _ => None,
+        })
+        .collect();
+        assert_eq!(classes, ["a", "a", "b"]);
+    });
+}
+
+#[test]
+fn a_connection_above_the_limit_is_told_so() {
+    with_server(EdgeOptions::default().max_connections(1), async |server| {
+        let mut first = server.connect().await;
+        first.write_all(b"GET /healthz HTTP/1.1\r\nHost: t\r\n\r\n").await.unwrap();
+        read_until(&mut first, "ok\n").await;
+        let refused = read_all(&mut server.connect().await).await;
+        assert!(refused.starts_with("HTTP/1.1 503 Service Unavailable\r\n"), "{refused}");
+        assert!(refused.contains("\r\nretry-after: 1\r\n"), "{refused}");
+        assert!(refused.contains(r#""verdict":"not_run","reason":"too_many""#), "{refused}");
+    });
+}
