--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod journal;
 pub mod membership;
 pub mod message;
+pub mod program;
 pub mod rendezvous;
 pub mod sched;
 pub mod verdict;
