Add the limiter: buckets in integers, two halves a team

Cause: a team's rate and burst hold over all hosts together, through takeovers. Change: core::limit: an exact bucket, the halves that a host holds, planned handover, draws between halves that keep room free for tokens under way, and the caller's side. Membership tells since when a role has been held, and by whose leaving.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod hlc;
 pub mod ids;
 pub mod journal;
+pub mod limit;
 pub mod membership;
 pub mod message;
 pub mod program;
--- /dev/null
+++ b/crates/core/src/limit/limiter.rs
@@ -0,0 +1,296 @@
+//! The buckets of the team halves that a host holds.
+//!
+//! Buckets are made on first use and dropped when full. A bucket that isn't there is one that was
+//! empty when the host began to hold the role and has filled since; for a full one that is at most
+//! its true level, so dropping it gives nothing away.
+
+use {
+    super::{Allowance, Bucket, Tokens},
+    crate::{
+        ids::{HostId, TeamId},
+        membership::Standing,
+    },
+    std::{
+        collections::BTreeMap,
+        time::{Duration, Instant},
+    },
+};
+
+/// The answer to a request for tokens.
+#[derive(Clone, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
+pub enum Taken {
+    /// The tokens are taken.
+    Granted,
+    /// Not enough tokens; there may be after this time. [`Duration::MAX`] means never.
+    RetryAfter(Duration),
+    /// This host doesn't hold the half, or not yet.
+    NotHere,
+}
+
+/// What a limiter passes to its successor.
+#[derive(Clone, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
+pub struct Handover {
+    /// The team.
+    pub team: TeamId,
+    /// The half.
+    pub half: u8,
+    /// The former holder.
+    pub from: HostId,
+    /// Tokens left, in units of 10^-18 token.
+    pub level: Tokens,
+}
+
+/// Asks the other half for tokens.
+#[derive(Clone, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
+pub struct DrawRequest {
+    /// Names the draw at the asking limiter.
+    pub seq: u64,
+    /// The team.
+    pub team: TeamId,
+    /// The half that asks.
+    pub to_half: u8,
+    /// The most that there is room for.
+    pub amount: Tokens,
+}
+
+/// Tokens from the other half, which no longer has them.
+#[derive(Clone, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
+pub struct DrawReply {
+    /// From the request.
+    pub seq: u64,
+    /// Tokens.
+    pub amount: Tokens,
+}
+
+/// A bucket and how this host came to it.
+#[derive(Clone, Debug)]
+struct Slot {
+    bucket: Bucket,
+    origin: Origin,
+}
+
+/// How this host came to a bucket.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Origin {
+    /// It holds the role alone.
+    Own,
+    /// The former holder handed it over before this host held the role by itself.
+    Accepted,
+    /// This host has handed it over.
+    Given,
+}
+
+/// A draw under way.
+#[derive(Clone, Debug)]
+struct Draw {
+    team: TeamId,
+    half: u8,
+    room: Tokens,
+    since: Instant,
+}
+
+/// All buckets of one host.
+#[derive(Debug, Default)]
+pub struct Limiter {
+    slots: BTreeMap<(TeamId, u8), Slot>,
+    draws: BTreeMap<u64, Draw>,
+    last_draw: u64,
+}
+
+impl Limiter {
+    /// Returns the number of buckets in memory.
+    pub fn len(&self) -> usize {
+        self.slots.len()
+    }
+
+    /// Returns whether no bucket is in memory.
+    pub fn is_empty(&self) -> bool {
+        self.slots.is_empty()
+    }
+
+    /// Takes whole tokens from a half. `allowance` is the half's, from the configuration in
+    /// force here; `standing` is this host's for the half's role, asked just now.
+    pub fn take(
+        &mut self,
+        now: Instant,
+        (team, half): (&TeamId, u8),
+        count: u32,
+        allowance: Allowance,
+        standing: &Standing,
+    ) -> Taken {
+        let Some(slot) = self.slot(now, (team, half), allowance, standing) else {
+            return Taken::NotHere;
+        };
+        match slot.bucket.take(now, count) {
+            Ok(()) => Taken::Granted,
+            Err(wait) => Taken::RetryAfter(wait),
+        }
+    }
+
+    /// Gives a half up to its next holder. `standing` is this host's own before it drains, or as
+    /// if a new host weren't there ([`crate::membership::Membership::former_standing`]). Returns
+    /// `None` if this host doesn't hold the half, or has given it up already: a handover is made
+    /// once and must be sent at most once.
+    pub fn hand_over(
+        &mut self,
+        now: Instant,
+        from: &HostId,
+        (team, half): (&TeamId, u8),
+        allowance: Allowance,
+        standing: &Standing,
+    ) -> Option<Handover> {
+        let slot = self.slot(now, (team, half), allowance, standing)?;
+        let level = slot.bucket.remove(now, Tokens::MAX);
+        slot.origin = Origin::Given;
+        Some(Handover { team: team.clone(), half, from: from.clone(), level })
+    }
+
+    /// Takes a half over from its former holder: before this host holds the role by itself, or
+    /// when it holds it because that one drained.
+    pub fn accept(
+        &mut self,
+        now: Instant,
+        handover: &Handover,
+        allowance: Allowance,
+        standing: &Standing,
+    ) {
+        let since = match standing {
+            Standing::Settling { since } => since,
+            Standing::Acting { since, former, .. } if former.as_ref() == Some(&handover.from) => {
+                self.credit(now, *since, handover, allowance, standing);
+                return;
+            }
+            _ => return,
+        };
+        let key = (handover.team.clone(), handover.half);
+        let has_one = self.slots.get(&key).is_some_and(|slot| slot.bucket.at() >= *since);
+        if !has_one {
+            let bucket = Bucket::with_level(now, allowance, handover.level);
+            self.slots.insert(key, Slot { bucket, origin: Origin::Accepted });
+        }
+    }
+
+    /// Adds what a drained holder left, as if the bucket had begun with it.
+    fn credit(
+        &mut self,
+        now: Instant,
+        since: Instant,
+        handover: &Handover,
+        allowance: Allowance,
+        standing: &Standing,
+    ) {
+        let half = (&handover.team, handover.half);
+        if let Some(slot) = self.slot(now, half, allowance, standing) {
+            slot.bucket.credit(now, since, handover.level);
+        }
+    }
+
+    /// Starts to draw from the other half what is missing for `count` tokens here. Room for the
+    /// tokens stays free until they come or the draw ends, so that tokens under way never come on
+    /// top of a full bucket.
+    pub fn begin_draw(
+        &mut self,
+        now: Instant,
+        (team, half): (&TeamId, u8),
+        count: u32,
+        allowance: Allowance,
+        standing: &Standing,
+    ) -> Option<DrawRequest> {
+        let slot = self.slot(now, (team, half), allowance, standing)?;
+        let missing = slot.bucket.missing_for(now, count);
+        let room = slot.bucket.reserve(now, missing);
+        if room == 0 {
+            return None;
+        }
+        self.last_draw += 1;
+        let draw = Draw { team: team.clone(), half, room, since: now };
+        self.draws.insert(self.last_draw, draw);
+        let seq = self.last_draw;
+        Some(DrawRequest { seq, team: team.clone(), to_half: half, amount: room })
+    }
+
+    /// Removes tokens for the other half. If the answer is lost, they are spent.
+    pub fn draw(
+        &mut self,
+        now: Instant,
+        request: &DrawRequest,
+        allowance: Allowance,
+        standing: &Standing,
+    ) -> Option<DrawReply> {
+        let half = 1 - request.to_half.min(1);
+        let slot = self.slot(now, (&request.team, half), allowance, standing)?;
+        let amount = slot.bucket.remove(now, request.amount);
+        Some(DrawReply { seq: request.seq, amount })
+    }
+
+    /// Takes in what was drawn. Late and repeated answers change nothing.
+    pub fn end_draw(&mut self, now: Instant, reply: &DrawReply) {
+        self.settle_draw(now, reply.seq, reply.amount);
+    }
+
+    /// Ends draws that have had no answer for too long, and drops buckets that are full. Call it
+    /// now and then; the cost is that of all buckets.
+    pub fn sweep(&mut self, now: Instant, draw_timeout: Duration) {
+        let late: Vec<u64> = self
+            .draws
+            .iter()
+            .filter(|(_, draw)| now.saturating_duration_since(draw.since) >= draw_timeout)
+            .map(|(seq, _)| *seq)
+            .collect();
+        for seq in late {
+            self.settle_draw(now, seq, 0);
+        }
+        self.slots.retain(|_, slot| slot.origin != Origin::Own || !slot.bucket.is_full(now));
+    }
+
+    fn settle_draw(&mut self, now: Instant, seq: u64, arrived: Tokens) {
+        let Some(draw) = self.draws.remove(&seq) else { return };
+        if let Some(slot) = self.slots.get_mut(&(draw.team, draw.half)) {
+            // A bucket that was begun anew after the draw has no room reserved for it.
+            if slot.bucket.is_reserved() {
+                slot.bucket.unreserve(now, draw.room, arrived);
+            }
+        }
+    }
+
+    /// Returns the bucket if this host may use it now.
+    fn slot(
+        &mut self,
+        now: Instant,
+        (team, half): (&TeamId, u8),
+        allowance: Allowance,
+        standing: &Standing,
+    ) -> Option<&mut Slot> {
+        let key = (team.clone(), half);
+        let known = self.slots.get(&key);
+        let is_valid = known.is_some_and(|slot| slot.is_valid(standing));
+        match standing {
+            Standing::Acting { since, .. } if !is_valid => {
+                let bucket = Bucket::empty(*since, allowance);
+                self.slots.insert(key.clone(), Slot { bucket, origin: Origin::Own });
+            }
+            Standing::Acting { .. } | Standing::Settling { .. } if is_valid => {}
+            _ => return None,
+        }
+        let slot = self.slots.get_mut(&key).filter(|slot| slot.origin != Origin::Given)?;
+        slot.bucket.set_allowance(now, allowance);
+        if matches!(standing, Standing::Acting { .. }) {
+            slot.origin = Origin::Own;
+        }
+        Some(slot)
+    }
+}
+
+impl Slot {
+    /// Returns whether the bucket still counts: this host has held the role without a gap since
+    /// the bucket was last used. Otherwise another host may have taken tokens in between.
+    fn is_valid(&self, standing: &Standing) -> bool {
+        let at = self.bucket.at();
+        match (standing, self.origin) {
+            (Standing::Acting { held_since, .. }, Origin::Accepted) => at >= *held_since,
+            (Standing::Acting { since, .. }, _) => at >= *since,
+            (Standing::Settling { since }, Origin::Accepted) => at >= *since,
+            _ => false,
+        }
+    }
+}
--- a/crates/core/src/membership/role.rs
+++ b/crates/core/src/membership/role.rs
@@ -30,6 +30,10 @@
             domain_point: Point::new(domain),
         }
     }
+
+    pub fn host(&self) -> &HostId {
+        &self.host
+    }
 }
 
 /// Names a role and orders candidates for it.
@@ -99,8 +103,13 @@
     },
     /// This host alone holds the role.
     Acting {
-        /// Since when, without a gap. No other host acted in the role from then on.
+        /// Since when, without a gap. No other host acted in the role by itself from then on.
         since: Instant,
+        /// Since when it has come first with a lease, without a gap. What was handed over to it
+        /// from then on still counts.
+        held_since: Instant,
+        /// The host whose leaving gave it the role at `since`, if nothing else did later.
+        former: Option<HostId>,
     },
 }
 
@@ -108,15 +117,43 @@
 impl Membership {
     /// Returns whether this host holds an exclusive role now. Ask immediately before each act.
     pub fn standing(&self, key: &RoleKey, now: Instant) -> Standing {
+        self.standing_among(key, now, HostEntry::is_live)
+    }
+
+    /// Returns this host's standing for a role as it was before `successor` came. It is
+    /// [`Standing::Acting`] only if this host may hand over to `successor`: no third host comes
+    /// before this one.
+    pub fn former_standing(&self, key: &RoleKey, successor: &str, now: Instant) -> Standing {
         let winner = self.view.winner(key, HostEntry::is_live);
+        if winner.is_none_or(|winner| &*winner.member.host != successor) {
+            return Standing::Elsewhere(winner.map(|winner| winner.member.host.clone()));
+        }
+        self.standing_among(key, now, |entry| entry.is_live() && &*entry.member.host != successor)
+    }
+
+    fn standing_among(
+        &self,
+        key: &RoleKey,
+        now: Instant,
+        accepts: impl Fn(&HostEntry) -> bool,
+    ) -> Standing {
+        let winner = self.view.winner(key, accepts);
         if winner.is_none_or(|winner| winner.member != self.me.member) || !self.takes_roles() {
             let other = winner.filter(|winner| winner.member != self.me.member);
             return Standing::Elsewhere(other.map(|winner| winner.member.host.clone()));
         }
         let Some(leased_since) = self.lease.held_since(now) else { return Standing::Lapsed };
-        let since = leased_since.max(self.view.last_departure_before(key, &self.me.member.host));
+        let (departed_at, former) = self.view.last_departure_before(key, &self.me.member.host);
+        let since = leased_since.max(departed_at);
         match self.settled_at {
-            Some(settled_at) => Standing::Acting { since: since.max(settled_at) },
+            Some(settled_at) => {
+                let is_by_departure = departed_at >= leased_since.max(settled_at);
+                Standing::Acting {
+                    since: since.max(settled_at),
+                    held_since: since,
+                    former: former.filter(|_| is_by_departure),
+                }
+            }
             None => Standing::Settling { since },
         }
     }
--- a/crates/core/src/membership/view.rs
+++ b/crates/core/src/membership/view.rs
@@ -101,14 +101,16 @@
         ranked.into_iter().map(|known| &known.entry).collect()
     }
 
-    /// Returns the latest time at which a host went that came before `host` for the role.
-    pub fn last_departure_before(&self, key: &RoleKey, host: &str) -> Instant {
-        let Some(known) = self.hosts.get(host) else { return self.departures_floor };
+    /// Returns the latest time at which a host went that came before `host` for the role, and
+    /// that host if it is remembered.
+    pub fn last_departure_before(&self, key: &RoleKey, host: &str) -> (Instant, Option<HostId>) {
+        let forgotten = (self.departures_floor, None);
+        let Some(known) = self.hosts.get(host) else { return forgotten };
         self.departures
             .iter()
             .rev()
             .find(|(_, gone)| key.compare(gone, &known.candidate).is_gt())
-            .map_or(self.departures_floor, |(at, _)| *at)
+            .map_or(forgotten, |(at, gone)| (*at, Some(gone.host().clone())))
     }
 
     /// Returns the host that announces a journal under the highest epoch.
@@ -241,8 +243,12 @@
         changes.is_changed = true;
         let was_live = before.is_some_and(|known| known.entry.is_live());
         let is_new = before.is_none_or(|known| known.entry.member != entry.member);
+        // An entry that went and came again unseen is a departure too.
+        let has_gone = is_new
+            || !entry.is_live()
+            || before.is_some_and(|known| known.entry.live_beat != entry.live_beat);
         let candidate = Candidate::new(&entry.member.host, &entry.domain);
-        if was_live && (is_new || !entry.is_live()) {
+        if was_live && has_gone {
             self.note_departure(now, candidate.clone());
         }
         if is_new {
