Fill up a budget that a caller gives in part

The home refuses a budget above that of the class, so a part that the caller leaves out can't be sent as unlimited. The interface now takes it from the class or, for a child, from the parent.

--- a/crates/edge/src/backend.rs
+++ b/crates/edge/src/backend.rs
@@ -4,6 +4,7 @@
     std::future::Future,
     trefoilring_core::{
         call::{Call, Caller, Chunk, CreateProgram, ProgramInfo, ProgramQuery},
+        catalog::Budget,
         ids::{ClassId, ProgramId},
         message::Message,
         verdict::Refusal,
@@ -31,6 +32,12 @@
     /// The class for a caller that names none: the first that its team may use.
     fn default_class(&self, caller: &Caller) -> Result<ClassId, Refusal>;
 
+    /// The budget of a class, which fills up a budget that a caller gives in part. `None` if there
+    /// is no such class.
+    fn class_budget(&self, _class: &ClassId) -> Option<Budget> {
+        None
+    }
+
     /// Completes when the key no longer holds; the edge then ends what runs with it.
     fn withdrawn(&self, caller: &Caller) -> impl Future<Output = ()> + Send;
 
--- a/crates/edge/src/body.rs
+++ b/crates/edge/src/body.rs
@@ -12,8 +12,6 @@
     },
 };
 
-/// Stands for a part of a budget that the caller does not limit; the class does.
-const UNLIMITED: u32 = u32::MAX;
 const MAX_STEP_CHARS: usize = 128;
 const ROLES: [&str; 6] = ["system", "developer", "user", "assistant", "tool", "function"];
 
@@ -21,7 +19,30 @@
 #[derive(Clone, Debug, PartialEq)]
 pub(crate) struct ProgramRequest {
     pub class: Option<ClassId>,
-    pub budget: Option<Budget>,
+    pub budget: Option<PartialBudget>,
+}
+
+/// A budget of which some parts may be left to the class. Invariant: no part is zero.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) struct PartialBudget {
+    turns: Option<u32>,
+    tokens: Option<u64>,
+    wall_ms: Option<u64>,
+}
+
+impl PartialBudget {
+    /// Takes the parts that are left out from `most`. Without it, all parts have to be given.
+    pub fn filled(self, most: Option<Budget>) -> Result<Budget, Problem> {
+        let budget = || {
+            Some(Budget {
+                turns: self.turns.or(most.map(|most| most.turns))?,
+                tokens: self.tokens.or(most.map(|most| most.tokens))?,
+                wall_ms: self.wall_ms.or(most.map(|most| most.wall_ms))?,
+            })
+        };
+        let detail = "budget: without a known class, turns, tokens and wall_ms have to be given";
+        budget().ok_or_else(|| Problem::bad_request(detail))
+    }
 }
 
 #[derive(Default, serde::Deserialize)]
@@ -59,20 +80,15 @@
     }
 }
 
-fn budget(raw: RawBudget) -> Result<Budget, Problem> {
-    if raw.turns.is_none() && raw.tokens.is_none() && raw.wall_ms.is_none() {
+fn budget(raw: RawBudget) -> Result<PartialBudget, Problem> {
+    let RawBudget { turns, tokens, wall_ms } = raw;
+    if turns.is_none() && tokens.is_none() && wall_ms.is_none() {
         return Err(Problem::bad_request("budget: turns, tokens or wall_ms has to be given"));
     }
-    let most = u64::from(UNLIMITED);
-    let budget = Budget {
-        turns: raw.turns.unwrap_or(UNLIMITED),
-        tokens: raw.tokens.unwrap_or(most).min(most),
-        wall_ms: raw.wall_ms.unwrap_or(most).min(most),
-    };
-    if budget.turns == 0 || budget.tokens == 0 || budget.wall_ms == 0 {
+    if turns == Some(0) || tokens == Some(0) || wall_ms == Some(0) {
         return Err(Problem::bad_request("budget: each part has to be above zero"));
     }
-    Ok(budget)
+    Ok(PartialBudget { turns, tokens, wall_ms })
 }
 
 /// Reads a class name from a header or a body.
--- a/crates/edge/src/handler.rs
+++ b/crates/edge/src/handler.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         backend::{Answer, Backend},
-        body::{self, ProgramRequest},
+        body::{self, PartialBudget, ProgramRequest},
         forward,
         head::Head,
         implicit::Implicit,
@@ -197,7 +197,9 @@
             None => self.backend.default_class(&caller)?,
         };
         let step = body::step(head)?;
-        let request = CreateProgram { class, budget: asked.budget, parent: None, step };
+        let fill = |budget: PartialBudget| budget.filled(self.backend.class_budget(&class));
+        let budget = asked.budget.map(fill).transpose()?;
+        let request = CreateProgram { class, budget, parent: None, step };
         self.created(caller, request).await
     }
 
@@ -215,8 +217,9 @@
         let query = self.backend.query(caller.clone(), parent.clone(), ProgramQuery::Info);
         let (info, _) = self.until_withdrawn(&caller, query).await?;
         let step = body::step(head)?;
+        let budget = asked.budget.map(|budget| budget.filled(Some(info.budget))).transpose()?;
         let parent = Some(parent);
-        let request = CreateProgram { class: info.class, budget: asked.budget, parent, step };
+        let request = CreateProgram { class: info.class, budget, parent, step };
         self.created(caller, request).await
     }
 
--- a/crates/edge/tests/edge/bad_input.rs
+++ b/crates/edge/tests/edge/bad_input.rs
@@ -105,6 +105,7 @@
         ("empty budget", program(r#"{"budget":{}}"#)),
         ("zero budget", program(r#"{"budget":{"turns":0}}"#)),
         ("negative budget", program(r#"{"budget":{"tokens":-5}}"#)),
+        ("part of an unknown class", program(r#"{"class":"x","budget":{"turns":3}}"#)),
         ("twice the field", program(r#"{"class":"a","class":"b"}"#)),
         (
             "class of a child",
@@ -180,6 +181,7 @@
             empty budget: 400 bad_request not_run | budget: turns, tokens or wall_ms has to be given
             zero budget: 400 bad_request not_run | budget: each part has to be above zero
             negative budget: 400 bad_request not_run | the body is not accepted: invalid value: integer `-5`, expected u64 at line 1 column 22
+            part of an unknown class: 400 bad_request not_run | budget: without a known class, turns, tokens and wall_ms have to be given
             twice the field: 400 bad_request not_run | the body is not accepted: duplicate field `class` at line 1 column 20
             class of a child: 400 bad_request not_run | class: a child has the class of its parent
             no service: 404 not_found not_run | no service has this name
--- a/crates/edge/tests/edge/fake.rs
+++ b/crates/edge/tests/edge/fake.rs
@@ -60,6 +60,10 @@
         Ok("counter".into())
     }
 
+    fn class_budget(&self, class: &ClassId) -> Option<Budget> {
+        (&**class == "counter").then_some(Budget { turns: 9, tokens: 900, wall_ms: 9000 })
+    }
+
     async fn withdrawn(&self, _caller: &Caller) {
         let _ = self.withdrawal.recv().await;
     }
--- a/crates/edge/tests/edge/interface.rs
+++ b/crates/edge/tests/edge/interface.rs
@@ -32,7 +32,7 @@
 
             {"id":"fake-1.0123456789abcdef","class":"counter","team":"team-a","ended":null,"budget":{"turns":3,"tokens":1000,"wall_ms":60000},"spent":{"turns":1,"tokens":12},"age_ms":250,"history_messages":1}"#]]
         .assert_eq(&summary(&answer));
-        expect![[r#"Create(CreateProgram { class: "counter", budget: Some(Budget { turns: 5, tokens: 4294967295, wall_ms: 4294967295 }), parent: None, step: Some("make-1") })"#]]
+        expect![[r#"Create(CreateProgram { class: "counter", budget: Some(Budget { turns: 5, tokens: 900, wall_ms: 9000 }), parent: None, step: Some("make-1") })"#]]
             .assert_eq(&format!("{:?}", server.asked.recv().await.unwrap()));
 
         // A child takes its parent's class, which is asked for first.
