Test each interface over a socket, with fault cases in tables

Cause: a verdict is only worth what its cases show.

Change: contract tests for the Object API, the host list, engines and services; a raw server's answers against the HTTP client; the stand-in processes. A switch to refused connections can be awaited, and ends its own duration.

--- a/crates/platform/src/engine/assemble.rs
+++ b/crates/platform/src/engine/assemble.rs
@@ -114,3 +114,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/platform/src/engine/sse.rs
+++ b/crates/platform/src/engine/sse.rs
@@ -86,3 +86,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/platform/src/engine/sse/tests.rs
@@ -0,0 +1,46 @@
+use super::*;
+
+/// Reads all events; the last item is the error, if any.
+fn read(body: &[u8]) -> Vec<String> {
+    let mut reader = EventReader::new(Body::from_bytes(body.to_vec()));
+    smol::block_on(async {
+        let mut events = Vec::new();
+        loop {
+            match reader.next().await {
+                Ok(Some(event)) => events.push(event),
+                Ok(None) => return events,
+                Err(error) => {
+                    events.push(error.to_string());
+                    return events;
+                }
+            }
+        }
+    })
+}
+
+#[test]
+fn reads_events_by_the_rules_of_the_format() {
+    let cases: [(&str, &[&str]); 8] = [
+        ("data: a\n\ndata: b\n\n", &["a", "b"]),
+        ("data: a\r\n\r\n", &["a"]),
+        ("data:a\n\ndata:  b\n\n", &["a", " b"]),
+        ("data: a\ndata: b\n\n", &["a\nb"]),
+        (": keep alive\n\nevent: x\nid: 1\ndata: a\n\n", &["a"]),
+        ("\n\n\ndata: a\n\n", &["a"]),
+        ("data: a\n\ndata: cut", &["a"]),
+        ("data: a\n\ndata: cut\n", &["a"]),
+    ];
+    for (body, events) in cases {
+        assert_eq!(read(body.as_bytes()), events, "{body:?}");
+    }
+}
+
+#[test]
+fn bounds_events_and_refuses_what_is_no_text() {
+    let too_long = "an event is larger than 1048576 bytes";
+    let long_line = [b"data: ".as_slice(), &[b'x'; MAX_EVENT_BYTES]].concat();
+    assert_eq!(read(&long_line), [too_long]);
+    let many_lines = b"data: 0123456789\n".repeat(MAX_EVENT_BYTES / 16 + 1);
+    assert_eq!(read(&many_lines), [too_long]);
+    assert_eq!(read(b"data: \xff\n\n"), ["an event is not UTF-8"]);
+}
--- a/crates/platform/src/http/mod.rs
+++ b/crates/platform/src/http/mod.rs
@@ -140,3 +140,6 @@
     };
     async { Some(work.await) }.or(timer).await
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/platform/src/http/tests.rs
@@ -0,0 +1,185 @@
+use {
+    super::*,
+    smol::{
+        io::{AsyncReadExt, AsyncWriteExt},
+        net::TcpListener,
+    },
+    trefoilring_core::verdict::Verdict,
+};
+
+const MAX_BODY_BYTES: usize = 100;
+/// Far longer than any case takes, so that only a case that must time out does.
+const PATIENCE: Duration = Duration::from_secs(30);
+
+/// Serves each connection with the same bytes after the first byte of a request, then closes it, or
+/// keeps it open without a word if there are none.
+async fn raw_server(answer: Option<Vec<u8>>) -> (SocketAddr, smol::Task<()>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let task = smol::spawn(async move {
+        let mut silent = Vec::new();
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let mut request = vec![0; 4096];
+            stream.read(&mut request).await.ok();
+            match &answer {
+                Some(answer) => stream.write_all(answer).await.unwrap_or_default(),
+                None => silent.push(stream),
+            }
+        }
+    });
+    (address, task)
+}
+
+fn get() -> Exchange {
+    Exchange::new("GET", "x", MAX_BODY_BYTES)
+}
+
+async fn call(answer: Option<&[u8]>, exchange: Exchange, patience: Duration) -> String {
+    let (address, _server) = raw_server(answer.map(<[u8]>::to_vec)).await;
+    let deadline = Instant::now() + patience;
+    match Client::new(address).call(exchange, Reuse::Fresh, deadline).await {
+        Ok(answer) => {
+            let headers: Vec<_> = answer.headers.iter().map(|(name, _)| &**name).collect();
+            let body = String::from_utf8_lossy(&answer.body);
+            format!("{} [{}] {body}", answer.status, headers.join(" "))
+        }
+        Err(error) => format!("{} {}", error.verdict, error.kind),
+    }
+}
+
+#[test]
+fn says_of_every_answer_whether_it_is_whole() {
+    let long_line = format!("HTTP/1.1 200 OK\r\nx: {}", "y".repeat(1 << 20));
+    let many_chunks = format!(
+        "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n{}0\r\n\r\n",
+        "1\r\nx\r\n".repeat(101)
+    );
+    let cases: [(&str, &str); 20] = [
+        ("", "may_have_run broken"),
+        ("HTTP/1.1 200 OK\r\ncontent-le", "may_have_run broken"),
+        ("HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nabc", "may_have_run broken"),
+        ("HTTP/1.1 200 OK\r\ncontent-length: 3\r\n\r\nabc", "200 [content-type] abc"),
+        ("HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n", "200 [content-type] "),
+        ("HTTP/1.1 200 OK\r\ncontent-length: x\r\n\r\nabc", "may_have_run malformed"),
+        ("HTTP/1.1 200 OK\r\ncontent-length: 101\r\n\r\n", "may_have_run broken"),
+        ("HTTP/1.1 200 OK\r\n\r\nabc", "may_have_run malformed"),
+        ("HTTP/1.1 204 No Content\r\n\r\n", "204 [] "),
+        ("HTTP/1.0 200 OK\r\ncontent-length: 3\r\n\r\nabc", "may_have_run malformed"),
+        ("HTTP/1.1 100 Continue\r\n\r\n", "may_have_run malformed"),
+        ("HTTP/1.1 299 Odd\r\ncontent-length: 0\r\n\r\n", "may_have_run malformed"),
+        ("HTTP/1.1 200 OK\r\nx: \u{fc}\r\ncontent-length: 0\r\n\r\n", "may_have_run malformed"),
+        (
+            "HTTP/1.1 200 OK\r\ndate: now\r\nset-cookie: a\r\nkeep-alive: 5\r\nupgrade: x\r\n\
+             content-length: 0\r\n\r\n",
+            "200 [content-type date set-cookie] ",
+        ),
+        (
+            "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n",
+            "200 [content-type] abc",
+        ),
+        ("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n3\r\nabc", "may_have_run broken"),
+        (
+            "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n3\r\nabc\r\n",
+            "may_have_run broken",
+        ),
+        (&many_chunks, "may_have_run too large"),
+        (&long_line, "may_have_run too large"),
+        ("SSH-2.0-x\r\n\r\n", "may_have_run malformed"),
+    ];
+    smol::block_on(async {
+        for (answer, expected) in cases {
+            let seen = call(Some(answer.as_bytes()), get(), PATIENCE).await;
+            let start: String = answer.chars().take(90).collect();
+            assert_eq!(sorted(&seen), expected, "{start:?}");
+        }
+    });
+}
+
+/// Header names of an answer come in no order. The library names a type where the upstream didn't.
+fn sorted(seen: &str) -> String {
+    let Some((start, rest)) = seen.split_once('[') else { return seen.into() };
+    let Some((names, end)) = rest.split_once(']') else { return seen.into() };
+    let mut names: Vec<_> = names.split(' ').collect();
+    names.sort_unstable();
+    format!("{start}[{}]{end}", names.join(" "))
+}
+
+#[test]
+fn a_request_that_was_not_written_did_not_run() {
+    let line_break = get().header("x", "a\r\nAuthorization: b");
+    let cases = [
+        (line_break, "not_run invalid request"),
+        (get().header("x y", "a"), "not_run invalid request"),
+        (get().header("", "a"), "not_run invalid request"),
+        (get().header("x", "\u{fc}"), "not_run invalid request"),
+        (Exchange::new("NOPE", "x", MAX_BODY_BYTES), "not_run invalid request"),
+    ];
+    smol::block_on(async {
+        for (exchange, expected) in cases {
+            assert_eq!(call(Some(b""), exchange.clone(), PATIENCE).await, expected, "{exchange:?}");
+        }
+        let (address, server) = raw_server(None).await;
+        server.cancel().await;
+        let deadline = Instant::now() + PATIENCE;
+        let error = Client::new(address).call(get(), Reuse::Fresh, deadline).await.unwrap_err();
+        assert_eq!((error.verdict, error.kind), (Verdict::NotRun, ErrorKind::Connect));
+    });
+}
+
+#[test]
+fn a_request_has_no_header_of_the_librarys_own() {
+    let written = smol::block_on(async {
+        let request = get().body(b"abc".to_vec()).to_request("127.0.0.1:9".parse().unwrap());
+        let mut text = String::new();
+        let mut encoder = async_h1::client::Encoder::new(request.unwrap());
+        encoder.read_to_string(&mut text).await.unwrap();
+        text
+    });
+    let expected = "GET /x HTTP/1.1\r\nhost: 127.0.0.1:9\r\ncontent-length: 3\r\n\r\nabc";
+    assert_eq!(written, expected);
+}
+
+#[test]
+fn a_silent_upstream_may_have_run_the_request() {
+    let patience = Duration::from_millis(50);
+    let seen = smol::block_on(call(None, get(), patience));
+    assert_eq!(seen, "may_have_run timeout");
+}
+
+#[test]
+fn a_connection_that_the_server_closed_is_not_used_again() {
+    smol::block_on(async {
+        let answer = b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n";
+        let (address, _server) = raw_server(Some(answer.to_vec())).await;
+        let client = Client::new(address);
+        for _ in 0..20 {
+            let deadline = Instant::now() + PATIENCE;
+            let answer = client.call(get(), Reuse::Pooled, deadline).await.unwrap();
+            assert_eq!(answer.status, 200);
+            let idle = client.pool.lock().unwrap().first().map(|idle| idle.connection.clone());
+            while idle.as_ref().is_some_and(Connection::is_idle) {
+                Timer::after(Duration::from_millis(1)).await;
+            }
+        }
+    });
+}
+
+#[test]
+fn no_key_and_no_hop_by_hop_header_passes() {
+    let headers = [
+        ("Authorization", "Bearer key"),
+        ("proxy-authorization", "key"),
+        ("COOKIE", "key"),
+        ("Connection", "close, X-Hop"),
+        ("x-hop", "1"),
+        ("Transfer-Encoding", "chunked"),
+        ("Content-Length", "9"),
+        ("Host", "elsewhere"),
+        ("Content-Type", "application/json"),
+        ("X-Kept", "2"),
+    ];
+    let headers = headers.map(|(name, value)| (name.to_owned(), value.to_owned()));
+    let kept = passed_headers(&headers);
+    let names: Vec<_> = kept.iter().map(|(name, _)| &**name).collect();
+    assert_eq!(names, ["Content-Type", "X-Kept"]);
+}
--- a/crates/standin/src/server.rs
+++ b/crates/standin/src/server.rs
@@ -116,6 +116,7 @@
     faults: Mutex<Faults>,
     changed: Signal,
     is_dead: AtomicBool,
+    is_listening: AtomicBool,
     /// Requests other than GET that were counted for `lose_answer_every`.
     changes_answered: AtomicU64,
     planted_seen: AtomicU64,
@@ -163,6 +164,11 @@
         self.shared.is_dead.load(Ordering::SeqCst)
     }
 
+    /// Whether connections are taken. A switch to [`Down::Refused`] is in force once this is false.
+    pub fn is_listening(&self) -> bool {
+        self.shared.is_listening.load(Ordering::SeqCst)
+    }
+
     /// Distinct headers of all requests so far, with lower-case names.
     pub fn headers_seen(&self) -> BTreeSet<(String, String)> {
         self.shared.headers_seen.lock().unwrap_or_else(PoisonError::into_inner).clone()
@@ -261,6 +267,7 @@
             faults: Mutex::new(options.faults),
             changed: Signal::default(),
             is_dead: AtomicBool::new(false),
+            is_listening: AtomicBool::new(true),
             changes_answered: AtomicU64::new(0),
             planted_seen: AtomicU64::new(0),
             headers_seen: Mutex::default(),
@@ -278,11 +285,13 @@
     while !control.is_dead() {
         if control.faults().down == Down::Refused {
             listener = None;
+            control.shared.is_listening.store(false, Ordering::SeqCst);
             refuse(&control).await;
             continue;
         }
         let Some(bound) = &listener else {
             listener = rebind(control.address()).await;
+            control.shared.is_listening.store(listener.is_some(), Ordering::SeqCst);
             continue;
         };
         let stopped = async {
@@ -294,6 +303,7 @@
         }
     }
     drop(listener);
+    control.shared.is_listening.store(false, Ordering::SeqCst);
     service.crashed();
 }
 
@@ -305,7 +315,7 @@
     }
     let timer = async {
         Timer::after(Duration::from_millis(refuse_ms)).await;
-        control.change(|faults| faults.down = Down::None);
+        control.change(|faults| (faults.down, faults.refuse_ms) = (Down::None, 0));
     };
     lifted.or(timer).await;
 }
--- /dev/null
+++ b/crates/standin/tests/contract_engine.rs
@@ -0,0 +1,292 @@
+//! Model engines: client and stand-in against each other over a socket.
+
+mod common;
+
+use {
+    common::{PATIENCE, SHORT, deadline, switch, until},
+    serde_json::json,
+    smol::block_on,
+    std::time::Instant,
+    trefoilring_core::{message::Message, verdict::Verdict},
+    trefoilring_platform::{
+        CacheEventKind, CallError, ChatAssembler, ChatRequest, ChatStream, Engine, ErrorKind,
+        ModelOrder, OrderKind,
+    },
+    trefoilring_standin::{
+        Down, Faults, Hang, Running,
+        engine::{EngineStandin, Options, start, text},
+    },
+};
+
+/// Much faster than life.
+const TIME_SCALE: f64 = 50.0;
+
+fn pair() -> (Running<EngineStandin>, Engine) {
+    let engine = start(Options { time_scale: TIME_SCALE, ..Options::default() }).unwrap();
+    let client = Engine::new(engine.address()).with_timeout(PATIENCE);
+    (engine, client)
+}
+
+fn turn(program: &str, messages: &[Message], tokens: u64) -> ChatRequest {
+    let options = json!({ "max_tokens": tokens, "temperature": 0 });
+    ChatRequest {
+        program: program.into(),
+        model: "m".into(),
+        messages: messages.to_vec(),
+        options: options.as_object().unwrap().clone(),
+        resume_id: None,
+        fencing_epoch: None,
+        deadline: deadline(),
+    }
+}
+
+fn user(text: &str) -> Message {
+    Message::text("user", text)
+}
+
+async fn finish(stream: &mut ChatStream) -> Result<ChatAssembler, CallError> {
+    let mut assembler = ChatAssembler::default();
+    while let Some(event) = stream.next().await {
+        assembler.push(&event?);
+    }
+    Ok(assembler)
+}
+
+async fn run(client: &Engine, request: ChatRequest) -> Result<ChatAssembler, CallError> {
+    finish(&mut client.chat(request).await?).await
+}
+
+#[test]
+fn a_second_turn_finds_the_first_one_cached() {
+    let (engine, client) = pair();
+    block_on(async {
+        let mut history = vec![user(&"first question ".repeat(100))];
+        let first = run(&client, turn("j.a", &history, 40)).await.unwrap();
+        assert_eq!(first.message(), Message::text("assistant", &text::answer(&history, 40)));
+        assert_eq!(first.finish_reason(), Some("stop"));
+        let usage = first.usage().unwrap();
+        assert_eq!(
+            (usage.prompt_tokens, usage.cached_tokens, usage.completion_tokens),
+            (375, 0, 40)
+        );
+        history.extend([first.message(), user("and then?")]);
+        let second = run(&client, turn("j.a", &history, 40)).await.unwrap();
+        let usage = second.usage().unwrap();
+        assert_eq!((usage.prompt_tokens, usage.cached_tokens), (375 + 40 + 3, 375 + 40));
+        // A history that differs in one place gives another answer and shares nothing after it.
+        history[0] = user("changed");
+        let other = run(&client, turn("j.a", &history, 40)).await.unwrap();
+        assert_ne!(other.message(), second.message());
+        assert_eq!(other.usage().unwrap().cached_tokens, 0);
+        assert_eq!(engine.stats().finished, 3);
+    });
+}
+
+#[test]
+fn hundreds_of_streams_share_the_batch() {
+    const STREAMS: usize = 300;
+    let (engine, client) = pair();
+    block_on(async {
+        let streams: Vec<_> = (0..STREAMS)
+            .map(|number| {
+                let (client, messages) = (client.clone(), vec![user(&number.to_string())]);
+                smol::spawn(async move {
+                    let whole = run(&client, turn("j.a", &messages, 20)).await.unwrap();
+                    assert_eq!(whole.message().content, json!(text::answer(&messages, 20)));
+                })
+            })
+            .collect();
+        for stream in streams {
+            stream.await;
+        }
+    });
+    let stats = engine.stats();
+    assert_eq!((stats.finished, stats.cancelled), (STREAMS as u64, 0));
+    assert!(stats.largest_batch > 8, "{stats:?}");
+    assert!(stats.steps < STREAMS as u64 * 20, "{stats:?}");
+}
+
+#[test]
+fn dropping_a_stream_cancels_the_turn() {
+    let engine = start(Options::default()).unwrap();
+    let client = Engine::new(engine.address());
+    block_on(async {
+        let mut stream = client.chat(turn("j.a", &[user("long")], 16_000)).await.unwrap();
+        assert!(stream.next().await.unwrap().is_ok());
+        drop(stream);
+        until("the cancellation", || engine.stats().cancelled == 1).await;
+        until("an empty batch", || engine.load().running == 0).await;
+        assert!(engine.stats().generated_tokens < 16_000);
+    });
+}
+
+#[test]
+fn a_cut_stream_resumes_where_it_was() {
+    let (engine, client) = pair();
+    let messages = [user("question")];
+    let named = || ChatRequest { resume_id: Some("r-1".into()), ..turn("j.a", &messages, 50) };
+    block_on(async {
+        let whole = text::answer(&messages, 50);
+        for seen in [1, 7, 50, 51] {
+            let mut stream = client.chat(named()).await.unwrap();
+            let mut text = String::new();
+            while stream.events_seen() < seen {
+                text.push_str(stream.next().await.unwrap().unwrap().content());
+            }
+            assert_eq!(stream.resume_id(), Some("r-1"));
+            drop(stream);
+            let mut resumed = client.resume("r-1", seen, deadline()).await.unwrap();
+            while let Some(event) = resumed.next().await {
+                text.push_str(event.unwrap().content());
+            }
+            assert_eq!(text, whole, "after {seen}");
+        }
+        let unknown = client.resume("r-2", 0, deadline()).await.unwrap_err();
+        assert_eq!(unknown.kind, ErrorKind::Status(404));
+        until("idleness", || engine.load().running + engine.load().waiting == 0).await;
+    });
+}
+
+#[test]
+fn memory_is_held_until_released_and_moves_by_export() {
+    let (engine, client) = pair();
+    let (other, other_client) = pair();
+    let history = [user(&"x".repeat(400))];
+    block_on(async {
+        run(&client, turn("j.a", &history, 10)).await.unwrap();
+        let held = client.cached_programs().await.unwrap();
+        assert_eq!((&*held[0].program, held[0].tokens), ("j.a", 110));
+        let bytes = client.export("j.a").await.unwrap();
+        assert_eq!(client.export("j.b").await.unwrap_err().kind, ErrorKind::Status(404));
+        other_client.import("j.a", bytes.clone()).await.unwrap();
+        other_client.import("j.a", bytes).await.unwrap();
+        let moved = run(&other_client, turn("j.a", &history, 10)).await.unwrap();
+        assert_eq!(moved.usage().unwrap().cached_tokens, 100);
+        for _ in 0..2 {
+            client.release("j.a").await.unwrap();
+            assert_eq!(client.cached_programs().await.unwrap(), []);
+        }
+        let refused = other_client.import("j.a", b"no export".to_vec()).await.unwrap_err();
+        assert_eq!(refused.kind, ErrorKind::Status(400));
+    });
+    assert_eq!(engine.load().kv_used_tokens, 0);
+    assert_eq!(other.load().kv_used_tokens, 110);
+}
+
+#[test]
+fn limited_memory_evicts_and_tells_late_and_with_gaps() {
+    let options = Options { time_scale: TIME_SCALE, kv_capacity_tokens: 280, ..Options::default() };
+    let engine = start(options).unwrap();
+    let client = Engine::new(engine.address());
+    block_on(async {
+        for program in ["j.a", "j.b", "j.c"] {
+            let history = [user(&program.repeat(100))];
+            run(&client, turn(program, &history, 25)).await.unwrap();
+        }
+        let events = client.cache_events(0).await.unwrap();
+        let told = |kind: CacheEventKind| -> Vec<(&str, u64)> {
+            let of_kind = events.events.iter().filter(|event| event.kind == kind);
+            of_kind.map(|event| (&*event.program, event.tokens)).collect()
+        };
+        assert_eq!(told(CacheEventKind::Stored), [("j.a", 100), ("j.b", 100), ("j.c", 100)]);
+        assert_eq!(told(CacheEventKind::Evicted).first(), Some(&("j.a", 75)));
+        assert_eq!(client.cache_events(events.next).await.unwrap().events, []);
+        engine.control().change(|faults| faults.cache_event_lose_every = 2);
+        let gappy = client.cache_events(0).await.unwrap();
+        let sequences: Vec<_> = gappy.events.iter().map(|event| event.sequence).collect();
+        assert!(sequences.iter().all(|sequence| sequence % 2 == 1), "{sequences:?}");
+        assert_eq!(gappy.next, events.next);
+        engine.control().change(|faults| faults.cache_event_delay_ms = 3_600_000);
+        assert_eq!(client.cache_events(0).await.unwrap().events, []);
+        let too_long = run(&client, turn("j.d", &[user(&"x".repeat(2000))], 1)).await;
+        assert_eq!(too_long.unwrap_err().kind, ErrorKind::Status(400));
+    });
+}
+
+#[test]
+fn the_load_report_lags() {
+    let engine = start(Options::default()).unwrap();
+    let client = Engine::new(engine.address());
+    block_on(async {
+        let stream = client.chat(turn("j.a", &[user("long")], 16_000)).await.unwrap();
+        until("the turn", || engine.load().running == 1).await;
+        assert_eq!(client.load().await.unwrap().running, 1);
+        engine.control().change(|faults| faults.lag_ms = 3_600_000);
+        let load = client.load().await.unwrap();
+        assert_eq!((load.running, load.age_ms), (0, 3_600_000));
+        drop(stream);
+    });
+}
+
+#[test]
+fn orders_are_fenced_where_the_engine_checks() {
+    let order = |order, fencing| ModelOrder { order, model: "n".into(), value: None, fencing };
+    let cases = [
+        (true, vec![(OrderKind::Load, 5, true), (OrderKind::Unload, 4, false)], true),
+        (false, vec![(OrderKind::Load, 5, true), (OrderKind::Unload, 4, true)], false),
+    ];
+    for (checks_fencing, orders, is_served) in cases {
+        let engine = start(Options { models: vec!["m".into()], ..Options::default() }).unwrap();
+        engine.control().change(|faults| faults.checks_fencing = checks_fencing);
+        let client = Engine::new(engine.address());
+        block_on(async {
+            let request = || ChatRequest { model: "n".into(), ..turn("j.a", &[user("x")], 1) };
+            let absent = run(&client, request()).await.unwrap_err();
+            assert_eq!(absent.kind, ErrorKind::Status(404));
+            for (kind, fencing, is_taken) in orders {
+                let taken = client.order(order(kind, fencing)).await;
+                assert_eq!(taken.is_ok(), is_taken, "{checks_fencing} {kind:?}");
+                if kind == OrderKind::Load {
+                    until("the model", || block_on(run(&client, request())).is_ok()).await;
+                }
+            }
+            assert_eq!(run(&client, request()).await.is_ok(), is_served);
+        });
+    }
+}
+
+#[test]
+fn each_fault_has_the_verdict_that_its_effect_allows() {
+    let faults = |change: &dyn Fn(&mut Faults)| {
+        let mut faults = Faults::default();
+        change(&mut faults);
+        faults
+    };
+    let cases = [
+        ("unavailable", faults(&|f| f.down = Down::Unavailable), Verdict::NotRun, ErrorKind::Busy),
+        ("refused", faults(&|f| f.down = Down::Refused), Verdict::NotRun, ErrorKind::Connect),
+        ("closed", faults(&|f| f.down = Down::Closed), Verdict::MayHaveRun, ErrorKind::Broken),
+        ("lost", faults(&|f| f.lose_answer_every = 1), Verdict::MayHaveRun, ErrorKind::Broken),
+        ("hang", faults(&|f| f.hang = Hang::Before), Verdict::MayHaveRun, ErrorKind::TimedOut),
+        ("crash", faults(&|f| f.crash_on = "pois".into()), Verdict::MayHaveRun, ErrorKind::Broken),
+    ];
+    for (name, faults, verdict, kind) in cases {
+        let (engine, client) = pair();
+        let patience = if faults.hang == Hang::None { PATIENCE } else { SHORT };
+        block_on(switch(engine.control(), faults));
+        let deadline = Instant::now() + patience;
+        let request = ChatRequest { deadline, ..turn("j.a", &[user("poison")], 5) };
+        let error = block_on(run(&client, request)).unwrap_err();
+        assert_eq!((error.verdict, error.kind), (verdict, kind), "{name}");
+        assert_eq!(engine.control().is_dead(), name == "crash");
+    }
+}
+
+#[test]
+fn a_crash_or_an_outage_in_the_middle_is_no_end_of_the_answer() {
+    for is_crash in [true, false] {
+        let engine = start(Options::default()).unwrap();
+        let client = Engine::new(engine.address());
+        block_on(async {
+            let mut stream = client.chat(turn("j.a", &[user("long")], 16_000)).await.unwrap();
+            assert!(stream.next().await.unwrap().is_ok());
+            match is_crash {
+                true => engine.control().kill(),
+                false => engine.control().change(|faults| faults.down = Down::Refused),
+            }
+            let error = finish(&mut stream).await.unwrap_err();
+            assert_eq!((error.verdict, error.kind), (Verdict::MayHaveRun, ErrorKind::Broken));
+            assert!(stream.next().await.is_none());
+        });
+    }
+}
