--- a/crates/standin/tests/process.rs
+++ b/crates/standin/tests/process.rs
@@ -124,7 +124,8 @@
 
 #[test]
 fn a_bad_setting_names_flag_value_and_what_is_accepted() {
-    let cases: [(&[&str], (&str, &str), &[&str]); 8] = [
+    type Case = (&'static [&'static str], (&'static str, &'static str), &'static [&'static str]);
+    let cases: [Case; 8] = [
         (&["engine", "--time-scale", "0"], ("", ""), &["--time-scale", "'0'", "above 0"]),
         (&["engine", "--max-batch", "x"], ("", ""), &["--max-batch", "'x'", "from 1 to 65536"]),
         (&["engine"], ("STANDIN_KV_TOKENS", "0"), &["--kv-tokens", "'0'", "whole number from 1"]),
