Measure policies in virtual time

trefoilring-load policy drives the dispatcher against a small model of the engines, with lagging reports and late, gappy cache events, on workloads of both users. The naive baseline turns round the upstreams with a static limit.

--- /dev/null
+++ b/crates/load/src/cli.rs
@@ -0,0 +1,225 @@
+//! The command line of `trefoilring-load`.
+
+use {
+    crate::{
+        experiment::{Experiment, RunLength},
+        measure::Measures,
+        plan::Plan,
+        policy::POLICIES,
+        report,
+        summary::{Spread, Summary},
+        workload::Workload,
+    },
+    clap::{Arg, ArgAction, ArgMatches, Command, value_parser},
+    error_stack::{Report, ResultExt},
+    std::path::PathBuf,
+};
+
+/// The policy that others are compared with.
+const BASELINE: &str = "naive";
+
+/// The command failed.
+#[derive(Debug, derive_more::Display, derive_more::Error)]
+#[display("the measurement failed")]
+pub struct CliError;
+
+/// The command line.
+pub fn command() -> Command {
+    let policy = Command::new("policy")
+        .about("Measures a policy in virtual time: one pool, no hosts, no network")
+        .arg(
+            Arg::new("workload")
+                .long("workload")
+                .default_value("kaalachakra")
+                .help("kaalachakra, isiyol, or a workload file"),
+        )
+        .arg(
+            Arg::new("policy")
+                .long("policy")
+                .action(ArgAction::Append)
+                .value_parser(clap::builder::PossibleValuesParser::new(POLICIES))
+                .default_value("trefoilring")
+                .help("The policy; may be given several times"),
+        )
+        .arg(number("seed", "The first seed").value_parser(value_parser!(u64)).default_value("1"))
+        .arg(
+            number("seeds", "How many seeds to run, from the first on")
+                .value_parser(value_parser!(u64).range(1..))
+                .default_value("1"),
+        )
+        .arg(
+            number("load", "Arrivals over the pool's capacity")
+                .value_parser(parse_load)
+                .default_value("0.85"),
+        )
+        .arg(
+            Arg::new("scenario")
+                .long("scenario")
+                .default_value("steady")
+                .help("A scenario of the workload file, or steady"),
+        )
+        .arg(flag("baseline", "Run the naive policy on the same seeds too and print ratios"))
+        .arg(flag("json", "Print JSON, one object a run"))
+        .arg(
+            Arg::new("report")
+                .long("report")
+                .value_name("DIR")
+                .value_parser(value_parser!(PathBuf))
+                .help("Write charts of the first seed to DIR/report.svg"),
+        );
+    Command::new("trefoilring-load")
+        .about("Measures scheduling policies")
+        .subcommand_required(true)
+        .subcommand(policy)
+}
+
+/// Runs the command line.
+pub fn run(matches: &ArgMatches) -> Result<(), Report<CliError>> {
+    match matches.subcommand() {
+        Some(("policy", matches)) => run_policy(matches),
+        _ => Err(Report::new(CliError).attach("no command was given")),
+    }
+}
+
+fn number(name: &'static str, help: &'static str) -> Arg {
+    Arg::new(name).long(name).help(help)
+}
+
+fn flag(name: &'static str, help: &'static str) -> Arg {
+    Arg::new(name).long(name).action(ArgAction::SetTrue).help(help)
+}
+
+fn parse_load(text: &str) -> Result<f64, String> {
+    let load: f64 = text.parse().map_err(|_| format!("{text} is not a number"))?;
+    let is_valid = (0.01..=10.0).contains(&load);
+    is_valid.then_some(load).ok_or_else(|| "the load must be between 0.01 and 10".into())
+}
+
+/// All seeds of one policy.
+struct Runs {
+    policy: String,
+    summaries: Vec<Summary>,
+    first: Option<Measures>,
+}
+
+fn run_policy(matches: &ArgMatches) -> Result<(), Report<CliError>> {
+    let name: &String = matches.get_one("workload").expect("has a default");
+    let workload = Workload::load(name).change_context(CliError)?;
+    let experiment = Experiment {
+        workload,
+        scenario: matches.get_one::<String>("scenario").expect("has a default").clone(),
+        load: *matches.get_one("load").expect("has a default"),
+        seed: *matches.get_one("seed").expect("has a default"),
+        length: RunLength::default(),
+    };
+    let is_json = matches.get_flag("json");
+    if !is_json {
+        print_capacity(&experiment);
+    }
+    let given = matches.get_many::<String>("policy").expect("has a default");
+    let mut policies: Vec<String> = given.cloned().collect();
+    let has_baseline = matches.get_flag("baseline");
+    policies.retain(|policy| !has_baseline || policy != BASELINE);
+    policies.extend(has_baseline.then(|| BASELINE.to_owned()));
+    let seeds: u64 = *matches.get_one("seeds").expect("has a default");
+    let mut all = Vec::new();
+    for policy in &policies {
+        all.push(run_seeds(&experiment, policy, seeds, is_json)?);
+    }
+    if !is_json {
+        print_comparison(&all, has_baseline, seeds);
+    }
+    if let Some(dir) = matches.get_one::<PathBuf>("report") {
+        let drawn = all.into_iter().filter_map(|runs| Some((runs.policy, runs.first?)));
+        let drawn: Vec<(String, Measures)> = drawn.collect();
+        let path = report::write(dir, &experiment.workload, &drawn).change_context(CliError)?;
+        eprintln!("report: {}", path.display());
+    }
+    Ok(())
+}
+
+fn print_capacity(experiment: &Experiment) {
+    let capacity = Plan::capacity(&experiment.workload);
+    println!(
+        "virtual time; capacity {:.3} programs/s with every prefix cached and half of the memory \
+         in use by the batch; mean history {:.0} tokens; arrivals {:.3} programs/s",
+        capacity.programs_per_s,
+        capacity.mean_context_tokens,
+        experiment.programs_per_s()
+    );
+}
+
+fn run_seeds(
+    experiment: &Experiment,
+    policy: &str,
+    seeds: u64,
+    is_json: bool,
+) -> Result<Runs, Report<CliError>> {
+    let mut runs = Runs { policy: policy.into(), summaries: Vec::new(), first: None };
+    for seed in experiment.seed..experiment.seed.saturating_add(seeds) {
+        let experiment = Experiment { seed, ..experiment.clone() };
+        let measures = experiment.run(policy).change_context(CliError)?;
+        let measures = measures.ok_or_else(|| Report::new(CliError).attach("no such policy"))?;
+        let summary = Summary::new(&experiment, policy, &measures);
+        if is_json {
+            println!("{}", serde_json::to_string(&summary).change_context(CliError)?);
+        } else if seeds == 1 {
+            println!("{summary}");
+        }
+        runs.summaries.push(summary);
+        runs.first.get_or_insert(measures);
+    }
+    Ok(runs)
+}
+
+fn print_comparison(all: &[Runs], has_baseline: bool, seeds: u64) {
+    let baseline = all.last().filter(|_| has_baseline);
+    for runs in all {
+        if seeds > 1 {
+            println!("{} over {seeds} seeds", runs.policy);
+            spreads(runs).iter().for_each(|spread| println!("  {spread}"));
+        }
+        let Some(baseline) = baseline.filter(|baseline| baseline.policy != runs.policy) else {
+            continue;
+        };
+        let pairs = runs.summaries.iter().zip(&baseline.summaries);
+        let ratios: Vec<_> = pairs.map(|(own, other)| own.ratios(other)).collect();
+        if let ([ratio], 1) = (ratios.as_slice(), seeds) {
+            println!("{}: {ratio}", runs.policy);
+            continue;
+        }
+        let of = |name: &str, value: fn(&crate::summary::Ratios) -> f64, is_higher_better| {
+            Spread::new(name, ratios.iter().map(value).collect(), is_higher_better)
+        };
+        println!("  {}", of("p50 over naive", |ratio| ratio.p50, false));
+        println!("  {}", of("p95 over naive", |ratio| ratio.p95, false));
+        println!("  {}", of("p99 over naive", |ratio| ratio.p99, false));
+        println!("  {}", of("wasted prefill over naive", |ratio| ratio.wasted_tokens, false));
+        println!("  {}", of("goodput over naive", |ratio| ratio.goodput, true));
+    }
+}
+
+fn spreads(runs: &Runs) -> Vec<Spread> {
+    let of = |name: &str, value: &dyn Fn(&Summary) -> f64, is_higher_better| {
+        Spread::new(name, runs.summaries.iter().map(value).collect(), is_higher_better)
+    };
+    let mut spreads = vec![
+        of("attainment", &|summary| summary.all.attainment, true),
+        of("p50 s", &|summary| summary.all.p50_s, false),
+        of("p95 s", &|summary| summary.all.p95_s, false),
+        of("p99 s", &|summary| summary.all.p99_s, false),
+        of("wasted prefill, M tokens", &|summary| summary.wasted_tokens as f64 / 1e6, false),
+        of("worst team over mean", &|summary| summary.worst_team, true),
+        of("goodput, programs/s", &|summary| summary.goodput_per_s, true),
+        of("given up", &|summary| summary.all.given_up as f64, false),
+        of("refused first calls", &|summary| summary.refused_first as f64, false),
+        of("refused later calls", &|summary| summary.refused_later as f64, false),
+        of("unended", &|summary| summary.unended as f64, false),
+    ];
+    let first = &runs.summaries[0];
+    for (index, class) in first.classes.iter().enumerate() {
+        let name = format!("attainment of {}", class.name);
+        spreads.push(of(&name, &|summary| summary.classes[index].attainment, true));
+    }
+    spreads
+}
--- /dev/null
+++ b/crates/load/src/naive.rs
@@ -0,0 +1,95 @@
+//! The naive policy: each upstream in turn, first come first served, a static limit.
+
+use {
+    std::{
+        collections::{BTreeMap, VecDeque},
+        time::Instant,
+    },
+    trefoilring_core::{
+        ids::UpstreamId,
+        sched::{Command, SlotGrant, SlotRelease, Ticket, UpstreamView, Waiter},
+    },
+};
+
+/// The naive policy. It knows nothing of programs, teams, caches or load.
+#[derive(Debug)]
+pub struct Naive {
+    limit: usize,
+    upstreams: Vec<UpstreamView>,
+    next: usize,
+    next_ticket: Ticket,
+    slots: BTreeMap<Ticket, UpstreamId>,
+    queues: BTreeMap<UpstreamId, VecDeque<(Waiter, Instant)>>,
+}
+
+impl Naive {
+    /// Starts without upstreams; each gets at most `limit` calls at once.
+    pub fn new(limit: usize) -> Self {
+        Self {
+            limit,
+            upstreams: Vec::new(),
+            next: 0,
+            next_ticket: 0,
+            slots: BTreeMap::new(),
+            queues: BTreeMap::new(),
+        }
+    }
+
+    /// Replaces the list of upstreams. What waited for one that is gone goes to the others.
+    pub fn set_upstreams(&mut self, now: Instant, views: Vec<UpstreamView>) -> Vec<Command> {
+        self.upstreams = views.into_iter().filter(|view| !view.is_leaving).collect();
+        let is_listed = |id: &UpstreamId| self.upstreams.iter().any(|view| view.upstream == *id);
+        let gone: Vec<UpstreamId> =
+            self.queues.keys().filter(|id| !is_listed(id)).cloned().collect();
+        let moved: Vec<_> = gone.iter().filter_map(|id| self.queues.remove(id)).flatten().collect();
+        moved.into_iter().flat_map(|(waiter, came)| self.enqueue(now, waiter, came)).collect()
+    }
+
+    /// A request asks for a slot.
+    pub fn request(&mut self, now: Instant, waiter: Waiter) -> Vec<Command> {
+        self.enqueue(now, waiter, now)
+    }
+
+    /// A slot is given back.
+    pub fn release(&mut self, now: Instant, release: &SlotRelease) -> Vec<Command> {
+        let upstream = self.slots.remove(&release.ticket);
+        upstream.map_or_else(Vec::new, |upstream| self.pump(now, &upstream))
+    }
+
+    /// Requests that wait.
+    pub fn waiting(&self) -> usize {
+        self.queues.values().map(VecDeque::len).sum()
+    }
+
+    fn enqueue(&mut self, now: Instant, waiter: Waiter, came: Instant) -> Vec<Command> {
+        self.next += 1;
+        let view = &self.upstreams[self.next % self.upstreams.len()];
+        let upstream = view.upstream.clone();
+        self.queues.entry(upstream.clone()).or_default().push_back((waiter, came));
+        self.pump(now, &upstream)
+    }
+
+    fn pump(&mut self, now: Instant, upstream: &UpstreamId) -> Vec<Command> {
+        let mut out = Vec::new();
+        let view = self.upstreams.iter().find(|view| view.upstream == *upstream);
+        let Some((view, queue)) = view.zip(self.queues.get_mut(upstream)) else {
+            return out;
+        };
+        let mut in_use = self.slots.values().filter(|id| *id == upstream).count();
+        while in_use < self.limit
+            && let Some((waiter, came)) = queue.pop_front()
+        {
+            in_use += 1;
+            self.next_ticket += 1;
+            self.slots.insert(self.next_ticket, upstream.clone());
+            let grant = SlotGrant {
+                ticket: self.next_ticket,
+                upstream: upstream.clone(),
+                address: view.address.clone(),
+                waited: now.duration_since(came),
+            };
+            out.push(Command::Grant { waiter, grant });
+        }
+        out
+    }
+}
--- /dev/null
+++ b/crates/load/src/plan.rs
@@ -0,0 +1,200 @@
+//! Programs to run, drawn from a workload. All policies get the same programs for a seed.
+
+use {
+    crate::workload::{ClassSettings, ScenarioLine, Spread, Workload},
+    rand::{RngExt, SeedableRng, rngs::StdRng},
+};
+
+/// The longest history.
+const MAX_HISTORY_TOKENS: u64 = 230_000;
+
+/// One turn of a program.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Turn {
+    /// Prompt tokens that are new since the last turn.
+    pub new_tokens: u64,
+    /// Generated tokens.
+    pub output_tokens: u64,
+    /// Time of the tool call that follows.
+    pub pause_us: u64,
+    /// Sub-agents that run after the turn, by index of their plan.
+    pub children: Vec<usize>,
+}
+
+/// A program or a sub-agent.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Program {
+    /// Index of its class.
+    pub class: usize,
+    /// Index of its team.
+    pub team: usize,
+    /// When it comes; for a sub-agent zero.
+    pub arrives_us: u64,
+    /// The program that starts it.
+    pub parent: Option<usize>,
+    /// Its turns.
+    pub turns: Vec<Turn>,
+}
+
+/// All programs of a run.
+#[derive(Clone, Debug, Default)]
+pub struct Plan {
+    /// Programs and sub-agents.
+    pub programs: Vec<Program>,
+}
+
+/// Engine time that programs need, with every prefix cached.
+#[derive(Clone, Copy, Debug)]
+pub struct Capacity {
+    /// Programs a second that the pool can serve.
+    pub programs_per_s: f64,
+    /// Mean of the history while a token is generated.
+    pub mean_context_tokens: f64,
+}
+
+/// Programs drawn to find the capacity.
+const CAPACITY_SAMPLE: usize = 20_000;
+
+impl Plan {
+    /// Draws programs that arrive within a time, as a Poisson process.
+    pub fn draw(
+        workload: &Workload,
+        seed: u64,
+        programs_per_s: f64,
+        until_s: f64,
+        lines: &[ScenarioLine],
+    ) -> Self {
+        let mut plan = Self::default();
+        for (team, settings) in workload.teams.iter().enumerate() {
+            // A stream of numbers of its own for each team: one team's surge changes no other's.
+            let mut rng = StdRng::seed_from_u64(seed ^ ((team as u64 + 1) << 32));
+            let mut at_s = 0.0;
+            loop {
+                let factor = factor_at(lines, &settings.name, at_s);
+                let rate = programs_per_s * settings.share * factor;
+                at_s += -(1.0 - rng.random::<f64>()).ln() / rate;
+                if at_s >= until_s {
+                    break;
+                }
+                plan.add(workload, &mut rng, team, (at_s * 1e6) as u64);
+            }
+        }
+        plan
+    }
+
+    /// Finds the capacity of the pool for a workload: with every prefix cached, and half of the
+    /// cache memory taken by the batch, which leaves the other half to programs that pause.
+    pub fn capacity(workload: &Workload) -> Capacity {
+        let mut plan = Self::default();
+        let mut rng = StdRng::seed_from_u64(0);
+        (0..CAPACITY_SAMPLE).for_each(|_| plan.add(workload, &mut rng, 0, 0));
+        let mut sums = Sums::default();
+        plan.programs.iter().for_each(|program| sums.add(program));
+        let engine = &workload.engine;
+        let mean_context_tokens = sums.context / sums.output;
+        let half = engine.kv_capacity_tokens as f64 / 2.0;
+        let batch = (half / mean_context_tokens).clamp(1.0, engine.max_batch as f64);
+        let per_output_us = engine.step_base_us / batch
+            + engine.step_sequence_us
+            + engine.step_kv_token_ns * mean_context_tokens / 1e3;
+        let total_us = sums.output * per_output_us + sums.prompt * engine.prefill_token_us;
+        let per_program_s = total_us / 1e6 / CAPACITY_SAMPLE as f64;
+        let programs_per_s = workload.pool.workers as f64 / per_program_s;
+        Capacity { programs_per_s, mean_context_tokens }
+    }
+
+    fn add(&mut self, workload: &Workload, rng: &mut StdRng, team: usize, arrives_us: u64) {
+        let draw: f64 = rng.random();
+        let mut sum = 0.0;
+        let class = workload.classes.iter().position(|class| {
+            sum += class.share;
+            draw < sum
+        });
+        let class = class.unwrap_or(workload.classes.len() - 1);
+        let settings = &workload.classes[class];
+        let index = self.programs.len();
+        let program = Program { class, team, arrives_us, parent: None, turns: Vec::new() };
+        self.programs.push(program);
+        let turns = draw_turns(rng, settings, &settings.turns);
+        self.programs[index].turns = turns;
+        self.add_children(settings, rng, index);
+    }
+
+    fn add_children(&mut self, settings: &ClassSettings, rng: &mut StdRng, parent: usize) {
+        let Some(children) = &settings.children else {
+            return;
+        };
+        let (class, team) = (self.programs[parent].class, self.programs[parent].team);
+        for turn in 0..self.programs[parent].turns.len() {
+            if rng.random::<f64>() >= children.probability {
+                continue;
+            }
+            for _ in 0..children.count {
+                let turns = draw_turns(rng, settings, &children.turns);
+                let child = self.programs.len();
+                self.programs[parent].turns[turn].children.push(child);
+                let parent = Some(parent);
+                self.programs.push(Program { class, team, arrives_us: 0, parent, turns });
+            }
+        }
+    }
+}
+
+#[derive(Default)]
+struct Sums {
+    output: f64,
+    prompt: f64,
+    /// History over generated tokens.
+    context: f64,
+}
+
+impl Sums {
+    fn add(&mut self, program: &Program) {
+        let mut context = 0.0;
+        for turn in &program.turns {
+            context += turn.new_tokens as f64;
+            self.prompt += turn.new_tokens as f64;
+            self.output += turn.output_tokens as f64;
+            self.context += turn.output_tokens as f64 * context;
+            context += turn.output_tokens as f64;
+        }
+    }
+}
+
+fn factor_at(lines: &[ScenarioLine], team: &str, at_s: f64) -> f64 {
+    let now = lines.iter().filter(|line| (line.at_s..line.at_s + line.for_s).contains(&at_s));
+    now.map(|line| {
+        let is_noisy = line.noisy_team.as_deref() == Some(team);
+        let own = line.factor.filter(|_| is_noisy).unwrap_or(1.0);
+        own * line.load_factor.unwrap_or(1.0)
+    })
+    .product()
+}
+
+fn draw_turns(rng: &mut StdRng, settings: &ClassSettings, count: &Spread) -> Vec<Turn> {
+    let count = count.draw(rng).round().max(1.0) as usize;
+    let mut history = 0;
+    let mut turns = Vec::with_capacity(count);
+    for index in 0..count {
+        let spread = if index == 0 { &settings.first_tokens } else { &settings.turn_tokens };
+        let new_tokens = spread.draw(rng).max(1.0) as u64;
+        let output_tokens = settings.output_tokens.draw(rng).max(1.0) as u64;
+        let pause_us = (settings.pause_s.draw(rng) * 1e6) as u64;
+        history += new_tokens + output_tokens;
+        if history > MAX_HISTORY_TOKENS && index > 0 {
+            break;
+        }
+        turns.push(Turn { new_tokens, output_tokens, pause_us, children: Vec::new() });
+    }
+    turns
+}
+
+impl Spread {
+    /// Draws a value.
+    pub fn draw(&self, rng: &mut StdRng) -> f64 {
+        // Box and Muller; the first draw must not be zero.
+        let radius = (-2.0 * (1.0 - rng.random::<f64>()).ln()).sqrt();
+        let normal = radius * (std::f64::consts::TAU * rng.random::<f64>()).cos();
+        (self.median * (self.sigma * normal).exp()).min(self.max)
+    }
+}
--- /dev/null
+++ b/crates/load/src/summary.rs
@@ -0,0 +1,206 @@
+//! The figures of one run or of several, for people and for programs.
+
+use {
+    crate::{
+        experiment::Experiment,
+        measure::{Group, Measures},
+    },
+    std::fmt::{self, Display},
+};
+
+/// Figures of one group.
+#[derive(Clone, Debug, serde::Serialize)]
+pub struct GroupSummary {
+    /// The class or team.
+    pub name: String,
+    /// Programs that came.
+    pub programs: u64,
+    /// Share of programs within the target.
+    pub attainment: f64,
+    /// Programs whose caller gave up.
+    pub given_up: u64,
+    /// Half of the programs took less.
+    pub p50_s: f64,
+    /// 95 of 100 programs took less.
+    pub p95_s: f64,
+    /// 99 of 100 programs took less.
+    pub p99_s: f64,
+}
+
+/// Figures of one run.
+#[derive(Clone, Debug, serde::Serialize)]
+pub struct Summary {
+    /// The policy.
+    pub policy: String,
+    /// The seed.
+    pub seed: u64,
+    /// Arrivals over capacity.
+    pub load: f64,
+    /// The scenario.
+    pub scenario: String,
+    /// All programs.
+    pub all: GroupSummary,
+    /// By class.
+    pub classes: Vec<GroupSummary>,
+    /// By team.
+    pub teams: Vec<GroupSummary>,
+    /// Prompt tokens prefilled.
+    pub prefilled_tokens: u64,
+    /// Of these, tokens that a perfect cache would have held.
+    pub wasted_tokens: u64,
+    /// The least attainment of a team over the mean, without a noisy one.
+    pub worst_team: f64,
+    /// Refusals of first calls.
+    pub refused_first: u64,
+    /// Refusals of later calls.
+    pub refused_later: u64,
+    /// Programs that hadn't ended when the run did.
+    pub unended: u64,
+    /// Programs within their target a second.
+    pub goodput_per_s: f64,
+}
+
+impl Summary {
+    /// Takes the figures of a run.
+    pub fn new(experiment: &Experiment, policy: &str, measures: &Measures) -> Self {
+        let noisy = experiment.noisy_team();
+        Self {
+            policy: policy.into(),
+            seed: experiment.seed,
+            load: experiment.load,
+            scenario: experiment.scenario.clone(),
+            all: GroupSummary::new(&measures.all),
+            classes: measures.classes.iter().map(GroupSummary::new).collect(),
+            teams: measures.teams.iter().map(GroupSummary::new).collect(),
+            prefilled_tokens: measures.prefilled_tokens,
+            wasted_tokens: measures.wasted_tokens,
+            worst_team: measures.worst_team(noisy.as_deref()),
+            refused_first: measures.refused_first,
+            refused_later: measures.refused_later,
+            unended: measures.unended,
+            goodput_per_s: experiment.goodput_per_s(measures),
+        }
+    }
+
+    /// This run's figures over those of a baseline.
+    pub fn ratios(&self, baseline: &Self) -> Ratios {
+        let over = |own: f64, other: f64| if other > 0.0 { own / other } else { f64::NAN };
+        Ratios {
+            p50: over(self.all.p50_s, baseline.all.p50_s),
+            p95: over(self.all.p95_s, baseline.all.p95_s),
+            p99: over(self.all.p99_s, baseline.all.p99_s),
+            wasted_tokens: over(self.wasted_tokens as f64, baseline.wasted_tokens as f64),
+            goodput: over(self.goodput_per_s, baseline.goodput_per_s),
+        }
+    }
+}
+
+/// Figures of one run over those of another.
+#[derive(Clone, Copy, Debug, serde::Serialize)]
+pub struct Ratios {
+    /// Of the median latency.
+    pub p50: f64,
+    /// Of the 95th percentile.
+    pub p95: f64,
+    /// Of the 99th percentile.
+    pub p99: f64,
+    /// Of wasted prefill.
+    pub wasted_tokens: f64,
+    /// Of programs within their target a second.
+    pub goodput: f64,
+}
+
+impl Display for Ratios {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            f,
+            "ratio to naive: p50 {:.2}, p95 {:.2}, p99 {:.2}, wasted prefill {:.3}, goodput {:.2}",
+            self.p50, self.p95, self.p99, self.wasted_tokens, self.goodput
+        )
+    }
+}
+
+impl GroupSummary {
+    fn new(group: &Group) -> Self {
+        Self {
+            name: group.name.clone(),
+            programs: group.programs,
+            attainment: group.attainment(),
+            given_up: group.given_up,
+            p50_s: group.latency_s(0.5),
+            p95_s: group.latency_s(0.95),
+            p99_s: group.latency_s(0.99),
+        }
+    }
+}
+
+impl Display for GroupSummary {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            f,
+            "{:<12} {:>6} programs, within target {:>5.1} %, p50 {:>7.1} s, p95 {:>7.1} s, \
+             p99 {:>7.1} s, given up {}",
+            self.name,
+            self.programs,
+            self.attainment * 100.0,
+            self.p50_s,
+            self.p95_s,
+            self.p99_s,
+            self.given_up
+        )
+    }
+}
+
+impl Display for Summary {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self { policy, seed, load, scenario, .. } = self;
+        writeln!(f, "{policy}, seed {seed}, load {load}, scenario {scenario}")?;
+        writeln!(f, "  {}", self.all)?;
+        for class in &self.classes {
+            writeln!(f, "  class {class}")?;
+        }
+        for team in &self.teams {
+            writeln!(f, "  team  {team}")?;
+        }
+        let millions = |tokens: u64| tokens as f64 / 1e6;
+        writeln!(
+            f,
+            "  wasted prefill {:.1} of {:.1} million tokens; worst team {:.3} of the mean",
+            millions(self.wasted_tokens),
+            millions(self.prefilled_tokens),
+            self.worst_team
+        )?;
+        write!(
+            f,
+            "  refused first calls {}, later calls {}; unended {}; goodput {:.3} programs/s",
+            self.refused_first, self.refused_later, self.unended, self.goodput_per_s
+        )
+    }
+}
+
+/// Figures of several seeds: the median and the worst of each.
+#[derive(Clone, Debug, serde::Serialize)]
+pub struct Spread {
+    /// What is measured.
+    pub name: String,
+    /// The median over the seeds.
+    pub median: f64,
+    /// The worst over the seeds.
+    pub worst: f64,
+}
+
+impl Spread {
+    /// Takes one figure of all seeds.
+    pub fn new(name: &str, mut values: Vec<f64>, is_higher_better: bool) -> Self {
+        values.sort_by(f64::total_cmp);
+        let median = values.get(values.len() / 2).copied().unwrap_or(f64::NAN);
+        let worst = if is_higher_better { values.first() } else { values.last() };
+        Self { name: name.into(), median, worst: worst.copied().unwrap_or(f64::NAN) }
+    }
+}
+
+impl Display for Spread {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:<28} median {:>9.3}  worst {:>9.3}", self.name, self.median, self.worst)
+    }
+}
--- /dev/null
+++ b/crates/load/tests/policy.rs
@@ -0,0 +1,114 @@
+//! The measuring tool itself: its engine model, its programs and its promise of determinism.
+
+use trefoilring_load::{
+    Experiment,
+    engine::{Engine, Job},
+    experiment::RunLength,
+    plan::Plan,
+    summary::Summary,
+    workload::Workload,
+};
+
+fn workload() -> Workload {
+    Workload::load("kaalachakra").expect("the committed workload is valid")
+}
+
+fn job(program: usize, prompt_tokens: u64) -> Job {
+    Job { id: program as u64, program, prompt_tokens, output_tokens: 10, came_us: 0 }
+}
+
+/// Runs all that was submitted. Returns the cached tokens of each turn and the time.
+fn run(engine: &mut Engine) -> (Vec<u64>, u64) {
+    let (mut cached, mut now_us) = (Vec::new(), 0);
+    while let Some(length_us) = engine.begin_step() {
+        now_us += length_us;
+        cached.extend(engine.end_step(now_us).into_iter().map(|ended| ended.cached_tokens));
+    }
+    (cached, now_us)
+}
+
+#[test]
+fn an_engine_finds_a_prefix_until_its_memory_is_needed() {
+    let settings = workload().engine;
+    let capacity = settings.kv_capacity_tokens;
+    let mut engine = Engine::new(settings);
+    let mut turn = |program, prompt_tokens| {
+        engine.submit(job(program, prompt_tokens));
+        run(&mut engine).0[0]
+    };
+    assert_eq!(turn(1, 10_000), 0);
+    assert_eq!(turn(1, 11_000), 10_010, "history and answer are held");
+    turn(2, capacity - 1_000);
+    assert!(turn(1, 12_000) < 1_000, "most of the prefix had to go");
+}
+
+#[test]
+fn an_engine_slows_down_with_its_batch() {
+    let time = |count: usize| {
+        let mut engine = Engine::new(workload().engine);
+        (0..count).for_each(|program| engine.submit(job(program, 2_000)));
+        run(&mut engine).1
+    };
+    assert!(time(8) > time(1), "each sequence takes time");
+    assert!(time(8) < 8 * time(1), "a batch shares the steps");
+}
+
+#[test]
+fn the_same_seed_gives_the_same_figures() {
+    let experiment =
+        |seed| Experiment { workload: workload(), scenario: "steady".into(), load: 0.5, seed };
+    let figures = |seed| {
+        println!("seed {seed}");
+        let measures = experiment(seed).run("trefoilring").expect("valid").expect("known");
+        let summary = Summary::new(&experiment(seed), "trefoilring", &measures);
+        serde_json::to_string(&summary).expect("plain figures")
+    };
+    assert_eq!(figures(1), figures(1));
+    assert_ne!(figures(1), figures(2));
+}
+
+#[test]
+fn a_noisy_team_changes_no_program_of_another() {
+    let workload = workload();
+    let lines = workload.scenario("noisy").expect("committed");
+    let noisy = lines[0].noisy_team.clone().expect("names a team");
+    let of_others = |plan: Plan| {
+        let roots = plan.programs.into_iter().filter(|program| program.parent.is_none());
+        let others = roots.filter(|program| workload.teams[program.team].name != noisy);
+        others.map(|program| (program.arrives_us, program.turns.len())).collect::<Vec<_>>()
+    };
+    let steady = Plan::draw(&workload, 3, 0.5, 1_000.0, &[]);
+    let surge = Plan::draw(&workload, 3, 0.5, 1_000.0, &lines);
+    assert!(surge.programs.len() > steady.programs.len());
+    assert_eq!(of_others(steady), of_others(surge));
+}
+
+#[test]
+fn both_workloads_reach_the_stated_sizes() {
+    for name in ["kaalachakra", "isiyol"] {
+        let workload = Workload::load(name).expect("valid");
+        assert_eq!((workload.pool.workers, workload.teams.len()), (9, 8), "{name}");
+        let plan = Plan::draw(&workload, 1, 1.0, 20_000.0, &[]);
+        let turns = plan.programs.iter().map(|program| program.turns.len());
+        assert!(turns.max() > Some(150), "{name} has programs of nearly 200 turns");
+    }
+}
+
+#[test]
+fn a_bad_workload_is_refused_with_its_fault() {
+    let good = include_str!("../workloads/isiyol.toml");
+    let cases = [
+        ("share = 0.55", "share = 0.5", "shares of the classes"),
+        ("share = 0.26", "share = 0.3", "shares of the teams"),
+        ("workers = 9", "workers = 0", "needs workers"),
+        ("noisy_team = \"tuzgolu\"", "noisy_team = \"nobody\"", "the team nobody"),
+        ("lose_workers = [4]", "lose_workers = [9]", "a worker that there isn't"),
+        ("chunk_tokens = 1024", "chunk = 1024", "is not valid"),
+    ];
+    for (from, to, fault) in cases {
+        assert!(good.contains(from), "{from}");
+        let refused = Workload::parse("test", &good.replace(from, to));
+        let message = refused.expect_err(to).to_string();
+        assert!(message.contains(fault), "{message}");
+    }
+}
