Finish chunked answers whose last line break comes in two packets

Cause: async-h1's chunk decoder returns without a wake-up when a packet ends between the last CR and LF; the call then hung until its deadline.

Change: a chunked body that shows nothing new is looked at again every 50 ms.

Conclusion: the new row fails without the change.

--- a/crates/platform/src/http/exchange.rs
+++ b/crates/platform/src/http/exchange.rs
@@ -18,6 +18,8 @@
 
 /// Bytes of an answer beside its body: head, chunk sizes and what the reader takes ahead.
 const MAX_FRAMING_BYTES: u64 = 64 * 1024;
+/// Time after which a chunked body that shows nothing new is looked at again.
+const REREAD: Duration = Duration::from_millis(50);
 /// Bytes read at a time.
 const READ_BYTES: usize = 16 * 1024;
 
@@ -265,8 +267,8 @@
     async fn read_into(&mut self, body: &mut Vec<u8>) -> Result<(), CallError> {
         let mut buffer = vec![0; READ_BYTES];
         loop {
-            let count =
-                self.body.read(&mut buffer).await.map_err(|error| self.body_error(&error))?;
+            let read = self.read_some(&mut buffer).await;
+            let count = read.map_err(|error| self.body_error(&error))?;
             if count == 0 {
                 break;
             }
@@ -286,6 +288,21 @@
         }
     }
 
+    /// Reads part of the body.
+    ///
+    /// The library's chunk decoder forgets to ask for a wake-up when a packet ends within the last
+    /// line break of a body, so a chunked body is looked at again after a while.
+    async fn read_some(&mut self, buffer: &mut [u8]) -> std::io::Result<usize> {
+        if self.length.is_some() {
+            return self.body.read(buffer).await;
+        }
+        loop {
+            if let Some(read) = before(Instant::now() + REREAD, self.body.read(buffer)).await {
+                return read;
+            }
+        }
+    }
+
     fn body_error(&self, error: &std::io::Error) -> CallError {
         let kind =
             if self.connection.is_exhausted() { ErrorKind::TooLarge } else { ErrorKind::Broken };
--- a/crates/platform/src/http/mod.rs
+++ b/crates/platform/src/http/mod.rs
@@ -132,13 +132,14 @@
     }
 }
 
-/// Runs a future until the deadline; `None` when the deadline came first.
+/// Runs a future until the deadline; `None` when the deadline came first, even if the work would be
+/// ready at the same moment.
 pub(crate) async fn before<T>(deadline: Instant, work: impl Future<Output = T>) -> Option<T> {
     let timer = async {
         Timer::at(deadline).await;
         None
     };
-    async { Some(work.await) }.or(timer).await
+    timer.or(async { Some(work.await) }).await
 }
 
 #[cfg(test)]
--- a/crates/platform/src/http/tests.rs
+++ b/crates/platform/src/http/tests.rs
@@ -11,6 +11,9 @@
 /// Far longer than any case takes, so that only a case that must time out does.
 const PATIENCE: Duration = Duration::from_secs(30);
 
+/// Where an answer is sent in two packets: the second once the first has surely been read.
+const PAUSE: &[u8] = b"<pause>";
+
 /// Serves each connection with the same bytes after the first byte of a request, then closes it, or
 /// keeps it open without a word if there are none.
 async fn raw_server(answer: Option<Vec<u8>>) -> (SocketAddr, smol::Task<()>) {
@@ -22,7 +25,7 @@
             let mut request = vec![0; 4096];
             stream.read(&mut request).await.ok();
             match &answer {
-                Some(answer) => stream.write_all(answer).await.unwrap_or_default(),
+                Some(answer) => write(&mut stream, answer).await,
                 None => silent.push(stream),
             }
         }
@@ -30,6 +33,19 @@
     (address, task)
 }
 
+async fn write(stream: &mut TcpStream, answer: &[u8]) {
+    let pause = answer.windows(PAUSE.len()).position(|window| window == PAUSE);
+    let Some(at) = pause else {
+        return stream.write_all(answer).await.unwrap_or_default();
+    };
+    stream.set_nodelay(true).unwrap();
+    stream.write_all(&answer[..at]).await.unwrap();
+    Timer::after(Duration::from_millis(20)).await;
+    stream.write_all(&answer[at + PAUSE.len()..]).await.unwrap();
+    // The connection stays open until the client has closed it: only the answer itself ends it.
+    stream.read(&mut [0]).await.ok();
+}
+
 fn get() -> Exchange {
     Exchange::new("GET", "x", MAX_BODY_BYTES)
 }
@@ -54,7 +70,7 @@
         "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n{}0\r\n\r\n",
         "1\r\nx\r\n".repeat(101)
     );
-    let cases: [(&str, &str); 20] = [
+    let cases: [(&str, &str); 21] = [
         ("", "may_have_run broken"),
         ("HTTP/1.1 200 OK\r\ncontent-le", "may_have_run broken"),
         ("HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nabc", "may_have_run broken"),
@@ -82,6 +98,10 @@
             "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n3\r\nabc\r\n",
             "may_have_run broken",
         ),
+        (
+            "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r<pause>\n",
+            "200 [content-type] abc",
+        ),
         (&many_chunks, "may_have_run too large"),
         (&long_line, "may_have_run too large"),
         ("SSH-2.0-x\r\n\r\n", "may_have_run malformed"),
