--- /dev/null
+++ b/crates/core/tests/journal_cases.rs
@@ -0,0 +1,298 @@
+//! Single failures of journals, one after the other.
+
+mod journal_world;
+
+use {
+    expect_test::expect,
+    journal_world::{Broken, Flight, Machine, World, created, intended},
+    std::time::{Duration, Instant},
+    trefoilring_core::{
+        ids::Member,
+        journal::{
+            AppendError, Backup, ClaimReply, Command, CopyReply, DurableBy, Entry, Event,
+            FailureKind, Journal, Owner, Settings, Takeover, TakeoverCommand, TakeoverEvent,
+        },
+    },
+};
+
+fn never(_: &Flight) -> bool {
+    false
+}
+
+fn is_write(flight: &Flight) -> bool {
+    matches!(flight, Flight::Write(..))
+}
+
+/// A world in which host 0 owns the journal and one program.
+fn owned_world(broken: Broken) -> World {
+    let mut world = World::new(broken);
+    world.take_over(0, 0);
+    world.run(5);
+    world.create(0);
+    world.run(5);
+    assert!(matches!(world.hosts[0].machine, Machine::Owning(_)));
+    world
+}
+
+fn is_owner(world: &World, host: usize) -> bool {
+    matches!(world.hosts[host].machine, Machine::Owning(_))
+}
+
+/// A successor that was slow meets a position that was deleted meanwhile.
+#[test]
+fn a_slow_successor_at_a_deleted_position_gives_up() {
+    for (broken, becomes_owner) in [(Broken::Nothing, false), (Broken::LookAfterOpening, true)] {
+        let mut world = owned_world(broken);
+        world.take_over(1, 0);
+        assert!(world.run_host(1, 20, is_write), "the successor writes");
+        let program = world.create(0);
+        world.run_host(0, 5, never);
+        world.create(0);
+        world.release(0, &program);
+        world.run_host(0, 60, never);
+        assert!(!world.store.contains_key(&3), "the position is deleted");
+        world.run_host(1, 20, never);
+        assert_eq!(is_owner(&world, 1), becomes_owner, "{broken:?}");
+        assert!(is_owner(&world, 0));
+    }
+}
+
+/// A former owner tries again to create an entry whose answer it never got, after its successor
+/// has deleted what it could.
+#[test]
+fn a_former_owner_never_finds_its_position_free() {
+    for is_applied in [true, false] {
+        let mut world = owned_world(Broken::Nothing);
+        let program = world.hosts[0].created.first().cloned().expect("a program");
+        world.step(0, &program, 1);
+        let write = world.flights.iter().position(is_write).expect("a write");
+        if is_applied {
+            world.deliver(write);
+        }
+        world.take_over(1, 0);
+        world.run_host(1, 20, never);
+        let own = world.create(1);
+        world.run_host(1, 5, never);
+        world.create(1);
+        world.release(1, &program);
+        world.release(1, &own);
+        world.run_host(1, 60, never);
+        assert!(world.deletions > 0, "the successor deletes");
+        assert!(world.store.contains_key(&3), "but not this");
+        // The host goes on where it was paused, and its call fails first.
+        let paused = world.flights.len();
+        world.fail(paused - 1, true);
+        world.run_host(0, 20, never);
+        world.create(0);
+        world.run_host(0, 20, never);
+        assert!(!is_owner(&world, 0));
+        assert_eq!(world.sent.values().sum::<u32>(), u32::from(is_applied));
+        assert_eq!(world.violations, Vec::<String>::new());
+    }
+}
+
+#[test]
+fn the_store_down_and_back() {
+    let mut world = owned_world(Broken::Nothing);
+    let program = world.hosts[0].created.first().cloned().expect("a program");
+    world.is_store_down = true;
+    for step in 0..3 {
+        world.step(0, &program, step);
+        world.run(20);
+    }
+    assert_eq!((world.by_backups, world.acked.len()), (3, 4), "all are durable at the backups");
+    assert_eq!(world.store.len(), 2);
+    world.is_store_down = false;
+    world.run(60);
+    let seqs: Vec<u64> = world.store.keys().copied().collect();
+    assert_eq!(seqs, [1, 2, 3, 4, 5], "flushed in order");
+    assert!(world.backups.iter().all(|(_, backup)| backup.held_bytes() == 0), "copies are dropped");
+}
+
+#[test]
+fn one_backup_is_not_enough() {
+    let mut world = owned_world(Broken::Nothing);
+    let program = world.hosts[0].created.first().cloned().expect("a program");
+    world.restart_backup(1);
+    world.is_store_down = true;
+    world.step(0, &program, 0);
+    world.run(100);
+    assert_eq!((world.by_backups, world.acked.len()), (0, 1), "not durable, and not lost");
+    let Machine::Owning(journal) = &mut world.hosts[0].machine else { panic!("no owner") };
+    assert!(journal.wants_backups());
+    let names = [world.backups[1].0.clone(), world.backups[2].0.clone()];
+    let commands = journal.rename_backups(world.now, names.into());
+    assert!(commands.iter().all(|command| matches!(command, Command::WakeAt(_))), "{commands:?}");
+    world.is_store_down = false;
+    world.run(60);
+    assert_eq!(world.acked.len(), 2, "durable once the store is back");
+    let Machine::Owning(journal) = &world.hosts[0].machine else { panic!("no owner") };
+    assert!(!journal.wants_backups());
+    assert_eq!(journal.epoch(), 2);
+}
+
+#[test]
+fn a_planned_handover_needs_no_claim() {
+    let mut world = owned_world(Broken::Nothing);
+    let Machine::Owning(journal) = &mut world.hosts[0].machine else { panic!("no owner") };
+    let commands = journal.handle(world.now, Event::Closing);
+    assert_eq!(commands, [Command::Closed { next_seq: 3 }]);
+    let error = journal.append(world.now, vec![], 9).expect_err("closed");
+    assert_eq!(error, AppendError::Fenced);
+    let entries: Vec<Entry> = world.store.values().map(|entry| Entry::clone(entry)).collect();
+    for (handed_over, claims) in [(Some(3), false), (Some(2), true), (None, true)] {
+        let me = Member { host: "b".into(), incarnation: 1 };
+        let journal = world.journal.clone();
+        let mut takeover = Takeover::new(Settings::default(), journal, me, vec![], handed_over);
+        takeover.start();
+        let out = takeover.handle(world.now, TakeoverEvent::Entries(entries.clone()));
+        let has_claimed = matches!(out[..], [TakeoverCommand::Claim { .. }]);
+        assert_eq!(has_claimed, claims, "{handed_over:?}: {out:?}");
+    }
+}
+
+/// An owner without backups, alone with a store that answers by hand.
+fn lone_owner(settings: Settings, now: Instant) -> Journal {
+    let me = Member { host: "a".into(), incarnation: 1 };
+    let mut takeover = Takeover::new(settings, "j".into(), me, vec![], None);
+    takeover.start();
+    takeover.handle(now, TakeoverEvent::Entries(vec![]));
+    takeover.handle(now, TakeoverEvent::Journal(Event::Stored { seq: 1 }));
+    let out = takeover.handle(now, TakeoverEvent::Entries(vec![]));
+    let owned = out.into_iter().find_map(|command| match command {
+        TakeoverCommand::Done(owned) => Some(owned),
+        _ => None,
+    });
+    owned.expect("the journal is owned").journal
+}
+
+fn written(commands: &[Command]) -> Option<&Entry> {
+    commands.iter().find_map(|command| match command {
+        Command::Write(entry) => Some(entry.as_ref()),
+        _ => None,
+    })
+}
+
+#[test]
+fn records_are_grouped_and_spaced() {
+    let now = Instant::now();
+    let mut journal = lone_owner(Settings::default(), now);
+    let record = || vec![created(&"p".into())];
+    let first = journal.append(now, record(), 1).expect("taken");
+    assert_eq!(written(&first).map(|entry| entry.records.len()), Some(1), "at once when idle");
+    for token in 2..10 {
+        let more = journal.append(now, record(), token).expect("taken");
+        assert_eq!(written(&more), None, "one write at a time");
+    }
+    let early = now + Duration::from_millis(5);
+    let stored = journal.handle(early, Event::Stored { seq: 2 });
+    let durable = Command::Durable { tokens: vec![1], by: DurableBy::Store };
+    assert!(stored.contains(&durable));
+    assert_eq!(written(&stored), None, "not before the spacing is over");
+    let at = now + Settings::default().spacing;
+    assert!(stored.contains(&Command::WakeAt(at)), "{stored:?}");
+    let second = journal.handle(at, Event::Tick);
+    assert_eq!(written(&second).map(|entry| entry.records.len()), Some(8));
+}
+
+#[test]
+fn a_late_record_is_told_once_and_may_still_become_durable() {
+    let now = Instant::now();
+    let settings = Settings::default();
+    let mut journal = lone_owner(settings.clone(), now);
+    journal.append(now, vec![created(&"p".into())], 1).expect("taken");
+    journal.append(now, vec![created(&"q".into())], 2).expect("taken");
+    let late = now + settings.late_after;
+    let told = journal.handle(late, Event::Tick);
+    assert!(told.contains(&Command::Late { tokens: vec![1, 2] }), "{told:?}");
+    let failed = Event::StoreFailed { seq: 2, kind: FailureKind::Unknown };
+    let again = journal.handle(late, failed);
+    assert!(!again.iter().any(|command| matches!(command, Command::Late { .. })), "{again:?}");
+    let retried = journal.handle(late + settings.retry_after, Event::Tick);
+    let entry = written(&retried).expect("tried again").clone();
+    // The first write did take effect: the entry meets itself.
+    let found = Some(std::sync::Arc::new(entry));
+    let done = journal.handle(late + settings.retry_after, Event::Conflict { seq: 2, found });
+    assert!(done.contains(&Command::Durable { tokens: vec![1], by: DurableBy::Store }), "{done:?}");
+}
+
+#[test]
+fn records_that_are_not_taken() {
+    let now = Instant::now();
+    let settings = Settings { max_entry_bytes: 4096, max_queue_bytes: 1500, ..Settings::default() };
+    let mut journal = lone_owner(settings, now);
+    let step = |bytes| vec![intended(&"p".into(), &"x".repeat(bytes).into())];
+    let large = journal.append(now, step(3000), 1).expect_err("too large");
+    expect!["the records have 3070 bytes, an entry holds 2048"].assert_eq(&large.to_string());
+    journal.append(now, step(1000), 2).expect("in flight");
+    journal.append(now, step(1000), 3).expect("waits");
+    assert_eq!(journal.append(now, step(1000), 4).expect_err("full"), AppendError::Full);
+    journal.handle(now, Event::Closing);
+    assert_eq!(journal.append(now, step(1), 5).expect_err("closing"), AppendError::Closing);
+    let foreign = Entry { epoch: 9, ..empty_entry(2) };
+    let found = Some(std::sync::Arc::new(foreign));
+    let fenced = journal.handle(now, Event::Conflict { seq: 2, found });
+    let expected = [
+        Command::Lost { tokens: vec![2] },
+        Command::Dropped { tokens: vec![3] },
+        Command::Fenced { by_epoch: 9 },
+    ];
+    assert_eq!(fenced, expected);
+    assert_eq!(journal.append(now, step(1), 6).expect_err("fenced"), AppendError::Fenced);
+}
+
+fn empty_entry(seq: u64) -> Entry {
+    let writer = Member { host: "b".into(), incarnation: 1 };
+    let json = serde_json::json!({ "journal": "j", "seq": seq, "epoch": 1, "writer": writer });
+    serde_json::from_value(json).expect("an entry without later fields is read")
+}
+
+#[test]
+fn a_backup_answers_by_member_claim_and_journal() {
+    let me = Member { host: "d".into(), incarnation: 2 };
+    let mut backup = Backup::new(me.clone(), 1000);
+    let other = Member { host: "d".into(), incarnation: 1 };
+    let owner =
+        |host: &str, epoch| Owner { member: Member { host: host.into(), incarnation: 1 }, epoch };
+    let entry = |journal: &str, seq| Entry { journal: journal.into(), ..empty_entry(seq) };
+    assert_eq!(backup.copy(&other, entry("j", 1)), CopyReply::OtherMember);
+    assert_eq!(backup.copy(&me, entry("j", 1)), CopyReply::Acked);
+    assert_eq!(backup.copy(&me, entry("j", 1)), CopyReply::Acked, "again");
+    assert_eq!(backup.copy(&me, entry("k", 1)), CopyReply::Acked);
+    let (j, k) = ("j".into(), "k".into());
+    assert_eq!(backup.claim(&other, &j, &owner("c", 2)), ClaimReply::OtherMember);
+    assert_eq!(backup.claim(&me, &j, &owner("c", 1)), ClaimReply::Refused { epoch: 1 });
+    let claimed = ClaimReply::Claimed { copies: vec![entry("j", 1)] };
+    for _ in 0..2 {
+        assert_eq!(backup.claim(&me, &j, &owner("c", 2)), claimed, "also when asked again");
+    }
+    assert_eq!(backup.claim(&me, &j, &owner("a", 2)), ClaimReply::Refused { epoch: 2 });
+    assert_eq!(backup.copy(&me, entry("j", 2)), CopyReply::Refused { epoch: 2 });
+    assert_eq!(backup.copy(&me, entry("k", 2)), CopyReply::Acked, "another journal");
+    let own = Entry { epoch: 2, writer: owner("c", 2).member, ..entry("j", 3) };
+    assert_eq!(backup.copy(&me, own), CopyReply::Acked, "the claimer itself");
+    backup.discard(&j, 2, 3);
+    backup.discard(&k, 1, 1);
+    let large = Entry { records: vec![created(&"p".repeat(900).into())], ..entry("k", 3) };
+    assert_eq!(backup.copy(&me, large), CopyReply::Full);
+    let left = ClaimReply::Claimed { copies: vec![entry("k", 2)] };
+    assert_eq!(backup.claim(&me, &k, &owner("c", 2)), left);
+}
+
+/// What the first version stored, without any later field, is read as it was meant.
+#[test]
+fn an_older_entry_is_read() {
+    let json = r#"{"journal":"j","seq":1,"epoch":1,"writer":{"host":"a","incarnation":7},
+        "takeover":{},"records":[
+        {"created":{"program":"p","parent":null,"team":"t","class":"c",
+            "budget":{"turns":1,"tokens":2,"wall_ms":3},"step":null,"created_ms":4}},
+        {"turn_ended":{"program":"p","step":"s","request_hash":5,
+            "messages":[{"role":"user","content":0.1,"a_later_field":true}],
+            "usage":{"prompt_tokens":1,"cached_tokens":0,"completion_tokens":1},
+            "upstream":"u","result":{"status":200,"headers":[]},"a_later_field":1}},
+        {"not_run":{"program":"p","step":"s"}},
+        {"ended":{"program":"p","why":"done"}}],"a_later_field":2}"#;
+    let entry: Entry = serde_json::from_str(json).expect("an older entry is read");
+    expect![[r#"{"journal":"j","seq":1,"epoch":1,"writer":{"host":"a","incarnation":7},"stored_seq":0,"takeover":{"backups":[],"is_planned":false},"records":[{"created":{"program":"p","parent":null,"team":"t","class":"c","budget":{"turns":1,"tokens":2,"wall_ms":3},"step":null,"created_ms":4}},{"turn_ended":{"program":"p","step":"s","request_hash":5,"messages":[{"role":"user","content":0.1,"a_later_field":true}],"usage":{"prompt_tokens":1,"cached_tokens":0,"completion_tokens":1},"upstream":"u","result":{"status":200,"headers":[],"text":""}}},{"not_run":{"program":"p","step":"s"}},{"ended":{"program":"p","why":"done"}}]}"#]]
+        .assert_eq(&serde_json::to_string(&entry).expect("an entry is JSON"));
+}
--- a/crates/core/tests/journal_world/mod.rs
+++ b/crates/core/tests/journal_world/mod.rs
@@ -49,6 +49,20 @@
     Answer(Asker, TakeoverEvent),
 }
 
+impl Flight {
+    fn asker(&self) -> Asker {
+        match self {
+            Self::Write(asker, _)
+            | Self::Read(asker, _)
+            | Self::ReadAfter(asker, ..)
+            | Self::Delete(asker, _)
+            | Self::Copy(asker, ..)
+            | Self::Claim(asker, ..)
+            | Self::Answer(asker, _) => *asker,
+        }
+    }
+}
+
 pub enum Machine {
     Idle,
     Taking(Box<Takeover>),
@@ -547,6 +561,21 @@
         }
     }
 
+    /// Delivers what one host waits for, and lets time pass for it, until `stops` holds for a call
+    /// of that host. That call stays in flight.
+    pub fn run_host(&mut self, host: usize, rounds: u32, stops: impl Fn(&Flight) -> bool) -> bool {
+        for _ in 0..rounds {
+            while let Some(index) = self.flights.iter().position(|f| f.asker().0 == host) {
+                if stops(&self.flights[index]) {
+                    return true;
+                }
+                self.deliver(index);
+            }
+            self.pass(Duration::from_millis(10));
+        }
+        false
+    }
+
     /// What a reader sees in the store now.
     pub fn recovered(&self) -> Recovery {
         recover(self.store.values().map(|entry| stored_form(entry)).collect())
--- /dev/null
+++ b/crates/core/tests/program_cases.rs
@@ -0,0 +1,217 @@
+//! Single rules of programs.
+
+mod program_calls;
+
+use {
+    program_calls::{Clock, call, caller, create, request, result, tool, turn, usage},
+    std::time::Duration,
+    trefoilring_core::{
+        catalog::Budget,
+        journal::Record,
+        message::Message,
+        program::{Begin, Cleared, Create, Finish, Moment, Permit, Programs, Run, Settings},
+        verdict::{Reason, Refusal, Verdict},
+    },
+};
+
+const SMALL: Budget = Budget { turns: 10, tokens: 100, wall_ms: 60_000 };
+
+fn programs(budget: Budget) -> (Programs, Clock) {
+    let clock = Clock::new();
+    let mut programs = Programs::new(Settings::default());
+    create(&mut programs, clock.0, "p", None, budget).expect("made");
+    (programs, clock)
+}
+
+fn run(begin: Begin) -> Run {
+    match begin {
+        Begin::Run(run) => *run,
+        other => panic!("does not run: {other:?}"),
+    }
+}
+
+fn cleared(permit: Permit) -> Cleared {
+    match permit {
+        Permit::Now(cleared) => cleared,
+        Permit::AfterIntent(intent) => panic!("needs an intent: {intent:?}"),
+    }
+}
+
+fn reason(begin: Begin) -> (Verdict, Reason) {
+    match begin {
+        Begin::Refuse(refusal) => (refusal.verdict, refusal.reason),
+        other => panic!("not refused: {other:?}"),
+    }
+}
+
+/// Runs a turn to its durable end.
+fn run_turn(programs: &mut Programs, now: Moment, program: &str, step: &str, tokens: (u64, u64)) {
+    let run = run(programs.begin(now, &call(program, step, step, turn("hi", 10)), 1, true));
+    let sent = programs.send(cleared(run.permit), "u".into());
+    let answer = Message::text("assistant", step);
+    let usage = usage(tokens.0, tokens.1);
+    let ending = programs.turn_ended(sent, answer, usage, "u".into(), result(step));
+    programs.ending_durable(now, ending);
+}
+
+#[test]
+fn children_beside_each_other_do_not_overspend() {
+    let (mut programs, clock) = programs(SMALL);
+    for child in ["c1", "c2", "c3"] {
+        create(&mut programs, clock.0, child, Some("p"), SMALL).expect("made");
+    }
+    let mut begin = |program, wanted| {
+        programs.begin(clock.0, &call(program, "s", program, turn("abcd", wanted)), 1, true)
+    };
+    assert_eq!(run(begin("c1", 59)).completion_tokens, 59);
+    assert_eq!(run(begin("c2", 500)).completion_tokens, 39, "what is left");
+    let refused = reason(begin("c3", 1));
+    assert_eq!(refused, (Verdict::NotRun, Reason::BudgetSpent));
+}
+
+#[test]
+fn a_reservation_ends_with_its_turn() {
+    let (mut programs, clock) = programs(SMALL);
+    let work = || turn("abcd", 99);
+    let first = run(programs.begin(clock.0, &call("p", "s", "r1", work()), 1, true));
+    let sent = programs.send(cleared(first.permit), "u".into());
+    assert!(matches!(programs.unknown(sent), Finish::Free));
+    run_turn(&mut programs, clock.0, "p", "s2", (30, 20));
+    let info = programs.info(clock.0, &"p".into(), &caller("t")).expect("there");
+    assert_eq!((info.turns, info.tokens, info.history_messages), (1, 50, 2));
+    let next = run(programs.begin(clock.0, &call("p", "s3", "r3", work()), 1, true));
+    assert_eq!((next.completion_tokens, next.prompt_tokens), (49, 51));
+    assert_eq!(next.messages.len(), 3, "history and the new message");
+}
+
+#[test]
+fn calls_of_a_program_run_in_the_order_received() {
+    let (mut programs, clock) = programs(Budget::default());
+    let begin = |programs: &mut Programs, step: &str, request: &str, hash| {
+        programs.begin(clock.0, &call("p", step, request, tool()), hash, true)
+    };
+    let first = run(begin(&mut programs, "s1", "r1", 1));
+    assert!(matches!(begin(&mut programs, "s2", "r2", 1), Begin::Wait));
+    assert!(matches!(begin(&mut programs, "s3", "r3", 1), Begin::Wait));
+    assert!(matches!(begin(&mut programs, "s3", "r3", 1), Begin::Wait), "again");
+    assert!(matches!(begin(&mut programs, "s1", "r4", 1), Begin::Join), "runs");
+    assert!(matches!(begin(&mut programs, "s2", "r5", 1), Begin::Join), "waits");
+    for step in ["s1", "s2"] {
+        let refused = reason(begin(&mut programs, step, "r6", 2));
+        assert_eq!(refused, (Verdict::NotRun, Reason::StepConflict));
+    }
+    assert_eq!(programs.next(&"p".into()), None, "one runs");
+    let sent = programs.send(cleared(first.permit), "u".into());
+    let ending = programs.call_ended(sent, result("one"));
+    assert_eq!(programs.next(&"p".into()), None, "its end is not durable");
+    programs.ending_durable(clock.0, ending);
+    programs.leave(&"p".into(), &"r2".into());
+    let next = programs.next(&"p".into()).expect("a call waits");
+    assert_eq!((&*next.step, &*next.request), ("s3", "r3"));
+    assert!(matches!(begin(&mut programs, "s4", "r7", 1), Begin::Wait), "not before s3");
+    run(begin(&mut programs, "s3", "r3", 1));
+    assert!(matches!(begin(&mut programs, "s1", "r8", 1), Begin::Replay(_)));
+}
+
+#[test]
+fn other_teams_and_forgotten_programs_look_alike() {
+    let (mut programs, clock) = programs(Budget::default());
+    for (program, team) in [("p", "other"), ("q", "t")] {
+        for (is_repeatable, verdict) in [(true, Verdict::NotRun), (false, Verdict::MayHaveRun)] {
+            let mut call = call(program, "s", "r", tool());
+            call.caller = caller(team);
+            let refused = reason(programs.begin(clock.0, &call, 1, is_repeatable));
+            assert_eq!(refused, (verdict, Reason::NotFound));
+        }
+        let missing = programs.info(clock.0, &program.into(), &caller(team)).expect_err("hidden");
+        assert_eq!(missing, Refusal::not_run(Reason::NotFound, "no such program"));
+        assert!(programs.history(&program.into(), &caller(team)).is_err());
+        assert!(programs.end(&program.into(), &caller(team)).is_err());
+    }
+}
+
+#[test]
+fn a_creation_is_idempotent() {
+    let (mut programs, clock) = programs(SMALL);
+    let make = |programs: &mut Programs, step: &str, budget, id: &str| {
+        let request = request(None, Some(step), budget);
+        programs.create(clock.0, &caller("t"), &request, SMALL, id.into())
+    };
+    let Create::New(record) = make(&mut programs, "k", None, "q") else { panic!("not new") };
+    assert!(matches!(make(&mut programs, "k", None, "q2"), Create::Pending(id) if &*id == "q"));
+    programs.creation_durable(clock.0, &"q".into());
+    assert!(
+        matches!(make(&mut programs, "k", None, "q3"), Create::Exists(info) if &*info.program == "q")
+    );
+    let other = Budget { turns: 3, ..SMALL };
+    let conflict = make(&mut programs, "k", Some(other), "q4");
+    assert!(matches!(conflict, Create::Refuse(r) if r.reason == Reason::StepConflict));
+    let large = Budget { turns: 11, ..SMALL };
+    let refused = make(&mut programs, "l", Some(large), "q5");
+    assert!(
+        matches!(refused, Create::Refuse(r) if r.detail == "budget.turns is 11, accepted is 1 to 10")
+    );
+    let Create::New(_) = make(&mut programs, "m", None, "q6") else { panic!("not new") };
+    programs.creation_failed(&"q6".into());
+    assert!(matches!(make(&mut programs, "m", None, "q7"), Create::New(_)));
+    let mut recovered = Programs::new(Settings::default());
+    assert!(recovered.apply(clock.0, &record));
+    assert!(matches!(make(&mut recovered, "k", None, "q8"), Create::Exists(_)), "after a takeover");
+}
+
+#[test]
+fn ends_release_memory_and_programs_are_forgotten_with_their_topmost_parent() {
+    let (mut programs, mut clock) = programs(Budget::default());
+    create(&mut programs, clock.0, "c", Some("p"), Budget::default()).expect("made");
+    run_turn(&mut programs, clock.0, "p", "s", (10, 5));
+    let running = run(programs.begin(clock.0, &call("c", "s", "r", turn("x", 1)), 1, true));
+    let sent = programs.send(cleared(running.permit), "v".into());
+    let ends = programs.end(&"p".into(), &caller("t")).expect("ends");
+    let ended: Vec<&str> = ends.iter().map(|record| &**record.program()).collect();
+    assert_eq!(ended, ["c", "p"], "children first");
+    assert_eq!(programs.end(&"p".into(), &caller("t")), Ok(vec![]), "again");
+    let refused = reason(programs.begin(clock.0, &call("p", "s9", "r", tool()), 1, true));
+    assert_eq!(refused, (Verdict::NotRun, Reason::ProgramEnded));
+    let released = programs.end_durable(clock.0, &ends);
+    let released: Vec<_> = released.iter().map(|r| (&*r.program, &*r.upstreams[0])).collect();
+    assert_eq!(released, [("p", "u")], "the child's call still runs");
+    let answer = Message::text("assistant", "late");
+    let ending = programs.turn_ended(sent, answer, usage(1, 1), "v".into(), result("late"));
+    let late = programs.ending_durable(clock.0, ending).expect("memory to release");
+    assert_eq!((&*late.program, &*late.upstreams[0]), ("c", "v"));
+    assert!(matches!(
+        programs.begin(clock.0, &call("c", "s", "r", turn("x", 1)), 1, true),
+        Begin::Replay(_)
+    ));
+    clock.pass(Settings::default().keep_ended);
+    assert_eq!(programs.tick(clock.0).forgotten.len(), 0, "the child's records still count");
+    let forgotten = programs.tick(clock.0).forgotten;
+    assert_eq!(forgotten.iter().map(|id| &**id).collect::<Vec<_>>(), ["c", "p"]);
+    assert_eq!((programs.ids().count(), programs.estimated_bytes()), (0, 0));
+}
+
+#[test]
+fn idle_and_endless_programs_are_ended() {
+    let (mut programs, mut clock) = programs(Budget::default());
+    create(&mut programs, clock.0, "c", Some("p"), Budget::default()).expect("made");
+    create(&mut programs, clock.0, "w", None, SMALL).expect("made");
+    let whys = |programs: &mut Programs, now| -> Vec<String> {
+        let due = programs.tick(now);
+        programs.end_durable(now, &due.ends);
+        let why = |record: &Record| match record {
+            Record::Ended { program, why } => format!("{program} {why}"),
+            other => panic!("not an end: {other:?}"),
+        };
+        due.ends.iter().map(why).collect()
+    };
+    let running = run(programs.begin(clock.0, &call("w", "s", "r", tool()), 1, true));
+    clock.pass(Duration::from_millis(SMALL.wall_ms - 1));
+    assert_eq!(whys(&mut programs, clock.0), Vec::<String>::new());
+    assert_eq!(running.wall_left, Duration::from_millis(SMALL.wall_ms));
+    clock.pass(Duration::from_millis(1));
+    assert_eq!(whys(&mut programs, clock.0), ["w budget"], "also while a call runs");
+    clock.pass(Settings::default().idle_after);
+    assert_eq!(whys(&mut programs, clock.0), ["c abandoned"], "children first");
+    assert_eq!(whys(&mut programs, clock.0), ["p abandoned"]);
+    assert_eq!(programs.live_count(), 0);
+}
