Let a wait for an event be dropped without loss

Cause: a home waits for the next event and for other things at once; a line that was read in part went away with the dropped wait.

Change: the partial line and event live in the reader. Requests move their body instead of copying it. The stand-in engine's cache is checked against a count from scratch over 200 random histories.

Conclusion: a test that drops the wait after every poll reads whole events.

--- a/crates/platform/src/engine/chat.rs
+++ b/crates/platform/src/engine/chat.rs
@@ -73,7 +73,8 @@
 impl ChatStream {
     /// Returns the next event; `None` after the engine marked the end.
     ///
-    /// An error is the last item. A stream that ends without the mark is an error.
+    /// An error is the last item. A stream that ends without the mark is an error. The wait may be
+    /// dropped and taken up again; nothing is lost.
     pub async fn next(&mut self) -> Option<Result<ChatEvent, CallError>> {
         if self.is_ended {
             return None;
--- a/crates/platform/src/engine/sse.rs
+++ b/crates/platform/src/engine/sse.rs
@@ -23,53 +23,62 @@
 }
 
 /// Reads the data of events from a body.
+///
+/// Invariant: what was read of an event is kept here and not in a future, so that a caller may drop
+/// a wait and come back.
 #[derive(Debug)]
 pub(super) struct EventReader {
-    /// The limit bounds one line; it is set anew before each.
+    /// The limit bounds one line; it is set anew before each read.
     reader: Take<BufReader<Body>>,
+    /// The line read so far.
+    line: Vec<u8>,
+    /// Data of the event so far.
+    data: Option<String>,
+    /// Bytes of the event so far, without the line under way.
+    event_bytes: usize,
 }
 
 impl EventReader {
     pub(super) fn new(body: Body) -> Self {
-        Self { reader: BufReader::new(body).take(0) }
+        let reader = BufReader::new(body).take(0);
+        Self { reader, line: Vec::new(), data: None, event_bytes: 0 }
     }
 
     /// Returns the data of the next event, or `None` at the end of the body.
     ///
     /// Lines of other fields and comments are skipped. An event that the end cuts off is dropped.
     pub(super) async fn next(&mut self) -> Result<Option<String>, SseError> {
-        let mut data: Option<String> = None;
-        let mut event_bytes = 0;
         loop {
             let Some(line) = self.line().await? else {
                 return Ok(None);
             };
-            event_bytes += line.len();
-            if event_bytes > MAX_EVENT_BYTES {
+            self.event_bytes += line.len();
+            if self.event_bytes > MAX_EVENT_BYTES {
                 return Err(SseError::TooLong);
             }
             if line.is_empty() {
-                match data.take() {
+                self.event_bytes = 0;
+                match self.data.take() {
                     Some(data) => return Ok(Some(data)),
                     None => continue,
                 }
             }
             if let Some(value) = line.strip_prefix("data:") {
-                append(&mut data, value.strip_prefix(' ').unwrap_or(value));
+                append(&mut self.data, value.strip_prefix(' ').unwrap_or(value));
             }
         }
     }
 
     /// Returns a line without its end.
     async fn line(&mut self) -> Result<Option<String>, SseError> {
-        let mut line = Vec::new();
-        self.reader.set_limit(MAX_EVENT_BYTES as u64 + 1);
-        self.reader.read_until(b'\n', &mut line).await?;
-        match line.last() {
-            Some(b'\n') => line.pop(),
-            Some(_) if line.len() > MAX_EVENT_BYTES => return Err(SseError::TooLong),
+        self.reader.set_limit((MAX_EVENT_BYTES + 1 - self.line.len()) as u64);
+        self.reader.read_until(b'\n', &mut self.line).await?;
+        match self.line.last() {
+            Some(b'\n') => self.line.pop(),
+            Some(_) if self.line.len() > MAX_EVENT_BYTES => return Err(SseError::TooLong),
             _ => return Ok(None),
         };
+        let mut line = std::mem::take(&mut self.line);
         if line.last() == Some(&b'\r') {
             line.pop();
         }
--- a/crates/platform/src/engine/sse/tests.rs
+++ b/crates/platform/src/engine/sse/tests.rs
@@ -1,4 +1,11 @@
-use super::*;
+use {
+    super::*,
+    smol::io::AsyncRead,
+    std::{
+        pin::{Pin, pin},
+        task::{Context, Poll, Waker},
+    },
+};
 
 /// Reads all events; the last item is the error, if any.
 fn read(body: &[u8]) -> Vec<String> {
@@ -35,6 +42,48 @@
     }
 }
 
+/// Gives one byte at every second poll.
+struct Slow {
+    bytes: Vec<u8>,
+    is_ready: bool,
+}
+
+impl AsyncRead for Slow {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        _: &mut Context<'_>,
+        buffer: &mut [u8],
+    ) -> Poll<std::io::Result<usize>> {
+        self.is_ready = !self.is_ready;
+        match self.is_ready {
+            false => Poll::Pending,
+            true if self.bytes.is_empty() => Poll::Ready(Ok(0)),
+            true => {
+                buffer[0] = self.bytes.remove(0);
+                Poll::Ready(Ok(1))
+            }
+        }
+    }
+}
+
+#[test]
+fn a_dropped_wait_loses_nothing() {
+    let bytes = b"data: first\ndata: line\n\ndata: second\n\n".to_vec();
+    let body = Body::from_reader(BufReader::new(Slow { bytes, is_ready: false }), None);
+    let mut reader = EventReader::new(body);
+    let mut context = Context::from_waker(Waker::noop());
+    let mut events = Vec::new();
+    loop {
+        // Each wait is dropped after one poll.
+        match pin!(reader.next()).poll(&mut context) {
+            Poll::Pending => (),
+            Poll::Ready(Ok(Some(event))) => events.push(event),
+            Poll::Ready(end) => break assert!(end.unwrap().is_none()),
+        }
+    }
+    assert_eq!(events, ["first\nline", "second"]);
+}
+
 #[test]
 fn bounds_events_and_refuses_what_is_no_text() {
     let too_long = "an event is larger than 1048576 bytes";
--- a/crates/platform/src/http/exchange.rs
+++ b/crates/platform/src/http/exchange.rs
@@ -59,7 +59,8 @@
         2 * self.max_body_bytes as u64 + MAX_FRAMING_BYTES
     }
 
-    pub(super) fn to_request(&self, address: SocketAddr) -> Result<Request, CallError> {
+    /// Makes the library's request. The body moves: it may be a whole history.
+    pub(super) fn into_request(self, address: SocketAddr) -> Result<Request, CallError> {
         let invalid = |detail: String| CallError::not_run(ErrorKind::Invalid, detail);
         let method = Method::from_str(&self.method)
             .map_err(|_| invalid(format!("method {:?} is not known", self.method)))?;
@@ -72,7 +73,7 @@
             request.append_header(name.as_str(), value.as_str());
         }
         let has_type = request.header("content-type").is_some();
-        request.set_body(Body::from_bytes(self.body.clone()));
+        request.set_body(Body::from_bytes(self.body));
         if !has_type {
             // The library names a type of its own for every body.
             request.remove_header("content-type");
@@ -152,7 +153,7 @@
     client: Client,
     connection: Connection,
     request: Request,
-    exchange: Exchange,
+    max_body_bytes: usize,
     deadline: Instant,
 ) -> Result<Reply, CallError> {
     let is_head = request.method() == Method::Head;
@@ -170,7 +171,7 @@
         Some(Ok(response)) => response,
     };
     let mut reply = to_reply(response, is_head, client, connection)?;
-    reply.max_body_bytes = exchange.max_body_bytes;
+    reply.max_body_bytes = max_body_bytes;
     Ok(reply)
 }
 
--- a/crates/platform/src/http/mod.rs
+++ b/crates/platform/src/http/mod.rs
@@ -76,10 +76,11 @@
         reuse: Reuse,
         deadline: Instant,
     ) -> Result<Reply, CallError> {
-        let request = exchange.to_request(self.address)?;
+        let (max_body_bytes, max_read_bytes) = (exchange.max_body_bytes, exchange.max_read_bytes());
+        let request = exchange.into_request(self.address)?;
         let connection = self.connection(reuse, deadline).await?;
-        connection.begin(exchange.max_read_bytes());
-        exchange::run(self.clone(), connection, request, exchange, deadline).await
+        connection.begin(max_read_bytes);
+        exchange::run(self.clone(), connection, request, max_body_bytes, deadline).await
     }
 
     /// Sends a request and reads the whole answer.
--- a/crates/platform/src/http/tests.rs
+++ b/crates/platform/src/http/tests.rs
@@ -149,7 +149,7 @@
 #[test]
 fn a_request_has_no_header_of_the_librarys_own() {
     let written = smol::block_on(async {
-        let request = get().body(b"abc".to_vec()).to_request("127.0.0.1:9".parse().unwrap());
+        let request = get().body(b"abc".to_vec()).into_request("127.0.0.1:9".parse().unwrap());
         let mut text = String::new();
         let mut encoder = async_h1::client::Encoder::new(request.unwrap());
         encoder.read_to_string(&mut text).await.unwrap();
--- a/crates/standin/src/engine/cache/tests.rs
+++ b/crates/standin/src/engine/cache/tests.rs
@@ -1,4 +1,9 @@
-use {super::*, crate::engine::text, trefoilring_core::message::Message};
+use {
+    super::*,
+    crate::engine::text,
+    rand::{RngExt, SeedableRng, rngs::StdRng},
+    trefoilring_core::message::Message,
+};
 
 /// Blocks of ten tokens each, one for a letter of the name.
 fn blocks(name: &str) -> Vec<Block> {
@@ -71,3 +76,70 @@
     assert_eq!(to.cached_blocks(&blocks("abcd")), 3);
     assert!(!to.import(&blocks("abcdef"), &"p".into(), 0, &mut BTreeSet::new()));
 }
+
+/// Checks every invariant against a count from scratch.
+fn check(cache: &Cache) {
+    let sum = |is_meant: &dyn Fn(&Node) -> bool| -> u64 {
+        cache.nodes.values().filter(|node| is_meant(node)).map(|node| node.tokens).sum()
+    };
+    assert!(cache.used_tokens() <= cache.capacity_tokens);
+    assert_eq!(cache.cached_tokens, sum(&|_| true));
+    assert_eq!(cache.pinned_tokens, sum(&|node| node.pins > 0));
+    for (program, held) in &cache.programs {
+        assert_eq!(held.tokens, sum(&|node| node.holders.contains(program)), "{program}");
+    }
+    for (hash, node) in &cache.nodes {
+        let is_child = |other: &&Node| other.parent.as_ref() == Some(hash);
+        let children: Vec<_> = cache.nodes.values().filter(is_child).collect();
+        assert_eq!(node.children as usize, children.len());
+        assert!(children.iter().all(|child| child.holders.is_subset(&node.holders)));
+        assert!(children.iter().map(|child| child.pins).sum::<u32>() <= node.pins);
+        assert!(node.pins > 0 || !node.holders.is_empty(), "memory that nobody holds");
+        let is_evictable = node.pins == 0 && node.children == 0;
+        assert_eq!(cache.evictable.contains(&(node.used_at, *hash)), is_evictable);
+    }
+    assert!(cache.evictable.iter().all(|(_, hash)| cache.nodes.contains_key(hash)));
+}
+
+#[test]
+fn invariants_hold_over_random_histories() {
+    for seed in 0..200 {
+        println!("seed {seed}");
+        let mut rng = StdRng::seed_from_u64(seed);
+        let mut cache = Cache::new(rng.random_range(30..200));
+        let mut under_way = Vec::new();
+        for _ in 0..200 {
+            let program: ProgramId = format!("p{}", rng.random_range(0..4)).into();
+            match rng.random_range(0..5) {
+                0 => {
+                    cache.release(&program);
+                }
+                1 | 2 if !under_way.is_empty() => {
+                    let at = rng.random_range(0..under_way.len());
+                    let (blocks, pinned, reserved): (Vec<Block>, _, _) = under_way.remove(at);
+                    let keep = rng.random_bool(0.8).then_some((&program, 0));
+                    cache.finish(&blocks, pinned, reserved, keep);
+                }
+                _ => {
+                    let length = rng.random_range(1..6);
+                    let name: String =
+                        (0..length).map(|_| if rng.random_bool(0.6) { 'a' } else { 'b' }).collect();
+                    let blocks = blocks(&name);
+                    if let Some(pinned) = cache.admit(&blocks, 10, &mut BTreeSet::new()) {
+                        let reserved = 10 * (blocks.len() - pinned + 1) as u64;
+                        under_way.push((blocks, pinned, reserved));
+                    }
+                }
+            }
+            check(&cache);
+        }
+        for (blocks, pinned, reserved) in under_way {
+            cache.finish(&blocks, pinned, reserved, None);
+        }
+        for number in 0..4 {
+            cache.release(&format!("p{number}"));
+        }
+        check(&cache);
+        assert_eq!(cache.used_tokens(), 0);
+    }
+}
