Spread the configuration as a manifest and content-addressed shards

Cause: declarations for 32,000 teams do not fit one value of the store, and a host may spend only 3 KB a second on control. Change: the manifest is the one object that changes; shards are named by hash; each host's machine fetches what is missing and never goes back.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -16,4 +16,5 @@
 pub mod program;
 pub mod rendezvous;
 pub mod sched;
+pub mod spread;
 pub mod verdict;
