Connect hosts by tarpc on smol with a self-describing codec

Cause: histories hold free-form JSON, which bincode can't decode, and hosts are upgraded one by one, so messages need field names. Change: one link a peer, made on first use; MessagePack with names; the service that hosts offer each other.

--- /dev/null
+++ b/crates/proto/src/connection.rs
@@ -0,0 +1,151 @@
+//! Connections between hosts: one link a peer, made on first use and again after a failure.
+
+use {
+    crate::{
+        codec::MessagePack,
+        service::{PeerClient, PeerRequest, PeerResponse},
+    },
+    async_compat::{Compat, CompatExt},
+    derive_more::{Display, Error},
+    serde::{Serialize, de::DeserializeOwned},
+    smol::{Executor, lock::Mutex, net::TcpStream},
+    std::{future::Future, io, net::SocketAddr, sync::Arc, time::Duration},
+    tarpc::{
+        ClientMessage, Response, Transport,
+        client::{self, RpcError},
+        context::Context,
+        server::BaseChannel,
+    },
+    tokio_util::codec::LengthDelimitedCodec,
+};
+
+/// The largest message: a journal entry of 1 MiB or a history, with room for names.
+const MAX_FRAME_BYTES: usize = 16 << 20;
+/// How long a connection may take to be made.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
+/// Calls that may be in flight over one link.
+const MAX_IN_FLIGHT: usize = 4096;
+
+/// A call over a link failed.
+#[derive(Debug, Display, Error)]
+pub enum LinkError {
+    /// No connection: the call was not sent.
+    #[display("no connection to {peer}: {source}")]
+    Unreachable {
+        /// The peer.
+        peer: SocketAddr,
+        /// The cause.
+        source: io::Error,
+    },
+    /// The connection broke or the deadline passed: the call may have run.
+    #[display("call to {peer} failed: {source}")]
+    Failed {
+        /// The peer.
+        peer: SocketAddr,
+        /// The cause.
+        source: RpcError,
+    },
+}
+
+/// The link to one peer.
+pub struct Link {
+    peer: SocketAddr,
+    executor: Arc<Executor<'static>>,
+    client: Mutex<Option<PeerClient>>,
+}
+
+impl Link {
+    /// Makes a link that connects on first use. Its tasks run on `executor`.
+    pub fn new(peer: SocketAddr, executor: Arc<Executor<'static>>) -> Self {
+        Self { peer, executor, client: Mutex::new(None) }
+    }
+
+    /// The peer's address.
+    pub fn peer(&self) -> SocketAddr {
+        self.peer
+    }
+
+    /// Makes one call with a deadline. A broken connection is dropped, so that the next call
+    /// connects anew; calls are never repeated here.
+    pub async fn call<T, F>(
+        &self,
+        timeout: Duration,
+        call: impl FnOnce(PeerClient, Context) -> F,
+    ) -> Result<T, LinkError>
+    where
+        F: Future<Output = Result<T, RpcError>>,
+    {
+        let client = self.client().await?;
+        let mut context = tarpc::context::current();
+        context.deadline = std::time::Instant::now() + timeout;
+        match Compat::new(call(client, context)).await {
+            Ok(reply) => Ok(reply),
+            Err(source) => {
+                if !matches!(source, RpcError::DeadlineExceeded) {
+                    *self.client.lock().await = None;
+                }
+                Err(LinkError::Failed { peer: self.peer, source })
+            }
+        }
+    }
+
+    async fn client(&self) -> Result<PeerClient, LinkError> {
+        let mut client = self.client.lock().await;
+        if let Some(client) = &*client {
+            return Ok(client.clone());
+        }
+        let made = self.connect().await;
+        let made = made.map_err(|source| LinkError::Unreachable { peer: self.peer, source })?;
+        *client = Some(made.clone());
+        Ok(made)
+    }
+
+    async fn connect(&self) -> io::Result<PeerClient> {
+        let timeout = async {
+            smol::Timer::after(CONNECT_TIMEOUT).await;
+            Err(io::ErrorKind::TimedOut.into())
+        };
+        let stream = smol::future::or(TcpStream::connect(self.peer), timeout).await?;
+        stream.set_nodelay(true)?;
+        let mut config = client::Config::default();
+        config.max_in_flight_requests = MAX_IN_FLIGHT;
+        let client = PeerClient::new(config, transport(stream));
+        let dispatch = Compat::new(client.dispatch);
+        self.executor
+            .spawn(async move {
+                if let Err(error) = dispatch.await {
+                    log::debug!("link closed: {error}");
+                }
+            })
+            .detach();
+        Ok(client.client)
+    }
+}
+
+/// Makes the server's end of a connection. The caller executes its requests, since only a concrete
+/// server's replies are known to be `Send`.
+pub fn accept(
+    stream: TcpStream,
+) -> BaseChannel<
+    PeerRequest,
+    PeerResponse,
+    impl Transport<Response<PeerResponse>, ClientMessage<PeerRequest>, Error = io::Error> + Send,
+> {
+    if let Err(error) = stream.set_nodelay(true) {
+        log::debug!("no TCP_NODELAY: {error}");
+    }
+    BaseChannel::with_defaults(transport(stream))
+}
+
+fn transport<Item, SinkItem>(
+    stream: TcpStream,
+) -> impl Transport<SinkItem, Item, Error = io::Error> + Send + Unpin + 'static
+where
+    Item: DeserializeOwned + Send + Unpin + 'static,
+    SinkItem: Serialize + Send + Unpin + 'static,
+{
+    let mut codec = LengthDelimitedCodec::new();
+    codec.set_max_frame_length(MAX_FRAME_BYTES);
+    let framed = tokio_util::codec::Framed::new(stream.compat(), codec);
+    tarpc::serde_transport::new(framed, MessagePack::<Item, SinkItem>::default())
+}
--- a/crates/proto/src/lib.rs
+++ b/crates/proto/src/lib.rs
@@ -1,1 +1,20 @@
-//! Services and messages between hosts.
+//! The tarpc service that hosts offer each other, and its connections over smol.
+//!
+//! tarpc needs a tokio timer for its deadlines; `async_compat` gives it one without a second
+//! executor, at the cost of one thread a process. `docs/decisions/0009-tarpc-on-smol.md` has the
+//! figures.
+
+mod codec;
+mod connection;
+mod message;
+mod service;
+
+pub use {
+    connection::{Link, LinkError, accept},
+    message::{
+        CallHandle, ChunkBatch, ClaimRequest, ConfigPart, CopyRequest, DiscardRequest, Handover,
+        ProgramRequest, TakeTokens,
+    },
+    service::{Peer, PeerClient, PeerRequest, PeerResponse},
+    tarpc::context::Context,
+};
