--- a/crates/core/src/program/begin.rs
+++ b/crates/core/src/program/begin.rs
@@ -108,6 +108,14 @@
         Some(Waiter { step: queued.step.clone(), request: queued.request.clone() })
     }
 
+    /// Returns whether a request waits in a program's order, or its step is under way.
+    pub fn must_wait(&self, program: &ProgramId, request: &RequestId, step: &StepKey) -> bool {
+        let Some(state) = self.programs.get(program) else { return false };
+        let is_running = state.running.as_ref().is_some_and(|running| running.step == *step);
+        let is_queued = |queued: &Queued| queued.request == *request || queued.step == *step;
+        is_running || state.waiting.iter().any(is_queued)
+    }
+
     /// Takes a waiting call out of the order: its caller is gone, and nobody joined it.
     pub fn leave(&mut self, program: &ProgramId, request: &RequestId) {
         if let Some(state) = self.programs.get_mut(program) {
--- a/crates/core/src/program/lifetime.rs
+++ b/crates/core/src/program/lifetime.rs
@@ -88,6 +88,11 @@
         (is_idle && !has_calls && !has_live_child).then_some(WHY_ABANDONED)
     }
 
+    /// Returns whether a program is known and has not ended, or waits to be durable.
+    pub fn is_alive(&self, program: &ProgramId) -> bool {
+        self.is_live(program) || self.pending.contains_key(program)
+    }
+
     fn is_live(&self, program: &ProgramId) -> bool {
         self.programs.get(program).is_some_and(|state| state.ended().is_none())
     }
