--- /dev/null
+++ b/crates/host/src/control/allowance.rs
@@ -0,0 +1,115 @@
+//! The halves of teams' allowances that this host holds.
+
+use {
+    crate::control::{
+        Control, Reply,
+        home::{Home, answer, not_here},
+    },
+    std::time::{Duration, Instant},
+    trefoilring_core::{
+        ids::TeamId,
+        limit::{Allowance, DrawReply, DrawRequest, Hints, Limiter, Taken},
+        membership::{RoleKey, Standing},
+        verdict::Refusal,
+    },
+    trefoilring_proto::TakeTokens,
+};
+
+/// Time between two sweeps of the buckets.
+const SWEEP_EVERY: Duration = Duration::from_secs(5);
+/// A draw from the other half without an answer for so long is given up.
+pub(crate) const DRAW_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Buckets, and which half served each team last.
+pub(super) struct Allowances {
+    limiter: Limiter,
+    hints: Hints,
+    next_sweep: Instant,
+}
+
+impl Allowances {
+    pub(super) fn new(now: Instant) -> Self {
+        Self { limiter: Limiter::default(), hints: Hints::default(), next_sweep: now }
+    }
+
+    pub(super) fn len(&self) -> usize {
+        self.limiter.len()
+    }
+
+    pub(super) fn sweep(&mut self, now: Instant) {
+        if now >= self.next_sweep {
+            self.next_sweep = now + SWEEP_EVERY;
+            self.limiter.sweep(now, DRAW_TIMEOUT);
+        }
+    }
+}
+
+impl Control {
+    /// Takes tokens from a half that this host holds.
+    pub(crate) fn take_tokens(&mut self, take: &TakeTokens) -> Taken {
+        let now = Instant::now();
+        let Some(allowance) = self.allowance(&take.team, take.half) else { return Taken::NotHere };
+        let standing = self.standing(&take.team, take.half, now);
+        let half = (&take.team, take.half);
+        self.allowances.limiter.take(now, half, take.count, allowance, &standing)
+    }
+
+    /// Starts to draw from the other half what is missing here.
+    pub(crate) fn begin_draw(&mut self, take: &TakeTokens) -> Option<DrawRequest> {
+        let now = Instant::now();
+        let allowance = self.allowance(&take.team, take.half)?;
+        let standing = self.standing(&take.team, take.half, now);
+        let half = (&take.team, take.half);
+        self.allowances.limiter.begin_draw(now, half, take.count, allowance, &standing)
+    }
+
+    /// Removes tokens from the half here for the other one.
+    pub(crate) fn draw(&mut self, request: &DrawRequest) -> Option<DrawReply> {
+        let now = Instant::now();
+        let half = 1 - request.to_half.min(1);
+        let allowance = self.allowance(&request.team, half)?;
+        let standing = self.standing(&request.team, half, now);
+        self.allowances.limiter.draw(now, request, allowance, &standing)
+    }
+
+    /// Takes in what was drawn.
+    pub(crate) fn end_draw(&mut self, reply: &DrawReply) {
+        self.allowances.limiter.end_draw(Instant::now(), reply);
+    }
+
+    /// Where a half of a team's allowance is.
+    pub(crate) fn find_limiter(&self, team: &TeamId, half: u8) -> Result<Home, Refusal> {
+        let Some(entry) = self.membership.limiter_of(team, half) else { return Err(not_here()) };
+        if entry.member == self.shared.member {
+            return Ok(Home::Here);
+        }
+        let address = entry.address.parse().map_err(|_| not_here())?;
+        Ok(Home::At(address))
+    }
+
+    /// Starts a request's way to its tokens.
+    pub(crate) fn begin_take(
+        &mut self,
+        team: &TeamId,
+        wait_max: Duration,
+        reply: &Reply<trefoilring_core::limit::Attempt>,
+    ) {
+        let near = u8::from(self.find_limiter(team, 1) == Ok(Home::Here));
+        answer(reply, self.allowances.hints.start(Instant::now(), team, near, 1, wait_max));
+    }
+
+    /// Remembers which half served a team.
+    pub(crate) fn end_take(&mut self, team: &TeamId, attempt: &trefoilring_core::limit::Attempt) {
+        self.allowances.hints.note(team, attempt);
+    }
+
+    fn allowance(&self, team: &TeamId, half: u8) -> Option<Allowance> {
+        let catalog = self.shared.catalog();
+        let team = catalog.teams.get(team)?;
+        Some(Allowance::from(team).half(half))
+    }
+
+    fn standing(&self, team: &TeamId, half: u8, now: Instant) -> Standing {
+        self.membership.standing(&RoleKey::limiter(team, half), now)
+    }
+}
--- /dev/null
+++ b/crates/host/src/control/config.rs
@@ -0,0 +1,171 @@
+//! The declarations in force: fetched from peers or the store, taken in, and acted upon.
+
+use {
+    crate::{
+        control::{Control, Reply, home::answer},
+        observe::events::About,
+        shared::Shared,
+    },
+    std::{
+        net::SocketAddr,
+        sync::{Arc, PoisonError, atomic::Ordering},
+        time::{Duration, Instant},
+    },
+    trefoilring_core::{
+        catalog::Catalog,
+        event::Kind,
+        ids::{HostId, KeyId},
+        spread::{
+            Command, Event, Freshness, MANIFEST_KEY, Options, Shard, ShardSource, Spread, shard_key,
+        },
+    },
+    trefoilring_proto::{ConfigPart, PeerClient},
+};
+
+/// Heartbeats without news after which keys are no longer accepted.
+const FRESH_HEARTBEATS: u32 = 5;
+/// How long a fetch from another host may take.
+const FETCH_TIMEOUT: Duration = Duration::from_secs(2);
+/// Hosts that are asked for shards before the store.
+const MAX_SOURCES: usize = 3;
+
+/// The configuration of one host.
+pub(super) struct Config {
+    spread: Spread,
+    sources: Vec<HostId>,
+}
+
+impl Config {
+    pub(super) fn new(shared: &Shared, _now: Instant) -> Self {
+        let heartbeat = shared.settings.heartbeat;
+        let options = Options { fresh: heartbeat * FRESH_HEARTBEATS, retry: heartbeat };
+        Self { spread: Spread::new(options, 0), sources: Vec::new() }
+    }
+}
+
+impl Control {
+    pub(super) fn tick_config(&mut self, now: Instant) {
+        self.set_sources();
+        self.config_event(Event::Tick);
+        let is_fresh = self.config.spread.key_freshness(now) == Freshness::Fresh;
+        self.shared.has_fresh_keys.store(is_fresh, Ordering::Release);
+    }
+
+    /// The delegate is asked first, since it learns of a change first.
+    fn set_sources(&mut self) {
+        let me = &self.shared.member.host;
+        let sources: Vec<HostId> =
+            self.membership.delegate().filter(|host| *host != me).cloned().into_iter().collect();
+        if sources != self.config.sources {
+            self.config.sources.clone_from(&sources);
+            self.config_event(Event::Sources(sources.into_iter().take(MAX_SOURCES).collect()));
+        }
+    }
+
+    /// Takes in which version of the manifest the store has.
+    pub(super) fn manifest_seen(&mut self, version: u64, as_of: Instant) {
+        self.config_event(Event::ManifestSeen { version, as_of });
+    }
+
+    fn config_event(&mut self, event: Event) {
+        for command in self.config.spread.handle(Instant::now(), event) {
+            match command {
+                Command::FetchManifest { version, from } => self.fetch_manifest(version, from),
+                Command::FetchShard { hash, from } => self.fetch_shard(hash, from),
+                Command::InForce { version, catalog, withdrawn } => {
+                    self.put_in_force(version, catalog, &withdrawn);
+                }
+                Command::Note(note) => log::warn!("{note}"),
+            }
+        }
+    }
+
+    fn put_in_force(&mut self, version: u64, catalog: Arc<Catalog>, withdrawn: &[KeyId]) {
+        *self.shared.catalog.write().unwrap_or_else(PoisonError::into_inner) = catalog;
+        self.membership.set_config(version);
+        self.dispatchers.set_catalog();
+        for key in withdrawn {
+            self.shared.withdrawals.withdraw(key);
+            let about = About::default().with("key", &**key);
+            self.shared.events.note(Kind::KeyWithdrawn, about);
+        }
+        let about = About::default().with("version", version);
+        self.shared.events.note(Kind::ConfigInForce, about);
+        self.shared.metrics.gauge("config.version", version);
+    }
+
+    fn source_address(&self, source: &ShardSource) -> Option<SocketAddr> {
+        match source {
+            ShardSource::Store => None,
+            ShardSource::Host(host) => self.membership.host(host)?.address.parse().ok(),
+        }
+    }
+
+    fn fetch_manifest(&self, version: u64, from: ShardSource) {
+        let (shared, address) = (self.shared.clone(), self.source_address(&from));
+        self.shared.spawn(async move {
+            let found = match address {
+                Some(address) => manifest_at(&shared, address).await,
+                None => manifest_in_store(&shared).await,
+            };
+            let event = match found {
+                Some((found, bytes)) if found >= version => {
+                    Event::Manifest { version: found, bytes }
+                }
+                _ => Event::FetchFailed,
+            };
+            shared.control.tell(move |control| control.config_event(event));
+        });
+    }
+
+    fn fetch_shard(&self, hash: String, from: ShardSource) {
+        let (shared, address) = (self.shared.clone(), self.source_address(&from));
+        self.shared.spawn(async move {
+            let bytes = match address {
+                Some(address) => shard_at(&shared, address, hash.clone()).await,
+                None => shard_in_store(&shared, &hash).await,
+            };
+            let event = match bytes {
+                Some(bytes) => Event::Shard(Shard { hash, bytes }),
+                None => Event::FetchFailed,
+            };
+            shared.control.tell(move |control| control.config_event(event));
+        });
+    }
+
+    /// Gives another host a part of the configuration in force here.
+    pub(crate) fn config_part(&self, part: &ConfigPart, reply: &Reply<Option<(u64, Vec<u8>)>>) {
+        let spread = &self.config.spread;
+        let found = match part {
+            ConfigPart::Manifest => {
+                spread.manifest().map(|(version, bytes)| (version, bytes.to_vec()))
+            }
+            ConfigPart::Shard(hash) => spread.shard(hash).map(|shard| (0, shard.bytes.clone())),
+        };
+        answer(reply, found);
+    }
+}
+
+async fn manifest_in_store(shared: &Shared) -> Option<(u64, Vec<u8>)> {
+    let object = shared.objects.get(MANIFEST_KEY).await.ok()??;
+    Some((object.version, object.value))
+}
+
+async fn shard_in_store(shared: &Shared, hash: &str) -> Option<Vec<u8>> {
+    let object = shared.objects.get(&shard_key(hash)).await.ok()??;
+    Some(object.value)
+}
+
+async fn manifest_at(shared: &Shared, address: SocketAddr) -> Option<(u64, Vec<u8>)> {
+    part_at(shared, address, ConfigPart::Manifest).await
+}
+
+async fn shard_at(shared: &Shared, address: SocketAddr, hash: String) -> Option<Vec<u8>> {
+    Some(part_at(shared, address, ConfigPart::Shard(hash)).await?.1)
+}
+
+async fn part_at(shared: &Shared, address: SocketAddr, part: ConfigPart) -> Option<(u64, Vec<u8>)> {
+    let link = shared.peers.link(address);
+    let ask = |client: PeerClient, context| async move { client.config_part(context, part).await };
+    link.call(FETCH_TIMEOUT, ask).await.ok()?
+}
--- /dev/null
+++ b/crates/host/src/control/dispatch.rs
@@ -0,0 +1,324 @@
+//! The dispatchers of the pools that this host was chosen for, and the waiting requests.
+
+use {
+    crate::{
+        control::{Control, Reply},
+        observe::events::About,
+        shared::Shared,
+    },
+    slab::Slab,
+    std::{
+        collections::BTreeMap,
+        net::SocketAddr,
+        sync::Arc,
+        time::{Duration, Instant},
+    },
+    trefoilring_core::{
+        ids::{DomainId, HostId, ProgramId, ServiceId, UpstreamId},
+        sched::{
+            CacheEvent, Command, Dispatcher, DispatcherOptions, LoadReport, Note, Outcome,
+            SlotGrant, SlotRelease, SlotRequest, Ticket, UpstreamView, Waiter,
+        },
+        verdict::Refusal,
+    },
+    trefoilring_platform::{CacheEvents, Engine, Load, UpstreamRecord},
+};
+
+/// Time between two questions for an engine's load and cache events.
+const POLL_EVERY: Duration = Duration::from_millis(500);
+
+/// All pools for which this host dispatches.
+pub(crate) struct Dispatchers {
+    shared: Arc<Shared>,
+    pools: BTreeMap<ServiceId, Pool>,
+    records: Vec<UpstreamRecord>,
+    hosts: BTreeMap<HostId, DomainId>,
+}
+
+struct Pool {
+    dispatcher: Dispatcher,
+    waiters: Slab<Reply<Result<SlotGrant, Refusal>>>,
+    wake: Option<Instant>,
+    next_poll: Instant,
+    /// Position in each engine's cache events.
+    cache_positions: BTreeMap<UpstreamId, u64>,
+}
+
+impl Dispatchers {
+    pub(crate) fn new(shared: Arc<Shared>) -> Self {
+        Self { shared, pools: BTreeMap::new(), records: Vec::new(), hosts: BTreeMap::new() }
+    }
+
+    /// Takes in the host list. It lags, so an upstream that it drops may still answer.
+    pub(crate) fn set_upstreams(&mut self, now: Instant, records: Vec<UpstreamRecord>) {
+        self.records = records;
+        let services: Vec<ServiceId> = self.pools.keys().cloned().collect();
+        for service in services {
+            let views = self.views(&service);
+            self.with(&service, |pool| pool.dispatcher.set_upstreams(now, views));
+        }
+    }
+
+    /// Takes in the failure domains of live hosts.
+    pub(crate) fn set_hosts(&mut self, hosts: BTreeMap<HostId, DomainId>) {
+        for pool in self.pools.values_mut() {
+            pool.dispatcher.set_hosts(hosts.clone());
+        }
+        self.hosts = hosts;
+    }
+
+    /// Takes in new declarations.
+    pub(crate) fn set_catalog(&mut self) {
+        let catalog = self.shared.catalog();
+        for pool in self.pools.values_mut() {
+            pool.dispatcher.set_catalog(&catalog);
+        }
+    }
+
+    /// Queues a request; the reply comes with the grant or the refusal.
+    pub(crate) fn request(
+        &mut self,
+        now: Instant,
+        request: SlotRequest,
+        reply: Reply<Result<SlotGrant, Refusal>>,
+    ) {
+        let service = request.service.clone();
+        self.ensure_pool(now, &service);
+        self.with(&service, |pool| {
+            let waiter = pool.waiters.insert(reply) as Waiter;
+            pool.dispatcher.request(now, request, waiter)
+        });
+    }
+
+    /// Takes a slot back.
+    pub(crate) fn release(&mut self, now: Instant, release: SlotRelease) {
+        let service = release.service.clone();
+        self.with(&service, |pool| pool.dispatcher.release(now, release));
+    }
+
+    /// Forgets a program in all pools.
+    pub(crate) fn program_ended(&mut self, now: Instant, program: &ProgramId) {
+        let services: Vec<ServiceId> = self.pools.keys().cloned().collect();
+        for service in services {
+            self.with(&service, |pool| pool.dispatcher.program_ended(now, program));
+        }
+    }
+
+    /// Drops what a lost home had waiting.
+    pub(crate) fn home_lost(&mut self, now: Instant, home: &HostId) {
+        let services: Vec<ServiceId> = self.pools.keys().cloned().collect();
+        for service in services {
+            self.with(&service, |pool| pool.dispatcher.home_lost(now, home));
+        }
+    }
+
+    /// Drops pools that another host dispatches now. Their waiting requests ask there again.
+    pub(crate) fn retain(&mut self, is_mine: impl Fn(&ServiceId) -> bool) {
+        self.pools.retain(|service, _| is_mine(service));
+    }
+
+    /// Does what is due.
+    pub(crate) fn tick(&mut self, now: Instant) {
+        let services: Vec<ServiceId> = self.pools.keys().cloned().collect();
+        for service in services {
+            if self.pools[&service].wake.is_some_and(|wake| wake <= now) {
+                self.with(&service, |pool| pool.dispatcher.tick(now));
+            }
+            if self.pools[&service].next_poll <= now {
+                self.poll(now, &service);
+            }
+        }
+    }
+
+    /// When [`Dispatchers::tick`] is due.
+    pub(crate) fn wake(&self) -> Option<Instant> {
+        let wakes =
+            self.pools.values().flat_map(|pool| pool.wake.into_iter().chain([pool.next_poll]));
+        wakes.min()
+    }
+
+    /// Requests that wait, over all pools.
+    pub(crate) fn waiting(&self) -> usize {
+        self.pools.values().map(|pool| pool.dispatcher.waiting()).sum()
+    }
+
+    fn ensure_pool(&mut self, now: Instant, service: &ServiceId) {
+        if self.pools.contains_key(service) {
+            return;
+        }
+        let options = DispatcherOptions::new(service.clone()).seed(self.shared.member.incarnation);
+        let mut dispatcher = Dispatcher::new(options);
+        dispatcher.set_catalog(&self.shared.catalog());
+        dispatcher.set_hosts(self.hosts.clone());
+        let pool = Pool {
+            dispatcher,
+            waiters: Slab::new(),
+            wake: None,
+            next_poll: now,
+            cache_positions: BTreeMap::new(),
+        };
+        self.pools.insert(service.clone(), pool);
+        let views = self.views(service);
+        self.with(service, |pool| pool.dispatcher.set_upstreams(now, views));
+    }
+
+    fn views(&self, service: &ServiceId) -> Vec<UpstreamView> {
+        self.records.iter().filter(|record| record.service == *service).map(view).collect()
+    }
+
+    fn with(&mut self, service: &ServiceId, act: impl FnOnce(&mut Pool) -> Vec<Command>) {
+        let Some(pool) = self.pools.get_mut(service) else { return };
+        let mut commands = act(pool);
+        while !commands.is_empty() {
+            let mut unclaimed = Vec::new();
+            for command in commands {
+                unclaimed.extend(run(&self.shared, &self.records, pool, command));
+            }
+            let release =
+                |ticket| SlotRelease { service: service.clone(), ticket, outcome: Outcome::Unused };
+            let releases = unclaimed.into_iter().map(release);
+            let now = Instant::now();
+            commands = releases.flat_map(|r| pool.dispatcher.release(now, r)).collect();
+        }
+    }
+
+    /// Asks the pool's engines for load and cache events. Only the dispatcher's host asks, so that
+    /// each engine is asked by one host.
+    fn poll(&mut self, now: Instant, service: &ServiceId) {
+        let Some(pool) = self.pools.get_mut(service) else { return };
+        pool.next_poll = now + POLL_EVERY;
+        let catalog = self.shared.catalog();
+        let kind = catalog.services.get(service).map(|service| service.kind);
+        if kind != Some(trefoilring_core::catalog::ServiceKind::Engine) {
+            return;
+        }
+        for record in self.records.iter().filter(|record| record.service == *service) {
+            let since = pool.cache_positions.get(&record.upstream).copied().unwrap_or_default();
+            let task = poll_engine(self.shared.clone(), record.clone(), since);
+            self.shared.spawn(task);
+        }
+    }
+
+    /// Takes in what an engine reported.
+    fn polled(
+        &mut self,
+        now: Instant,
+        record: &UpstreamRecord,
+        load: Option<Load>,
+        events: Option<CacheEvents>,
+    ) {
+        let upstream = &record.upstream;
+        if let Some(load) = load {
+            self.with(&record.service, |pool| {
+                pool.dispatcher.load_report(now, upstream, to_report(&load))
+            });
+        }
+        let Some(events) = events else { return };
+        self.with(&record.service, |pool| {
+            pool.cache_positions.insert(upstream.clone(), events.next);
+            let to_commands = |event: trefoilring_platform::CacheEvent| {
+                pool.dispatcher.cache_event(now, upstream, to_cache_event(event))
+            };
+            events.events.into_iter().flat_map(to_commands).collect()
+        });
+    }
+}
+
+/// Runs a command. Returns the ticket of a grant whose home no longer waits for it.
+fn run(
+    shared: &Arc<Shared>,
+    records: &[UpstreamRecord],
+    pool: &mut Pool,
+    command: Command,
+) -> Option<Ticket> {
+    match command {
+        Command::Grant { waiter, grant } => {
+            let ticket = grant.ticket;
+            return (!answer(pool, waiter, Ok(grant))).then_some(ticket);
+        }
+        Command::Refuse { waiter, refusal } => {
+            answer(pool, waiter, Err(refusal));
+        }
+        Command::Release { upstream, program } => {
+            let record = records.iter().find(|record| record.upstream == upstream);
+            if let Some(record) = record {
+                release_memory(shared, record.upstream.clone(), record.address, program);
+            }
+        }
+        Command::Note(note) => tell(shared, note),
+        Command::WakeAt(at) => pool.wake = Some(at),
+    }
+    None
+}
+
+/// Answers a waiting request. Returns whether its home still waited.
+fn answer(pool: &mut Pool, waiter: Waiter, result: Result<SlotGrant, Refusal>) -> bool {
+    let reply = pool.waiters.try_remove(waiter as usize);
+    reply.is_some_and(|reply| reply.try_send(result).is_ok())
+}
+
+/// Frees an engine's memory for a program, in the background. Lost releases are made up for by the
+/// sweep.
+pub(crate) fn release_memory(
+    shared: &Arc<Shared>,
+    upstream: UpstreamId,
+    address: SocketAddr,
+    program: ProgramId,
+) {
+    let owned = shared.clone();
+    shared.spawn(async move {
+        match Engine::new(address).release(&program).await {
+            Ok(()) => {
+                let about = About::program(&program).upstream(&upstream);
+                owned.events.note(trefoilring_core::event::Kind::MemoryReleased, about);
+            }
+            Err(error) => log::debug!("release of {program} at {upstream}: {error}"),
+        }
+    });
+}
+
+fn tell(shared: &Shared, note: Note) {
+    let about = About {
+        program: note.program,
+        request: note.request,
+        team: note.team,
+        upstream: note.upstream,
+        details: note.details,
+        ..About::default()
+    };
+    shared.events.note(note.kind, about);
+}
+
+async fn poll_engine(shared: Arc<Shared>, record: UpstreamRecord, since: u64) {
+    let engine = Engine::new(record.address).with_timeout(POLL_EVERY);
+    let load = engine.load().await.ok();
+    let events = engine.cache_events(since).await.ok();
+    let job = move |control: &mut Control| {
+        control.dispatchers.polled(Instant::now(), &record, load, events);
+    };
+    shared.control.tell(job);
+}
+
+fn view(record: &UpstreamRecord) -> UpstreamView {
+    UpstreamView {
+        upstream: record.upstream.clone(),
+        address: record.address.to_string(),
+        domain: record.domain.clone(),
+        is_leaving: record.is_leaving,
+        models: record.models.clone(),
+    }
+}
+
+fn to_report(load: &Load) -> LoadReport {
+    LoadReport {
+        running: u32::try_from(load.running).unwrap_or(u32::MAX),
+        waiting: u32::try_from(load.waiting).unwrap_or(u32::MAX),
+        kv_used_tokens: load.kv_used_tokens,
+        kv_capacity_tokens: load.kv_capacity_tokens,
+        age: Duration::from_millis(load.age_ms),
+    }
+}
+
+fn to_cache_event(event: trefoilring_platform::CacheEvent) -> CacheEvent {
+    CacheEvent { sequence: event.sequence, program: event.program, tokens: event.tokens }
+}
--- /dev/null
+++ b/crates/host/src/control/memory.rs
@@ -0,0 +1,192 @@
+//! Engine memory of programs that are gone, and journals that nobody owns.
+//!
+//! A home releases the engines of a program that ends. What it didn't know, because it died or the
+//! release was lost, a sweep finds: the dispatcher's host asks each engine for which programs it
+//! holds memory, asks their homes which of them have ended, and releases those.
+
+use {
+    crate::{
+        control::{Control, dispatch, home::Home},
+        journal_store,
+        shared::Shared,
+    },
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        sync::Arc,
+        time::{Duration, Instant},
+    },
+    trefoilring_core::{
+        catalog::ServiceKind,
+        ids::{JournalId, ProgramId, ServiceId, UpstreamId, journal_of},
+    },
+    trefoilring_platform::{Engine, UpstreamRecord},
+    trefoilring_proto::PeerClient,
+};
+
+/// Time between two readings of the host list: a leaving upstream gets no new work soon after.
+const UPSTREAMS_EVERY: Duration = Duration::from_secs(1);
+/// Time between two sweeps over engine memory.
+const MEMORY_EVERY: Duration = Duration::from_secs(5);
+/// Time between two looks for journals without an owner, by delegates only.
+const ORPHANS_EVERY: Duration = Duration::from_secs(60);
+/// Memory that was used so lately may belong to a program whose creation is still under way.
+const MIN_IDLE: Duration = Duration::from_secs(5);
+/// How long the question for ended programs may take.
+const ASK_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Timers and knowledge of the sweeps.
+pub(super) struct Sweeper {
+    next_upstreams: Instant,
+    next_memory: Instant,
+    next_orphans: Instant,
+    upstreams: BTreeMap<UpstreamId, UpstreamRecord>,
+    /// Journals that had an owner at some time, or were seen in the store.
+    known_journals: BTreeSet<JournalId>,
+}
+
+impl Sweeper {
+    pub(super) fn new(now: Instant) -> Self {
+        Self {
+            next_upstreams: now,
+            next_memory: now + MEMORY_EVERY,
+            next_orphans: now + MEMORY_EVERY,
+            upstreams: BTreeMap::new(),
+            known_journals: BTreeSet::new(),
+        }
+    }
+
+    pub(super) fn next(&self) -> Instant {
+        self.next_upstreams.min(self.next_memory).min(self.next_orphans)
+    }
+
+    pub(super) fn set_upstreams(&mut self, records: &[UpstreamRecord]) {
+        self.upstreams = records.iter().map(|r| (r.upstream.clone(), r.clone())).collect();
+    }
+
+    /// Journals that are known and that none of the present owners has.
+    pub(super) fn orphans(&mut self, owned: &[JournalId]) -> Vec<JournalId> {
+        self.known_journals.extend(owned.iter().cloned());
+        let is_owned = |journal: &&JournalId| owned.contains(journal);
+        self.known_journals.iter().filter(|journal| !is_owned(journal)).cloned().collect()
+    }
+
+    /// Forgets a journal that is no more.
+    pub(super) fn forget(&mut self, journal: &JournalId) {
+        self.known_journals.remove(journal);
+    }
+}
+
+impl Control {
+    pub(super) fn tick_memory(&mut self, now: Instant) {
+        if now >= self.sweeper.next_upstreams {
+            self.sweeper.next_upstreams = now + UPSTREAMS_EVERY;
+            self.shared.spawn(read_host_list(self.shared.clone()));
+        }
+        if now >= self.sweeper.next_memory {
+            self.sweeper.next_memory = now + MEMORY_EVERY;
+            self.sweep_engines();
+        }
+        if now >= self.sweeper.next_orphans {
+            self.sweeper.next_orphans = now + ORPHANS_EVERY;
+            self.adopt_orphans(now);
+            if self.membership.is_delegate() {
+                self.shared.spawn(list_journals(self.shared.clone()));
+            }
+        }
+    }
+
+    /// Releases what homes said to be held for programs that ended.
+    pub(super) fn release_memory(&mut self) {
+        for release in std::mem::take(&mut self.homes.released) {
+            for upstream in &release.upstreams {
+                let Some(record) = self.sweeper.upstreams.get(upstream) else { continue };
+                let (upstream, program) = (upstream.clone(), release.program.clone());
+                dispatch::release_memory(&self.shared, upstream, record.address, program);
+            }
+            self.dispatchers.program_ended(Instant::now(), &release.program);
+        }
+    }
+
+    fn sweep_engines(&self) {
+        let catalog = self.shared.catalog();
+        let is_engine = |service: &ServiceId| {
+            catalog.services.get(service).is_some_and(|s| s.kind == ServiceKind::Engine)
+        };
+        let is_mine = |service: &ServiceId| {
+            matches!(self.find_dispatcher(service), Ok(Home::Here)) && is_engine(service)
+        };
+        let mine = self.sweeper.upstreams.values().filter(|record| is_mine(&record.service));
+        for record in mine.cloned() {
+            self.shared.spawn(sweep_engine(self.shared.clone(), record));
+        }
+    }
+
+    fn seen_journals(&mut self, journals: Vec<JournalId>) {
+        self.sweeper.known_journals.extend(journals);
+        self.adopt_orphans(Instant::now());
+    }
+}
+
+async fn read_host_list(shared: Arc<Shared>) {
+    match shared.host_list.upstreams().await {
+        Ok(records) => shared.control.tell(move |control| control.upstreams(records)),
+        // The list that is known stays in force.
+        Err(error) => log::debug!("host list: {error}"),
+    }
+}
+
+async fn list_journals(shared: Arc<Shared>) {
+    match journal_store::list(&shared).await {
+        Ok(journals) => shared.control.tell(move |control| control.seen_journals(journals)),
+        Err(error) => log::debug!("list of journals: {error}"),
+    }
+}
+
+async fn sweep_engine(shared: Arc<Shared>, record: UpstreamRecord) {
+    let engine = Engine::new(record.address).with_timeout(ASK_TIMEOUT);
+    let Ok(held) = engine.cached_programs().await else { return };
+    let min_idle_ms = MIN_IDLE.as_millis() as u64;
+    let mut by_journal: BTreeMap<JournalId, Vec<ProgramId>> = BTreeMap::new();
+    for program in held.into_iter().filter(|held| held.idle_ms >= min_idle_ms) {
+        if let Some(journal) = journal_of(&program.program) {
+            by_journal.entry(journal).or_default().push(program.program);
+        }
+    }
+    for (journal, programs) in by_journal {
+        for program in ended(&shared, journal, programs).await {
+            let upstream = record.upstream.clone();
+            dispatch::release_memory(&shared, upstream, record.address, program);
+        }
+    }
+}
+
+/// Asks the home of a journal which programs have ended. A home that can't be reached ends none.
+async fn ended(
+    shared: &Arc<Shared>,
+    journal: JournalId,
+    programs: Vec<ProgramId>,
+) -> Vec<ProgramId> {
+    let find = move |control: &mut Control, reply: super::Reply<_>| {
+        let _ = reply.try_send(control.find_home(Some(&journal)));
+    };
+    match shared.control.ask(find).await {
+        Ok(Ok(Home::Here)) => {
+            let ask = move |control: &mut Control, reply: super::Reply<_>| {
+                let _ = reply.try_send(control.homes.ended(programs));
+            };
+            shared.control.ask(ask).await.unwrap_or_default()
+        }
+        Ok(Ok(Home::At(address))) => {
+            let link = shared.peers.link(address);
+            let ask = |client: PeerClient, context| async move {
+                client.ended_programs(context, programs).await
+            };
+            link.call(ASK_TIMEOUT, ask).await.unwrap_or_default()
+        }
+        Ok(Err(refusal)) if refusal.reason == trefoilring_core::verdict::Reason::NotFound => {
+            // The journal is no more, so none of its programs is alive.
+            programs
+        }
+        _ => Vec::new(),
+    }
+}
--- /dev/null
+++ b/crates/host/src/control/mod.rs
@@ -0,0 +1,198 @@
+//! The control thread: it owns the state machines and runs one job at a time.
+//!
+//! Jobs come from the traffic threads as closures over [`Control`]; each calls one method and may
+//! leave a [`Reply`] behind for an answer that comes later. No job waits: commands of the machines
+//! that need the network become tasks on the traffic threads.
+
+pub(crate) mod allowance;
+pub(crate) mod config;
+pub(crate) mod dispatch;
+pub(crate) mod home;
+pub(crate) mod journals;
+mod members;
+mod memory;
+
+use {
+    crate::shared::Shared,
+    allowance::Allowances,
+    config::Config,
+    dispatch::Dispatchers,
+    home::Homes,
+    journals::Journals,
+    memory::Sweeper,
+    smol::channel::{Receiver, Sender},
+    std::{
+        sync::Arc,
+        time::{Duration, Instant},
+    },
+    trefoilring_core::{
+        journal::Backup,
+        membership::{Identity, Membership, Options},
+        verdict::{Reason, Refusal},
+    },
+    trefoilring_edge::Stop,
+};
+
+/// Something to do on the control thread.
+pub(crate) type Job = Box<dyn FnOnce(&mut Control) + Send>;
+/// Where an answer goes that may come later. Dropping it refuses the request.
+pub(crate) type Reply<T> = Sender<T>;
+
+/// Jobs done in one go before timers are looked at again.
+const MAX_JOBS_A_TURN: usize = 64;
+/// The longest that the thread sleeps.
+const MAX_SLEEP: Duration = Duration::from_secs(1);
+/// Memory for other hosts' journals while the store is down, in bytes.
+const BACKUP_BYTES: usize = 64 << 20;
+/// Membership wants at least this many looks at the time in a heartbeat interval.
+const TICKS_A_HEARTBEAT: u32 = 10;
+
+/// Sends jobs to the control thread.
+#[derive(Clone)]
+pub(crate) struct ControlHandle {
+    jobs: Sender<Job>,
+}
+
+impl ControlHandle {
+    /// Makes the handle and the queue that the control thread will read.
+    pub(crate) fn new() -> (Self, Receiver<Job>) {
+        let (jobs, queue) = smol::channel::unbounded();
+        (Self { jobs }, queue)
+    }
+
+    /// Runs a job without waiting for it.
+    pub(crate) fn tell(&self, job: impl FnOnce(&mut Control) + Send + 'static) {
+        // The queue closes when the host has stopped; then there is nobody left to tell.
+        let _ = self.jobs.try_send(Box::new(job));
+    }
+
+    /// Runs a job and waits for the answer that it, or a later job, gives.
+    pub(crate) async fn ask<T: Send + 'static>(
+        &self,
+        job: impl FnOnce(&mut Control, Reply<T>) + Send + 'static,
+    ) -> Result<T, Refusal> {
+        let (reply, answer) = smol::channel::bounded(1);
+        self.tell(move |control| job(control, reply));
+        answer.recv().await.map_err(|_| {
+            Refusal::may_have_run(Reason::HomeUnavailable, "the host stopped before it answered")
+        })
+    }
+}
+
+/// All state of one host that decides anything.
+pub(crate) struct Control {
+    pub(crate) shared: Arc<Shared>,
+    pub(crate) membership: Membership,
+    pub(crate) dispatchers: Dispatchers,
+    pub(crate) homes: Homes,
+    pub(crate) backup: Backup,
+    journals: Journals,
+    allowances: Allowances,
+    config: Config,
+    sweeper: Sweeper,
+    next_member_tick: Instant,
+    next_gauges: Instant,
+    /// Set when this host has left; answered when the roster says so.
+    leaving: Option<Reply<()>>,
+}
+
+/// Runs the control thread until it is stopped.
+pub(crate) fn run(shared: Arc<Shared>, jobs: Receiver<Job>, stop: &Stop) {
+    let mut control = Control::new(shared, Instant::now());
+    smol::block_on(async {
+        while !stop.is_stopped() {
+            let sleep = control.next_wake().saturating_duration_since(Instant::now());
+            let job = smol::future::or(async { jobs.recv().await.ok() }, async {
+                smol::future::or(wait(sleep), stop.wait()).await;
+                None
+            });
+            if let Some(job) = job.await {
+                job(&mut control);
+            }
+            for _ in 0..MAX_JOBS_A_TURN {
+                let Ok(job) = jobs.try_recv() else { break };
+                job(&mut control);
+            }
+            control.tick(Instant::now());
+        }
+    });
+}
+
+async fn wait(sleep: Duration) {
+    if !sleep.is_zero() {
+        smol::Timer::after(sleep.min(MAX_SLEEP)).await;
+    }
+}
+
+impl Control {
+    fn new(shared: Arc<Shared>, now: Instant) -> Self {
+        let identity = Identity {
+            member: shared.member.clone(),
+            address: shared.settings.advertise.to_string(),
+            domain: shared.settings.domain.clone(),
+        };
+        let mut options = Options::scaled(shared.settings.heartbeat);
+        options.lease = shared.settings.lease;
+        options.margin = shared.settings.lease / 4;
+        Self {
+            membership: Membership::new(now, identity, options),
+            dispatchers: Dispatchers::new(shared.clone()),
+            homes: Homes::new(shared.clone(), now),
+            backup: Backup::new(shared.member.clone(), BACKUP_BYTES),
+            journals: Journals::default(),
+            allowances: Allowances::new(now),
+            config: Config::new(&shared, now),
+            sweeper: Sweeper::new(now),
+            next_member_tick: now,
+            next_gauges: now,
+            leaving: None,
+            shared,
+        }
+    }
+
+    /// When the next timer is due.
+    fn next_wake(&self) -> Instant {
+        let timers = [
+            Some(self.next_member_tick),
+            Some(self.homes.next_sweep()),
+            self.homes.wake_at(),
+            self.journals.wake(),
+            self.dispatchers.wake(),
+            Some(self.sweeper.next()),
+        ];
+        timers.into_iter().flatten().min().unwrap_or(self.next_member_tick)
+    }
+
+    fn tick(&mut self, now: Instant) {
+        if now >= self.next_member_tick {
+            self.next_member_tick = now + self.shared.settings.heartbeat / TICKS_A_HEARTBEAT;
+            self.tick_members(now);
+            self.tick_config(now);
+            self.allowances.sweep(now);
+            self.shared.relays.sweep(now);
+        }
+        self.tick_journals(now);
+        self.dispatchers.tick(now);
+        self.tick_memory(now);
+        self.release_memory();
+        self.set_gauges(now);
+    }
+
+    fn set_gauges(&mut self, now: Instant) {
+        if now < self.next_gauges {
+            return;
+        }
+        self.next_gauges = now + self.shared.settings.metrics_interval;
+        let metrics = &self.shared.metrics;
+        metrics.gauge("programs.live", self.homes.live_programs() as u64);
+        metrics.gauge("programs.estimated_bytes", self.homes.estimated_bytes() as u64);
+        metrics.gauge("dispatch.waiting", self.dispatchers.waiting() as u64);
+        metrics.gauge("backup.held_bytes", self.backup.held_bytes() as u64);
+        metrics.gauge("members.live", self.membership.live_hosts().count() as u64);
+        metrics.gauge("limiter.buckets", self.allowances.len() as u64);
+        let counts = self.shared.objects.counts();
+        metrics.gauge("store.reads", counts.reads);
+        metrics.gauge("store.writes", counts.writes);
+        metrics.gauge("store.watches", counts.watches);
+    }
+}
--- /dev/null
+++ b/crates/host/src/host.rs
@@ -0,0 +1,289 @@
+//! Starting and stopping one host.
+//!
+//! The life cycle is in the types: [`Host`] runs; [`Host::drain`] takes it and returns when it has
+//! stopped, so that a stopped host can't be asked for anything.
+
+use {
+    crate::{
+        backend::Entry,
+        control::{self, ControlHandle},
+        observe::{
+            events::{About, EventLog},
+            metrics::Metrics,
+        },
+        peer_server::PeerServer,
+        peers::Peers,
+        relay::Relays,
+        shared::{Lease, Shared},
+        withdrawals::Withdrawals,
+    },
+    async_compat::Compat,
+    derive_more::{Display, Error},
+    error_stack::{Report, ResultExt},
+    smol::{Executor, net::TcpListener, stream::StreamExt},
+    std::{
+        net::SocketAddr,
+        sync::{
+            Arc, RwLock,
+            atomic::{AtomicBool, AtomicU64, Ordering},
+        },
+        thread::JoinHandle,
+        time::{Duration, Instant, SystemTime, UNIX_EPOCH},
+    },
+    tarpc::server::Channel,
+    trefoilring_config::settings::Settings,
+    trefoilring_core::{catalog::Catalog, event::Kind, ids::Member},
+    trefoilring_edge::{Edge, EdgeOptions, Stop, Stopper, stop_signal},
+    trefoilring_platform::{HostList, ObjectApi},
+    trefoilring_proto::Peer,
+};
+
+/// How long one call to the Object API may take.
+const STORE_TIMEOUT: Duration = Duration::from_secs(2);
+/// Pause between two looks at whether the running requests have ended.
+const DRAIN_POLL: Duration = Duration::from_millis(20);
+
+/// Why a host did not start.
+#[derive(Debug, Display, Error)]
+pub enum HostError {
+    /// An address can't be listened on.
+    #[display("can't listen on {address} (--{flag})")]
+    Listen {
+        /// The flag at fault.
+        flag: &'static str,
+        /// Its address.
+        address: SocketAddr,
+    },
+    /// The event log can't be opened.
+    #[display("can't open the event log (--event-log)")]
+    EventLog,
+    /// A thread can't be started.
+    #[display("can't start a thread")]
+    Thread,
+}
+
+/// A running host.
+pub struct Host {
+    shared: Arc<Shared>,
+    callers: SocketAddr,
+    peers: SocketAddr,
+    stop_callers: Stopper,
+    stop_threads: Stopper,
+    threads: Vec<JoinHandle<()>>,
+    callers_done: smol::Task<()>,
+}
+
+impl Host {
+    /// Starts a host. When this returns, it listens; it serves once it has a lease.
+    ///
+    /// # Errors
+    ///
+    /// Fails if an address, the event log or a thread can't be had; nothing is left running.
+    pub fn start(mut settings: Settings) -> Result<Self, Report<HostError>> {
+        let callers_listener = listen("listen", settings.listen)?;
+        let peers_listener = listen("peer-listen", settings.peer_listen)?;
+        let callers = local_address(&callers_listener, settings.listen);
+        let peers = local_address(&peers_listener, settings.peer_listen);
+        if settings.advertise.port() == 0 {
+            settings.advertise.set_port(peers.port());
+        }
+        let metrics = Metrics::default();
+        let events =
+            EventLog::open(settings.host.clone(), settings.event_log.as_deref(), metrics.clone())
+                .change_context(HostError::EventLog)?;
+        let (control, jobs) = ControlHandle::new();
+        let shared = Arc::new(make_shared(settings, control, metrics, events));
+        let (stop_threads, threads_stopped) = stop_signal();
+        let threads = spawn_threads(&shared, &threads_stopped, jobs)?;
+        shared.spawn(accept_peers(shared.clone(), peers_listener, threads_stopped));
+        let (stop_callers, callers_stopped) = stop_signal();
+        let options = edge_options(&shared.settings);
+        let edge = Edge::new(options, Entry::new(shared.clone()), shared.executor.clone());
+        let serve = async move { edge.listen(callers_listener, callers_stopped).await };
+        let callers_done = shared.executor.spawn(serve);
+        shared.events.note(Kind::HostStarted, About::default());
+        Ok(Self { shared, callers, peers, stop_callers, stop_threads, threads, callers_done })
+    }
+
+    /// Where callers connect.
+    pub fn callers_address(&self) -> SocketAddr {
+        self.callers
+    }
+
+    /// Where other hosts connect.
+    pub fn peers_address(&self) -> SocketAddr {
+        self.peers
+    }
+
+    /// The host's event log.
+    pub fn events(&self) -> &EventLog {
+        &self.shared.events
+    }
+
+    /// The host's metrics.
+    pub fn metrics(&self) -> &Metrics {
+        &self.shared.metrics
+    }
+
+    /// Whether the host has a lease and takes callers.
+    pub fn is_ready(&self) -> bool {
+        use trefoilring_edge::Backend;
+        Entry::new(self.shared.clone()).readiness().is_ready
+    }
+
+    /// The version of the declarations in force here.
+    pub fn config_version(&self) -> u64 {
+        self.shared.catalog().version
+    }
+
+    /// Completes when an operator has asked this host to stop.
+    pub async fn drain_requested(&self) {
+        while !self.shared.is_drain_requested.load(Ordering::Acquire) {
+            smol::Timer::after(DRAIN_POLL).await;
+        }
+    }
+
+    /// Stops gracefully: takes no new callers, ends what runs, hands over what it owns, and leaves.
+    pub async fn drain(self) {
+        self.shared.is_draining.store(true, Ordering::Release);
+        self.shared.events.note(Kind::HostDraining, About::default());
+        self.stop_callers.stop();
+        let give_up = Instant::now() + self.shared.settings.drain_timeout;
+        let calls_ended = async {
+            self.callers_done.await;
+            while self.shared.running_calls.load(Ordering::Acquire) > 0 {
+                smol::Timer::after(DRAIN_POLL).await;
+            }
+        };
+        let timeout = async {
+            smol::Timer::at(give_up).await;
+            log::warn!("requests still run at the end of --drain-timeout-ms");
+        };
+        smol::future::or(calls_ended, timeout).await;
+        // Journals are handed over once nothing runs; the reply comes when all are in the store.
+        let handed_over = self.shared.control.ask(|control, reply| control.hand_over(reply));
+        let timeout = async {
+            smol::Timer::at(give_up + self.shared.settings.lease).await;
+            log::warn!("the handover was not done in time; successors take over by themselves");
+            Ok(())
+        };
+        if let Err(refusal) = smol::future::or(handed_over, timeout).await {
+            log::warn!("handover: {refusal}");
+        }
+        self.shared.events.note(Kind::HostStopped, About::default());
+        // Entries on other hosts fetch the last chunks of what ran here.
+        while !self.shared.relays.is_empty() && Instant::now() < give_up {
+            smol::Timer::after(DRAIN_POLL).await;
+        }
+        self.stop_threads.stop();
+        smol::unblock(move || self.threads.into_iter().for_each(join)).await;
+    }
+
+    /// Stops at once, as a killed process would: nothing is handed over.
+    pub fn abort(self) {
+        self.stop_threads.stop();
+        self.threads.into_iter().for_each(join);
+    }
+}
+
+fn join(thread: JoinHandle<()>) {
+    if thread.join().is_err() {
+        log::error!("a thread panicked");
+    }
+}
+
+fn listen(flag: &'static str, address: SocketAddr) -> Result<TcpListener, Report<HostError>> {
+    smol::block_on(TcpListener::bind(address)).change_context(HostError::Listen { flag, address })
+}
+
+fn local_address(listener: &TcpListener, asked: SocketAddr) -> SocketAddr {
+    listener.local_addr().unwrap_or(asked)
+}
+
+fn make_shared(
+    settings: Settings,
+    control: ControlHandle,
+    metrics: Metrics,
+    events: EventLog,
+) -> Shared {
+    let incarnation =
+        SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64;
+    let executor = Arc::new(Executor::new());
+    Shared {
+        member: Member { host: settings.host.clone(), incarnation },
+        peers: Peers::new(executor.clone()),
+        executor,
+        control,
+        relays: Relays::default(),
+        withdrawals: Withdrawals::default(),
+        events,
+        metrics,
+        objects: ObjectApi::new(settings.object_api, STORE_TIMEOUT),
+        host_list: HostList::new(settings.host_list),
+        lease: Lease::new(Instant::now()),
+        is_draining: AtomicBool::new(false),
+        is_drain_requested: AtomicBool::new(false),
+        has_fresh_keys: AtomicBool::new(false),
+        running_calls: AtomicU64::new(0),
+        catalog: RwLock::new(Arc::new(Catalog::default())),
+        settings,
+    }
+}
+
+fn spawn_threads(
+    shared: &Arc<Shared>,
+    stop: &Stop,
+    jobs: smol::channel::Receiver<control::Job>,
+) -> Result<Vec<JoinHandle<()>>, Report<HostError>> {
+    let mut threads = Vec::new();
+    for number in 0..shared.settings.traffic_threads {
+        let (executor, stop) = (shared.executor.clone(), stop.clone());
+        let run = move || smol::block_on(executor.run(stop.wait()));
+        threads.push(spawn(format!("traffic-{number}"), run)?);
+    }
+    let (shared, stop) = (shared.clone(), stop.clone());
+    threads.push(spawn("control".into(), move || control::run(shared, jobs, &stop))?);
+    Ok(threads)
+}
+
+fn spawn(
+    name: String,
+    run: impl FnOnce() + Send + 'static,
+) -> Result<JoinHandle<()>, Report<HostError>> {
+    std::thread::Builder::new().name(name).spawn(run).change_context(HostError::Thread)
+}
+
+fn edge_options(settings: &Settings) -> EdgeOptions {
+    let limits = &settings.callers;
+    EdgeOptions::default()
+        .max_body_bytes(limits.max_body_bytes)
+        .max_headers(limits.max_headers)
+        .max_head_bytes(limits.max_head_bytes)
+        .max_connections(limits.max_connections)
+        .head_timeout(limits.head_timeout)
+        .body_timeout(limits.body_timeout)
+        .idle_timeout(limits.idle_timeout)
+        .write_timeout(limits.write_timeout)
+        .open_metrics(limits.has_open_metrics)
+}
+
+async fn accept_peers(shared: Arc<Shared>, listener: TcpListener, stop: Stop) {
+    let accept = async {
+        let mut incoming = listener.incoming();
+        while let Some(stream) = incoming.next().await {
+            match stream {
+                Ok(stream) => shared.spawn(serve_peer(shared.clone(), stream)),
+                Err(error) => log::warn!("peer connection: {error}"),
+            }
+        }
+    };
+    smol::future::or(accept, stop.wait()).await;
+}
+
+async fn serve_peer(shared: Arc<Shared>, stream: smol::net::TcpStream) {
+    let channel = trefoilring_proto::accept(stream);
+    let mut requests = std::pin::pin!(channel.execute(PeerServer::new(shared.clone()).serve()));
+    while let Some(response) = Compat::new(requests.next()).await {
+        shared.spawn(Compat::new(response));
+    }
+}
--- /dev/null
+++ b/crates/host/src/journal_store.rs
@@ -0,0 +1,195 @@
+//! Journals in the Object API and copies at other hosts: the calls behind the commands of
+//! [`trefoilring_core::journal`].
+//!
+//! Each function makes one call and turns its end into the event that the machine expects. Entries
+//! are JSON objects at `journal/{id}/{seq}`, with the position in twelve digits so that keys sort
+//! as positions do.
+
+use {
+    crate::shared::Shared,
+    std::{sync::Arc, time::Duration},
+    trefoilring_core::{
+        ids::{JournalId, Member},
+        journal::{ClaimReply, CopyReply, Entry, Event, FailureKind, Owner, TakeoverEvent},
+    },
+    trefoilring_platform::{ApiError, Listed, PutError},
+    trefoilring_proto::{ClaimRequest, CopyRequest, DiscardRequest},
+};
+
+/// Prefix of all journals' keys.
+pub(crate) const PREFIX: &str = "journal/";
+/// How long a copy or claim may take.
+const PEER_TIMEOUT: Duration = Duration::from_secs(2);
+/// Keys in one page of a list.
+const LIST_PAGE_KEYS: usize = 1000;
+
+/// The key of one entry.
+pub(crate) fn key(journal: &str, seq: u64) -> String {
+    format!("{PREFIX}{journal}/{seq:012}")
+}
+
+/// Creates an entry. Returns the object's version with the event, to delete it by.
+pub(crate) async fn write(shared: &Shared, entry: &Entry) -> (Event, Option<u64>) {
+    let seq = entry.seq;
+    let Ok(value) = serde_json::to_vec(entry) else {
+        return (Event::StoreFailed { seq, kind: FailureKind::NotApplied }, None);
+    };
+    shared.metrics.count("journal.writes", 1);
+    shared.metrics.count("journal.written_bytes", value.len() as i64);
+    match shared.objects.put(&key(&entry.journal, seq), 0, value).await {
+        Ok(version) => (Event::Stored { seq }, Some(version)),
+        Err(PutError::Conflict { .. }) => (Event::Conflict { seq, found: None }, None),
+        Err(PutError::NotApplied(error)) => {
+            log::debug!("journal {} {seq}: {error}", entry.journal);
+            (Event::StoreFailed { seq, kind: FailureKind::NotApplied }, None)
+        }
+        Err(PutError::Unknown(error)) => {
+            log::debug!("journal {} {seq}: {error}", entry.journal);
+            (Event::StoreFailed { seq, kind: FailureKind::Unknown }, None)
+        }
+    }
+}
+
+/// Reads one position.
+pub(crate) async fn read(shared: &Shared, journal: &JournalId, seq: u64) -> Event {
+    match get(shared, &key(journal, seq)).await {
+        Ok(entry) => Event::Found { seq, entry: entry.map(Arc::new) },
+        Err(error) => {
+            log::debug!("journal {journal} {seq}: {error}");
+            Event::StoreFailed { seq, kind: FailureKind::NotApplied }
+        }
+    }
+}
+
+/// Deletes one position; `version` is that of its object, if it is known.
+pub(crate) async fn delete(
+    shared: &Shared,
+    journal: &JournalId,
+    seq: u64,
+    version: Option<u64>,
+) -> Event {
+    let key = key(journal, seq);
+    let version = match version {
+        Some(version) => version,
+        None => match shared.objects.get(&key).await {
+            Ok(Some(object)) => object.version,
+            Ok(None) => return Event::Deleted { seq },
+            Err(_) => return Event::DeleteFailed { seq },
+        },
+    };
+    match shared.objects.delete(&key, version).await {
+        Ok(()) | Err(PutError::Conflict { present: 0 }) => Event::Deleted { seq },
+        Err(_) => Event::DeleteFailed { seq },
+    }
+}
+
+/// Reads all entries after a position.
+pub(crate) async fn read_after(shared: &Shared, journal: &JournalId, after: u64) -> TakeoverEvent {
+    match try_read_after(shared, journal, after).await {
+        Ok(entries) => TakeoverEvent::Entries(entries),
+        Err(error) => {
+            log::debug!("journal {journal}: {error}");
+            TakeoverEvent::ReadFailed
+        }
+    }
+}
+
+async fn try_read_after(
+    shared: &Shared,
+    journal: &JournalId,
+    after: u64,
+) -> Result<Vec<Entry>, ApiError> {
+    let prefix = format!("{PREFIX}{journal}/");
+    let mut last = key(journal, after);
+    let mut entries = Vec::new();
+    loop {
+        let page = shared.objects.list(&prefix, &last, LIST_PAGE_KEYS).await?;
+        let Some(end) = page.last() else { return Ok(entries) };
+        last.clone_from(&end.key);
+        for Listed { key, .. } in page {
+            // A key that is gone when it is read was garbage.
+            entries.extend(get(shared, &key).await?);
+        }
+    }
+}
+
+async fn get(shared: &Shared, key: &str) -> Result<Option<Entry>, ApiError> {
+    let Some(object) = shared.objects.get(key).await? else { return Ok(None) };
+    serde_json::from_slice(&object.value).map(Some).map_err(|error| {
+        let detail = format!("{key} is no journal entry: {error}");
+        log::error!("{detail}");
+        let kind = trefoilring_platform::ErrorKind::Malformed;
+        ApiError(trefoilring_platform::CallError::may_have_run(kind, detail))
+    })
+}
+
+/// Whether a journal has any entry.
+pub(crate) async fn exists(shared: &Shared, journal: &JournalId) -> Result<bool, ApiError> {
+    let page = shared.objects.list(&format!("{PREFIX}{journal}/"), "", 1).await?;
+    Ok(!page.is_empty())
+}
+
+/// Names all journals. Skips from one to the next, so the cost is one call a journal.
+pub(crate) async fn list(shared: &Shared) -> Result<Vec<JournalId>, ApiError> {
+    let mut journals = Vec::new();
+    let mut after = String::new();
+    loop {
+        let page = shared.objects.list(PREFIX, &after, 1).await?;
+        let Some(first) = page.first() else { return Ok(journals) };
+        let rest = first.key.strip_prefix(PREFIX).unwrap_or(&first.key);
+        let journal = rest.split('/').next().unwrap_or(rest);
+        journals.push(journal.into());
+        // '0' follows '/', so this key is after all entries of the journal.
+        after = format!("{PREFIX}{journal}0");
+    }
+}
+
+/// Sends a copy to a backup.
+pub(crate) async fn copy(shared: &Shared, address: &str, to: Member, entry: &Entry) -> Event {
+    let (seq, backup) = (entry.seq, to.clone());
+    let request = CopyRequest { to, entry: entry.clone() };
+    let reply = match address.parse() {
+        Ok(address) => {
+            let link = shared.peers.link(address);
+            let ask = |client: trefoilring_proto::PeerClient, context| async move {
+                client.copy_entry(context, request).await
+            };
+            link.call(PEER_TIMEOUT, ask).await.ok().and_then(|reply: Option<CopyReply>| reply)
+        }
+        Err(_) => None,
+    };
+    match reply {
+        Some(reply) => Event::CopyAnswered { seq, backup, reply },
+        None => Event::CopyFailed { seq, backup },
+    }
+}
+
+/// Claims a journal at a backup.
+pub(crate) async fn claim(
+    shared: &Shared,
+    address: &str,
+    backup: Member,
+    journal: JournalId,
+    by: Owner,
+) -> TakeoverEvent {
+    let request = ClaimRequest { to: backup.clone(), journal, by };
+    let Ok(address) = address.parse() else { return TakeoverEvent::ClaimFailed { backup } };
+    let link = shared.peers.link(address);
+    let ask = |client: trefoilring_proto::PeerClient, context| async move {
+        client.claim_journal(context, request).await
+    };
+    match link.call(PEER_TIMEOUT, ask).await {
+        Ok(Some::<ClaimReply>(reply)) => TakeoverEvent::ClaimAnswered { backup, reply },
+        _ => TakeoverEvent::ClaimFailed { backup },
+    }
+}
+
+/// Lets a backup drop copies. A lost message costs memory there and nothing else.
+pub(crate) async fn discard(shared: &Shared, address: &str, request: DiscardRequest) {
+    let Ok(address) = address.parse() else { return };
+    let link = shared.peers.link(address);
+    let ask = |client: trefoilring_proto::PeerClient, context| async move {
+        client.discard_copies(context, request).await
+    };
+    let _ = link.call(PEER_TIMEOUT, ask).await;
+}
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -1,1 +1,21 @@
 //! The daemon as a library.
+//!
+//! One thread runs [`control`]: it owns every state machine of `trefoilring_core` and never waits
+//! for the network or the store. Traffic threads run connections, upstream calls and store calls,
+//! and tell the control thread how they ended.
+
+mod allowance;
+mod backend;
+mod call;
+mod control;
+mod host;
+mod journal_store;
+pub mod observe;
+mod peer_server;
+mod peers;
+mod relay;
+mod shared;
+mod upstream;
+mod withdrawals;
+
+pub use host::{Host, HostError};
--- /dev/null
+++ b/crates/host/src/peers.rs
@@ -0,0 +1,48 @@
+//! Links to other hosts, one each, and how a failed link becomes a refusal.
+
+use {
+    smol::Executor,
+    std::{
+        collections::BTreeMap,
+        net::SocketAddr,
+        sync::{Arc, Mutex, PoisonError},
+    },
+    trefoilring_core::verdict::{Reason, Refusal, Verdict},
+    trefoilring_proto::{Link, LinkError},
+};
+
+/// The links of one host.
+pub(crate) struct Peers {
+    executor: Arc<Executor<'static>>,
+    links: Mutex<BTreeMap<SocketAddr, Arc<Link>>>,
+}
+
+impl Peers {
+    pub(crate) fn new(executor: Arc<Executor<'static>>) -> Self {
+        Self { executor, links: Mutex::default() }
+    }
+
+    /// Returns the link to a peer. Making it opens no connection yet.
+    pub(crate) fn link(&self, peer: SocketAddr) -> Arc<Link> {
+        let mut links = self.links.lock().unwrap_or_else(PoisonError::into_inner);
+        let make = || Arc::new(Link::new(peer, self.executor.clone()));
+        links.entry(peer).or_insert_with(make).clone()
+    }
+
+    /// Closes links to all peers but these, so that replaced hosts leave nothing behind.
+    pub(crate) fn retain(&self, live: &[SocketAddr]) {
+        let mut links = self.links.lock().unwrap_or_else(PoisonError::into_inner);
+        links.retain(|peer, _| live.contains(peer));
+    }
+}
+
+/// Turns a failed link into a refusal. Where the call was sent, only the caller of this function
+/// knows whether a lost reply may mean an effect; it passes that as `sent`.
+pub(crate) fn refusal(error: &LinkError, sent: Verdict) -> Refusal {
+    let verdict = match error {
+        LinkError::Unreachable { .. } => Verdict::NotRun,
+        LinkError::Failed { .. } => sent,
+    };
+    let detail = error.to_string();
+    Refusal { verdict, reason: Reason::HomeUnavailable, detail, retry_after: None }
+}
--- /dev/null
+++ b/crates/host/src/relay.rs
@@ -0,0 +1,158 @@
+//! Answers on their way from the home to an entry on another host.
+//!
+//! tarpc calls have one reply, so the entry asks for the next chunks with a long poll, and each
+//! reply brings all that is there. The last batch is kept until the next question, so that a lost
+//! reply loses nothing.
+
+use {
+    slotmap::{Key, KeyData, SlotMap, new_key_type},
+    smol::lock::Mutex as AsyncMutex,
+    std::{
+        future::Future,
+        sync::{Arc, Mutex, PoisonError},
+        time::{Duration, Instant},
+    },
+    trefoilring_core::{
+        call::Chunk,
+        verdict::{Reason, Refusal},
+    },
+    trefoilring_edge::Answer,
+    trefoilring_proto::{CallHandle, ChunkBatch},
+};
+
+/// Chunks in one reply at most: a bound on its size.
+const MAX_BATCH_CHUNKS: usize = 256;
+/// How long a question waits for a chunk before it is answered with none.
+pub(crate) const POLL_WAIT: Duration = Duration::from_secs(10);
+/// A relay that nobody asks for so long belongs to an entry that is gone.
+const ABANDONED_AFTER: Duration = Duration::from_secs(60);
+
+new_key_type! {
+    struct RelayKey;
+}
+
+/// The answers that other hosts are fetching from this one.
+#[derive(Default)]
+pub(crate) struct Relays {
+    table: Mutex<SlotMap<RelayKey, Slot>>,
+}
+
+struct Slot {
+    relay: Arc<AsyncMutex<Relay>>,
+    asked: Instant,
+}
+
+/// One answer. Invariant: `last` is the batch that starts at `last.first`; every chunk before it
+/// was seen by the entry, and every chunk after it is still in `answer`.
+struct Relay {
+    answer: Answer,
+    last: ChunkBatch,
+}
+
+impl Relays {
+    /// Keeps an answer for another host.
+    pub(crate) fn insert(&self, answer: Answer) -> CallHandle {
+        let relay = Relay { answer, last: ChunkBatch::default() };
+        let slot = Slot { relay: Arc::new(AsyncMutex::new(relay)), asked: Instant::now() };
+        self.lock().insert(slot).data().as_ffi()
+    }
+
+    /// Forgets an answer. The call behind it still ends and is recorded.
+    pub(crate) fn remove(&self, handle: CallHandle) {
+        self.lock().remove(KeyData::from_ffi(handle).into());
+    }
+
+    /// Whether no answer is being fetched.
+    pub(crate) fn is_empty(&self) -> bool {
+        self.lock().is_empty()
+    }
+
+    /// Forgets answers that no entry has asked for in a long time.
+    pub(crate) fn sweep(&self, now: Instant) {
+        let is_recent = |slot: &Slot| now.saturating_duration_since(slot.asked) < ABANDONED_AFTER;
+        self.lock().retain(|_, slot| is_recent(slot));
+    }
+
+    /// Waits for chunks from `after` on.
+    pub(crate) async fn next(
+        &self,
+        handle: CallHandle,
+        after: u64,
+        timeout: impl Future<Output = ()>,
+    ) -> Result<ChunkBatch, Refusal> {
+        let key = KeyData::from_ffi(handle).into();
+        let relay = {
+            let mut table = self.lock();
+            let slot = table.get_mut(key).ok_or_else(unknown)?;
+            slot.asked = Instant::now();
+            slot.relay.clone()
+        };
+        let mut relay = relay.lock().await;
+        let batch = relay.next(after, timeout).await?;
+        Ok(batch)
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, SlotMap<RelayKey, Slot>> {
+        self.table.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Relay {
+    async fn next(
+        &mut self,
+        after: u64,
+        timeout: impl Future<Output = ()>,
+    ) -> Result<ChunkBatch, Refusal> {
+        let end = self.last.first + self.last.chunks.len() as u64;
+        if after == self.last.first && end > after {
+            return Ok(self.last.clone());
+        }
+        if after != end {
+            return Err(unknown());
+        }
+        if self.last.end.is_some() {
+            return Ok(ChunkBatch { first: after, chunks: Vec::new(), end: self.last.end.clone() });
+        }
+        let first = smol::future::or(async { Some(self.answer.recv().await) }, async {
+            timeout.await;
+            None
+        });
+        let Some(first) = first.await else {
+            return Ok(ChunkBatch { first: after, ..ChunkBatch::default() });
+        };
+        // No await from here on: a cancelled question must not lose what was taken.
+        self.last = collect(after, first.ok(), &self.answer);
+        Ok(self.last.clone())
+    }
+}
+
+fn collect(first: u64, received: Option<Result<Chunk, Refusal>>, answer: &Answer) -> ChunkBatch {
+    let mut batch = ChunkBatch { first, ..ChunkBatch::default() };
+    let mut next = received;
+    loop {
+        match next {
+            Some(Ok(chunk)) => batch.chunks.push(chunk),
+            Some(Err(refusal)) => {
+                batch.end = Some(Err(refusal));
+                return batch;
+            }
+            None => {
+                batch.end = Some(Ok(()));
+                return batch;
+            }
+        }
+        if batch.chunks.len() == MAX_BATCH_CHUNKS {
+            return batch;
+        }
+        next = match answer.try_recv() {
+            Ok(item) => Some(item),
+            Err(smol::channel::TryRecvError::Empty) => return batch,
+            Err(smol::channel::TryRecvError::Closed) => None,
+        };
+    }
+}
+
+/// The entry asks about an answer that this host doesn't hold, so its end is not known there.
+fn unknown() -> Refusal {
+    Refusal::may_have_run(Reason::HomeUnavailable, "the home no longer holds this answer")
+}
--- /dev/null
+++ b/crates/host/src/shared.rs
@@ -0,0 +1,82 @@
+//! What all threads of one host share.
+
+use {
+    crate::{
+        control::ControlHandle, observe::events::EventLog, observe::metrics::Metrics, peers::Peers,
+        relay::Relays, withdrawals::Withdrawals,
+    },
+    smol::Executor,
+    std::{
+        future::Future,
+        sync::{
+            Arc, PoisonError, RwLock,
+            atomic::{AtomicBool, AtomicU64, Ordering},
+        },
+        time::{Duration, Instant},
+    },
+    trefoilring_config::settings::Settings,
+    trefoilring_core::{catalog::Catalog, ids::Member},
+    trefoilring_platform::{HostList, ObjectApi},
+};
+
+/// What all threads of one host share.
+pub(crate) struct Shared {
+    pub(crate) settings: Settings,
+    pub(crate) member: Member,
+    pub(crate) executor: Arc<Executor<'static>>,
+    pub(crate) control: ControlHandle,
+    pub(crate) peers: Peers,
+    pub(crate) relays: Relays,
+    pub(crate) withdrawals: Withdrawals,
+    pub(crate) events: EventLog,
+    pub(crate) metrics: Metrics,
+    pub(crate) objects: ObjectApi,
+    pub(crate) host_list: HostList,
+    pub(crate) lease: Lease,
+    pub(crate) is_draining: AtomicBool,
+    /// Set when an operator has asked for a planned stop.
+    pub(crate) is_drain_requested: AtomicBool,
+    pub(crate) has_fresh_keys: AtomicBool,
+    /// Calls that this host runs as a home, for a planned stop.
+    pub(crate) running_calls: AtomicU64,
+    pub(crate) catalog: RwLock<Arc<Catalog>>,
+}
+
+impl Shared {
+    /// The declarations in force.
+    pub(crate) fn catalog(&self) -> Arc<Catalog> {
+        self.catalog.read().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
+    /// Runs a task on the traffic threads until it ends.
+    pub(crate) fn spawn(&self, task: impl Future<Output = ()> + Send + 'static) {
+        self.executor.spawn(task).detach();
+    }
+}
+
+/// The end of the host's lease, readable from every thread without asking the control thread.
+pub(crate) struct Lease {
+    base: Instant,
+    /// Microseconds after `base`; 0 for no lease.
+    until_us: AtomicU64,
+}
+
+impl Lease {
+    pub(crate) fn new(base: Instant) -> Self {
+        Self { base, until_us: AtomicU64::new(0) }
+    }
+
+    /// Sets the end of the lease.
+    pub(crate) fn set(&self, until: Option<Instant>) {
+        let after_base = until.map(|until| until.saturating_duration_since(self.base));
+        let until_us = after_base.map_or(0, |after| after.as_micros() as u64);
+        self.until_us.store(until_us, Ordering::Release);
+    }
+
+    /// Whether the lease holds now. Ask immediately before each effect: a paused process finds it
+    /// lapsed, because the monotonic clock went on.
+    pub(crate) fn holds(&self) -> bool {
+        let until = Duration::from_micros(self.until_us.load(Ordering::Acquire));
+        self.base.elapsed() < until
+    }
+}
--- /dev/null
+++ b/crates/host/src/upstream.rs
@@ -0,0 +1,223 @@
+//! Calls to upstreams: one turn or one service call, with its chunks on the way to the caller.
+
+use {
+    smol::channel::Sender,
+    std::{
+        net::SocketAddr,
+        time::{Duration, Instant},
+    },
+    trefoilring_core::{
+        call::{Chunk, ServiceCall},
+        ids::Epoch,
+        journal::StepResult,
+        message::{Message, Usage},
+        sched::Outcome,
+        verdict::{Refusal, Verdict},
+    },
+    trefoilring_platform::{
+        CallError, ChatAssembler, ChatEvent, ChatRequest, Engine, ErrorKind, ServiceClient,
+        ServiceRequest,
+    },
+};
+
+/// Where the chunks of an answer go.
+pub(crate) type Out = Sender<Result<Chunk, Refusal>>;
+
+/// How a call at an upstream went, for the dispatcher and for the program.
+pub(crate) struct Run<T> {
+    /// For the dispatcher.
+    pub outcome: Outcome,
+    /// For the program.
+    pub result: Result<T, CallError>,
+}
+
+/// A turn that ended.
+pub(crate) struct TurnEnd {
+    /// The model's message.
+    pub message: Message,
+    /// Tokens used.
+    pub usage: Usage,
+    /// The whole answer in the form without a stream.
+    pub completion: serde_json::Value,
+    /// The events to hold back until the turn is durable: the one with the finish reason and those
+    /// after it.
+    pub held: Vec<String>,
+}
+
+/// Passes the text of a turn on to the caller, once, even if the turn is run again elsewhere.
+///
+/// Invariant: `sent` is a prefix of the text of every run that may still go on.
+#[derive(Default)]
+pub(crate) struct TextGate {
+    sent: String,
+    seen: String,
+    is_started: bool,
+    /// Whether the caller has seen more than text, which can't be compared with another run.
+    has_sent_other: bool,
+}
+
+impl TextGate {
+    /// Starts another run of the same turn. Returns whether that is possible.
+    pub(crate) fn rewind(&mut self) -> bool {
+        self.seen.clear();
+        !self.has_sent_other
+    }
+
+    /// Whether the caller has seen anything.
+    pub(crate) fn is_started(&self) -> bool {
+        self.is_started
+    }
+
+    /// Returns the part of an event that the caller has not seen, or an error if this run says
+    /// something else than an earlier one whose text the caller has already seen.
+    fn pass(&mut self, event: &ChatEvent) -> Result<Option<String>, CallError> {
+        let seen_before = self.seen.len();
+        self.seen.push_str(event.content());
+        let overlap = self.seen.len().min(self.sent.len());
+        if self.seen.as_bytes()[..overlap] != self.sent.as_bytes()[..overlap] {
+            return Err(diverged());
+        }
+        let is_repeat = seen_before < self.sent.len();
+        if is_repeat && self.seen.len() <= self.sent.len() {
+            return Ok(None);
+        }
+        let json = match is_repeat {
+            true => with_content(&event.json, &self.seen[self.sent.len()..]),
+            false => event.json.clone(),
+        };
+        self.has_sent_other |= event.delta.contains_key("tool_calls");
+        self.sent.clone_from(&self.seen);
+        Ok(Some(json))
+    }
+}
+
+fn diverged() -> CallError {
+    let detail = "the turn was run again and its text differs from what was sent";
+    CallError::may_have_run(ErrorKind::Broken, detail)
+}
+
+fn with_content(json: &str, content: &str) -> String {
+    let Ok(mut event) = serde_json::from_str::<serde_json::Value>(json) else { return json.into() };
+    if let Some(delta) = event.pointer_mut("/choices/0/delta") {
+        delta["content"] = content.into();
+    }
+    event.to_string()
+}
+
+/// Runs a turn. With `gate`, chunks go to the caller as they come.
+pub(crate) async fn run_turn(
+    address: SocketAddr,
+    request: ChatRequest,
+    out: &Out,
+    mut gate: Option<&mut TextGate>,
+) -> Run<TurnEnd> {
+    let started = Instant::now();
+    let (id, model) = (request.resume_id.clone().unwrap_or_default(), request.model.clone());
+    let mut assembler = ChatAssembler::default();
+    let mut first_byte = None;
+    let mut held = Vec::new();
+    let mut stream = match Engine::new(address).chat(request).await {
+        Ok(stream) => stream,
+        Err(error) => return failed(error),
+    };
+    while let Some(event) = stream.next().await {
+        let event = match event {
+            Ok(event) => event,
+            Err(error) => return failed(error),
+        };
+        first_byte.get_or_insert_with(|| started.elapsed());
+        assembler.push(&event);
+        let Some(gate) = gate.as_deref_mut() else { continue };
+        match gate.pass(&event) {
+            Ok(Some(json)) if assembler.finish_reason().is_some() => held.push(json),
+            Ok(Some(json)) => send_event(out, gate, json).await,
+            Ok(None) => (),
+            Err(error) => return failed(error),
+        }
+    }
+    let usage = assembler.usage().unwrap_or_default();
+    let outcome = Outcome::Done {
+        first_byte: first_byte.unwrap_or_default(),
+        total: started.elapsed(),
+        usage: Some(usage),
+    };
+    let completion = assembler.completion(&id, &model);
+    let result = Ok(TurnEnd { message: assembler.message(), usage, completion, held });
+    Run { outcome, result }
+}
+
+/// Sends one event. A caller that is gone doesn't stop the turn: it ends and is recorded.
+async fn send_event(out: &Out, gate: &mut TextGate, json: String) {
+    if !gate.is_started {
+        gate.is_started = true;
+        let _ = out.send(Ok(event_stream_head())).await;
+    }
+    let _ = out.send(Ok(Chunk::Event(json))).await;
+}
+
+/// The head of a streamed answer.
+pub(crate) fn event_stream_head() -> Chunk {
+    let headers = vec![("content-type".to_string(), "text/event-stream".to_string())];
+    Chunk::Head { status: 200, headers }
+}
+
+/// Runs a call to a tool or plain service.
+pub(crate) async fn run_service(
+    address: SocketAddr,
+    call: &ServiceCall,
+    idempotency_key: Option<String>,
+    fencing_epoch: Option<Epoch>,
+    deadline: Duration,
+) -> Run<StepResult> {
+    let started = Instant::now();
+    let request = ServiceRequest {
+        method: call.method.clone(),
+        path: call.path.clone(),
+        headers: call.headers.clone(),
+        body: call.body.clone(),
+        idempotency_key,
+        fencing_epoch,
+        deadline: started + deadline,
+    };
+    match ServiceClient::new(address).call(request).await {
+        Ok(reply) => {
+            let total = started.elapsed();
+            let outcome = Outcome::Done { first_byte: total, total, usage: None };
+            let result = step_result(reply.status, reply.headers, reply.body);
+            Run { outcome, result: Ok(result) }
+        }
+        Err(error) => failed(error),
+    }
+}
+
+/// Makes a recorded answer; text stays readable in the store.
+pub(crate) fn step_result(
+    status: u16,
+    headers: Vec<(String, String)>,
+    body: Vec<u8>,
+) -> StepResult {
+    match String::from_utf8(body) {
+        Ok(text) => StepResult { status, headers, text, bytes: Vec::new() },
+        Err(error) => {
+            StepResult { status, headers, text: String::new(), bytes: error.into_bytes() }
+        }
+    }
+}
+
+/// The body of a recorded answer.
+pub(crate) fn result_body(result: &StepResult) -> Vec<u8> {
+    match result.bytes.is_empty() {
+        true => result.text.clone().into_bytes(),
+        false => result.bytes.clone(),
+    }
+}
+
+fn failed<T>(error: CallError) -> Run<T> {
+    let outcome = match error.kind {
+        ErrorKind::Connect | ErrorKind::Broken => Outcome::Broken,
+        ErrorKind::TimedOut => Outcome::TimedOut,
+        _ if error.verdict == Verdict::NotRun => Outcome::Refused,
+        _ => Outcome::Broken,
+    };
+    Run { outcome, result: Err(error) }
+}
--- /dev/null
+++ b/crates/host/src/withdrawals.rs
@@ -0,0 +1,40 @@
+//! Tells waiting and streaming requests that their key no longer holds.
+
+use {
+    smol::channel::{Receiver, Sender},
+    std::{
+        collections::BTreeMap,
+        sync::{Mutex, PoisonError},
+    },
+    trefoilring_core::ids::KeyId,
+};
+
+/// The two ends of a channel that is only ever closed.
+type Signal = (Sender<()>, Receiver<()>);
+
+/// One channel a key in use. Nothing is ever sent: closing is the signal, because it
+/// reaches every clone of the receiver at once.
+#[derive(Default)]
+pub(crate) struct Withdrawals {
+    by_key: Mutex<BTreeMap<KeyId, Signal>>,
+}
+
+impl Withdrawals {
+    /// Completes when the key is withdrawn after this call.
+    pub(crate) async fn wait(&self, key: &KeyId) {
+        let receiver = {
+            let mut by_key = self.by_key.lock().unwrap_or_else(PoisonError::into_inner);
+            by_key.entry(key.clone()).or_insert_with(|| smol::channel::bounded(1)).1.clone()
+        };
+        // An error means closed, and that is what is waited for.
+        let _ = receiver.recv().await;
+    }
+
+    /// Ends all waits for a key.
+    pub(crate) fn withdraw(&self, key: &KeyId) {
+        let mut by_key = self.by_key.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some((sender, _)) = by_key.remove(key) {
+            sender.close();
+        }
+    }
+}
