Start a whole site in one process, and add trefoilring serve and demo

Cause: a new user needs one command that shows the system working. Change: crates/site starts stand-ins and hosts; the demo runs eight programs of both users through three hosts, sends each effect twice, and checks histories, streams, effects and released memory.

--- /dev/null
+++ b/crates/cli/src/demo.rs
@@ -0,0 +1,47 @@
+//! `trefoilring demo`: a whole site in one process, with programs of both users.
+
+mod agent;
+mod report;
+mod scenario;
+
+use {
+    clap::{Arg, ArgAction, ArgMatches, Command},
+    std::process::ExitCode,
+};
+
+/// The demo's command.
+pub(crate) fn command() -> Command {
+    Command::new("demo")
+        .about("Runs a whole site in this process: stand-ins, three hosts, programs of two users.")
+        .arg(
+            Arg::new("json")
+                .long("json")
+                .env("TREFOILRING_DEMO_JSON")
+                .action(ArgAction::SetTrue)
+                .help("Prints the result as JSON"),
+        )
+        .arg(
+            Arg::new("keep")
+                .long("keep")
+                .env("TREFOILRING_DEMO_KEEP")
+                .action(ArgAction::SetTrue)
+                .help("Leaves the site up until it is interrupted, and prints what to try"),
+        )
+}
+
+/// Runs the demo. Fails if anything that it checks does not hold.
+pub(crate) fn run(matches: &ArgMatches) -> ExitCode {
+    match smol::block_on(scenario::run(matches.get_flag("keep"))) {
+        Ok(outcome) => {
+            report::print(&outcome, matches.get_flag("json"));
+            match outcome.faults.is_empty() {
+                true => ExitCode::SUCCESS,
+                false => ExitCode::FAILURE,
+            }
+        }
+        Err(error) => {
+            eprintln!("error: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- a/crates/cli/src/lib.rs
+++ /dev/null
@@ -1,1 +0,0 @@
-//! The programs trefoilring and trefoilctl.
--- /dev/null
+++ b/crates/site/src/caller.rs
@@ -0,0 +1,184 @@
+//! A caller's client: HTTP with JSON, and streams of events.
+
+use {
+    derive_more::{Display, Error, From},
+    http_types::{Body, Method, Request, Response, Url},
+    serde_json::Value,
+    smol::{
+        io::{AsyncBufReadExt, BufReader},
+        net::TcpStream,
+    },
+    std::{
+        net::SocketAddr,
+        time::{Duration, Instant},
+    },
+};
+
+/// Why a request has no answer. The caller doesn't know whether it ran.
+#[derive(Debug, Display, Error, From)]
+pub enum CallerError {
+    /// The connection could not be made or broke.
+    #[display("connection: {_0}")]
+    Io(std::io::Error),
+    /// The answer is not HTTP, or not what was expected.
+    #[display("answer: {detail}")]
+    Malformed {
+        /// What is wrong.
+        #[error(not(source))]
+        detail: String,
+    },
+}
+
+/// A whole answer.
+#[derive(Clone, Debug)]
+pub struct Reply {
+    /// HTTP status.
+    pub status: u16,
+    /// The body as JSON; null if it isn't.
+    pub json: Value,
+    /// The body.
+    pub body: Vec<u8>,
+}
+
+impl Reply {
+    /// Returns whether the status is a success.
+    pub fn is_success(&self) -> bool {
+        (200..300).contains(&self.status)
+    }
+
+    /// A text field of the answer, empty if it isn't there.
+    pub fn text(&self, field: &str) -> &str {
+        self.json.get(field).and_then(Value::as_str).unwrap_or_default()
+    }
+
+    /// The text of the first choice of a completion, empty if there is none.
+    pub fn completion(&self) -> &str {
+        let content = self.json.pointer("/choices/0/message/content");
+        content.and_then(Value::as_str).unwrap_or_default()
+    }
+}
+
+/// A streamed answer, read to its end.
+#[derive(Clone, Debug)]
+pub struct SseReply {
+    /// HTTP status.
+    pub status: u16,
+    /// The data of all events but the mark at the end.
+    pub events: Vec<String>,
+    /// Whether the mark at the end came.
+    pub is_whole: bool,
+    /// Time to the first event with text.
+    pub first_event: Option<Duration>,
+    /// Time to the end.
+    pub total: Duration,
+}
+
+impl SseReply {
+    /// The text of all events together.
+    pub fn text(&self) -> String {
+        let content = |event: &String| {
+            let event: Value = serde_json::from_str(event).ok()?;
+            Some(event.pointer("/choices/0/delta/content")?.as_str()?.to_string())
+        };
+        self.events.iter().filter_map(content).collect()
+    }
+}
+
+/// A caller with one key. Each request takes a connection of its own, as through a balancer.
+#[derive(Clone, Debug)]
+pub struct CallerClient {
+    key: String,
+}
+
+impl CallerClient {
+    /// Makes a client that presents `key`.
+    pub fn new(key: impl Into<String>) -> Self {
+        Self { key: key.into() }
+    }
+
+    /// Sends a request and reads the whole answer. `headers` are added.
+    pub async fn send(
+        &self,
+        host: SocketAddr,
+        method: Method,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: Option<&Value>,
+    ) -> Result<Reply, CallerError> {
+        let mut response = self.open(host, method, path, headers, body).await?;
+        let body = response.body_bytes().await.map_err(malformed)?;
+        let json = serde_json::from_slice(&body).unwrap_or_default();
+        Ok(Reply { status: response.status().into(), json, body })
+    }
+
+    /// Sends a request and reads the events of its answer.
+    pub async fn stream(
+        &self,
+        host: SocketAddr,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: &Value,
+    ) -> Result<SseReply, CallerError> {
+        let started = Instant::now();
+        let response = self.open(host, Method::Post, path, headers, Some(body)).await?;
+        let status = response.status().into();
+        let mut reply = SseReply {
+            status,
+            events: Vec::new(),
+            is_whole: false,
+            first_event: None,
+            total: Duration::ZERO,
+        };
+        let mut reader = BufReader::new(response);
+        let mut line = String::new();
+        loop {
+            line.clear();
+            if reader.read_line(&mut line).await? == 0 {
+                break;
+            }
+            match line.trim_end().strip_prefix("data: ") {
+                Some("[DONE]") => reply.is_whole = true,
+                Some(data) => {
+                    let has_text =
+                        data.contains("\"content\":\"") && !data.contains("\"content\":\"\"");
+                    if has_text {
+                        reply.first_event.get_or_insert_with(|| started.elapsed());
+                    }
+                    reply.events.push(data.to_string());
+                }
+                None => (),
+            }
+        }
+        reply.total = started.elapsed();
+        Ok(reply)
+    }
+
+    async fn open(
+        &self,
+        host: SocketAddr,
+        method: Method,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: Option<&Value>,
+    ) -> Result<Response, CallerError> {
+        let url = Url::parse(&format!("http://{host}{path}"));
+        let url = url.map_err(|error| CallerError::Malformed { detail: error.to_string() })?;
+        let mut request = Request::new(method, url);
+        request.insert_header("Authorization", format!("Bearer {}", self.key));
+        request.insert_header("Connection", "close");
+        for (name, value) in headers {
+            request.insert_header(*name, *value);
+        }
+        if let Some(body) = body {
+            request.set_body(Body::from_string(body.to_string()));
+            request.set_content_type(http_types::mime::JSON);
+        }
+        let stream = TcpStream::connect(host).await?;
+        stream.set_nodelay(true)?;
+        async_h1::connect(stream, request).await.map_err(malformed)
+    }
+}
+
+fn malformed(error: http_types::Error) -> CallerError {
+    CallerError::Malformed { detail: error.to_string() }
+}
