--- a/crates/site/tests/support/mod.rs
+++ b/crates/site/tests/support/mod.rs
@@ -57,10 +57,8 @@
 /// Three hosts in three failure domains before two engines and two tool services.
 pub fn options() -> SiteOptions {
     let domains = ["a", "b", "c"];
-    let host = |domain: &str| HostPlace {
-        host: format!("host-{domain}").into(),
-        domain: domain.into(),
-    };
+    let host =
+        |domain: &str| HostPlace { host: format!("host-{domain}").into(), domain: domain.into() };
     let upstream = |name: &str, service: &str, domain: &str| UpstreamPlace {
         upstream: name.into(),
         service: service.into(),
