--- a/crates/load/tests/policy.rs
+++ b/crates/load/tests/policy.rs
@@ -55,8 +55,14 @@
 
 #[test]
 fn the_same_seed_gives_the_same_figures() {
-    let experiment =
-        |seed| Experiment { workload: workload(), scenario: "steady".into(), load: 0.5, seed };
+    let length = RunLength { warm_up_s: 30.0, arrivals_s: 150.0, end_s: 300.0 };
+    let experiment = |seed| Experiment {
+        workload: workload(),
+        scenario: "steady".into(),
+        load: 0.5,
+        seed,
+        length,
+    };
     let figures = |seed| {
         println!("seed {seed}");
         let measures = experiment(seed).run("trefoilring").expect("valid").expect("known");
