--- a/crates/core/src/membership/ask_release.rs
+++ b/crates/core/src/membership/ask_release.rs
@@ -70,6 +70,7 @@
         let roster = Roster {
             domain: stale.domain.clone(),
             writer: self.me.member.clone(),
+            writer_address: self.me.address.clone(),
             beat: other.roster.beat + 1,
             hosts: BTreeMap::new(),
             guards: Vec::new(),
--- a/crates/core/src/membership/delegate.rs
+++ b/crates/core/src/membership/delegate.rs
@@ -52,7 +52,6 @@
     settling: BTreeMap<HostId, (u64, Instant)>,
     pub freeze: Option<FreezeRound>,
     freeze_number: u64,
-    last_answers: BTreeMap<DomainId, u64>,
     releases: BTreeMap<DomainId, (u64, BTreeSet<Member>)>,
     pub manifest: Option<u64>,
 }
@@ -74,7 +73,6 @@
             settling: BTreeMap::new(),
             freeze: None,
             freeze_number: 0,
-            last_answers: BTreeMap::new(),
             releases: BTreeMap::new(),
             manifest: None,
         }
@@ -128,21 +126,6 @@
         self.freeze_number
     }
 
-    pub fn note_answer(&mut self, domain: DomainId) {
-        self.last_answers.insert(domain, self.freeze_number);
-    }
-
-    /// Returns the other domains that did not answer in the last freeze round.
-    pub fn silent_domains(&self) -> Vec<DomainId> {
-        let has_answered = |domain: &DomainId| {
-            self.last_answers.get(domain).is_some_and(|round| *round == self.freeze_number)
-        };
-        self.other_domains()
-            .into_iter()
-            .filter(|domain| self.freeze_number > 0 && !has_answered(domain))
-            .collect()
-    }
-
     /// Returns the heartbeats that may be acknowledged: of hosts in the stored roster.
     pub fn included(&self) -> Vec<Included> {
         self.included_in(&self.roster)
@@ -194,8 +177,12 @@
         let mut roster = self.roster.clone();
         roster.beat += 1;
         roster.writer = me.member.clone();
+        roster.writer_address = me.address.clone();
         self.remove_ended(now, options, &mut roster);
-        for heard in self.heard.values() {
+        // A host that has just been removed for its silence must not come back by its last word.
+        let is_recent =
+            |heard: &&Heard| now.saturating_duration_since(heard.at) <= options.takeover;
+        for heard in self.heard.values().filter(is_recent) {
             include(&mut roster, heard, options);
         }
         if roster.hosts.values().all(|entry| !entry.is_inherited) {
@@ -228,8 +215,12 @@
     fn guards(&self) -> Vec<Guard> {
         self.others
             .values()
-            .filter_map(|other| other.roster.hosts.get(&other.roster.writer.host))
-            .map(|entry| Guard { member: entry.member.clone(), address: entry.address.clone() })
+            .map(|other| &other.roster)
+            .filter(|roster| !roster.hosts.is_empty())
+            .map(|roster| Guard {
+                member: roster.writer.clone(),
+                address: roster.writer_address.clone(),
+            })
             .collect()
     }
 
--- a/crates/core/src/membership/follower.rs
+++ b/crates/core/src/membership/follower.rs
@@ -2,10 +2,10 @@
 
 use {
     super::{
-        Body, Command, Delegate, Duty, Heartbeat, HeartbeatReply, HostState, Membership, Note,
-        ROSTER_PREFIX, Roster, StoreError, StoreOp, StoreReply, StoreResult, store::Purpose,
+        Body, Command, Delegate, Duty, Heartbeat, HeartbeatReply, HostEntry, HostState, Membership,
+        Note, ROSTER_PREFIX, Roster, StoreError, StoreOp, StoreReply, StoreResult, store::Purpose,
     },
-    crate::ids::HostId,
+    crate::ids::{HostId, Member},
     std::{collections::BTreeMap, time::Instant},
 };
 
@@ -15,7 +15,7 @@
 /// What a follower knows of its delegate.
 #[derive(Debug)]
 pub(super) struct Follower {
-    delegate: Option<(HostId, String)>,
+    delegate: Option<(Member, String)>,
     /// When the delegate last acknowledged a heartbeat, or was chosen.
     heard_at: Instant,
     /// The roster's version in the store and since when it has been the same.
@@ -39,7 +39,7 @@
     }
 
     pub fn delegate(&self) -> Option<&HostId> {
-        self.delegate.as_ref().map(|(host, _)| host)
+        self.delegate.as_ref().map(|(member, _)| &member.host)
     }
 
     pub fn is_store_up(&self) -> bool {
@@ -67,13 +67,13 @@
 
     pub(super) fn send_heartbeat(&mut self, now: Instant) {
         let Duty::Follower(follower) = &self.duty else { return };
-        let Some((host, address)) = follower.delegate.clone() else { return };
+        let Some((delegate, address)) = follower.delegate.clone() else { return };
         let heartbeat = Heartbeat {
             seq: self.lease.send(now),
             entry: self.entry.clone(),
             view: self.view.stamp().clone(),
         };
-        self.send(&host, &address, Body::Heartbeat(heartbeat));
+        self.send(&delegate.host, &address, Body::Heartbeat(heartbeat));
     }
 
     pub(super) fn roster_key(&self) -> String {
@@ -89,14 +89,14 @@
     pub(super) fn reply_received(
         &mut self,
         now: Instant,
-        from: HostId,
+        from: Member,
         address: String,
         reply: HeartbeatReply,
     ) {
         let known_beat = self.beat;
         let Duty::Follower(follower) = &mut self.duty else { return };
-        let is_current = follower.delegate().is_some_and(|delegate| *delegate == from);
-        let is_same_domain = self.view.get(&from).is_none_or(|e| e.domain == self.me.domain);
+        let is_current = follower.delegate.as_ref().is_some_and(|(known, _)| *known == from);
+        let is_same_domain = self.view.get(&from.host).is_none_or(|e| e.domain == self.me.domain);
         if reply.beat < known_beat || (!is_current && (reply.beat == known_beat || !is_same_domain))
         {
             return;
@@ -168,13 +168,14 @@
             return;
         }
         let writer = roster.writer.host.clone();
-        let entry = roster.hosts.get(&writer).cloned();
+        let entry = roster.hosts.get(&writer);
         let is_gone = entry.is_none();
-        let stops = entry.as_ref().is_some_and(|entry| !entry.is_live());
+        let stops = entry.is_some_and(|entry| !entry.is_live());
         let Duty::Follower(follower) = &mut self.duty else { return };
-        let is_other = follower.delegate() != Some(&writer) && writer != self.me.member.host;
-        if let (Some(entry), true) = (&entry, is_other) {
-            follower.delegate = Some((writer.clone(), entry.address.clone()));
+        let is_known = follower.delegate.as_ref().is_some_and(|(known, _)| *known == roster.writer);
+        let is_other = !is_known && writer != self.me.member.host;
+        if is_other && !is_gone {
+            follower.delegate = Some((roster.writer.clone(), roster.writer_address.clone()));
             follower.heard_at = now;
             self.beat = roster.beat;
             self.send_heartbeat(now);
@@ -190,7 +191,7 @@
     /// Takes the delegate's place when the roster hasn't changed for long enough.
     fn claim_if_stale(&mut self, now: Instant, version: u64, roster: Option<Roster>) {
         let place = roster.as_ref().map_or(0, |roster| self.succession(roster));
-        let wait = self.options.takeover
+        let wait = self.options.takeover / 2
             + self.options.heartbeat * u32::try_from(place.min(STAGGERED_MAX)).unwrap_or(0);
         let Duty::Follower(follower) = &mut self.duty else { return };
         match follower.observed {
@@ -234,17 +235,16 @@
     }
 
     fn claiming_roster(&self, former: Option<Roster>) -> Roster {
-        let Some(mut roster) = former else {
-            return Roster {
-                domain: self.me.domain.clone(),
-                writer: self.me.member.clone(),
-                beat: self.beat + 1,
-                hosts: BTreeMap::new(),
-                guards: Vec::new(),
-                former_guards: Vec::new(),
-                seen: BTreeMap::new(),
-            };
-        };
+        let mut roster = former.unwrap_or_else(|| Roster {
+            domain: self.me.domain.clone(),
+            writer: self.me.member.clone(),
+            writer_address: self.me.address.clone(),
+            beat: 0,
+            hosts: BTreeMap::new(),
+            guards: Vec::new(),
+            former_guards: Vec::new(),
+            seen: BTreeMap::new(),
+        });
         let guards = std::mem::take(&mut roster.guards);
         if !guards.is_empty() && !roster.former_guards.contains(&guards) {
             roster.former_guards.push(guards);
@@ -253,7 +253,10 @@
             entry.is_inherited = entry.member != self.me.member;
         }
         roster.writer = self.me.member.clone();
+        roster.writer_address = self.me.address.clone();
         roster.beat = roster.beat.max(self.beat) + 1;
+        let own = HostEntry { live_beat: roster.beat, is_settled: false, ..self.entry.clone() };
+        roster.hosts.entry(self.me.member.host.clone()).or_insert(own);
         roster
     }
 
--- a/crates/core/src/membership/freeze.rs
+++ b/crates/core/src/membership/freeze.rs
@@ -1,10 +1,10 @@
 //! Leases without the store, and the promises that keep them apart from removals.
 //!
-//! A delegate that can't reach the store may let its domain's leases go on when enough guards
-//! confirm that they can't reach it either. A guard is a process that the stored roster names. To
-//! remove hosts of a domain that may be going on like this, enough of the same guards must have
-//! released it. "Enough" is such that any two groups share a guard, and a guard that confirmed
-//! doesn't release before the leases that rest on its word have ended.
+//! A delegate that can't reach the store may let its domain's leases go on when all guards confirm
+//! that they can't reach it either. A guard is a process that the stored roster names: the
+//! delegates of the other domains. To remove hosts of a domain that may be going on like this, one
+//! of the same guards must have released it. A guard that confirmed doesn't release before the
+//! leases that rest on its word have ended.
 
 use {
     super::{
@@ -62,28 +62,22 @@
     }
 }
 
-/// Guards that must confirm, of a group of this size.
-fn freeze_quorum(guards: usize) -> usize {
-    guards.div_ceil(2).max(1)
-}
-
-/// Guards that must release. Any such group shares one with any group that may confirm.
-fn release_quorum(guards: usize) -> usize {
-    (guards + 1).saturating_sub(freeze_quorum(guards))
-}
-
-fn count(set: &[Guard], members: &BTreeSet<Member>) -> usize {
-    set.iter().filter(|guard| members.contains(&guard.member)).count()
-}
-
-/// Returns whether leases may go on, for each group that may be the stored one.
+/// Returns whether leases may go on, for each group of guards that may be the stored one. Without
+/// guards nobody could tell that the store is down for others too.
 pub(super) fn may_freeze(sets: &[Vec<Guard>], confirmed: &BTreeSet<Member>) -> bool {
-    sets.iter().all(|set| count(set, confirmed) >= freeze_quorum(set.len()))
+    let has_all = |set: &Vec<Guard>| {
+        !set.is_empty() && set.iter().all(|guard| confirmed.contains(&guard.member))
+    };
+    sets.iter().all(has_all)
 }
 
-/// Returns whether hosts may be removed.
+/// Returns whether hosts may be removed: each group that might have let leases go on can't do so
+/// any more, because one of it has released them.
 pub(super) fn may_remove(sets: &[Vec<Guard>], released: &BTreeSet<Member>) -> bool {
-    sets.iter().all(|set| count(set, released) >= release_quorum(set.len()))
+    let has_one = |set: &Vec<Guard>| {
+        set.is_empty() || set.iter().any(|guard| released.contains(&guard.member))
+    };
+    sets.iter().all(has_one)
 }
 
 /// One attempt to let the leases go on.
@@ -113,29 +107,19 @@
 }
 
 impl Membership {
-    /// Asks the guards, and where a guard has been silent also another host of its domain, whose
-    /// word counts for the configuration only.
+    /// Asks all guards.
     pub(super) fn freeze_round(&mut self, now: Instant) {
         let Duty::Delegate(delegate) = &mut self.duty else { return };
         if !delegate.has_view() {
             return;
         }
-        let silent = delegate.silent_domains();
         let number = delegate.start_freeze(now);
-        let mut asked: BTreeMap<HostId, String> = delegate
+        let asked: BTreeMap<HostId, String> = delegate
             .guard_sets()
             .iter()
             .flatten()
             .map(|guard| (guard.member.host.clone(), guard.address.clone()))
             .collect();
-        for domain in silent {
-            let hosts: Vec<_> =
-                self.view.entries().filter(|entry| entry.domain == domain).collect();
-            let turn = usize::try_from(number).unwrap_or(0) % hosts.len().max(1);
-            if let Some(entry) = hosts.get(turn) {
-                asked.insert(entry.member.host.clone(), entry.address.clone());
-            }
-        }
         for (host, address) in asked {
             let ask = Ask::Freeze { round: number, domain: self.me.domain.clone() };
             self.send(&host, &address, Body::Ask(ask));
@@ -175,8 +159,8 @@
         domain: DomainId,
     ) {
         let Duty::Delegate(delegate) = &self.duty else {
-            // A follower makes no store calls of its own, so it tries one. Its word counts for
-            // the configuration, not for leases.
+            // It was a delegate when the roster was written. It confirms nothing any more, but it
+            // may reach the store.
             let op = StoreOp::List { prefix: super::MANIFEST_KEY.into() };
             let purpose = Purpose::Probe { to: from.host, address, round };
             self.operate_directly(now, purpose, op);
@@ -247,7 +231,7 @@
         if is_confirmed {
             freeze.confirmed.insert(from);
         }
-        freeze.down_domains.insert(domain.clone());
+        freeze.down_domains.insert(domain);
         let may_go_on = may_freeze(&sets, &freeze.confirmed);
         let is_down_for_all = domains.is_subset(&freeze.down_domains);
         let is_new = !freeze.is_acked || (is_down_for_all && !freeze.is_manifest_acked);
@@ -256,7 +240,6 @@
             freeze.is_manifest_acked |= is_down_for_all;
             (freeze.included.clone(), manifest.filter(|_| is_down_for_all))
         });
-        delegate.note_answer(domain);
         if let Some((included, manifest)) = ack {
             self.acknowledge(now, included, manifest, false);
         }
--- a/crates/core/src/membership/message.rs
+++ b/crates/core/src/membership/message.rs
@@ -77,6 +77,8 @@
     pub domain: DomainId,
     /// The delegate that wrote it.
     pub writer: Member,
+    /// Its address, `ip:port`.
+    pub writer_address: String,
     /// Counts writes. Invariant: rises with each write, whoever writes.
     pub beat: u64,
     /// The hosts of the domain. Invariant: an entry goes only when its lease has ended.
--- a/crates/core/src/membership/mod.rs
+++ b/crates/core/src/membership/mod.rs
@@ -267,7 +267,7 @@
         let Message { from, address, body } = message;
         match body {
             Body::Heartbeat(heartbeat) => self.heartbeat_received(now, heartbeat),
-            Body::Reply(reply) => self.reply_received(now, from.host, address, reply),
+            Body::Reply(reply) => self.reply_received(now, from, address, reply),
             Body::Ask(ask) => self.asked(now, from, address, ask),
             Body::Answer(answer) => self.answered(now, from, address, answer),
             Body::Relay { token, op } => self.relay(now, from.host, address, token, op),
