--- a/crates/core/src/limit/limiter.rs
+++ b/crates/core/src/limit/limiter.rs
@@ -90,7 +90,7 @@
 }
 
 /// All buckets of one host.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct Limiter {
     slots: BTreeMap<(TeamId, u8), Slot>,
     draws: BTreeMap<u64, Draw>,
--- a/crates/core/src/membership/delegate.rs
+++ b/crates/core/src/membership/delegate.rs
@@ -33,7 +33,7 @@
 }
 
 /// A delegate.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(super) struct Delegate {
     /// Version of the own roster in the store.
     pub version: u64,
--- a/crates/core/src/membership/follower.rs
+++ b/crates/core/src/membership/follower.rs
@@ -13,7 +13,7 @@
 const STAGGERED_MAX: usize = 5;
 
 /// What a follower knows of its delegate.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(super) struct Follower {
     delegate: Option<(Member, String)>,
     /// When the delegate last acknowledged a heartbeat, or was chosen.
--- a/crates/core/src/membership/freeze.rs
+++ b/crates/core/src/membership/freeze.rs
@@ -22,7 +22,7 @@
 const FAILURES_TO_REPORT: u32 = 2;
 
 /// What this process has promised other delegates.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(super) struct Promises {
     started_at: Instant,
     /// When leases of a domain were last allowed to go on.
@@ -81,7 +81,7 @@
 }
 
 /// One attempt to let the leases go on.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(super) struct FreezeRound {
     number: u64,
     started: Instant,
--- a/crates/core/src/membership/mod.rs
+++ b/crates/core/src/membership/mod.rs
@@ -48,7 +48,7 @@
 pub const MANIFEST_KEY: &str = "config/manifest";
 
 /// The membership machine of one host. Events in, commands out, time passed in.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct Membership {
     options: Options,
     me: Identity,
@@ -70,7 +70,7 @@
 }
 
 /// What a host does for the roster of its domain.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 enum Duty {
     /// Sends heartbeats to the delegate.
     Follower(Box<Follower>),
--- a/crates/core/src/membership/round.rs
+++ b/crates/core/src/membership/round.rs
@@ -26,7 +26,7 @@
 }
 
 /// A round under way.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(super) struct Round {
     beat: u64,
     included: Vec<Included>,
--- a/crates/core/src/membership/store.rs
+++ b/crates/core/src/membership/store.rs
@@ -40,7 +40,7 @@
 }
 
 /// An operation under way.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(super) struct Pending {
     purpose: Purpose,
     since: Instant,
@@ -48,7 +48,7 @@
 }
 
 /// The way to the store.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(super) struct StoreLink {
     timeout: Duration,
     next_token: u64,
--- a/crates/core/src/membership/tests/world.rs
+++ b/crates/core/src/membership/tests/world.rs
@@ -23,6 +23,7 @@
     Allowance { rate_nanotokens_per_s: 20_000_000_000, burst_tokens: 8 };
 
 /// One process of one host.
+#[derive(Clone)]
 pub struct Process {
     pub machine: Membership,
     pub limiter: Limiter,
@@ -42,6 +43,7 @@
 }
 
 /// Everything.
+#[derive(Clone)]
 pub struct World {
     pub now: Instant,
     /// By incarnation: two processes of one host may run at once.
@@ -54,6 +56,10 @@
     pub cut_from_store: BTreeSet<HostId>,
     /// Pairs of hosts that can't reach each other, in both orders.
     pub cuts: BTreeSet<(HostId, HostId)>,
+    /// Processes that don't reach a host.
+    muted: BTreeSet<(Member, HostId)>,
+    /// One message in so many is lost; zero for none.
+    pub loses_one_in: u64,
     queue: BTreeMap<(Instant, u64), Delivery>,
     sequence: u64,
     options: Options,
@@ -81,6 +87,8 @@
             store_latency: LATENCY,
             cut_from_store: BTreeSet::new(),
             cuts: BTreeSet::new(),
+            muted: BTreeSet::new(),
+            loses_one_in: 0,
             queue: BTreeMap::new(),
             sequence: 0,
             options,
@@ -160,6 +168,11 @@
         process.started + (self.now - process.started).mul_f64(process.rate)
     }
 
+    /// Cuts one process, and not the host's other one, off from a host.
+    pub fn mute(&mut self, member: &Member, other: &str) {
+        self.muted.insert((member.clone(), other.into()));
+    }
+
     pub fn cut(&mut self, a: &str, b: &str) {
         self.cuts.insert((a.into(), b.into()));
         self.cuts.insert((b.into(), a.into()));
@@ -200,6 +213,7 @@
         self.is_store_up = true;
         self.loses_answers = false;
         self.store_latency = LATENCY;
+        self.loses_one_in = 0;
         self.cut_from_store.clear();
         self.cuts.clear();
         let hosts: Vec<HostId> = self.processes.keys().map(|m| m.host.clone()).collect();
@@ -254,6 +268,13 @@
         }
     }
 
+    /// Returns what the process last knew of the manifest, and how long ago that held.
+    pub fn manifest_age(&self, host: &str) -> Option<Duration> {
+        let member = self.member(host)?;
+        let (_, as_of) = self.processes[&member].manifest_seen?;
+        Some(self.local(&member) - as_of)
+    }
+
     fn count_doubles(&mut self, members: &[Member]) {
         for (_, _, key) in &self.keys {
             let acting = members.iter().filter(|member| self.acts(member, key));
@@ -289,8 +310,14 @@
                 Command::Send { to, address, message } => {
                     let bytes = serde_json::to_vec(&message).expect("it encodes").len();
                     self.message_bytes += bytes as u64;
-                    let is_cut = self.cuts.contains(&(member.host.clone(), to.clone()));
-                    if !is_cut {
+                    let is_cut = self.cuts.contains(&(member.host.clone(), to.clone()))
+                        || self.muted.contains(&(member.clone(), to.clone()));
+                    let is_lost = self.loses_one_in > 0
+                        && crate::rendezvous::Point::new(&self.sequence.to_string())
+                            .weight(crate::rendezvous::Point::new(&member.host))
+                            .is_multiple_of(self.loses_one_in);
+                    self.sequence += 1;
+                    if !is_cut && !is_lost {
                         self.send(LATENCY, Delivery::Message { to, address, message });
                     }
                 }
