--- a/crates/core/src/journal/owner.rs
+++ b/crates/core/src/journal/owner/mod.rs
@@ -1,42 +1,27 @@
 //! The owner's side of a journal.
 
+mod advance;
+mod make;
+mod queue;
+
 use {
     super::{backup::entry_bytes, copies::Copies, garbage::Garbage},
     crate::{
         ids::{Epoch, JournalId, Member, ProgramId},
         journal::{
-            AppendError, Command, DurableBy, Entry, Event, FailureKind, Opening, Record, Settings,
-            Token,
+            AppendError, Command, DurableBy, Entry, Event, FailureKind, Record, Settings, Token,
         },
     },
+    queue::{Batch, Queue, Waiting},
     std::{
         collections::{BTreeSet, VecDeque},
         sync::Arc,
-        time::{Duration, Instant},
+        time::Instant,
     },
 };
 
 /// Bytes of an entry that are set aside for all but its records.
 const ENVELOPE_BYTES: usize = 2048;
-/// Entries are made this much slower than they are flushed while there is a backlog, so that it
-/// shrinks under load.
-const BACKLOG_SPACING: u32 = 2;
-
-/// Records of one call, which become durable together.
-#[derive(Debug)]
-struct Batch {
-    records: Vec<Record>,
-    bytes: usize,
-    call: Waiting,
-}
-
-/// A call that waits.
-#[derive(Debug)]
-struct Waiting {
-    token: Token,
-    since: Instant,
-    is_late: bool,
-}
 
 /// The entry in flight: fixed, and not durable yet.
 #[derive(Debug)]
@@ -86,8 +71,7 @@
     copies: Copies,
     /// Highest epoch that a backup answered with.
     refused_epoch: Epoch,
-    queue: VecDeque<Batch>,
-    queue_bytes: usize,
+    queue: Queue,
     adoptions: VecDeque<Entry>,
     renaming: Option<Vec<Member>>,
     current: Option<Current>,
@@ -117,8 +101,7 @@
             copied_seq: 0,
             copies: Copies::new(start.backups),
             refused_epoch: 0,
-            queue: VecDeque::new(),
-            queue_bytes: 0,
+            queue: Queue::default(),
             adoptions: VecDeque::new(),
             renaming: None,
             current: None,
@@ -147,9 +130,7 @@
     ) -> Result<Vec<Command>, AppendError> {
         let bytes = records_bytes(&records);
         self.check_append(bytes)?;
-        self.queue_bytes += bytes;
-        let call = Waiting { token, since: now, is_late: false };
-        self.queue.push_back(Batch { records, bytes, call });
+        self.queue.push(Batch { records, bytes, call: Waiting::new(token, now) });
         let mut commands = Vec::new();
         self.advance(now, &mut commands);
         Ok(commands)
@@ -166,7 +147,7 @@
         if bytes > max_bytes {
             return Err(AppendError::TooLarge { bytes, max_bytes });
         }
-        if self.queue_bytes + bytes > self.settings.max_queue_bytes {
+        if self.queue.bytes() + bytes > self.settings.max_queue_bytes {
             return Err(AppendError::Full);
         }
         Ok(())
@@ -369,7 +350,7 @@
     fn fence(&mut self, by_epoch: Epoch, out: &mut Vec<Command>) {
         self.is_stopped = true;
         let lost = self.current.take().map_or(Vec::new(), |current| current.calls);
-        let dropped: Vec<Token> = self.queue.drain(..).map(|batch| batch.call.token).collect();
+        let dropped = self.queue.drain();
         if !lost.is_empty() {
             out.push(Command::Lost { tokens: lost.iter().map(|call| call.token).collect() });
         }
@@ -379,244 +360,12 @@
         out.push(Command::Fenced { by_epoch });
     }
 
-    /// Does all that can be done now.
-    fn advance(&mut self, now: Instant, out: &mut Vec<Command>) {
-        self.finish_copies(out);
-        self.make_entry(now);
-        self.write(now, out);
-        self.copy(now, out);
-        self.mark_late(now, out);
-        self.delete(now, out);
-        if self.is_closing && self.is_idle() && self.store_call == StoreCall::None {
-            self.is_stopped = true;
-            out.push(Command::Closed { next_seq: self.next_seq });
-            return;
-        }
-        if let Some(at) = self.next_wake(now) {
-            out.push(Command::WakeAt(at));
-        }
-    }
-
-    /// Moves the entry in flight to the backlog once both backups hold it.
-    fn finish_copies(&mut self, out: &mut Vec<Command>) {
-        if !self.copies.are_complete() {
-            return;
-        }
-        let Some(current) = self.current.take() else { return };
-        self.copies.reset();
-        let bytes = entry_bytes(&current.entry);
-        self.backlog_bytes += bytes;
-        self.backlog.push_back((current.entry, bytes));
-        push_durable(&current.calls, DurableBy::Backups, out);
-    }
-
-    /// When the next entry may be made; `None` while it must wait for an event.
-    fn make_at(&self, now: Instant) -> Option<Instant> {
-        if self.current.is_some() || self.backlog_bytes >= self.settings.max_backlog_bytes {
-            return None;
-        }
-        let spacing = match self.backlog.is_empty() {
-            true => self.settings.spacing,
-            false => self.settings.spacing * BACKLOG_SPACING,
-        };
-        let wrote = self.wrote_at.map_or(now, |at| at + self.settings.spacing);
-        let made = self.made_at.map_or(now, |at| at + spacing);
-        let ready = if self.backlog.is_empty() { made.max(wrote) } else { made };
-        let is_store_only = self.may_rename() || !self.adoptions.is_empty();
-        if is_store_only || !self.queue.is_empty() {
-            return Some(ready.max(now));
-        }
-        let due = self.garbage.checkpoint_due(now, self.settings.checkpoint_every)?;
-        (!self.is_closing && self.backlog.is_empty()).then(|| ready.max(due).max(now))
-    }
-
-    /// Whether other backups may be named now. That waits for the store, so while the store is down
-    /// records go to the present backups first.
-    fn may_rename(&self) -> bool {
-        let is_store_up = self.failed_at.is_none() || !self.copies.are_possible();
-        self.renaming.is_some() && self.backlog.is_empty() && is_store_up
-    }
-
-    fn make_entry(&mut self, now: Instant) {
-        if self.make_at(now).is_none_or(|at| at > now) {
-            return;
-        }
-        let mut entry = self.empty_entry();
-        let mut calls = Vec::new();
-        if let Some(copy) = self.adoptions.pop_front() {
-            entry.adopted = Some(copy.seq);
-            entry.records = copy.records;
-        } else if let Some(backups) = self.take_renaming() {
-            self.epoch = self.epoch.max(self.refused_epoch) + 1;
-            entry.epoch = self.epoch;
-            entry.takeover =
-                Some(Opening { backups: backups.clone(), is_planned: false, adopts: None });
-            self.copies = Copies::new(backups);
-        } else {
-            let room = self.add_checkpoint(now, &mut entry);
-            calls = self.fill(&mut entry, room);
-            if calls.is_empty() && entry.live.is_none() {
-                return;
-            }
-        }
-        self.garbage.note(&entry);
-        self.next_seq += 1;
-        self.made_at = Some(now);
-        let has_failed = self.failed_at.is_some();
-        self.current = Some(Current { entry: Arc::new(entry), calls, since: now, has_failed });
-    }
-
-    fn take_renaming(&mut self) -> Option<Vec<Member>> {
-        if self.may_rename() { self.renaming.take() } else { None }
-    }
-
-    fn empty_entry(&self) -> Entry {
-        Entry {
-            journal: self.journal.clone(),
-            seq: self.next_seq,
-            epoch: self.epoch,
-            writer: self.me.clone(),
-            stored_seq: self.stored_seq,
-            takeover: None,
-            adopted: None,
-            live: None,
-            records: Vec::new(),
-        }
-    }
-
-    /// Makes the entry a checkpoint if one is due, and returns the bytes left for records.
-    fn add_checkpoint(&mut self, now: Instant, entry: &mut Entry) -> usize {
-        let room = self.max_append_bytes();
-        let due = self.garbage.checkpoint_due(now, self.settings.checkpoint_every);
-        if due.is_none_or(|at| at > now) {
-            return room;
-        }
-        self.garbage.checkpoint_started(now);
-        let live: Vec<ProgramId> = self.garbage.live().iter().cloned().collect();
-        let bytes: usize = live.iter().map(|program| program.len() + 3).sum();
-        // The first batch must still fit, or it would wait for ever.
-        let first = self.queue.front().map_or(0, |batch| batch.bytes);
-        if bytes + first > room {
-            return room;
-        }
-        entry.live = Some(live);
-        room - bytes
-    }
-
-    /// Moves as many batches into the entry as fit.
-    fn fill(&mut self, entry: &mut Entry, mut room: usize) -> Vec<Waiting> {
-        let mut calls = Vec::new();
-        while self.queue.front().is_some_and(|batch| batch.bytes <= room) {
-            let Some(batch) = self.queue.pop_front() else { break };
-            room -= batch.bytes;
-            self.queue_bytes -= batch.bytes;
-            entry.records.extend(batch.records);
-            calls.push(batch.call);
-        }
-        calls
-    }
-
-    /// When the store may be called; `None` while a call is under way or nothing is to be written.
-    fn write_at(&self, now: Instant) -> Option<Instant> {
-        if self.store_call != StoreCall::None {
-            return None;
-        }
-        self.first_unstored()?;
-        let spaced = self.wrote_at.map_or(now, |at| at + self.settings.spacing);
-        let retried = self.failed_at.map_or(now, |at| at + self.settings.retry_after);
-        Some(spaced.max(retried).max(now))
-    }
-
-    fn write(&mut self, now: Instant, out: &mut Vec<Command>) {
-        if self.write_at(now).is_none_or(|at| at > now) {
-            return;
-        }
-        let Some(entry) = self.first_unstored().cloned() else { return };
-        self.store_call = StoreCall::Writing { seq: entry.seq };
-        self.wrote_at = Some(now);
-        out.push(Command::Write(entry));
-    }
-
-    /// When the entry in flight should be copied; `None` if it must not be.
-    fn copy_at(&self) -> Option<Instant> {
-        let current = self.current.as_ref()?;
-        let is_store_only = current.entry.takeover.is_some() || current.entry.adopted.is_some();
-        if is_store_only || !self.copies.are_possible() {
-            return None;
-        }
-        let is_store_down = current.has_failed || !self.backlog.is_empty();
-        let wait = if is_store_down { Duration::ZERO } else { self.settings.slow_after };
-        let start = current.since + wait;
-        Some(self.copies.next_due(self.settings.retry_after).map_or(start, |at| at.max(start)))
-    }
-
-    fn copy(&mut self, now: Instant, out: &mut Vec<Command>) {
-        if self.copy_at().is_none_or(|at| at > now) {
-            return;
-        }
-        let Some(current) = &self.current else { return };
-        let due = self.copies.due(now, self.settings.retry_after);
-        if !due.is_empty() {
-            self.copied_seq = current.entry.seq;
-        }
-        out.extend(due.into_iter().map(|to| Command::Copy { to, entry: current.entry.clone() }));
-    }
-
-    fn mark_late(&mut self, now: Instant, out: &mut Vec<Command>) {
-        let deadline = self.settings.late_after;
-        let mut tokens = Vec::new();
-        for call in waiting_calls(&mut self.current, &mut self.queue) {
-            if !call.is_late && call.since + deadline <= now {
-                call.is_late = true;
-                tokens.push(call.token);
-            }
-        }
-        if !tokens.is_empty() {
-            out.push(Command::Late { tokens });
-        }
-    }
-
-    fn delete_at(&self, now: Instant) -> Option<Instant> {
-        let is_possible = self.garbage.has_deletes() && !self.is_deleting && !self.is_closing;
-        let at = self.deleted_at.map_or(now, |at| at + self.settings.spacing);
-        is_possible.then_some(at)
-    }
-
-    fn delete(&mut self, now: Instant, out: &mut Vec<Command>) {
-        if self.delete_at(now).is_none_or(|at| at > now) {
-            return;
-        }
-        let Some(seq) = self.garbage.next_delete() else { return };
-        self.is_deleting = true;
-        self.deleted_at = Some(now);
-        out.push(Command::Delete { seq });
-    }
-
-    fn next_wake(&mut self, now: Instant) -> Option<Instant> {
-        let late_after = self.settings.late_after;
-        let late = waiting_calls(&mut self.current, &mut self.queue)
-            .filter(|call| !call.is_late)
-            .map(|call| call.since + late_after)
-            .min();
-        let times =
-            [self.make_at(now), self.write_at(now), self.copy_at(), self.delete_at(now), late];
-        times.into_iter().flatten().min()
-    }
-
     /// Programs that the journal keeps records of.
     pub fn live(&self) -> &BTreeSet<ProgramId> {
         self.garbage.live()
     }
 }
 
-fn waiting_calls<'a>(
-    current: &'a mut Option<Current>,
-    queue: &'a mut VecDeque<Batch>,
-) -> impl Iterator<Item = &'a mut Waiting> {
-    let current = current.iter_mut().flat_map(|current| current.calls.iter_mut());
-    current.chain(queue.iter_mut().map(|batch| &mut batch.call))
-}
-
 fn push_durable(calls: &[Waiting], by: DurableBy, out: &mut Vec<Command>) {
     if !calls.is_empty() {
         out.push(Command::Durable { tokens: calls.iter().map(|call| call.token).collect(), by });
--- a/crates/core/src/journal/recovery.rs
+++ b/crates/core/src/journal/recovery.rs
@@ -20,17 +20,19 @@
 
 /// Reads a journal from all its entries, in any order.
 ///
-/// An entry whose epoch is above that of a later one was created by a slow successor at a position
-/// that had been deleted: it never counted, and is left out.
+/// An entry whose epoch is above that of a later one, or the same with another writer, was created
+/// by a slow successor at a position that had been deleted: it never counted, and is left out.
 pub fn recover(mut entries: Vec<Entry>) -> Recovery {
     entries.sort_by_key(|entry| entry.seq);
     entries.dedup_by_key(|entry| entry.seq);
     let max_epoch = entries.iter().map(|entry| entry.epoch).max().unwrap_or(0);
-    let mut lowest = Epoch::MAX;
     let mut valid: Vec<Entry> = Vec::with_capacity(entries.len());
     for entry in entries.into_iter().rev() {
-        if entry.epoch <= lowest {
-            lowest = entry.epoch;
+        let is_valid = valid.last().is_none_or(|later| {
+            let is_same_owner = later.epoch == entry.epoch && later.writer == entry.writer;
+            is_same_owner || entry.epoch < later.epoch
+        });
+        if is_valid {
             valid.push(entry);
         }
     }
--- a/crates/core/src/journal/takeover.rs
+++ b/crates/core/src/journal/takeover/mod.rs
@@ -1,10 +1,12 @@
 //! How a host becomes the owner of a journal.
 
+mod adopt;
+mod port;
+
+pub use port::{Owned, TakeoverCommand, TakeoverEvent};
+
 use {
-    super::{
-        garbage::Garbage,
-        owner::{Journal, Start},
-    },
+    super::owner::Journal,
     crate::{
         ids::{Epoch, JournalId, Member},
         journal::{ClaimReply, Command, Entry, Event, Opening, Owner, Recovery, Settings, recover},
@@ -12,75 +14,7 @@
     std::{collections::BTreeSet, sync::Arc, time::Instant},
 };
 
-/// What the driver tells a takeover.
-#[derive(Clone, Debug, PartialEq)]
-pub enum TakeoverEvent {
-    /// All entries after the position that was asked for, in any order.
-    Entries(Vec<Entry>),
-    /// The entries could not be read.
-    ReadFailed,
-    /// A backup answered a claim.
-    ClaimAnswered {
-        /// The backup.
-        backup: Member,
-        /// The answer.
-        reply: ClaimReply,
-    },
-    /// A backup did not answer a claim.
-    ClaimFailed {
-        /// The backup.
-        backup: Member,
-    },
-    /// That life of a backup has ended for certain: the host was seen with another incarnation, or
-    /// has been out of every roster for a whole lease plus the margin. Its copies are lost.
-    BackupGone {
-        /// The backup.
-        backup: Member,
-    },
-    /// An answer to a store call of [`TakeoverCommand::Journal`], or its tick.
-    Journal(Event),
-}
-
-/// What a takeover asks of its driver, or tells it.
-#[derive(Debug)]
-pub enum TakeoverCommand {
-    /// List the journal's keys after this position and read them all. A key that is gone when it
-    /// is read is left out. Answer with [`TakeoverEvent::Entries`] or
-    /// [`TakeoverEvent::ReadFailed`], always.
-    ReadAfter {
-        /// The position; 0 for all.
-        after: u64,
-    },
-    /// Claim the journal at a backup. Answer with [`TakeoverEvent::ClaimAnswered`] or
-    /// [`TakeoverEvent::ClaimFailed`], always.
-    Claim {
-        /// The backup, in the life that the journal names.
-        backup: Member,
-        /// Who claims, under which epoch.
-        by: Owner,
-    },
-    /// A command as of a journal: write, read, discard, wake.
-    Journal(Command),
-    /// No backup that may hold copies answers. The takeover goes on trying.
-    Blocked,
-    /// Another host owns the journal or is about to. Start anew if it doesn't go on.
-    Lost {
-        /// The epoch that was seen.
-        by_epoch: Epoch,
-    },
-    /// The host owns the journal.
-    Done(Box<Owned>),
-}
-
-/// What a finished takeover hands over.
-#[derive(Debug)]
-pub struct Owned {
-    /// The journal, ready for records.
-    pub journal: Journal,
-    /// All that is in it, to rebuild the programs from.
-    pub recovery: Recovery,
-}
-
+/// How far a takeover has come.
 #[derive(Debug)]
 enum Phase {
     /// Reads the entries after the last known one.
@@ -374,98 +308,4 @@
             _ => {}
         }
     }
-
-    /// The entry may stand at a position that had been deleted: it counts only as the last.
-    fn check(&mut self, entry: Arc<Entry>, out: &mut Vec<TakeoverCommand>) {
-        out.push(TakeoverCommand::ReadAfter { after: entry.seq });
-        self.phase = Phase::Checking { entry };
-    }
-
-    fn checked(
-        &mut self,
-        now: Instant,
-        entry: Arc<Entry>,
-        later: Vec<Entry>,
-        out: &mut Vec<TakeoverCommand>,
-    ) {
-        if let Some(epoch) = later.iter().map(|entry| entry.epoch).max() {
-            self.lose(epoch, out);
-            return;
-        }
-        let missing = self.missing();
-        let mut garbage = Garbage::default();
-        self.entries.iter().for_each(|entry| garbage.note(entry));
-        garbage.note(&entry);
-        garbage.keep(self.recovery.programs());
-        let is_adopting = !missing.is_empty();
-        let mut journal = Journal::new(Start {
-            settings: self.settings.clone(),
-            journal: self.journal.clone(),
-            me: self.me.clone(),
-            epoch: self.epoch,
-            next_seq: entry.seq + 1,
-            // Until it has its own backups, the journal makes no copies.
-            backups: if is_adopting { Vec::new() } else { self.backups.clone() },
-            garbage,
-        });
-        self.keep_adopted(&entry, &missing);
-        let commands = journal.adopt(now, missing);
-        self.phase = Phase::Adopting { journal: Box::new(journal), has_renamed: !is_adopting };
-        self.adopting(now, commands, out);
-    }
-
-    /// Adds the own entries to what was recovered.
-    fn keep_adopted(&mut self, opening: &Entry, missing: &[Entry]) {
-        self.recovery.entries.push(opening.clone());
-        let adopted = missing.iter().zip(opening.seq + 1..).map(|(copy, seq)| Entry {
-            seq,
-            epoch: opening.epoch,
-            writer: opening.writer.clone(),
-            stored_seq: 0,
-            takeover: None,
-            adopted: Some(copy.seq),
-            live: None,
-            ..copy.clone()
-        });
-        self.recovery.entries.extend(adopted);
-        self.recovery.max_epoch = self.recovery.max_epoch.max(opening.epoch);
-    }
-
-    fn adopting(&mut self, now: Instant, commands: Vec<Command>, out: &mut Vec<TakeoverCommand>) {
-        for command in commands {
-            match command {
-                Command::Fenced { by_epoch } => self.lose(by_epoch, out),
-                other => out.push(TakeoverCommand::Journal(other)),
-            }
-        }
-        let Phase::Adopting { journal, has_renamed } = &mut self.phase else { return };
-        if !journal.is_idle() {
-            return;
-        }
-        if !*has_renamed {
-            *has_renamed = true;
-            let backups = self.backups.clone();
-            let commands = journal.rename_backups(now, backups);
-            self.adopting(now, commands, out);
-            return;
-        }
-        self.finish(out);
-    }
-
-    fn finish(&mut self, out: &mut Vec<TakeoverCommand>) {
-        let phase = std::mem::replace(&mut self.phase, Phase::Ended);
-        let Phase::Adopting { journal, .. } = phase else { return };
-        out.extend(self.discards());
-        let recovery = std::mem::take(&mut self.recovery);
-        out.push(TakeoverCommand::Done(Box::new(Owned { journal: *journal, recovery })));
-    }
-
-    /// Lets the former owner's backups drop what is in the journal now.
-    fn discards(&self) -> Vec<TakeoverCommand> {
-        let Some((owner, backups)) = recover(self.entries.clone()).copies() else {
-            return Vec::new();
-        };
-        let discard = |to| Command::Discard { to, epoch: owner.epoch, seq: u64::MAX };
-        backups.into_iter().map(|to| TakeoverCommand::Journal(discard(to))).collect()
-    }
 }
