Add trefoilctl, which steers by declarations and merges event logs

timeline merges event logs by their stamps, shows gaps in the sequence numbers, and divides the time of each step into admission, queue, first byte, answer and store, as text, JSON lines, trace events or a page with a picture.

--- /dev/null
+++ b/crates/cli/src/ctl/args.rs
@@ -0,0 +1,197 @@
+//! The command line of `trefoilctl`.
+
+use {
+    super::fault::EXIT_CODES,
+    clap::{Arg, ArgAction, Command, builder::PossibleValuesParser, value_parser},
+    clap_complete::Shell,
+    std::path::PathBuf,
+};
+
+/// Returns the command with all subcommands. Every flag with a value is also an environment
+/// variable.
+pub fn command() -> Command {
+    Command::new("trefoilctl")
+        .about("Steers trefoilring: declarations, keys, hosts, and what happened.")
+        .version(env!("CARGO_PKG_VERSION"))
+        .subcommand_required(true)
+        .arg_required_else_help(true)
+        .after_help(EXIT_CODES)
+        .args(global_args())
+        .subcommand(
+            Command::new("check")
+                .about("Checks declarations, without any connection")
+                .arg(file_arg("Declarations in TOML")),
+        )
+        .subcommand(
+            Command::new("diff")
+                .about("Shows what applying declarations would change")
+                .arg(file_arg("Declarations in TOML")),
+        )
+        .subcommand(apply())
+        .subcommand(
+            Command::new("status").about("Shows hosts, configuration and store").arg(value(
+                "host-list",
+                "IP:PORT",
+                "The platform's host list, to show upstreams too",
+            )),
+        )
+        .subcommand(key())
+        .subcommand(
+            Command::new("programs")
+                .about("Lists programs as their journals have them")
+                .arg(switch("all", "Show ended programs too"))
+                .arg(value("team", "NAME", "Only of this team")),
+        )
+        .subcommand(
+            Command::new("export")
+                .about("Writes the configuration in force as declarations")
+                .arg(value("version", "N", "An earlier version"))
+                .arg(
+                    Arg::new("file")
+                        .value_name("FILE")
+                        .help("Where to; standard output if none")
+                        .value_parser(value_parser!(PathBuf)),
+                ),
+        )
+        .subcommand(
+            Command::new("rollback")
+                .about("Applies the content of an earlier version as a new version")
+                .arg(
+                    Arg::new("version")
+                        .value_name("VERSION")
+                        .required(true)
+                        .help("The version whose content comes back")
+                        .value_parser(value_parser!(u64)),
+                )
+                .args(wait_args()),
+        )
+        .subcommand(timeline())
+        .subcommand(
+            Command::new("completions")
+                .about("Prints completions for a shell")
+                .arg(Arg::new("shell").required(true).value_parser(value_parser!(Shell))),
+        )
+        .subcommand(Command::new("man").about("Prints the manual page"))
+}
+
+fn global_args() -> [Arg; 4] {
+    [
+        value("object-api", "IP:PORT", "The platform's Object API")
+            .env("TREFOILRING_OBJECT_API")
+            .global(true),
+        value("output", "FORMAT", "Format of reports")
+            .env("TREFOILRING_OUTPUT")
+            .value_parser(PossibleValuesParser::new(["text", "json"]))
+            .default_value("text")
+            .global(true),
+        value("author", "NAME", "Who makes a change, for others to see [default: $USER]")
+            .env("TREFOILRING_AUTHOR")
+            .global(true),
+        switch("yes", "Do not ask before something is removed, withdrawn or drained")
+            .short('y')
+            .global(true),
+    ]
+}
+
+fn apply() -> Command {
+    Command::new("apply")
+        .about("Puts declarations in force, if nobody else changes them meanwhile")
+        .arg(file_arg("Declarations in TOML"))
+        .arg(
+            value("if-version", "N", "Only if this version is in force; 0 for none")
+                .value_parser(value_parser!(u64)),
+        )
+        .args(wait_args())
+}
+
+fn key() -> Command {
+    let name = || Arg::new("name").value_name("NAME").required(true).help("The key's name");
+    Command::new("key")
+        .about("Grants, withdraws and lists keys")
+        .subcommand_required(true)
+        .arg_required_else_help(true)
+        .subcommand(
+            Command::new("grant")
+                .about("Makes a key and shows its secret, once")
+                .arg(name())
+                .arg(value("team", "NAME", "The team for which it runs").required(true))
+                .args(wait_args()),
+        )
+        .subcommand(
+            Command::new("withdraw")
+                .about("Withdraws a key, also for callers that are connected")
+                .arg(name())
+                .args(wait_args()),
+        )
+        .subcommand(Command::new("list").about("Lists keys, without secrets"))
+        .subcommand(
+            Command::new("hash").about("Prints the hash of a secret read from input").arg(
+                Arg::new("file")
+                    .value_name("FILE")
+                    .help("Where from; standard input if none")
+                    .value_parser(value_parser!(PathBuf)),
+            ),
+        )
+}
+
+fn timeline() -> Command {
+    Command::new("timeline")
+        .about("Merges the event logs of all hosts and shows what happened")
+        .arg(
+            Arg::new("logs")
+                .value_name("LOG")
+                .required(true)
+                .num_args(1..)
+                .help("Event logs, as written by trefoilring serve --event-log")
+                .value_parser(value_parser!(PathBuf)),
+        )
+        .arg(value("program", "ID", "Only this program, and what happened to hosts meanwhile"))
+        .arg(value("request", "ID", "Only this request"))
+        .arg(value("step", "KEY", "Only this step"))
+        .arg(value("upstream", "NAME", "Only this upstream"))
+        .arg(value("team", "NAME", "Only this team"))
+        .arg(value("host", "NAME", "Only what this host saw"))
+        .arg(value("from", "TIME", "From this time on, such as 2026-01-31T08:00:00Z"))
+        .arg(value("to", "TIME", "Up to this time"))
+        .arg(
+            value("last-ms", "MS", "The span before the last event")
+                .value_parser(value_parser!(u64))
+                .conflicts_with("from"),
+        )
+        .arg(
+            value("format", "FORMAT", "json: lines; trace: for trace viewers; html: a page")
+                .value_parser(PossibleValuesParser::new(["text", "json", "trace", "html"])),
+        )
+        .arg(
+            value("write", "FILE", "Where to; standard output if none")
+                .value_parser(value_parser!(PathBuf)),
+        )
+}
+
+fn wait_args() -> [Arg; 2] {
+    [
+        switch("wait", "Wait until every live host has the change in force"),
+        value("wait-ms", "MS", "How long to wait")
+            .value_parser(value_parser!(u64))
+            .default_value("30000"),
+    ]
+}
+
+fn file_arg(help: &'static str) -> Arg {
+    Arg::new("file")
+        .value_name("FILE")
+        .required(true)
+        .help(help)
+        .value_parser(value_parser!(PathBuf))
+}
+
+fn value(name: &'static str, value_name: &'static str, help: &'static str) -> Arg {
+    Arg::new(name).long(name).value_name(value_name).help(help)
+}
+
+fn switch(name: &'static str, help: &'static str) -> Arg {
+    Arg::new(name).long(name).help(help).action(ArgAction::SetTrue)
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/cli/src/ctl/timeline/html.rs
@@ -0,0 +1,154 @@
+//! A time line as one self-contained page: a picture of the steps and all entries below it.
+
+use {
+    super::{
+        read::Entry,
+        steps::{Phase, Span, Step},
+        text,
+    },
+    std::fmt::Write,
+    trefoilring_core::event::Kind,
+};
+
+const LABEL_PX: f64 = 260.0;
+const BAR_AREA_PX: f64 = 900.0;
+const ROW_PX: f64 = 20.0;
+const BAR_PX: f64 = 14.0;
+/// A span shorter than this is still seen.
+const MIN_BAR_PX: f64 = 1.5;
+const TOP_PX: f64 = 30.0;
+/// Steps drawn at most; the list below has all.
+const MAX_ROWS: usize = 2000;
+
+/// Scale from wall clock to pixels.
+struct Scale {
+    from_us: u64,
+    to_us: u64,
+}
+
+impl Scale {
+    fn new(entries: &[Entry]) -> Self {
+        let known = || entries.iter().filter(|entry| matches!(entry, Entry::Event(_)));
+        let walls = || known().map(|entry| entry.order().0.wall_us);
+        let from_us = walls().min().unwrap_or(0);
+        Self { from_us, to_us: walls().max().unwrap_or(0).max(from_us + 1) }
+    }
+
+    fn x_px(&self, us: u64) -> f64 {
+        let share = us.saturating_sub(self.from_us) as f64 / (self.to_us - self.from_us) as f64;
+        LABEL_PX + share.min(1.0) * BAR_AREA_PX
+    }
+}
+
+/// Writes the page.
+pub(super) fn write(entries: &[Entry], steps: &[Step]) -> String {
+    let shown = &steps[..steps.len().min(MAX_ROWS)];
+    let picture = picture(entries, shown);
+    let list = escape(&text::write(entries, steps));
+    let left_out = match steps.len() - shown.len() {
+        0 => String::new(),
+        count => format!("<p>{count} more steps are in the list only.</p>"),
+    };
+    format!(
+        "<!DOCTYPE html>\n<html lang=\"en\"><meta charset=\"utf-8\"><title>Time line</title>\n\
+         <style>body{{font:13px sans-serif}}pre{{font-size:11px}}</style>\n\
+         <h1>Time line</h1>\n{}\n{picture}{left_out}\n<pre>{list}</pre>\n</html>\n",
+        legend(),
+    )
+}
+
+fn color(phase: Phase) -> &'static str {
+    match phase {
+        Phase::Admission => "#b0b0b0",
+        Phase::Queue => "#e0a030",
+        Phase::FirstByte => "#3070c0",
+        Phase::Answer => "#40a060",
+        Phase::Store => "#9050a0",
+        Phase::Other => "#c04040",
+    }
+}
+
+fn legend() -> String {
+    let entries = Phase::ALL.map(|phase| {
+        format!(
+            "<span style=\"border-left:14px solid {};padding:0 8px\">{phase}</span>",
+            color(phase)
+        )
+    });
+    format!("<p>{}</p>", entries.join("\n"))
+}
+
+fn picture(entries: &[Entry], steps: &[Step]) -> String {
+    let scale = Scale::new(entries);
+    let height_px = TOP_PX + ROW_PX * steps.len() as f64 + 10.0;
+    let width_px = LABEL_PX + BAR_AREA_PX + 10.0;
+    let mut svg = format!(
+        "<svg xmlns=\"http://www.w3.org/2000/svg\" width=\"{width_px}\" height=\"{height_px}\" \
+         font-family=\"sans-serif\" font-size=\"11\">\n<text x=\"{LABEL_PX}\" y=\"12\">{}</text>\n\
+         <text x=\"{}\" y=\"12\" text-anchor=\"end\">+{:.3} ms</text>\n",
+        text::wall(scale.from_us),
+        LABEL_PX + BAR_AREA_PX,
+        (scale.to_us - scale.from_us) as f64 / 1000.0,
+    );
+    for entry in entries {
+        svg.push_str(&marker(entry, &scale, height_px));
+    }
+    for (row, step) in steps.iter().enumerate() {
+        svg.push_str(&step_row(step, &scale, TOP_PX + ROW_PX * row as f64));
+    }
+    svg.push_str("</svg>\n");
+    svg
+}
+
+/// A line through all rows for what concerns no step, and for what is missing.
+fn marker(entry: &Entry, scale: &Scale, height_px: f64) -> String {
+    let (at, ..) = entry.order();
+    let (title, color) = match entry {
+        Entry::Event(event) if event.step.is_none() && event.kind != Kind::HostSeen => {
+            (format!("{} {}", event.host, text::kind_name(event.kind)), "#d07070")
+        }
+        Entry::Event(_) => return String::new(),
+        Entry::Gap(gap) => (format!("{}: {} events missing", gap.host, gap.missing), "#000"),
+        Entry::Unreadable(line) => (format!("{}:{} unreadable", line.file, line.line), "#000"),
+    };
+    let x_px = scale.x_px(at.wall_us);
+    format!(
+        "<line x1=\"{x_px:.1}\" x2=\"{x_px:.1}\" y1=\"16\" y2=\"{height_px}\" stroke=\"{color}\">\
+         <title>{}</title></line>\n",
+        escape(&title),
+    )
+}
+
+fn step_row(step: &Step, scale: &Scale, y_px: f64) -> String {
+    let label = format!("{} / {}", step.program, step.step);
+    let mut row = format!(
+        "<text x=\"{}\" y=\"{}\" text-anchor=\"end\">{}</text>\n",
+        LABEL_PX - 6.0,
+        y_px + BAR_PX - 3.0,
+        escape(&label),
+    );
+    for span in &step.spans {
+        // Writing to a string can't fail.
+        let _ = row.write_str(&bar(step, span, scale, y_px));
+    }
+    row
+}
+
+fn bar(step: &Step, span: &Span, scale: &Scale, y_px: f64) -> String {
+    let x_px = scale.x_px(span.from_us);
+    let width_px = (scale.x_px(span.to_us) - x_px).max(MIN_BAR_PX);
+    let duration_ms = span.to_us.saturating_sub(span.from_us) as f64 / 1000.0;
+    let upstream = step.upstream.as_deref().unwrap_or("no upstream");
+    let end = step.refusal.clone().unwrap_or_else(|| text::kind_name(step.end));
+    let title = format!("{}: {duration_ms:.3} ms at {}; {upstream}; {end}", span.phase, span.host);
+    format!(
+        "<rect x=\"{x_px:.1}\" y=\"{y_px}\" width=\"{width_px:.1}\" height=\"{BAR_PX}\" \
+         fill=\"{}\"><title>{}</title></rect>\n",
+        color(span.phase),
+        escape(&title),
+    )
+}
+
+fn escape(text: &str) -> String {
+    text.replace('&', "&amp;").replace('<', "&lt;").replace('>', "&gt;").replace('"', "&quot;")
+}
