--- a/crates/host/src/backend.rs
+++ b/crates/host/src/backend.rs
@@ -14,6 +14,7 @@
     subtle::ConstantTimeEq,
     trefoilring_core::{
         call::{Call, Caller, CreateProgram, ProgramInfo, ProgramQuery, ServiceCall},
+        catalog::Budget,
         ids::{ClassId, JournalId, ProgramId, journal_of},
         message::Message,
         verdict::{Reason, Refusal, Verdict},
@@ -266,6 +267,10 @@
         first.cloned().ok_or_else(|| Refusal::not_run(Reason::NotFound, "no class is declared"))
     }
 
+    fn class_budget(&self, class: &ClassId) -> Option<Budget> {
+        self.shared.catalog().classes.get(class).map(|class| class.budget)
+    }
+
     async fn withdrawn(&self, caller: &Caller) {
         self.shared.withdrawals.wait(&caller.key).await;
     }
