--- a/crates/core/src/journal/garbage.rs
+++ b/crates/core/src/journal/garbage.rs
@@ -18,25 +18,31 @@
     },
     std::{
         collections::{BTreeMap, BTreeSet, VecDeque},
-        time::Instant,
+        time::{Duration, Instant},
     },
 };
 
-/// What is known of one stored entry.
+/// What is known of one entry that may be deleted some time.
 #[derive(Debug)]
 struct Note {
     writer: Member,
-    is_takeover: bool,
     programs: BTreeSet<ProgramId>,
+    /// Number of its programs that are live.
+    live_count: usize,
 }
 
 /// The entries of a journal and what keeps them.
 #[derive(Debug, Default)]
 pub(super) struct Garbage {
+    /// Entries that are not openings.
     entries: BTreeMap<u64, Note>,
-    live: BTreeSet<ProgramId>,
+    /// Entries without live programs. Invariant: a part of `entries`.
+    candidates: BTreeSet<u64>,
+    /// Live programs, and the entries with their records.
+    live: BTreeMap<ProgramId, Vec<u64>>,
     /// Highest position that each writer is known to be done with.
     proven: BTreeMap<Member, u64>,
+    last_seq: u64,
     /// Positions to delete. Invariant: a stored checkpoint makes them needless.
     deletes: VecDeque<u64>,
     checkpoint_at: Option<Instant>,
@@ -45,14 +51,35 @@
 impl Garbage {
     /// Takes in an entry that is, or will be, in the journal.
     pub fn note(&mut self, entry: &Entry) {
-        let programs: BTreeSet<_> = entry.records.iter().map(|r| r.program().clone()).collect();
-        // A late record must not bring a program back that was released.
-        let created = entry.records.iter().filter(|r| matches!(r, Record::Created { .. }));
-        self.live.extend(created.map(|r| r.program().clone()));
-        let note =
-            Note { writer: entry.writer.clone(), is_takeover: entry.takeover.is_some(), programs };
-        self.entries.insert(entry.seq, note);
         self.prove(&entry.writer, entry.stored_seq);
+        self.last_seq = self.last_seq.max(entry.seq);
+        if entry.takeover.is_some() {
+            return;
+        }
+        // Only a creation makes a program live: a late record must not bring one back.
+        for record in &entry.records {
+            if let Record::Created { program, .. } = record {
+                self.live.entry(program.clone()).or_default();
+            }
+        }
+        let programs = entry.records.iter().map(|record| record.program().clone()).collect();
+        let note = Note { writer: entry.writer.clone(), programs, live_count: 0 };
+        self.entries.insert(entry.seq, note);
+        self.count_live(entry.seq);
+    }
+
+    /// Counts an entry's live programs and notes it with each.
+    fn count_live(&mut self, seq: u64) {
+        let Some(note) = self.entries.get_mut(&seq) else { return };
+        for program in &note.programs {
+            if let Some(seqs) = self.live.get_mut(program) {
+                seqs.push(seq);
+                note.live_count += 1;
+            }
+        }
+        if note.live_count == 0 {
+            self.candidates.insert(seq);
+        }
     }
 
     /// Takes in that a writer won't create positions up to `seq` again.
@@ -63,23 +90,30 @@
 
     /// Takes in that the records of a program are garbage.
     pub fn release(&mut self, program: &ProgramId) {
-        self.live.remove(program);
+        for seq in self.live.remove(program).unwrap_or_default() {
+            let Some(note) = self.entries.get_mut(&seq) else { continue };
+            note.live_count -= 1;
+            if note.live_count == 0 {
+                self.candidates.insert(seq);
+            }
+        }
     }
 
     /// Keeps only the named programs, after recovery.
-    pub fn keep(&mut self, live: BTreeSet<ProgramId>) {
-        self.live = live;
+    pub fn keep(&mut self, live: &BTreeSet<ProgramId>) {
+        let others: Vec<ProgramId> =
+            self.live.keys().filter(|program| !live.contains(*program)).cloned().collect();
+        others.iter().for_each(|program| self.release(program));
     }
 
     /// Programs whose records count.
-    pub fn live(&self) -> &BTreeSet<ProgramId> {
-        &self.live
+    pub fn live(&self) -> impl Iterator<Item = &ProgramId> {
+        self.live.keys()
     }
 
     /// Returns when the next checkpoint is due, if it would let anything be deleted.
-    pub fn checkpoint_due(&self, now: Instant, every: std::time::Duration) -> Option<Instant> {
-        let last = self.entries.keys().next_back()?;
-        let has_garbage = self.needless(&self.live).any(|seq| seq < *last);
+    pub fn checkpoint_due(&self, now: Instant, every: Duration) -> Option<Instant> {
+        let has_garbage = self.deletable().any(|(seq, _)| seq < self.last_seq);
         has_garbage.then(|| self.checkpoint_at.map_or(now, |at| at + every))
     }
 
@@ -89,11 +123,15 @@
     }
 
     /// Takes in that a checkpoint is stored: what it makes needless may be deleted.
-    pub fn checkpoint_stored(&mut self, seq: u64, live: &[ProgramId]) {
-        let live = live.iter().cloned().collect();
-        let needless: Vec<u64> = self.needless(&live).filter(|other| *other < seq).collect();
+    pub fn checkpoint_stored(&mut self, checkpoint: u64, live: &[ProgramId]) {
+        let live: BTreeSet<&ProgramId> = live.iter().collect();
+        let is_needless = |(seq, note): &(u64, &Note)| {
+            *seq < checkpoint && note.programs.iter().all(|program| !live.contains(program))
+        };
+        let needless: Vec<u64> = self.deletable().filter(is_needless).map(|(seq, _)| seq).collect();
         for seq in needless {
             self.entries.remove(&seq);
+            self.candidates.remove(&seq);
             self.deletes.push_back(seq);
         }
     }
@@ -113,16 +151,17 @@
         !self.deletes.is_empty()
     }
 
-    /// Number of entries that the journal holds.
+    /// Number of entries that the journal holds, without openings.
     pub fn entry_count(&self) -> usize {
         self.entries.len()
     }
 
-    fn needless<'a>(&'a self, live: &'a BTreeSet<ProgramId>) -> impl Iterator<Item = u64> + 'a {
-        self.entries.iter().filter_map(move |(seq, note)| {
+    /// Entries without live programs that their writers won't create again.
+    fn deletable(&self) -> impl Iterator<Item = (u64, &Note)> {
+        self.candidates.iter().filter_map(|seq| {
+            let note = self.entries.get(seq)?;
             let is_proven = self.proven.get(&note.writer).is_some_and(|proven| proven >= seq);
-            let is_needless = !note.is_takeover && is_proven && note.programs.is_disjoint(live);
-            is_needless.then_some(*seq)
+            is_proven.then_some((*seq, note))
         })
     }
 }
--- a/crates/core/src/journal/owner/advance.rs
+++ b/crates/core/src/journal/owner/advance.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{Journal, StoreCall, entry_bytes, push_durable, queue::Waiting},
-    crate::journal::{Command, DurableBy, Token},
+    crate::journal::{Command, DurableBy},
     std::time::{Duration, Instant},
 };
 
@@ -86,8 +86,15 @@
 
     fn mark_late(&mut self, now: Instant, out: &mut Vec<Command>) {
         let after = self.settings.late_after;
-        let late = self.waiting_calls().filter_map(|call| call.mark_late(now, after));
-        let tokens: Vec<Token> = late.collect();
+        let mut tokens = Vec::new();
+        // Calls wait in the order in which they came: none after the first that has time is late.
+        for call in self.waiting_calls() {
+            match call.late_at(after) {
+                Some(at) if at > now => break,
+                Some(_) => tokens.push(call.mark_late()),
+                None => {}
+            }
+        }
         if !tokens.is_empty() {
             out.push(Command::Late { tokens });
         }
@@ -117,7 +124,7 @@
 
     fn next_wake(&mut self, now: Instant) -> Option<Instant> {
         let after = self.settings.late_after;
-        let late = self.waiting_calls().filter_map(|call| call.late_at(after)).min();
+        let late = self.waiting_calls().find_map(|call| call.late_at(after));
         let times =
             [self.make_at(now), self.write_at(now), self.copy_at(), self.delete_at(now), late];
         times.into_iter().flatten().min()
--- a/crates/core/src/journal/owner/make.rs
+++ b/crates/core/src/journal/owner/make.rs
@@ -96,7 +96,7 @@
             return room;
         }
         self.garbage.checkpoint_started(now);
-        let live: Vec<ProgramId> = self.garbage.live().iter().cloned().collect();
+        let live: Vec<ProgramId> = self.garbage.live().cloned().collect();
         let bytes: usize = live.iter().map(|program| program.len() + 3).sum();
         // The first batch must still fit, or it would wait for ever.
         let first = self.queue.first_bytes();
--- a/crates/core/src/journal/owner/mod.rs
+++ b/crates/core/src/journal/owner/mod.rs
@@ -13,11 +13,7 @@
         },
     },
     queue::{Batch, Queue, Waiting},
-    std::{
-        collections::{BTreeSet, VecDeque},
-        sync::Arc,
-        time::Instant,
-    },
+    std::{collections::VecDeque, sync::Arc, time::Instant},
 };
 
 /// Bytes of an entry that are set aside for all but its records.
@@ -199,7 +195,7 @@
         self.backlog.len()
     }
 
-    /// Entries in the journal, as far as known.
+    /// Entries in the journal, without openings, as far as known.
     pub fn entry_count(&self) -> usize {
         self.garbage.entry_count()
     }
@@ -361,7 +357,7 @@
     }
 
     /// Programs that the journal keeps records of.
-    pub fn live(&self) -> &BTreeSet<ProgramId> {
+    pub fn live(&self) -> impl Iterator<Item = &ProgramId> {
         self.garbage.live()
     }
 }
--- a/crates/core/src/journal/owner/queue.rs
+++ b/crates/core/src/journal/owner/queue.rs
@@ -35,11 +35,10 @@
         (!self.is_late).then(|| self.since + after)
     }
 
-    /// Returns the token if the call has just become late.
-    pub fn mark_late(&mut self, now: Instant, after: Duration) -> Option<Token> {
-        self.late_at(after).filter(|at| *at <= now)?;
+    /// Notes that the caller is told, and returns the token.
+    pub fn mark_late(&mut self) -> Token {
         self.is_late = true;
-        Some(self.token)
+        self.token
     }
 }
 
--- a/crates/core/src/journal/takeover/adopt.rs
+++ b/crates/core/src/journal/takeover/adopt.rs
@@ -28,7 +28,7 @@
         let mut garbage = Garbage::default();
         self.entries.iter().for_each(|entry| garbage.note(entry));
         garbage.note(&entry);
-        garbage.keep(self.recovery.programs());
+        garbage.keep(&self.recovery.programs());
         let is_adopting = !missing.is_empty();
         let mut journal = Journal::new(Start {
             settings: self.settings.clone(),
--- a/crates/core/src/journal/takeover/mod.rs
+++ b/crates/core/src/journal/takeover/mod.rs
@@ -123,6 +123,7 @@
 
     fn read(&mut self, out: &mut Vec<TakeoverCommand>) {
         self.phase = Phase::Reading;
+        self.retry_at = None;
         out.push(TakeoverCommand::ReadAfter { after: self.last_seq() });
     }
 
@@ -172,6 +173,7 @@
     /// Asks the next backup, or goes on without copies when all are gone.
     fn claim(&mut self, now: Instant, out: &mut Vec<TakeoverCommand>) {
         self.phase = Phase::Claiming;
+        self.retry_at = None;
         let Some((_, backups)) = self.recovery.copies() else { return };
         let living: Vec<Member> =
             backups.into_iter().filter(|backup| !self.gone.contains(backup)).collect();
@@ -226,6 +228,7 @@
     }
 
     fn open(&mut self, out: &mut Vec<TakeoverCommand>) {
+        self.retry_at = None;
         let entry = Arc::new(self.first_entry());
         out.push(TakeoverCommand::Journal(Command::Write(entry.clone())));
         self.phase = Phase::Opening { entry, is_reading: false };
@@ -253,18 +256,13 @@
     }
 
     fn journal_event(&mut self, now: Instant, event: Event, out: &mut Vec<TakeoverCommand>) {
-        if matches!(event, Event::Tick) && self.retry_at.is_some_and(|at| at <= now) {
-            self.retry_at = None;
+        if let Phase::Adopting { journal, .. } = &mut self.phase {
+            let commands = journal.handle(now, event);
+            self.adopting(now, commands, out);
+        } else if event != Event::Tick {
+            self.opening_event(now, event, out);
+        } else if self.retry_at.take_if(|at| *at <= now).is_some() {
             self.try_again(now, out);
-            return;
-        }
-        match &mut self.phase {
-            Phase::Opening { .. } => self.opening_event(now, event, out),
-            Phase::Adopting { journal, .. } => {
-                let commands = journal.handle(now, event);
-                self.adopting(now, commands, out);
-            }
-            _ => {}
         }
     }
 
