--- a/crates/core/src/journal/port.rs
+++ b/crates/core/src/journal/port.rs
@@ -198,7 +198,9 @@
     },
     /// The records of these calls have waited for long and still do. Tell the callers
     /// `store_unavailable`; the records may yet become durable, and each token still gets exactly
-    /// one of `Durable`, `Lost` and `Dropped` later. Given once a token at most.
+    /// one of `Durable`, `Lost` and `Dropped` later. Given once a token at most. A driver that told
+    /// a caller `not_run` must not send the call when its intent becomes durable after all, but
+    /// record that it was not run.
     Late {
         /// The calls.
         tokens: Vec<Token>,
--- a/crates/core/tests/journal_cases.rs
+++ b/crates/core/tests/journal_cases.rs
@@ -151,6 +151,37 @@
     }
 }
 
+/// A retry that is due from an earlier phase doesn't take the tick of the journal's own.
+#[test]
+fn adoption_goes_on_after_a_blocked_claim() {
+    let mut world = owned_world(Broken::Nothing);
+    let program = world.hosts[0].created.first().cloned().expect("a program");
+    world.is_store_down = true;
+    for step in 0..3 {
+        world.step(0, &program, step);
+        world.run(20);
+    }
+    world.kill(0);
+    world.deliver_all();
+    world.is_store_down = false;
+    world.take_over(1, 1);
+    let is_claim = |flight: &Flight| matches!(flight, Flight::Claim(..));
+    for _ in 0..2 {
+        assert!(world.run_host(1, 5, is_claim), "a claim at each backup");
+        let claim = world.flights.iter().position(is_claim).expect("a claim");
+        world.fail(claim, false);
+    }
+    let Machine::Taking(takeover) = &mut world.hosts[1].machine else { panic!("not blocked") };
+    let backup = world.backups[1].0.clone();
+    let commands = takeover.handle(world.now, TakeoverEvent::BackupGone { backup });
+    assert!(matches!(commands[..], [TakeoverCommand::Claim { .. }]), "{commands:?}");
+    world.run_takeover(1, commands);
+    world.run(60);
+    assert!(is_owner(&world, 1));
+    assert_eq!(world.adoptions, 3);
+    assert_eq!(world.violations, Vec::<String>::new());
+}
+
 /// An owner without backups, alone with a store that answers by hand.
 fn lone_owner(settings: Settings, now: Instant) -> Journal {
     let me = Member { host: "a".into(), incarnation: 1 };
--- a/crates/core/tests/journal_world/mod.rs
+++ b/crates/core/tests/journal_world/mod.rs
@@ -398,7 +398,7 @@
         }
     }
 
-    fn run_takeover(&mut self, host: usize, commands: Vec<TakeoverCommand>) {
+    pub fn run_takeover(&mut self, host: usize, commands: Vec<TakeoverCommand>) {
         let asker = (host, self.hosts[host].instance);
         let mut is_look = false;
         for command in commands {
