Drain a host through the configuration

trefoilctl could stop no host, and a host that asks the store for orders would cost it a read a host and second. The wish now travels with the configuration: a host whose incarnation is named drains when that version comes into force there. A host that was started again has another incarnation and takes work. Declarations that are applied later don't take the wish back.

--- a/crates/cli/src/ctl/apply.rs
+++ b/crates/cli/src/ctl/apply.rs
@@ -32,6 +32,13 @@
     }
 }
 
+impl Wait {
+    /// Returns how long to wait, if at all.
+    pub fn duration(self) -> Option<Duration> {
+        self.0
+    }
+}
+
 /// What a change came to.
 #[derive(Clone, Debug, serde::Serialize)]
 pub(super) struct AppliedReport {
@@ -70,7 +77,8 @@
 pub(super) async fn diff(context: &Context, matches: &ArgMatches) -> Result<bool, CtlError> {
     let declarations = Declarations::read(file(matches))?;
     let current = context.store()?.current().await?;
-    let changes = Changes::between(&current.catalog, declarations.content());
+    let new = declared(declarations, &current);
+    let changes = Changes::between(&current.catalog, &new);
     context.print(&changes)?;
     Ok(!changes.is_empty())
 }
@@ -85,10 +93,16 @@
         let text = format!("version {version} is in force, not {wanted}; nothing was changed");
         return Err(CtlError::Conflict(text));
     }
-    let new = declarations.into_catalog(version);
+    let new = declared(declarations, &current);
     put_in_force(context, &store, current, new, matches.into()).await
 }
 
+/// Returns what a document declares, with what operators asked for beside declarations.
+fn declared(declarations: Declarations, current: &Current) -> Catalog {
+    let draining = current.catalog.draining.clone();
+    Catalog { draining, ..declarations.into_catalog(current.catalog.version) }
+}
+
 /// Shows a change, asks if it takes something away, makes it and waits for the hosts.
 pub(super) async fn put_in_force(
     context: &Context,
--- a/crates/cli/src/ctl/args.rs
+++ b/crates/cli/src/ctl/args.rs
@@ -36,6 +36,12 @@
             )),
         )
         .subcommand(key())
+        .subcommand(
+            Command::new("drain")
+                .about("Stops a host gracefully; a host that is started again takes work")
+                .arg(Arg::new("host").value_name("HOST").required(true).help("The host's name"))
+                .args(wait_args()),
+        )
         .subcommand(
             Command::new("programs")
                 .about("Lists programs as their journals have them")
@@ -170,7 +176,7 @@
 
 fn wait_args() -> [Arg; 2] {
     [
-        switch("wait", "Wait until every live host has the change in force"),
+        switch("wait", "Wait until it is done: in force on every live host, or the host drained"),
         value("wait-ms", "MS", "How long to wait")
             .value_parser(value_parser!(u64))
             .default_value("30000"),
--- a/crates/cli/src/ctl/changes.rs
+++ b/crates/cli/src/ctl/changes.rs
@@ -12,7 +12,7 @@
 /// One item that a change touches.
 #[derive(Clone, Debug, Eq, PartialEq, serde::Serialize)]
 pub(super) struct Change {
-    /// `class`, `service`, `team` or `key`.
+    /// `class`, `service`, `team`, `key` or `drain`.
     pub kind: &'static str,
     /// The item's name.
     pub name: String,
--- a/crates/cli/src/ctl/fault.rs
+++ b/crates/cli/src/ctl/fault.rs
@@ -17,7 +17,7 @@
   4  the Object API does not answer; nothing was changed
   5  the Object API does not answer; the change may or may not have been accepted
   6  not confirmed; nothing was changed
-  7  accepted, but not known to be in force on every live host in time
+  7  accepted, but not known to be in force, or a host not known to be drained, in time
   8  diff: there are differences";
 
 /// Why a command did not do what it was asked.
@@ -57,6 +57,14 @@
     /// The operator did not say yes.
     #[display("not confirmed; nothing was changed (--yes confirms)")]
     NotConfirmed,
+    /// The host has not left the roster.
+    #[display("the drain of {host} was accepted, but after {waited_ms} ms it has not ended")]
+    NotDrained {
+        /// The host.
+        host: String,
+        /// How long the command waited.
+        waited_ms: u128,
+    },
     /// Not every host has the version in force.
     #[display("version {version} was accepted, but after {waited_ms} ms these hosts are not known to have it: {}", hosts.join(", "))]
     NotInForce {
@@ -79,7 +87,7 @@
             Self::Store(_) => 4,
             Self::Unknown { .. } => 5,
             Self::NotConfirmed => 6,
-            Self::NotInForce { .. } => 7,
+            Self::NotInForce { .. } | Self::NotDrained { .. } => 7,
         })
     }
 }
--- a/crates/cli/src/ctl/history.rs
+++ b/crates/cli/src/ctl/history.rs
@@ -58,11 +58,12 @@
     put_in_force(context, &store, current, new, matches.into()).await
 }
 
-/// Keeps withdrawn what is withdrawn now: bringing back a class's target must not bring back a key
-/// that somebody lost.
+/// Keeps what is withdrawn or draining now: bringing back a class's target must not bring back a
+/// key that somebody lost.
 fn keep_withdrawn(mut past: Catalog, now: &Catalog) -> Catalog {
     for (hash, key) in now.keys.iter().filter(|(_, key)| key.is_withdrawn) {
         past.keys.insert(hash.clone(), key.clone());
     }
+    past.draining.clone_from(&now.draining);
     past
 }
--- a/crates/cli/src/ctl/keys.rs
+++ b/crates/cli/src/ctl/keys.rs
@@ -94,7 +94,7 @@
 }
 
 /// Makes a change, again on top of other changes that come first.
-async fn change(
+pub(super) async fn change(
     context: &Context,
     store: &Store,
     edit: impl Fn(&mut Catalog) -> Result<(), CtlError>,
--- a/crates/cli/src/ctl/mod.rs
+++ b/crates/cli/src/ctl/mod.rs
@@ -7,6 +7,7 @@
 mod args;
 mod changes;
 mod context;
+mod drain;
 mod fault;
 mod history;
 mod hosts;
@@ -58,6 +59,7 @@
         "diff" => {}
         "apply" => smol::block_on(apply::apply(&context, matches))?,
         "status" => smol::block_on(hosts::status(&context, matches))?,
+        "drain" => smol::block_on(drain::drain(&context, matches))?,
         "key" => key(&context, matches)?,
         "programs" => smol::block_on(programs::list(&context, matches))?,
         "export" => smol::block_on(history::export(&context, matches))?,
--- a/crates/cli/tests/ctl.rs
+++ b/crates/cli/tests/ctl.rs
@@ -80,6 +80,10 @@
         smol::block_on(api.put(key, version, bytes)).unwrap();
     }
 
+    fn stored(&self, key: &str) -> Value {
+        serde_json::from_slice(&self.store.peek(key).unwrap().1).unwrap()
+    }
+
     /// Writes a roster with one host for each version in force.
     fn roster(&self, versions: &[u64]) {
         let entries = versions.iter().enumerate().map(|(index, version)| host(index, *version));
@@ -305,6 +309,40 @@
     assert_eq!(report["in_force_on"], 3);
 }
 
+#[test]
+fn a_drain_names_one_incarnation_and_outlives_other_changes() {
+    let bench = Bench::new("drain");
+    bench.json(&["apply", EXAMPLE]);
+    bench.roster(&[1, 1]);
+    assert_eq!(code(&bench.run(&["drain", "host-7", "--yes"])), 1);
+    assert_eq!(code(&bench.run(&["drain", "host-1"])), 6);
+    let asked = bench.json(&["drain", "host-1", "--yes"]);
+    assert_eq!((&asked["version"], &asked["is_drained"]), (&json!(2), &json!(false)));
+    // The declarations know nothing of it and don't take it back.
+    assert_eq!(code(&bench.run(&["diff", EXAMPLE])), 0);
+    let faster = bench.edited("faster.toml", "target = \"45s\"", "target = \"30s\"");
+    assert_eq!(bench.json(&["apply", &faster])["version"], 3);
+    assert_eq!(bench.json(&["rollback", "1"])["version"], 4);
+    let late = bench.run(&["drain", "host-1", "--yes", "--wait", "--wait-ms", "1"]);
+    assert_eq!(code(&late), 7, "{}", errors(&late));
+    // What was asked of a host that is gone is dropped with the next wish.
+    bench.roster(&[4]);
+    let mut waiting = bench.command(&["drain", "host-0", "--yes", "--wait"]).spawn().unwrap();
+    let shard = loop {
+        let manifest = bench.stored("config/manifest");
+        if manifest["version"] == 5 {
+            let hash = manifest["shards"][0]["hash"].as_str().unwrap().to_owned();
+            break bench.stored(&format!("config/shard/{hash}"));
+        }
+        assert!(waiting.try_wait().unwrap().is_none(), "it waits until the host is gone");
+        thread::yield_now();
+    };
+    assert_eq!(shard["draining"], json!({ "host-0": 1 }));
+    bench.roster(&[]);
+    let output = waiting.wait_with_output().unwrap();
+    assert_eq!(code(&output), 0, "{}", errors(&output));
+}
+
 #[test]
 fn programs_are_listed_from_their_journals() {
     let bench = Bench::new("programs");
--- a/crates/config/src/declarations/sections.rs
+++ b/crates/config/src/declarations/sections.rs
@@ -51,6 +51,7 @@
         teams: BTreeMap::from_iter(teams),
         keys: BTreeMap::from_iter(keys),
         services: BTreeMap::from_iter(services),
+        draining: BTreeMap::new(),
     }
 }
 
--- a/crates/core/src/catalog.rs
+++ b/crates/core/src/catalog.rs
@@ -4,7 +4,7 @@
 //! are stored as milliseconds where a value crosses the wire, and exposed as [`Duration`].
 
 use {
-    crate::ids::{ClassId, ConfigVersion, KeyId, ServiceId, TeamId},
+    crate::ids::{ClassId, ConfigVersion, HostId, Incarnation, KeyId, ServiceId, TeamId},
     std::{collections::BTreeMap, time::Duration},
 };
 
@@ -21,6 +21,10 @@
     pub keys: BTreeMap<KeyHash, Key>,
     /// Services by id.
     pub services: BTreeMap<ServiceId, Service>,
+    /// Hosts that are to stop gracefully, each in one incarnation: a host that was started again
+    /// takes work. Not declared, but asked for by operators.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub draining: BTreeMap<HostId, Incarnation>,
 }
 
 /// Lower-case hexadecimal BLAKE3 hash of a key's secret.
--- a/crates/core/src/spread/manifest.rs
+++ b/crates/core/src/spread/manifest.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         catalog::{Catalog, Class, Key, KeyHash, Service, Team},
-        ids::{ClassId, ConfigVersion, KeyId, ServiceId, TeamId},
+        ids::{ClassId, ConfigVersion, HostId, Incarnation, KeyId, ServiceId, TeamId},
     },
     derive_more::{Display, Error},
     error_stack::{Report, ensure},
@@ -39,6 +39,8 @@
     teams: BTreeMap<TeamId, Team>,
     #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
     keys: BTreeMap<KeyHash, Key>,
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    draining: BTreeMap<HostId, Incarnation>,
 }
 
 /// A shard: bytes named by their hash.
@@ -153,6 +155,7 @@
     let mut parts = vec![Part {
         classes: catalog.classes.clone(),
         services: catalog.services.clone(),
+        draining: catalog.draining.clone(),
         ..Part::default()
     }];
     parts.extend(divide(&catalog.teams).into_iter().map(|teams| Part { teams, ..Part::default() }));
@@ -274,7 +277,8 @@
     merge_items(&mut catalog.classes, part.classes, "class")?;
     merge_items(&mut catalog.services, part.services, "service")?;
     merge_items(&mut catalog.teams, part.teams, "team")?;
-    merge_items(&mut catalog.keys, part.keys, "key")
+    merge_items(&mut catalog.keys, part.keys, "key")?;
+    merge_items(&mut catalog.draining, part.draining, "drain")
 }
 
 fn merge_items<K: Ord + AsRef<str>, V>(
--- a/crates/core/src/spread/plan.rs
+++ b/crates/core/src/spread/plan.rs
@@ -106,7 +106,7 @@
 /// An item that two catalogs have differently.
 #[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub struct Difference {
-    /// `class`, `service`, `team` or `key`.
+    /// `class`, `service`, `team`, `key` or `drain`.
     pub kind: &'static str,
     /// The item's name: for a key, its name and not its hash.
     pub name: String,
@@ -183,6 +183,9 @@
     for (hash, key) in &catalog.keys {
         all.insert(named("key", &key.id, hash), show(key));
     }
+    for (host, incarnation) in &catalog.draining {
+        all.insert(named("drain", host, host), show(incarnation));
+    }
     all
 }
 
--- a/crates/host/src/control/config.rs
+++ b/crates/host/src/control/config.rs
@@ -81,6 +81,10 @@
     }
 
     fn put_in_force(&mut self, version: u64, catalog: Arc<Catalog>, withdrawn: &[KeyId]) {
+        let me = &self.shared.member;
+        if catalog.draining.get(&me.host) == Some(&me.incarnation) {
+            self.shared.is_drain_requested.store(true, Ordering::Release);
+        }
         *self.shared.catalog.write().unwrap_or_else(PoisonError::into_inner) = catalog;
         self.membership.set_config(version);
         self.dispatchers.set_catalog();
