Test the limiter and the configuration's spread

Change: buckets against a replay of all takes, both halves of a team under random losses, joins, drains and draws (2,000 histories) against one bucket of the whole team, the caller's side as a table; splitting and assembling, withdrawn keys, a host's intake, lost answers and races as tables. Conclusion: no grant over the allowance.

--- a/crates/core/src/limit/client.rs
+++ b/crates/core/src/limit/client.rs
@@ -172,7 +172,7 @@
         match self.retry_after {
             Some(Duration::MAX) => Refusal::not_run(
                 Reason::OverAllowance,
-                "the request needs more tokens than the team's burst",
+                "the request needs more tokens than half of the team's burst",
             ),
             Some(wait) => {
                 Refusal::not_run(Reason::OverAllowance, "the team is over its rate and burst")
--- a/crates/core/src/limit/tests.rs
+++ b/crates/core/src/limit/tests.rs
@@ -1,1 +1,472 @@
-//! Tests.
+//! Buckets, halves and the caller's side, against naive versions.
+
+use {
+    super::{
+        Allowance, Attempt, Bucket, DrawReply, HalfAnswer, Handover, Hints, Limiter, Step, Taken,
+    },
+    crate::{
+        ids::{HostId, TeamId},
+        membership::Standing,
+        verdict::Reason,
+    },
+    proptest::{prelude::*, test_runner::RngSeed},
+    std::time::{Duration, Instant},
+};
+
+const SEED: u64 = 20_261_203;
+const TEAM_ALLOWANCE: Allowance =
+    Allowance { rate_nanotokens_per_s: 3_333_333_333, burst_tokens: 7 };
+
+fn config(cases: u32) -> ProptestConfig {
+    ProptestConfig {
+        cases,
+        rng_seed: RngSeed::Fixed(SEED),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    }
+}
+
+fn millis(count: u64) -> Duration {
+    Duration::from_millis(count)
+}
+
+/// Decides each take by replaying all takes before it, in whole nanoseconds and big integers.
+struct Replay {
+    allowance: Allowance,
+    grants: Vec<(u128, u32)>,
+}
+
+impl Replay {
+    fn take(&mut self, at: Duration, count: u32) -> bool {
+        const TOKEN: i128 = 1_000_000_000_000_000_000;
+        let burst = i128::from(self.allowance.burst_tokens) * TOKEN;
+        let rate = i128::from(self.allowance.rate_nanotokens_per_s);
+        let mut level = 0;
+        let mut last = 0;
+        let at = at.as_nanos();
+        for (then, taken) in self.grants.iter().copied().chain([(at, 0)]) {
+            level = (level + (then as i128 - last) * rate).min(burst);
+            level -= i128::from(taken) * TOKEN;
+            last = then as i128;
+        }
+        let is_granted = level >= i128::from(count) * TOKEN;
+        if is_granted {
+            self.grants.push((at, count));
+        }
+        is_granted
+    }
+}
+
+proptest! {
+    #![proptest_config(config(256))]
+
+    #[test]
+    fn bucket_decides_as_a_replay_does(
+        rate in 1_u64..50_000_000_000,
+        burst in 1_u32..20,
+        takes in proptest::collection::vec((0_u64..2_000_000_000, 1_u32..4), 1..60),
+    ) {
+        let allowance = Allowance { rate_nanotokens_per_s: rate, burst_tokens: burst };
+        let start = Instant::now();
+        let mut bucket = Bucket::empty(start, allowance);
+        let mut replay = Replay { allowance, grants: Vec::new() };
+        let mut at = Duration::ZERO;
+        for (nanos, count) in takes {
+            at += Duration::from_nanos(nanos);
+            let taken = bucket.take(start + at, count);
+            prop_assert_eq!(taken.is_ok(), replay.take(at, count));
+            if let Err(wait) = taken && wait < Duration::MAX {
+                // The wait is right to the nanosecond.
+                let early = start + at + wait - Duration::from_nanos(1);
+                prop_assert!(bucket.clone().take(early, count).is_err());
+                prop_assert!(bucket.clone().take(start + at + wait, count).is_ok());
+            }
+        }
+    }
+
+    #[test]
+    fn halves_add_up(rate in 0_u64..u64::MAX - 1, burst in 1_u32..u32::MAX - 1) {
+        let whole = Allowance { rate_nanotokens_per_s: rate, burst_tokens: burst };
+        let [first, second] = [whole.half(0), whole.half(1)];
+        prop_assert_eq!(first.burst_tokens + second.burst_tokens, burst);
+        prop_assert_eq!(first.rate_nanotokens_per_s + second.rate_nanotokens_per_s, rate);
+    }
+}
+
+/// A step of a random history of both halves of one team.
+#[derive(Clone, Debug)]
+enum Act {
+    Pass(u64),
+    Take(u8, u32),
+    /// The holder of a half is lost. The next one starts when the lease has ended.
+    Lose(u8),
+    /// A new host comes first for a half and asks the settled one to hand over.
+    Join(u8),
+    /// A new host has settled.
+    Settle(u8),
+    /// The holder of a half drains; what it hands over comes later, or never.
+    Drain(u8),
+    Draw(u8),
+    /// Delivers one of the messages under way.
+    Deliver(usize),
+    /// Delivers it and keeps it, as a repeated message.
+    Repeat(usize),
+    /// Loses it.
+    Miss(usize),
+    Sweep,
+}
+
+fn act() -> impl Strategy<Value = Act> {
+    let half = || 0_u8..2;
+    prop_oneof![
+        4 => (1_u64..1_500).prop_map(Act::Pass),
+        6 => (half(), 1_u32..4).prop_map(|(half, count)| Act::Take(half, count)),
+        1 => half().prop_map(Act::Lose),
+        1 => half().prop_map(Act::Join),
+        1 => half().prop_map(Act::Settle),
+        1 => half().prop_map(Act::Drain),
+        2 => half().prop_map(Act::Draw),
+        3 => any::<usize>().prop_map(Act::Deliver),
+        1 => any::<usize>().prop_map(Act::Repeat),
+        1 => any::<usize>().prop_map(Act::Miss),
+        1 => Just(Act::Sweep),
+    ]
+}
+
+#[derive(Clone)]
+enum Sent {
+    Handover(Handover),
+    Draw(u8, u64, DrawReply),
+}
+
+/// The holder of a half.
+struct Holder {
+    /// Counts processes, so that a message meets the one that it was sent to.
+    number: u64,
+    limiter: Limiter,
+    standing: Standing,
+}
+
+/// Both halves of a team, with one bucket beside them that says what the whole team may get.
+struct Halves {
+    now: Instant,
+    team: TeamId,
+    holders: [Holder; 2],
+    whole: Bucket,
+    sent: Vec<Sent>,
+    numbers: u64,
+    overshoot: u32,
+    granted: u32,
+    /// A fault: a new holder believes that it has held the half for long.
+    starts_full: bool,
+}
+
+impl Halves {
+    fn new(starts_full: bool) -> Self {
+        let start = Instant::now();
+        let now = start + Duration::from_secs(3_600);
+        let holder = |number| Holder {
+            number,
+            limiter: Limiter::default(),
+            standing: Standing::Acting { since: start, held_since: start, former: None },
+        };
+        Self {
+            now,
+            team: "ayla".into(),
+            holders: [holder(0), holder(1)],
+            whole: Bucket::with_level(now, TEAM_ALLOWANCE, u128::MAX),
+            sent: Vec::new(),
+            numbers: 1,
+            overshoot: 0,
+            granted: 0,
+            starts_full,
+        }
+    }
+
+    fn replace(&mut self, half: u8, standing: Standing) -> Holder {
+        self.numbers += 1;
+        let new = Holder { number: self.numbers, limiter: Limiter::default(), standing };
+        std::mem::replace(&mut self.holders[usize::from(half)], new)
+    }
+
+    fn acting(&self, former: Option<HostId>) -> Standing {
+        let ago = if self.starts_full { Duration::from_secs(600) } else { Duration::ZERO };
+        Standing::Acting { since: self.now - ago, held_since: self.now - ago, former }
+    }
+
+    fn act(&mut self, act: &Act) {
+        match act {
+            Act::Pass(time) => self.now += millis(*time),
+            Act::Take(half, count) => self.take(*half, *count),
+            Act::Lose(half) => {
+                let standing = self.acting(None);
+                self.replace(*half, standing);
+            }
+            Act::Join(half) => self.join(*half),
+            Act::Settle(half) => {
+                let now = self.now;
+                let holder = &mut self.holders[usize::from(*half)];
+                if let Standing::Settling { since } = holder.standing {
+                    holder.standing =
+                        Standing::Acting { since: now, held_since: since, former: None };
+                }
+            }
+            Act::Drain(half) => self.drain(*half),
+            Act::Draw(half) => self.draw(*half),
+            Act::Deliver(index) => {
+                if let Some(index) = self.pick(*index) {
+                    let sent = self.sent.swap_remove(index);
+                    self.deliver(sent);
+                }
+            }
+            Act::Repeat(index) => {
+                if let Some(sent) = self.pick(*index).map(|index| self.sent[index].clone()) {
+                    // A handover is sent at most once, by a connection that repeats nothing.
+                    if matches!(sent, Sent::Draw(..)) {
+                        self.deliver(sent);
+                    }
+                }
+            }
+            Act::Miss(index) => {
+                if let Some(index) = self.pick(*index) {
+                    self.sent.swap_remove(index);
+                }
+            }
+            Act::Sweep => {
+                let now = self.now;
+                self.holders.iter_mut().for_each(|holder| holder.limiter.sweep(now, millis(700)));
+            }
+        }
+    }
+
+    fn pick(&self, index: usize) -> Option<usize> {
+        (!self.sent.is_empty()).then(|| index % self.sent.len())
+    }
+
+    fn take(&mut self, half: u8, count: u32) {
+        let holder = &mut self.holders[usize::from(half)];
+        let key = (&self.team, half);
+        let allowance = TEAM_ALLOWANCE.half(half);
+        let taken = holder.limiter.take(self.now, key, count, allowance, &holder.standing);
+        if taken == Taken::Granted {
+            self.granted += count;
+            self.overshoot += u32::from(self.whole.take(self.now, count).is_err());
+        }
+    }
+
+    fn join(&mut self, half: u8) {
+        let mut old = self.replace(half, Standing::Settling { since: self.now });
+        let allowance = TEAM_ALLOWANCE.half(half);
+        let given = old.limiter.hand_over(
+            self.now,
+            &"old".into(),
+            (&self.team, half),
+            allowance,
+            &old.standing,
+        );
+        if let Some(handover) = given {
+            self.deliver(Sent::Handover(handover));
+        }
+    }
+
+    fn drain(&mut self, half: u8) {
+        let host: HostId = format!("host-{}", self.numbers).into();
+        let standing = self.acting(Some(host.clone()));
+        let mut old = self.replace(half, standing);
+        let allowance = TEAM_ALLOWANCE.half(half);
+        let key = (&self.team, half);
+        let given = old.limiter.hand_over(self.now, &host, key, allowance, &old.standing);
+        self.sent.extend(given.map(Sent::Handover));
+    }
+
+    fn draw(&mut self, half: u8) {
+        let holder = &mut self.holders[usize::from(half)];
+        let number = holder.number;
+        let key = (&self.team, half);
+        let allowance = TEAM_ALLOWANCE.half(half);
+        let limiter = &mut holder.limiter;
+        let request = limiter.begin_draw(self.now, key, 2, allowance, &holder.standing);
+        let Some(request) = request else { return };
+        let donor = &mut self.holders[usize::from(1 - half)];
+        let allowance = TEAM_ALLOWANCE.half(1 - half);
+        let reply = donor.limiter.draw(self.now, &request, allowance, &donor.standing);
+        self.sent.extend(reply.map(|reply| Sent::Draw(half, number, reply)));
+    }
+
+    fn deliver(&mut self, sent: Sent) {
+        match sent {
+            Sent::Handover(handover) => {
+                let holder = &mut self.holders[usize::from(handover.half)];
+                let allowance = TEAM_ALLOWANCE.half(handover.half);
+                holder.limiter.accept(self.now, &handover, allowance, &holder.standing);
+            }
+            Sent::Draw(half, number, reply) => {
+                let holder = &mut self.holders[usize::from(half)];
+                if holder.number == number {
+                    holder.limiter.end_draw(self.now, &reply);
+                }
+            }
+        }
+    }
+}
+
+proptest! {
+    #![proptest_config(config(2_000))]
+
+    /// Grants in any window never exceed burst and rate, whatever happens to the holders: a
+    /// bucket of the whole team, full at the start, allows every grant.
+    #[test]
+    fn team_never_gets_more(acts in proptest::collection::vec(act(), 1..120)) {
+        let mut halves = Halves::new(false);
+        for act in &acts {
+            halves.act(act);
+            prop_assert_eq!(halves.overshoot, 0);
+        }
+    }
+}
+
+#[test]
+fn holder_that_starts_full_gives_more() {
+    let mut halves = Halves::new(true);
+    for _ in 0..4 {
+        halves.act(&Act::Take(0, 1));
+    }
+    halves.act(&Act::Lose(0));
+    for _ in 0..4 {
+        halves.act(&Act::Take(0, 1));
+        halves.act(&Act::Take(1, 1));
+    }
+    assert!(halves.overshoot > 0);
+}
+
+#[test]
+fn tokens_under_way_come_on_top_unless_room_is_kept() {
+    for keeps_room in [true, false] {
+        let start = Instant::now();
+        let allowance = Allowance { rate_nanotokens_per_s: 1_000_000_000, burst_tokens: 3 };
+        let mut to = Bucket::empty(start, allowance);
+        let mut from = Bucket::with_level(start, allowance, u128::MAX);
+        let wanted = to.missing_for(start, 3);
+        let room = if keeps_room { to.reserve(start, wanted) } else { wanted };
+        let drawn = from.remove(start, room);
+        // Both fill up while the tokens are under way.
+        let later = start + Duration::from_secs(10);
+        let taken_before = (0..9).filter(|_| to.take(later, 1).is_ok()).count();
+        to.unreserve(later, room, drawn);
+        let taken = (0..9).filter(|_| to.take(later, 1).is_ok()).count() + taken_before;
+        assert_eq!(taken <= 3, keeps_room, "{taken}");
+    }
+}
+
+#[test]
+fn paused_holder_starts_anew() {
+    let team: TeamId = "ayla".into();
+    let start = Instant::now();
+    let allowance = Allowance { rate_nanotokens_per_s: 1_000_000_000, burst_tokens: 4 };
+    let mut limiter = Limiter::default();
+    let acting = |since| Standing::Acting { since, held_since: since, former: None };
+    let late = start + Duration::from_secs(60);
+    let mut take = |now, standing: &Standing| limiter.take(now, (&team, 0), 1, allowance, standing);
+    assert_eq!(take(late, &acting(start)), Taken::Granted);
+    assert_eq!(take(late, &Standing::Lapsed), Taken::NotHere);
+    assert_eq!(take(late, &Standing::Elsewhere(None)), Taken::NotHere);
+    assert_eq!(take(late, &Standing::Settling { since: start }), Taken::NotHere);
+    let again = late + millis(10);
+    assert_eq!(take(again, &acting(again)), Taken::RetryAfter(Duration::from_secs(1)));
+}
+
+#[test]
+fn changed_allowance_clips_and_counts_at_the_lower_rate() {
+    let start = Instant::now();
+    let of = |rate: u64, burst_tokens| Allowance {
+        rate_nanotokens_per_s: rate * 1_000_000_000,
+        burst_tokens,
+    };
+    let mut bucket = Bucket::with_level(start, of(1, 10), u128::MAX);
+    bucket.set_allowance(start, of(1, 2));
+    assert_eq!((0..9).filter(|_| bucket.take(start, 1).is_ok()).count(), 2);
+    bucket.set_allowance(start + Duration::from_secs(1), of(100, 50));
+    let taken = (0..99).filter(|_| bucket.take(start + Duration::from_secs(1), 1).is_ok());
+    assert_eq!(taken.count(), 1, "the second before the change counts at the old rate");
+}
+
+/// A row: what the halves answer in turn, and what the caller ends with.
+type ClientCase = (&'static [HalfAnswer], u64, Result<Option<u64>, Reason>);
+
+const fn retry(wait: u64) -> HalfAnswer {
+    HalfAnswer::Answered(Taken::RetryAfter(Duration::from_millis(wait)))
+}
+
+const GRANTED: HalfAnswer = HalfAnswer::Answered(Taken::Granted);
+const GONE: HalfAnswer = HalfAnswer::Unreachable;
+
+/// The answers in the order of asking, the longest wait in milliseconds, and the time of the grant
+/// in milliseconds or the refusal's reason.
+const CLIENT_CASES: &[ClientCase] = &[
+    (&[GRANTED], 0, Ok(Some(0))),
+    (&[retry(900), GRANTED], 0, Ok(Some(0))),
+    (&[GONE, GRANTED], 0, Ok(Some(0))),
+    (&[HalfAnswer::Answered(Taken::NotHere), GRANTED], 0, Ok(Some(0))),
+    // The half that has tokens first is asked first after the wait.
+    (&[retry(40), retry(30), GRANTED], 50, Ok(Some(30))),
+    (&[retry(40), retry(30), retry(15), GRANTED], 50, Ok(Some(30))),
+    // A wait that can't help isn't begun.
+    (&[retry(90), retry(80)], 50, Err(Reason::OverAllowance)),
+    (&[retry(30), retry(80), retry(40), retry(60)], 50, Err(Reason::OverAllowance)),
+    // An unreachable half is asked again.
+    (&[GONE, GONE, GRANTED], 500, Ok(Some(100))),
+    (&[GONE, GONE], 50, Err(Reason::HomeUnavailable)),
+    (&[GONE, retry(900)], 50, Err(Reason::OverAllowance)),
+];
+
+fn run_attempt(attempt: &mut Attempt, start: Instant, answers: &[HalfAnswer]) -> (Step, Instant) {
+    let mut now = start;
+    let mut answers = answers.iter();
+    loop {
+        match attempt.next(now) {
+            Step::Ask(half) => {
+                let answer = answers.next().expect("no more questions than answers");
+                attempt.answered(half, answer.clone());
+            }
+            Step::Wait(until) => now = until,
+            end => return (end, now),
+        }
+    }
+}
+
+#[test]
+fn caller_asks_both_halves_then_waits_for_a_bounded_time() {
+    for (answers, wait_max, expected) in CLIENT_CASES {
+        let start = Instant::now();
+        let hints = Hints::default();
+        let mut attempt = hints.start(start, &"ayla".into(), 1, 1, millis(*wait_max));
+        let (end, at) = run_attempt(&mut attempt, start, answers);
+        let found = match end {
+            Step::Granted => Ok(Some((at - start).as_millis() as u64)),
+            Step::Refuse(refusal) => Err(refusal.reason),
+            other => panic!("{other:?} is no end"),
+        };
+        assert_eq!(&found, expected, "{answers:?}");
+    }
+}
+
+#[test]
+fn caller_prefers_the_half_that_served_last() {
+    let mut hints = Hints::default();
+    let team: TeamId = "ayla".into();
+    let start = Instant::now();
+    let mut attempt = hints.start(start, &team, 1, 1, Duration::ZERO);
+    run_attempt(&mut attempt, start, &[retry(900), GRANTED]);
+    hints.note(&team, &attempt);
+    assert_eq!(hints.start(start, &team, 1, 1, Duration::ZERO).next(start), Step::Ask(0));
+}
+
+#[test]
+fn request_larger_than_the_burst_is_refused_without_a_time_to_come_back() {
+    let start = Instant::now();
+    let mut attempt = Hints::default().start(start, &"ayla".into(), 0, 9, millis(500));
+    let never = HalfAnswer::Answered(Taken::RetryAfter(Duration::MAX));
+    let (end, _) = run_attempt(&mut attempt, start, &[never.clone(), never]);
+    let Step::Refuse(refusal) = end else { panic!("{end:?}") };
+    assert_eq!((refusal.reason, refusal.retry_after), (Reason::OverAllowance, None));
+}
--- a/crates/core/src/spread/tests.rs
+++ b/crates/core/src/spread/tests.rs
@@ -1,1 +1,417 @@
-//! Tests.
+//! Splitting, assembling, taking in and applying configurations.
+
+use {
+    super::{
+        Apply, ApplyOutcome, Command, Conflict, Event, Freshness, Manifest, Note, Options, Shard,
+        ShardSource, Spread, SpreadError, assemble, decode_manifest, encode_manifest, plan_apply,
+        resolve_apply, split, withdrawn_between,
+    },
+    crate::catalog::{Budget, Catalog, Class, Key, Service, ServiceKind, Team},
+    proptest::{prelude::*, test_runner::RngSeed},
+    std::{
+        collections::BTreeMap,
+        time::{Duration, Instant},
+    },
+};
+
+const SEED: u64 = 20_261_203;
+
+fn team(rate_per_s: f64) -> Team {
+    Team { rate_per_s, burst_requests: 10, classes: Vec::new() }
+}
+
+fn key(id: &str, team: &str, is_withdrawn: bool) -> Key {
+    Key { id: id.into(), team: team.into(), is_withdrawn }
+}
+
+fn key_hash(id: usize) -> String {
+    blake3::hash(&id.to_le_bytes()).to_hex().to_string()
+}
+
+/// A catalog of a site with so many teams, with one key each.
+fn catalog(teams: usize) -> Catalog {
+    let mut catalog = Catalog { version: 1, ..Catalog::default() };
+    let class = Class { target_ms: 30_000, budget: Budget::default() };
+    catalog.classes.insert("counter".into(), class);
+    let service = Service {
+        kind: ServiceKind::Engine,
+        models: vec!["appraiser".into()],
+        repeatable: Vec::new(),
+        open: Vec::new(),
+        checks_fencing: true,
+        deadline_ms: 60_000,
+    };
+    catalog.services.insert("appraiser-llm".into(), service);
+    for number in 0..teams {
+        let name = format!("team-{number:05}");
+        catalog.teams.insert(name.as_str().into(), team(2.0));
+        catalog.keys.insert(key_hash(number), key(&format!("{name}-main"), &name, false));
+    }
+    catalog
+}
+
+fn change_one_team(catalog: &Catalog, number: usize, rate: f64) -> Catalog {
+    let mut changed = catalog.clone();
+    changed.teams.insert(format!("team-{number:05}").as_str().into(), team(rate));
+    changed
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 48,
+        rng_seed: RngSeed::Fixed(SEED),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    /// What comes back is what went in, and a change costs the shards that it touches.
+    #[test]
+    fn assembled_catalog_is_the_one_that_was_split(
+        teams in 1_usize..600,
+        changes in proptest::collection::vec((0_usize..600, 1.0_f64..9.0), 0..4),
+    ) {
+        let old = catalog(teams);
+        let new = changes.iter().fold(old.clone(), |catalog, (number, rate)| {
+            change_one_team(&catalog, number % teams, *rate)
+        });
+        let (manifest, shards) = split(&new, "change").expect("small");
+        prop_assert_eq!(&assemble(&manifest, &shards).expect("whole"), &new);
+        let (_, old_shards) = split(&old, "change").expect("small");
+        let changed = shards.iter().filter(|shard| !old_shards.contains(shard)).count();
+        prop_assert!(changed <= changes.len());
+    }
+}
+
+#[test]
+fn faulty_shards_are_named() {
+    let (manifest, shards) = split(&catalog(300), "change").expect("small");
+    let error = |manifest: &Manifest, shards: &[Shard]| {
+        assemble(manifest, shards).expect_err("it is faulty").current_context().clone()
+    };
+    assert!(matches!(error(&manifest, &shards[1..]), SpreadError::MissingShard { .. }));
+
+    let mut damaged = shards.clone();
+    damaged[1].bytes[3] ^= 1;
+    let hash = damaged[1].hash.clone();
+    assert!(matches!(
+        error(&manifest, &damaged),
+        SpreadError::WrongHash { hash: named, .. } if named == hash
+    ));
+
+    let mut twice = manifest.clone();
+    twice.shards.push(manifest.shards[1].clone());
+    assert!(matches!(error(&twice, &shards), SpreadError::Twice { .. }));
+
+    let mut orphan = catalog(3);
+    orphan.teams.remove("team-00001");
+    let (manifest, shards) = split(&orphan, "change").expect("small");
+    assert!(matches!(error(&manifest, &shards), SpreadError::UnknownTeam { .. }));
+
+    assert!(decode_manifest(b"{").is_err());
+}
+
+#[test]
+fn keys_that_stop_working_are_found() {
+    let mut old = catalog(3);
+    old.keys.insert("rotated-old".into(), key("rotating", "team-00000", false));
+    let cases: [(&str, fn(&mut Catalog), &[&str]); 6] = [
+        ("nothing", |_| {}, &[]),
+        (
+            "withdrawn",
+            |c| c.keys.get_mut(&key_hash(1)).unwrap().is_withdrawn = true,
+            &["team-00001-main"],
+        ),
+        ("gone", |c| drop(c.keys.remove(&key_hash(2))), &["team-00002-main"]),
+        (
+            "moved to another team",
+            |c| c.keys.get_mut(&key_hash(0)).unwrap().team = "team-00002".into(),
+            &["team-00000-main"],
+        ),
+        ("its team is gone", |c| drop(c.teams.remove("team-00001")), &["team-00001-main"]),
+        (
+            "rotated under the same name",
+            |c| {
+                c.keys.remove("rotated-old");
+                c.keys.insert("rotated-new".into(), key("rotating", "team-00000", false));
+            },
+            &[],
+        ),
+    ];
+    for (case, change, expected) in cases {
+        let mut new = old.clone();
+        change(&mut new);
+        let found = withdrawn_between(&old, &new);
+        assert_eq!(found.iter().map(|id| &**id).collect::<Vec<_>>(), expected, "{case}");
+    }
+}
+
+/// A store with a manifest, and one host that takes it in.
+struct Site {
+    now: Instant,
+    spread: Spread,
+    objects: BTreeMap<String, Vec<u8>>,
+    manifest: (u64, Vec<u8>),
+    in_force: Vec<u64>,
+    withdrawn: Vec<String>,
+    notes: Vec<Note>,
+    fetched: Vec<ShardSource>,
+    damages_shards: bool,
+}
+
+impl Site {
+    fn new() -> Self {
+        Self {
+            now: Instant::now(),
+            spread: Spread::new(Options::default(), 0),
+            objects: BTreeMap::new(),
+            manifest: (0, Vec::new()),
+            in_force: Vec::new(),
+            withdrawn: Vec::new(),
+            notes: Vec::new(),
+            fetched: Vec::new(),
+            damages_shards: false,
+        }
+    }
+
+    fn current(&self) -> Option<(u64, Manifest)> {
+        let (version, bytes) = &self.manifest;
+        (*version > 0).then(|| (*version, decode_manifest(bytes).expect("valid")))
+    }
+
+    fn plan(&self, catalog: &Catalog, change: &str) -> Apply {
+        let current = self.current();
+        let current = current.as_ref().map(|(version, manifest)| (*version, manifest));
+        plan_apply(current, catalog, change).expect("small")
+    }
+
+    fn write(&mut self, plan: &Apply) -> bool {
+        for shard in &plan.new_shards {
+            self.objects.insert(shard.hash.clone(), shard.bytes.clone());
+        }
+        let is_current = self.manifest.0 == plan.if_version;
+        if is_current {
+            self.manifest = (plan.if_version + 2, plan.bytes.clone());
+        }
+        is_current
+    }
+
+    fn resolve(&self, plan: &Apply) -> ApplyOutcome {
+        let current = self.current();
+        resolve_apply(plan, current.as_ref().map(|(version, manifest)| (*version, manifest)))
+    }
+
+    /// The host hears of the manifest, and fetches until it wants nothing more.
+    fn hear(&mut self) {
+        let event = Event::ManifestSeen { version: self.manifest.0, as_of: self.now };
+        self.event(event);
+    }
+
+    fn event(&mut self, event: Event) {
+        let mut commands = self.spread.handle(self.now, event);
+        while let Some(command) = commands.pop() {
+            let event = match command {
+                Command::FetchManifest { from, .. } => {
+                    self.fetched.push(from);
+                    let (version, bytes) = self.manifest.clone();
+                    Event::Manifest { version, bytes }
+                }
+                Command::FetchShard { hash, from } => {
+                    self.fetched.push(from);
+                    let Some(bytes) = self.objects.get(&hash) else { continue };
+                    let mut bytes = bytes.clone();
+                    if self.damages_shards {
+                        bytes.push(b' ');
+                    }
+                    Event::Shard(Shard { hash, bytes })
+                }
+                Command::InForce { version, withdrawn, .. } => {
+                    self.in_force.push(version);
+                    self.withdrawn.extend(withdrawn.iter().map(ToString::to_string));
+                    continue;
+                }
+                Command::Note(note) => {
+                    self.notes.push(note);
+                    continue;
+                }
+            };
+            commands.extend(self.spread.handle(self.now, event));
+        }
+    }
+
+    fn pass(&mut self, time: Duration) {
+        self.now += time;
+        self.event(Event::Tick);
+    }
+}
+
+#[test]
+fn change_comes_into_force_and_names_withdrawn_keys() {
+    let mut site = Site::new();
+    let first = catalog(300);
+    site.write(&site.plan(&first, "one"));
+    site.hear();
+    let mut second = first.clone();
+    second.keys.get_mut(&key_hash(7)).expect("known").is_withdrawn = true;
+    site.write(&site.plan(&second, "two"));
+    site.fetched.clear();
+    site.hear();
+    assert_eq!(site.in_force, [1, 2]);
+    assert_eq!(site.withdrawn, ["team-00007-main"]);
+    assert_eq!(site.fetched.len(), 2, "the manifest and one shard");
+    let expected = Catalog { version: 2, ..second };
+    assert_eq!(**site.spread.catalog(), expected, "as by a copy of the whole");
+    assert_eq!(site.spread.manifest().map(|(version, _)| version), Some(site.manifest.0));
+}
+
+#[test]
+fn keys_go_stale_without_news_and_are_fresh_again_after() {
+    let mut site = Site::new();
+    assert_eq!(site.spread.key_freshness(site.now), Freshness::Stale, "nothing is in force");
+    site.write(&site.plan(&catalog(3), "one"));
+    site.hear();
+    assert_eq!(site.spread.key_freshness(site.now), Freshness::Fresh);
+    site.pass(Options::default().fresh);
+    assert_eq!(site.spread.key_freshness(site.now), Freshness::Stale, "nobody was heard");
+    site.hear();
+    assert_eq!(site.spread.key_freshness(site.now), Freshness::Fresh);
+    // A newer one is known and can't be had yet.
+    let plan = site.plan(&change_one_team(&catalog(3), 1, 9.0), "two");
+    site.write(&plan);
+    site.objects.clear();
+    site.hear();
+    assert_eq!(site.spread.key_freshness(site.now), Freshness::Stale);
+    site.write(&plan);
+    for shard in &plan.new_shards {
+        site.objects.insert(shard.hash.clone(), shard.bytes.clone());
+    }
+    site.pass(Options::default().retry);
+    site.hear();
+    assert_eq!(site.spread.key_freshness(site.now), Freshness::Fresh);
+    assert_eq!(site.in_force, [1, 2]);
+}
+
+#[test]
+fn version_never_goes_back() {
+    let mut site = Site::new();
+    site.write(&site.plan(&catalog(3), "one"));
+    let old = site.manifest.1.clone();
+    site.write(&site.plan(&change_one_team(&catalog(3), 1, 9.0), "two"));
+    site.hear();
+    // The store shows an old manifest as if it were new.
+    site.manifest = (site.manifest.0 + 1, old.clone());
+    site.hear();
+    assert_eq!(site.in_force, [2]);
+    assert_eq!(site.notes, [Note::NotNewer { found: 1, in_force: 2 }]);
+    // Nor does it on a host that restarts and learns from the roster what it had in force.
+    site.spread = Spread::new(Options::default(), 2);
+    site.hear();
+    assert_eq!(site.in_force, [2]);
+    assert_eq!(site.spread.key_freshness(site.now), Freshness::Stale);
+}
+
+#[test]
+fn damaged_shards_are_refused_and_fetched_from_elsewhere() {
+    let mut site = Site::new();
+    site.event(Event::Sources(vec!["a1".into(), "a2".into()]));
+    site.write(&site.plan(&catalog(3), "one"));
+    site.damages_shards = true;
+    site.hear();
+    assert_eq!(site.in_force, [0; 0]);
+    assert!(matches!(site.notes[0], Note::Refused(SpreadError::WrongHash { .. })));
+    site.damages_shards = false;
+    site.pass(Options::default().retry);
+    assert_eq!(site.in_force, [1]);
+    assert_eq!(site.fetched.first(), Some(&ShardSource::Host("a1".into())));
+    assert_ne!(site.fetched.first(), site.fetched.last());
+}
+
+/// What happens between an operator's write and the answer, and what it finds out.
+#[test]
+fn lost_answers_and_races_are_resolved() {
+    type Between = fn(&mut Site, &Apply);
+    let cases: [(&str, Between, ApplyOutcome); 5] = [
+        ("lost before the effect", |_, _| {}, ApplyOutcome::NotAccepted),
+        (
+            "lost after the effect",
+            |site, plan| assert!(site.write(plan)),
+            ApplyOutcome::Accepted(2),
+        ),
+        (
+            "lost after the effect, and another change came on top",
+            |site, plan| {
+                assert!(site.write(plan));
+                let next = site.plan(&catalog(4), "other");
+                assert!(site.write(&next));
+            },
+            ApplyOutcome::Accepted(2),
+        ),
+        (
+            "another change came first",
+            |site, plan| {
+                let first = site.plan(&catalog(4), "other");
+                assert!(site.write(&first));
+                assert!(!site.write(plan));
+            },
+            ApplyOutcome::Conflict { version: 2, change: "other".into() },
+        ),
+        (
+            "more changes came than a manifest remembers",
+            |site, plan| {
+                assert!(site.write(plan));
+                for number in 0..20 {
+                    let next = site.plan(&catalog(4 + number), "others");
+                    assert!(site.write(&next));
+                }
+            },
+            ApplyOutcome::Unknown { version: 22 },
+        ),
+    ];
+    for (case, between, expected) in cases {
+        let mut site = Site::new();
+        site.write(&site.plan(&catalog(3), "base"));
+        let plan = site.plan(&change_one_team(&catalog(3), 1, 7.0), "mine");
+        between(&mut site, &plan);
+        assert_eq!(site.resolve(&plan), expected, "{case}");
+    }
+}
+
+#[test]
+fn conflict_shows_both_sides() {
+    let base = catalog(4);
+    let ours = change_one_team(&change_one_team(&base, 0, 5.0), 1, 5.0);
+    let theirs = change_one_team(&change_one_team(&base, 1, 6.0), 2, 6.0);
+    let conflict = Conflict::between(&base, &ours, &theirs);
+    let names = |side: &[super::Difference]| -> Vec<String> {
+        side.iter().map(|difference| difference.name.clone()).collect()
+    };
+    assert_eq!(names(&conflict.ours), ["team-00000"]);
+    assert_eq!(names(&conflict.clashes), ["team-00001"]);
+    assert_eq!(names(&conflict.theirs), ["team-00002"]);
+}
+
+/// The figures of `docs/decisions/0008-configuration.md`; `--nocapture` prints them.
+#[test]
+fn bytes_of_a_change_at_design_size() {
+    const CHANGES_PER_DAY: usize = 1_700;
+    const SECONDS_PER_DAY: usize = 86_400;
+    let base = catalog(32_000);
+    let plan = plan_apply(None, &base, "base").expect("it fits");
+    let total: usize = plan.new_shards.iter().map(|shard| shard.bytes.len()).sum();
+    let largest = plan.new_shards.iter().map(|shard| shard.bytes.len()).max();
+    let change =
+        plan_apply(Some((1, &plan.manifest)), &change_one_team(&base, 17, 9.0), "0123456789abcdef")
+            .expect("it fits");
+    let changed: usize = change.new_shards.iter().map(|shard| shard.bytes.len()).sum();
+    let a_host = change.bytes.len() + changed;
+    let per_s = a_host * CHANGES_PER_DAY / SECONDS_PER_DAY;
+    println!(
+        "catalog {total} B in {} shards, the largest {largest:?} B; a change: manifest {} B and \
+         {} shard of {changed} B; {a_host} B a host and change, {per_s} B/s a host",
+        plan.new_shards.len(),
+        change.bytes.len(),
+        change.new_shards.len(),
+    );
+    assert_eq!(change.new_shards.len(), 1);
+    assert!(per_s < 3_000 / 2, "half of what a host may use for control");
+    assert!(encode_manifest(&change.manifest).is_ok());
+}
