--- a/crates/core/src/spread/tests.rs
+++ b/crates/core/src/spread/tests.rs
@@ -114,7 +114,8 @@
 fn keys_that_stop_working_are_found() {
     let mut old = catalog(3);
     old.keys.insert("rotated-old".into(), key("rotating", "team-00000", false));
-    let cases: [(&str, fn(&mut Catalog), &[&str]); 6] = [
+    type Case = (&'static str, fn(&mut Catalog), &'static [&'static str]);
+    let cases: [Case; 6] = [
         ("nothing", |_| {}, &[]),
         (
             "withdrawn",
