--- a/crates/core/src/journal/garbage.rs
+++ b/crates/core/src/journal/garbage.rs
@@ -53,7 +53,7 @@
     pub fn note(&mut self, entry: &Entry) {
         self.prove(&entry.writer, entry.stored_seq);
         self.last_seq = self.last_seq.max(entry.seq);
-        if entry.takeover.is_some() {
+        if entry.takeover.is_some() || self.entries.contains_key(&entry.seq) {
             return;
         }
         // Only a creation makes a program live: a late record must not bring one back.
--- a/crates/core/src/journal/takeover/mod.rs
+++ b/crates/core/src/journal/takeover/mod.rs
@@ -153,7 +153,8 @@
         }
         let is_first = !self.has_read;
         self.has_read = true;
-        self.entries.extend(read);
+        // Another journal's entry can't be here; should it be, better stuck than mixed.
+        self.entries.extend(read.into_iter().filter(|entry| entry.journal == self.journal));
         self.recovery = recover(self.entries.clone());
         let former = self.recovery.takeover().map(|(owner, _)| owner);
         if !is_first && former != self.former {
--- a/crates/core/src/program/mod.rs
+++ b/crates/core/src/program/mod.rs
@@ -156,6 +156,19 @@
         }
     }
 
+    /// Rebuilds all programs from the records of a journal, in order.
+    pub fn recover<'a>(
+        settings: Settings,
+        now: Moment,
+        records: impl IntoIterator<Item = &'a Record>,
+    ) -> Self {
+        let mut programs = Self::new(settings);
+        for record in records {
+            programs.apply(now, record);
+        }
+        programs
+    }
+
     /// Applies a durable record, at recovery or for another part of the driver. Returns whether it
     /// changed anything: records of unknown programs and repeats of ends do not.
     pub fn apply(&mut self, now: Moment, record: &Record) -> bool {
--- a/crates/core/tests/program_points.rs
+++ b/crates/core/tests/program_points.rs
@@ -87,11 +87,7 @@
 
     /// A home that knows just what is durable.
     fn recover(&self) -> Programs {
-        let mut programs = Programs::new(Settings::default());
-        for record in &self.log {
-            programs.apply(self.clock.0, record);
-        }
-        programs
+        Programs::recover(Settings::default(), self.clock.0, &self.log)
     }
 
     /// Runs the call at a new home that dies at a point.
