Never say of a call that was started that it did not run

A host was killed while it streamed an answer through another host. The caller was told not_run: the entry could not connect to ask for more chunks, and passed that question's verdict on as the call's. Found by killing a host of three processes in the middle of a stream.

Once a call was started at a home, a question that fails says may_have_run, also when a later home refuses. The interface holds to it by itself: after the head of an answer no refusal says not_run. The same kill now says may_have_run.

--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -14,7 +14,7 @@
     std::{fmt::Write, future::pending, pin::pin},
     trefoilring_core::{
         call::{Caller, Chunk},
-        verdict::{Reason, Refusal},
+        verdict::{Reason, Refusal, Verdict},
     },
 };
 
@@ -72,7 +72,7 @@
         }
         let mut body = Vec::new();
         while body.len() <= MAX_WHOLE_BYTES {
-            match self.next().await? {
+            match self.next().await.map_err(after_head)? {
                 Some(Chunk::Body(bytes)) => body.extend_from_slice(&bytes),
                 Some(Chunk::Event(event)) => body.extend_from_slice(as_event(&event).as_bytes()),
                 Some(Chunk::Head { .. }) => return Err(second_head().into()),
@@ -127,7 +127,7 @@
         let last = match self.pass_on().await {
             Ok(()) if is_stream => Some(Ok(DONE.as_bytes().to_vec())),
             Ok(()) => None,
-            Err(refusal) if is_stream => Some(Ok(error_event(refusal).into_bytes())),
+            Err(refusal) if is_stream => Some(Ok(error_event(after_head(refusal)).into_bytes())),
             Err(refusal) => {
                 log::info!("an answer broke off: {refusal}");
                 Some(Err(BrokenOff))
@@ -163,6 +163,14 @@
     }
 }
 
+/// A refusal that comes after the head can't say that nothing ran: the head came from what ran.
+fn after_head(refusal: Refusal) -> Refusal {
+    match refusal.verdict {
+        Verdict::NotRun => Refusal { verdict: Verdict::MayHaveRun, ..refusal },
+        Verdict::MayHaveRun | Verdict::Ran => refusal,
+    }
+}
+
 /// Completes when the caller's key was withdrawn; never on an open route.
 pub(crate) async fn withdrawn<B: Backend>(backend: &B, caller: Option<&Caller>) {
     match caller {
--- a/crates/edge/tests/edge/interface.rs
+++ b/crates/edge/tests/edge/interface.rs
@@ -163,6 +163,24 @@
     });
 }
 
+#[test]
+fn what_has_begun_is_never_said_not_to_have_run() {
+    with_server(EdgeOptions::default(), async |server| {
+        for is_streamed in [true, false] {
+            let mut stream = server.connect().await;
+            let program = format!("Trefoil-Program: {PROGRAM}\r\n");
+            let body = TURN.replace("true", &is_streamed.to_string());
+            stream.write_all(&request(CHAT, &program, &body)).await.unwrap();
+            let (_, feed) = server.next_call().await;
+            feed.try_send(head(200, "application/json")).unwrap();
+            feed.try_send(Err(Refusal::not_run(Reason::HomeUnavailable, "gone"))).unwrap();
+            let answer = read_all(&mut stream).await;
+            let expected = r#""verdict":"may_have_run","reason":"home_unavailable""#;
+            assert!(answer.contains(expected), "{answer}");
+        }
+    });
+}
+
 #[test]
 fn a_withdrawn_key_ends_a_stream_and_a_wait() {
     with_server(EdgeOptions::default(), async |server| {
--- a/crates/host/src/backend.rs
+++ b/crates/host/src/backend.rs
@@ -56,6 +56,7 @@
     {
         let patience = self.shared.settings.lease * TAKEOVER_LEASES;
         let give_up = Instant::now() + patience;
+        let mut may_have_run = false;
         loop {
             let home = self.find_home(journal.clone()).await;
             let result = match home {
@@ -64,8 +65,11 @@
             };
             match result {
                 Err(refusal) if may_ask_again(&refusal) && Instant::now() < give_up => {
+                    may_have_run |= refusal.verdict != Verdict::NotRun;
                     smol::Timer::after(LOOKUP_PAUSE).await;
                 }
+                // What the last home refused, an earlier one may have run.
+                Err(refusal) if may_have_run => return Err(unless_ran(refusal)),
                 result => return result,
             }
         }
@@ -104,6 +108,15 @@
     refusal.reason == Reason::HomeUnavailable && refusal.verdict != Verdict::Ran
 }
 
+/// The refusal of a question of which no more is known than that it may have been answered.
+fn unless_ran(refusal: Refusal) -> Refusal {
+    let verdict = match refusal.verdict {
+        Verdict::Ran => Verdict::Ran,
+        Verdict::NotRun | Verdict::MayHaveRun => Verdict::MayHaveRun,
+    };
+    Refusal { verdict, ..refusal }
+}
+
 async fn program_at(
     shared: &Shared,
     address: SocketAddr,
@@ -200,9 +213,12 @@
                     smol::Timer::after(LOOKUP_PAUSE).await;
                     continue;
                 }
-                Ok(Err(refusal)) | Err(refusal) if after == 0 => return Pumped::HomeLost(refusal),
+                // The call was started there, whatever became of the question for its chunks.
+                Ok(Err(refusal)) | Err(refusal) if after == 0 => {
+                    return Pumped::HomeLost(unless_ran(refusal));
+                }
                 Ok(Err(refusal)) | Err(refusal) => {
-                    let _ = out.send(Err(refusal)).await;
+                    let _ = out.send(Err(unless_ran(refusal))).await;
                     return Pumped::Finished;
                 }
             };
