--- a/crates/config/src/settings/flags.rs
+++ b/crates/config/src/settings/flags.rs
@@ -44,8 +44,8 @@
     flag(
         "store-write-spacing-ms",
         "MS",
-        Some("5"),
-        "Least time between two writes of one journal to the Object API",
+        Some("0"),
+        "Least even spacing of a journal's writes to the Object API; more hosts space them wider",
     ),
     flag("metrics-interval-ms", "MS", Some("10000"), "Time between two readings of own metrics"),
     flag(
--- a/crates/core/src/journal/owner/advance.rs
+++ b/crates/core/src/journal/owner/advance.rs
@@ -44,7 +44,7 @@
             return None;
         }
         self.first_unstored()?;
-        let spaced = self.wrote_at.map_or(now, |at| at + self.settings.spacing);
+        let spaced = self.wrote.next_at(now, self.settings.spacing, self.settings.burst_writes);
         let retried = self.failed_at.map_or(now, |at| at + self.settings.retry_after);
         Some(spaced.max(retried).max(now))
     }
@@ -55,7 +55,7 @@
         }
         let Some(entry) = self.first_unstored().cloned() else { return };
         self.store_call = StoreCall::Writing { seq: entry.seq };
-        self.wrote_at = Some(now);
+        self.wrote.wrote(now, self.settings.spacing);
         out.push(Command::Write(entry));
     }
 
--- a/crates/core/src/journal/owner/make.rs
+++ b/crates/core/src/journal/owner/make.rs
@@ -23,8 +23,9 @@
             true => self.settings.spacing,
             false => self.settings.spacing * BACKLOG_SPACING,
         };
-        let wrote = self.wrote_at.map_or(now, |at| at + self.settings.spacing);
-        let made = self.made_at.map_or(now, |at| at + spacing);
+        let burst = self.settings.burst_writes;
+        let wrote = self.wrote.next_at(now, self.settings.spacing, burst);
+        let made = self.made.next_at(now, spacing, burst);
         let ready = if self.backlog.is_empty() { made.max(wrote) } else { made };
         let is_store_only = self.may_rename() || !self.adoptions.is_empty();
         if is_store_only || !self.queue.is_empty() {
@@ -65,7 +66,7 @@
         }
         self.garbage.note(&entry);
         self.next_seq += 1;
-        self.made_at = Some(now);
+        self.made.wrote(now, self.settings.spacing);
         let has_failed = self.failed_at.is_some();
         self.current = Some(Current { entry: Arc::new(entry), calls, since: now, has_failed });
     }
--- a/crates/core/src/journal/owner/mod.rs
+++ b/crates/core/src/journal/owner/mod.rs
@@ -2,6 +2,7 @@
 
 mod advance;
 mod make;
+mod pace;
 mod queue;
 
 use {
@@ -12,8 +13,13 @@
             AppendError, Command, DurableBy, Entry, Event, FailureKind, Record, Settings, Token,
         },
     },
+    pace::Pace,
     queue::{Batch, Queue, Waiting},
-    std::{collections::VecDeque, sync::Arc, time::Instant},
+    std::{
+        collections::VecDeque,
+        sync::Arc,
+        time::{Duration, Instant},
+    },
 };
 
 /// Bytes of an entry that are set aside for all but its records.
@@ -75,8 +81,8 @@
     backlog: VecDeque<(Arc<Entry>, usize)>,
     backlog_bytes: usize,
     store_call: StoreCall,
-    wrote_at: Option<Instant>,
-    made_at: Option<Instant>,
+    wrote: Pace,
+    made: Pace,
     failed_at: Option<Instant>,
     deleted_at: Option<Instant>,
     is_deleting: bool,
@@ -104,8 +110,8 @@
             backlog: VecDeque::new(),
             backlog_bytes: 0,
             store_call: StoreCall::None,
-            wrote_at: None,
-            made_at: None,
+            wrote: Pace::default(),
+            made: Pace::default(),
             failed_at: None,
             deleted_at: None,
             is_deleting: false,
@@ -149,6 +155,12 @@
         Ok(())
     }
 
+    /// Sets the pace of writes from now on, as the number of hosts that share the store changes.
+    pub fn set_pace(&mut self, spacing: Duration, burst_writes: u32) {
+        self.settings.spacing = spacing;
+        self.settings.burst_writes = burst_writes;
+    }
+
     /// The most bytes that one call may append, in the records' stored form. Check what a step may
     /// answer against it before the step is sent.
     pub fn max_append_bytes(&self) -> usize {
--- a/crates/core/src/journal/port.rs
+++ b/crates/core/src/journal/port.rs
@@ -18,6 +18,9 @@
     /// Least time between the starts of two writes, so that all hosts together stay within the
     /// store's rate. The first write after a pause of this length is immediate.
     pub spacing: Duration,
+    /// Writes that may come ahead of the even spacing after a pause, so that a journal with little
+    /// to write doesn't wait.
+    pub burst_writes: u32,
     /// Largest stored entry.
     pub max_entry_bytes: usize,
     /// Most bytes that wait for their first entry; more are refused.
@@ -39,6 +42,7 @@
     fn default() -> Self {
         Self {
             spacing: Duration::from_millis(20),
+            burst_writes: 0,
             max_entry_bytes: 1 << 20,
             max_queue_bytes: 16 << 20,
             max_backlog_bytes: 32 << 20,
--- a/crates/core/tests/journal_world/mod.rs
+++ b/crates/core/tests/journal_world/mod.rs
@@ -113,6 +113,7 @@
 fn settings() -> Settings {
     Settings {
         spacing: Duration::from_millis(10),
+        burst_writes: 2,
         max_entry_bytes: 8 << 10,
         max_queue_bytes: 64 << 10,
         max_backlog_bytes: 64 << 10,
--- a/crates/host/src/control/journals.rs
+++ b/crates/host/src/control/journals.rs
@@ -77,9 +77,17 @@
     }
 }
 
-/// The bounds of a journal from the host's settings.
-fn journal_settings(shared: &Shared) -> journal::Settings {
-    journal::Settings { spacing: shared.settings.store_write_spacing, ..Default::default() }
+/// Writes a second to the Object API that all journals of a site share. The store takes several
+/// hundred; rosters and declarations need the rest.
+const SITE_WRITES_PER_S: u32 = 250;
+
+/// The pace of each journal of this host, so that the site's journals together stay within
+/// [`SITE_WRITES_PER_S`] over a second or two.
+fn pace(least: Duration, hosts: usize, journals: usize) -> (Duration, u32) {
+    let journals = u32::try_from(hosts * journals).unwrap_or(u32::MAX).max(1);
+    let spacing = (Duration::from_secs(1) / SITE_WRITES_PER_S).saturating_mul(journals).max(least);
+    let a_second = Duration::from_secs(1).as_nanos() / spacing.as_nanos().max(1);
+    (spacing, u32::try_from(a_second).unwrap_or(u32::MAX))
 }
 
 impl Control {
@@ -141,7 +149,8 @@
         let domain = self.shared.settings.domain.clone();
         let backups = self.membership.backups_for(&journal, &domain);
         let backups: Vec<Member> = backups.into_iter().map(|entry| entry.member.clone()).collect();
-        let settings = journal_settings(&self.shared);
+        let (spacing, burst_writes) = self.pace();
+        let settings = journal::Settings { spacing, burst_writes, ..Default::default() };
         let me = self.shared.member.clone();
         let mut takeover =
             Takeover::new(settings, journal.clone(), me, backups.clone(), handed_over);
@@ -295,6 +304,20 @@
         self.announce_journals();
     }
 
+    fn pace(&self) -> (Duration, u32) {
+        let hosts = self.membership.live_hosts().count().max(1);
+        let journals = self.homes.owned.len().max(1);
+        pace(self.shared.settings.store_write_spacing, hosts, journals)
+    }
+
+    /// Shares the store's writes anew after hosts or journals have come or gone.
+    pub(super) fn set_pace(&mut self) {
+        let (spacing, burst_writes) = self.pace();
+        for owned in self.homes.owned.values_mut() {
+            owned.journal.set_pace(spacing, burst_writes);
+        }
+    }
+
     /// Tells the other hosts which journals this one owns.
     pub(super) fn announce_journals(&mut self) {
         let announce = |owned: &Owned| OwnedJournal {
@@ -303,6 +326,7 @@
         };
         let journals = self.homes.owned.values().map(announce).collect();
         self.membership.set_journals(journals);
+        self.set_pace();
     }
 
     /// Names other backups where one is gone, so that an outage of the store finds two.
--- a/crates/host/src/control/members.rs
+++ b/crates/host/src/control/members.rs
@@ -118,6 +118,7 @@
         let peers: Vec<SocketAddr> =
             self.membership.peers().filter_map(|entry| entry.address.parse().ok()).collect();
         self.shared.peers.retain(&peers);
+        self.set_pace();
         self.renew_backups(now);
         self.adopt_orphans(now);
     }
--- a/crates/load/src/cli.rs
+++ b/crates/load/src/cli.rs
@@ -3,6 +3,7 @@
 use {
     crate::{
         experiment::{Experiment, RunLength},
+        latency,
         measure::Measures,
         plan::Plan,
         policy::POLICIES,
@@ -71,12 +72,41 @@
         .about("Measures scheduling policies")
         .subcommand_required(true)
         .subcommand(policy)
+        .subcommand(latency_command())
+}
+
+fn latency_command() -> Command {
+    let count = value_parser!(u64).range(1..=100_000);
+    Command::new("latency")
+        .about("Measures what the path through the hosts adds to a direct call of an engine")
+        .arg(number("hosts", "Hosts").value_parser(count).default_value("3"))
+        .arg(number("samples", "Pairs of turns").value_parser(count).default_value("1000"))
+        .arg(flag("json", "Print JSON"))
+}
+
+fn run_latency(matches: &ArgMatches) -> Result<(), Report<CliError>> {
+    let count = |name: &str| matches.get_one::<u64>(name).copied().unwrap_or(1) as usize;
+    let measured = smol::block_on(latency::measure(count("hosts"), count("samples")));
+    let measured = measured.change_context(CliError)?;
+    if matches.get_flag("json") {
+        println!("{}", serde_json::to_string(&measured).change_context(CliError)?);
+        return Ok(());
+    }
+    println!("{} pairs of turns, {} hosts", measured.samples, measured.hosts);
+    println!("{:<8} {:>9} {:>9} {:>9}", "", "p50 us", "p99 us", "max us");
+    let rows =
+        [("direct", &measured.direct), ("through", &measured.through), ("added", &measured.added)];
+    for (name, times) in rows {
+        println!("{name:<8} {:>9} {:>9} {:>9}", times.p50_us, times.p99_us, times.max_us);
+    }
+    Ok(())
 }
 
 /// Runs the command line.
 pub fn run(matches: &ArgMatches) -> Result<(), Report<CliError>> {
     match matches.subcommand() {
         Some(("policy", matches)) => run_policy(matches),
+        Some(("latency", matches)) => run_latency(matches),
         _ => Err(Report::new(CliError).attach("no command was given")),
     }
 }
--- /dev/null
+++ b/crates/load/src/latency.rs
@@ -0,0 +1,196 @@
+//! What the path through the hosts adds to a direct call of the engine.
+//!
+//! Both are measured side by side in one run: each sample makes a turn straight at a stand-in
+//! engine and the same turn through a host, one after the other, so that whatever else the machine
+//! does falls on both. The engine runs far faster than life, so that its own time is small.
+
+use {
+    derive_more::{Display, Error},
+    error_stack::{Report, ResultExt},
+    hdrhistogram::Histogram,
+    http_types::Method,
+    serde_json::{Value, json},
+    std::{
+        net::SocketAddr,
+        time::{Duration, Instant},
+    },
+    trefoilring_config::{
+        declarations::{Declarations, RawDeclarations},
+        secret::hash_secret,
+    },
+    trefoilring_core::catalog::Catalog,
+    trefoilring_site::{CallerClient, HostPlace, Site, SiteOptions, UpstreamPlace},
+};
+
+/// The secret of the key of this measurement.
+const SECRET: &str = "latency";
+/// Engines run this many times as fast as in life.
+const TIME_SCALE: f64 = 1000.0;
+/// Turns of one program before the next one is created.
+const TURNS: usize = 20;
+/// Samples that are not counted: connections are made and code is paged in.
+const WARM_UP_SAMPLES: usize = 50;
+/// How long the site may take to be ready.
+const START_TIMEOUT: Duration = Duration::from_secs(60);
+const DECLARATIONS: &str = r#"
+[classes.c]
+target = "30s"
+budget = { turns = 1000, tokens = 10000000, wall = "1h" }
+[teams.t]
+rate_per_s = 100000
+burst_requests = 100000
+[services.llm]
+kind = "engine"
+models = ["m"]
+deadline = "30s"
+"#;
+
+/// The measurement failed.
+#[derive(Debug, Display, Error)]
+pub enum LatencyError {
+    /// The site did not start.
+    #[display("the site did not start")]
+    Site,
+    /// A request was not answered, or refused.
+    #[display("a request failed")]
+    Request,
+}
+
+/// Times of one way to make a turn, in microseconds.
+#[derive(Clone, Debug, serde::Serialize)]
+pub struct Times {
+    /// Half of the turns took at most this.
+    pub p50_us: u64,
+    /// 99 in 100 turns took at most this.
+    pub p99_us: u64,
+    /// The slowest turn.
+    pub max_us: u64,
+}
+
+/// What the path adds.
+#[derive(Clone, Debug, serde::Serialize)]
+pub struct PathLatency {
+    /// Turns of each kind.
+    pub samples: usize,
+    /// Hosts.
+    pub hosts: usize,
+    /// Straight at the engine.
+    pub direct: Times,
+    /// Through a host.
+    pub through: Times,
+    /// Difference of the pairs: the path's own time.
+    pub added: Times,
+}
+
+/// Measures `samples` pairs of turns before `hosts` hosts in as many failure domains.
+pub async fn measure(hosts: usize, samples: usize) -> Result<PathLatency, Report<LatencyError>> {
+    let site = Site::start(options(hosts)?, START_TIMEOUT);
+    let site = site.await.change_context(LatencyError::Site)?;
+    let engine = site.engines.values().next().ok_or_else(|| Report::new(LatencyError::Site))?;
+    let (engine, entries) = (engine.address(), site.addresses());
+    let caller = CallerClient::new(SECRET);
+    let mut direct = histogram()?;
+    let mut through = histogram()?;
+    let mut added = histogram()?;
+    let mut program = String::new();
+    for sample in 0..samples + WARM_UP_SAMPLES {
+        let entry = entries[sample % entries.len()];
+        if sample % TURNS == 0 {
+            program = create(&caller, entry).await?;
+        }
+        let straight = turn(&caller, engine, None).await?;
+        let passed = turn(&caller, entry, Some(&program)).await?;
+        if sample >= WARM_UP_SAMPLES {
+            record(&mut direct, straight);
+            record(&mut through, passed);
+            record(&mut added, passed.saturating_sub(straight));
+        }
+    }
+    site.stop().await;
+    Ok(PathLatency {
+        samples,
+        hosts,
+        direct: times(&direct),
+        through: times(&through),
+        added: times(&added),
+    })
+}
+
+fn options(hosts: usize) -> Result<SiteOptions, Report<LatencyError>> {
+    let host = |number: usize| HostPlace {
+        host: format!("host-{number}").into(),
+        domain: format!("domain-{}", number % 3).into(),
+    };
+    let upstream = UpstreamPlace {
+        upstream: "llm-1".into(),
+        service: "llm".into(),
+        domain: "domain-0".into(),
+    };
+    Ok(SiteOptions {
+        hosts: (0..hosts).map(host).collect(),
+        upstreams: vec![upstream],
+        catalog: catalog()?,
+        heartbeat: Duration::from_millis(200),
+        time_scale: TIME_SCALE,
+        traffic_threads: 1,
+        kv_capacity_tokens: None,
+    })
+}
+
+fn catalog() -> Result<Catalog, Report<LatencyError>> {
+    let hash = hash_secret(SECRET);
+    let text = format!("{DECLARATIONS}[keys.k]\nteam = \"t\"\nhash = \"{hash}\"\n");
+    let raw = RawDeclarations { file: "latency", text: &text };
+    let declarations = Declarations::try_from(raw).change_context(LatencyError::Site)?;
+    Ok(declarations.into_catalog(0))
+}
+
+async fn create(caller: &CallerClient, entry: SocketAddr) -> Result<String, Report<LatencyError>> {
+    let body = json!({ "class": "c" });
+    let reply = caller.send(entry, Method::Post, "/v1/programs", &[], Some(&body)).await;
+    let reply = reply.change_context(LatencyError::Request)?;
+    Ok(reply.text("id").to_string())
+}
+
+/// Makes one turn and returns how long it took.
+async fn turn(
+    caller: &CallerClient,
+    address: SocketAddr,
+    program: Option<&str>,
+) -> Result<Duration, Report<LatencyError>> {
+    let body: Value = json!({
+        "model": "m",
+        "messages": [{ "role": "user", "content": "hello" }],
+        "max_tokens": 4,
+    });
+    let headers: Vec<(&str, &str)> =
+        program.map(|program| ("Trefoil-Program", program)).into_iter().collect();
+    let started = Instant::now();
+    let path = "/v1/chat/completions";
+    let reply = caller.send(address, Method::Post, path, &headers, Some(&body)).await;
+    let reply = reply.change_context(LatencyError::Request)?;
+    if !reply.is_success() {
+        let body = String::from_utf8_lossy(&reply.body).into_owned();
+        return Err(Report::new(LatencyError::Request).attach(body));
+    }
+    Ok(started.elapsed())
+}
+
+/// The slowest turn that is told apart, in microseconds.
+const MAX_US: u64 = 60_000_000;
+
+fn histogram() -> Result<Histogram<u64>, Report<LatencyError>> {
+    Histogram::new_with_bounds(1, MAX_US, 3).change_context(LatencyError::Request)
+}
+
+fn record(histogram: &mut Histogram<u64>, time: Duration) {
+    histogram.saturating_record(time.as_micros() as u64);
+}
+
+fn times(histogram: &Histogram<u64>) -> Times {
+    Times {
+        p50_us: histogram.value_at_quantile(0.50),
+        p99_us: histogram.value_at_quantile(0.99),
+        max_us: histogram.max(),
+    }
+}
--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod cli;
 pub mod engine;
 pub mod experiment;
+pub mod latency;
 pub mod measure;
 pub mod naive;
 pub mod plan;
