Let a prefill cost what it costs the whole batch

Cause: at 85% load the placement spilled too readily. And shedding began at a pressure that the pool still served well.

Change: a prefill counts 16 times its length, memory 0.3 of a call; shedding begins at a pressure of 1.3 and is whole at 2.2; the order is by plain slack.

--- a/crates/core/src/sched/dispatcher/place.rs
+++ b/crates/core/src/sched/dispatcher/place.rs
@@ -17,8 +17,11 @@
 const LOOKED_AT: usize = 8;
 /// What another failure domain costs: a few round trips, so that it only breaks ties.
 const DOMAIN_COST_S: f64 = 0.004;
-/// A prefill also holds up the calls that run beside it, so it costs this many times its length.
-const PREFILL_FACTOR: f64 = 2.0;
+/// A prefill holds up each call that runs beside it, and its copy of the prefix drives out those of
+/// other programs, so it costs this many times its length: about the calls of a full batch.
+const PREFILL_FACTOR: f64 = 16.0;
+/// What a full memory costs a program that isn't cached there, as a share of a call's time.
+const MEMORY_FACTOR: f64 = 0.3;
 /// Crowded upstreams looked at for requests to take over.
 const CROWDED_LOOKED_AT: usize = 3;
 /// Requests looked at in each of their queues.
@@ -272,7 +275,7 @@
         return 0.0;
     }
     let fill = upstream.resident_tokens.max(0) as f64 / capacity as f64;
-    fill * upstream.hold_s()
+    fill * upstream.hold_s() * MEMORY_FACTOR
 }
 
 impl Upstream {
--- a/crates/core/src/sched/options.rs
+++ b/crates/core/src/sched/options.rs
@@ -7,9 +7,9 @@
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub enum Order {
     /// Least slack of the whole program first.
+    #[default]
     Slack,
     /// Least slack first among the programs that can still meet their target, then the others.
-    #[default]
     FeasibleSlack,
     /// Least attained service of the whole program first.
     LeastAttained,
--- a/crates/core/src/sched/shed.rs
+++ b/crates/core/src/sched/shed.rs
@@ -9,9 +9,9 @@
 use std::time::{Duration, Instant};
 
 /// Pressure below which no program is refused.
-const PRESSURE_LOW: f64 = 1.15;
+const PRESSURE_LOW: f64 = 1.3;
 /// Pressure from which every new program is refused.
-const PRESSURE_HIGH: f64 = 1.75;
+const PRESSURE_HIGH: f64 = 2.2;
 /// Time over which pressure is smoothed.
 const SMOOTHING_S: f64 = 4.0;
 /// How far a team's use may move its threshold.
--- a/crates/load/src/policy.rs
+++ b/crates/load/src/policy.rs
@@ -20,7 +20,7 @@
 pub const POLICIES: &[&str] = &[
     "trefoilring",
     "naive",
-    "slack",
+    "feasible-slack",
     "las",
     "oldest",
     "fcfs",
@@ -56,7 +56,7 @@
         let options = match name {
             "naive" => return Some(Self::Naive(Naive::new(NAIVE_LIMIT))),
             "trefoilring" | "no-release" => options,
-            "slack" => options.order(Order::Slack),
+            "feasible-slack" => options.order(Order::FeasibleSlack),
             "las" => options.order(Order::LeastAttained),
             "oldest" => options.order(Order::OldestProgram),
             "fcfs" => options.order(Order::Fcfs),
