--- a/crates/core/src/journal/takeover/adopt.rs
+++ b/crates/core/src/journal/takeover/adopt.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{Owned, Phase, Takeover, TakeoverCommand},
-    crate::journal::{Command, Entry, Journal, garbage::Garbage, owner::Start, recover},
+    crate::journal::{Command, Entry, Journal, garbage::Garbage, owner::Start},
     std::{sync::Arc, time::Instant},
 };
 
@@ -24,9 +24,10 @@
             self.lose(epoch, out);
             return;
         }
-        let missing = self.missing();
+        let missing = self.copies.take().unwrap_or_default();
+        self.former_copies = self.recovery.copies();
         let mut garbage = Garbage::default();
-        self.entries.iter().for_each(|entry| garbage.note(entry));
+        self.recovery.entries.iter().for_each(|entry| garbage.note(entry));
         garbage.note(&entry);
         garbage.keep(&self.recovery.programs());
         let is_adopting = !missing.is_empty();
@@ -99,9 +100,7 @@
 
     /// Lets the former owner's backups drop what is in the journal now.
     fn discards(&self) -> Vec<TakeoverCommand> {
-        let Some((owner, backups)) = recover(self.entries.clone()).copies() else {
-            return Vec::new();
-        };
+        let Some((owner, backups)) = self.former_copies.clone() else { return Vec::new() };
         let discard = |to| Command::Discard { to, epoch: owner.epoch, seq: u64::MAX };
         backups.into_iter().map(|to| TakeoverCommand::Journal(discard(to))).collect()
     }
--- a/crates/core/src/journal/takeover/mod.rs
+++ b/crates/core/src/journal/takeover/mod.rs
@@ -44,12 +44,14 @@
     /// First free position as told by an owner that handed over.
     handed_over: Option<u64>,
     epoch: Epoch,
-    entries: Vec<Entry>,
     recovery: Recovery,
     /// The start of the ownership that is taken over, once read.
     former: Option<Owner>,
     has_read: bool,
+    /// Copies whose records aren't in the journal as read so far, once claimed.
     copies: Option<Vec<Entry>>,
+    /// The former owner and its backups, for the discards at the end.
+    former_copies: Option<(Owner, Vec<Member>)>,
     asking: Option<Member>,
     gone: BTreeSet<Member>,
     asked: BTreeSet<Member>,
@@ -75,11 +77,11 @@
             backups,
             handed_over,
             epoch: 0,
-            entries: Vec::new(),
             recovery: Recovery::default(),
             former: None,
             has_read: false,
             copies: None,
+            former_copies: None,
             asking: None,
             gone: BTreeSet::new(),
             asked: BTreeSet::new(),
@@ -128,7 +130,7 @@
     }
 
     fn last_seq(&self) -> u64 {
-        self.entries.iter().map(|entry| entry.seq).max().unwrap_or(0)
+        self.recovery.next_seq() - 1
     }
 
     fn retry(&mut self, now: Instant, out: &mut Vec<TakeoverCommand>) {
@@ -154,8 +156,11 @@
         let is_first = !self.has_read;
         self.has_read = true;
         // Another journal's entry can't be here; should it be, better stuck than mixed.
-        self.entries.extend(read.into_iter().filter(|entry| entry.journal == self.journal));
-        self.recovery = recover(self.entries.clone());
+        let read = read.into_iter().filter(|entry| entry.journal == self.journal);
+        let known = std::mem::take(&mut self.recovery);
+        self.recovery = recover(known.entries.into_iter().chain(read).collect());
+        self.recovery.max_epoch = self.recovery.max_epoch.max(known.max_epoch);
+        self.copies = self.copies.take().map(|copies| self.recovery.missing(copies));
         let former = self.recovery.takeover().map(|(owner, _)| owner);
         if !is_first && former != self.former {
             // The owner changed, or named other backups: the claim was made at the wrong ones.
@@ -223,11 +228,6 @@
         }
     }
 
-    /// Copies whose records aren't in the journal as read so far.
-    fn missing(&self) -> Vec<Entry> {
-        self.copies.clone().map_or(Vec::new(), |copies| self.recovery.missing(copies))
-    }
-
     fn open(&mut self, out: &mut Vec<TakeoverCommand>) {
         self.retry_at = None;
         let entry = Arc::new(self.first_entry());
@@ -235,10 +235,14 @@
         self.phase = Phase::Opening { entry, is_reading: false };
     }
 
+    fn has_missing(&self) -> bool {
+        self.copies.as_ref().is_some_and(|copies| !copies.is_empty())
+    }
+
     fn first_entry(&self) -> Entry {
         let is_planned = self.handed_over == Some(self.recovery.next_seq());
         let opening = match self.recovery.copies() {
-            Some((owner, backups)) if !self.missing().is_empty() => {
+            Some((owner, backups)) if self.has_missing() => {
                 Opening { backups, is_planned, adopts: Some(owner) }
             }
             _ => Opening { backups: self.backups.clone(), is_planned, adopts: None },
