--- a/crates/core/src/journal/owner/make.rs
+++ b/crates/core/src/journal/owner/make.rs
@@ -6,7 +6,10 @@
         ids::{Member, ProgramId},
         journal::{Entry, Opening, copies::Copies},
     },
-    std::{sync::Arc, time::Instant},
+    std::{
+        sync::Arc,
+        time::{Duration, Instant},
+    },
 };
 
 /// Entries are made this much slower than they are flushed while there is a backlog, so that it
@@ -19,13 +22,9 @@
         if self.current.is_some() || self.backlog_bytes >= self.settings.max_backlog_bytes {
             return None;
         }
-        let spacing = match self.backlog.is_empty() {
-            true => self.settings.spacing,
-            false => self.settings.spacing * BACKLOG_SPACING,
-        };
         let burst = self.settings.burst_writes;
         let wrote = self.wrote.next_at(now, self.settings.spacing, burst);
-        let made = self.made.next_at(now, spacing, burst);
+        let made = self.made.next_at(now, self.making_spacing(), burst);
         let ready = if self.backlog.is_empty() { made.max(wrote) } else { made };
         let is_store_only = self.may_rename() || !self.adoptions.is_empty();
         if is_store_only || !self.queue.is_empty() {
@@ -35,6 +34,14 @@
         (!self.is_closing && self.backlog.is_empty()).then(|| ready.max(due).max(now))
     }
 
+    /// Time between two entries: longer while there is a backlog.
+    fn making_spacing(&self) -> Duration {
+        match self.backlog.is_empty() {
+            true => self.settings.spacing,
+            false => self.settings.spacing * BACKLOG_SPACING,
+        }
+    }
+
     /// Whether other backups may be named now. That waits for the store, so while the store is down
     /// records go to the present backups first.
     fn may_rename(&self) -> bool {
@@ -66,7 +73,7 @@
         }
         self.garbage.note(&entry);
         self.next_seq += 1;
-        self.made.wrote(now, self.settings.spacing);
+        self.made.wrote(now, self.making_spacing());
         let has_failed = self.failed_at.is_some();
         self.current = Some(Current { entry: Arc::new(entry), calls, since: now, has_failed });
     }
--- a/crates/core/src/journal/takeover/port.rs
+++ b/crates/core/src/journal/takeover/port.rs
@@ -37,8 +37,8 @@
 /// What a takeover asks of its driver, or tells it.
 #[derive(Debug)]
 pub enum TakeoverCommand {
-    /// List the journal's keys after this position and read them all. A key that is gone when it
-    /// is read is left out. Answer with [`TakeoverEvent::Entries`] or
+    /// List the journal's keys after this position and read them all, and go on until nothing
+    /// stands after the last key listed. A key that is gone when it is read is left out. Answer with [`TakeoverEvent::Entries`] or
     /// [`TakeoverEvent::ReadFailed`], always.
     ReadAfter {
         /// The position; 0 for all.
--- a/crates/core/tests/journal_cases.rs
+++ b/crates/core/tests/journal_cases.rs
@@ -109,6 +109,30 @@
     assert!(world.backups.iter().all(|(_, backup)| backup.held_bytes() == 0), "copies are dropped");
 }
 
+/// A backlog shrinks although records come all the time.
+#[test]
+fn a_backlog_is_flushed_under_load() {
+    let mut world = owned_world(Broken::Nothing);
+    let backlog = |world: &World| match &world.hosts[0].machine {
+        Machine::Owning(journal) => journal.backlog_len(),
+        _ => panic!("no owner"),
+    };
+    let run = |world: &mut World, rounds: u32| {
+        let mut lowest = usize::MAX;
+        for _ in 0..rounds {
+            world.create(0);
+            world.run(1);
+            lowest = lowest.min(backlog(world));
+        }
+        lowest
+    };
+    world.is_store_down = true;
+    run(&mut world, 60);
+    assert!(backlog(&world) > 20, "{}", backlog(&world));
+    world.is_store_down = false;
+    assert_eq!(run(&mut world, 200), 0);
+}
+
 #[test]
 fn one_backup_is_not_enough() {
     let mut world = owned_world(Broken::Nothing);
