Count the creation of a program against the team's allowance

Cause: a team over its rate could go on creating programs, each of which is written to the store; seen when the burst test was tightened. Its former form could not fail from below and passed with none of a burst granted: a limiter that has just begun to act starts empty, which is right. Change: a creation takes a token. The test sends creations and turns of 120 programs and bounds what is granted by burst and rate over the time it took.

--- a/crates/host/src/call.rs
+++ b/crates/host/src/call.rs
@@ -61,6 +61,10 @@
     if !shared.lease.holds() {
         return Err(not_here());
     }
+    // A creation is written to the store, so it counts against the team's allowance as a call does.
+    if let ProgramRequest::Create { caller, .. } = &request {
+        allowance::take(shared, &caller.team).await?;
+    }
     let job = move |control: &mut Control, reply: Reply<_>| match request {
         ProgramRequest::Create { caller, request, journal } => {
             if let Some(journal) = &journal {
