Ask the control thread fewer times for each call

Cause: a call at its home asked the control thread nine times in a row, each a wake of another thread. Change: the dispatcher's and the limiter's lookup and question are one job; the intent, or its absence, and the note that the call is sent are one job.

--- a/crates/host/src/allowance.rs
+++ b/crates/host/src/allowance.rs
@@ -45,14 +45,20 @@
     result
 }
 
+/// Asks the limiter of a half; if it is here, in one job of the control thread.
 async fn ask_half(shared: &Arc<Shared>, take: TakeTokens) -> HalfAnswer {
-    let (team, half) = (take.team.clone(), take.half);
-    let find = move |control: &mut Control, reply: Reply<_>| {
-        let _ = reply.try_send(control.find_limiter(&team, half));
+    let asked = take.clone();
+    let job = move |control: &mut Control, reply: Reply<_>| {
+        let found = control.find_limiter(&asked.team, asked.half);
+        let taken = found.map(|home| match home {
+            Home::Here => Ok(control.take_tokens(&asked)),
+            Home::At(address) => Err(address),
+        });
+        let _ = reply.try_send(taken);
     };
-    match shared.control.ask(find).await {
-        Ok(Ok(Home::Here)) => HalfAnswer::Answered(take_here(shared, take).await),
-        Ok(Ok(Home::At(address))) => take_at(shared, address, take).await,
+    match shared.control.ask(job).await {
+        Ok(Ok(Ok(taken))) => HalfAnswer::Answered(draw_if_short(shared, take, taken).await),
+        Ok(Ok(Err(address))) => take_at(shared, address, take).await,
         _ => HalfAnswer::Unreachable,
     }
 }
@@ -69,6 +75,11 @@
 /// Takes tokens from a half that this host holds, with what the other half can spare.
 pub(crate) async fn take_here(shared: &Arc<Shared>, take: TakeTokens) -> Taken {
     let taken = try_take(shared, &take).await;
+    draw_if_short(shared, take, taken).await
+}
+
+/// Tries again with what the other half can spare.
+async fn draw_if_short(shared: &Arc<Shared>, take: TakeTokens, taken: Taken) -> Taken {
     if !matches!(taken, Taken::RetryAfter(_)) {
         return taken;
     }
--- a/crates/host/src/call.rs
+++ b/crates/host/src/call.rs
@@ -256,14 +256,6 @@
         self.shared.control.tell(move |control| control.homes.withdraw(&program, permit));
     }
 
-    async fn clear(&self, permit: Permit) -> Result<Cleared, Refusal> {
-        let program = self.call.program.clone();
-        let job = move |control: &mut Control, reply: Reply<_>| {
-            control.homes.clear(&program, permit, reply);
-        };
-        self.shared.control.ask(job).await?
-    }
-
     fn slot_request(&self, service: &(ServiceId, Service), run: &Run) -> SlotRequest {
         let model = match &self.call.work {
             Work::Turn(turn) => Some(turn.model.clone()),
@@ -311,12 +303,13 @@
         }
     }
 
-    async fn send(&self, cleared: Cleared, upstream: &UpstreamId) -> Result<Sent, Refusal> {
+    /// Makes the intent durable, where one is needed, and notes that the call is sent.
+    async fn note_sent(&self, permit: Permit, upstream: &UpstreamId) -> Result<Sent, Refusal> {
         let (program, upstream) = (self.call.program.clone(), upstream.clone());
         let job = move |control: &mut Control, reply: Reply<_>| {
-            let _ = reply.try_send(control.homes.send(&program, cleared, upstream));
+            control.homes.send(&program, permit, upstream, reply);
         };
-        self.shared.control.ask(job).await?.ok_or_else(not_here)
+        self.shared.control.ask(job).await?
     }
 
     /// Gets a slot and sends the call, once.
@@ -345,26 +338,14 @@
                 return unused(refusal);
             }
         };
-        let cleared = match self.clear(permit).await {
-            Ok(cleared) => cleared,
+        let sent = match self.note_sent(permit, &grant.upstream).await {
+            Ok(sent) => sent,
             Err(refusal) => return unused(refusal),
         };
         // The lease is checked after the last wait that comes before the effect.
-        let sent = match self.check_before_sending() {
-            Ok(()) => match self.send(cleared, &grant.upstream).await {
-                Ok(sent) => sent,
-                Err(refusal) => return unused(refusal),
-            },
-            Err(refusal) => {
-                let program = self.call.program.clone();
-                let back = move |control: &mut Control| control.homes.not_run(&program, cleared);
-                self.shared.control.tell(back);
-                return unused(refusal);
-            }
-        };
-        if !self.shared.lease.holds() {
+        if let Err(refusal) = self.check_before_sending() {
             self.fail(sent, Verdict::NotRun);
-            return unused(not_here());
+            return unused(refusal);
         }
         self.note(Kind::CallSent, |about| {
             let waited_ms = grant.waited.as_millis() as u64;
@@ -639,12 +620,12 @@
 async fn acquire(shared: &Arc<Shared>, request: SlotRequest) -> Result<SlotGrant, Refusal> {
     let mut last = not_here();
     for _ in 0..MAX_SLOT_ATTEMPTS {
-        match find_dispatcher(shared, &request.service).await {
-            Ok(Home::Here) => match slot_here(shared, request.clone()).await {
-                Err(refusal) if refusal.reason == Reason::HomeUnavailable => last = refusal,
-                result => return result,
-            },
-            Ok(Home::At(address)) => match acquire_at(shared, address, request.clone()).await {
+        match ask_dispatcher(shared, request.clone()).await {
+            Ok(Asked::Here(Err(refusal))) if refusal.reason == Reason::HomeUnavailable => {
+                last = refusal;
+            }
+            Ok(Asked::Here(result)) => return result,
+            Ok(Asked::At(address)) => match acquire_at(shared, address, request.clone()).await {
                 Err(refusal) if refusal.reason == Reason::HomeUnavailable => {
                     shared.control.tell(move |control| control.peer_lost(address));
                     last = refusal;
@@ -659,6 +640,34 @@
     Err(Refusal { verdict: Verdict::NotRun, ..last })
 }
 
+/// What came of asking for a slot here.
+enum Asked {
+    /// This host is the pool's dispatcher, and this is its answer.
+    Here(Result<SlotGrant, Refusal>),
+    /// Another host is.
+    At(SocketAddr),
+}
+
+/// Asks the dispatcher if it is here, in one job of the control thread.
+async fn ask_dispatcher(shared: &Arc<Shared>, request: SlotRequest) -> Result<Asked, Refusal> {
+    let (grant, granted) = smol::channel::bounded(1);
+    let job = move |control: &mut Control, reply: Reply<_>| {
+        let found = control.find_dispatcher(&request.service);
+        if found == Ok(Home::Here) {
+            control.dispatchers.request(Instant::now(), request, grant);
+        }
+        let _ = reply.try_send(found);
+    };
+    match shared.control.ask(job).await?? {
+        Home::At(address) => Ok(Asked::At(address)),
+        Home::Here => match granted.recv().await {
+            Ok(result) => Ok(Asked::Here(result)),
+            // The pool went to another dispatcher while the request waited.
+            Err(_) => Ok(Asked::Here(Err(not_here()))),
+        },
+    }
+}
+
 async fn find_dispatcher(shared: &Arc<Shared>, service: &ServiceId) -> Result<Home, Refusal> {
     let service = service.clone();
     let find = move |control: &mut Control, reply: Reply<_>| {
--- a/crates/host/src/control/home.rs
+++ b/crates/host/src/control/home.rs
@@ -15,7 +15,7 @@
     trefoilring_core::{
         call::{Call, Caller, CreateProgram, ProgramInfo, ProgramQuery},
         event::Kind,
-        ids::{Epoch, JournalId, ProgramId, journal_of, program_id},
+        ids::{Epoch, JournalId, ProgramId, UpstreamId, journal_of, program_id},
         journal::{self, AppendError, Record, Token},
         message::{Message, Usage},
         program::{
@@ -62,7 +62,7 @@
 
 /// What waits for records to become durable.
 pub(super) enum Pending {
-    Intent(Intent, Reply<Result<Cleared, Refusal>>),
+    Intent(Intent, UpstreamId, Reply<Result<Sent, Refusal>>),
     Ending(Ending, Reply<Result<(), Refusal>>),
     Creation(ProgramId, Vec<InfoReply>),
     Ends(Vec<Record>, Option<(ProgramId, Caller, InfoReply)>),
@@ -172,18 +172,26 @@
         woken.into_iter().for_each(|waiting| self.begin_waiting(waiting));
     }
 
-    /// Makes a call ready to be sent: at once, or when its intent is durable.
-    pub(crate) fn clear(
+    /// Notes that a call goes to an upstream: at once, or when its intent is durable. The caller
+    /// of this function checks the lease once more and then sends.
+    pub(crate) fn send(
         &mut self,
         program: &ProgramId,
         permit: Permit,
-        reply: Reply<Result<Cleared, Refusal>>,
+        upstream: UpstreamId,
+        reply: Reply<Result<Sent, Refusal>>,
     ) {
         match permit {
-            Permit::Now(cleared) => answer(&reply, Ok(cleared)),
+            Permit::Now(cleared) => {
+                let Some(owned) = self.journal_mut(program) else {
+                    return answer(&reply, Err(not_here()));
+                };
+                let sent = owned.programs.send(cleared, upstream);
+                answer(&reply, Ok(sent));
+            }
             Permit::AfterIntent(intent) => {
                 let records = vec![intent.record().clone()];
-                self.append(program, records, Pending::Intent(intent, reply));
+                self.append(program, records, Pending::Intent(intent, upstream, reply));
             }
         }
     }
@@ -208,17 +216,6 @@
         self.finish(program, finish);
     }
 
-    /// Notes that a call is being sent. `None` if this host is no longer the home.
-    pub(crate) fn send(
-        &mut self,
-        program: &ProgramId,
-        cleared: Cleared,
-        upstream: trefoilring_core::ids::UpstreamId,
-    ) -> Option<Sent> {
-        let owned = self.journal_mut(program)?;
-        Some(owned.programs.send(cleared, upstream))
-    }
-
     /// Lets a call be sent again, if it ran for certain not, or may be repeated.
     pub(crate) fn retry(
         &mut self,
@@ -258,7 +255,7 @@
         &mut self,
         program: &ProgramId,
         sent: Sent,
-        answer: (Message, Usage, trefoilring_core::ids::UpstreamId),
+        answer: (Message, Usage, UpstreamId),
         result: journal::StepResult,
         reply: Reply<Result<(), Refusal>>,
     ) {
@@ -418,7 +415,7 @@
         };
         let programs = &mut owned.programs;
         let program = match pending {
-            Pending::Intent(intent, reply) => {
+            Pending::Intent(intent, _, reply) => {
                 let program = intent.record().program().clone();
                 programs.withdraw(intent);
                 answer(&reply, Err(refusal.clone()));
@@ -457,15 +454,16 @@
         let Some(pending) = owned.pending.remove(&token) else { return };
         let now = moment();
         match pending {
-            Pending::Intent(intent, reply) => {
+            Pending::Intent(intent, upstream, reply) => {
                 let program = intent.record().program().clone();
                 let cleared = owned.programs.intent_durable(now, intent);
+                let sent = owned.programs.send(cleared, upstream);
                 // A caller that was told that the store is unavailable waits no more. Nothing is
                 // sent then, and that is recorded, so that the step may be run again.
-                if let Err(error) = reply.try_send(Ok(cleared))
-                    && let Ok(cleared) = error.into_inner()
+                if let Err(error) = reply.try_send(Ok(sent))
+                    && let Ok(sent) = error.into_inner()
                 {
-                    self.not_run(&program, cleared);
+                    self.failed(&program, sent, Verdict::NotRun);
                 }
             }
             Pending::Ending(ending, reply) => {
@@ -517,7 +515,7 @@
         let Some(owned) = self.owned.get_mut(journal) else { return };
         match owned.pending.get_mut(&token) {
             // An intent that becomes durable later is taken back, so this is true.
-            Some(Pending::Intent(_, reply)) => {
+            Some(Pending::Intent(.., reply)) => {
                 refuse_and_close(reply, store_unavailable(Verdict::NotRun));
             }
             Some(Pending::Ending(_, reply)) => {
@@ -564,7 +562,7 @@
 
 fn tell_refused(pending: Pending, refusal: &Refusal) {
     match pending {
-        Pending::Intent(_, reply) => answer(&reply, Err(refusal.clone())),
+        Pending::Intent(.., reply) => answer(&reply, Err(refusal.clone())),
         Pending::Ending(_, reply) => {
             // The call ran; whether that is recorded is not known, so another home may say so.
             answer(&reply, Err(Refusal { verdict: Verdict::MayHaveRun, ..refusal.clone() }));
