--- a/crates/host/src/control/journals.rs
+++ b/crates/host/src/control/journals.rs
@@ -209,9 +209,11 @@
         let Some(address) = address else {
             // Out of the view for a whole lease: that life of the backup has ended for certain.
             let journal = journal.clone();
-            let gone = TakeoverEvent::BackupGone { backup };
+            let gone = TakeoverEvent::BackupGone { backup: backup.clone() };
             return self.shared.control.tell(move |control| {
                 control.takeover_event(&journal, gone);
+                // The claim was asked for, and waits for an answer of its own.
+                control.takeover_event(&journal, TakeoverEvent::ClaimFailed { backup });
             });
         };
         self.takeover_task(journal, move |shared, journal| async move {
