Let no lease end when the store goes down

Cause: a guard answered by its last round, so that a delegate whose round had failed was told that the store was up, and lost a round by way of that guard; in a test of ten phases three of six leases ended for a moment. Change: a guard that doesn't know tries the store before it answers; the store timeout is half a heartbeat interval; a freeze round stays open for an interval. Conclusion: all six leases hold in all ten phases.

--- a/crates/core/src/membership/freeze.rs
+++ b/crates/core/src/membership/freeze.rs
@@ -110,7 +110,12 @@
     /// Asks all guards.
     pub(super) fn freeze_round(&mut self, now: Instant) {
         let Duty::Delegate(delegate) = &mut self.duty else { return };
-        if !delegate.has_view() {
+        let heartbeat = self.options.heartbeat;
+        let is_open = |freeze: &FreezeRound| {
+            !freeze.is_acked && now.saturating_duration_since(freeze.started) < heartbeat
+        };
+        // The guards may be trying the store: their answers take as long as a store timeout.
+        if !delegate.has_view() || delegate.freeze.as_ref().is_some_and(is_open) {
             return;
         }
         let number = delegate.start_freeze(now);
@@ -150,6 +155,7 @@
         }
     }
 
+    /// A host that knows that the store doesn't answer it says so at once. Any other tries.
     fn freeze_asked(
         &mut self,
         now: Instant,
@@ -158,20 +164,35 @@
         round: u64,
         domain: DomainId,
     ) {
-        let Duty::Delegate(delegate) = &self.duty else {
-            // It was a delegate when the roster was written. It confirms nothing any more, but it
-            // may reach the store.
-            let op = StoreOp::List { prefix: super::MANIFEST_KEY.into() };
-            let purpose = Purpose::Probe { to: from.host, address, round };
-            self.operate_directly(now, purpose, op);
+        let is_down = matches!(&self.duty, Duty::Delegate(delegate) if !delegate.is_store_up());
+        if is_down {
+            self.answer_freeze(now, from, address, round, domain, false);
             return;
-        };
-        let is_store_up = delegate.is_store_up();
-        let is_writer = delegate.writer_of(&domain) == Some(&from);
+        }
+        let op = StoreOp::List { prefix: super::MANIFEST_KEY.into() };
+        let purpose = Purpose::Probe { to: from, address, round, domain };
+        self.operate_directly(now, purpose, op);
+    }
+
+    /// Only the delegate that a domain's roster names gets a confirmation, and only another
+    /// delegate gives one: a host that no longer is one reads no rosters.
+    pub(super) fn answer_freeze(
+        &mut self,
+        now: Instant,
+        to: Member,
+        address: String,
+        round: u64,
+        domain: DomainId,
+        is_store_up: bool,
+    ) {
+        let is_writer = matches!(
+            &self.duty,
+            Duty::Delegate(delegate) if delegate.writer_of(&domain) == Some(&to)
+        );
         let is_confirmed = !is_store_up && is_writer && self.promises.confirm(now, &domain);
         let answer =
             Answer::Freeze { round, domain: self.me.domain.clone(), is_store_up, is_confirmed };
-        self.send(&from.host, &address, Body::Answer(answer));
+        self.send(&to.host, &address, Body::Answer(answer));
     }
 
     /// Returns whether this process releases a domain as a guard. It also answers for a former
--- a/crates/core/src/membership/options.rs
+++ b/crates/core/src/membership/options.rs
@@ -63,7 +63,7 @@
             lease: heartbeat * 4,
             margin: heartbeat,
             takeover: heartbeat * 5 / 2,
-            store_timeout: heartbeat,
+            store_timeout: heartbeat / 2,
             #[cfg(test)]
             disabled: None,
         }
--- a/crates/core/src/membership/store.rs
+++ b/crates/core/src/membership/store.rs
@@ -1,8 +1,8 @@
 //! Operations on the store: naming, timeouts, and the way through another delegate.
 
 use {
-    super::{Body, Command, Membership, StoreError, StoreOp, StoreResult, message::Answer},
-    crate::ids::{DomainId, HostId},
+    super::{Body, Command, Membership, StoreError, StoreOp, StoreResult},
+    crate::ids::{DomainId, HostId, Member},
     std::{
         collections::BTreeMap,
         time::{Duration, Instant},
@@ -32,7 +32,7 @@
     /// A delegate empties the roster of a domain that is gone.
     Clear,
     /// Another delegate asked whether the store answers here.
-    Probe { to: HostId, address: String, round: u64 },
+    Probe { to: Member, address: String, round: u64, domain: DomainId },
     /// For another host that can't reach the store.
     Relayed { to: HostId, address: String, token: u64 },
     /// Whether the direct way works again.
@@ -178,8 +178,8 @@
         match purpose {
             Purpose::Observe => self.observed(now, result),
             Purpose::Claim => self.claimed(now, result),
-            Purpose::Probe { to, address, round } => {
-                self.answer_probe(to, address, round, result.is_ok());
+            Purpose::Probe { to, address, round, domain } => {
+                self.answer_freeze(now, to, address, round, domain, result.is_ok());
             }
             Purpose::Relayed { to, address, token } => {
                 self.send(&to, &address, Body::Relayed { token, result });
@@ -189,14 +189,4 @@
             purpose => self.round_operation_ended(now, purpose, result),
         }
     }
-
-    fn answer_probe(&mut self, to: HostId, address: String, round: u64, is_store_up: bool) {
-        let answer = Answer::Freeze {
-            round,
-            domain: self.me.domain.clone(),
-            is_store_up,
-            is_confirmed: false,
-        };
-        self.send(&to, &address, Body::Answer(answer));
-    }
 }
--- a/crates/core/src/membership/tests.rs
+++ b/crates/core/src/membership/tests.rs
@@ -208,6 +208,26 @@
     assert_exact(&world, "store back");
 }
 
+/// Whatever the phases of the delegates' rounds, no lease ends when the store goes down.
+#[test]
+fn store_going_down_ends_no_lease() {
+    for phase in 0..10 {
+        let mut world = World::new(options());
+        for (number, host) in ["a1", "b1", "c1", "a2", "b2", "c2"].iter().enumerate() {
+            world.launch(host, 1.0);
+            world.run(STEP * (number as u32 * phase % 10));
+        }
+        world.run(beats(25));
+        world.run(STEP * phase);
+        world.is_store_up = false;
+        for _ in 0..100 {
+            world.run(STEP);
+            assert_eq!(world.leased().len(), 6, "phase {phase}");
+        }
+        assert_eq!(world.vacant(), 0);
+    }
+}
+
 #[test]
 fn delegate_without_the_store_writes_through_another() {
     let mut world = settled(options());
