--- a/crates/core/src/journal/owner/make.rs
+++ b/crates/core/src/journal/owner/make.rs
@@ -30,10 +30,15 @@
         if is_store_only || !self.queue.is_empty() {
             return Some(ready.max(now));
         }
-        let due = self.garbage.checkpoint_due(now, self.settings.checkpoint_every)?;
+        let due = self.checkpoint_due(now)?;
         (!self.is_closing && self.backlog.is_empty()).then(|| ready.max(due).max(now))
     }
 
+    fn checkpoint_due(&self, now: Instant) -> Option<Instant> {
+        let due = self.garbage.checkpoint_due(now, self.settings.checkpoint_every);
+        due.filter(|_| self.is_collecting)
+    }
+
     /// Time between two entries: longer while there is a backlog.
     fn making_spacing(&self) -> Duration {
         match self.backlog.is_empty() {
@@ -99,7 +104,7 @@
     /// Makes the entry a checkpoint if one is due, and returns the bytes left for records.
     fn add_checkpoint(&mut self, now: Instant, entry: &mut Entry) -> usize {
         let room = self.max_append_bytes();
-        let due = self.garbage.checkpoint_due(now, self.settings.checkpoint_every);
+        let due = self.checkpoint_due(now);
         if due.is_none_or(|at| at > now) {
             return room;
         }
--- a/crates/core/src/journal/owner/mod.rs
+++ b/crates/core/src/journal/owner/mod.rs
@@ -85,6 +85,9 @@
     made: Pace,
     failed_at: Option<Instant>,
     deleted_at: Option<Instant>,
+    /// Whether garbage is collected: not before the takeover is over, for the answers to its calls
+    /// would come to a machine that has ended.
+    is_collecting: bool,
     is_deleting: bool,
     is_closing: bool,
     is_stopped: bool,
@@ -114,6 +117,7 @@
             made: Pace::default(),
             failed_at: None,
             deleted_at: None,
+            is_collecting: false,
             is_deleting: false,
             is_closing: false,
             is_stopped: false,
@@ -229,6 +233,11 @@
         commands
     }
 
+    /// Begins to collect garbage, at the next tick.
+    pub(super) fn start_collecting(&mut self) {
+        self.is_collecting = true;
+    }
+
     /// Takes in an event.
     pub fn handle(&mut self, now: Instant, event: Event) -> Vec<Command> {
         let mut commands = Vec::new();
--- a/crates/core/src/journal/takeover/adopt.rs
+++ b/crates/core/src/journal/takeover/adopt.rs
@@ -92,7 +92,8 @@
 
     fn finish(&mut self, out: &mut Vec<TakeoverCommand>) {
         let phase = std::mem::replace(&mut self.phase, Phase::Ended);
-        let Phase::Adopting { journal, .. } = phase else { return };
+        let Phase::Adopting { mut journal, .. } = phase else { return };
+        journal.start_collecting();
         out.extend(self.discards());
         let recovery = std::mem::take(&mut self.recovery);
         out.push(TakeoverCommand::Done(Box::new(Owned { journal: *journal, recovery })));
--- a/crates/core/src/journal/takeover/port.rs
+++ b/crates/core/src/journal/takeover/port.rs
@@ -61,7 +61,8 @@
         /// The epoch that was seen.
         by_epoch: Epoch,
     },
-    /// The host owns the journal.
+    /// The host owns the journal. No call of the takeover is under way any more. Tick the journal
+    /// once, so that it asks for its next wake.
     Done(Box<Owned>),
 }
 
--- a/crates/core/tests/journal_world/mod.rs
+++ b/crates/core/tests/journal_world/mod.rs
@@ -426,6 +426,9 @@
                 }
                 TakeoverCommand::Done(owned) => {
                     self.takeovers += 1;
+                    if self.flights.iter().any(|flight| flight.asker() == asker) {
+                        self.violate("a takeover ended with a call under way".into());
+                    }
                     self.check(owned.journal.epoch(), &owned.recovery);
                     let state = &mut self.hosts[host];
                     state.created = BTreeSet::new();
@@ -434,6 +437,7 @@
                         learn(state, record);
                     }
                     state.machine = Machine::Owning(Box::new(owned.journal));
+                    state.wake_at = Some(self.now);
                 }
             }
         }
