--- a/crates/edge/src/handler.rs
+++ b/crates/edge/src/handler.rs
@@ -26,6 +26,9 @@
 /// Methods that service calls take.
 const SERVICE_METHODS: &str = "GET, HEAD, POST, PUT, PATCH, DELETE";
 
+/// Headers whose values name something, and so are logged, stored and sent on.
+const NAMING_HEADERS: [&str; 3] = ["idempotency-key", "trefoil-class", "trefoil-program"];
+
 /// A request whose head was checked and whose key, where one is needed, holds.
 pub(crate) struct Request {
     pub head: Head,
@@ -157,7 +160,9 @@
         let Some((caller, secret)) = request.caller.clone() else {
             return Err(Problem::not_run(Reason::Unauthorized, "this route needs a key"));
         };
-        forward::check_no_key(&secret, &[request.head.target.as_bytes(), &body])?;
+        let mut parts = vec![request.head.target.as_bytes(), &body];
+        parts.extend(NAMING_HEADERS.iter().flat_map(|name| request.head.bytes_of(name)));
+        forward::check_no_key(&secret, &parts)?;
         match &request.route {
             Route::Programs => {
                 let asked = body::program(&request.head, &body)?;
--- a/crates/edge/src/head.rs
+++ b/crates/edge/src/head.rs
@@ -46,6 +46,11 @@
         headers.filter(move |(key, _)| key.eq_ignore_ascii_case(name)).map(|(_, v)| v.as_str())
     }
 
+    /// Returns the values of a header as bytes.
+    pub fn bytes_of<'a>(&'a self, name: &'a str) -> impl Iterator<Item = &'a [u8]> {
+        self.values(name).map(str::as_bytes)
+    }
+
     /// Returns a header that may come once at most.
     pub fn single<'a>(&'a self, name: &'a str) -> Result<Option<&'a str>, Problem> {
         let mut values = self.values(name);
--- a/crates/edge/src/problem.rs
+++ b/crates/edge/src/problem.rs
@@ -20,7 +20,11 @@
 
 impl From<Refusal> for Problem {
     fn from(refusal: Refusal) -> Self {
-        let status = status_of(refusal.reason);
+        let status = match (refusal.reason, refusal.retry_after) {
+            // A key that can't be checked at present is not a wrong key.
+            (Reason::Unauthorized, Some(_)) => StatusCode::ServiceUnavailable,
+            (reason, _) => status_of(reason),
+        };
         Self { refusal, status, allow: None }
     }
 }
@@ -94,7 +98,9 @@
                 | Reason::UpstreamFailed
                 | Reason::Timeout
         );
-        is_passing && self.refusal.verdict == Verdict::NotRun
+        let is_unchecked = self.refusal.reason == Reason::Unauthorized
+            && self.status == StatusCode::ServiceUnavailable;
+        (is_passing || is_unchecked) && self.refusal.verdict == Verdict::NotRun
     }
 }
 
