Count the memory of a team's half, and say why the store timeout is short

Change: a test prints the size of a bucket with its key; the option's comment names what a longer timeout does.

--- a/crates/core/src/limit/limiter.rs
+++ b/crates/core/src/limit/limiter.rs
@@ -69,6 +69,10 @@
     origin: Origin,
 }
 
+/// Size of a bucket with its key.
+#[cfg(test)]
+pub(super) const SLOT_BYTES: usize = size_of::<((TeamId, u8), Slot)>();
+
 /// How this host came to a bucket.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Origin {
--- a/crates/core/src/limit/tests.rs
+++ b/crates/core/src/limit/tests.rs
@@ -358,6 +358,14 @@
     }
 }
 
+/// The size in decision 0004; a B-tree node adds its unused places, at most as much again.
+#[test]
+fn memory_of_a_half() {
+    let bytes = super::limiter::SLOT_BYTES;
+    println!("{bytes} B a half in use, {} kB for all of 32,000 teams", bytes * 2 * 32);
+    assert!(bytes <= 160);
+}
+
 #[test]
 fn paused_holder_starts_anew() {
     let team: TeamId = "ayla".into();
--- a/crates/core/src/membership/options.rs
+++ b/crates/core/src/membership/options.rs
@@ -28,7 +28,9 @@
     pub margin: Duration,
     /// Silence of a delegate after which the next host writes the roster.
     pub takeover: Duration,
-    /// Time after which an operation on the store counts as failed.
+    /// Time after which an operation on the store counts as failed. A failed round and a guard that
+    /// tries the store have to fit into a lease: at three quarters of a heartbeat, and a lease of
+    /// four, leases ended when the store went down.
     pub store_timeout: Duration,
     /// Rules that tests switch off, to show that something fails then.
     #[cfg(test)]
