Don't blame an engine for a turn that it refuses

A caller asked for more tokens than the engine generates. The engine's 400 was taken for a broken engine: the content was quarantined for ten minutes and the engine counted as failing for everyone, which any caller with a bad option could bring about. 400, 413 and 422 from an engine now go back to the caller as bad_request and not_run, and count against no engine.

--- a/crates/host/src/upstream.rs
+++ b/crates/host/src/upstream.rs
@@ -212,8 +212,13 @@
     }
 }
 
-fn failed<T>(error: CallError) -> Run<T> {
+fn failed<T>(mut error: CallError) -> Run<T> {
     let outcome = match error.kind {
+        // The caller's fault: the engine is well, and has refused the turn before running it.
+        ErrorKind::Status(400 | 413 | 422) => {
+            error.verdict = Verdict::NotRun;
+            Outcome::Unused
+        }
         ErrorKind::Connect | ErrorKind::Broken => Outcome::Broken,
         ErrorKind::TimedOut => Outcome::TimedOut,
         _ if error.verdict == Verdict::NotRun => Outcome::Refused,
--- a/crates/platform/src/error.rs
+++ b/crates/platform/src/error.rs
@@ -73,7 +73,7 @@
     fn from(error: CallError) -> Self {
         let reason = match error.kind {
             ErrorKind::TimedOut => Reason::Timeout,
-            ErrorKind::Invalid => Reason::BadRequest,
+            ErrorKind::Invalid | ErrorKind::Status(400 | 413 | 422) => Reason::BadRequest,
             _ => Reason::UpstreamFailed,
         };
         let detail = format!("upstream: {}: {}", error.kind, error.detail);
--- /dev/null
+++ b/crates/site/tests/refused_turn.rs
@@ -0,0 +1,35 @@
+//! A turn that engines refuse is the caller's fault, and no other caller's trouble.
+
+#[allow(dead_code, reason = "this file uses a part of what the tests share")]
+mod support;
+
+use {
+    serde_json::json,
+    support::{LONG, caller, create, options, post, turn, turn_body},
+    trefoilring_site::Site,
+};
+
+#[test]
+fn a_refused_turn_is_told_and_blamed_on_no_engine() {
+    smol::block_on(async {
+        let site = Site::start(options(), LONG).await.unwrap();
+        let caller = caller();
+        let host = site.addresses()[0];
+        let program = create(&caller, host).await;
+        let headers = [("Trefoil-Program", &*program)];
+        // More than an engine generates in one turn, and less than the budget has left.
+        let mut refused = turn_body("hello");
+        refused["max_tokens"] = json!(19_000);
+        for number in 0..4 {
+            let reply = post(&caller, host, "/v1/chat/completions", &headers, &refused).await;
+            assert_eq!(reply.status, 400, "{number}: {reply:?}");
+            assert_eq!(reply.text("reason"), "bad_request", "{number}: {reply:?}");
+            assert_eq!(reply.text("verdict"), "not_run", "{number}: {reply:?}");
+        }
+        let reply = turn(&caller, host, &program, "good", "hello").await;
+        assert!(reply.is_success(), "{reply:?}");
+        let metrics: String = site.hosts().values().map(|host| host.metrics().text()).collect();
+        assert!(!metrics.contains("event.quarantined"), "{metrics}");
+        site.stop().await;
+    });
+}
