Split calls by job, and count a backup as gone only when it is

Cause: a takeover counted a backup as gone as soon as the view had no entry for it. A host that has just started may not have read every roster, and would have passed over copies that only that backup holds. Change: another life of the backup, or two leases with a view that lacks it; otherwise the claim counts as failed and is tried again.

--- /dev/null
+++ b/crates/host/src/call/attempt.rs
@@ -0,0 +1,157 @@
+//! One attempt at an upstream: from the slot to the end that the upstream gave.
+
+use {
+    super::{
+        HomeCall, MAX_SLOT_WAIT, Prepared, fingerprint,
+        slot::{acquire, parse_address, release},
+    },
+    crate::{
+        control::{Control, Reply, home::not_here},
+        upstream::Run as UpstreamRun,
+    },
+    std::{net::SocketAddr, time::Instant},
+    trefoilring_core::{
+        call::Work,
+        catalog::Service,
+        event::Kind,
+        ids::{ServiceId, UpstreamId},
+        program::{Cleared, Permit, Run, Sent},
+        sched::{Outcome, SlotGrant, SlotRequest},
+        verdict::{Reason, Refusal, Verdict},
+    },
+};
+
+/// What an attempt at an upstream came to.
+pub(super) enum Attempt<T> {
+    Done(T, Sent, UpstreamId),
+    /// Not run for certain, or safe to repeat: try again with a new slot.
+    Again(Cleared, Refusal),
+    Failed(Refusal),
+}
+
+impl HomeCall {
+    pub(super) fn slot_request(&self, service: &(ServiceId, Service), run: &Run) -> SlotRequest {
+        let model = match &self.call.work {
+            Work::Turn(turn) => Some(turn.model.clone()),
+            Work::Service(_) => None,
+        };
+        let catalog = self.shared.catalog();
+        let target = catalog.classes.get(&run.class).map(|class| class.target());
+        SlotRequest {
+            request: self.call.request.clone(),
+            home: self.shared.member.host.clone(),
+            service: service.0.clone(),
+            model,
+            program: self.call.program.clone(),
+            class: run.class.clone(),
+            team: run.team.clone(),
+            program_age: run.program_age,
+            target: target.unwrap_or(MAX_SLOT_WAIT),
+            calls_done: run.calls_done,
+            prompt_tokens: run.prompt_tokens,
+            completion_tokens: run.completion_tokens,
+            last_upstream: run.last_upstream.clone(),
+            fingerprint: fingerprint(&self.call.work),
+            is_repeatable: self.is_repeatable(&service.1),
+            patience: MAX_SLOT_WAIT,
+        }
+    }
+
+    async fn slot(&self, job: &Prepared) -> Result<SlotGrant, Refusal> {
+        let left = job.deadline.saturating_duration_since(Instant::now());
+        let request = SlotRequest { patience: left.min(MAX_SLOT_WAIT), ..job.slot.clone() };
+        self.note(Kind::CallQueued, |about| about.with("service", &*job.service.0));
+        acquire(&self.shared, request).await
+    }
+
+    /// The last check before an effect: the lease on the monotonic clock, then the key.
+    fn check_before_sending(&self) -> Result<(), Refusal> {
+        if !self.shared.lease.holds() {
+            return Err(not_here());
+        }
+        let catalog = self.shared.catalog();
+        let key = catalog.keys.values().find(|key| key.id == self.call.caller.key);
+        match key.is_some_and(|key| !key.is_withdrawn) {
+            true => Ok(()),
+            false => Err(Refusal::not_run(Reason::Unauthorized, "the key was withdrawn")),
+        }
+    }
+
+    /// Makes the intent durable, where one is needed, and notes that the call is sent.
+    async fn note_sent(&self, permit: Permit, upstream: &UpstreamId) -> Result<Sent, Refusal> {
+        let (program, upstream) = (self.call.program.clone(), upstream.clone());
+        let job = move |control: &mut Control, reply: Reply<_>| {
+            control.homes.send(&program, permit, upstream, reply);
+        };
+        self.shared.control.ask(job).await?
+    }
+
+    /// Gets a slot and sends the call, once.
+    pub(super) async fn attempt<T>(
+        &self,
+        job: &Prepared,
+        permit: Permit,
+        send: impl AsyncFnOnce(SocketAddr) -> UpstreamRun<T>,
+    ) -> Attempt<T> {
+        let service = &job.service.0;
+        let grant = match self.slot(job).await {
+            Ok(grant) => grant,
+            Err(refusal) => {
+                self.give_back(permit);
+                return Attempt::Failed(refusal);
+            }
+        };
+        let unused = |refusal| {
+            release(&self.shared, service, &grant, Outcome::Unused);
+            Attempt::Failed(refusal)
+        };
+        let address = match parse_address(&grant) {
+            Ok(address) => address,
+            Err(refusal) => {
+                self.give_back(permit);
+                return unused(refusal);
+            }
+        };
+        let sent = match self.note_sent(permit, &grant.upstream).await {
+            Ok(sent) => sent,
+            Err(refusal) => return unused(refusal),
+        };
+        // The lease is checked after the last wait that comes before the effect.
+        if let Err(refusal) = self.check_before_sending() {
+            self.fail(sent, Verdict::NotRun);
+            return unused(refusal);
+        }
+        self.note(Kind::CallSent, |about| {
+            let waited_ms = grant.waited.as_millis() as u64;
+            about.upstream(&grant.upstream).with("queued_ms", waited_ms)
+        });
+        let ran = send(address).await;
+        self.note_outcome(&grant.upstream, &ran.outcome);
+        release(&self.shared, service, &grant, ran.outcome);
+        match ran.result {
+            Ok(end) => Attempt::Done(end, sent, grant.upstream),
+            Err(error) => self.failed_attempt(sent, Refusal::from(error)).await,
+        }
+    }
+
+    async fn failed_attempt<T>(&self, sent: Sent, refusal: Refusal) -> Attempt<T> {
+        let (program, verdict) = (self.call.program.clone(), refusal.verdict);
+        let job = move |control: &mut Control, reply: Reply<_>| {
+            let _ = reply.try_send(control.homes.retry(&program, sent, verdict));
+        };
+        match self.shared.control.ask(job).await {
+            Ok(Some(Ok(cleared))) => Attempt::Again(cleared, refusal),
+            Ok(Some(Err(sent))) => {
+                self.fail(sent, verdict);
+                Attempt::Failed(refusal)
+            }
+            _ => Attempt::Failed(Refusal { verdict: Verdict::MayHaveRun, ..not_here() }),
+        }
+    }
+
+    fn fail(&self, sent: Sent, verdict: Verdict) {
+        let program = self.call.program.clone();
+        let job = move |control: &mut Control| control.homes.failed(&program, sent, verdict);
+        self.shared.control.tell(job);
+    }
+}
--- /dev/null
+++ b/crates/host/src/call/mod.rs
@@ -0,0 +1,221 @@
+//! Calls at the home: tokens, slot, intent, lease, upstream, record, answer.
+//!
+//! The order is what keeps the promises. Nothing is durable before tokens and slot are had, so that
+//! a refusal leaves nothing behind. The lease is checked after the intent is durable and right
+//! before the call is sent. The end is durable before the caller sees it.
+
+mod attempt;
+mod notes;
+mod service;
+mod slot;
+mod turn;
+
+pub(crate) use {service::run_open, slot::slot_here};
+
+use {
+    crate::{
+        allowance,
+        control::{
+            Control, Reply,
+            home::{Begun, not_here},
+        },
+        shared::Shared,
+        upstream::{Out, result_body},
+    },
+    std::{
+        sync::{Arc, atomic::Ordering},
+        time::{Duration, Instant},
+    },
+    trefoilring_core::{
+        call::{Call, Chunk, ProgramInfo, ServiceCall, Turn, Work},
+        catalog::Service,
+        event::Kind,
+        ids::{Epoch, ServiceId, journal_of},
+        journal::StepResult,
+        message::Message,
+        program::{Permit, Run},
+        sched::SlotRequest,
+        verdict::{Reason, Refusal},
+    },
+    trefoilring_edge::Answer,
+    trefoilring_proto::ProgramRequest,
+};
+
+/// Chunks that may wait for a slow caller before the upstream's stream is held up.
+const ANSWER_CHUNKS: usize = 256;
+/// The longest that a call waits for a slot.
+const MAX_SLOT_WAIT: Duration = Duration::from_secs(120);
+/// Attempts at upstreams for one call. Each after the first must be safe by its verdict.
+const MAX_ATTEMPTS: u32 = 4;
+
+/// Answers a question about a program whose home this host may be.
+pub(crate) async fn program_here(
+    shared: &Arc<Shared>,
+    request: ProgramRequest,
+) -> Result<(ProgramInfo, Vec<Message>), Refusal> {
+    if !shared.lease.holds() {
+        return Err(not_here());
+    }
+    // A creation is written to the store, so it counts against the team's allowance as a call does.
+    if let ProgramRequest::Create { caller, .. } = &request {
+        allowance::take(shared, &caller.team).await?;
+    }
+    let job = move |control: &mut Control, reply: Reply<_>| match request {
+        ProgramRequest::Create { caller, request, journal } => {
+            if let Some(journal) = &journal {
+                control.wanted(journal);
+            }
+            control.homes.create(&caller, &request, journal, reply);
+        }
+        ProgramRequest::Query { caller, program, query } => {
+            if let Some(journal) = journal_of(&program) {
+                control.wanted(&journal);
+            }
+            control.homes.query(&caller, &program, &query, reply);
+        }
+    };
+    shared.control.ask(job).await?
+}
+
+/// Starts a call whose home this host may be.
+pub(crate) fn start_here(shared: &Arc<Shared>, call: Call) -> Answer {
+    let (out, answer) = smol::channel::bounded(ANSWER_CHUNKS);
+    let shared = shared.clone();
+    let owned = shared.clone();
+    shared.running_calls.fetch_add(1, Ordering::AcqRel);
+    shared.spawn(async move {
+        let home = HomeCall { shared: owned, call };
+        if let Err(refusal) = home.run(&out).await {
+            home.note_refused(&refusal);
+            let _ = out.send(Err(refusal)).await;
+        }
+        home.shared.running_calls.fetch_sub(1, Ordering::AcqRel);
+    });
+    answer
+}
+
+/// One call at its home.
+struct HomeCall {
+    shared: Arc<Shared>,
+    call: Call,
+}
+
+/// What all attempts of one call have in common.
+struct Prepared {
+    service: (ServiceId, Service),
+    slot: SlotRequest,
+    deadline: Instant,
+    epoch: Epoch,
+}
+
+impl Prepared {
+    /// The epoch, for upstreams that check it.
+    fn fencing_epoch(&self) -> Option<Epoch> {
+        self.service.1.checks_fencing.then_some(self.epoch)
+    }
+}
+
+impl HomeCall {
+    async fn run(&self, out: &Out) -> Result<(), Refusal> {
+        self.note(Kind::CallReceived, |about| about);
+        let service = self.service()?;
+        let (run, epoch) = match self.begin(&service.1).await? {
+            Begun::Run(run, epoch) => (run, epoch),
+            Begun::Replay(result) => {
+                self.replay(out, &result).await;
+                return Ok(());
+            }
+        };
+        let deadline = Instant::now() + service.1.deadline().min(run.wall_left);
+        let slot = self.slot_request(&service, &run);
+        let job = Prepared { service, slot, deadline, epoch };
+        let Run { permit, messages, completion_tokens, .. } = *run;
+        if let Err(refusal) = allowance::take(&self.shared, &self.call.caller.team).await {
+            self.give_back(permit);
+            return Err(refusal);
+        }
+        match &self.call.work {
+            Work::Turn(turn) => {
+                let request = self.chat_request(turn, &messages, completion_tokens, &job);
+                self.run_turn(turn, request, &job, permit, out).await
+            }
+            Work::Service(call) => self.run_service(call, &job, permit, out).await,
+        }
+    }
+
+    /// The service that the call goes to: by name, or by the model.
+    fn service(&self) -> Result<(ServiceId, Service), Refusal> {
+        let catalog = self.shared.catalog();
+        let found = match &self.call.work {
+            Work::Turn(turn) => {
+                catalog.services.iter().find(|(_, service)| service.models.contains(&turn.model))
+            }
+            Work::Service(call) => catalog.services.get_key_value(&call.service),
+        };
+        let found = found.map(|(id, service)| (id.clone(), service.clone()));
+        found.ok_or_else(|| {
+            let what = match &self.call.work {
+                Work::Turn(turn) => format!("no service has the model {:?}", turn.model),
+                Work::Service(call) => format!("no service {:?}", call.service),
+            };
+            Refusal::not_run(Reason::NotFound, what)
+        })
+    }
+
+    /// Turns may be repeated; other calls only as declared.
+    fn is_repeatable(&self, service: &Service) -> bool {
+        match &self.call.work {
+            Work::Turn(_) => true,
+            Work::Service(call) => service.is_repeatable(&call.method, &call.path),
+        }
+    }
+
+    async fn begin(&self, service: &Service) -> Result<Begun, Refusal> {
+        if !self.shared.lease.holds() {
+            return Err(not_here());
+        }
+        let call = self.call.clone();
+        let hash = fingerprint(&call.work);
+        let is_repeatable = self.is_repeatable(service);
+        let job = move |control: &mut Control, reply: Reply<_>| {
+            if let Some(journal) = journal_of(&call.program) {
+                control.wanted(&journal);
+            }
+            control.homes.begin(call, hash, is_repeatable, reply);
+        };
+        self.shared.control.ask(job).await?
+    }
+
+    /// Takes a permit back that is not used.
+    fn give_back(&self, permit: Permit) {
+        let program = self.call.program.clone();
+        self.shared.control.tell(move |control| control.homes.withdraw(&program, permit));
+    }
+}
+
+async fn send_result(out: &Out, result: &StepResult) {
+    let head = Chunk::Head { status: result.status, headers: result.headers.clone() };
+    // A caller that is gone finds the recorded answer when it asks again.
+    let _ = out.send(Ok(head)).await;
+    let body = result_body(result);
+    if !body.is_empty() {
+        let _ = out.send(Ok(Chunk::Body(body))).await;
+    }
+}
+
+/// Hash of a call's content: names a request that crashes upstreams, and tells two requests under
+/// one step key apart.
+fn fingerprint(work: &Work) -> u64 {
+    let mut hasher = blake3::Hasher::new();
+    // How the answer is delivered is no part of the content.
+    let content = match work {
+        Work::Turn(turn) => Work::Turn(Turn { is_streamed: false, ..turn.clone() }),
+        Work::Service(call) => Work::Service(ServiceCall { headers: Vec::new(), ..call.clone() }),
+    };
+    if serde_json::to_writer(&mut hasher, &content).is_err() {
+        log::error!("a call could not be hashed");
+    }
+    let bytes = hasher.finalize();
+    let (first, _) = bytes.as_bytes().split_at(8);
+    first.iter().fold(0, |hash, byte| hash << 8 | u64::from(*byte))
+}
--- /dev/null
+++ b/crates/host/src/call/service.rs
@@ -0,0 +1,120 @@
+//! Calls to tool and plain services, and open routes.
+
+use {
+    super::{
+        HomeCall, MAX_ATTEMPTS, MAX_SLOT_WAIT, Prepared,
+        attempt::Attempt,
+        fingerprint, send_result,
+        slot::{acquire, parse_address, release},
+    },
+    crate::{
+        control::{Control, Reply},
+        shared::Shared,
+        upstream::{Out, run_service},
+    },
+    std::{
+        sync::Arc,
+        time::{Duration, Instant},
+    },
+    trefoilring_core::{
+        call::{ServiceCall, Work},
+        catalog::Service,
+        event::Kind,
+        ids::{RequestId, ServiceId},
+        journal::StepResult,
+        program::{Permit, Sent},
+        sched::SlotRequest,
+        verdict::{Reason, Refusal},
+    },
+};
+
+/// Calls an open route: no program, no key, no team, and at most once.
+pub(crate) async fn run_open(shared: &Arc<Shared>, call: ServiceCall, out: &Out) {
+    let result = try_open(shared, call).await;
+    match result {
+        Ok(result) => send_result(out, &result).await,
+        Err(refusal) => {
+            let _ = out.send(Err(refusal)).await;
+        }
+    }
+}
+
+async fn try_open(shared: &Arc<Shared>, call: ServiceCall) -> Result<StepResult, Refusal> {
+    let service = service_of(shared, &call.service)?;
+    let request: RequestId = format!("open-{}", shared.events.stamp()).into();
+    let slot = SlotRequest {
+        request: request.clone(),
+        home: shared.member.host.clone(),
+        service: call.service.clone(),
+        model: None,
+        program: request,
+        class: "open".into(),
+        team: "open".into(),
+        program_age: Duration::ZERO,
+        target: service.deadline(),
+        calls_done: 0,
+        prompt_tokens: 0,
+        completion_tokens: 0,
+        last_upstream: None,
+        fingerprint: fingerprint(&Work::Service(call.clone())),
+        is_repeatable: service.is_repeatable(&call.method, &call.path),
+        patience: MAX_SLOT_WAIT,
+    };
+    let grant = acquire(shared, slot).await?;
+    let address = parse_address(&grant)?;
+    let run = run_service(address, &call, None, None, service.deadline()).await;
+    release(shared, &call.service, &grant, run.outcome);
+    run.result.map_err(Refusal::from)
+}
+
+impl HomeCall {
+    pub(super) async fn run_service(
+        &self,
+        call: &ServiceCall,
+        job: &Prepared,
+        mut permit: Permit,
+        out: &Out,
+    ) -> Result<(), Refusal> {
+        let key = format!("{}/{}", self.call.program, self.call.step);
+        for attempt in 1.. {
+            let left = job.deadline.saturating_duration_since(Instant::now());
+            let send = async |address| {
+                run_service(address, call, Some(key.clone()), job.fencing_epoch(), left).await
+            };
+            match self.attempt(job, permit, send).await {
+                Attempt::Done(result, sent, _) => return self.end_call(result, sent, out).await,
+                Attempt::Again(cleared, refusal) => {
+                    if attempt == MAX_ATTEMPTS || Instant::now() >= job.deadline {
+                        let program = self.call.program.clone();
+                        let back = move |control: &mut Control| {
+                            control.homes.not_run(&program, cleared);
+                        };
+                        self.shared.control.tell(back);
+                        return Err(refusal);
+                    }
+                    self.note_retry(&refusal);
+                    permit = Permit::Now(cleared);
+                }
+                Attempt::Failed(refusal) => return Err(refusal),
+            }
+        }
+        Err(Refusal::not_run(Reason::Internal, "no attempt was made"))
+    }
+
+    async fn end_call(&self, result: StepResult, sent: Sent, out: &Out) -> Result<(), Refusal> {
+        let (program, recorded) = (self.call.program.clone(), result.clone());
+        let job = move |control: &mut Control, reply: Reply<_>| {
+            control.homes.call_ended(&program, sent, recorded, reply);
+        };
+        self.shared.control.ask(job).await??;
+        self.note(Kind::CallRecorded, |about| about);
+        send_result(out, &result).await;
+        Ok(())
+    }
+}
+
+fn service_of(shared: &Shared, service: &ServiceId) -> Result<Service, Refusal> {
+    let catalog = shared.catalog();
+    let found = catalog.services.get(service).cloned();
+    found.ok_or_else(|| Refusal::not_run(Reason::NotFound, format!("no service {service:?}")))
+}
--- a/crates/host/src/control/journals.rs
+++ b/crates/host/src/control/journals.rs
@@ -25,6 +25,8 @@
     trefoilring_proto::DiscardRequest,
 };
 
+/// Leases for which this host must have had its view before an absent host counts as gone.
+const VIEW_LEASES: u32 = 2;
 /// A journal that was looked for in vain is not looked for again so soon.
 const UNKNOWN_FOR: Duration = Duration::from_secs(5);
 
@@ -205,13 +207,14 @@
     }
 
     fn claim(&mut self, journal: &JournalId, backup: Member, by: journal::Owner) {
-        let address = self.address_of(&backup);
-        let Some(address) = address else {
-            // Out of the view for a whole lease: that life of the backup has ended for certain.
+        let Some(address) = self.address_of(&backup) else {
+            let is_gone = self.has_ended(&backup);
             let journal = journal.clone();
-            let gone = TakeoverEvent::BackupGone { backup: backup.clone() };
             return self.shared.control.tell(move |control| {
-                control.takeover_event(&journal, gone);
+                if is_gone {
+                    let gone = TakeoverEvent::BackupGone { backup: backup.clone() };
+                    control.takeover_event(&journal, gone);
+                }
                 // The claim was asked for, and waits for an answer of its own.
                 control.takeover_event(&journal, TakeoverEvent::ClaimFailed { backup });
             });
@@ -221,6 +224,15 @@
         });
     }
 
+    /// Whether a life of a host that is not in the view has ended for certain: another life of it
+    /// is there, or it has been out of a view that this host has had for long. A host that has just
+    /// started may not have read every roster, and would pass over copies that still count.
+    fn has_ended(&self, member: &Member) -> bool {
+        let has_other_life = self.membership.host(&member.host).is_some();
+        let known_for = self.leased_since.map(|since| since.elapsed());
+        has_other_life || known_for >= Some(self.shared.settings.lease * VIEW_LEASES)
+    }
+
     /// The address of a member, if that life of the host is in the view.
     fn address_of(&self, member: &Member) -> Option<String> {
         let entry = self.membership.host(&member.host)?;
--- a/crates/host/src/control/members.rs
+++ b/crates/host/src/control/members.rs
@@ -253,8 +253,14 @@
                 events.note(Kind::HostLost, about_host(&member));
                 self.dispatchers.home_lost(Instant::now(), &member.host);
             }
-            Note::LeaseLost => events.note(Kind::LeaseLost, About::default()),
-            Note::LeaseRegained => events.note(Kind::LeaseRegained, About::default()),
+            Note::LeaseLost => {
+                events.note(Kind::LeaseLost, About::default());
+                self.leased_since = None;
+            }
+            Note::LeaseRegained => {
+                events.note(Kind::LeaseRegained, About::default());
+                self.leased_since = Some(Instant::now());
+            }
             Note::StoreDown => events.note(Kind::StoreDown, About::default()),
             Note::StoreUp => events.note(Kind::StoreUp, About::default()),
             Note::DelegateTaken => log::info!("this host writes its domain's roster"),
--- a/crates/host/src/control/mod.rs
+++ b/crates/host/src/control/mod.rs
@@ -92,6 +92,8 @@
     config: Config,
     sweeper: Sweeper,
     known_peers: Vec<SocketAddr>,
+    /// Since when this host has had a lease without a gap.
+    leased_since: Option<Instant>,
     next_member_tick: Instant,
     next_gauges: Instant,
     /// Set when this host has left; answered when the roster says so.
@@ -146,6 +148,7 @@
             config: Config::new(&shared, now),
             sweeper: Sweeper::new(now),
             known_peers: Vec::new(),
+            leased_since: None,
             next_member_tick: now,
             next_gauges: now,
             leaving: None,
