Test real hosts under faults, as processes

Cause: the promises must hold for trefoilring serve itself, not only for its parts.

Change: programs run against three processes while hosts are killed, paused past their leases and replaced, and while the store is down, slow or loses answers, alone and with a host's death. At the end each booking was made at most once and, where its caller was told so, exactly once; every answer follows from the whole history; no not_run was false; the planted key is in no upstream request, stored value, log or event; a planned stop cuts no stream. A not_run counts as false only where no earlier request of the step was left open: it speaks of its own request.

--- /dev/null
+++ b/crates/cli/tests/support/mod.rs
@@ -0,0 +1,270 @@
+//! A site of real processes: `trefoilring serve` three times, before stand-ins in the test.
+
+pub mod agent;
+
+use {
+    smol::{Timer, stream::StreamExt},
+    std::{
+        fs::{self, File},
+        io::{BufRead, BufReader},
+        net::SocketAddr,
+        path::PathBuf,
+        process::{Child, Command, Stdio},
+        sync::{Arc, Mutex},
+        time::{Duration, Instant},
+    },
+    trefoilring_config::{
+        declarations::{Declarations, RawDeclarations},
+        secret::hash_secret,
+    },
+    trefoilring_platform::{ObjectApi, UpstreamRecord},
+    trefoilring_site::deploy,
+    trefoilring_standin::{
+        Running,
+        engine::{self, EngineStandin},
+        hosts::{self, Hosts},
+        objects::{self, Objects},
+        tool::{self, Tool},
+    },
+};
+
+/// An overall limit, far beyond what anything takes; never a measure of speed.
+pub const PATIENCE: Duration = Duration::from_secs(180);
+/// The key's secret, which must show nowhere but in the callers' own requests.
+pub const SECRET: &str = "planted-secret-5d81c0";
+/// Time between two looks at whether something has come true.
+const POLL: Duration = Duration::from_millis(10);
+const PROGRAM: &str = env!("CARGO_BIN_EXE_trefoilring");
+/// Model engines.
+const ENGINES: usize = 4;
+const DOMAINS: [&str; 3] = ["a", "b", "c"];
+
+const DECLARATIONS: &str = r#"
+[classes.quick]
+target = "30s"
+budget = { turns = 10000, tokens = 100000000, wall = "1h" }
+
+[teams.north]
+rate_per_s = 500
+burst_requests = 1000
+
+[services.llm]
+kind = "engine"
+models = ["m"]
+deadline = "60s"
+
+[services.desk]
+kind = "tool"
+deadline = "20s"
+"#;
+
+/// The site. Dropping it ends the processes that it started.
+pub struct Site {
+    pub objects: Running<Objects>,
+    host_list: Running<Hosts>,
+    pub engines: Vec<Running<EngineStandin>>,
+    pub tool: Arc<Running<Tool>>,
+    hosts: Arc<Mutex<Vec<HostProcess>>>,
+    folder: PathBuf,
+}
+
+/// One `trefoilring serve`.
+struct HostProcess {
+    name: String,
+    child: Child,
+    callers: SocketAddr,
+}
+
+impl Drop for HostProcess {
+    fn drop(&mut self) {
+        self.child.kill().ok();
+        self.child.wait().ok();
+    }
+}
+
+impl Site {
+    /// Starts all parts and waits until every host serves.
+    pub async fn start(name: &str, time_scale: f64) -> Self {
+        let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
+        fs::remove_dir_all(&folder).ok();
+        fs::create_dir_all(&folder).unwrap();
+        let options = engine::Options { time_scale, ..engine::Options::default() };
+        let site = Self {
+            objects: objects::start(objects::Options::default()).unwrap(),
+            host_list: hosts::start(hosts::Options::default()).unwrap(),
+            engines: (0..ENGINES).map(|_| engine::start(options.clone()).unwrap()).collect(),
+            tool: Arc::new(tool::start(tool::Options::default()).unwrap()),
+            hosts: Arc::default(),
+            folder,
+        };
+        site.list_upstreams();
+        site.plant();
+        site.declare().await;
+        for domain in DOMAINS {
+            site.start_host(&format!("host-{domain}"), domain);
+        }
+        site.ready().await;
+        site
+    }
+
+    /// Waits until every host that runs takes callers.
+    pub async fn ready(&self) {
+        for address in self.addresses() {
+            until("a ready host", || is_ready(address)).await;
+        }
+    }
+
+    /// Where callers reach the hosts that run.
+    pub fn addresses(&self) -> Vec<SocketAddr> {
+        self.hosts.lock().unwrap().iter().map(|host| host.callers).collect()
+    }
+
+    /// Where callers reach the hosts, for callers that run beside changes of the site.
+    pub fn entries(&self) -> agent::Entries {
+        let hosts = self.hosts.clone();
+        Arc::new(move || hosts.lock().unwrap().iter().map(|host| host.callers).collect())
+    }
+
+    /// Says whether the service ran a step, for callers that run beside.
+    pub fn has_run(&self) -> agent::HasRun {
+        let tool = self.tool.clone();
+        Arc::new(move |key| tool.runs().by_key.contains_key(key))
+    }
+
+    /// Sends a signal to the host in a domain.
+    pub fn signal(&self, domain: &str, signal: &str) {
+        let hosts = self.hosts.lock().unwrap();
+        let host = hosts.iter().find(|host| host.name.ends_with(domain)).unwrap();
+        let id = host.child.id().to_string();
+        let status = Command::new("kill").args([&format!("-{signal}"), &id]).status().unwrap();
+        assert!(status.success(), "kill -{signal} {id}");
+    }
+
+    /// Kills the host in a domain and takes it out.
+    pub fn kill(&self, domain: &str) {
+        self.hosts.lock().unwrap().retain(|host| !host.name.ends_with(domain));
+    }
+
+    /// Waits until the host in a domain has ended by itself; returns its exit code.
+    pub async fn ended(&self, domain: &str) -> Option<i32> {
+        let at = |hosts: &[HostProcess]| {
+            hosts.iter().position(|host| host.name.ends_with(domain)).unwrap()
+        };
+        let mut host = {
+            let mut hosts = self.hosts.lock().unwrap();
+            let at = at(&hosts);
+            hosts.remove(at)
+        };
+        let deadline = Instant::now() + PATIENCE;
+        loop {
+            if let Some(status) = host.child.try_wait().unwrap() {
+                return status.code();
+            }
+            assert!(Instant::now() < deadline, "{} never ended", host.name);
+            Timer::after(POLL).await;
+        }
+    }
+
+    /// Starts a host, also one that was there before.
+    pub fn start_host(&self, name: &str, domain: &str) {
+        let events = self.folder.join(format!("{name}.events"));
+        let log = self.folder.join(format!("{name}.log"));
+        let log = File::options().create(true).append(true).open(log).unwrap();
+        let mut child = Command::new(PROGRAM)
+            .arg("serve")
+            .args(["--host", name, "--domain", domain])
+            .args(["--listen", "127.0.0.1:0", "--peer-listen", "127.0.0.1:0"])
+            .args(["--object-api", &self.objects.address().to_string()])
+            .args(["--host-list", &self.host_list.address().to_string()])
+            .args(["--heartbeat-ms", "200", "--lease-ms", "1000", "--traffic-threads", "1"])
+            .args(["--log-level", "debug", "--event-log"])
+            .arg(events)
+            .stdout(Stdio::piped())
+            .stderr(log)
+            .spawn()
+            .unwrap();
+        let mut line = String::new();
+        BufReader::new(child.stdout.take().unwrap()).read_line(&mut line).unwrap();
+        let callers = line.split(' ').nth(1).and_then(|address| address.parse().ok());
+        let callers = callers.unwrap_or_else(|| panic!("{name} said {line:?}"));
+        let host = HostProcess { name: name.into(), child, callers };
+        self.hosts.lock().unwrap().push(host);
+    }
+
+    /// Checks that the key shows in no upstream request, stored value, log or event.
+    pub fn check_secret(&self) {
+        let controls = self.engines.iter().map(Running::control).chain([self.tool.control()]);
+        assert_eq!(controls.map(|control| control.planted_seen()).sum::<u64>(), 0, "upstreams");
+        for key in self.objects.keys("") {
+            let value = self.objects.peek(&key).map(|(_, value)| value).unwrap_or_default();
+            assert!(!contains(&value, SECRET) && !key.contains(SECRET), "object {key}");
+        }
+        let mut files = 0;
+        for entry in fs::read_dir(&self.folder).unwrap() {
+            let path = entry.unwrap().path();
+            assert!(!contains(&fs::read(&path).unwrap(), SECRET), "{}", path.display());
+            files += 1;
+        }
+        assert_eq!(files, 2 * DOMAINS.len(), "a log and an event log of each host");
+    }
+
+    fn plant(&self) {
+        for control in self.engines.iter().map(Running::control).chain([self.tool.control()]) {
+            control.change(|faults| faults.planted = SECRET.into());
+        }
+    }
+
+    fn list_upstreams(&self) {
+        let record = |upstream: String, service: &str, domain: &str, address| UpstreamRecord {
+            upstream: upstream.into(),
+            service: service.into(),
+            address,
+            domain: domain.into(),
+            is_leaving: false,
+            models: vec!["m".into()],
+        };
+        for (number, engine) in self.engines.iter().enumerate() {
+            let name = format!("llm-{number}");
+            self.host_list.add(record(
+                name,
+                "llm",
+                DOMAINS[number % DOMAINS.len()],
+                engine.address(),
+            ));
+        }
+        self.host_list.add(record("desk-0".into(), "desk", "c", self.tool.address()));
+    }
+
+    async fn declare(&self) {
+        let hash = hash_secret(SECRET);
+        let text = format!("{DECLARATIONS}\n[keys.north-1]\nteam = \"north\"\nhash = \"{hash}\"\n");
+        let raw = RawDeclarations { file: "test", text: &text };
+        let catalog = Declarations::try_from(raw).unwrap().into_catalog(0);
+        deploy(&ObjectApi::new(self.objects.address(), PATIENCE), &catalog, "test").await.unwrap();
+    }
+}
+
+fn contains(bytes: &[u8], text: &str) -> bool {
+    bytes.windows(text.len()).any(|window| window == text.as_bytes())
+}
+
+/// Asks a host whether it takes callers, on a thread of its own kind of client.
+fn is_ready(address: SocketAddr) -> bool {
+    use std::io::{Read, Write};
+    let Ok(mut stream) = std::net::TcpStream::connect(address) else { return false };
+    let request = "GET /readyz HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n";
+    let mut answer = String::new();
+    stream.write_all(request.as_bytes()).is_ok()
+        && stream.read_to_string(&mut answer).is_ok()
+        && answer.starts_with("HTTP/1.1 200")
+}
+
+/// Polls until a condition holds.
+pub async fn until(what: &str, condition: impl Fn() -> bool) {
+    let deadline = Instant::now() + PATIENCE;
+    let mut ticks = Timer::interval(POLL);
+    while !condition() {
+        assert!(Instant::now() < deadline, "{what} never came");
+        ticks.next().await;
+    }
+}
