Place models on engines by demand, at the weight store's rate

Demand is counted in tokens with a half-life; each model in demand gets an engine where there is room, the rest is shared in proportion. Orders are fenced, one an engine, repeated until they show effect.

--- a/crates/core/src/sched/mod.rs
+++ b/crates/core/src/sched/mod.rs
@@ -5,6 +5,7 @@
 mod estimate;
 mod fair;
 mod limit;
+mod models;
 mod options;
 mod order;
 mod programs;
@@ -17,6 +18,7 @@
 pub use {
     command::{AdoptedSlot, CacheEvent, Command, LoadReport, Note, UpstreamView, Waiter},
     dispatcher::{Dispatcher, DispatcherCounts},
+    models::{EngineState, ModelOrder, ModelPlacement, ModelPlacementOptions, OrderKind},
     options::{DispatcherOptions, LimitPolicy, Order, Placement},
     request::{Outcome, SlotGrant, SlotRelease, SlotRequest, Ticket},
 };
