--- /dev/null
+++ b/crates/core/benches/sched_decision.rs
@@ -0,0 +1,156 @@
+//! Time of one admission, placement and release at the size of a large site and at a tenth of it.
+//!
+//! `cargo bench -p trefoilring-core --bench sched_decision` prints medians and 99th percentiles.
+
+use {
+    rand::{RngExt, SeedableRng, rngs::StdRng},
+    std::{
+        collections::VecDeque,
+        time::{Duration, Instant},
+    },
+    trefoilring_core::{
+        catalog::{Catalog, Team},
+        message::Usage,
+        sched::{
+            Command, Dispatcher, DispatcherOptions, LimitPolicy, Outcome, SlotRelease, SlotRequest,
+            Ticket, UpstreamView,
+        },
+    },
+};
+
+/// Requests measured at each size.
+const MEASURED: usize = 50_000;
+/// Slots of each upstream.
+const SLOTS: u32 = 16;
+const SEED: u64 = 1;
+
+struct Size {
+    programs: usize,
+    workers: usize,
+    teams: usize,
+}
+
+fn main() {
+    let full = Size { programs: 49_000, workers: 600, teams: 32_000 };
+    let tenth = Size { programs: 4_900, workers: 60, teams: 3_200 };
+    println!("seed {SEED}; {MEASURED} requests a row; times in nanoseconds");
+    for share in [0.8, 1.1] {
+        let small = measure(&tenth, share);
+        let large = measure(&full, share);
+        println!(
+            "slots in use {share}: median {small} at a tenth, {large} at full size, growth {:.2}",
+            large as f64 / small as f64
+        );
+    }
+}
+
+/// Fills a dispatcher with programs, then measures request and release together, with so many
+/// calls for each slot under way or waiting. Returns the median.
+fn measure(size: &Size, share: f64) -> u128 {
+    let mut rng = StdRng::seed_from_u64(SEED);
+    let mut dispatcher = dispatcher(size);
+    let mut now = Instant::now();
+    dispatcher.set_upstreams(now, (0..size.workers).map(view).collect());
+    let requests: Vec<SlotRequest> =
+        (0..size.programs).map(|program| request(size, program)).collect();
+    let in_flight = (size.workers as f64 * f64::from(SLOTS) * share) as usize;
+    let mut running: VecDeque<Ticket> = VecDeque::new();
+    let mut outstanding = 0;
+    let mut times = Vec::with_capacity(MEASURED);
+    for round in 0..size.programs + MEASURED {
+        now += Duration::from_micros(100);
+        let program = match round {
+            filling if filling < size.programs => filling,
+            _ => rng.random_range(0..size.programs),
+        };
+        let request = requests[program].clone();
+        let began = Instant::now();
+        let commands = dispatcher.request(now, request, round as u64);
+        let mut spent = began.elapsed();
+        outstanding += 1;
+        take(commands, &mut running, &mut outstanding);
+        if outstanding > in_flight
+            && let Some(ticket) = running.pop_front()
+        {
+            outstanding -= 1;
+            let release = release(ticket);
+            let began = Instant::now();
+            let commands = dispatcher.release(now, release);
+            spent += began.elapsed();
+            take(commands, &mut running, &mut outstanding);
+        }
+        if round >= size.programs {
+            times.push(spent.as_nanos());
+        }
+    }
+    times.sort_unstable();
+    let (median, late) = (times[MEASURED / 2], times[MEASURED * 99 / 100]);
+    println!(
+        "  {} programs, {} workers, {} teams: request and release, median {median}, p99 {late}",
+        size.programs, size.workers, size.teams
+    );
+    median
+}
+
+fn take(commands: Vec<Command>, running: &mut VecDeque<Ticket>, outstanding: &mut usize) {
+    for command in commands {
+        match command {
+            Command::Grant { grant, .. } => running.push_back(grant.ticket),
+            Command::Refuse { .. } => *outstanding -= 1,
+            _ => (),
+        }
+    }
+}
+
+fn dispatcher(size: &Size) -> Dispatcher {
+    let options = DispatcherOptions::new("agent-models".into())
+        .limit(LimitPolicy::Fixed(SLOTS))
+        .shedding(false)
+        .seed(SEED);
+    let mut dispatcher = Dispatcher::new(options);
+    let team = || Team { rate_per_s: 10.0, burst_requests: 100, classes: Vec::new() };
+    let teams = (0..size.teams).map(|index| (format!("team-{index}").into(), team()));
+    dispatcher.set_catalog(&Catalog { teams: teams.collect(), ..Default::default() });
+    dispatcher
+}
+
+fn view(index: usize) -> UpstreamView {
+    UpstreamView {
+        upstream: format!("worker-{index}").into(),
+        address: format!("127.0.0.1:{}", 10_000 + index),
+        domain: ["ankara-a", "ankara-b", "konya-c"][index % 3].into(),
+        is_leaving: false,
+        models: Vec::new(),
+    }
+}
+
+fn request(size: &Size, program: usize) -> SlotRequest {
+    SlotRequest {
+        request: format!("r-{program}").into(),
+        home: "host".into(),
+        service: "agent-models".into(),
+        model: Some("large".into()),
+        program: format!("journal.{program:016}").into(),
+        class: "quote".into(),
+        team: format!("team-{}", program % size.teams).into(),
+        program_age: Duration::from_secs(10),
+        target: Duration::from_secs(300),
+        calls_done: (program % 40) as u32,
+        prompt_tokens: 10_000 + program as u64 % 20_000,
+        completion_tokens: 500,
+        last_upstream: None,
+        fingerprint: program as u64,
+        is_repeatable: true,
+        patience: Duration::from_secs(600),
+    }
+}
+
+fn release(ticket: Ticket) -> SlotRelease {
+    let usage = Usage { prompt_tokens: 20_000, cached_tokens: 19_000, completion_tokens: 200 };
+    let outcome = Outcome::Done {
+        first_byte: Duration::from_millis(200),
+        total: Duration::from_secs(4),
+        usage: Some(usage),
+    };
+    SlotRelease { service: "agent-models".into(), ticket, outcome }
+}
--- a/crates/core/src/sched/dispatcher/place.rs
+++ b/crates/core/src/sched/dispatcher/place.rs
@@ -25,13 +25,13 @@
 /// Crowded upstreams looked at for requests to take over.
 const CROWDED_LOOKED_AT: usize = 3;
 /// Requests looked at in each of their queues.
-const QUEUE_LOOKED_AT: usize = 16;
+const QUEUE_LOOKED_AT: usize = 8;
 /// A move must save this much, so that requests don't go to and fro.
 const MOVE_GAIN_S: f64 = 0.05;
 
 impl Dispatcher {
     /// Chooses an upstream for a request, or `None` where none is available.
-    pub(super) fn place(&mut self, request: &SlotRequest) -> Option<UpstreamKey> {
+    pub(super) fn place(&self, request: &SlotRequest) -> Option<UpstreamKey> {
         if let Some(&(key, _)) = self.running.get(&request.fingerprint) {
             // The same content runs there: if it breaks upstreams, it shall break only that one.
             return self.is_usable(key, request).then_some(key);
@@ -104,8 +104,7 @@
 
     /// Finds a lane for a waiting request that is in none.
     pub(super) fn settle(&mut self, now: Instant, key: WaitKey) {
-        let request = self.waiting[key].request.clone();
-        match self.place(&request) {
+        match self.place(&self.waiting[key].request) {
             Some(upstream) => {
                 self.enqueue(key, upstream);
                 self.pump(now, upstream);
@@ -145,12 +144,14 @@
             } else {
                 source.wait_behind_s(ahead)
             };
+            // The cheap bound first: what it costs to go is at most looked up for those that gain.
             let stay_s = wait_s + self.prefill_s(request, from);
-            let go_s = self.prefill_s(request, to) + MOVE_GAIN_S;
-            let may_go = self.is_usable(to, request)
+            let gains = stay_s > MOVE_GAIN_S && self.prefill_s(request, to) + MOVE_GAIN_S < stay_s;
+            let may_go = gains
+                && self.is_usable(to, request)
                 && !self.running.contains_key(&request.fingerprint)
                 && self.upstreams[to].has_room(self.tokens_of(request));
-            (may_go && go_s < stay_s).then_some(key)
+            may_go.then_some(key)
         })
     }
 
@@ -201,11 +202,12 @@
         upstream.is_some_and(|up| up.is_available() && up.serves(request.model.as_deref()))
     }
 
-    fn place_in_turn(&mut self, request: &SlotRequest) -> Option<UpstreamKey> {
+    fn place_in_turn(&self, request: &SlotRequest) -> Option<UpstreamKey> {
         let usable: Vec<UpstreamKey> =
             self.upstreams.keys().filter(|&key| self.is_usable(key, request)).collect();
-        self.round_robin += 1;
-        usable.get(self.round_robin % usable.len().max(1)).copied()
+        let turn = self.round_robin.get() + 1;
+        self.round_robin.set(turn);
+        usable.get(turn % usable.len().max(1)).copied()
     }
 
     fn place_by_delay(&self, request: &SlotRequest) -> Option<UpstreamKey> {
--- a/crates/core/src/sched/fair.rs
+++ b/crates/core/src/sched/fair.rs
@@ -8,7 +8,7 @@
 
 use {
     crate::ids::TeamId,
-    std::collections::{BTreeMap, BTreeSet},
+    std::collections::{BTreeMap, BTreeSet, HashMap},
 };
 
 /// Names a team within the dispatcher.
@@ -45,7 +45,7 @@
 pub(super) struct FairShare {
     window_tokens: u64,
     is_on: bool,
-    by_id: BTreeMap<TeamId, TeamIndex>,
+    by_id: HashMap<TeamId, TeamIndex>,
     weights: BTreeMap<TeamId, f64>,
     teams: Vec<Team>,
     /// Waiting teams by virtual time.
@@ -61,7 +61,7 @@
         Self {
             window_tokens,
             is_on,
-            by_id: BTreeMap::new(),
+            by_id: HashMap::new(),
             weights: BTreeMap::new(),
             teams: Vec::new(),
             backlog: BTreeSet::new(),
