Print the demo's table before it keeps the site up

Change: the table first, then the addresses. A library's client was run against the demonstration site by hand: it streams a turn and gets a whole one. Conclusion: an existing client works with a base URL and a key.

--- a/crates/cli/src/demo.rs
+++ b/crates/cli/src/demo.rs
@@ -31,14 +31,19 @@
 
 /// Runs the demo. Fails if anything that it checks does not hold.
 pub(crate) fn run(matches: &ArgMatches) -> ExitCode {
-    match smol::block_on(scenario::run(matches.get_flag("keep"))) {
-        Ok(outcome) => {
-            report::print(&outcome, matches.get_flag("json"));
-            match outcome.faults.is_empty() {
-                true => ExitCode::SUCCESS,
-                false => ExitCode::FAILURE,
-            }
+    let result = smol::block_on(async {
+        let (outcome, site) = scenario::run().await?;
+        report::print(&outcome, matches.get_flag("json"));
+        if matches.get_flag("keep") {
+            report::print_addresses(&site);
+            scenario::wait_for_interrupt()?;
         }
+        site.stop().await;
+        Ok::<_, Box<dyn std::error::Error>>(outcome)
+    });
+    match result {
+        Ok(outcome) if outcome.faults.is_empty() => ExitCode::SUCCESS,
+        Ok(_) => ExitCode::FAILURE,
         Err(error) => {
             eprintln!("error: {error}");
             ExitCode::FAILURE
--- a/crates/cli/src/demo/scenario.rs
+++ b/crates/cli/src/demo/scenario.rs
@@ -62,8 +62,8 @@
     pub(super) faults: Vec<String>,
 }
 
-/// Runs the demo.
-pub(super) async fn run(keeps: bool) -> Result<Outcome, Box<dyn std::error::Error>> {
+/// Runs the demo's programs. The site still runs when this returns.
+pub(super) async fn run() -> Result<(Outcome, Site), Box<dyn std::error::Error>> {
     let catalog = catalog()?;
     let site = Site::start(options(catalog.clone()), TIMEOUT);
     let site = site.await.map_err(|report| format!("{report:?}"))?;
@@ -91,15 +91,11 @@
         site.hosts().len(),
         lines.iter().map(|line| line.effects).sum::<usize>(),
     );
-    if keeps {
-        super::report::print_addresses(&site);
-        wait_for_interrupt()?;
-    }
-    site.stop().await;
-    Ok(Outcome { programs: lines, checked, faults })
+    Ok((Outcome { programs: lines, checked, faults }, site))
 }
 
-fn wait_for_interrupt() -> std::io::Result<()> {
+/// Waits for Ctrl-C or SIGTERM.
+pub(super) fn wait_for_interrupt() -> std::io::Result<()> {
     let signals = [signal_hook::consts::SIGINT, signal_hook::consts::SIGTERM];
     signal_hook::iterator::Signals::new(signals)?.forever().next();
     Ok(())
