--- a/crates/config/src/settings/flags.rs
+++ b/crates/config/src/settings/flags.rs
@@ -35,7 +35,7 @@
     flag("advertise", "IP:PORT", None, "Address told to other hosts [default: --peer-listen]"),
     flag("object-api", "IP:PORT", None, "The platform's Object API [required]"),
     flag("host-list", "IP:PORT", None, "The platform's host list [required]"),
-    flag("data-dir", "FOLDER", None, "Existing folder for bulk data, on hosts with a disk"),
+    flag("data-dir", "FOLDER", None, "Existing folder for bulk data; checked, and not used yet"),
     flag("traffic-threads", "N", Some("2"), "Threads that serve traffic"),
     flag("heartbeat-ms", "MS", Some("1000"), "Time between two heartbeats"),
     flag("lease-ms", "MS", Some("5000"), "How long a lease holds; at least three heartbeats"),
