Refuse what waits when the last upstream has gone

Cause: whether any upstream is left was asked only when a request came. What waited already when the last one left or was ejected for long was held until its patience ended. Now it is asked at each tick, and such requests are refused with the time to come back.

--- a/crates/core/src/sched/dispatcher/intake.rs
+++ b/crates/core/src/sched/dispatcher/intake.rs
@@ -63,6 +63,7 @@
 
     /// Refuses what waits and can't be served within its patience.
     pub(super) fn give_up(&mut self, now: Instant) {
+        self.give_up_parked(now);
         let mut late: Vec<WaitKey> = Vec::new();
         for &(_, upstream) in &self.crowded {
             late.extend(self.late_at(now, upstream));
@@ -75,6 +76,18 @@
         }
     }
 
+    /// Refuses what waits for an upstream to come back, if none will soon.
+    fn give_up_parked(&mut self, now: Instant) {
+        let parked: Vec<WaitKey> = self.parked.iter().map(|&(_, key)| key).collect();
+        for key in parked {
+            let refusal = self.refusal_without_upstream(now, &self.waiting[key].request);
+            if let Some(refusal) = refusal {
+                self.note(Note::new(Kind::CallRefused).about(&self.waiting[key].request.clone()));
+                self.refuse(now, key, refusal);
+            }
+        }
+    }
+
     /// Refuses a waiting request.
     pub(super) fn refuse(&mut self, _now: Instant, key: WaitKey, refusal: Refusal) {
         if let Some(waiting) = self.remove_waiting(key) {
--- a/crates/core/tests/sched_dispatcher.rs
+++ b/crates/core/tests/sched_dispatcher.rs
@@ -111,6 +111,17 @@
     assert_eq!(bench.refused[&1].reason, Reason::NoUpstream, "a leaving upstream serves nobody");
 }
 
+#[test]
+fn what_waits_is_refused_at_once_when_the_last_upstream_goes() {
+    let mut bench = Bench::new(options(), 1);
+    fill(&mut bench);
+    bench.ask(0, request(0));
+    bench.list(vec![view(0, true)]);
+    assert!(bench.refused.is_empty());
+    bench.pass(Duration::from_millis(250));
+    assert_eq!(bench.refused[&0].reason, Reason::NoUpstream);
+}
+
 #[test]
 fn a_request_that_can_not_be_served_in_time_is_refused_at_once() {
     let mut bench = Bench::new(options(), 1);
