Mend four faults that killed and stopped processes showed

Causes: (1) an entry that gave an attempt up left its relay at the old home for 60 s, so a stopping host took that long to exit. (2) A refused connection counted as an upstream broken by the call, so a call tried alone at a dead engine was quarantined.

(4) An entry that found no home said not_run of a step that an earlier request had run. Change: close the relay; an outcome of its own for an unreachable upstream, which still ejects it; no takeover of others' journals before the view is two leases old; may_have_run for a call that may not be repeated and has no home.

--- a/crates/core/src/sched/dispatcher/health.rs
+++ b/crates/core/src/sched/dispatcher/health.rs
@@ -103,6 +103,10 @@
                 self.learn_done(now, &slot, first_byte, total, usage.as_ref());
             }
             Outcome::Broken => self.learn_broken(now, &slot),
+            Outcome::Unreachable => {
+                self.retries.failed(now, &slot.request.request);
+                self.fail(now, key, Failure::Hard);
+            }
             Outcome::Refused | Outcome::TimedOut => {
                 self.retries.failed(now, &slot.request.request);
                 self.fail(now, key, Failure::Soft);
--- a/crates/core/src/sched/request.rs
+++ b/crates/core/src/sched/request.rs
@@ -86,8 +86,10 @@
     },
     /// The upstream refused it before running anything.
     Refused,
-    /// The connection broke or could not be made: the upstream may have died.
+    /// The connection broke under way: the upstream may have died of the call.
     Broken,
+    /// No connection could be made: the upstream is gone, and the call has no part in it.
+    Unreachable,
     /// No answer within the deadline.
     TimedOut,
     /// The home gave the slot back unused.
--- a/crates/host/src/backend.rs
+++ b/crates/host/src/backend.rs
@@ -13,7 +13,7 @@
     },
     subtle::ConstantTimeEq,
     trefoilring_core::{
-        call::{Call, Caller, CreateProgram, ProgramInfo, ProgramQuery, ServiceCall},
+        call::{Call, Caller, CreateProgram, ProgramInfo, ProgramQuery, ServiceCall, Work},
         catalog::Budget,
         ids::{ClassId, JournalId, ProgramId, journal_of},
         message::Message,
@@ -118,6 +118,16 @@
     Refusal { verdict, ..refusal }
 }
 
+/// Without its home nobody knows whether an earlier request with the same step key has run, so a
+/// call that may not be repeated is not said to be "not run", even though this request was not.
+fn honest(refusal: Refusal, call: &Call) -> Refusal {
+    let is_turn = matches!(call.work, Work::Turn(_));
+    match refusal.reason == Reason::HomeUnavailable && !is_turn {
+        true => Refusal { verdict: Verdict::MayHaveRun, ..refusal },
+        false => refusal,
+    }
+}
+
 async fn program_at(
     shared: &Shared,
     address: SocketAddr,
@@ -162,7 +172,7 @@
             }
         };
         if let Err(refusal) = self.at_home(journal, attempt).await {
-            let _ = out.send(Err(refusal)).await;
+            let _ = out.send(Err(honest(refusal, &call))).await;
         }
     }
 
@@ -234,6 +244,7 @@
             match batch.end {
                 None => continue,
                 Some(Err(refusal)) if after == 0 && may_ask_again(&refusal) => {
+                    close(&self.shared, address, handle);
                     return Pumped::HomeLost(refusal);
                 }
                 Some(Err(refusal)) => {
--- a/crates/host/src/control/journals.rs
+++ b/crates/host/src/control/journals.rs
@@ -25,8 +25,6 @@
     trefoilring_proto::DiscardRequest,
 };
 
-/// Leases for which this host must have had its view before an absent host counts as gone.
-const VIEW_LEASES: u32 = 2;
 /// A journal that was looked for in vain is not looked for again so soon.
 const UNKNOWN_FOR: Duration = Duration::from_secs(5);
 
@@ -228,9 +226,7 @@
     /// is there, or it has been out of a view that this host has had for long. A host that has just
     /// started may not have read every roster, and would pass over copies that still count.
     fn has_ended(&self, member: &Member) -> bool {
-        let has_other_life = self.membership.host(&member.host).is_some();
-        let known_for = self.leased_since.map(|since| since.elapsed());
-        has_other_life || known_for >= Some(self.shared.settings.lease * VIEW_LEASES)
+        self.membership.host(&member.host).is_some() || self.has_settled_view()
     }
 
     /// The address of a member, if that life of the host is in the view.
--- a/crates/host/src/control/members.rs
+++ b/crates/host/src/control/members.rs
@@ -31,6 +31,8 @@
 
 /// How long a message of the membership machines may take.
 const MESSAGE_TIMEOUT: Duration = Duration::from_secs(1);
+/// Leases for which this host must have had its view before an absent host counts as gone.
+const VIEW_LEASES: u32 = 2;
 /// Keys of one list that the membership machine asks for.
 const LIST_KEYS: usize = 1000;
 
@@ -154,6 +156,9 @@
         let me = &self.shared.member;
         match self.holder_of(journal) {
             Some(holder) => holder.member == *me,
+            // A host that has just started may not have read every roster: an owner that is
+            // missing from its view may be alive.
+            None if !self.has_settled_view() => false,
             None => {
                 let successor = self.membership.successor_of(journal);
                 successor.is_some_and(|entry| entry.member == *me)
@@ -161,6 +166,12 @@
         }
     }
 
+    /// Whether this host has had its view for so long that a host missing from it is gone.
+    pub(super) fn has_settled_view(&self) -> bool {
+        let known_for = self.leased_since.map(|since| since.elapsed());
+        known_for >= Some(self.shared.settings.lease * VIEW_LEASES)
+    }
+
     /// Where the home of a journal is; for a new program, any host that may own one.
     pub(crate) fn find_home(&mut self, journal: Option<&JournalId>) -> Result<Home, Refusal> {
         let Some(journal) = journal else { return self.home_for_new() };
--- a/crates/host/src/control/memory.rs
+++ b/crates/host/src/control/memory.rs
@@ -27,7 +27,7 @@
 const UPSTREAMS_EVERY: Duration = Duration::from_secs(1);
 /// Time between two sweeps over engine memory.
 const MEMORY_EVERY: Duration = Duration::from_secs(5);
-/// Time between two looks for journals without an owner, by delegates only.
+/// Time between two lists of the journals in the store, by delegates only.
 const ORPHANS_EVERY: Duration = Duration::from_secs(60);
 /// Memory that was used so lately may belong to a program whose creation is still under way.
 const MIN_IDLE: Duration = Duration::from_secs(5);
@@ -85,10 +85,10 @@
         if now >= self.sweeper.next_memory {
             self.sweeper.next_memory = now + MEMORY_EVERY;
             self.sweep_engines();
+            self.adopt_orphans(now);
         }
         if now >= self.sweeper.next_orphans {
             self.sweeper.next_orphans = now + ORPHANS_EVERY;
-            self.adopt_orphans(now);
             if self.membership.is_delegate() {
                 self.shared.spawn(list_journals(self.shared.clone()));
             }
--- a/crates/host/src/upstream.rs
+++ b/crates/host/src/upstream.rs
@@ -219,7 +219,8 @@
             error.verdict = Verdict::NotRun;
             Outcome::Unused
         }
-        ErrorKind::Connect | ErrorKind::Broken => Outcome::Broken,
+        ErrorKind::Connect => Outcome::Unreachable,
+        ErrorKind::Broken => Outcome::Broken,
         ErrorKind::TimedOut => Outcome::TimedOut,
         _ if error.verdict == Verdict::NotRun => Outcome::Refused,
         _ => Outcome::Broken,
