--- a/crates/cli/tests/faults.rs
+++ b/crates/cli/tests/faults.rs
@@ -29,6 +29,8 @@
 const ROUNDS: usize = 12;
 /// Engines run this many times as fast as in life.
 const TIME_SCALE: f64 = 20.0;
+/// Engines that one text may crash: the first, and one on which it is tried again.
+const MAX_CRASHED: usize = 2;
 /// How long a fault lasts: several leases.
 const FAULT: Duration = Duration::from_secs(4);
 
@@ -106,6 +108,48 @@
     });
 }
 
+#[test]
+fn a_host_is_stopped_gracefully() {
+    let agents = run("stopped", async |site| {
+        site.signal("a", "TERM");
+        assert_eq!(site.ended("a").await, Some(0));
+    });
+    let cut: Vec<_> = agents.iter().flat_map(|agent| &agent.cut).collect();
+    assert!(cut.is_empty(), "{cut:#?}");
+}
+
+#[test]
+fn all_hosts_are_replaced_in_turn() {
+    let agents = run("replaced", async |site| {
+        for domain in ["a", "b", "c"] {
+            site.signal(domain, "TERM");
+            assert_eq!(site.ended(domain).await, Some(0));
+            site.start_host(&format!("host-{domain}"), domain);
+            site.ready().await;
+        }
+    });
+    let cut: Vec<_> = agents.iter().flat_map(|agent| &agent.cut).collect();
+    assert!(cut.is_empty(), "{cut:#?}");
+}
+
+#[test]
+fn a_turn_that_crashes_engines_is_stopped() {
+    const POISON: &str = "a text that crashes engines";
+    run("poison", async |site| {
+        for engine in &site.engines {
+            engine.control().change(|faults| faults.crash_on = POISON.into());
+        }
+        // The caller sends it again and again, each time as a step of its own.
+        let mut agent = Agent::create(site, 100).await;
+        for number in 0..8 {
+            let refused = agent.try_turn(&format!("poison-{number}"), POISON).await;
+            assert!(refused.is_none_or(|reply| !reply.is_success()));
+        }
+        let dead = site.engines.iter().filter(|engine| engine.control().is_dead()).count();
+        assert!(dead <= MAX_CRASHED, "{dead} engines crashed");
+    });
+}
+
 #[test]
 fn the_store_loses_answers() {
     run("store-loses", async |site| {
--- a/crates/cli/tests/support/agent.rs
+++ b/crates/cli/tests/support/agent.rs
@@ -108,6 +108,14 @@
         self.expect_turn(&said, reply.completion(), TOKENS);
     }
 
+    /// Sends one turn once, without expecting anything of it.
+    pub async fn try_turn(&mut self, step: &str, said: &str) -> Option<Reply> {
+        let body = json!({ "model": "m", "messages": [{ "role": "user", "content": said }] });
+        let program = self.program.clone();
+        let headers = [("Trefoil-Program", &*program), ("Idempotency-Key", step)];
+        self.send(Method::Post, "/v1/chat/completions", &headers, Some(&body)).await
+    }
+
     /// Adds a turn to what the history must be. The stand-in's answer follows from all messages.
     pub fn expect_turn(&mut self, said: &str, answer: &str, tokens: u64) {
         self.expected.push(Message::text("user", said));
