Carry what earlier attempts leave open into a call's refusal

A turn broke one engine, then another, and was quarantined. The caller was told not_run, for the last attempt had been refused before it was sent; the two before it had been. A call's refusal is now bound by all its attempts. The test fails without the change with not_run in place of may_have_run.

--- a/crates/host/src/call/attempt.rs
+++ b/crates/host/src/call/attempt.rs
@@ -29,6 +29,28 @@
     Failed(Refusal),
 }
 
+/// What the attempts before the last one leave open.
+#[derive(Debug, Default)]
+pub(super) struct Earlier {
+    may_have_run: bool,
+}
+
+impl Earlier {
+    /// Takes in that an attempt failed.
+    pub(super) fn note(&mut self, refusal: &Refusal) {
+        self.may_have_run |= refusal.verdict != Verdict::NotRun;
+    }
+
+    /// The refusal of the call, given that of its last attempt: that this one did not run says
+    /// nothing of those before.
+    pub(super) fn bound(&self, refusal: Refusal) -> Refusal {
+        match (refusal.verdict, self.may_have_run) {
+            (Verdict::NotRun, true) => Refusal { verdict: Verdict::MayHaveRun, ..refusal },
+            _ => refusal,
+        }
+    }
+}
+
 impl HomeCall {
     pub(super) fn slot_request(&self, service: &(ServiceId, Service), run: &Run) -> SlotRequest {
         let model = match &self.call.work {
--- a/crates/host/src/call/service.rs
+++ b/crates/host/src/call/service.rs
@@ -3,7 +3,7 @@
 use {
     super::{
         HomeCall, MAX_ATTEMPTS, MAX_SLOT_WAIT, Prepared,
-        attempt::Attempt,
+        attempt::{Attempt, Earlier},
         fingerprint, send_result,
         slot::{acquire, parse_address, release},
     },
@@ -76,6 +76,7 @@
         out: &Out,
     ) -> Result<(), Refusal> {
         let key = format!("{}/{}", self.call.program, self.call.step);
+        let mut earlier = Earlier::default();
         for attempt in 1.. {
             let left = job.deadline.saturating_duration_since(Instant::now());
             let send = async |address| {
@@ -84,18 +85,19 @@
             match self.attempt(job, permit, send).await {
                 Attempt::Done(result, sent, _) => return self.end_call(result, sent, out).await,
                 Attempt::Again(cleared, refusal) => {
+                    earlier.note(&refusal);
                     if attempt == MAX_ATTEMPTS || Instant::now() >= job.deadline {
                         let program = self.call.program.clone();
                         let back = move |control: &mut Control| {
                             control.homes.not_run(&program, cleared);
                         };
                         self.shared.control.tell(back);
-                        return Err(refusal);
+                        return Err(earlier.bound(refusal));
                     }
                     self.note_retry(&refusal);
                     permit = Permit::Now(cleared);
                 }
-                Attempt::Failed(refusal) => return Err(refusal),
+                Attempt::Failed(refusal) => return Err(earlier.bound(refusal)),
             }
         }
         Err(Refusal::not_run(Reason::Internal, "no attempt was made"))
--- a/crates/host/src/call/turn.rs
+++ b/crates/host/src/call/turn.rs
@@ -1,7 +1,11 @@
 //! Model turns.
 
 use {
-    super::{HomeCall, MAX_ATTEMPTS, Prepared, attempt::Attempt, send_result},
+    super::{
+        HomeCall, MAX_ATTEMPTS, Prepared,
+        attempt::{Attempt, Earlier},
+        send_result,
+    },
     crate::{
         control::{Control, Reply},
         upstream::{Out, TextGate, TurnEnd, event_stream_head, run_turn, step_result},
@@ -29,6 +33,7 @@
         out: &Out,
     ) -> Result<(), Refusal> {
         let mut gate = turn.is_streamed.then(TextGate::default);
+        let mut earlier = Earlier::default();
         for attempt in 1.. {
             let send = async |address| run_turn(address, request.clone(), out, gate.as_mut()).await;
             match self.attempt(job, permit, send).await {
@@ -36,15 +41,16 @@
                     return self.end_turn(end, sent, upstream, gate.as_ref(), out).await;
                 }
                 Attempt::Again(cleared, refusal) => {
+                    earlier.note(&refusal);
                     let can_go_on = gate.as_mut().is_none_or(TextGate::rewind);
                     if attempt == MAX_ATTEMPTS || !can_go_on || Instant::now() >= job.deadline {
                         self.give_back(Permit::Now(cleared));
-                        return Err(refusal);
+                        return Err(earlier.bound(refusal));
                     }
                     self.note_retry(&refusal);
                     permit = Permit::Now(cleared);
                 }
-                Attempt::Failed(refusal) => return Err(refusal),
+                Attempt::Failed(refusal) => return Err(earlier.bound(refusal)),
             }
         }
         Err(Refusal::not_run(Reason::Internal, "no attempt was made"))
--- a/crates/site/tests/refused_turn.rs
+++ b/crates/site/tests/refused_turn.rs
@@ -33,3 +33,20 @@
         site.stop().await;
     });
 }
+
+#[test]
+fn a_turn_that_broke_engines_is_not_said_not_to_have_run() {
+    smol::block_on(async {
+        let site = Site::start(options(), LONG).await.unwrap();
+        let caller = caller();
+        let host = site.addresses()[0];
+        let program = create(&caller, host).await;
+        for engine in site.engines.values() {
+            engine.control().change(|faults| faults.crash_on = "poison".into());
+        }
+        let reply = turn(&caller, host, &program, "bad", "poison").await;
+        assert!(!reply.is_success(), "{reply:?}");
+        assert_eq!(reply.text("verdict"), "may_have_run", "{reply:?}");
+        site.stop().await;
+    });
+}
