Let content that is known to be harmless run at several upstreams

Cause: the same content ran at one upstream at a time, so that a request which breaks upstreams meets at most two. A call that many programs make in the same words was thereby bound to one upstream's slots, however idle the others were.

Change: content that has run to its end, and broke nothing since, isn't bound. The newest 32,768 to 65,536 such fingerprints are remembered.

--- a/crates/core/src/sched/dispatcher/grant.rs
+++ b/crates/core/src/sched/dispatcher/grant.rs
@@ -138,8 +138,8 @@
             };
             let waiting = &self.waiting[wait];
             debug_assert_eq!(waiting.number, number, "a queue names another request");
-            let elsewhere = self.running.get(&waiting.request.fingerprint);
-            if elsewhere.is_some_and(|&(upstream, _)| upstream != key) {
+            let pinned = self.pinned_to(waiting.request.fingerprint);
+            if pinned.is_some_and(|upstream| upstream != key) {
                 self.take_from_lane(wait);
                 self.settle(now, wait);
                 continue;
--- a/crates/core/src/sched/dispatcher/place.rs
+++ b/crates/core/src/sched/dispatcher/place.rs
@@ -32,7 +32,7 @@
 impl Dispatcher {
     /// Chooses an upstream for a request, or `None` where none is available.
     pub(super) fn place(&self, request: &SlotRequest) -> Option<UpstreamKey> {
-        if let Some(&(key, _)) = self.running.get(&request.fingerprint) {
+        if let Some(key) = self.pinned_to(request.fingerprint) {
             // The same content runs there: if it breaks upstreams, it shall break only that one.
             return self.is_usable(key, request).then_some(key);
         }
@@ -44,6 +44,13 @@
         }
     }
 
+    /// The upstream where a fingerprint runs that has never run to its end. Content that is known
+    /// to be harmless, as a call that many programs make, may run anywhere.
+    pub(super) fn pinned_to(&self, fingerprint: u64) -> Option<UpstreamKey> {
+        let &(key, _) = self.running.get(&fingerprint)?;
+        (!self.suspects.is_proven(fingerprint)).then_some(key)
+    }
+
     /// Puts a waiting request into the queue of an upstream.
     pub(super) fn enqueue(&mut self, key: WaitKey, upstream: UpstreamKey) {
         let waiting = &mut self.waiting[key];
@@ -149,7 +156,7 @@
             let gains = stay_s > MOVE_GAIN_S && self.prefill_s(request, to) + MOVE_GAIN_S < stay_s;
             let may_go = gains
                 && self.is_usable(to, request)
-                && !self.running.contains_key(&request.fingerprint)
+                && self.pinned_to(request.fingerprint).is_none()
                 && self.upstreams[to].has_room(self.tokens_of(request));
             may_go.then_some(key)
         })
--- a/crates/core/src/sched/suspects.rs
+++ b/crates/core/src/sched/suspects.rs
@@ -5,7 +5,7 @@
 //! quarantined for a time; if not, it is cleared.
 
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, HashSet},
     time::{Duration, Instant},
 };
 
@@ -13,6 +13,8 @@
 const QUARANTINE: Duration = Duration::from_secs(600);
 /// How long a suspicion lasts if the request doesn't come back.
 const SUSPICION: Duration = Duration::from_secs(600);
+/// Fingerprints remembered as harmless: between this and twice as many.
+const PROVEN: usize = 32_768;
 
 /// What is held against a fingerprint.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -35,6 +37,9 @@
 #[derive(Clone, Debug, Default)]
 pub(super) struct Suspects {
     by_fingerprint: BTreeMap<u64, Entry>,
+    /// Fingerprints that ran to their end, in two generations. Only asked for membership.
+    proven: HashSet<u64>,
+    proven_before: HashSet<u64>,
 }
 
 impl Suspects {
@@ -50,8 +55,15 @@
         }
     }
 
+    /// Whether the fingerprint has run to its end before and broke nothing since.
+    pub(super) fn is_proven(&self, fingerprint: u64) -> bool {
+        self.proven.contains(&fingerprint) || self.proven_before.contains(&fingerprint)
+    }
+
     /// An upstream broke while the fingerprint ran there among others.
     pub(super) fn suspect(&mut self, now: Instant, fingerprint: u64) {
+        self.proven.remove(&fingerprint);
+        self.proven_before.remove(&fingerprint);
         let entry = Entry { is_quarantined: false, until: now + SUSPICION };
         self.by_fingerprint.entry(fingerprint).or_insert(entry);
     }
@@ -68,6 +80,10 @@
         if self.by_fingerprint.get(&fingerprint).is_some_and(is_suspected) {
             self.by_fingerprint.remove(&fingerprint);
         }
+        if self.proven.len() >= PROVEN {
+            self.proven_before = std::mem::take(&mut self.proven);
+        }
+        self.proven.insert(fingerprint);
     }
 
     /// Drops what has expired.
--- a/crates/core/tests/sched_dispatcher.rs
+++ b/crates/core/tests/sched_dispatcher.rs
@@ -207,6 +207,24 @@
     assert_eq!(bench.next_grant().0, 50);
 }
 
+#[test]
+fn the_same_content_stays_at_one_upstream_until_it_is_known_to_be_harmless() {
+    let mut bench = Bench::new(options(), 3);
+    let mut spread = |first: u64| {
+        for waiter in first..first + 8 {
+            bench.ask(waiter, SlotRequest { fingerprint: 7, prompt_tokens: 0, ..request(waiter) });
+        }
+        let mut used = BTreeSet::new();
+        while let Some((_, grant)) = bench.granted.pop_front() {
+            used.insert(grant.upstream);
+            bench.end(grant.ticket, done());
+        }
+        used.len()
+    };
+    assert_eq!(spread(0), 1);
+    assert_eq!(spread(100), 3);
+}
+
 /// A caller that sends one request again and again, which breaks each upstream that runs it,
 /// among others that send again what broke beside it.
 #[test]
