--- /dev/null
+++ b/crates/load/src/capacity/cluster.rs
@@ -0,0 +1,262 @@
+//! Membership machines of many hosts with a store, in virtual time, without loss.
+
+use {
+    super::{CapacityError, wire},
+    error_stack::Report,
+    std::{
+        collections::{BTreeMap, VecDeque},
+        time::{Duration, Instant},
+    },
+    trefoilring_core::{
+        hlc::Stamp,
+        ids::{DomainId, HostId, JournalId, Member},
+        membership::{
+            Command, Event, Identity, MANIFEST_KEY, Membership, Message, Options, OwnedJournal,
+            StoreError, StoreOp, StoreReply, StoreResult,
+        },
+    },
+    trefoilring_proto::{PeerRequest, PeerResponse},
+};
+
+/// Time between two looks at the time; a tenth of a heartbeat, as in the daemon.
+const TICK: Duration = Duration::from_millis(100);
+/// Ticks of one second.
+const TICKS_PER_S: usize = 10;
+/// Wall clock of the first life of all hosts, in milliseconds since 1970.
+const FIRST_LIFE_MS: u64 = 1_796_000_000_000;
+
+/// What one host did.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Traffic {
+    /// Bytes to and from other hosts.
+    pub peer_bytes: f64,
+    /// Messages to and from other hosts, answers included.
+    pub peer_messages: f64,
+    /// Bytes of values to and from the store.
+    pub store_bytes: f64,
+    /// Reads of one object.
+    pub reads: f64,
+    /// Lists.
+    pub lists: f64,
+    /// Writes.
+    pub writes: f64,
+    /// Time in the machine.
+    pub busy: Duration,
+}
+
+impl Traffic {
+    /// Bytes of both kinds.
+    pub fn bytes(&self) -> f64 {
+        self.peer_bytes + self.store_bytes
+    }
+}
+
+/// The hosts and the store.
+pub struct Cluster {
+    now: Instant,
+    machines: Vec<Membership>,
+    places: BTreeMap<HostId, usize>,
+    store: BTreeMap<String, (u64, Vec<u8>)>,
+    revision: u64,
+    traffic: Vec<Traffic>,
+    queue: VecDeque<(usize, Command)>,
+    /// Object version of the manifest that each host has heard of.
+    seen: Vec<u64>,
+}
+
+impl Cluster {
+    /// Makes hosts in failure domains, all starting now.
+    pub fn new(hosts: usize, domains: usize) -> Self {
+        let now = Instant::now();
+        let members: Vec<Membership> =
+            (0..hosts).map(|number| machine(now, number, domains, FIRST_LIFE_MS)).collect();
+        let host = |machine: &Membership| machine.me().member.host.clone();
+        let places = members.iter().enumerate().map(|(index, m)| (host(m), index)).collect();
+        Self {
+            now,
+            traffic: vec![Traffic::default(); hosts],
+            machines: members,
+            places,
+            store: BTreeMap::new(),
+            revision: 0,
+            queue: VecDeque::new(),
+            seen: vec![0; hosts],
+        }
+    }
+
+    /// The machines, in the order of the hosts' numbers.
+    pub fn machines(&mut self) -> &mut [Membership] {
+        &mut self.machines
+    }
+
+    /// One host's machine.
+    pub fn machine(&self, number: usize) -> &Membership {
+        &self.machines[number]
+    }
+
+    /// The virtual time.
+    pub fn now(&self) -> Instant {
+        self.now
+    }
+
+    /// Bytes of a domain's roster as stored.
+    pub fn roster_bytes(&self) -> f64 {
+        let rosters = self.store.iter().filter(|(key, _)| key.starts_with("roster/"));
+        rosters.map(|(_, (_, bytes))| bytes.len()).max().unwrap_or_default() as f64
+    }
+
+    /// Lets seconds pass and returns what each host did in them.
+    pub fn run(&mut self, seconds: usize) -> Result<Vec<Traffic>, Report<CapacityError>> {
+        self.traffic.fill(Traffic::default());
+        for _ in 0..seconds * TICKS_PER_S {
+            self.tick()?;
+        }
+        Ok(self.traffic.clone())
+    }
+
+    fn tick(&mut self) -> Result<(), Report<CapacityError>> {
+        self.now += TICK;
+        for index in 0..self.machines.len() {
+            self.deliver(index, Event::Tick);
+        }
+        while let Some((from, command)) = self.queue.pop_front() {
+            self.carry_out(from, command)?;
+        }
+        Ok(())
+    }
+
+    /// Fails unless every host sees every host live.
+    pub fn check_whole(&self) -> Result<(), Report<CapacityError>> {
+        let hosts = self.machines.len();
+        let all_live = self.machines.iter().all(|machine| machine.live_hosts().count() == hosts);
+        let error = || Report::new(CapacityError).attach(format!("{hosts} hosts did not settle"));
+        all_live.then_some(()).ok_or_else(error)
+    }
+
+    /// Writes a manifest, and returns how long it takes until every host has heard of it.
+    pub fn spread_manifest(&mut self, limit: Duration) -> Result<Duration, Report<CapacityError>> {
+        self.revision += 1;
+        let version = self.revision;
+        self.store.insert(MANIFEST_KEY.into(), (version, Vec::new()));
+        let start = self.now;
+        while self.seen.iter().any(|seen| *seen < version) {
+            if self.now.duration_since(start) > limit {
+                return Err(Report::new(CapacityError).attach("a manifest did not reach all"));
+            }
+            self.tick()?;
+        }
+        Ok(self.now.duration_since(start))
+    }
+
+    /// Stops a host as planned, and starts it anew once it is out of the rosters.
+    pub fn restart(
+        &mut self,
+        number: usize,
+        domains: usize,
+        wait_s: usize,
+    ) -> Result<Vec<Traffic>, Report<CapacityError>> {
+        self.deliver(number, Event::Drain);
+        self.deliver(number, Event::Leave);
+        let mut sum = self.run(wait_s)?;
+        self.machines[number] = machine(self.now, number, domains, FIRST_LIFE_MS + 1_000);
+        for (sum, more) in sum.iter_mut().zip(self.run(wait_s)?) {
+            sum.peer_bytes += more.peer_bytes;
+            sum.store_bytes += more.store_bytes;
+        }
+        Ok(sum)
+    }
+
+    fn deliver(&mut self, index: usize, event: Event) {
+        let started = Instant::now();
+        let commands = self.machines[index].handle(self.now, event);
+        self.traffic[index].busy += started.elapsed();
+        self.queue.extend(commands.into_iter().map(|command| (index, command)));
+    }
+
+    fn carry_out(&mut self, from: usize, command: Command) -> Result<(), Report<CapacityError>> {
+        match command {
+            Command::Send { to, message, .. } => {
+                let Some(&to) = self.places.get(&to) else { return Ok(()) };
+                self.count_message(from, to, &message)?;
+                self.deliver(to, Event::Received(wire::sent(&message)?));
+            }
+            Command::Store { token, op } => {
+                let result = self.operate(from, op);
+                self.deliver(from, Event::Stored { token, result });
+            }
+            Command::ManifestSeen { version, .. } => self.seen[from] = version,
+            Command::ViewChanged | Command::Note(_) => (),
+        }
+        Ok(())
+    }
+
+    /// A message is a call, whose answer is a time stamp.
+    fn count_message(
+        &mut self,
+        from: usize,
+        to: usize,
+        message: &Message,
+    ) -> Result<(), Report<CapacityError>> {
+        let stamp = Stamp { wall_us: FIRST_LIFE_MS * 1_000, count: 0 };
+        let request = PeerRequest::Member { message: message.clone(), stamp };
+        let bytes =
+            wire::request_bytes(request)? + wire::response_bytes(PeerResponse::Member(stamp))?;
+        for index in [from, to] {
+            self.traffic[index].peer_bytes += bytes;
+            self.traffic[index].peer_messages += 2.0;
+        }
+        Ok(())
+    }
+
+    fn operate(&mut self, from: usize, op: StoreOp) -> StoreResult {
+        let traffic = &mut self.traffic[from];
+        match op {
+            StoreOp::Read { key } => {
+                traffic.reads += 1.0;
+                let found = self.store.get(&key).cloned();
+                traffic.store_bytes += found.as_ref().map_or(0, |(_, bytes)| bytes.len()) as f64;
+                let found = found.map(|(version, bytes)| StoreReply::Value { version, bytes });
+                Ok(found.unwrap_or(StoreReply::Absent))
+            }
+            StoreOp::Write { key, if_version, bytes } => {
+                traffic.writes += 1.0;
+                traffic.store_bytes += bytes.len() as f64;
+                let known = self.store.get(&key).map_or(0, |(version, _)| *version);
+                if known != if_version {
+                    return Err(StoreError::Conflict);
+                }
+                self.revision += 1;
+                self.store.insert(key, (self.revision, bytes));
+                Ok(StoreReply::Written { version: self.revision })
+            }
+            StoreOp::List { prefix } => {
+                traffic.lists += 1.0;
+                let keys = self.store.iter().filter(|(key, _)| key.starts_with(&prefix));
+                let keys = keys.map(|(key, (version, _))| (key.clone(), *version));
+                let keys: Vec<(String, u64)> = keys.collect();
+                let text = serde_json::to_vec(&keys).unwrap_or_default();
+                traffic.store_bytes += text.len() as f64;
+                Ok(StoreReply::Listed(keys))
+            }
+        }
+    }
+}
+
+/// The name of a host.
+pub fn host_name(number: usize) -> HostId {
+    format!("entry-{number:03}").into()
+}
+
+fn machine(now: Instant, number: usize, domains: usize, life_ms: u64) -> Membership {
+    let host = host_name(number);
+    let domain: DomainId =
+        format!("region-{}-{:02}", number % domains % 3, number % domains).into();
+    let journal: JournalId = format!("{host}-{life_ms:x}-0").into();
+    let member = Member { host, incarnation: life_ms };
+    let address = format!("10.20.{}.{}:7402", number / 250, number % 250 + 1);
+    let mut machine =
+        Membership::new(now, Identity { member, address, domain }, Options::default());
+    machine.set_journals(vec![OwnedJournal { journal, epoch: 1 }]);
+    machine.set_config(1);
+    machine
+}
--- /dev/null
+++ b/crates/load/src/capacity/config.rs
@@ -0,0 +1,198 @@
+//! The configuration of 32,000 teams on every host.
+
+use {
+    super::{
+        CapacityError,
+        figure::{Figures, memory_of_one},
+        limiter::team,
+        size, wire,
+    },
+    error_stack::{Report, ResultExt},
+    std::{
+        hint::black_box,
+        sync::Arc,
+        time::{Duration, Instant},
+    },
+    trefoilring_core::{
+        catalog::{Budget, Catalog, Class, Key, Service, ServiceKind, Team},
+        spread::{
+            Command, Event, Options, Shard, ShardSource, Spread, assemble, plan_apply, split,
+        },
+    },
+    trefoilring_proto::{ConfigPart, PeerRequest, PeerResponse},
+};
+
+/// Memory of a configuration of so many teams on one host.
+pub fn memory(teams: usize) -> Result<f64, Report<CapacityError>> {
+    let parts = split(&catalog(teams), "first").change_context(CapacityError)?;
+    memory_of_one(|| load(&parts))
+}
+
+/// Measures how a configuration is split, sent and put together. Returns the catalog.
+pub fn measure(figures: &mut Figures) -> Result<Arc<Catalog>, Report<CapacityError>> {
+    let made = catalog(size::TEAMS);
+    let parts = split(&made, "first").change_context(CapacityError)?;
+    let spread = load(&parts)?;
+    full(figures, made, spread)
+}
+
+/// A manifest and the shards that it names and the other of the two doesn't.
+type Change = (Vec<u8>, Vec<Shard>);
+
+/// A change of one team, there and back.
+fn changes(catalog: &Catalog) -> Result<[Change; 2], Report<CapacityError>> {
+    let first = plan_apply(None, catalog, "first").change_context(CapacityError)?;
+    let mut changed = catalog.clone();
+    changed.teams.entry(team(7)).and_modify(|team| team.rate_per_s += 1.0);
+    let second = plan_apply(Some((1, &first.manifest)), &changed, "second");
+    let second = second.change_context(CapacityError)?;
+    let back = plan_apply(Some((2, &second.manifest)), catalog, "third");
+    let back = back.change_context(CapacityError)?;
+    Ok([(second.bytes, second.new_shards), (back.bytes, back.new_shards)])
+}
+
+/// Takes one of two changes in, by turns.
+fn change(
+    spread: &mut Spread,
+    version: u64,
+    changes: &[Change; 2],
+) -> Result<(), Report<CapacityError>> {
+    let (bytes, shards) = &changes[(version % 2) as usize];
+    take_in(spread, version, with_version(bytes, version)?, shards)
+}
+
+/// Measures one change of one team at the full size.
+fn full(
+    figures: &mut Figures,
+    catalog: Catalog,
+    spread: Spread,
+) -> Result<Arc<Catalog>, Report<CapacityError>> {
+    let changes = changes(&catalog)?;
+    let (bytes, new_shards) = &changes[0];
+    let shard_bytes: usize = new_shards.iter().map(|shard| shard.bytes.len()).sum();
+    let (manifest, shards) = split(&catalog, "first").change_context(CapacityError)?;
+    let mut count = |id, unit, what, value| figures.count(id, unit, what, value);
+    count("config.shards", "", "shards of the whole", shards.len() as f64);
+    let whole: usize = shards.iter().map(|shard| shard.bytes.len()).sum();
+    count("config.whole", "B", "bytes of all shards", whole as f64);
+    count("config.manifest", "B", "bytes of the manifest", bytes.len() as f64);
+    count("config.change.shards", "", "new shards of a change", new_shards.len() as f64);
+    count("config.change.shard", "B", "bytes of the new shards of a change", shard_bytes as f64);
+    let sent = change_bytes(bytes, new_shards)?;
+    count("config.change.bytes", "B", "bytes to one host for a change", sent);
+    figures.time("config.split", "split the whole catalog, at the operator's", || {
+        black_box(split(&catalog, "first").change_context(CapacityError)?);
+        Ok(1)
+    })?;
+    figures.time("config.assemble", "put the whole catalog together from its shards", || {
+        black_box(assemble(&manifest, &shards).change_context(CapacityError)?);
+        Ok(1)
+    })?;
+    let mut spread = spread;
+    let mut version = 10;
+    figures.time("config.change", "take a change of one team in, on one host", || {
+        version += 1;
+        change(&mut spread, version, &changes)?;
+        Ok(1)
+    })?;
+    Ok(Arc::new(catalog))
+}
+
+/// The manifest with another version.
+fn with_version(bytes: &[u8], version: u64) -> Result<Vec<u8>, Report<CapacityError>> {
+    let manifest = trefoilring_core::spread::decode_manifest(bytes);
+    let mut manifest = manifest.change_context(CapacityError)?;
+    manifest.version = version;
+    trefoilring_core::spread::encode_manifest(&manifest).change_context(CapacityError)
+}
+
+fn change_bytes(manifest: &[u8], shards: &[Shard]) -> Result<f64, Report<CapacityError>> {
+    let part = |part, value: &[u8]| {
+        let sent = wire::request_bytes(PeerRequest::ConfigPart { part })?;
+        let got = wire::response_bytes(PeerResponse::ConfigPart(Some((1, value.to_vec()))))?;
+        Ok::<f64, Report<CapacityError>>(sent + got)
+    };
+    let mut bytes = part(ConfigPart::Manifest, manifest)?;
+    for shard in shards {
+        bytes += part(ConfigPart::Shard(shard.hash.clone()), &shard.bytes)?;
+    }
+    Ok(bytes)
+}
+
+/// Loads a configuration as a host does that starts.
+fn load(
+    (manifest, shards): &(trefoilring_core::spread::Manifest, Vec<Shard>),
+) -> Result<Spread, Report<CapacityError>> {
+    let mut spread = Spread::new(Options::default(), 0);
+    let bytes = trefoilring_core::spread::encode_manifest(manifest);
+    take_in(&mut spread, 1, bytes.change_context(CapacityError)?, shards)?;
+    Ok(spread)
+}
+
+/// Puts a version in force. Fails unless it is in force at the end.
+fn take_in(
+    spread: &mut Spread,
+    version: u64,
+    manifest: Vec<u8>,
+    shards: &[Shard],
+) -> Result<(), Report<CapacityError>> {
+    let now = Instant::now();
+    spread.handle(now, Event::ManifestSeen { version, as_of: now });
+    let mut commands = spread.handle(now, Event::Manifest { version, bytes: manifest });
+    let mut is_in_force = false;
+    while let Some(command) = commands.pop() {
+        match command {
+            Command::FetchShard { hash, from: ShardSource::Store | ShardSource::Host(_) } => {
+                let shard = shards.iter().find(|shard| shard.hash == hash);
+                let shard = shard.ok_or_else(|| Report::new(CapacityError).attach("no shard"))?;
+                commands.extend(spread.handle(now, Event::Shard(shard.clone())));
+            }
+            Command::InForce { .. } => is_in_force = true,
+            Command::Note(note) => return Err(Report::new(CapacityError).attach(note.to_string())),
+            Command::FetchManifest { .. } => (),
+        }
+    }
+    let error = || Report::new(CapacityError).attach(format!("version {version} is not in force"));
+    is_in_force.then_some(()).ok_or_else(error)
+}
+
+/// A catalog of many teams with a key each, and of all models.
+pub fn catalog(teams: usize) -> Catalog {
+    let target_ms = Duration::from_secs(60).as_millis() as u64;
+    let class = |name: &str| (name.into(), Class { target_ms, budget: Budget::default() });
+    let service = |number: usize| {
+        let model = format!("model-{number:02}");
+        let service = Service {
+            kind: ServiceKind::Engine,
+            models: vec![model.clone()],
+            repeatable: Vec::new(),
+            open: Vec::new(),
+            checks_fencing: true,
+            deadline_ms: 120_000,
+        };
+        (model.into(), service)
+    };
+    let rates = |number: usize| Team {
+        rate_per_s: 1.0 + (number % 50) as f64,
+        burst_requests: 100,
+        classes: vec!["interactive".into()],
+    };
+    let key = |number: usize| {
+        let hash = blake3_hex(number);
+        let id = format!("key-{number:05}").into();
+        (hash, Key { id, team: team(number), is_withdrawn: false })
+    };
+    Catalog {
+        version: 1,
+        classes: ["interactive", "batch", "research"].map(class).into(),
+        teams: (0..teams).map(|number| (team(number), rates(number))).collect(),
+        keys: (0..teams).map(key).collect(),
+        services: (0..size::MODELS).map(service).collect(),
+        draining: Default::default(),
+    }
+}
+
+/// A hash as of a secret.
+fn blake3_hex(number: usize) -> String {
+    trefoilring_config::secret::hash_secret(&format!("secret-{number}"))
+}
--- /dev/null
+++ b/crates/load/src/capacity/dispatch.rs
@@ -0,0 +1,249 @@
+//! Dispatchers of pools of upstreams.
+
+use {
+    super::{
+        CapacityError,
+        cluster::host_name,
+        config::catalog,
+        figure::{Figures, memory_of, memory_of_one},
+        home::program,
+        limiter::team,
+        size, wire,
+    },
+    error_stack::Report,
+    std::time::{Duration, Instant},
+    trefoilring_core::{
+        catalog::Catalog,
+        ids::UpstreamId,
+        message::Usage,
+        sched::{
+            Command, Dispatcher, DispatcherOptions, LoadReport, Outcome, SlotGrant, SlotRelease,
+            SlotRequest, Ticket, UpstreamView,
+        },
+    },
+    trefoilring_proto::{PeerRequest, PeerResponse},
+};
+
+/// Upstreams of the pools that are measured with an empty queue.
+pub const POOLS: [usize; 5] = [3, 9, 18, 60, 600];
+/// Lengths of the queue that are measured with a pool of the size to design for.
+const QUEUES: [usize; 3] = [20, 200, 2_000];
+/// Programs of the memory measurement.
+const PROGRAMS: usize = 100_000;
+/// Programs whose calls take turns otherwise.
+const CALLERS: usize = 1_485;
+
+/// A dispatcher with calls under way.
+struct Pool {
+    dispatcher: Dispatcher,
+    now: Instant,
+    next: usize,
+    running: std::collections::VecDeque<Ticket>,
+}
+
+/// Measures dispatchers under a catalog of the size to design for.
+pub fn measure(figures: &mut Figures, catalog: &Catalog) -> Result<(), Report<CapacityError>> {
+    let pool_size = size::WORKERS_PER_POOL.round() as usize;
+    for upstreams in POOLS {
+        let mut pool = Pool::new(upstreams, catalog);
+        pool.run_until_busy(upstreams * 2);
+        let what = format!("request, grant and release: {upstreams} upstreams, empty queue");
+        figures.time(format!("dispatch.cycle.{upstreams}"), &what, || pool.cycles(100))?;
+    }
+    for queue in QUEUES {
+        let mut pool = Pool::new(pool_size, catalog);
+        pool.run_until_waiting(queue)?;
+        let what = format!("request, grant and release: {pool_size} upstreams, {queue} wait");
+        figures.time(format!("dispatch.cycle.queue.{queue}"), &what, || pool.cycles(100))?;
+    }
+    reports(figures, catalog, pool_size)?;
+    messages(figures)
+}
+
+/// Memory of a dispatcher of a pool, with the weights of all teams.
+pub fn memory() -> Result<f64, Report<CapacityError>> {
+    let catalog = catalog(size::TEAMS);
+    memory_of_one(|| Ok(Pool::new(size::WORKERS_PER_POOL.round() as usize, &catalog)))
+}
+
+/// Memory of one program in the cache map.
+pub fn memory_program() -> Result<f64, Report<CapacityError>> {
+    let mut pool = Pool::new(size::WORKERS_PER_POOL.round() as usize, &catalog(size::TEAMS));
+    memory_of(PROGRAMS, || {
+        for _ in 0..PROGRAMS {
+            pool.cycle_of(PROGRAMS)?;
+        }
+        Ok(())
+    })
+}
+
+fn reports(
+    figures: &mut Figures,
+    catalog: &Catalog,
+    pool_size: usize,
+) -> Result<(), Report<CapacityError>> {
+    let mut pool = Pool::new(pool_size, catalog);
+    pool.run_until_busy(pool_size * 2);
+    figures.time("dispatch.report", "take in a load report", || {
+        for number in 0..100 {
+            pool.now += Duration::from_millis(1);
+            pool.report(number % pool_size);
+        }
+        Ok(100)
+    })?;
+    figures.time("dispatch.tick", "tick of a dispatcher", || {
+        for _ in 0..100 {
+            pool.now += Duration::from_millis(100);
+            pool.dispatcher.tick(pool.now);
+        }
+        Ok(100)
+    })?;
+    figures.time("dispatch.catalog", "give a dispatcher a catalog of 32,000 teams", || {
+        pool.dispatcher.set_catalog(catalog);
+        Ok(1)
+    })
+}
+
+fn messages(figures: &mut Figures) -> Result<(), Report<CapacityError>> {
+    let grant = SlotGrant {
+        ticket: 4_000_000_000_000_000_000,
+        upstream: upstream(1),
+        address: "10.30.0.1:8000".into(),
+        waited: Duration::from_millis(3),
+    };
+    let release = SlotRelease { service: "model-01".into(), ticket: grant.ticket, outcome: done() };
+    let acquire = wire::request_bytes(PeerRequest::AcquireSlot { request: request(0, 0) })?
+        + wire::response_bytes(PeerResponse::AcquireSlot(Ok(grant)))?;
+    let release = wire::request_bytes(PeerRequest::ReleaseSlot { release })?
+        + wire::response_bytes(PeerResponse::ReleaseSlot(()))?;
+    figures.count("dispatch.acquire.bytes", "B", "request for a slot and its grant", acquire);
+    figures.count("dispatch.release.bytes", "B", "release of a slot and its answer", release);
+    Ok(())
+}
+
+impl Pool {
+    fn new(upstreams: usize, catalog: &Catalog) -> Self {
+        let now = Instant::now();
+        // A queue of a given length is wanted here, so nothing is shed.
+        let options = DispatcherOptions::new("model-01".into()).seed(1).shedding(false);
+        let mut dispatcher = Dispatcher::new(options);
+        dispatcher.set_catalog(catalog);
+        let view = |number: usize| UpstreamView {
+            upstream: upstream(number),
+            address: format!("10.30.{}.{}:8000", number / 250, number % 250 + 1),
+            domain: format!("domain-{:02}", number % size::DOMAINS).into(),
+            is_leaving: false,
+            models: vec!["model-01".into()],
+        };
+        dispatcher.set_upstreams(now, (0..upstreams).map(view).collect());
+        let mut pool = Self { dispatcher, now, next: 0, running: Default::default() };
+        for number in 0..upstreams {
+            pool.report(number);
+        }
+        pool
+    }
+
+    fn report(&mut self, number: usize) {
+        let report = LoadReport {
+            running: 2,
+            waiting: 0,
+            kv_used_tokens: 100_000,
+            kv_capacity_tokens: 2_000_000,
+            age: Duration::from_millis(100),
+        };
+        let commands = self.dispatcher.load_report(self.now, &upstream(number), report);
+        self.take(commands);
+    }
+
+    /// Sends requests until so many calls run.
+    fn run_until_busy(&mut self, calls: usize) {
+        while self.running.len() < calls {
+            let before = self.running.len();
+            self.ask(CALLERS);
+            if self.running.len() == before {
+                break;
+            }
+        }
+    }
+
+    /// Sends requests until so many wait.
+    fn run_until_waiting(&mut self, waiting: usize) -> Result<(), Report<CapacityError>> {
+        const ATTEMPTS_MAX: usize = 100_000;
+        for _ in 0..ATTEMPTS_MAX {
+            if self.dispatcher.waiting() >= waiting {
+                return Ok(());
+            }
+            self.ask(CALLERS);
+        }
+        Err(Report::new(CapacityError).attach(format!("no queue of {waiting} requests")))
+    }
+
+    fn cycles(&mut self, count: u64) -> Result<u64, Report<CapacityError>> {
+        for _ in 0..count {
+            self.cycle_of(CALLERS)?;
+        }
+        Ok(count)
+    }
+
+    /// Ends the oldest call and makes a new one.
+    fn cycle_of(&mut self, programs: usize) -> Result<(), Report<CapacityError>> {
+        self.ask(programs);
+        let ticket = self.running.pop_front();
+        let ticket = ticket.ok_or_else(|| Report::new(CapacityError).attach("no call runs"))?;
+        let release = SlotRelease { service: "model-01".into(), ticket, outcome: done() };
+        let commands = self.dispatcher.release(self.now, release);
+        self.take(commands);
+        Ok(())
+    }
+
+    fn ask(&mut self, programs: usize) {
+        self.now += Duration::from_micros(100);
+        let number = self.next;
+        self.next += 1;
+        let request = request(number % programs, number);
+        let commands = self.dispatcher.request(self.now, request, number as u64);
+        self.take(commands);
+    }
+
+    fn take(&mut self, commands: Vec<Command>) {
+        self.running.extend(commands.into_iter().filter_map(|command| match command {
+            Command::Grant { grant, .. } => Some(grant.ticket),
+            _ => None,
+        }));
+    }
+}
+
+fn upstream(number: usize) -> UpstreamId {
+    format!("worker-{number:03}").into()
+}
+
+fn request(number: usize, request: usize) -> SlotRequest {
+    SlotRequest {
+        request: format!("{request:016x}").into(),
+        home: host_name(number % size::HOSTS as usize),
+        service: "model-01".into(),
+        model: Some("model-01".into()),
+        program: program(number),
+        class: "interactive".into(),
+        team: team(number % size::TEAMS),
+        program_age: Duration::from_secs(100),
+        target: Duration::from_secs(60),
+        calls_done: 10,
+        prompt_tokens: 20_000,
+        completion_tokens: size::TOKENS_PER_REQUEST as u64,
+        last_upstream: None,
+        fingerprint: request as u64,
+        is_repeatable: true,
+        patience: Duration::from_secs(120),
+    }
+}
+
+fn done() -> Outcome {
+    let usage = Usage {
+        prompt_tokens: 20_000,
+        cached_tokens: 19_000,
+        completion_tokens: size::TOKENS_PER_REQUEST as u64,
+    };
+    let first_byte = Duration::from_millis(300);
+    Outcome::Done { first_byte, total: Duration::from_secs(3), usage: Some(usage) }
+}
--- /dev/null
+++ b/crates/load/src/capacity/home.rs
@@ -0,0 +1,322 @@
+//! Programs, their journal, and copies at backups.
+
+use {
+    super::{
+        CapacityError,
+        cluster::host_name,
+        figure::{Figures, memory_of},
+        limiter::team,
+        size,
+    },
+    error_stack::{Report, ResultExt},
+    rand::{RngExt, SeedableRng, rngs::StdRng},
+    std::{
+        collections::BTreeMap,
+        hint::black_box,
+        time::{Duration, Instant},
+    },
+    trefoilring_core::{
+        catalog::Budget,
+        ids::{Member, ProgramId},
+        journal::{
+            Backup, Command, CopyReply, Entry, Event, Journal, Record, Settings, StepResult,
+            Takeover, TakeoverCommand, TakeoverEvent,
+        },
+        message::{Message, Usage},
+        program::{self, Moment, Programs},
+    },
+};
+
+/// Programs of the memory measurement, all at their full length.
+const PROGRAMS: usize = 40;
+/// Programs of the memory measurement that have no turns.
+const EMPTY_PROGRAMS: usize = 20_000;
+/// Seed of arrivals.
+const SEED: u64 = 20_261_203;
+/// Time of one store write.
+const STORE_WRITE: Duration = Duration::from_millis(5);
+/// Virtual time over which waits are measured.
+const WAITS_OVER: Duration = Duration::from_secs(300);
+/// Entries a second that all journals of the site write together, as in `host::control::journals`.
+const SITE_WRITES_PER_S: f64 = 250.0;
+/// Bytes that one host holds for others at most, as in `host::control`.
+pub const BACKUP_BYTES_MAX: f64 = (64 << 20) as f64;
+
+/// Measures programs, journals and backups.
+pub fn measure(figures: &mut Figures) -> Result<(), Report<CapacityError>> {
+    programs(figures)?;
+    append(figures)?;
+    copies(figures)?;
+    for (name, writes_per_s) in [
+        ("host", SITE_WRITES_PER_S / size::HOSTS),
+        ("domain", SITE_WRITES_PER_S / size::DOMAINS as f64),
+    ] {
+        let requests_per_s = match name {
+            "host" => size::REQUESTS_PER_HOST,
+            _ => size::REQUESTS_PER_S / size::DOMAINS as f64,
+        };
+        let waits = waits(writes_per_s, requests_per_s)?;
+        let what = "wait for the store with a journal a";
+        let at = |share: f64| waits[((waits.len() - 1) as f64 * share) as usize] * 1e3;
+        for (id, value) in [("p50", at(0.50)), ("p95", at(0.95)), ("p99", at(0.99))] {
+            let id = format!("journal.wait.{name}.{id}");
+            figures.count(id, "ms", &format!("{what} {name}, virtual time"), value);
+        }
+    }
+    Ok(())
+}
+
+/// Memory of a program at its full length.
+pub fn memory() -> Result<f64, Report<CapacityError>> {
+    let records: Vec<Record> = (0..PROGRAMS).flat_map(all_records).collect();
+    memory_of(PROGRAMS, || Ok(recover(&records)))
+}
+
+/// Memory of a program before its first turn.
+pub fn memory_empty() -> Result<f64, Report<CapacityError>> {
+    let records: Vec<Record> = (0..EMPTY_PROGRAMS).map(created).collect();
+    memory_of(EMPTY_PROGRAMS, || Ok(recover(&records)))
+}
+
+fn recover(records: &[Record]) -> Programs {
+    Programs::recover(program::Settings::default(), moment(), records)
+}
+
+fn programs(figures: &mut Figures) -> Result<(), Report<CapacityError>> {
+    let now = moment();
+    let estimated = recover(&all_records(0)).estimated_bytes() as f64;
+    figures.count("home.program.estimated", "B", "the machine's own estimate of it", estimated);
+    let turns = all_records(0);
+    figures.time("home.apply", "apply the record of a turn", || {
+        let mut programs = Programs::new(program::Settings::default());
+        for record in &turns {
+            black_box(programs.apply(now, record));
+        }
+        Ok(turns.len() as u64)
+    })
+}
+
+fn append(figures: &mut Figures) -> Result<(), Report<CapacityError>> {
+    let entry = entry(vec![turn(&program(0), 0)]);
+    let bytes = serde_json::to_vec(&entry).change_context(CapacityError)?.len() as f64;
+    figures.count("journal.entry", "B", "a stored entry with the record of one turn", bytes);
+    let empty = Entry { records: Vec::new(), ..entry.clone() };
+    let empty = serde_json::to_vec(&empty).change_context(CapacityError)?.len() as f64;
+    figures.count("journal.record", "B", "of which the record", bytes - empty);
+    figures.time("journal.encode", "encode an entry with one turn for the store", || {
+        for _ in 0..100 {
+            black_box(serde_json::to_vec(&entry).change_context(CapacityError)?);
+        }
+        Ok(100)
+    })?;
+    let record = turn(&program(0), 0);
+    let mut journal = open(Settings { spacing: Duration::ZERO, ..Settings::default() })?;
+    let mut now = Instant::now();
+    let mut token = 0;
+    figures.time("journal.append", "append a turn's record and take in its write", || {
+        for _ in 0..100 {
+            now += Duration::from_millis(1);
+            token += 1;
+            let taken = journal.append(now, vec![record.clone()], token);
+            store_all(&mut journal, now, taken.change_context(CapacityError)?)?;
+        }
+        Ok(100)
+    })
+}
+
+/// Takes in all writes at once, checkpoints included. Fails if no record becomes durable.
+fn store_all(
+    journal: &mut Journal,
+    now: Instant,
+    mut commands: Vec<Command>,
+) -> Result<(), Report<CapacityError>> {
+    let mut is_durable = false;
+    while let Some(command) = commands.pop() {
+        match command {
+            Command::Write(entry) => {
+                commands.extend(journal.handle(now, Event::Stored { seq: entry.seq }));
+            }
+            Command::Delete { seq } => commands.extend(journal.handle(now, Event::Deleted { seq })),
+            Command::Durable { .. } => is_durable = true,
+            _ => (),
+        }
+    }
+    let error = || Report::new(CapacityError).attach("an append is not durable");
+    is_durable.then_some(()).ok_or_else(error)
+}
+
+fn copies(figures: &mut Figures) -> Result<(), Report<CapacityError>> {
+    let entry = entry(vec![turn(&program(0), 0)]);
+    let request = trefoilring_proto::CopyRequest { to: member(1), entry: entry.clone() };
+    let bytes = super::wire::request_bytes(trefoilring_proto::PeerRequest::CopyEntry { request })?
+        + super::wire::response_bytes(trefoilring_proto::PeerResponse::CopyEntry(Some(
+            CopyReply::Acked,
+        )))?;
+    figures.count("backup.copy.bytes", "B", "copy of an entry with one turn, answered", bytes);
+    let mut backup = Backup::new(member(1), BACKUP_BYTES_MAX as usize);
+    let mut seq = 0;
+    figures.time("backup.copy", "hold a copy of an entry with one turn, and drop it", || {
+        for _ in 0..100 {
+            seq += 1;
+            let reply = backup.copy(&member(1), Entry { seq, ..entry.clone() });
+            if reply != CopyReply::Acked {
+                return Err(Report::new(CapacityError).attach(format!("copy: {reply:?}")));
+            }
+            backup.discard(&entry.journal, entry.epoch, seq);
+        }
+        Ok(100)
+    })
+}
+
+/// Waits of appends until they are durable, in seconds, in order, with a journal that may write so
+/// often. Arrivals are random with a fixed seed; time is virtual.
+pub fn waits(writes_per_s: f64, requests_per_s: f64) -> Result<Vec<f64>, Report<CapacityError>> {
+    const STEP: Duration = Duration::from_millis(1);
+    let spacing = Duration::from_secs_f64(1.0 / writes_per_s);
+    let burst_writes = writes_per_s as u32;
+    let mut journal = open(Settings { spacing, burst_writes, ..Settings::default() })?;
+    let mut rng = StdRng::seed_from_u64(SEED);
+    let start = Instant::now();
+    let mut now = start;
+    let mut arrival = now;
+    let mut writing: Option<(u64, Instant)> = None;
+    let mut begun: BTreeMap<u64, Instant> = BTreeMap::new();
+    let mut waits = Vec::new();
+    let record = Record::Ended { program: program(0), why: "done".into() };
+    while now.duration_since(start) < WAITS_OVER {
+        now += STEP;
+        let mut commands = journal.handle(now, Event::Tick);
+        while arrival <= now {
+            let token = begun.len() as u64 + waits.len() as u64;
+            begun.insert(token, now);
+            let taken = journal.append(now, vec![record.clone()], token);
+            commands.extend(taken.change_context(CapacityError)?);
+            let uniform: f64 = rng.random_range(f64::EPSILON..1.0);
+            arrival += Duration::from_secs_f64(-uniform.ln() / requests_per_s);
+        }
+        if let Some((seq, _)) = writing.filter(|(_, at)| *at <= now) {
+            writing = None;
+            commands.extend(journal.handle(now, Event::Stored { seq }));
+        }
+        if let Some(seq) = written(&commands) {
+            writing = Some((seq, now + STORE_WRITE));
+        }
+        for command in commands {
+            if let Command::Durable { tokens, .. } = command {
+                let ended = tokens.iter().filter_map(|token| begun.remove(token));
+                waits.extend(ended.map(|at| now.duration_since(at).as_secs_f64()));
+            }
+        }
+    }
+    waits.sort_by(f64::total_cmp);
+    if waits.is_empty() {
+        return Err(Report::new(CapacityError).attach("no append became durable"));
+    }
+    Ok(waits)
+}
+
+fn written(commands: &[Command]) -> Option<u64> {
+    commands.iter().rev().find_map(|command| match command {
+        Command::Write(entry) => Some(entry.seq),
+        _ => None,
+    })
+}
+
+/// Opens a new journal.
+fn open(settings: Settings) -> Result<Journal, Report<CapacityError>> {
+    let now = Instant::now();
+    let backups = vec![member(1), member(2)];
+    let mut takeover = Takeover::new(settings, journal_id(), member(0), backups, None);
+    let mut commands = takeover.start();
+    while let Some(command) = commands.pop() {
+        let event = match command {
+            TakeoverCommand::ReadAfter { .. } => TakeoverEvent::Entries(Vec::new()),
+            TakeoverCommand::Journal(Command::Write(entry)) => {
+                TakeoverEvent::Journal(Event::Stored { seq: entry.seq })
+            }
+            TakeoverCommand::Journal(Command::Read { seq }) => {
+                TakeoverEvent::Journal(Event::Found { seq, entry: None })
+            }
+            TakeoverCommand::Done(owned) => return Ok(owned.journal),
+            _ => continue,
+        };
+        commands.extend(takeover.handle(now, event));
+    }
+    Err(Report::new(CapacityError).attach("a new journal could not be opened"))
+}
+
+fn moment() -> Moment {
+    Moment { at: Instant::now(), wall_ms: 1_796_000_000_000 }
+}
+
+fn member(number: usize) -> Member {
+    Member { host: host_name(number), incarnation: 1_796_000_000_000 }
+}
+
+fn journal_id() -> trefoilring_core::ids::JournalId {
+    format!("{}-{:x}-0", host_name(0), member(0).incarnation).into()
+}
+
+/// The id of a program.
+pub fn program(number: usize) -> ProgramId {
+    format!("{}.{number:016}", journal_id()).into()
+}
+
+fn entry(records: Vec<Record>) -> Entry {
+    Entry {
+        journal: journal_id(),
+        seq: 1,
+        epoch: 1,
+        writer: member(0),
+        stored_seq: 0,
+        takeover: None,
+        adopted: None,
+        live: None,
+        records,
+    }
+}
+
+fn created(number: usize) -> Record {
+    Record::Created {
+        program: program(number),
+        parent: None,
+        team: team(number),
+        class: "interactive".into(),
+        budget: Budget::default(),
+        step: None,
+        created_ms: 1_796_000_000_000,
+    }
+}
+
+fn all_records(number: usize) -> Vec<Record> {
+    let id = program(number);
+    let turns = (0..size::TURNS).map(|step| turn(&id, step));
+    std::iter::once(created(number)).chain(turns).collect()
+}
+
+/// A turn with its share of a long history: a prompt and an answer, in words.
+fn turn(program: &ProgramId, step: usize) -> Record {
+    let answer_bytes = (size::TOKENS_PER_REQUEST * 4.0) as usize;
+    let text = |bytes: usize| "word ".repeat(bytes / 5);
+    let prompt = text(size::TURN_BYTES - answer_bytes);
+    let answer = text(answer_bytes);
+    let completion_tokens = size::TOKENS_PER_REQUEST as u64;
+    let prompt_tokens = (size::HISTORY_TOKENS / size::TURNS * (step + 1)) as u64;
+    Record::TurnEnded {
+        program: program.clone(),
+        step: format!("step-{step:03}").into(),
+        request_hash: step as u64,
+        messages: vec![Message::text("user", &prompt), Message::text("assistant", &answer)],
+        usage: Usage { prompt_tokens, cached_tokens: 0, completion_tokens },
+        upstream: "worker-001".into(),
+        result: StepResult {
+            status: 200,
+            headers: vec![("content-type".into(), "application/json".into())],
+            text: serde_json::json!({
+                "choices": [{ "message": { "role": "assistant", "content": answer } }],
+            })
+            .to_string(),
+            bytes: Vec::new(),
+        },
+    }
+}
--- /dev/null
+++ b/crates/load/src/capacity/limiter.rs
@@ -0,0 +1,102 @@
+//! Teams' allowances.
+
+use {
+    super::{
+        CapacityError,
+        figure::{Figures, memory_of},
+        size, wire,
+    },
+    error_stack::Report,
+    std::time::{Duration, Instant},
+    trefoilring_core::{
+        ids::TeamId,
+        limit::{Allowance, DrawReply, DrawRequest, Limiter, Taken},
+        membership::Standing,
+    },
+    trefoilring_proto::{PeerRequest, PeerResponse, TakeTokens},
+};
+
+/// Buckets of the memory measurement.
+const BUCKETS: usize = 200_000;
+/// Plenty for every take of the measurement.
+const ALLOWANCE: Allowance =
+    Allowance { rate_nanotokens_per_s: 50_000_000_000, burst_tokens: 1_000_000 };
+
+/// Memory of one bucket, without the team's name.
+pub fn memory() -> Result<f64, Report<CapacityError>> {
+    let (later, standing) = acting();
+    let teams: Vec<TeamId> = (0..BUCKETS).map(team).collect();
+    memory_of(BUCKETS, || filled(later, &teams, &standing))
+}
+
+/// A host that has held all roles for a while: the present time and its standing.
+fn acting() -> (Instant, Standing) {
+    let start = Instant::now();
+    let standing = Standing::Acting { since: start, held_since: start, former: None };
+    (start + Duration::from_secs(100), standing)
+}
+
+fn filled(
+    now: Instant,
+    teams: &[TeamId],
+    standing: &Standing,
+) -> Result<Limiter, Report<CapacityError>> {
+    let mut limiter = Limiter::default();
+    for team in teams {
+        take(&mut limiter, now, team, standing)?;
+    }
+    Ok(limiter)
+}
+
+/// Measures a limiter.
+pub fn measure(figures: &mut Figures) -> Result<(), Report<CapacityError>> {
+    let (mut later, standing) = acting();
+    let teams: Vec<TeamId> = (0..BUCKETS).map(team).collect();
+    let mut limiter = filled(later, &teams, &standing)?;
+    let halves = size::HALVES_PER_HOST as usize;
+    let few = &teams[..halves];
+    figures.time("limiter.take", "take a token from a bucket", || {
+        later += Duration::from_secs(1);
+        for team in few {
+            take(&mut limiter, later, team, &standing)?;
+        }
+        Ok(halves as u64)
+    })?;
+    figures.time("limiter.sweep", "sweep the buckets, for each bucket", || {
+        limiter.sweep(later, Duration::from_secs(1));
+        // None is full, so that all stay.
+        Ok(limiter.len() as u64)
+    })?;
+    messages(figures)
+}
+
+fn take(
+    limiter: &mut Limiter,
+    now: Instant,
+    team: &TeamId,
+    standing: &Standing,
+) -> Result<(), Report<CapacityError>> {
+    match limiter.take(now, (team, 0), 1, ALLOWANCE, standing) {
+        Taken::Granted => Ok(()),
+        other => Err(Report::new(CapacityError).attach(format!("take: {other:?}"))),
+    }
+}
+
+fn messages(figures: &mut Figures) -> Result<(), Report<CapacityError>> {
+    let take = TakeTokens { team: team(0), half: 0, count: 1 };
+    let bytes = wire::request_bytes(PeerRequest::TakeTokens { take })?
+        + wire::response_bytes(PeerResponse::TakeTokens(Taken::Granted))?;
+    figures.count("limiter.take.bytes", "B", "request for a token and its answer", bytes);
+    let amount = 1_000_000_000_000_000_000;
+    let request = DrawRequest { seq: 1, team: team(0), to_half: 0, amount };
+    let reply = Some(DrawReply { seq: 1, amount });
+    let bytes = wire::request_bytes(PeerRequest::DrawTokens { request })?
+        + wire::response_bytes(PeerResponse::DrawTokens(reply))?;
+    figures.count("limiter.draw.bytes", "B", "draw from the other half and its answer", bytes);
+    Ok(())
+}
+
+/// The name of a team.
+pub fn team(number: usize) -> TeamId {
+    format!("team-{number:05}").into()
+}
--- /dev/null
+++ b/crates/load/src/capacity/members.rs
@@ -0,0 +1,178 @@
+//! Heartbeats, delegates and rosters.
+
+use {
+    super::{
+        CapacityError,
+        cluster::{Cluster, Traffic},
+        figure::{Figures, Kind, memory_of},
+        size,
+    },
+    error_stack::Report,
+    std::{hint::black_box, time::Duration},
+    trefoilring_core::membership::RoleKey,
+};
+
+/// Hosts and failure domains of the clusters; the last is the size to design for.
+pub const CLUSTERS: [(usize, usize); 4] = [(9, 3), (50, 11), (150, 11), (350, 11)];
+/// Virtual seconds until all hosts have settled.
+const SETTLE_S: usize = 30;
+/// Quiet virtual seconds that are measured, one by one.
+const QUIET_S: usize = 9;
+/// Virtual seconds in which an event has reached all hosts.
+const EVENT_S: usize = 20;
+
+/// A manifest that takes longer than this to be heard of has been lost.
+const SPREAD_MAX: Duration = Duration::from_secs(60);
+
+/// Memory of one host's membership machine among so many hosts.
+pub fn memory(hosts: usize) -> Result<f64, Report<CapacityError>> {
+    memory_of(hosts, || settled(hosts, size::DOMAINS))
+}
+
+fn settled(hosts: usize, domains: usize) -> Result<Cluster, Report<CapacityError>> {
+    let mut cluster = Cluster::new(hosts, domains);
+    cluster.run(SETTLE_S)?;
+    cluster.check_whole()?;
+    Ok(cluster)
+}
+
+/// Measures clusters of all sizes.
+pub fn measure(figures: &mut Figures) -> Result<(), Report<CapacityError>> {
+    let mut last = None;
+    for (hosts, domains) in CLUSTERS {
+        let mut cluster = settled(hosts, domains)?;
+        quiet(figures, &mut cluster, hosts)?;
+        last = Some(cluster);
+    }
+    let mut cluster = last.ok_or_else(|| Report::new(CapacityError))?;
+    events(figures, &mut cluster)?;
+    roles(figures, &cluster)
+}
+
+/// Splits hosts into delegates and followers and takes the mean of a value over each.
+fn means(cluster: &Cluster, all: &[Traffic], value: impl Fn(&Traffic) -> f64) -> [f64; 2] {
+    [true, false].map(|is_delegate| {
+        let chosen: Vec<f64> = all
+            .iter()
+            .enumerate()
+            .filter(|(number, _)| cluster.machine(*number).is_delegate() == is_delegate)
+            .map(|(_, traffic)| value(traffic))
+            .collect();
+        chosen.iter().sum::<f64>() / chosen.len().max(1) as f64
+    })
+}
+
+fn quiet(
+    figures: &mut Figures,
+    cluster: &mut Cluster,
+    hosts: usize,
+) -> Result<(), Report<CapacityError>> {
+    let mut busy = [Vec::new(), Vec::new()];
+    let mut total = vec![Traffic::default(); hosts];
+    for _ in 0..QUIET_S {
+        let second = cluster.run(1)?;
+        let [delegate, follower] =
+            means(cluster, &second, |traffic| traffic.busy.as_secs_f64() * 1e6);
+        busy[0].push(delegate);
+        busy[1].push(follower);
+        for (sum, one) in total.iter_mut().zip(&second) {
+            add(sum, one);
+        }
+    }
+    let [delegate_us, follower_us] = busy;
+    let time = |figures: &mut Figures, role: &str, samples| {
+        let what = format!("time of a {role}'s machine in a quiet second");
+        figures.add(Kind::Time, format!("member.{role}.us.{hosts}"), "us", what, samples);
+    };
+    time(figures, "delegate", delegate_us);
+    time(figures, "follower", follower_us);
+    let per_s = |value: &dyn Fn(&Traffic) -> f64| {
+        means(cluster, &total, value).map(|sum| sum / QUIET_S as f64)
+    };
+    let [delegate, follower] = per_s(&|traffic| traffic.peer_bytes);
+    let mut count = |name: &str, unit, what, value| {
+        figures.count(format!("member.{name}.{hosts}"), unit, what, value);
+    };
+    count("follower.bytes", "B/s", "follower: bytes to and from its delegate", follower);
+    count("delegate.bytes", "B/s", "delegate: bytes to and from its followers", delegate);
+    let [delegate, follower] = per_s(&|traffic| traffic.peer_messages);
+    count("follower.messages", "1/s", "follower: messages, answers included", follower);
+    count("delegate.messages", "1/s", "delegate: messages, answers included", delegate);
+    let store = per_s(&|traffic| traffic.store_bytes)[0];
+    count("delegate.store", "B/s", "delegate: bytes of values to and from the store", store);
+    let reads = per_s(&|traffic| traffic.reads + traffic.lists)[0];
+    count("delegate.reads", "1/s", "delegate: reads and lists at the store", reads);
+    let writes = per_s(&|traffic| traffic.writes)[0];
+    count("delegate.writes", "1/s", "delegate: writes at the store", writes);
+    count("roster", "B", "the largest roster as stored", cluster.roster_bytes());
+    Ok(())
+}
+
+fn add(sum: &mut Traffic, one: &Traffic) {
+    sum.peer_bytes += one.peer_bytes;
+    sum.peer_messages += one.peer_messages;
+    sum.store_bytes += one.store_bytes;
+    sum.reads += one.reads;
+    sum.lists += one.lists;
+    sum.writes += one.writes;
+}
+
+/// Measures what a change of configuration and a restart add to a quiet time.
+fn events(figures: &mut Figures, cluster: &mut Cluster) -> Result<(), Report<CapacityError>> {
+    let quiet = cluster.run(EVENT_S)?;
+    let quiet = means(cluster, &quiet, Traffic::bytes);
+    for machine in cluster.machines() {
+        machine.set_config(2);
+    }
+    let changed = cluster.run(EVENT_S)?;
+    let changed = means(cluster, &changed, Traffic::bytes);
+    let what = "bytes that a change of configuration adds, as all hosts announce it";
+    figures.count("member.change.follower", "B", what, changed[1] - quiet[1]);
+    figures.count("member.change.delegate", "B", what, changed[0] - quiet[0]);
+    // Hosts tick together here, so what a change meets depends on when it comes.
+    const PHASES: usize = 10;
+    let mut times = Vec::with_capacity(PHASES);
+    for _ in 0..PHASES {
+        times.push(cluster.spread_manifest(SPREAD_MAX)?.as_secs_f64());
+    }
+    let what = "until all 350 hosts have heard of a manifest, virtual time, no loss";
+    figures.add(Kind::Counted, "member.change.seen", "s", what, times);
+    let last = size::HOSTS as usize - 1;
+    let restarted = cluster.restart(last, size::DOMAINS, EVENT_S)?;
+    cluster.check_whole()?;
+    let restarted = means(cluster, &restarted, Traffic::bytes);
+    let what = "bytes that a planned restart of one host adds to another";
+    figures.count("member.restart.follower", "B", what, restarted[1] - 2.0 * quiet[1]);
+    figures.count("member.restart.delegate", "B", what, restarted[0] - 2.0 * quiet[0]);
+    Ok(())
+}
+
+/// Measures how long it takes to find who plays a role among 350 hosts.
+fn roles(figures: &mut Figures, cluster: &Cluster) -> Result<(), Report<CapacityError>> {
+    const LOOKS: u64 = 100;
+    let machine = cluster.machine(0);
+    let now = cluster.now();
+    let team = |number: u64| format!("team-{number:05}").into();
+    figures.time("role.limiter", "find the limiter of a team's half among 350 hosts", || {
+        for number in 0..LOOKS {
+            black_box(machine.limiter_of(&team(number), 0));
+        }
+        Ok(LOOKS)
+    })?;
+    figures.time(
+        "role.standing",
+        "ask for the own standing as a limiter among 350 hosts",
+        || {
+            for number in 0..LOOKS {
+                black_box(machine.standing(&RoleKey::limiter(&team(number), 0), now));
+            }
+            Ok(LOOKS)
+        },
+    )?;
+    figures.time("role.dispatcher", "find the dispatcher of a pool among 350 hosts", || {
+        for number in 0..LOOKS {
+            black_box(machine.dispatcher_of(&format!("model-{number:02}")));
+        }
+        Ok(LOOKS)
+    })
+}
--- /dev/null
+++ b/crates/load/src/capacity/memory.rs
@@ -0,0 +1,63 @@
+//! Memory, each measured in a process of its own, where nothing was freed before.
+
+use {
+    super::{
+        CapacityError, config, dispatch,
+        figure::{Figures, Kind},
+        home, limiter, members, site, size,
+    },
+    error_stack::{Report, ResultExt},
+    std::{env, process},
+};
+
+/// Processes that measure each.
+const RUNS: usize = 3;
+
+/// What can be measured, by the figure's id.
+const FIGURES: [(&str, &str); 9] = [
+    ("config.memory.8000", "a host's catalog and shards, 8,000 teams"),
+    ("config.memory.32000", "a host's catalog and shards, 32,000 teams"),
+    ("home.program", "a program of 200 turns and 230,000 tokens"),
+    ("home.program.empty", "a program before its first turn"),
+    ("limiter.bucket", "a bucket, without the team's name"),
+    ("dispatch.memory", "a dispatcher of 18 upstreams with the weights of 32,000 teams"),
+    ("dispatch.program", "a program in a dispatcher's cache map"),
+    ("member.memory.350", "a host's membership machine among 350"),
+    ("process.alone", "a process with one idle host, stand-ins of the platform included"),
+];
+
+/// Measures one in this process, which must be new.
+pub fn here(id: &str) -> Result<f64, Report<CapacityError>> {
+    match id {
+        "config.memory.8000" => config::memory(8_000),
+        "config.memory.32000" => config::memory(size::TEAMS),
+        "home.program" => home::memory(),
+        "home.program.empty" => home::memory_empty(),
+        "limiter.bucket" => limiter::memory(),
+        "dispatch.memory" => dispatch::memory(),
+        "dispatch.program" => dispatch::memory_program(),
+        "member.memory.350" => members::memory(350),
+        "process.alone" => site::memory(),
+        _ => Err(Report::new(CapacityError).attach(format!("no memory figure {id}"))),
+    }
+}
+
+/// Measures all, each by starting this program anew.
+pub fn measure(figures: &mut Figures) -> Result<(), Report<CapacityError>> {
+    for (id, what) in FIGURES {
+        let samples = (0..RUNS).map(|_| in_new_process(id)).collect::<Result<Vec<_>, _>>()?;
+        figures.add(Kind::Memory, id, "B", format!("memory of {what}"), samples);
+    }
+    Ok(())
+}
+
+fn in_new_process(id: &str) -> Result<f64, Report<CapacityError>> {
+    let program = env::current_exe().change_context(CapacityError)?;
+    let output = process::Command::new(program).args(["capacity", "--memory", id]).output();
+    let output = output.change_context(CapacityError)?;
+    let text = String::from_utf8_lossy(&output.stdout).into_owned();
+    let bytes: Option<f64> = text.trim().parse().ok();
+    let errors = String::from_utf8_lossy(&output.stderr).into_owned();
+    let bytes = bytes.filter(|bytes| *bytes > 0.0 && output.status.success());
+    bytes.ok_or_else(|| Report::new(CapacityError).attach(format!("{id}: {text}{errors}")))
+}
--- /dev/null
+++ b/crates/load/src/capacity/mod.rs
@@ -0,0 +1,125 @@
+//! What each role takes at the size to design for (`docs/CAPACITY.md`).
+//!
+//! Slopes are measured on one machine by driving the state machines with many items, by the sizes
+//! of encoded messages, and by hosts in this process. The table is worked out from them.
+
+mod against;
+mod cluster;
+mod config;
+mod dispatch;
+mod figure;
+mod home;
+mod limiter;
+mod members;
+mod memory;
+mod platform;
+mod print;
+mod roles;
+mod site;
+mod size;
+#[cfg(test)]
+mod tests;
+mod wire;
+
+use {
+    clap::{Arg, ArgAction, ArgMatches, Command, value_parser},
+    derive_more::{Display, Error},
+    error_stack::{Report, ResultExt},
+    figure::Figures,
+    std::{fs, path::PathBuf},
+};
+
+/// The measurement failed, or differs from the page.
+#[derive(Debug, Display, Error)]
+#[display("the capacity could not be measured as asked")]
+pub struct CapacityError;
+
+/// All that one run found.
+#[derive(Clone, Debug, serde::Serialize)]
+pub struct Capacity {
+    /// `release` or `debug`.
+    pub profile: &'static str,
+    /// Processors that this process may use.
+    pub processors: usize,
+    /// Measured slopes and counts.
+    pub figures: Figures,
+    /// What each role takes.
+    pub roles: Vec<roles::Role>,
+    /// Totals against their limits.
+    pub totals: Vec<roles::Total>,
+}
+
+/// The subcommand.
+pub fn command() -> Command {
+    Command::new("capacity")
+        .about("Measures what each role takes and prints the tables of docs/CAPACITY.md")
+        .arg(Arg::new("json").long("json").action(ArgAction::SetTrue).help("Print JSON"))
+        .arg(
+            Arg::new("memory")
+                .long("memory")
+                .value_name("FIGURE")
+                .hide(true)
+                .help("Measure one memory figure in this process and print its bytes"),
+        )
+        .arg(
+            Arg::new("against")
+                .long("against")
+                .value_name("FILE")
+                .value_parser(value_parser!(PathBuf))
+                .help("Fail if a figure differs from that of a page by more than its tolerance"),
+        )
+}
+
+/// Runs the subcommand.
+///
+/// # Errors
+///
+/// Fails if something could not be measured, or differs from the page that `--against` names.
+pub fn run(matches: &ArgMatches) -> Result<(), Report<CapacityError>> {
+    if let Some(id) = matches.get_one::<String>("memory") {
+        println!("{}", memory::here(id)?);
+        return Ok(());
+    }
+    let page = matches.get_one::<PathBuf>("against");
+    let page = page.map(|path| fs::read_to_string(path).change_context(CapacityError));
+    let page = page.transpose()?;
+    let capacity = measure()?;
+    if matches.get_flag("json") {
+        println!("{}", serde_json::to_string(&capacity).change_context(CapacityError)?);
+    } else {
+        print::print(&capacity);
+    }
+    let Some(page) = page else { return Ok(()) };
+    let differences = against::differences(&page, &capacity.figures);
+    let fail = |report: Report<CapacityError>, text| report.attach(text);
+    match differences.is_empty() {
+        true => Ok(()),
+        false => Err(differences.into_iter().fold(Report::new(CapacityError), fail)),
+    }
+}
+
+/// Measures everything. Takes about a minute.
+///
+/// # Errors
+///
+/// Fails if a machine, a stand-in or a host does not do what is measured.
+pub fn measure() -> Result<Capacity, Report<CapacityError>> {
+    let mut figures = Figures::default();
+    memory::measure(&mut figures)?;
+    let catalog = config::measure(&mut figures)?;
+    home::measure(&mut figures)?;
+    limiter::measure(&mut figures)?;
+    dispatch::measure(&mut figures, &catalog)?;
+    members::measure(&mut figures)?;
+    platform::measure(&mut figures)?;
+    site::measure(&mut figures)?;
+    let roles = roles::roles(&figures)?;
+    let totals = roles::totals(&figures, &roles)?;
+    Ok(Capacity {
+        profile: if cfg!(debug_assertions) { "debug" } else { "release" },
+        processors: std::thread::available_parallelism().map_or(0, usize::from),
+        figures,
+        roles,
+        totals,
+    })
+}
--- /dev/null
+++ b/crates/load/src/capacity/roles.rs
@@ -0,0 +1,333 @@
+//! What each role takes at the size to design for, worked out from the figures.
+
+use {
+    super::{CapacityError, figure::Figures, home::BACKUP_BYTES_MAX, size},
+    error_stack::Report,
+};
+
+/// Time between two polls of an engine, in seconds, as in `host::control::dispatch`.
+const POLL_EVERY_S: f64 = 0.5;
+/// Entries a second that all journals write together, as in `host::control::journals`.
+const SITE_WRITES_PER_S: f64 = 250.0;
+/// Messages of a call between hosts: a request and an answer.
+const CALL: f64 = 2.0;
+/// Microseconds in a second.
+const US: f64 = 1e6;
+
+/// What one holder of a role takes.
+#[derive(Clone, Debug, Default, serde::Serialize)]
+pub struct Role {
+    /// The role.
+    pub role: &'static str,
+    /// How many hosts hold it.
+    pub holders: f64,
+    /// What it knows.
+    pub state: String,
+    /// Messages a second, answers included.
+    pub messages_per_s: f64,
+    /// Share of a core.
+    pub cpu: f64,
+    /// Bytes of memory.
+    pub memory_bytes: f64,
+    /// Reads and lists a second at the store.
+    pub reads_per_s: f64,
+    /// Writes and deletes a second at the store.
+    pub writes_per_s: f64,
+    /// Bytes a second to and from other hosts, the store and upstreams.
+    pub bytes_per_s: f64,
+    /// What keeps it so.
+    pub mechanism: &'static str,
+}
+
+/// A total against its limit.
+#[derive(Clone, Debug, serde::Serialize)]
+pub struct Total {
+    /// Of what.
+    pub what: &'static str,
+    /// The unit of both.
+    pub unit: &'static str,
+    /// The total.
+    pub value: f64,
+    /// The most that it may be.
+    pub limit: f64,
+}
+
+/// All roles, each for one holder. Rows whose name begins with `data:` carry callers' content and
+/// don't count as control.
+pub fn roles(figures: &Figures) -> Result<Vec<Role>, Report<CapacityError>> {
+    Ok(vec![
+        process(figures)?,
+        follower(figures)?,
+        configuration(figures)?,
+        host_list(figures)?,
+        delegate(figures)?,
+        home(figures)?,
+        limiter(figures)?,
+        dispatcher(figures)?,
+        backup(figures)?,
+        programs(figures)?,
+        tokens(figures)?,
+    ])
+}
+
+fn process(figures: &Figures) -> Result<Role, Report<CapacityError>> {
+    let get = |id: &str| figures.get(id);
+    Ok(Role {
+        role: "process",
+        holders: size::HOSTS,
+        state: format!("{} threads of its own, listeners, logs", get("process.threads")?),
+        cpu: (get("process.control.30")? + get("process.traffic.30")?) / US,
+        memory_bytes: get("process.alone")?,
+        mechanism: "one control thread, traffic threads, timers no finer than a tenth of a heartbeat",
+        ..Role::default()
+    })
+}
+
+fn follower(figures: &Figures) -> Result<Role, Report<CapacityError>> {
+    let get = |id: &str| figures.get(id);
+    let restarts_per_s = size::RESTARTS_PER_S + size::FAILURES_PER_S;
+    Ok(Role {
+        role: "follower",
+        holders: size::HOSTS - size::DOMAINS as f64,
+        state: "the view: all hosts and their journals".into(),
+        messages_per_s: get("member.follower.messages.350")?,
+        cpu: get("member.follower.us.350")? / US,
+        memory_bytes: get("member.memory.350")?,
+        bytes_per_s: get("member.follower.bytes.350")?
+            + get("member.change.follower")? * size::CHANGES_PER_S
+            + get("member.restart.follower")? * restarts_per_s,
+        mechanism: "one heartbeat a second to the delegate of the domain; replies carry changes of \
+                    the view only",
+        ..Role::default()
+    })
+}
+
+fn delegate(figures: &Figures) -> Result<Role, Report<CapacityError>> {
+    let get = |id: &str| figures.get(id);
+    let restarts_per_s = size::RESTARTS_PER_S + size::FAILURES_PER_S;
+    let (reads, writes) = (get("member.delegate.reads.350")?, get("member.delegate.writes.350")?);
+    let serves = get("config.change.bytes")? * size::CHANGES_PER_S * size::HOSTS_PER_DOMAIN;
+    Ok(Role {
+        role: "delegate",
+        holders: size::DOMAINS as f64,
+        state: "the domain's roster, the other rosters, the last heartbeats".into(),
+        messages_per_s: get("member.delegate.messages.350")? + CALL * (reads + writes),
+        cpu: (get("member.delegate.us.350")? + get("store.call.cpu")? * (reads + writes)) / US,
+        memory_bytes: 0.0,
+        reads_per_s: reads,
+        writes_per_s: writes,
+        bytes_per_s: get("member.delegate.bytes.350")?
+            + get("member.delegate.store.350")?
+            + get("store.call.bytes")? * (reads + writes)
+            + get("member.change.delegate")? * size::CHANGES_PER_S
+            + get("member.restart.delegate")? * restarts_per_s
+            + serves,
+        mechanism: "store calls grow with failure domains, not with hosts; rosters by conditional \
+                    update",
+    })
+}
+
+fn configuration(figures: &Figures) -> Result<Role, Report<CapacityError>> {
+    let get = |id: &str| figures.get(id);
+    let fetches = 1.0 + get("config.change.shards")?;
+    Ok(Role {
+        role: "configuration",
+        holders: size::HOSTS,
+        state: format!("{} teams with a key each, {} shards", size::TEAMS, get("config.shards")?),
+        messages_per_s: CALL * fetches * size::CHANGES_PER_S,
+        cpu: get("config.change")? * size::CHANGES_PER_S / US,
+        // While a change is taken in, the former catalog is still there.
+        memory_bytes: 2.0 * get(&format!("config.memory.{}", size::TEAMS))?,
+        bytes_per_s: get("config.change.bytes")? * size::CHANGES_PER_S,
+        mechanism: "a manifest and shards named by content; from the delegate, not from the store; \
+                    noticed with the heartbeat",
+        ..Role::default()
+    })
+}
+
+fn host_list(figures: &Figures) -> Result<Role, Report<CapacityError>> {
+    let get = |id: &str| figures.get(id);
+    Ok(Role {
+        role: "host list",
+        holders: size::HOSTS,
+        state: format!("{} upstreams", size::WORKERS),
+        messages_per_s: CALL,
+        cpu: get("hostlist.cpu.600")? / US,
+        bytes_per_s: get("hostlist.bytes.600")?,
+        mechanism: "every host reads all of it each second",
+        ..Role::default()
+    })
+}
+
+fn home(figures: &Figures) -> Result<Role, Report<CapacityError>> {
+    let get = |id: &str| figures.get(id);
+    let calls = get("limiter.take.bytes")?
+        + get("dispatch.acquire.bytes")?
+        + get("dispatch.release.bytes")?;
+    let writes = SITE_WRITES_PER_S / size::HOSTS;
+    Ok(Role {
+        role: "home",
+        holders: size::HOSTS,
+        state: format!("order, budget and steps of {} programs", size::PROGRAMS_PER_HOST),
+        messages_per_s: 3.0 * CALL * size::REQUESTS_PER_HOST,
+        // The path's time varies most of all, so that the worst repetition counts.
+        cpu: (figures.greatest("turn.control.relayed")?
+            + get("journal.append")?
+            + get("journal.encode")?)
+            * size::REQUESTS_PER_HOST
+            / US,
+        memory_bytes: get("home.program.empty")? * size::PROGRAMS_PER_HOST,
+        writes_per_s: 2.0 * writes,
+        bytes_per_s: calls * size::REQUESTS_PER_HOST,
+        mechanism: "programs spread over hosts by where they were created; group commit at a pace \
+                    shared by all hosts; an entry is deleted once",
+        ..Role::default()
+    })
+}
+
+fn limiter(figures: &Figures) -> Result<Role, Report<CapacityError>> {
+    let get = |id: &str| figures.get(id);
+    let take_us = get("role.limiter")? + get("role.standing")? + get("limiter.take")?;
+    let sweeps_us = get("limiter.sweep")? * size::HALVES_PER_HOST / 5.0;
+    Ok(Role {
+        role: "limiter",
+        holders: size::HOSTS,
+        state: format!("{:.0} halves of allowances at most", size::HALVES_PER_HOST),
+        messages_per_s: CALL * size::REQUESTS_PER_HOST,
+        cpu: (take_us * size::REQUESTS_PER_HOST + sweeps_us) / US,
+        memory_bytes: get("limiter.bucket")? * size::HALVES_PER_HOST,
+        bytes_per_s: get("limiter.take.bytes")? * size::REQUESTS_PER_HOST,
+        mechanism: "two halves a team, spread over hosts by rendezvous; full buckets are dropped; \
+                    one message a request",
+        ..Role::default()
+    })
+}
+
+fn dispatcher(figures: &Figures) -> Result<Role, Report<CapacityError>> {
+    let get = |id: &str| figures.get(id);
+    let polls_per_s = size::WORKERS_PER_POOL / POLL_EVERY_S;
+    let calls = get("dispatch.acquire.bytes")? + get("dispatch.release.bytes")?;
+    let cycle_us = get("dispatch.cycle.queue.200")?;
+    Ok(Role {
+        role: "dispatcher",
+        holders: size::MODELS as f64,
+        state: format!(
+            "queue, slots, {:.0} upstreams, {:.0} programs in the cache map",
+            size::WORKERS_PER_POOL,
+            size::PROGRAMS_PER_POOL
+        ),
+        messages_per_s: 2.0 * CALL * size::REQUESTS_PER_POOL + 2.0 * CALL * polls_per_s,
+        cpu: (cycle_us * size::REQUESTS_PER_POOL
+            + (get("poll.cpu")? + get("dispatch.report")?) * polls_per_s
+            + get("dispatch.catalog")? * size::CHANGES_PER_S)
+            / US,
+        memory_bytes: get("dispatch.memory")? + get("dispatch.program")? * size::PROGRAMS_PER_POOL,
+        bytes_per_s: calls * size::REQUESTS_PER_POOL + get("poll.bytes")? * polls_per_s,
+        mechanism: "one dispatcher a pool by rendezvous; soft state; only it polls the engines",
+        ..Role::default()
+    })
+}
+
+fn backup(figures: &Figures) -> Result<Role, Report<CapacityError>> {
+    let copies_per_s = 2.0 * size::REQUESTS_PER_HOST;
+    Ok(Role {
+        role: "backup, store down",
+        holders: size::HOSTS,
+        state: "copies of entries of two journals that the store has not taken".into(),
+        messages_per_s: CALL * copies_per_s,
+        cpu: figures.get("backup.copy")? * copies_per_s / US,
+        memory_bytes: BACKUP_BYTES_MAX,
+        bytes_per_s: figures.get("backup.copy.bytes")? * copies_per_s,
+        mechanism: "two backups a journal in other failure domains; none while the store answers; \
+                    memory bounded",
+        ..Role::default()
+    })
+}
+
+fn programs(figures: &Figures) -> Result<Role, Report<CapacityError>> {
+    Ok(Role {
+        role: "data: programs",
+        holders: size::HOSTS,
+        state: format!("histories and answers of {} programs", size::PROGRAMS_PER_HOST),
+        memory_bytes: figures.get("home.program")? * size::PROGRAMS_PER_HOST,
+        writes_per_s: 0.0,
+        bytes_per_s: figures.get("journal.record")? * size::REQUESTS_PER_HOST,
+        mechanism: "histories at the home, each record once in the journal",
+        ..Role::default()
+    })
+}
+
+fn tokens(figures: &Figures) -> Result<Role, Report<CapacityError>> {
+    let get = |id: &str| figures.get(id);
+    Ok(Role {
+        role: "data: tokens and turns",
+        holders: size::HOSTS,
+        state: format!("{:.0} tokens a second", size::TOKENS_PER_HOST),
+        messages_per_s: CALL * size::TOKENS_PER_HOST,
+        cpu: (get("token.traffic.relayed")? * size::TOKENS_PER_HOST
+            + get("turn.traffic.relayed")? * size::REQUESTS_PER_HOST)
+            / US,
+        bytes_per_s: get("token.bytes")? * size::TOKENS_PER_HOST,
+        mechanism: "one message a batch of chunks; a slow reader gets larger batches",
+        ..Role::default()
+    })
+}
+
+/// Totals against what a node and the store may take.
+pub fn totals(figures: &Figures, roles: &[Role]) -> Result<Vec<Total>, Report<CapacityError>> {
+    let sum = |names: &[&str], value: fn(&Role) -> f64| -> f64 {
+        roles.iter().filter(|role| names.contains(&role.role)).map(value).sum()
+    };
+    let standing = ["process", "follower", "configuration", "host list"];
+    let busy = [&standing[..], &["home", "limiter"]].concat();
+    let delegate = [&busy[..], &["delegate"]].concat();
+    let dispatcher = [&busy[..], &["dispatcher"]].concat();
+    let mut totals = Vec::new();
+    let kinds: [(&'static str, &[&str]); 4] = [
+        ("any host, idle", &standing),
+        ("any host, peak", &busy),
+        ("a delegate, peak", &delegate),
+        ("a dispatcher, peak", &dispatcher),
+    ];
+    for (what, names) in kinds {
+        let cpu = sum(names, |role| role.cpu) * 100.0;
+        let memory = sum(names, |role| role.memory_bytes) / 1e6;
+        let bytes = sum(names, |role| role.bytes_per_s) / 1e3;
+        totals.push(Total {
+            what,
+            unit: "% of a core",
+            value: cpu,
+            limit: size::CPU_SHARE_MAX * 1e2,
+        });
+        totals.push(Total { what, unit: "MB", value: memory, limit: size::MEMORY_BYTES_MAX / 1e6 });
+        totals.push(Total { what, unit: "KB/s", value: bytes, limit: size::BYTES_PER_S_MAX / 1e3 });
+    }
+    let site = |value: fn(&Role) -> f64| -> f64 {
+        roles.iter().map(|role| value(role) * role.holders).sum()
+    };
+    totals.push(Total {
+        what: "the store, reads and lists",
+        unit: "1/s",
+        value: site(|role| role.reads_per_s),
+        limit: size::STORE_READS_PER_S,
+    });
+    totals.push(Total {
+        what: "the store, writes and deletes",
+        unit: "1/s",
+        value: site(|role| role.writes_per_s),
+        limit: size::STORE_WRITES_PER_S,
+    });
+    totals.push(Total {
+        what: "a change in force everywhere, no loss",
+        unit: "s",
+        value: figures.get("member.change.seen")? + figures.get("config.change")? / US,
+        limit: size::IN_FORCE_S,
+    });
+    totals.push(Total {
+        what: "wait of an answer's last chunk, p95, against the time between tokens",
+        unit: "ms",
+        value: figures.get("journal.wait.host.p95")?,
+        limit: size::BETWEEN_TOKENS_MS,
+    });
+    Ok(totals)
+}
--- /dev/null
+++ b/crates/load/src/capacity/site.rs
@@ -0,0 +1,277 @@
+//! One host as a process, and turns and tokens on their way through a site.
+
+use {
+    super::{
+        CapacityError,
+        figure::{Figures, Kind, resident_bytes, seconds_since, threads_cpu},
+        wire,
+    },
+    error_stack::{Report, ResultExt},
+    http_types::Method,
+    serde_json::json,
+    std::{
+        net::SocketAddr,
+        time::{Duration, Instant},
+    },
+    trefoilring_config::{
+        declarations::{Declarations, RawDeclarations},
+        secret::hash_secret,
+    },
+    trefoilring_core::call::Chunk,
+    trefoilring_host::Host,
+    trefoilring_proto::{ChunkBatch, PeerRequest, PeerResponse},
+    trefoilring_site::{CallerClient, HostPlace, Site, SiteOptions, UpstreamPlace},
+};
+
+/// The secret of the key of this measurement.
+const SECRET: &str = "capacity";
+/// Hosts at first, and in the end.
+const HOSTS: [usize; 2] = [3, 30];
+/// Time without requests that is measured.
+const IDLE: Duration = Duration::from_secs(6);
+/// Time until a started site is quiet.
+const SETTLE: Duration = Duration::from_secs(5);
+/// Time after which a single host is looked at.
+const SETTLE_ALONE: Duration = Duration::from_secs(2);
+/// How long hosts may take to be ready.
+const START_TIMEOUT: Duration = Duration::from_secs(60);
+/// Streams at a time.
+const STREAMS: usize = 32;
+/// Tokens of a long answer and of a short one.
+const TOKENS: [usize; 2] = [164, 4];
+/// Turns of each program where the cost of a turn is measured: one, and many.
+const TURNS: [usize; 2] = [1, 11];
+/// Repetitions.
+const SAMPLES: usize = 3;
+const DECLARATIONS: &str = r#"
+[classes.c]
+target = "30s"
+budget = { turns = 1000, tokens = 10000000, wall = "1h" }
+[teams.t]
+rate_per_s = 100000
+burst_requests = 100000
+[services.llm]
+kind = "engine"
+models = ["m"]
+deadline = "60s"
+"#;
+
+/// What a run of turns cost all hosts together.
+#[derive(Clone, Copy, Debug)]
+struct Spent {
+    control: f64,
+    traffic: f64,
+    events: f64,
+}
+
+/// Memory of this process with one idle host and stand-ins of the platform.
+pub fn memory() -> Result<f64, Report<CapacityError>> {
+    smol::block_on(async {
+        let site = Site::start(options(1)?, START_TIMEOUT).await.change_context(CapacityError)?;
+        smol::Timer::after(SETTLE_ALONE).await;
+        let bytes = resident_bytes();
+        drop(site);
+        bytes
+    })
+}
+
+/// Measures hosts as processes.
+pub fn measure(figures: &mut Figures) -> Result<(), Report<CapacityError>> {
+    smol::block_on(async {
+        let mut site =
+            Site::start(options(HOSTS[0])?, START_TIMEOUT).await.change_context(CapacityError)?;
+        smol::Timer::after(SETTLE).await;
+        let idle = idle(figures, HOSTS[0]).await?;
+        turns(figures, &site, idle).await?;
+        grow(figures, &mut site).await?;
+        smol::Timer::after(SETTLE).await;
+        self::idle(figures, HOSTS[1]).await?;
+        drop(site);
+        Ok(())
+    })
+}
+
+/// Starts the rest of the hosts and measures what each takes.
+async fn grow(figures: &mut Figures, site: &mut Site) -> Result<(), Report<CapacityError>> {
+    let count = (HOSTS[1] - HOSTS[0]) as f64;
+    let (_, threads) = threads_cpu(|_| true)?;
+    let bytes = resident_bytes()?;
+    for number in HOSTS[0]..HOSTS[1] {
+        site.start_host(&place(number)).change_context(CapacityError)?;
+    }
+    let is_ready = |site: &Site| site.hosts().values().all(Host::is_ready);
+    let waited = site.wait_until(START_TIMEOUT, "all hosts ready", is_ready).await;
+    waited.change_context(CapacityError)?;
+    let bytes = (resident_bytes()? - bytes) / count;
+    let what = "resident memory of one more host, of 30, in a process with others";
+    figures.add(Kind::Memory, "process.memory", "B", what, vec![bytes]);
+    let (_, more) = threads_cpu(|_| true)?;
+    let what = "threads of one more host, with one traffic thread";
+    let threads = ((more - threads) as f64 / count).round();
+    figures.count("process.threads", "", what, threads);
+    Ok(())
+}
+
+/// Processor time a second of one host without requests.
+async fn idle(figures: &mut Figures, hosts: usize) -> Result<Spent, Report<CapacityError>> {
+    let mut samples = [Vec::new(), Vec::new()];
+    for _ in 0..SAMPLES {
+        let (start, before) = (Instant::now(), host_cpu()?);
+        smol::Timer::after(IDLE / SAMPLES as u32).await;
+        let (after, wall_s) = (host_cpu()?, seconds_since(start));
+        for (samples, index) in samples.iter_mut().zip(0..) {
+            samples.push((after[index] - before[index]) / wall_s / hosts as f64 * 1e6);
+        }
+    }
+    let [control, traffic] = samples;
+    let mut add = |name: &str, samples| {
+        let what =
+            format!("one idle host of {hosts}: processor time a second of its {name} thread");
+        figures.add(Kind::Time, format!("process.{name}.{hosts}"), "us", what, samples);
+    };
+    add("control", control);
+    add("traffic", traffic);
+    let get = |name| figures.get(&format!("process.{name}.{hosts}"));
+    Ok(Spent { control: get("control")?, traffic: get("traffic")?, events: 0.0 })
+}
+
+/// Processor time of the hosts' control threads and traffic threads so far, in seconds.
+fn host_cpu() -> Result<[f64; 2], Report<CapacityError>> {
+    let (control, _) = threads_cpu(|name| name == "control")?;
+    let (traffic, _) = threads_cpu(|name| name.starts_with("traffic-"))?;
+    Ok([control.as_secs_f64(), traffic.as_secs_f64()])
+}
+
+/// Measures turns that enter at their home, and turns that enter at another host.
+async fn turns(
+    figures: &mut Figures,
+    site: &Site,
+    idle: Spent,
+) -> Result<(), Report<CapacityError>> {
+    let addresses = site.addresses();
+    let ways = [("here", addresses[0]), ("relayed", addresses[1])];
+    for (way, entry) in ways {
+        let mut per_turn = [Vec::new(), Vec::new()];
+        let mut per_token = Vec::new();
+        for _ in 0..SAMPLES {
+            let short = stream_all(addresses[0], entry, TOKENS[1], TURNS[0], idle).await?;
+            let long = stream_all(addresses[0], entry, TOKENS[0], TURNS[0], idle).await?;
+            let many = stream_all(addresses[0], entry, TOKENS[1], TURNS[1], idle).await?;
+            per_token.push((long.traffic - short.traffic) / (long.events - short.events));
+            let turns = ((TURNS[1] - TURNS[0]) * STREAMS) as f64;
+            per_turn[0].push((many.control - short.control) / turns);
+            per_turn[1].push((many.traffic - short.traffic) / turns);
+        }
+        let [control, traffic] = per_turn;
+        let what = format!("control threads of all hosts, one more turn of 4 tokens, {way}");
+        figures.add(Kind::Path, format!("turn.control.{way}"), "us", what, control);
+        let what = format!("traffic threads of all hosts, one more turn of 4 tokens, {way}");
+        figures.add(Kind::Path, format!("turn.traffic.{way}"), "us", what, traffic);
+        let what = format!("traffic threads of all hosts, one token of a stream, {way}");
+        figures.add(Kind::Time, format!("token.traffic.{way}"), "us", what, per_token);
+    }
+    token_bytes(figures)
+}
+
+/// Bytes of one token that is passed from its home to its entry alone.
+fn token_bytes(figures: &mut Figures) -> Result<(), Report<CapacityError>> {
+    let event = json!({
+        "id": "chatcmpl-00000000000000000001",
+        "object": "chat.completion.chunk",
+        "created": 1_796_000_000,
+        "model": "model-01",
+        "choices": [{ "index": 0, "delta": { "content": "word" }, "finish_reason": null }],
+    });
+    let chunks = vec![Chunk::Event(event.to_string())];
+    let batch = ChunkBatch { first: 100, chunks, end: None };
+    let bytes = wire::request_bytes(PeerRequest::NextChunks { handle: 1_000, after: 100 })?
+        + wire::response_bytes(PeerResponse::NextChunks(Ok(batch)))?;
+    figures.count(
+        "token.bytes",
+        "B",
+        "one token from its home to its entry, in a batch of one",
+        bytes,
+    );
+    Ok(())
+}
+
+/// Makes programs and streamed turns of each, all programs at a time, and returns what the hosts spent
+/// above their idle time, in microseconds.
+async fn stream_all(
+    home: SocketAddr,
+    entry: SocketAddr,
+    tokens: usize,
+    turns: usize,
+    idle: Spent,
+) -> Result<Spent, Report<CapacityError>> {
+    let (start, before) = (Instant::now(), host_cpu()?);
+    let streams: Vec<_> =
+        (0..STREAMS).map(|_| smol::spawn(stream(home, entry, tokens, turns))).collect();
+    let mut events = 0.0;
+    for stream in streams {
+        events += stream.await?;
+    }
+    let (after, wall_s) = (host_cpu()?, seconds_since(start));
+    let above = |index: usize, idle_us: f64| {
+        (after[index] - before[index]) * 1e6 - idle_us * HOSTS[0] as f64 * wall_s
+    };
+    Ok(Spent { control: above(0, idle.control), traffic: above(1, idle.traffic), events })
+}
+
+async fn stream(
+    home: SocketAddr,
+    entry: SocketAddr,
+    tokens: usize,
+    turns: usize,
+) -> Result<f64, Report<CapacityError>> {
+    let caller = CallerClient::new(SECRET);
+    let class = json!({ "class": "c" });
+    let created = caller.send(home, Method::Post, "/v1/programs", &[], Some(&class)).await;
+    let created = created.change_context(CapacityError)?;
+    let body = json!({
+        "model": "m",
+        "stream": true,
+        "max_tokens": tokens,
+        "messages": [{ "role": "user", "content": "hello" }],
+    });
+    let headers = [("Trefoil-Program", created.text("id"))];
+    let mut events = 0;
+    for _ in 0..turns {
+        let reply = caller.stream(entry, "/v1/chat/completions", &headers, &body).await;
+        let reply = reply.change_context(CapacityError)?;
+        if !reply.is_whole {
+            let last = reply.events.last().cloned().unwrap_or_default();
+            return Err(Report::new(CapacityError).attach(format!("a stream was cut: {last}")));
+        }
+        events += reply.events.len();
+    }
+    Ok(events as f64)
+}
+
+fn place(number: usize) -> HostPlace {
+    HostPlace {
+        host: format!("host-{number:02}").into(),
+        domain: format!("domain-{}", number % 3).into(),
+    }
+}
+
+fn options(hosts: usize) -> Result<SiteOptions, Report<CapacityError>> {
+    let hash = hash_secret(SECRET);
+    let text = format!("{DECLARATIONS}[keys.k]\nteam = \"t\"\nhash = \"{hash}\"\n");
+    let raw = RawDeclarations { file: "capacity", text: &text };
+    let declarations = Declarations::try_from(raw).change_context(CapacityError)?;
+    let upstream = UpstreamPlace {
+        upstream: "llm-1".into(),
+        service: "llm".into(),
+        domain: "domain-0".into(),
+    };
+    Ok(SiteOptions {
+        hosts: (0..hosts).map(place).collect(),
+        upstreams: vec![upstream],
+        catalog: declarations.into_catalog(0),
+        heartbeat: Duration::from_secs(1),
+        time_scale: 1.0,
+        traffic_threads: 1,
+        kv_capacity_tokens: None,
+    })
+}
--- /dev/null
+++ b/crates/load/src/capacity/tests.rs
@@ -0,0 +1,71 @@
+//! The parts that everything else rests on: spreads, the comparison with a page, virtual time.
+
+use super::{
+    against::differences,
+    cluster::Cluster,
+    figure::{Figures, Kind},
+    home::waits,
+};
+
+fn figures() -> Figures {
+    let mut figures = Figures::default();
+    figures.add(Kind::Time, "a.time", "us", "", vec![30.0, 10.0, 20.0]);
+    figures.count("a.count", "B", "", 100.0);
+    figures
+}
+
+#[test]
+fn a_figure_has_its_median_and_spread() {
+    let figures = figures();
+    let time = &figures.all[0];
+    assert_eq!((time.low, time.median, time.high, time.samples), (10.0, 20.0, 30.0, 3));
+    assert_eq!(figures.get("a.count").ok(), Some(100.0));
+    assert!(figures.get("no.such").is_err());
+}
+
+#[test]
+fn a_page_is_compared_figure_by_figure() {
+    let row = |id: &str, median: f64| format!("| `{id}` | {median} | 0 | 0 | 1 | us | text |\n");
+    let same = row("a.time", 20.0) + &row("a.count", 100.0);
+    let cases = [
+        ("the same", same.clone(), 0),
+        ("a time within its tolerance", row("a.time", 50.0) + &row("a.count", 101.0), 0),
+        ("a time outside", row("a.time", 61.0) + &row("a.count", 100.0), 1),
+        ("a count outside", row("a.time", 20.0) + &row("a.count", 103.0), 1),
+        ("one that is missing", row("a.time", 20.0), 1),
+        ("one too many", same + &row("a.other", 1.0), 1),
+        ("an empty page", String::new(), 2),
+    ];
+    for (name, page, expected) in cases {
+        let found = differences(&page, &figures());
+        assert_eq!(found.len(), expected, "{name}: {found:?}");
+    }
+}
+
+#[test]
+fn store_calls_of_a_delegate_grow_with_domains_alone() {
+    const SETTLE_S: usize = 30;
+    for (hosts, domains) in [(9, 3), (18, 3), (18, 6)] {
+        let mut cluster = Cluster::new(hosts, domains);
+        cluster.run(SETTLE_S).expect("messages can be encoded");
+        cluster.check_whole().expect("all hosts are live");
+        let second = cluster.run(1).expect("messages can be encoded");
+        let sum =
+            |value: fn(&super::cluster::Traffic) -> f64| second.iter().map(value).sum::<f64>();
+        let domains = domains as f64;
+        assert_eq!(sum(|traffic| traffic.writes), domains, "{hosts} hosts");
+        assert_eq!(sum(|traffic| traffic.reads), domains * (domains - 1.0), "{hosts} hosts");
+        assert_eq!(sum(|traffic| traffic.lists), domains * 2.0, "{hosts} hosts");
+    }
+}
+
+#[test]
+fn a_slow_pace_of_the_journal_is_waited_for() {
+    let p95 = |writes_per_s| {
+        let waits = waits(writes_per_s, 11.0).expect("appends become durable");
+        waits[waits.len() * 95 / 100]
+    };
+    let (slow, fast) = (p95(0.7), p95(50.0));
+    assert!(slow > 1.0, "{slow} s at 0.7 writes a second");
+    assert!(fast < 0.05, "{fast} s at 50 writes a second");
+}
--- a/crates/load/src/cli.rs
+++ b/crates/load/src/cli.rs
@@ -2,6 +2,7 @@
 
 use {
     crate::{
+        capacity,
         experiment::{Experiment, RunLength},
         latency,
         measure::Measures,
@@ -73,6 +74,7 @@
         .subcommand_required(true)
         .subcommand(policy)
         .subcommand(latency_command())
+        .subcommand(capacity::command())
 }
 
 fn latency_command() -> Command {
@@ -107,6 +109,7 @@
     match matches.subcommand() {
         Some(("policy", matches)) => run_policy(matches),
         Some(("latency", matches)) => run_latency(matches),
+        Some(("capacity", matches)) => capacity::run(matches).change_context(CliError),
         _ => Err(Report::new(CliError).attach("no command was given")),
     }
 }
