Take no configuration older than any host has in force

Cause: nothing called Spread::raise_floor, so a host that starts or falls back to an old store or peer could take a manifest that other hosts had long replaced, and with it withdrawn keys. Change: each changed view raises the floor to the highest version that any host in it announces. Checked: the floor itself by the tests of the spread machine; the call builds and is linted. No end-to-end test of it yet.

--- a/crates/host/src/control/config.rs
+++ b/crates/host/src/control/config.rs
@@ -67,6 +67,15 @@
         self.config_event(Event::ManifestSeen { version, as_of });
     }
 
+    /// Takes no configuration older than what another host has in force: an old store or peer can't
+    /// bring back what was withdrawn.
+    pub(super) fn raise_config_floor(&mut self) {
+        let versions = self.membership.hosts().map(|entry| entry.config);
+        if let Some(highest) = versions.max() {
+            self.config.spread.raise_floor(highest);
+        }
+    }
+
     fn config_event(&mut self, event: Event) {
         for command in self.config.spread.handle(Instant::now(), event) {
             match command {
--- a/crates/host/src/control/members.rs
+++ b/crates/host/src/control/members.rs
@@ -122,6 +122,7 @@
         self.shared.peers.close_gone(&self.known_peers, &peers);
         self.known_peers = peers;
         self.set_pace();
+        self.raise_config_floor();
         self.renew_backups(now);
         self.adopt_orphans(now);
     }
