--- a/crates/core/src/limit/bucket.rs
+++ b/crates/core/src/limit/bucket.rs
@@ -71,22 +71,20 @@
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Bucket {
     allowance: Allowance,
-    /// Invariant: at most the burst less what is reserved.
+    /// Invariant: at most the burst.
     level: Tokens,
-    /// Room kept free for tokens that are on their way from the other half.
-    reserved: Tokens,
     at: Instant,
 }
 
 impl Bucket {
     /// Makes a bucket that was empty at a time.
     pub fn empty(at: Instant, allowance: Allowance) -> Self {
-        Self { allowance, level: 0, reserved: 0, at }
+        Self { allowance, level: 0, at }
     }
 
     /// Makes a bucket with a level, at most its burst.
     pub fn with_level(at: Instant, allowance: Allowance, level: Tokens) -> Self {
-        Self { allowance, level: level.min(allowance.burst()), reserved: 0, at }
+        Self { allowance, level: level.min(allowance.burst()), at }
     }
 
     /// Returns when it was last used.
@@ -97,12 +95,12 @@
     /// Returns the level at a time that is not before its last use.
     pub fn level(&self, now: Instant) -> Tokens {
         let elapsed = now.saturating_duration_since(self.at);
-        (self.level + self.allowance.refill(elapsed)).min(self.cap())
+        (self.level + self.allowance.refill(elapsed)).min(self.allowance.burst())
     }
 
     /// Returns whether it is as full as an unused one.
     pub fn is_full(&self, now: Instant) -> bool {
-        self.reserved == 0 && self.level(now) == self.allowance.burst()
+        self.level(now) == self.allowance.burst()
     }
 
     /// Takes whole tokens, or returns after how long there may be enough. [`Duration::MAX`] means
@@ -132,22 +130,7 @@
         }
         self.advance(now);
         self.allowance = allowance;
-        self.level = self.level.min(self.cap());
-    }
-
-    /// Keeps room for tokens from the other half, at most what is missing. Returns the room.
-    pub fn reserve(&mut self, now: Instant, amount: Tokens) -> Tokens {
-        self.advance(now);
-        let room = amount.min(self.cap() - self.level);
-        self.reserved += room;
-        room
-    }
-
-    /// Ends a reservation; `arrived` of it came.
-    pub fn unreserve(&mut self, now: Instant, room: Tokens, arrived: Tokens) {
-        self.advance(now);
-        self.reserved = self.reserved.saturating_sub(room);
-        self.level = (self.level + arrived.min(room)).min(self.cap());
+        self.level = self.level.min(self.allowance.burst());
     }
 
     /// Adds tokens to a bucket that was empty at `since`, as if it had begun with them. What would
@@ -156,12 +139,7 @@
         self.advance(now);
         let refilled = self.allowance.refill(now.saturating_duration_since(since));
         let added = tokens.min(self.allowance.burst().saturating_sub(refilled));
-        self.level = (self.level + added).min(self.cap());
-    }
-
-    /// Returns whether room is kept free.
-    pub fn is_reserved(&self) -> bool {
-        self.reserved > 0
+        self.level = (self.level + added).min(self.allowance.burst());
     }
 
     /// Removes up to an amount and returns what was removed.
@@ -172,15 +150,6 @@
         removed
     }
 
-    /// Returns what is missing for whole tokens.
-    pub fn missing_for(&self, now: Instant, count: u32) -> Tokens {
-        (Tokens::from(count) * TOKEN).saturating_sub(self.level(now))
-    }
-
-    fn cap(&self) -> Tokens {
-        self.allowance.burst().saturating_sub(self.reserved)
-    }
-
     fn advance(&mut self, now: Instant) {
         self.level = self.level(now);
         self.at = self.at.max(now);
--- a/crates/core/src/limit/limiter.rs
+++ b/crates/core/src/limit/limiter.rs
@@ -40,28 +40,6 @@
     pub level: Tokens,
 }
 
-/// Asks the other half for tokens.
-#[derive(Clone, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
-pub struct DrawRequest {
-    /// Names the draw at the asking limiter.
-    pub seq: u64,
-    /// The team.
-    pub team: TeamId,
-    /// The half that asks.
-    pub to_half: u8,
-    /// The most that there is room for.
-    pub amount: Tokens,
-}
-
-/// Tokens from the other half, which no longer has them.
-#[derive(Clone, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
-pub struct DrawReply {
-    /// From the request.
-    pub seq: u64,
-    /// Tokens.
-    pub amount: Tokens,
-}
-
 /// A bucket and how this host came to it.
 #[derive(Clone, Debug)]
 struct Slot {
@@ -84,21 +62,10 @@
     Given,
 }
 
-/// A draw under way.
-#[derive(Clone, Debug)]
-struct Draw {
-    team: TeamId,
-    half: u8,
-    room: Tokens,
-    since: Instant,
-}
-
 /// All buckets of one host.
 #[derive(Clone, Debug, Default)]
 pub struct Limiter {
     slots: BTreeMap<(TeamId, u8), Slot>,
-    draws: BTreeMap<u64, Draw>,
-    last_draw: u64,
 }
 
 impl Limiter {
@@ -189,74 +156,11 @@
         }
     }
 
-    /// Starts to draw from the other half what is missing for `count` tokens here. Room for the
-    /// tokens stays free until they come or the draw ends, so that tokens under way never come on
-    /// top of a full bucket.
-    pub fn begin_draw(
-        &mut self,
-        now: Instant,
-        (team, half): (&TeamId, u8),
-        count: u32,
-        allowance: Allowance,
-        standing: &Standing,
-    ) -> Option<DrawRequest> {
-        let slot = self.slot(now, (team, half), allowance, standing)?;
-        let missing = slot.bucket.missing_for(now, count);
-        let room = slot.bucket.reserve(now, missing);
-        if room == 0 {
-            return None;
-        }
-        self.last_draw += 1;
-        let draw = Draw { team: team.clone(), half, room, since: now };
-        self.draws.insert(self.last_draw, draw);
-        let seq = self.last_draw;
-        Some(DrawRequest { seq, team: team.clone(), to_half: half, amount: room })
-    }
-
-    /// Removes tokens for the other half. If the answer is lost, they are spent.
-    pub fn draw(
-        &mut self,
-        now: Instant,
-        request: &DrawRequest,
-        allowance: Allowance,
-        standing: &Standing,
-    ) -> Option<DrawReply> {
-        let half = 1 - request.to_half.min(1);
-        let slot = self.slot(now, (&request.team, half), allowance, standing)?;
-        let amount = slot.bucket.remove(now, request.amount);
-        Some(DrawReply { seq: request.seq, amount })
-    }
-
-    /// Takes in what was drawn. Late and repeated answers change nothing.
-    pub fn end_draw(&mut self, now: Instant, reply: &DrawReply) {
-        self.settle_draw(now, reply.seq, reply.amount);
-    }
-
-    /// Ends draws that have had no answer for too long, and drops buckets that are full. Call it
-    /// now and then; the cost is that of all buckets.
-    pub fn sweep(&mut self, now: Instant, draw_timeout: Duration) {
-        let late: Vec<u64> = self
-            .draws
-            .iter()
-            .filter(|(_, draw)| now.saturating_duration_since(draw.since) >= draw_timeout)
-            .map(|(seq, _)| *seq)
-            .collect();
-        for seq in late {
-            self.settle_draw(now, seq, 0);
-        }
+    /// Drops buckets that are full. Call it now and then; the cost is that of all buckets.
+    pub fn sweep(&mut self, now: Instant) {
         self.slots.retain(|_, slot| slot.origin != Origin::Own || !slot.bucket.is_full(now));
     }
 
-    fn settle_draw(&mut self, now: Instant, seq: u64, arrived: Tokens) {
-        let Some(draw) = self.draws.remove(&seq) else { return };
-        if let Some(slot) = self.slots.get_mut(&(draw.team, draw.half)) {
-            // A bucket that was begun anew after the draw has no room reserved for it.
-            if slot.bucket.is_reserved() {
-                slot.bucket.unreserve(now, draw.room, arrived);
-            }
-        }
-    }
-
     /// Returns the bucket if this host may use it now.
     fn slot(
         &mut self,
--- a/crates/core/src/limit/mod.rs
+++ b/crates/core/src/limit/mod.rs
@@ -14,5 +14,5 @@
 pub use {
     bucket::{Allowance, Bucket, Tokens},
     client::{Attempt, HalfAnswer, Hints, Step},
-    limiter::{DrawReply, DrawRequest, Handover, Limiter, Taken},
+    limiter::{Handover, Limiter, Taken},
 };
--- a/crates/host/src/control/allowance.rs
+++ b/crates/host/src/control/allowance.rs
@@ -8,7 +8,7 @@
     std::time::{Duration, Instant},
     trefoilring_core::{
         ids::TeamId,
-        limit::{Allowance, DrawReply, DrawRequest, Hints, Limiter, Taken},
+        limit::{Allowance, Hints, Limiter, Taken},
         membership::{RoleKey, Standing},
         verdict::Refusal,
     },
@@ -17,9 +17,6 @@
 
 /// Time between two sweeps of the buckets.
 const SWEEP_EVERY: Duration = Duration::from_secs(5);
-/// A draw from the other half without an answer for so long is given up.
-pub(crate) const DRAW_TIMEOUT: Duration = Duration::from_secs(1);
-
 /// Buckets, and which half served each team last.
 pub(super) struct Allowances {
     limiter: Limiter,
@@ -39,7 +36,7 @@
     pub(super) fn sweep(&mut self, now: Instant) {
         if now >= self.next_sweep {
             self.next_sweep = now + SWEEP_EVERY;
-            self.limiter.sweep(now, DRAW_TIMEOUT);
+            self.limiter.sweep(now);
         }
     }
 }
@@ -54,29 +51,6 @@
         self.allowances.limiter.take(now, half, take.count, allowance, &standing)
     }
 
-    /// Starts to draw from the other half what is missing here.
-    pub(crate) fn begin_draw(&mut self, take: &TakeTokens) -> Option<DrawRequest> {
-        let now = Instant::now();
-        let allowance = self.allowance(&take.team, take.half)?;
-        let standing = self.standing(&take.team, take.half, now);
-        let half = (&take.team, take.half);
-        self.allowances.limiter.begin_draw(now, half, take.count, allowance, &standing)
-    }
-
-    /// Removes tokens from the half here for the other one.
-    pub(crate) fn draw(&mut self, request: &DrawRequest) -> Option<DrawReply> {
-        let now = Instant::now();
-        let half = 1 - request.to_half.min(1);
-        let allowance = self.allowance(&request.team, half)?;
-        let standing = self.standing(&request.team, half, now);
-        self.allowances.limiter.draw(now, request, allowance, &standing)
-    }
-
-    /// Takes in what was drawn.
-    pub(crate) fn end_draw(&mut self, reply: &DrawReply) {
-        self.allowances.limiter.end_draw(Instant::now(), reply);
-    }
-
     /// Where a half of a team's allowance is.
     pub(crate) fn find_limiter(&self, team: &TeamId, half: u8) -> Result<Home, Refusal> {
         let Some(entry) = self.membership.limiter_of(team, half) else { return Err(not_here()) };
--- a/crates/host/src/peer_server.rs
+++ b/crates/host/src/peer_server.rs
@@ -13,7 +13,7 @@
         hlc::Stamp,
         ids::ProgramId,
         journal::{ClaimReply, CopyReply},
-        limit::{DrawReply, DrawRequest, Taken},
+        limit::Taken,
         membership,
         message::Message,
         sched::{SlotGrant, SlotRelease, SlotRequest},
@@ -89,10 +89,6 @@
         allowance::take_here(&self.shared, take).await
     }
 
-    async fn draw_tokens(self, _: Context, request: DrawRequest) -> Option<DrawReply> {
-        allowance::draw_here(&self.shared, request).await
-    }
-
     async fn member(self, _: Context, message: membership::Message, stamp: Stamp) -> Stamp {
         self.shared.events.observe(stamp);
         self.shared.control.tell(move |control| control.member_message(message));
--- a/crates/load/src/capacity/limiter.rs
+++ b/crates/load/src/capacity/limiter.rs
@@ -10,7 +10,7 @@
     std::time::{Duration, Instant},
     trefoilring_core::{
         ids::TeamId,
-        limit::{Allowance, DrawReply, DrawRequest, Limiter, Taken},
+        limit::{Allowance, Limiter, Taken},
         membership::Standing,
     },
     trefoilring_proto::{PeerRequest, PeerResponse, TakeTokens},
@@ -63,7 +63,7 @@
         Ok(halves as u64)
     })?;
     figures.time("limiter.sweep", "sweep the buckets, for each bucket", || {
-        limiter.sweep(later, Duration::from_secs(1));
+        limiter.sweep(later);
         // None is full, so that all stay.
         Ok(limiter.len() as u64)
     })?;
@@ -87,12 +87,6 @@
     let bytes = wire::request_bytes(PeerRequest::TakeTokens { take })?
         + wire::response_bytes(PeerResponse::TakeTokens(Taken::Granted))?;
     figures.count("limiter.take.bytes", "B", "request for a token and its answer", bytes);
-    let amount = 1_000_000_000_000_000_000;
-    let request = DrawRequest { seq: 1, team: team(0), to_half: 0, amount };
-    let reply = Some(DrawReply { seq: 1, amount });
-    let bytes = wire::request_bytes(PeerRequest::DrawTokens { request })?
-        + wire::response_bytes(PeerResponse::DrawTokens(reply))?;
-    figures.count("limiter.draw.bytes", "B", "draw from the other half and its answer", bytes);
     Ok(())
 }
 
--- a/crates/proto/src/service.rs
+++ b/crates/proto/src/service.rs
@@ -10,7 +10,7 @@
         hlc::Stamp,
         ids::ProgramId,
         journal::{ClaimReply, CopyReply},
-        limit::{DrawReply, DrawRequest, Taken},
+        limit::Taken,
         membership,
         message::Message,
         sched::{SlotGrant, SlotRelease, SlotRequest},
@@ -43,9 +43,6 @@
     /// Takes tokens from a half of a team's allowance.
     async fn take_tokens(take: TakeTokens) -> Taken;
 
-    /// Moves tokens to the other half of a team's allowance.
-    async fn draw_tokens(request: DrawRequest) -> Option<DrawReply>;
-
     /// Passes a message of the membership machines. The stamps order events over all hosts.
     async fn member(message: membership::Message, stamp: Stamp) -> Stamp;
 
