Don't split a team's allowance when its burst is under 100

Change: a burst under 100 tokens is all at the first half; a home then asks no other. The tests that need two small halves name them, so that they still use both up.

--- a/crates/core/src/limit/bucket.rs
+++ b/crates/core/src/limit/bucket.rs
@@ -11,6 +11,9 @@
 
 /// Units of one token.
 const TOKEN: Tokens = 1_000_000_000_000_000_000;
+/// The least burst that is split, in tokens. A smaller one is all at the first half: in two small
+/// buckets one is often short while the other has what is missing.
+const SPLIT_BURST_MIN: u32 = 100;
 /// Rate units (10^-9 token a second) of one token a second.
 const RATE_TOKEN: f64 = 1e9;
 
@@ -33,10 +36,15 @@
 }
 
 impl Allowance {
-    /// Returns one half. The halves add up to the whole. A burst of one can't be split: the first
-    /// half then has it all.
+    /// Returns how many halves have tokens: one if the burst is too small to be split.
+    pub fn halves(self) -> u8 {
+        if self.burst_tokens < SPLIT_BURST_MIN { 1 } else { HALVES }
+    }
+
+    /// Returns one half. The halves add up to the whole. If the burst isn't split, the first half
+    /// has it all.
     pub fn half(self, half: u8) -> Self {
-        if self.burst_tokens < u32::from(HALVES) {
+        if self.halves() == 1 {
             let nothing = Self { rate_nanotokens_per_s: 0, burst_tokens: 0 };
             return if half == 0 { self } else { nothing };
         }
--- a/crates/core/src/limit/client.rs
+++ b/crates/core/src/limit/client.rs
@@ -47,19 +47,22 @@
 }
 
 impl Hints {
-    /// Starts to get tokens. `near` is the half to prefer when nothing is known.
+    /// Starts to get tokens. `near` is the half to prefer when nothing is known; `halves` is how many
+    /// have tokens ([`super::Allowance::halves`]).
     pub fn start(
         &self,
         now: Instant,
         team: &TeamId,
         near: u8,
+        halves: u8,
         count: u32,
         wait_max: Duration,
     ) -> Attempt {
-        let first = self.last_good.get(team).copied().unwrap_or(near).min(HALVES - 1);
+        let first = self.last_good.get(team).copied().unwrap_or(near).min(halves.min(HALVES) - 1);
         Attempt {
             count,
             first,
+            is_split: halves > 1,
             answers: [None, None],
             deadline: now + wait_max,
             waits_until: None,
@@ -85,6 +88,7 @@
 pub struct Attempt {
     count: u32,
     first: u8,
+    is_split: bool,
     answers: [Option<HalfAnswer>; HALVES as usize],
     deadline: Instant,
     waits_until: Option<Instant>,
@@ -124,24 +128,27 @@
             self.waits_until = None;
             self.answers = [None, None];
         }
-        let open = [self.first, 1 - self.first]
-            .into_iter()
-            .find(|half| self.answers[usize::from(*half)].is_none());
+        let open = self.halves().find(|half| self.answers[usize::from(*half)].is_none());
         match open {
             Some(half) => Step::Ask(half),
             None => self.wait_or_refuse(now),
         }
     }
 
+    /// The halves that have tokens, in the order of asking.
+    fn halves(&self) -> impl Iterator<Item = u8> + use<> {
+        let other = self.is_split.then_some(1 - self.first);
+        [self.first].into_iter().chain(other)
+    }
+
     fn wait_or_refuse(&mut self, now: Instant) -> Step {
         let wait = |half: &u8| match &self.answers[usize::from(*half)] {
             Some(HalfAnswer::Answered(Taken::RetryAfter(wait))) => *wait,
             _ => UNREACHABLE_WAIT,
         };
         // The half that has tokens first is asked first after the wait.
-        let halves = [self.first, 1 - self.first];
-        let (first, wait) = halves
-            .into_iter()
+        let (first, wait) = self
+            .halves()
             .map(|half| (half, wait(&half)))
             .min_by_key(|(_, wait)| *wait)
             .unwrap_or((self.first, UNREACHABLE_WAIT));
@@ -172,7 +179,7 @@
         match self.retry_after {
             Some(Duration::MAX) => Refusal::not_run(
                 Reason::OverAllowance,
-                "the request needs more tokens than half of the team's burst",
+                "the request needs more tokens than a bucket of the team holds",
             ),
             Some(wait) => {
                 Refusal::not_run(Reason::OverAllowance, "the team is over its rate and burst")
--- a/crates/core/src/limit/tests.rs
+++ b/crates/core/src/limit/tests.rs
@@ -15,6 +15,12 @@
 const TEAM_ALLOWANCE: Allowance =
     Allowance { rate_nanotokens_per_s: 3_333_333_333, burst_tokens: 7 };
 
+/// Two halves, though the burst is small: a small burst is used up often.
+const HALVES_OF_TEAM: [Allowance; 2] = [
+    Allowance { rate_nanotokens_per_s: 1_666_666_667, burst_tokens: 4 },
+    Allowance { rate_nanotokens_per_s: 1_666_666_666, burst_tokens: 3 },
+];
+
 fn config(cases: u32) -> ProptestConfig {
     ProptestConfig {
         cases,
@@ -222,7 +228,7 @@
     fn take(&mut self, half: u8, count: u32) {
         let holder = &mut self.holders[usize::from(half)];
         let key = (&self.team, half);
-        let allowance = TEAM_ALLOWANCE.half(half);
+        let allowance = HALVES_OF_TEAM[usize::from(half)];
         let taken = holder.limiter.take(self.now, key, count, allowance, &holder.standing);
         if taken == Taken::Granted {
             self.granted += count;
@@ -232,7 +238,7 @@
 
     fn join(&mut self, half: u8) {
         let mut old = self.replace(half, Standing::Settling { since: self.now });
-        let allowance = TEAM_ALLOWANCE.half(half);
+        let allowance = HALVES_OF_TEAM[usize::from(half)];
         let given = old.limiter.hand_over(
             self.now,
             &"old".into(),
@@ -249,7 +255,7 @@
         let host: HostId = format!("host-{}", self.numbers).into();
         let standing = self.acting(Some(host.clone()));
         let mut old = self.replace(half, standing);
-        let allowance = TEAM_ALLOWANCE.half(half);
+        let allowance = HALVES_OF_TEAM[usize::from(half)];
         let key = (&self.team, half);
         let given = old.limiter.hand_over(self.now, &host, key, allowance, &old.standing);
         self.sent.extend(given);
@@ -257,7 +263,7 @@
 
     fn deliver(&mut self, handover: &Handover) {
         let holder = &mut self.holders[usize::from(handover.half)];
-        let allowance = TEAM_ALLOWANCE.half(handover.half);
+        let allowance = HALVES_OF_TEAM[usize::from(handover.half)];
         holder.limiter.accept(self.now, handover, allowance, &holder.standing);
     }
 }
@@ -380,7 +386,7 @@
     for (answers, wait_max, expected) in CLIENT_CASES {
         let start = Instant::now();
         let hints = Hints::default();
-        let mut attempt = hints.start(start, &"ayla".into(), 1, 1, millis(*wait_max));
+        let mut attempt = hints.start(start, &"ayla".into(), 1, 2, 1, millis(*wait_max));
         let (end, at) = run_attempt(&mut attempt, start, answers);
         let found = match end {
             Step::Granted => Ok(Some((at - start).as_millis() as u64)),
@@ -396,16 +402,16 @@
     let mut hints = Hints::default();
     let team: TeamId = "ayla".into();
     let start = Instant::now();
-    let mut attempt = hints.start(start, &team, 1, 1, Duration::ZERO);
+    let mut attempt = hints.start(start, &team, 1, 2, 1, Duration::ZERO);
     run_attempt(&mut attempt, start, &[retry(900), GRANTED]);
     hints.note(&team, &attempt);
-    assert_eq!(hints.start(start, &team, 1, 1, Duration::ZERO).next(start), Step::Ask(0));
+    assert_eq!(hints.start(start, &team, 1, 2, 1, Duration::ZERO).next(start), Step::Ask(0));
 }
 
 #[test]
 fn request_larger_than_the_burst_is_refused_without_a_time_to_come_back() {
     let start = Instant::now();
-    let mut attempt = Hints::default().start(start, &"ayla".into(), 0, 9, millis(500));
+    let mut attempt = Hints::default().start(start, &"ayla".into(), 0, 2, 9, millis(500));
     let never = HalfAnswer::Answered(Taken::RetryAfter(Duration::MAX));
     let (end, _) = run_attempt(&mut attempt, start, &[never.clone(), never]);
     let Step::Refuse(refusal) = end else { panic!("{end:?}") };
--- a/crates/core/src/membership/tests/world.rs
+++ b/crates/core/src/membership/tests/world.rs
@@ -21,6 +21,8 @@
 pub const TEAMS: [&str; 3] = ["ayla", "bina", "cemre"];
 pub const ALLOWANCE: Allowance =
     Allowance { rate_nanotokens_per_s: 20_000_000_000, burst_tokens: 8 };
+/// Each half, though the burst is small: both halves are tested, and are used up often.
+const HALF: Allowance = Allowance { rate_nanotokens_per_s: 10_000_000_000, burst_tokens: 4 };
 
 /// One process of one host.
 #[derive(Clone)]
@@ -258,7 +260,7 @@
         let process = self.processes.get_mut(member).expect("known");
         for (team, half, key) in &self.keys {
             let standing = process.machine.standing(key, now);
-            let allowance = ALLOWANCE.half(*half);
+            let allowance = HALF;
             let half = (team, *half);
             while process.limiter.take(now, half, 1, allowance, &standing) == Taken::Granted {
                 self.granted += 1;
--- a/crates/core/tests/limit_figures.rs
+++ b/crates/core/tests/limit_figures.rs
@@ -31,6 +31,7 @@
     batch: u32,
     loses_host: bool,
     wait_max: Duration,
+    is_split: bool,
 }
 
 #[derive(Debug, Default)]
@@ -45,7 +46,7 @@
 
 struct Halves {
     team: TeamId,
-    allowance: Allowance,
+    allowances: [Allowance; 2],
     limiters: [Limiter; 2],
     standings: [Standing; 2],
     lost: Option<(Instant, Instant)>,
@@ -66,7 +67,7 @@
                     Standing::Acting { since: until, held_since: until, former: None };
             }
         }
-        let allowance = self.allowance.half(half);
+        let allowance = self.allowances[index];
         let key = (&self.team, half);
         let standing = &self.standings[index];
         HalfAnswer::Answered(self.limiters[index].take(now, key, 1, allowance, standing))
@@ -82,6 +83,19 @@
     }
 }
 
+/// The halves as the product splits them, or as it would with another threshold.
+fn halves_of(whole: Allowance, is_split: bool) -> [Allowance; 2] {
+    let part = |parts: u32| Allowance {
+        rate_nanotokens_per_s: whole.rate_nanotokens_per_s.checked_div(parts.into()).unwrap_or(0),
+        burst_tokens: whole.burst_tokens.checked_div(parts).unwrap_or(0),
+    };
+    let halves = if is_split { [part(2), part(2)] } else { [part(1), part(0)] };
+    if is_split == (whole.halves() == 2) {
+        assert_eq!(halves, [whole.half(0), whole.half(1)]);
+    }
+    halves
+}
+
 fn arrivals(case: Case, start: Instant, rng: &mut StdRng) -> Vec<Instant> {
     let batches_per_s = case.rate_per_s as f64 * case.load / f64::from(case.batch);
     let mut at = 0.0;
@@ -106,7 +120,7 @@
     let lost_at = begin + RUN / 2;
     let mut halves = Halves {
         team: "ayla".into(),
-        allowance,
+        allowances: halves_of(allowance, case.is_split),
         limiters: Default::default(),
         standings: [standing(), standing()],
         lost: case.loses_host.then(|| (lost_at, lost_at + TAKEOVER)),
@@ -128,8 +142,9 @@
         let team = halves.team.clone();
         let near = (index % 2) as u8;
         let is_again = attempts[index].is_some();
-        let attempt =
-            attempts[index].get_or_insert_with(|| hints.start(now, &team, near, 1, case.wait_max));
+        let attempt = attempts[index].get_or_insert_with(|| {
+            hints.start(now, &team, near, 1 + u8::from(case.is_split), 1, case.wait_max)
+        });
         match halves.step(now, attempt) {
             Step::Wait(until) => {
                 tally.waited += u32::from(!is_again);
@@ -162,6 +177,7 @@
                 batch,
                 loses_host,
                 wait_max: Duration::from_millis(wait_ms),
+                is_split: Allowance { rate_nanotokens_per_s: 0, burst_tokens: burst }.halves() == 2,
             };
             rows.push((case, run(case)));
         }
@@ -170,7 +186,7 @@
 }
 
 fn print_row(case: Case, tally: &Tally) {
-    let Case { rate_per_s, burst, load, batch, loses_host, wait_max } = case;
+    let Case { rate_per_s, burst, load, batch, loses_host, wait_max, .. } = case;
     let wait_ms = wait_max.as_millis();
     println!(
         "{rate_per_s:6} {burst:5} {load:4} {batch:5} {wait_ms:7} {loses_host:5} {:9} {:7} {:8} \
@@ -213,3 +229,54 @@
         assert!(!has_wait || share < 1.0, "the target is under 0.1%");
     }
 }
+
+/// Hosts that fail in a day, and all hosts.
+const FAILED_A_DAY: (f64, f64) = (6.0, 350.0);
+
+/// What a split costs a team in the steady case against what it saves when a limiter's host is
+/// lost. The sum weighs the loss by how often it comes: a split team has two such hosts.
+#[test]
+fn split_against_single() {
+    println!("seed {SEED}, wait 3 s, load 0.95, per mille of a day's requests wrongfully refused");
+    println!("rate/s burst batch  split steady   lost    day  single steady   lost    day");
+    let sizes = [(2, 6), (4, 16), (8, 32), (16, 64), (32, 100), (64, 200)];
+    let shapes = sizes.iter().flat_map(|size| [(*size, 1), (*size, (size.1 / 4).max(2))]);
+    let rows: Vec<(bool, [f64; 2], String)> = std::thread::scope(|scope| {
+        let threads: Vec<_> = shapes
+            .map(|((rate_per_s, burst), batch)| {
+                scope.spawn(move || compare(rate_per_s, burst, batch))
+            })
+            .collect();
+        threads.into_iter().map(|thread| thread.join().expect("no panic")).collect()
+    });
+    rows.iter().for_each(|(_, _, line)| println!("{line}"));
+    // The two shapes of one size, of which the worse one decides.
+    for shapes in rows.chunks(2) {
+        let worst = |way: usize| shapes.iter().map(|(_, days, _)| days[way]).fold(0.0, f64::max);
+        let (split, single) = (worst(0), worst(1));
+        let is_right = if shapes[0].0 { split < 1.0 } else { single < split };
+        assert!(is_right, "{}", shapes[0].2);
+    }
+}
+
+/// One row: whether the product splits it, the share over a day of both ways, and the line to print.
+fn compare(rate_per_s: u64, burst: u32, batch: u32) -> (bool, [f64; 2], String) {
+    let whole = Allowance { rate_nanotokens_per_s: 0, burst_tokens: burst };
+    let wait_max = Duration::from_secs(3);
+    let mut line = format!("{rate_per_s:6} {burst:5} {batch:5}");
+    let days = [true, false].map(|is_split| {
+        let of = |loses_host| {
+            run(Case { rate_per_s, burst, load: 0.95, batch, loses_host, wait_max, is_split })
+        };
+        let (steady, lost) = (of(false), of(true));
+        let a_day = f64::from(steady.requests) * 86_400.0 / RUN.as_secs_f64();
+        let losses = FAILED_A_DAY.0 / FAILED_A_DAY.1 * if is_split { 2.0 } else { 1.0 };
+        let extra = (f64::from(lost.wrongful) - f64::from(steady.wrongful)) * losses;
+        let share = permille(steady.wrongful, steady.requests);
+        let day = share + extra * 1_000.0 / a_day;
+        let lost = permille(lost.wrongful, lost.requests);
+        line += &format!("  {share:12.3} {lost:6.3} {day:6.3}");
+        day
+    });
+    (whole.halves() == 2, days, line)
+}
--- a/crates/host/src/control/allowance.rs
+++ b/crates/host/src/control/allowance.rs
@@ -69,7 +69,10 @@
         reply: &Reply<trefoilring_core::limit::Attempt>,
     ) {
         let near = u8::from(self.find_limiter(team, 1) == Ok(Home::Here));
-        answer(reply, self.allowances.hints.start(Instant::now(), team, near, 1, wait_max));
+        let catalog = self.shared.catalog();
+        let halves = catalog.teams.get(team).map_or(1, |team| Allowance::from(team).halves());
+        let hints = &self.allowances.hints;
+        answer(reply, hints.start(Instant::now(), team, near, halves, 1, wait_max));
     }
 
     /// Remembers which half served a team.
