Promise tokens for a later time, in order, and put requests within the rate first

Cause: a request that found no token asked again after each wait. Waiting ones overtook each other, sent several messages, and those over the rate took the tokens of those within it. Change: a limiter grants for a time at most 3 s ahead; the home waits and asks no more. The level goes below zero by what 3 s add at most. A second level, as without promises, says which requests are within the rate; one over it is granted only while all within it still can be. A new holder starts at the lowest level, since the former one's promises may be open; until 3 s after its start it has a home ask again (AskAgain) instead of refusing. A handed-over level counts only in a bucket that nothing was taken from: team_never_gets_more found an overshoot without that.

--- a/crates/core/src/limit/bucket.rs
+++ b/crates/core/src/limit/bucket.rs
@@ -9,6 +9,12 @@
 /// number of units each nanosecond.
 pub type Tokens = u128;
 
+/// A level in the same units; below zero when tokens are promised for later.
+pub type Level = i128;
+
+/// The longest time for which tokens are promised ahead.
+pub const WAIT_MAX: Duration = Duration::from_secs(3);
+
 /// Units of one token.
 const TOKEN: Tokens = 1_000_000_000_000_000_000;
 /// The least burst that is split, in tokens. A smaller one is all at the first half: in two small
@@ -65,8 +71,16 @@
         elapsed.as_nanos() * Tokens::from(self.rate_nanotokens_per_s)
     }
 
+    /// Returns how far a level is above the lowest one.
+    fn above_lowest(self, level: Level) -> Tokens {
+        to_tokens(level.saturating_add(signed(self.refill(WAIT_MAX))))
+    }
+
     /// Returns the time in which `missing` is added, rounded up.
     fn wait_for(self, missing: Tokens) -> Duration {
+        if missing == 0 {
+            return Duration::ZERO;
+        }
         if self.rate_nanotokens_per_s == 0 {
             return Duration::MAX;
         }
@@ -75,24 +89,39 @@
     }
 }
 
-/// The tokens of one half at one time.
+/// The tokens of one half at one time, with a queue of promises.
+///
+/// A take may be granted for a later time: its tokens come from what will have been added by then,
+/// so the level goes below zero, by at most what [`WAIT_MAX`] adds. Grants are in order: each is for
+/// a time not before that of the one before it.
+///
+/// A request is *within* the allowance if a bucket without promises has its tokens at once. One that
+/// is over it is granted only while every request within it still can be, so that it never takes the
+/// place of one.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Bucket {
     allowance: Allowance,
-    /// Invariant: at most the burst.
-    level: Tokens,
+    /// The level above the lowest one. Invariant: at most the burst and what [`WAIT_MAX`] adds.
+    ahead: Tokens,
+    /// The level of a bucket without promises. Invariant: at most the burst, and at most `ahead`.
+    within: Tokens,
     at: Instant,
 }
 
 impl Bucket {
-    /// Makes a bucket that was empty at a time.
+    /// Makes a bucket at its lowest level: a former holder may have promised all that is added in
+    /// the next [`WAIT_MAX`].
     pub fn empty(at: Instant, allowance: Allowance) -> Self {
-        Self { allowance, level: 0, at }
+        Self { allowance, ahead: 0, within: 0, at }
     }
 
-    /// Makes a bucket with a level, at most its burst.
-    pub fn with_level(at: Instant, allowance: Allowance, level: Tokens) -> Self {
-        Self { allowance, level: level.min(allowance.burst()), at }
+    /// Makes a bucket with a level, at most its burst. Below the lowest level, which only a higher
+    /// rate before allowed, the promises end within [`WAIT_MAX`] all the same.
+    pub fn with_level(at: Instant, allowance: Allowance, level: Level) -> Self {
+        let mut bucket = Self::empty(at, allowance);
+        bucket.ahead = allowance.above_lowest(level).min(bucket.cap());
+        bucket.within = to_tokens(level).min(allowance.burst());
+        bucket
     }
 
     /// Returns when it was last used.
@@ -100,66 +129,105 @@
         self.at
     }
 
-    /// Returns the level at a time that is not before its last use.
-    pub fn level(&self, now: Instant) -> Tokens {
-        let elapsed = now.saturating_duration_since(self.at);
-        (self.level + self.allowance.refill(elapsed)).min(self.allowance.burst())
-    }
-
     /// Returns whether it is as full as an unused one.
     pub fn is_full(&self, now: Instant) -> bool {
-        self.level(now) == self.allowance.burst()
-    }
-
-    /// Takes whole tokens, or returns after how long there may be enough. [`Duration::MAX`] means
-    /// never.
-    pub fn take(&mut self, now: Instant, count: u32) -> Result<(), Duration> {
+        self.at_time(now).ahead == self.cap()
+    }
+
+    /// Takes whole tokens and returns after how long they may be used, at most `wait_max` and
+    /// [`WAIT_MAX`]. Otherwise returns after how long they may be there without a wait;
+    /// [`Duration::MAX`] means never.
+    pub fn take(
+        &mut self,
+        now: Instant,
+        count: u32,
+        wait_max: Duration,
+    ) -> Result<Duration, Duration> {
         self.advance(now);
         let wanted = Tokens::from(count) * TOKEN;
         if wanted > self.allowance.burst() {
             return Err(Duration::MAX);
         }
-        if wanted > self.level {
-            return Err(self.allowance.wait_for(wanted - self.level));
+        let due = wanted + self.allowance.refill(WAIT_MAX);
+        let wait = self.allowance.wait_for(due.saturating_sub(self.ahead));
+        let is_within = wanted <= self.within;
+        let rest = self.ahead.checked_sub(wanted);
+        let rest = rest.filter(|rest| is_within || *rest >= self.within);
+        match rest.filter(|_| wait <= wait_max) {
+            Some(rest) => {
+                self.ahead = rest;
+                self.within -= if is_within { wanted } else { 0 };
+                Ok(wait)
+            }
+            None => Err(wait),
         }
-        self.level -= wanted;
-        Ok(())
     }
 
     /// Changes rate and burst. Time before the change counts at the lower of both rates, and the
-    /// level is clipped to the new burst.
+    /// level is clipped to the new burst. With a higher rate the lowest level is lower, and the level
+    /// sinks with it; with a lower rate the level stays.
     pub fn set_allowance(&mut self, now: Instant, allowance: Allowance) {
         if allowance == self.allowance {
             return;
         }
+        let former = self.allowance.refill(WAIT_MAX);
         let is_slower = allowance.rate_nanotokens_per_s < self.allowance.rate_nanotokens_per_s;
         if is_slower {
             self.allowance.rate_nanotokens_per_s = allowance.rate_nanotokens_per_s;
         }
-        self.advance(now);
+        let burst = self.allowance.burst();
+        let elapsed = now.saturating_duration_since(self.at);
+        let refill = self.allowance.refill(elapsed);
+        self.at = self.at.max(now);
+        let ahead = (self.ahead + refill).min(burst + former);
+        self.within = (self.within + refill).min(burst);
         self.allowance = allowance;
-        self.level = self.level.min(self.allowance.burst());
+        let sunk = former.saturating_sub(allowance.refill(WAIT_MAX));
+        self.ahead = ahead.saturating_sub(sunk).min(self.cap());
+        self.within = self.within.min(allowance.burst()).min(self.ahead);
     }
 
-    /// Adds tokens to a bucket that was empty at `since`, as if it had begun with them. What would
-    /// have flowed over since is lost.
-    pub fn credit(&mut self, now: Instant, since: Instant, tokens: Tokens) {
-        self.advance(now);
+    /// Returns whether nothing was taken from a bucket that was at its lowest level at a time, as far
+    /// as it can still be seen.
+    pub fn is_untouched(&self, now: Instant, since: Instant) -> bool {
         let refilled = self.allowance.refill(now.saturating_duration_since(since));
-        let added = tokens.min(self.allowance.burst().saturating_sub(refilled));
-        self.level = (self.level + added).min(self.allowance.burst());
+        self.at_time(now).ahead == refilled.min(self.cap())
     }
 
-    /// Removes up to an amount and returns what was removed.
-    pub fn remove(&mut self, now: Instant, amount: Tokens) -> Tokens {
+    /// Takes all, with the promises, and returns the level.
+    pub fn give_up(&mut self, now: Instant) -> Level {
         self.advance(now);
-        let removed = amount.min(self.level);
-        self.level -= removed;
-        removed
+        let level = signed(self.ahead) - signed(self.allowance.refill(WAIT_MAX));
+        (self.ahead, self.within) = (0, 0);
+        level
+    }
+
+    fn cap(&self) -> Tokens {
+        self.allowance.burst() + self.allowance.refill(WAIT_MAX)
+    }
+
+    /// The bucket at a time, as far as nothing is taken until then.
+    fn at_time(&self, now: Instant) -> Self {
+        let refill = self.allowance.refill(now.saturating_duration_since(self.at));
+        Self {
+            allowance: self.allowance,
+            ahead: (self.ahead + refill).min(self.cap()),
+            within: (self.within + refill).min(self.allowance.burst()),
+            at: self.at.max(now),
+        }
     }
 
     fn advance(&mut self, now: Instant) {
-        self.level = self.level(now);
-        self.at = self.at.max(now);
+        *self = self.at_time(now);
     }
 }
+
+/// A level as whole tokens are counted, saturating.
+fn signed(tokens: Tokens) -> Level {
+    Level::try_from(tokens).unwrap_or(Level::MAX)
+}
+
+/// What a level has above zero.
+fn to_tokens(level: Level) -> Tokens {
+    Tokens::try_from(level).unwrap_or(0)
+}
--- a/crates/core/src/limit/client.rs
+++ b/crates/core/src/limit/client.rs
@@ -1,4 +1,4 @@
-//! How a home asks for a team's tokens: one half, then the other, then a bounded wait.
+//! How a home asks for a team's tokens: one half, then the other, with a bounded wait.
 
 use {
     super::Taken,
@@ -13,10 +13,8 @@
     },
 };
 
-/// The wait before an unreachable half is asked again.
+/// The wait before a half that is unreachable or has just begun is asked again.
 const UNREACHABLE_WAIT: Duration = Duration::from_millis(100);
-/// The least wait before a half is asked again.
-const WAIT_MIN: Duration = Duration::from_millis(1);
 
 /// What came of asking a half.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -30,8 +28,8 @@
 /// What to do next.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Step {
-    /// Ask the limiter of this half.
-    Ask(u8),
+    /// Ask the limiter of this half for tokens that may be used after at most this time.
+    Ask(u8, Duration),
     /// Wait until this time, then ask for the next step.
     Wait(Instant),
     /// The tokens are taken.
@@ -64,7 +62,10 @@
             first,
             is_split: halves > 1,
             answers: [None, None],
+            wait_max,
             deadline: now + wait_max,
+            is_last_try: halves < 2,
+            granted: None,
             waits_until: None,
             retry_after: None,
         }
@@ -90,7 +91,11 @@
     first: u8,
     is_split: bool,
     answers: [Option<HalfAnswer>; HALVES as usize],
+    wait_max: Duration,
     deadline: Instant,
+    /// Whether the first half is asked with the whole wait: after the other was asked too.
+    is_last_try: bool,
+    granted: Option<(u8, Instant)>,
     waits_until: Option<Instant>,
     retry_after: Option<Duration>,
 }
@@ -103,23 +108,26 @@
 
     /// Returns the half that granted.
     pub fn granted_by(&self) -> Option<u8> {
-        let is_granted = |half: &u8| {
-            self.answers[usize::from(*half)] == Some(HalfAnswer::Answered(Taken::Granted))
-        };
-        (0..HALVES).find(is_granted)
+        self.granted.map(|(half, _)| half)
     }
 
     /// Takes in an answer.
-    pub fn answered(&mut self, half: u8, answer: HalfAnswer) {
+    pub fn answered(&mut self, now: Instant, half: u8, answer: HalfAnswer) {
+        if let HalfAnswer::Answered(Taken::Granted(wait)) = &answer {
+            self.granted = Some((half, now + *wait));
+        }
         if let Some(slot) = self.answers.get_mut(usize::from(half)) {
             *slot = Some(answer);
         }
     }
 
     /// Returns what to do next. Refuses at once when no wait within the bound can help.
+    ///
+    /// The first half is asked for tokens at once, the other one for tokens no later than the
+    /// first would have them, and then the first for tokens within the whole wait.
     pub fn next(&mut self, now: Instant) -> Step {
-        if self.granted_by().is_some() {
-            return Step::Granted;
+        if let Some((_, until)) = self.granted {
+            return if now < until { Step::Wait(until) } else { Step::Granted };
         }
         if let Some(until) = self.waits_until {
             if now < until {
@@ -127,41 +135,56 @@
             }
             self.waits_until = None;
             self.answers = [None, None];
+            self.is_last_try = !self.is_split;
         }
         let open = self.halves().find(|half| self.answers[usize::from(*half)].is_none());
         match open {
-            Some(half) => Step::Ask(half),
+            Some(half) => Step::Ask(half, self.wait_for(half)),
+            None if !self.is_last_try && self.first_wait().is_some() => {
+                self.is_last_try = true;
+                Step::Ask(self.first, self.wait_max)
+            }
             None => self.wait_or_refuse(now),
         }
     }
 
+    fn wait_for(&self, half: u8) -> Duration {
+        match half == self.first {
+            true if self.is_last_try => self.wait_max,
+            true => Duration::ZERO,
+            false => self.first_wait().map_or(self.wait_max, |wait| wait.min(self.wait_max)),
+        }
+    }
+
+    /// The wait that the first half named, if it is one that may help.
+    fn first_wait(&self) -> Option<Duration> {
+        match &self.answers[usize::from(self.first)] {
+            Some(HalfAnswer::Answered(Taken::RetryAfter(wait))) => {
+                Some(*wait).filter(|wait| *wait <= self.wait_max)
+            }
+            _ => None,
+        }
+    }
+
     /// The halves that have tokens, in the order of asking.
     fn halves(&self) -> impl Iterator<Item = u8> + use<> {
         let other = self.is_split.then_some(1 - self.first);
         [self.first].into_iter().chain(other)
     }
 
+    /// Asks again when a half could not be asked or had just begun, and otherwise refuses.
     fn wait_or_refuse(&mut self, now: Instant) -> Step {
-        let wait = |half: &u8| match &self.answers[usize::from(*half)] {
-            Some(HalfAnswer::Answered(Taken::RetryAfter(wait))) => *wait,
-            _ => UNREACHABLE_WAIT,
-        };
-        // The half that has tokens first is asked first after the wait.
-        let (first, wait) = self
-            .halves()
-            .map(|half| (half, wait(&half)))
-            .min_by_key(|(_, wait)| *wait)
-            .unwrap_or((self.first, UNREACHABLE_WAIT));
-        self.first = first;
         self.retry_after = self.known_wait();
-        let until = now.checked_add(wait.max(WAIT_MIN));
-        match until.filter(|until| *until <= self.deadline) {
-            Some(until) => {
-                self.waits_until = Some(until);
-                Step::Wait(until)
-            }
-            None => Step::Refuse(self.refusal()),
+        let is_answered = |half: u8| {
+            let answer = &self.answers[usize::from(half)];
+            matches!(answer, Some(HalfAnswer::Answered(Taken::RetryAfter(_))))
+        };
+        let until = now + UNREACHABLE_WAIT;
+        if self.halves().all(is_answered) || until > self.deadline {
+            return Step::Refuse(self.refusal());
         }
+        self.waits_until = Some(until);
+        Step::Wait(until)
     }
 
     /// Returns the shortest wait that a limiter named.
@@ -169,7 +192,9 @@
         self.answers
             .iter()
             .filter_map(|answer| match answer {
-                Some(HalfAnswer::Answered(Taken::RetryAfter(wait))) => Some(*wait),
+                Some(HalfAnswer::Answered(Taken::RetryAfter(wait) | Taken::AskAgain(wait))) => {
+                    Some(*wait)
+                }
                 _ => None,
             })
             .min()
--- a/crates/core/src/limit/limiter.rs
+++ b/crates/core/src/limit/limiter.rs
@@ -1,11 +1,11 @@
 //! The buckets of the team halves that a host holds.
 //!
 //! Buckets are made on first use and dropped when full. A bucket that isn't there is one that was
-//! empty when the host began to hold the role and has filled since; for a full one that is at most
+//! at its lowest when the host began to hold the role and has filled since; for a full one that is at most
 //! its true level, so dropping it gives nothing away.
 
 use {
-    super::{Allowance, Bucket, Tokens},
+    super::{Allowance, Bucket, Level, WAIT_MAX},
     crate::{
         ids::{HostId, TeamId},
         membership::Standing,
@@ -19,10 +19,13 @@
 /// The answer to a request for tokens.
 #[derive(Clone, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
 pub enum Taken {
-    /// The tokens are taken.
-    Granted,
-    /// Not enough tokens; there may be after this time. [`Duration::MAX`] means never.
+    /// The tokens are taken, and may be used after this time.
+    Granted(Duration),
+    /// Not granted; there may be tokens without a wait after this time. [`Duration::MAX`] means never.
     RetryAfter(Duration),
+    /// Not granted, but the holder has just begun and may soon promise tokens: ask again. Without a
+    /// wait there may be tokens after this time.
+    AskAgain(Duration),
     /// This host doesn't hold the half, or not yet.
     NotHere,
 }
@@ -36,8 +39,10 @@
     pub half: u8,
     /// The former holder.
     pub from: HostId,
-    /// Tokens left, in units of 10^-18 token.
-    pub level: Tokens,
+    /// What is left, in units of 10^-18 token.
+    pub level: Level,
+    /// The rate and burst that the level is of.
+    pub allowance: Allowance,
 }
 
 /// A bucket and how this host came to it.
@@ -79,21 +84,24 @@
         self.slots.is_empty()
     }
 
-    /// Takes whole tokens from a half. `allowance` is the half's, from the configuration in
+    /// Takes whole tokens from a half, for a time at most `wait_max` from now. `allowance` is the half's, from the configuration in
     /// force here; `standing` is this host's for the half's role, asked just now.
     pub fn take(
         &mut self,
         now: Instant,
         (team, half): (&TeamId, u8),
-        count: u32,
+        (count, wait_max): (u32, Duration),
         allowance: Allowance,
         standing: &Standing,
     ) -> Taken {
         let Some(slot) = self.slot(now, (team, half), allowance, standing) else {
             return Taken::NotHere;
         };
-        match slot.bucket.take(now, count) {
-            Ok(()) => Taken::Granted,
+        match slot.bucket.take(now, count, wait_max) {
+            Ok(wait) => Taken::Granted(wait),
+            Err(wait) if wait < Duration::MAX && has_just_begun(now, standing) => {
+                Taken::AskAgain(wait)
+            }
             Err(wait) => Taken::RetryAfter(wait),
         }
     }
@@ -111,9 +119,9 @@
         standing: &Standing,
     ) -> Option<Handover> {
         let slot = self.slot(now, (team, half), allowance, standing)?;
-        let level = slot.bucket.remove(now, Tokens::MAX);
+        let level = slot.bucket.give_up(now);
         slot.origin = Origin::Given;
-        Some(Handover { team: team.clone(), half, from: from.clone(), level })
+        Some(Handover { team: team.clone(), half, from: from.clone(), level, allowance })
     }
 
     /// Takes a half over from its former holder: before this host holds the role by itself, or
@@ -136,12 +144,14 @@
         let key = (handover.team.clone(), handover.half);
         let has_one = self.slots.get(&key).is_some_and(|slot| slot.bucket.at() >= *since);
         if !has_one {
-            let bucket = Bucket::with_level(now, allowance, handover.level);
+            let mut bucket = Bucket::with_level(now, handover.allowance, handover.level);
+            bucket.set_allowance(now, allowance);
             self.slots.insert(key, Slot { bucket, origin: Origin::Accepted });
         }
     }
 
-    /// Adds what a drained holder left, as if the bucket had begun with it.
+    /// Begins a bucket anew with what a drained holder left, if nothing was taken from it yet. With
+    /// promises under way a higher level would count what is added until they are used twice.
     fn credit(
         &mut self,
         now: Instant,
@@ -151,8 +161,10 @@
         standing: &Standing,
     ) {
         let half = (&handover.team, handover.half);
-        if let Some(slot) = self.slot(now, half, allowance, standing) {
-            slot.bucket.credit(now, since, handover.level);
+        let Some(slot) = self.slot(now, half, allowance, standing) else { return };
+        if slot.bucket.is_untouched(now, since) {
+            slot.bucket = Bucket::with_level(since, handover.allowance, handover.level);
+            slot.bucket.set_allowance(now, allowance);
         }
     }
 
@@ -189,6 +201,14 @@
     }
 }
 
+/// Returns whether the holder's promises are still held back by those of the former one.
+fn has_just_begun(now: Instant, standing: &Standing) -> bool {
+    match standing {
+        Standing::Acting { since, .. } => now.saturating_duration_since(*since) < WAIT_MAX,
+        _ => false,
+    }
+}
+
 impl Slot {
     /// Returns whether the bucket still counts: this host has held the role without a gap since
     /// the bucket was last used. Otherwise another host may have taken tokens in between.
--- a/crates/host/src/allowance.rs
+++ b/crates/host/src/allowance.rs
@@ -5,18 +5,19 @@
         control::{Control, Reply, home::Home},
         shared::Shared,
     },
-    std::{net::SocketAddr, sync::Arc, time::Duration},
+    std::{
+        net::SocketAddr,
+        sync::Arc,
+        time::{Duration, Instant},
+    },
     trefoilring_core::{
         ids::TeamId,
-        limit::{HalfAnswer, Step, Taken},
+        limit::{HalfAnswer, Step, Taken, WAIT_MAX},
         verdict::Refusal,
     },
     trefoilring_proto::{PeerClient, TakeTokens},
 };
 
-/// The longest that a request waits for its team's tokens before it is refused. A request that
-/// would have to wait longer is refused at once.
-const MAX_WAIT: Duration = Duration::from_secs(3);
 /// How long a question to a limiter may take.
 const ASK_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -24,14 +25,16 @@
 pub(crate) async fn take(shared: &Arc<Shared>, team: &TeamId) -> Result<(), Refusal> {
     let asked = team.clone();
     let begin = move |control: &mut Control, reply: Reply<_>| {
-        control.begin_take(&asked, MAX_WAIT, &reply);
+        control.begin_take(&asked, WAIT_MAX, &reply);
     };
     let mut attempt = shared.control.ask(begin).await?;
     let result = loop {
-        match attempt.next(std::time::Instant::now()) {
-            Step::Ask(half) => {
-                let take = TakeTokens { team: team.clone(), half, count: attempt.count() };
-                attempt.answered(half, ask_half(shared, take).await);
+        match attempt.next(Instant::now()) {
+            Step::Ask(half, wait_max) => {
+                let count = attempt.count();
+                let take = TakeTokens { team: team.clone(), half, count, wait_max };
+                let answer = ask_half(shared, take).await;
+                attempt.answered(Instant::now(), half, answer);
             }
             Step::Wait(until) => {
                 smol::Timer::at(until).await;
--- a/crates/host/src/control/allowance.rs
+++ b/crates/host/src/control/allowance.rs
@@ -48,7 +48,7 @@
         let Some(allowance) = self.allowance(&take.team, take.half) else { return Taken::NotHere };
         let standing = self.standing(&take.team, take.half, now);
         let half = (&take.team, take.half);
-        self.allowances.limiter.take(now, half, take.count, allowance, &standing)
+        self.allowances.limiter.take(now, half, (take.count, take.wait_max), allowance, &standing)
     }
 
     /// Where a half of a team's allowance is.
--- a/crates/load/src/capacity/limiter.rs
+++ b/crates/load/src/capacity/limiter.rs
@@ -10,7 +10,7 @@
     std::time::{Duration, Instant},
     trefoilring_core::{
         ids::TeamId,
-        limit::{Allowance, Limiter, Taken},
+        limit::{Allowance, Limiter, Taken, WAIT_MAX},
         membership::Standing,
     },
     trefoilring_proto::{PeerRequest, PeerResponse, TakeTokens},
@@ -76,16 +76,16 @@
     team: &TeamId,
     standing: &Standing,
 ) -> Result<(), Report<CapacityError>> {
-    match limiter.take(now, (team, 0), 1, ALLOWANCE, standing) {
-        Taken::Granted => Ok(()),
+    match limiter.take(now, (team, 0), (1, Duration::ZERO), ALLOWANCE, standing) {
+        Taken::Granted(_) => Ok(()),
         other => Err(Report::new(CapacityError).attach(format!("take: {other:?}"))),
     }
 }
 
 fn messages(figures: &mut Figures) -> Result<(), Report<CapacityError>> {
-    let take = TakeTokens { team: team(0), half: 0, count: 1 };
+    let take = TakeTokens { team: team(0), half: 0, count: 1, wait_max: WAIT_MAX };
     let bytes = wire::request_bytes(PeerRequest::TakeTokens { take })?
-        + wire::response_bytes(PeerResponse::TakeTokens(Taken::Granted))?;
+        + wire::response_bytes(PeerResponse::TakeTokens(Taken::Granted(WAIT_MAX)))?;
     figures.count("limiter.take.bytes", "B", "request for a token and its answer", bytes);
     Ok(())
 }
--- a/crates/proto/src/message.rs
+++ b/crates/proto/src/message.rs
@@ -1,10 +1,13 @@
 //! Messages that belong to no state machine.
 
-use trefoilring_core::{
-    call::{Caller, Chunk, CreateProgram, ProgramQuery},
-    ids::{Epoch, JournalId, Member, ProgramId, TeamId},
-    journal::{Entry, Owner},
-    verdict::Refusal,
+use {
+    std::time::Duration,
+    trefoilring_core::{
+        call::{Caller, Chunk, CreateProgram, ProgramQuery},
+        ids::{Epoch, JournalId, Member, ProgramId, TeamId},
+        journal::{Entry, Owner},
+        verdict::Refusal,
+    },
 };
 
 /// Names a call under way at its home.
@@ -53,6 +56,8 @@
     pub half: u8,
     /// How many.
     pub count: u32,
+    /// The longest wait until they may be used.
+    pub wait_max: Duration,
 }
 
 /// Asks a backup to hold a copy of an entry.
