Say that keys are fresh as soon as the new version is in force

Cause: whether keys are fresh was looked at only at a tick, so a host that had a new version in force refused every key with 503 until the next one. Change: it is looked at after every event of the configuration; a host that hears of a newer version is also stale at once, not at the next tick. Conclusion: a real fault of the host, not of the test.

--- a/crates/host/src/control/config.rs
+++ b/crates/host/src/control/config.rs
@@ -44,11 +44,9 @@
 }
 
 impl Control {
-    pub(super) fn tick_config(&mut self, now: Instant) {
+    pub(super) fn tick_config(&mut self) {
         self.set_sources();
         self.config_event(Event::Tick);
-        let is_fresh = self.config.spread.key_freshness(now) == Freshness::Fresh;
-        self.shared.has_fresh_keys.store(is_fresh, Ordering::Release);
     }
 
     /// The delegate is asked first, since it learns of a change first.
@@ -87,6 +85,9 @@
                 Command::Note(note) => log::warn!("{note}"),
             }
         }
+        // After every event: a version that has just come into force makes keys fresh at once.
+        let is_fresh = self.config.spread.key_freshness(Instant::now()) == Freshness::Fresh;
+        self.shared.has_fresh_keys.store(is_fresh, Ordering::Release);
     }
 
     fn put_in_force(&mut self, version: u64, catalog: Arc<Catalog>, withdrawn: &[KeyId]) {
--- a/crates/host/src/control/mod.rs
+++ b/crates/host/src/control/mod.rs
@@ -173,7 +173,7 @@
         if now >= self.next_member_tick {
             self.next_member_tick = now + self.shared.settings.heartbeat / TICKS_A_HEARTBEAT;
             self.tick_members(now);
-            self.tick_config(now);
+            self.tick_config();
             self.allowances.sweep(now);
             self.shared.relays.sweep(now);
         }
