--- /dev/null
+++ b/crates/host/src/control/journals/takeover.rs
@@ -0,0 +1,209 @@
+//! Taking journals over: what the takeover machine asks for, and the owner that comes of it.
+
+use {
+    super::Owned,
+    crate::{
+        control::{Control, home::moment},
+        journal_store,
+        observe::events::About,
+        shared::Shared,
+    },
+    std::{collections::BTreeMap, sync::Arc, time::Instant},
+    trefoilring_core::{
+        event::Kind,
+        ids::{JournalId, Member},
+        journal::{self, Command, Takeover, TakeoverCommand, TakeoverEvent},
+        program::{self, Programs},
+    },
+    trefoilring_proto::DiscardRequest,
+};
+
+/// A journal that this host is taking over.
+pub(crate) struct Taking {
+    takeover: Takeover,
+    backups: Vec<Member>,
+    pub(super) wake: Option<Instant>,
+    is_own: bool,
+}
+
+impl Control {
+    /// Starts a takeover.
+    pub(crate) fn take_over(
+        &mut self,
+        now: Instant,
+        journal: JournalId,
+        handed_over: Option<u64>,
+        is_own: bool,
+    ) {
+        if self.journals.is_taking(&journal) || self.homes.owned.contains_key(&journal) {
+            return;
+        }
+        let domain = self.shared.settings.domain.clone();
+        let backups = self.membership.backups_for(&journal, &domain);
+        let backups: Vec<Member> = backups.into_iter().map(|entry| entry.member.clone()).collect();
+        let (spacing, burst_writes) = self.pace();
+        let settings = journal::Settings { spacing, burst_writes, ..Default::default() };
+        let me = self.shared.member.clone();
+        let mut takeover =
+            Takeover::new(settings, journal.clone(), me, backups.clone(), handed_over);
+        let commands = takeover.start();
+        let taking = Taking { takeover, backups, wake: None, is_own };
+        self.journals.taking.insert(journal.clone(), taking);
+        self.run_takeover(now, &journal, commands);
+    }
+
+    /// Gives an event to a takeover.
+    pub(super) fn takeover_event(&mut self, journal: &JournalId, event: TakeoverEvent) {
+        let now = Instant::now();
+        let Some(taking) = self.journals.taking.get_mut(journal) else { return };
+        let commands = taking.takeover.handle(now, event);
+        self.run_takeover(now, journal, commands);
+    }
+
+    fn run_takeover(&mut self, now: Instant, journal: &JournalId, commands: Vec<TakeoverCommand>) {
+        for command in commands {
+            match command {
+                TakeoverCommand::ReadAfter { after } => {
+                    self.takeover_task(journal, move |shared, journal| async move {
+                        journal_store::read_after(&shared, &journal, after).await
+                    });
+                }
+                TakeoverCommand::Claim { backup, by } => self.claim(journal, backup, by),
+                TakeoverCommand::Journal(command) => self.run_taking(journal, command),
+                TakeoverCommand::Blocked => {
+                    log::warn!("journal {journal}: no backup answers; its programs wait");
+                }
+                TakeoverCommand::Lost { by_epoch } => {
+                    log::info!("journal {journal}: another host took it, epoch {by_epoch}");
+                    self.journals.taking.remove(journal);
+                }
+                TakeoverCommand::Done(owned) => self.taken_over(now, journal, *owned),
+            }
+        }
+    }
+
+    fn takeover_task<F>(
+        &self,
+        journal: &JournalId,
+        task: impl FnOnce(Arc<Shared>, JournalId) -> F + Send + 'static,
+    ) where
+        F: Future<Output = TakeoverEvent> + Send,
+    {
+        let (shared, journal) = (self.shared.clone(), journal.clone());
+        self.shared.spawn(async move {
+            let event = task(shared.clone(), journal.clone()).await;
+            shared.control.tell(move |control| control.takeover_event(&journal, event));
+        });
+    }
+
+    fn claim(&mut self, journal: &JournalId, backup: Member, by: journal::Owner) {
+        let Some(address) = self.address_of(&backup) else {
+            let is_gone = self.has_ended(&backup);
+            let journal = journal.clone();
+            return self.shared.control.tell(move |control| {
+                if is_gone {
+                    let gone = TakeoverEvent::BackupGone { backup: backup.clone() };
+                    control.takeover_event(&journal, gone);
+                }
+                // The claim was asked for, and waits for an answer of its own.
+                control.takeover_event(&journal, TakeoverEvent::ClaimFailed { backup });
+            });
+        };
+        self.takeover_task(journal, move |shared, journal| async move {
+            journal_store::claim(&shared, &address, backup, journal, by).await
+        });
+    }
+
+    /// Whether a life of a host that is not in the view has ended for certain: another life of it
+    /// is there, or it has been out of a view that this host has had for long. A host that has just
+    /// started may not have read every roster, and would pass over copies that still count.
+    fn has_ended(&self, member: &Member) -> bool {
+        self.membership.host(&member.host).is_some() || self.has_settled_view()
+    }
+
+    /// The address of a member, if that life of the host is in the view.
+    pub(super) fn address_of(&self, member: &Member) -> Option<String> {
+        let entry = self.membership.host(&member.host)?;
+        (entry.member == *member).then(|| entry.address.clone())
+    }
+
+    fn run_taking(&mut self, journal: &JournalId, command: Command) {
+        match command {
+            Command::Write(entry) => {
+                self.takeover_task(journal, move |shared, _| async move {
+                    TakeoverEvent::Journal(journal_store::write(&shared, &entry).await.0)
+                });
+            }
+            Command::Read { seq } => {
+                self.takeover_task(journal, move |shared, journal| async move {
+                    TakeoverEvent::Journal(journal_store::read(&shared, &journal, seq).await)
+                });
+            }
+            Command::WakeAt(at) => {
+                if let Some(taking) = self.journals.taking.get_mut(journal) {
+                    taking.wake = Some(at);
+                }
+            }
+            Command::Discard { to, epoch, seq } => self.discard(journal, &to, epoch, seq),
+            Command::Delete { seq } => {
+                self.takeover_task(journal, move |shared, journal| async move {
+                    let event = journal_store::delete(&shared, &journal, seq, None).await;
+                    TakeoverEvent::Journal(event)
+                });
+            }
+            Command::Copy { .. }
+            | Command::Durable { .. }
+            | Command::Late { .. }
+            | Command::Lost { .. }
+            | Command::Dropped { .. }
+            | Command::Fenced { .. }
+            | Command::Closed { .. } => (),
+        }
+    }
+
+    pub(super) fn discard(&self, journal: &JournalId, to: &Member, epoch: u64, seq: u64) {
+        let Some(address) = self.address_of(to) else { return };
+        let request = DiscardRequest { journal: journal.clone(), epoch, seq };
+        let shared = self.shared.clone();
+        self.shared.spawn(async move {
+            journal_store::discard(&shared, &address, request).await;
+        });
+    }
+
+    fn taken_over(&mut self, now: Instant, journal: &JournalId, owned: journal::Owned) {
+        let Some(taking) = self.journals.taking.remove(journal) else { return };
+        let journal::Owned { journal: machine, recovery } = owned;
+        let mut programs = Programs::new(program::Settings::default());
+        for record in recovery.records() {
+            programs.apply(moment(), record);
+        }
+        let about = About::default()
+            .epoch(machine.epoch())
+            .with("journal", &**journal)
+            .with("programs", programs.live_count());
+        if !taking.is_own {
+            self.shared.events.note(Kind::JournalTakenOver, about);
+            for program in programs.ids() {
+                let about = About::program(program).epoch(machine.epoch());
+                self.shared.events.note(Kind::ProgramAdopted, about);
+            }
+        }
+        let owned = Owned {
+            journal: machine,
+            programs,
+            pending: BTreeMap::new(),
+            waiting: BTreeMap::new(),
+            wake: Some(now),
+            versions: BTreeMap::new(),
+            backups: taking.backups,
+            closed: None,
+            empty_since: None,
+        };
+        self.homes.owned.insert(journal.clone(), owned);
+        if taking.is_own {
+            self.homes.own = Some(journal.clone());
+            self.journals.opened += 1;
+        }
+        self.announce_journals();
+    }
+}
--- /dev/null
+++ b/crates/load/src/bench_site.rs
@@ -0,0 +1,62 @@
+//! The site that latency and capacity are measured at: one engine, one team that is never limited.
+
+use {
+    std::time::Duration,
+    trefoilring_config::{
+        declarations::{Declarations, DeclarationsError, RawDeclarations},
+        secret::hash_secret,
+    },
+    trefoilring_site::{HostPlace, SiteOptions, UpstreamPlace},
+};
+
+/// The secret of the team's key.
+pub(crate) const SECRET: &str = "measurement";
+/// How long a site may take to be ready.
+pub(crate) const START_TIMEOUT: Duration = Duration::from_secs(60);
+/// Failure domains over which the hosts are spread.
+const DOMAINS: usize = 3;
+const DECLARATIONS: &str = r#"
+[classes.c]
+target = "30s"
+budget = { turns = 1000, tokens = 10000000, wall = "1h" }
+[teams.t]
+rate_per_s = 100000
+burst_requests = 100000
+[services.llm]
+kind = "engine"
+models = ["m"]
+deadline = "60s"
+"#;
+
+/// The site's options.
+pub(crate) fn options(
+    hosts: usize,
+    heartbeat: Duration,
+    time_scale: f64,
+) -> Result<SiteOptions, DeclarationsError> {
+    let hash = hash_secret(SECRET);
+    let text = format!("{DECLARATIONS}[keys.k]\nteam = \"t\"\nhash = \"{hash}\"\n");
+    let raw = RawDeclarations { file: "measurement", text: &text };
+    let upstream = UpstreamPlace {
+        upstream: "llm-1".into(),
+        service: "llm".into(),
+        domain: "domain-0".into(),
+    };
+    Ok(SiteOptions {
+        hosts: (0..hosts).map(place).collect(),
+        upstreams: vec![upstream],
+        catalog: Declarations::try_from(raw)?.into_catalog(0),
+        heartbeat,
+        time_scale,
+        traffic_threads: 1,
+        kv_capacity_tokens: None,
+    })
+}
+
+/// Where a host of the site stands.
+pub(crate) fn place(number: usize) -> HostPlace {
+    HostPlace {
+        host: format!("host-{number}").into(),
+        domain: format!("domain-{}", number % DOMAINS).into(),
+    }
+}
--- a/crates/load/src/capacity/site.rs
+++ b/crates/load/src/capacity/site.rs
@@ -6,6 +6,7 @@
         figure::{Figures, Kind, resident_bytes, seconds_since, threads_cpu},
         wire,
     },
+    crate::bench_site::{self, SECRET, START_TIMEOUT, place},
     error_stack::{Report, ResultExt},
     http_types::Method,
     serde_json::json,
@@ -13,18 +14,16 @@
         net::SocketAddr,
         time::{Duration, Instant},
     },
-    trefoilring_config::{
-        declarations::{Declarations, RawDeclarations},
-        secret::hash_secret,
-    },
     trefoilring_core::call::Chunk,
     trefoilring_host::Host,
     trefoilring_proto::{ChunkBatch, PeerRequest, PeerResponse},
-    trefoilring_site::{CallerClient, HostPlace, Site, SiteOptions, UpstreamPlace},
+    trefoilring_site::{CallerClient, Site, SiteOptions},
 };
 
-/// The secret of the key of this measurement.
-const SECRET: &str = "capacity";
+/// Time between heartbeats.
+const HEARTBEAT: Duration = Duration::from_secs(1);
+/// Engines run as fast as in life.
+const TIME_SCALE: f64 = 1.0;
 /// Hosts at first, and in the end.
 const HOSTS: [usize; 2] = [3, 30];
 /// Time without requests that is measured.
@@ -33,8 +32,6 @@
 const SETTLE: Duration = Duration::from_secs(5);
 /// Time after which a single host is looked at.
 const SETTLE_ALONE: Duration = Duration::from_secs(2);
-/// How long hosts may take to be ready.
-const START_TIMEOUT: Duration = Duration::from_secs(60);
 /// Streams at a time.
 const STREAMS: usize = 32;
 /// Tokens of a long answer and of a short one.
@@ -43,19 +40,6 @@
 const TURNS: [usize; 2] = [1, 11];
 /// Repetitions.
 const SAMPLES: usize = 3;
-const DECLARATIONS: &str = r#"
-[classes.c]
-target = "30s"
-budget = { turns = 1000, tokens = 10000000, wall = "1h" }
-[teams.t]
-rate_per_s = 100000
-burst_requests = 100000
-[services.llm]
-kind = "engine"
-models = ["m"]
-deadline = "60s"
-"#;
-
 /// What a run of turns cost all hosts together.
 #[derive(Clone, Copy, Debug)]
 struct Spent {
@@ -248,30 +232,7 @@
     Ok(events as f64)
 }
 
-fn place(number: usize) -> HostPlace {
-    HostPlace {
-        host: format!("host-{number:02}").into(),
-        domain: format!("domain-{}", number % 3).into(),
-    }
-}
-
+/// The options of a site with the default times.
 fn options(hosts: usize) -> Result<SiteOptions, Report<CapacityError>> {
-    let hash = hash_secret(SECRET);
-    let text = format!("{DECLARATIONS}[keys.k]\nteam = \"t\"\nhash = \"{hash}\"\n");
-    let raw = RawDeclarations { file: "capacity", text: &text };
-    let declarations = Declarations::try_from(raw).change_context(CapacityError)?;
-    let upstream = UpstreamPlace {
-        upstream: "llm-1".into(),
-        service: "llm".into(),
-        domain: "domain-0".into(),
-    };
-    Ok(SiteOptions {
-        hosts: (0..hosts).map(place).collect(),
-        upstreams: vec![upstream],
-        catalog: declarations.into_catalog(0),
-        heartbeat: Duration::from_secs(1),
-        time_scale: 1.0,
-        traffic_threads: 1,
-        kv_capacity_tokens: None,
-    })
+    bench_site::options(hosts, HEARTBEAT, TIME_SCALE).change_context(CapacityError)
 }
--- a/crates/load/src/latency.rs
+++ b/crates/load/src/latency.rs
@@ -5,6 +5,7 @@
 //! does falls on both. The engine runs far faster than life, so that its own time is small.
 
 use {
+    crate::bench_site::{self, SECRET, START_TIMEOUT},
     derive_more::{Display, Error},
     error_stack::{Report, ResultExt},
     hdrhistogram::Histogram,
@@ -14,18 +15,13 @@
         net::SocketAddr,
         time::{Duration, Instant},
     },
-    trefoilring_config::{
-        declarations::{Declarations, RawDeclarations},
-        secret::hash_secret,
-    },
-    trefoilring_core::catalog::Catalog,
-    trefoilring_site::{CallerClient, HostPlace, Site, SiteOptions, UpstreamPlace},
+    trefoilring_site::{CallerClient, Site},
 };
 
-/// The secret of the key of this measurement.
-const SECRET: &str = "latency";
 /// Engines run this many times as fast as in life.
 const TIME_SCALE: f64 = 1000.0;
+/// Time between heartbeats.
+const HEARTBEAT: Duration = Duration::from_millis(200);
 /// Turns of one program before the next one is created.
 const TURNS: usize = 20;
 /// Pause between two pairs: all together make less than 100 turns a second, well within what the
@@ -33,21 +29,6 @@
 const PAUSE: Duration = Duration::from_millis(10);
 /// Samples that are not counted: connections are made and code is paged in.
 const WARM_UP_SAMPLES: usize = 50;
-/// How long the site may take to be ready.
-const START_TIMEOUT: Duration = Duration::from_secs(60);
-const DECLARATIONS: &str = r#"
-[classes.c]
-target = "30s"
-budget = { turns = 1000, tokens = 10000000, wall = "1h" }
-[teams.t]
-rate_per_s = 100000
-burst_requests = 100000
-[services.llm]
-kind = "engine"
-models = ["m"]
-deadline = "30s"
-"#;
-
 /// The measurement failed.
 #[derive(Debug, Display, Error)]
 pub enum LatencyError {
@@ -87,7 +68,8 @@
 
 /// Measures `samples` pairs of turns before `hosts` hosts in as many failure domains.
 pub async fn measure(hosts: usize, samples: usize) -> Result<PathLatency, Report<LatencyError>> {
-    let site = Site::start(options(hosts)?, START_TIMEOUT);
+    let options = bench_site::options(hosts, HEARTBEAT, TIME_SCALE);
+    let site = Site::start(options.change_context(LatencyError::Site)?, START_TIMEOUT);
     let site = site.await.change_context(LatencyError::Site)?;
     let engine = site.engines.values().next().ok_or_else(|| Report::new(LatencyError::Site))?;
     let (engine, entries) = (engine.address(), site.addresses());
@@ -120,35 +102,6 @@
     })
 }
 
-fn options(hosts: usize) -> Result<SiteOptions, Report<LatencyError>> {
-    let host = |number: usize| HostPlace {
-        host: format!("host-{number}").into(),
-        domain: format!("domain-{}", number % 3).into(),
-    };
-    let upstream = UpstreamPlace {
-        upstream: "llm-1".into(),
-        service: "llm".into(),
-        domain: "domain-0".into(),
-    };
-    Ok(SiteOptions {
-        hosts: (0..hosts).map(host).collect(),
-        upstreams: vec![upstream],
-        catalog: catalog()?,
-        heartbeat: Duration::from_millis(200),
-        time_scale: TIME_SCALE,
-        traffic_threads: 1,
-        kv_capacity_tokens: None,
-    })
-}
-
-fn catalog() -> Result<Catalog, Report<LatencyError>> {
-    let hash = hash_secret(SECRET);
-    let text = format!("{DECLARATIONS}[keys.k]\nteam = \"t\"\nhash = \"{hash}\"\n");
-    let raw = RawDeclarations { file: "latency", text: &text };
-    let declarations = Declarations::try_from(raw).change_context(LatencyError::Site)?;
-    Ok(declarations.into_catalog(0))
-}
-
 async fn create(caller: &CallerClient, entry: SocketAddr) -> Result<String, Report<LatencyError>> {
     let body = json!({ "class": "c" });
     let reply = caller.send(entry, Method::Post, "/v1/programs", &[], Some(&body)).await;
--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -3,6 +3,7 @@
 //! [`Experiment`] measures a policy in virtual time: the dispatcher of the product, or the naive
 //! one, against a small model of the engines. The same seed gives every policy the same programs.
 
+mod bench_site;
 pub mod capacity;
 pub mod cli;
 pub mod engine;
