Send content that an upstream refuses as wrong only once

Cause: a turn that an engine refused with 400 was sent to up to four engines before its caller heard. Change: bad_request is not tried again; the test also asserts that nothing was.

--- a/crates/host/src/call/attempt.rs
+++ b/crates/host/src/call/attempt.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{
-        HomeCall, MAX_SLOT_WAIT, Prepared, fingerprint,
+        HomeCall, MAX_ATTEMPTS, MAX_SLOT_WAIT, Prepared, fingerprint,
         slot::{acquire, parse_address, release},
     },
     crate::{
@@ -51,6 +51,13 @@
     }
 }
 
+/// Whether a call that did not run may be tried at another upstream. Content that one upstream
+/// refuses as wrong is wrong for all of them.
+pub(super) fn may_retry(attempt: u32, refusal: &Refusal, job: &Prepared) -> bool {
+    let is_wrong = refusal.reason == Reason::BadRequest;
+    attempt < MAX_ATTEMPTS && !is_wrong && Instant::now() < job.deadline
+}
+
 impl HomeCall {
     pub(super) fn slot_request(&self, service: &(ServiceId, Service), run: &Run) -> SlotRequest {
         let model = match &self.call.work {
--- a/crates/host/src/call/service.rs
+++ b/crates/host/src/call/service.rs
@@ -2,8 +2,8 @@
 
 use {
     super::{
-        HomeCall, MAX_ATTEMPTS, MAX_SLOT_WAIT, Prepared,
-        attempt::{Attempt, Earlier},
+        HomeCall, MAX_SLOT_WAIT, Prepared,
+        attempt::{Attempt, Earlier, may_retry},
         fingerprint, send_result,
         slot::{acquire, parse_address, release},
     },
@@ -86,7 +86,7 @@
                 Attempt::Done(result, sent, _) => return self.end_call(result, sent, out).await,
                 Attempt::Again(cleared, refusal) => {
                     earlier.note(&refusal);
-                    if attempt == MAX_ATTEMPTS || Instant::now() >= job.deadline {
+                    if !may_retry(attempt, &refusal, job) {
                         let program = self.call.program.clone();
                         let back = move |control: &mut Control| {
                             control.homes.not_run(&program, cleared);
--- a/crates/host/src/call/turn.rs
+++ b/crates/host/src/call/turn.rs
@@ -2,15 +2,15 @@
 
 use {
     super::{
-        HomeCall, MAX_ATTEMPTS, Prepared,
-        attempt::{Attempt, Earlier},
+        HomeCall, Prepared,
+        attempt::{Attempt, Earlier, may_retry},
         send_result,
     },
     crate::{
         control::{Control, Reply},
         upstream::{Out, TextGate, TurnEnd, event_stream_head, run_turn, step_result},
     },
-    std::{sync::Arc, time::Instant},
+    std::sync::Arc,
     trefoilring_core::{
         call::{Chunk, Turn, Work},
         event::Kind,
@@ -43,7 +43,7 @@
                 Attempt::Again(cleared, refusal) => {
                     earlier.note(&refusal);
                     let can_go_on = gate.as_mut().is_none_or(TextGate::rewind);
-                    if attempt == MAX_ATTEMPTS || !can_go_on || Instant::now() >= job.deadline {
+                    if !may_retry(attempt, &refusal, job) || !can_go_on {
                         self.give_back(Permit::Now(cleared));
                         return Err(earlier.bound(refusal));
                     }
--- a/crates/site/tests/refused_turn.rs
+++ b/crates/site/tests/refused_turn.rs
@@ -30,6 +30,7 @@
         assert!(reply.is_success(), "{reply:?}");
         let metrics: String = site.hosts().values().map(|host| host.metrics().text()).collect();
         assert!(!metrics.contains("event.quarantined"), "{metrics}");
+        assert!(!metrics.contains("event.call_retried"), "{metrics}");
         site.stop().await;
     });
 }
