Look a caller's key up before each send, instead of reading all keys

Cause: the last check before each send went over every declared key by name. At 32,000 teams that is work on the hot path, and where a name has two hashes, of which one is withdrawn, the first one found decided: a rotated key could be refused. Found by reading the change again, not measured. Change: the names of the working keys are made once a configuration, as a set; a unit test has the rotated key. Orphaned journals are a difference of two sets instead of a search in a list for each, and a wrapper that only renamed may_act is gone.

--- a/crates/core/src/catalog.rs
+++ b/crates/core/src/catalog.rs
@@ -3,9 +3,15 @@
 //! The `config` crate parses and checks; the types here are what every decision reads. Durations
 //! are stored as milliseconds where a value crosses the wire, and exposed as [`Duration`].
 
+#[cfg(test)]
+mod tests;
+
 use {
     crate::ids::{ClassId, ConfigVersion, HostId, Incarnation, KeyId, ServiceId, TeamId},
-    std::{collections::BTreeMap, time::Duration},
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        time::Duration,
+    },
 };
 
 /// All declarations of one version.
@@ -27,6 +33,14 @@
     pub draining: BTreeMap<HostId, Incarnation>,
 }
 
+impl Catalog {
+    /// Names of the keys that work, each with its team. A name works while one of its hashes does.
+    pub fn working_keys(&self) -> BTreeSet<(KeyId, TeamId)> {
+        let works = |key: &&Key| !key.is_withdrawn && self.teams.contains_key(&key.team);
+        self.keys.values().filter(works).map(|key| (key.id.clone(), key.team.clone())).collect()
+    }
+}
+
 /// Lower-case hexadecimal BLAKE3 hash of a key's secret.
 pub type KeyHash = String;
 
--- a/crates/host/src/call/attempt.rs
+++ b/crates/host/src/call/attempt.rs
@@ -98,9 +98,7 @@
         if !self.shared.lease.holds() {
             return Err(not_here());
         }
-        let catalog = self.shared.catalog();
-        let key = catalog.keys.values().find(|key| key.id == self.call.caller.key);
-        match key.is_some_and(|key| !key.is_withdrawn) {
+        match self.shared.has_working_key(&self.call.caller) {
             true => Ok(()),
             false => Err(Refusal::not_run(Reason::Unauthorized, "the key was withdrawn")),
         }
--- a/crates/host/src/control/members.rs
+++ b/crates/host/src/control/members.rs
@@ -10,7 +10,7 @@
         shared::Shared,
     },
     std::{
-        collections::BTreeMap,
+        collections::{BTreeMap, BTreeSet},
         net::SocketAddr,
         sync::{Arc, atomic::Ordering},
         time::{Duration, Instant},
@@ -40,7 +40,9 @@
     pub(super) fn tick_members(&mut self, now: Instant) {
         let commands = self.membership.handle(now, Event::Tick);
         self.run_membership(commands);
-        self.shared.lease.set(self.membership.lease_until().filter(|_| self.may_own(now)));
+        self.shared
+            .lease
+            .set(self.membership.lease_until().filter(|_| self.membership.may_act(now)));
         self.open_own_journal(now);
         if let Some(reply) = &self.leaving
             && self.has_left()
@@ -50,10 +52,6 @@
         }
     }
 
-    fn may_own(&self, now: Instant) -> bool {
-        self.membership.may_act(now)
-    }
-
     /// Whether the roster shows that this host has gone, or nobody is there to write it.
     fn has_left(&self) -> bool {
         let me = &self.shared.member;
@@ -130,7 +128,7 @@
     /// Takes over journals that this host is the successor of and that nobody owns.
     pub(super) fn adopt_orphans(&mut self, now: Instant) {
         let owned = self.membership.hosts().flat_map(|entry| &entry.journals);
-        let owned: Vec<JournalId> = owned.map(|owned| owned.journal.clone()).collect();
+        let owned: BTreeSet<JournalId> = owned.map(|owned| owned.journal.clone()).collect();
         let orphans = self.sweeper.orphans(&owned);
         for journal in orphans {
             if self.is_successor(&journal) {
--- a/crates/host/src/control/memory.rs
+++ b/crates/host/src/control/memory.rs
@@ -64,10 +64,9 @@
     }
 
     /// Journals that are known and that none of the present owners has.
-    pub(super) fn orphans(&mut self, owned: &[JournalId]) -> Vec<JournalId> {
+    pub(super) fn orphans(&mut self, owned: &BTreeSet<JournalId>) -> Vec<JournalId> {
         self.known_journals.extend(owned.iter().cloned());
-        let is_owned = |journal: &&JournalId| owned.contains(journal);
-        self.known_journals.iter().filter(|journal| !is_owned(journal)).cloned().collect()
+        self.known_journals.difference(owned).cloned().collect()
     }
 
     /// Forgets a journal that is no more.
--- a/crates/host/src/host.rs
+++ b/crates/host/src/host.rs
@@ -231,6 +231,7 @@
         has_fresh_keys: AtomicBool::new(false),
         running_calls: AtomicU64::new(0),
         catalog: RwLock::new(Arc::new(Catalog::default())),
+        working_keys: RwLock::default(),
         settings,
     }
 }
--- a/crates/host/src/shared.rs
+++ b/crates/host/src/shared.rs
@@ -7,6 +7,7 @@
     },
     smol::Executor,
     std::{
+        collections::BTreeSet,
         future::Future,
         sync::{
             Arc, PoisonError, RwLock,
@@ -15,7 +16,11 @@
         time::{Duration, Instant},
     },
     trefoilring_config::settings::Settings,
-    trefoilring_core::{catalog::Catalog, ids::Member},
+    trefoilring_core::{
+        call::Caller,
+        catalog::Catalog,
+        ids::{KeyId, Member, TeamId},
+    },
     trefoilring_platform::{HostList, ObjectApi},
 };
 
@@ -40,6 +45,9 @@
     /// Calls that this host runs as a home, for a planned stop.
     pub(crate) running_calls: AtomicU64,
     pub(crate) catalog: RwLock<Arc<Catalog>>,
+    /// Invariant: the working keys of `catalog`, so that a call's last check costs a lookup and not
+    /// a look at every key.
+    pub(crate) working_keys: RwLock<Arc<BTreeSet<(KeyId, TeamId)>>>,
 }
 
 impl Shared {
@@ -48,6 +56,12 @@
         self.catalog.read().unwrap_or_else(PoisonError::into_inner).clone()
     }
 
+    /// Whether a caller's key still works for its team.
+    pub(crate) fn has_working_key(&self, caller: &Caller) -> bool {
+        let keys = self.working_keys.read().unwrap_or_else(PoisonError::into_inner).clone();
+        keys.contains(&(caller.key.clone(), caller.team.clone()))
+    }
+
     /// Runs a task on the traffic threads until it ends.
     pub(crate) fn spawn(&self, task: impl Future<Output = ()> + Send + 'static) {
         self.executor.spawn(task).detach();
