--- /dev/null
+++ b/crates/core/src/budget/account.rs
@@ -0,0 +1,115 @@
+//! The account of one program.
+
+use {
+    super::{Charge, Charged, KEEP_MARGIN, TokenCount},
+    std::time::{Duration, Instant},
+};
+
+/// Share of what is left of a budget by which the record runs ahead of the charges: a third leaves
+/// room for every turn of a program whose ledger is taken over.
+const MARGIN_DIVISOR: TokenCount = 3;
+/// How long a program may pause where it has not said so yet.
+const IDLE_MAX_DEFAULT: Duration = Duration::from_secs(60);
+
+#[derive(Debug)]
+pub(super) struct Account {
+    /// Tokens granted and not refunded.
+    charged: TokenCount,
+    /// What the store's record says. A crash of this host brings the account back to it.
+    recorded: TokenCount,
+    /// Budget and most of a turn, once a turn has named them.
+    terms: Option<Terms>,
+    /// Whether charges may be missing, made while the store was away.
+    is_doubtful: bool,
+    used_at: Instant,
+    idle_max: Duration,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Terms {
+    budget: TokenCount,
+    turn_max: TokenCount,
+}
+
+impl Terms {
+    /// Returns what may be charged beyond the record while the store can't be written to.
+    fn outage_max(self) -> TokenCount {
+        (self.budget / 2).max(self.turn_max)
+    }
+}
+
+impl Account {
+    pub(super) fn new(now: Instant, is_doubtful: bool) -> Self {
+        let idle_max = IDLE_MAX_DEFAULT;
+        Self { charged: 0, recorded: 0, terms: None, is_doubtful, used_at: now, idle_max }
+    }
+
+    pub(super) fn recorded(
+        now: Instant,
+        recorded: TokenCount,
+        idle_max: Duration,
+        is_doubtful: bool,
+    ) -> Self {
+        Self { charged: recorded, recorded, terms: None, is_doubtful, used_at: now, idle_max }
+    }
+
+    pub(super) fn charge(&mut self, now: Instant, charge: &Charge, is_outage: bool) -> Charged {
+        let terms = Terms { budget: charge.budget, turn_max: charge.turn_max };
+        self.terms = Some(terms);
+        self.used_at = now;
+        self.idle_max = charge.idle_max;
+        if std::mem::take(&mut self.is_doubtful) {
+            // One turn may be over the budget anyway. The doubt needs no write of its own: whoever
+            // takes the ledger over has it too.
+            let missing = terms.outage_max() - terms.turn_max;
+            self.charged += missing;
+            self.recorded += missing;
+        }
+        let after = self.charged.saturating_add(terms.turn_max);
+        if after > terms.budget {
+            return Charged::Spent;
+        }
+        let beyond_max = if is_outage { terms.outage_max() } else { terms.turn_max };
+        if after.saturating_sub(self.recorded) > beyond_max {
+            return Charged::AfterWrite;
+        }
+        self.charged = after;
+        Charged::Granted
+    }
+
+    pub(super) fn refund(&mut self, now: Instant, tokens: TokenCount) {
+        self.charged = self.charged.saturating_sub(tokens);
+        self.used_at = now;
+    }
+
+    /// Returns whether the next turn, or this one, is beyond the record.
+    pub(super) fn needs_write(&self) -> bool {
+        let Some(terms) = self.terms else { return false };
+        let next = self.charged.saturating_add(terms.turn_max).min(terms.budget);
+        self.recorded < next
+    }
+
+    /// Returns what to record: the charges and a margin for the next ones.
+    pub(super) fn to_record(&self) -> TokenCount {
+        let Some(Terms { budget, turn_max }) = self.terms else {
+            return self.charged;
+        };
+        let left = budget.saturating_sub(self.charged);
+        let margin = (left / MARGIN_DIVISOR).max(turn_max).min(left);
+        self.charged + margin
+    }
+
+    pub(super) fn written(&mut self, recorded: TokenCount) {
+        self.recorded = recorded;
+    }
+
+    pub(super) fn merge(&mut self, recorded: TokenCount) {
+        let missing = self.charged.saturating_sub(self.recorded);
+        self.charged = recorded + missing;
+        self.recorded = recorded;
+    }
+
+    pub(super) fn is_over(&self, now: Instant) -> bool {
+        now.saturating_duration_since(self.used_at) > self.idle_max + KEEP_MARGIN
+    }
+}
--- /dev/null
+++ b/crates/core/src/budget/mod.rs
@@ -0,0 +1,209 @@
+//! Tokens that a program may generate, counted over all hosts and over restarts.
+//!
+//! Every program has one account, in a ledger at one host; the ledger's record lies in the platform's
+//! store and is only ever replaced under the condition that nobody else has replaced it. A turn is
+//! charged at the most that it may generate before it starts, and what it did not use is refunded.
+//!
+//! The record may lag behind. What a crash forgets is bounded instead:
+//!
+//! - The record of an account is written ahead of its charges by a margin, so that most turns need
+//!   no write and none waits for one.
+//! - Charges beyond the record are granted up to the most of **one turn**. After a crash a program
+//!   can thus get at most one turn over its budget.
+//! - While the store can't be written to, charges beyond the record go up to **half of the budget**,
+//!   if that is more. Whoever takes a ledger over whose record is not recent therefore grants only
+//!   what is left after that half, for as long as programs may come back.
+
+mod account;
+
+#[cfg(test)]
+mod tests;
+
+use {
+    crate::ids::{Incarnation, ProgramId},
+    account::Account,
+    std::{
+        collections::{BTreeMap, HashMap},
+        time::{Duration, Instant},
+    },
+};
+
+/// Counts tokens.
+pub type TokenCount = u64;
+
+/// How long the store may fail before charges beyond one turn are granted without it: longer than
+/// slow calls take.
+const OUTAGE_AFTER: Duration = Duration::from_millis(1500);
+/// A record older than this may miss charges made while the store was away: below [`OUTAGE_AFTER`]
+/// by what clocks may differ.
+const RECENT_MAX_MS: u64 = 1000;
+/// Time that accounts are kept beyond the time in which a program may come back.
+const KEEP_MARGIN: Duration = Duration::from_secs(10);
+
+/// One turn that wants to start.
+#[derive(Clone, Debug, PartialEq, serde::Deserialize, serde::Serialize)]
+pub struct Charge {
+    /// The program.
+    pub program: ProgramId,
+    /// What all its turns may generate.
+    pub budget: TokenCount,
+    /// The most that this turn generates.
+    pub turn_max: TokenCount,
+    /// How long the program may pause and come back.
+    pub idle_max: Duration,
+}
+
+/// What becomes of a charge.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Charged {
+    /// The turn may start.
+    Granted,
+    /// The budget does not hold it.
+    Spent,
+    /// It may start once the ledger has been written: ask again then.
+    AfterWrite,
+}
+
+/// What lies in the store for one ledger.
+#[derive(Clone, Debug, Default, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
+pub struct LedgerRecord {
+    /// The host and its start that wrote it.
+    pub writer: String,
+    /// Counts the writer's writes.
+    pub sequence: u64,
+    /// Wall clock of the write in milliseconds since 1970.
+    pub written_at_ms: u64,
+    /// How much longer than the write accounts are to be opened in doubt, in milliseconds.
+    #[serde(default)]
+    pub doubtful_ms: u64,
+    /// Charges by program, with the margin.
+    pub charged: BTreeMap<ProgramId, TokenCount>,
+}
+
+/// The accounts of one part of all programs, at the host that keeps them.
+#[derive(Debug)]
+pub struct Ledger {
+    writer: String,
+    sequence: u64,
+    accounts: HashMap<ProgramId, Account>,
+    /// Until when accounts are opened as if charges were missing from the record.
+    doubtful_until: Instant,
+    failing_since: Option<Instant>,
+}
+
+impl Ledger {
+    /// Makes the ledger of a host that takes it over, from its record if there is one. `is_first`
+    /// says that no host has ever kept it.
+    pub fn take_over(
+        now: Instant,
+        wall_ms: u64,
+        writer: (&str, Incarnation),
+        record: Option<&LedgerRecord>,
+        is_first: bool,
+        idle_max: Duration,
+    ) -> Self {
+        let is_recent = |record: &LedgerRecord| {
+            let age_ms = wall_ms.checked_sub(record.written_at_ms);
+            age_ms.is_some_and(|age_ms| age_ms <= RECENT_MAX_MS)
+        };
+        let doubtful = match record {
+            Some(record) if is_recent(record) => Duration::from_millis(record.doubtful_ms),
+            None if is_first => Duration::ZERO,
+            _ => idle_max + KEEP_MARGIN,
+        };
+        let (host, incarnation) = writer;
+        let mut ledger = Self {
+            writer: format!("{host}@{incarnation}"),
+            sequence: 0,
+            accounts: HashMap::new(),
+            doubtful_until: now + doubtful,
+            failing_since: None,
+        };
+        for (program, &recorded) in record.iter().flat_map(|record| &record.charged) {
+            let account = Account::recorded(now, recorded, idle_max, !doubtful.is_zero());
+            ledger.accounts.insert(program.clone(), account);
+        }
+        ledger
+    }
+
+    /// Charges a turn at its most, if the budget and the record allow it.
+    pub fn charge(&mut self, now: Instant, charge: &Charge) -> Charged {
+        let is_outage =
+            self.failing_since.is_some_and(|since| now.duration_since(since) >= OUTAGE_AFTER);
+        let is_doubtful = now < self.doubtful_until;
+        let open = || Account::new(now, is_doubtful);
+        let account = self.accounts.entry(charge.program.clone()).or_insert_with(open);
+        account.charge(now, charge, is_outage)
+    }
+
+    /// Gives back what a turn did not use.
+    pub fn refund(&mut self, now: Instant, program: &str, tokens: TokenCount) {
+        if let Some(account) = self.accounts.get_mut(program) {
+            account.refund(now, tokens);
+        }
+    }
+
+    /// Returns whether the record lags so far behind that turns may have to wait for it.
+    pub fn needs_write(&self) -> bool {
+        self.accounts.values().any(Account::needs_write)
+    }
+
+    /// Returns the record to write, without the accounts of programs that won't come back.
+    pub fn record(&mut self, now: Instant, wall_ms: u64) -> LedgerRecord {
+        self.accounts.retain(|_, account| !account.is_over(now));
+        self.sequence += 1;
+        let charged =
+            self.accounts.iter().map(|(program, account)| (program.clone(), account.to_record()));
+        LedgerRecord {
+            writer: self.writer.clone(),
+            sequence: self.sequence,
+            written_at_ms: wall_ms,
+            doubtful_ms: self.doubtful_until.saturating_duration_since(now).as_millis() as u64,
+            charged: charged.collect(),
+        }
+    }
+
+    /// Notes that a record is in the store.
+    pub fn written(&mut self, record: &LedgerRecord) {
+        self.failing_since = None;
+        for (program, &recorded) in &record.charged {
+            if let Some(account) = self.accounts.get_mut(program) {
+                account.written(recorded);
+            }
+        }
+    }
+
+    /// Notes that the store could not be written to.
+    pub fn write_failed(&mut self, now: Instant) {
+        self.failing_since.get_or_insert(now);
+    }
+
+    /// Returns whether a record is one of this ledger's own writes.
+    pub fn is_own(&self, record: &LedgerRecord) -> bool {
+        record.writer == self.writer
+    }
+
+    /// Takes in the record of another host that wrote in between. Charges of this host that no
+    /// record has are added to it.
+    pub fn merge(&mut self, now: Instant, record: &LedgerRecord, idle_max: Duration) {
+        for (program, &recorded) in &record.charged {
+            match self.accounts.get_mut(program) {
+                Some(account) => account.merge(recorded),
+                None => {
+                    let account = Account::recorded(now, recorded, idle_max, false);
+                    self.accounts.insert(program.clone(), account);
+                }
+            }
+        }
+    }
+
+    /// Returns how many accounts there are.
+    pub fn len(&self) -> usize {
+        self.accounts.len()
+    }
+
+    /// Returns whether there are no accounts.
+    pub fn is_empty(&self) -> bool {
+        self.accounts.is_empty()
+    }
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -4,6 +4,7 @@
 //! Sockets, files, timers and the clock belong to the callers, so that each decision can be
 //! tested in virtual time with a fixed seed, and the same code runs in the daemon.
 
+pub mod budget;
 pub mod call;
 pub mod catalog;
 pub mod event;
@@ -16,7 +17,9 @@
 pub mod placement;
 pub mod program;
 pub mod rendezvous;
+pub mod roster;
 pub mod routing;
 pub mod sched;
+pub mod shares;
 pub mod spread;
 pub mod verdict;
--- a/crates/core/src/placement/mod.rs
+++ b/crates/core/src/placement/mod.rs
@@ -132,6 +132,11 @@
         self.by_id.keys()
     }
 
+    /// Records of all known upstreams.
+    pub fn records(&self) -> impl Iterator<Item = &UpstreamRecord> {
+        self.upstreams.values().map(|upstream| &upstream.record)
+    }
+
     /// Returns an upstream's record.
     pub fn record(&self, key: UpstreamKey) -> Option<&UpstreamRecord> {
         self.upstreams.get(key).map(|upstream| &upstream.record)
--- a/crates/core/src/placement/upstream.rs
+++ b/crates/core/src/placement/upstream.rs
@@ -18,7 +18,7 @@
 const REPORT_HALF_LIFE_S: f64 = 0.4;
 
 /// An upstream as listed by the platform.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, serde::Deserialize, serde::Serialize)]
 pub struct UpstreamRecord {
     /// Its id, one for each start in most cases.
     pub id: UpstreamId,
--- /dev/null
+++ b/crates/core/src/shares/mod.rs
@@ -0,0 +1,170 @@
+//! A team's allowance, split evenly between the hosts that callers connect to.
+//!
+//! Load pattern: a team's callers sit at a few hosts, so its requests come to some hosts and not to
+//! others. Each host fills a bucket with its even share of the rate and burst. One that runs short
+//! borrows tokens from others, which take them out of their own buckets first. The sum over all hosts
+//! thus stays within the allowance whoever is cut off, killed or restarted, and no host waits for a
+//! single limiter. A restarted host begins with an empty bucket: the one before may have used it up.
+
+#[cfg(test)]
+mod tests;
+
+use {
+    crate::{ids::TeamId, routing::TeamRules},
+    std::{
+        collections::{BTreeMap, HashMap},
+        sync::Arc,
+        time::{Duration, Instant},
+    },
+};
+
+/// Least size of a host's bucket in tokens, so that whole requests fit into it. Over all hosts of a
+/// small site this stays below the slack of the users' bound.
+const BUCKET_TOKENS_MIN: f64 = 2.0;
+/// Time over which a team's demand at this host is averaged.
+const DEMAND_WINDOW_S: f64 = 1.0;
+/// Demand that a lender keeps for itself.
+const RESERVE: Duration = Duration::from_millis(300);
+/// Demand that a borrower asks for: two round trips and some work, many times over.
+const BORROW: Duration = Duration::from_millis(600);
+/// Demand under which a bucket is short.
+const LOW_WATER: Duration = Duration::from_millis(250);
+
+/// Whether a request has a token.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Take {
+    /// It has one.
+    Granted,
+    /// There is none. The host's own share has one after this time.
+    Short {
+        /// Time until the next token.
+        next_token: Duration,
+    },
+}
+
+/// This host's part of all teams' allowances.
+#[derive(Debug)]
+pub struct Shares {
+    /// This host's part of each allowance, from 0 to 1.
+    fraction: f64,
+    buckets: HashMap<TeamId, Bucket>,
+}
+
+#[derive(Debug)]
+struct Bucket {
+    rate_per_s: f64,
+    /// Invariant: `tokens` is at most this.
+    capacity: f64,
+    tokens: f64,
+    at: Instant,
+    /// Requests a second that came lately.
+    demand_per_s: f64,
+}
+
+impl Default for Shares {
+    fn default() -> Self {
+        Self { fraction: 0.0, buckets: HashMap::new() }
+    }
+}
+
+impl Shares {
+    /// Sets this host's part of each allowance. What was filled before counts at the former part.
+    pub fn set_fraction(&mut self, now: Instant, fraction: f64, rules: &Rules) {
+        self.buckets.values_mut().for_each(|bucket| bucket.fill(now));
+        self.fraction = fraction;
+        self.set_rules(now, rules);
+    }
+
+    /// Takes in teams' allowances. Buckets are clipped to lower ones; teams that are gone or have no
+    /// limit are forgotten.
+    pub fn set_rules(&mut self, now: Instant, rules: &Rules) {
+        self.buckets
+            .retain(|team, _| rules.get(team).is_some_and(|rules| rules.rate_per_s.is_some()));
+        for (team, rules) in rules {
+            let Some(rate_per_s) = rules.rate_per_s else { continue };
+            let capacity = (rules.burst_requests * self.fraction).max(BUCKET_TOKENS_MIN);
+            let bucket = self.buckets.entry(team.clone()).or_insert_with(|| Bucket::empty(now));
+            bucket.fill(now);
+            bucket.rate_per_s = rate_per_s * self.fraction;
+            bucket.capacity = capacity;
+            bucket.tokens = bucket.tokens.min(capacity);
+        }
+    }
+
+    /// Takes a token for a request. Teams without a limit always have one.
+    pub fn take(&mut self, now: Instant, team: &str) -> Take {
+        let Some(bucket) = self.buckets.get_mut(team) else { return Take::Granted };
+        bucket.fill(now);
+        if bucket.tokens >= 1.0 {
+            bucket.tokens -= 1.0;
+            return Take::Granted;
+        }
+        let missing = 1.0 - bucket.tokens;
+        let seconds = missing / bucket.rate_per_s;
+        let next_token = Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX);
+        Take::Short { next_token }
+    }
+
+    /// Counts a request towards the team's demand.
+    pub fn note_demand(&mut self, now: Instant, team: &str) {
+        if let Some(bucket) = self.buckets.get_mut(team) {
+            bucket.fill(now);
+            bucket.demand_per_s += 1.0 / DEMAND_WINDOW_S;
+        }
+    }
+
+    /// Gives back the token of a request that did not run.
+    pub fn give_back(&mut self, now: Instant, team: &str) {
+        self.receive(now, team, 1.0);
+    }
+
+    /// Returns how many tokens to borrow, if the team's bucket is short.
+    pub fn shortage(&mut self, now: Instant, team: &str) -> Option<f64> {
+        let bucket = self.buckets.get_mut(team)?;
+        bucket.fill(now);
+        let low = (bucket.demand_per_s * LOW_WATER.as_secs_f64()).max(1.0).min(bucket.capacity);
+        let wanted = (bucket.demand_per_s * BORROW.as_secs_f64()).max(BUCKET_TOKENS_MIN);
+        let missing = wanted.min(bucket.capacity) - bucket.tokens;
+        (bucket.tokens < low && missing > 0.0).then_some(missing)
+    }
+
+    /// Gives tokens away, as many as are wanted and not soon needed here.
+    pub fn lend(&mut self, now: Instant, team: &str, wanted: f64) -> f64 {
+        let Some(bucket) = self.buckets.get_mut(team) else { return 0.0 };
+        bucket.fill(now);
+        let spare = bucket.tokens - bucket.demand_per_s * RESERVE.as_secs_f64();
+        // NaN and negative wishes get nothing.
+        let lent = wanted.min(spare).max(0.0);
+        bucket.tokens -= lent;
+        lent
+    }
+
+    /// Takes in borrowed tokens. What the bucket does not hold is lost.
+    pub fn receive(&mut self, now: Instant, team: &str, tokens: f64) {
+        if let Some(bucket) = self.buckets.get_mut(team) {
+            bucket.fill(now);
+            bucket.tokens = (bucket.tokens + tokens).min(bucket.capacity);
+        }
+    }
+
+    /// This host's part of each allowance.
+    pub fn fraction(&self) -> f64 {
+        self.fraction
+    }
+}
+
+/// Allowances by team.
+pub type Rules = BTreeMap<TeamId, Arc<TeamRules>>;
+
+impl Bucket {
+    fn empty(now: Instant) -> Self {
+        Self { rate_per_s: 0.0, capacity: 0.0, tokens: 0.0, at: now, demand_per_s: 0.0 }
+    }
+
+    fn fill(&mut self, now: Instant) {
+        let elapsed_s = now.saturating_duration_since(self.at).as_secs_f64();
+        self.at = self.at.max(now);
+        self.tokens = (self.tokens + self.rate_per_s * elapsed_s).min(self.capacity);
+        self.demand_per_s *= (-elapsed_s / DEMAND_WINDOW_S).exp();
+    }
+}
--- /dev/null
+++ b/crates/core/src/shares/tests.rs
@@ -0,0 +1,142 @@
+use {super::*, proptest::prelude::*};
+
+fn rules(rate_per_s: f64, burst_requests: f64) -> Rules {
+    let team =
+        TeamRules { id: "t".into(), rank: None, rate_per_s: Some(rate_per_s), burst_requests };
+    [("t".into(), Arc::new(team))].into()
+}
+
+fn host(now: Instant, fraction: f64, rules: &Rules) -> Shares {
+    let mut shares = Shares::default();
+    shares.set_fraction(now, fraction, rules);
+    shares
+}
+
+fn takes(shares: &mut Shares, now: Instant) -> usize {
+    std::iter::repeat_with(|| shares.take(now, "t"))
+        .take_while(|take| *take == Take::Granted)
+        .take(10_000)
+        .count()
+}
+
+#[test]
+fn host_begins_empty_and_fills_at_its_share() {
+    let now = Instant::now();
+    let mut shares = host(now, 0.25, &rules(40.0, 40.0));
+    assert_eq!(takes(&mut shares, now), 0);
+    assert_eq!(takes(&mut shares, now + Duration::from_millis(500)), 5);
+    assert_eq!(takes(&mut shares, now + Duration::from_secs(60)), 10);
+}
+
+#[test]
+fn teams_without_limit_always_have_a_token() {
+    let now = Instant::now();
+    let mut shares = host(now, 0.25, &rules(40.0, 40.0));
+    assert_eq!(shares.take(now, "unlimited"), Take::Granted);
+}
+
+#[test]
+fn short_host_is_told_when_its_own_share_has_a_token() {
+    let now = Instant::now();
+    let mut shares = host(now, 0.5, &rules(20.0, 20.0));
+    let Take::Short { next_token } = shares.take(now, "t") else {
+        panic!("empty buckets are short")
+    };
+    assert_eq!(next_token, Duration::from_millis(100));
+    assert_eq!(takes(&mut shares, now + next_token), 1);
+    let mut without = host(now, 0.0, &rules(20.0, 20.0));
+    assert_eq!(without.take(now, "t"), Take::Short { next_token: Duration::MAX });
+}
+
+#[test]
+fn lender_keeps_what_it_needs_itself() {
+    let now = Instant::now();
+    let mut shares = host(now, 1.0, &rules(10.0, 10.0));
+    let later = now + Duration::from_secs(60);
+    for _ in 0..10 {
+        shares.note_demand(later, "t");
+    }
+    assert_eq!(shares.lend(later, "t", 100.0), 7.0);
+    assert_eq!(shares.lend(later, "t", 100.0), 0.0);
+    assert_eq!(shares.lend(later, "t", f64::NAN).max(0.0), 0.0);
+    assert_eq!(shares.lend(later, "t", -5.0), 0.0);
+}
+
+#[test]
+fn lower_limit_clips_what_was_saved() {
+    let now = Instant::now();
+    let mut shares = host(now, 1.0, &rules(100.0, 100.0));
+    let later = now + Duration::from_secs(60);
+    shares.set_rules(later, &rules(5.0, 5.0));
+    assert_eq!(takes(&mut shares, later), 5);
+}
+
+/// A day of several hosts: requests come to one of them, tokens are lent, lent tokens get lost,
+/// hosts restart.
+#[derive(Clone, Copy, Debug)]
+enum Step {
+    Requests { host: usize, count: u8 },
+    Borrow { host: usize, from: usize, is_lost: bool },
+    Restart { host: usize },
+    Wait { ms: u64 },
+}
+
+const HOSTS: usize = 5;
+
+fn step() -> impl Strategy<Value = Step> {
+    let host = || 0..HOSTS;
+    prop_oneof![
+        4 => (host(), 1..20_u8).prop_map(|(host, count)| Step::Requests { host, count }),
+        4 => (host(), host(), any::<bool>())
+            .prop_map(|(host, from, is_lost)| Step::Borrow { host, from, is_lost }),
+        1 => host().prop_map(|host| Step::Restart { host }),
+        4 => (1..400_u64).prop_map(|ms| Step::Wait { ms }),
+    ]
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 1000, failure_persistence: None, ..ProptestConfig::default() })]
+
+    #[test]
+    fn sum_over_hosts_stays_within_the_allowance(
+        steps in proptest::collection::vec(step(), 1..200),
+        rate in 1.0..200.0_f64,
+    ) {
+        let rules = rules(rate, rate);
+        let start = Instant::now();
+        let mut now = start;
+        let mut hosts: Vec<Shares> =
+            (0..HOSTS).map(|_| host(now, 1.0 / HOSTS as f64, &rules)).collect();
+        let mut granted: Vec<Instant> = Vec::new();
+        for step in steps {
+            match step {
+                Step::Requests { host, count } => {
+                    for _ in 0..count {
+                        hosts[host].note_demand(now, "t");
+                        if hosts[host].take(now, "t") == Take::Granted {
+                            granted.push(now);
+                        }
+                    }
+                }
+                Step::Borrow { host, from, is_lost } => {
+                    let Some(wanted) = hosts[host].shortage(now, "t") else { continue };
+                    let lent = hosts[from].lend(now, "t", wanted);
+                    if !is_lost && host != from {
+                        hosts[host].receive(now, "t", lent);
+                    }
+                }
+                Step::Restart { host } => {
+                    hosts[host] = super::tests::host(now, 1.0 / HOSTS as f64, &rules);
+                }
+                Step::Wait { ms } => now += Duration::from_millis(ms),
+            }
+        }
+        // Any window of five seconds, with the least buckets on top of the burst.
+        let window = Duration::from_secs(5);
+        let allowed = rate * 5.0 + rate + BUCKET_TOKENS_MIN * HOSTS as f64;
+        for (first, &from) in granted.iter().enumerate() {
+            let in_window = granted[first..].iter().take_while(|at| **at <= from + window).count();
+            prop_assert!(in_window as f64 <= allowed + 1e-6, "{in_window} of {allowed}");
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/call/budget.rs
@@ -0,0 +1,166 @@
+//! Charges turns to their programs' budgets, and refunds what they did not use.
+
+use {
+    super::Call,
+    crate::{
+        gateway::Gateway,
+        ledger,
+        peers::{self, Question, Reply},
+    },
+    smol::Timer,
+    std::{
+        cell::Cell,
+        net::SocketAddr,
+        rc::Rc,
+        time::{Duration, Instant},
+    },
+    trefoilring_core::{
+        budget::{Charge, TokenCount},
+        ids::ProgramId,
+        rendezvous::rank,
+        verdict::{Reason, Refusal},
+    },
+};
+
+/// How long one host may take to decide on a charge. Above the time in which a ledger is written
+/// when turns wait for it.
+const CHARGE_TIMEOUT: Duration = Duration::from_millis(500);
+/// Time beyond the host's own for the answer to come back.
+const CHARGE_TRANSIT: Duration = Duration::from_millis(150);
+/// Hosts that are asked to decide on a charge before the request is refused.
+const KEEPERS_MAX: usize = 3;
+/// Time over which refunds are gathered into one message.
+const REFUND_EVERY: Duration = Duration::from_millis(250);
+/// How long a host may take to note refunds.
+const REFUND_TIMEOUT: Duration = Duration::from_millis(500);
+/// How long a program may pause where its route does not say.
+const IDLE_MAX_DEFAULT: Duration = Duration::from_secs(60);
+/// When to come back while no host can decide on a charge.
+const RETRY_AFTER: Duration = Duration::from_millis(300);
+
+/// Refunds by the host that keeps the ledger; `None` is this one.
+pub(crate) type Refunds =
+    std::collections::HashMap<Option<SocketAddr>, Vec<(ProgramId, TokenCount)>>;
+
+/// A turn that was charged at its most. Refunds the rest when it is dropped.
+pub(crate) struct TurnCharge {
+    gateway: Rc<Gateway>,
+    keeper: Option<SocketAddr>,
+    program: ProgramId,
+    charged: TokenCount,
+    used: Cell<TokenCount>,
+}
+
+impl TurnCharge {
+    /// Counts tokens that are passed on to the caller.
+    pub(crate) fn use_tokens(&self, tokens: TokenCount) {
+        self.used.set(self.used.get() + tokens);
+    }
+}
+
+impl Drop for TurnCharge {
+    fn drop(&mut self) {
+        let unused = self.charged.saturating_sub(self.used.get());
+        if unused == 0 {
+            return;
+        }
+        let mut refunds = self.gateway.refunds.borrow_mut();
+        if refunds.is_empty() {
+            self.gateway.spawn(send_refunds(self.gateway.clone()));
+        }
+        refunds.entry(self.keeper).or_default().push((self.program.clone(), unused));
+    }
+}
+
+/// Charges a call, if it is a turn of a program with a budget.
+///
+/// # Errors
+///
+/// Refuses it when the budget does not hold it, or when no host can tell.
+pub(super) async fn charge(
+    gateway: &Rc<Gateway>,
+    call: &Call,
+) -> Result<Option<TurnCharge>, Refusal> {
+    let (Some(program), Some(generation)) = (&call.about.program, &call.about.generation) else {
+        return Ok(None);
+    };
+    let Some(budget) = program.token_budget.filter(|_| call.route.kind.is_stream()) else {
+        return Ok(None);
+    };
+    let charge = Charge {
+        program: program.program.as_str().into(),
+        budget,
+        turn_max: generation.output_tokens_max,
+        idle_max: call.route.program_idle.unwrap_or(IDLE_MAX_DEFAULT),
+    };
+    for keeper in keepers(gateway, &charge.program).into_iter().take(KEEPERS_MAX) {
+        let wait = CHARGE_TIMEOUT.min(call.time_left());
+        let is_granted = match keeper {
+            None => ledger::charge(gateway, &charge, Instant::now() + wait).await,
+            Some(address) => {
+                let question = Question::Charge { charge: charge.clone(), wait };
+                let deadline = Instant::now() + wait + CHARGE_TRANSIT;
+                match peers::ask(gateway, address, &question, deadline).await {
+                    Some(Reply::Charged { is_granted }) => is_granted,
+                    _ => None,
+                }
+            }
+        };
+        match is_granted {
+            Some(true) => {
+                return Ok(Some(TurnCharge {
+                    gateway: gateway.clone(),
+                    keeper,
+                    program: charge.program,
+                    charged: charge.turn_max,
+                    used: Cell::new(0),
+                }));
+            }
+            Some(false) => {
+                let detail = format!("the program's budget of {budget} tokens is spent");
+                return Err(Refusal::not_run(Reason::BudgetSpent, detail));
+            }
+            None => {}
+        }
+    }
+    let detail = "no host can tell what the program has spent";
+    Err(Refusal::not_run(Reason::StoreUnavailable, detail).retry_after(RETRY_AFTER))
+}
+
+/// Returns the hosts that may keep a program's ledger, best first; `None` is this host. Hosts
+/// without callers come first, then those that answered lately.
+fn keepers(gateway: &Gateway, program: &str) -> Vec<Option<SocketAddr>> {
+    let roster = gateway.roster.borrow();
+    let own = &gateway.settings.host;
+    let mut hosts: Vec<(&str, bool, Option<SocketAddr>)> =
+        vec![(own, gateway.settings.callers_listen.is_some(), None)];
+    hosts.extend(
+        roster
+            .others()
+            .map(|(host, record)| (&**host, record.serves_callers, Some(record.address))),
+    );
+    let ranked = rank(&ledger::part_of(program).to_string(), hosts.iter().map(|host| host.0));
+    let place = |name: &str| ranked.iter().position(|ranked| *ranked == name);
+    hosts.sort_by_cached_key(|(name, serves_callers, address)| {
+        let is_suspect = address.is_some_and(|address| peers::is_suspect(gateway, address));
+        (is_suspect, *serves_callers, place(name))
+    });
+    hosts.into_iter().map(|(_, _, address)| address).collect()
+}
+
+async fn send_refunds(gateway: Rc<Gateway>) {
+    Timer::after(REFUND_EVERY).await;
+    let refunds = std::mem::take(&mut *gateway.refunds.borrow_mut());
+    for (keeper, refunds) in refunds {
+        let Some(address) = keeper else {
+            ledger::refund(&gateway, &refunds);
+            continue;
+        };
+        let deadline = Instant::now() + REFUND_TIMEOUT;
+        let question = Question::Refund { refunds };
+        if peers::ask(&gateway, address, &question, deadline).await.is_none() {
+            // The programs keep less of their budgets than they could.
+            gateway.metrics.count("refunds_lost", 1);
+        }
+    }
+}
--- a/crates/gateway/src/call/mod.rs
+++ b/crates/gateway/src/call/mod.rs
@@ -1,14 +1,18 @@
 //! The life of one request: checked, placed, sent, and answered.
 
 mod body;
+mod budget;
 mod events;
 mod exchange;
 mod relay;
 
-pub(crate) use body::{AnswerBody, CallerBody};
+pub(crate) use {
+    body::{AnswerBody, CallerBody},
+    budget::Refunds,
+};
 
 use {
-    crate::{dialect::CallHead, front::Answer, gateway::Gateway, time::within},
+    crate::{allowance, dialect::CallHead, front::Answer, gateway::Gateway, time::within},
     bytes::Bytes,
     http::{Request, request},
     http_body_util::{BodyExt, LengthLimitError, Limited},
@@ -75,17 +79,32 @@
         Ok(call) => Rc::new(call),
         Err(refusal) => return refuse(&gateway, &request, arrived, None, &refusal),
     };
-    let answered = match call.route.kind {
-        RouteKind::NonIdempotent => finish_apart(&gateway, &call).await,
-        RouteKind::Idempotent => exchange::deliver(&gateway, &call).await,
-        RouteKind::Stream { .. } => relay::deliver(&gateway, &call).await,
-    };
-    match answered {
+    match deliver(&gateway, &call).await {
         Ok(answer) => answer,
         Err(refusal) => refuse(&gateway, &request, arrived, Some(&call), &refusal),
     }
 }
 
+async fn deliver(gateway: &Rc<Gateway>, call: &Rc<Call>) -> Result<Answer, Refusal> {
+    if let Some(team) = &call.team {
+        allowance::take(gateway, &team.id, call.deadline).await?;
+    }
+    let answered = match call.route.kind {
+        RouteKind::NonIdempotent => finish_apart(gateway, call).await,
+        RouteKind::Idempotent => exchange::deliver(gateway, call).await,
+        RouteKind::Stream { .. } => match budget::charge(gateway, call).await {
+            Ok(charge) => relay::deliver(gateway, call, charge).await,
+            Err(refusal) => Err(refusal),
+        },
+    };
+    if let (Err(refusal), Some(team)) = (&answered, &call.team)
+        && refusal.verdict == Verdict::NotRun
+    {
+        allowance::give_back(gateway, &team.id);
+    }
+    answered
+}
+
 /// Delivers a request that goes on when its caller leaves: breaking it off would leave an effect half
 /// done for nothing.
 async fn finish_apart(gateway: &Rc<Gateway>, call: &Rc<Call>) -> Result<Answer, Refusal> {
@@ -209,6 +228,9 @@
             "route": call.route.id,
             "team": call.team.as_ref().map(|team| &team.id),
             "program": call.about.program.as_ref().map(|of| &of.program),
+            "line": call.line(),
+            "token_budget": call.about.program.as_ref().and_then(|of| of.token_budget),
+            "output_tokens_max": call.about.generation.as_ref().map(|of| of.output_tokens_max),
             "upstream": upstream,
             "status": status,
             "events": events,
--- a/crates/gateway/src/call/relay.rs
+++ b/crates/gateway/src/call/relay.rs
@@ -4,6 +4,7 @@
     super::{
         AnswerBody, Call,
         body::BrokenOff,
+        budget::TurnCharge,
         events::EventCutter,
         exchange::{Received, Sent, Visit, failed, next_visit, read_whole, send, to_caller},
         note_answer, timed_out,
@@ -16,6 +17,7 @@
     serde_json::json,
     std::rc::Rc,
     trefoilring_core::{
+        budget::TokenCount,
         placement::Outcome,
         verdict::{Refusal, Verdict},
     },
@@ -25,12 +27,18 @@
 /// How often one stream goes on after a break. Each time costs reading the prompt again.
 const RESUMES_MAX: u32 = 3;
 
+/// Tokens that an event counts as where the service does not say.
+const EVENT_TOKENS_DEFAULT: TokenCount = 1;
+
 /// A stream on its way to a caller.
 struct Relay {
     gateway: Rc<Gateway>,
     call: Rc<Call>,
     visit: Option<Visit>,
     source: Option<Source>,
+    charge: Option<TurnCharge>,
+    /// Tokens that one event counts as.
+    event_tokens: TokenCount,
     cutter: EventCutter,
     /// The last event that was passed on.
     last_event: Option<u64>,
@@ -53,7 +61,11 @@
 }
 
 /// Delivers a request whose answer is a stream.
-pub(super) async fn deliver(gateway: &Rc<Gateway>, call: &Rc<Call>) -> Result<Answer, Refusal> {
+pub(super) async fn deliver(
+    gateway: &Rc<Gateway>,
+    call: &Rc<Call>,
+    charge: Option<TurnCharge>,
+) -> Result<Answer, Refusal> {
     let mut refused_by = Vec::new();
     loop {
         let visit = next_visit(gateway, call, &refused_by, 0)?;
@@ -68,7 +80,7 @@
                 return Err(failed(error));
             }
             Sent::Answered(received) if received.head.status.is_success() => {
-                return relay(gateway, call, visit, *received).await;
+                return relay(gateway, call, visit, *received, charge).await;
             }
             Sent::Answered(received) => {
                 let (head, body) = read_whole(gateway, call, *received).await.map_err(failed)?;
@@ -85,13 +97,19 @@
     call: &Rc<Call>,
     visit: Visit,
     received: Received,
+    charge: Option<TurnCharge>,
 ) -> Result<Answer, Refusal> {
     let Received { head, body, lease, .. } = received;
+    let engine = gateway.table.borrow().as_ref().and_then(|table| {
+        table.services.get(&call.service)?.engine.as_ref().map(|engine| engine.event_tokens)
+    });
     let mut relay = Relay {
         gateway: gateway.clone(),
         call: call.clone(),
         visit: Some(visit),
         source: Some(Source { body, lease }),
+        charge,
+        event_tokens: engine.unwrap_or(EVENT_TOKENS_DEFAULT),
         cutter: EventCutter::default(),
         last_event: call.about.last_event,
         events: 0,
@@ -158,6 +176,9 @@
             }
             self.last_event = event.id.or(self.last_event);
             self.events += 1;
+            if let Some(charge) = &self.charge {
+                charge.use_tokens(self.event_tokens);
+            }
             if taken.is_empty() && !self.cutter.is_mid_event() {
                 return event.bytes;
             }
@@ -249,6 +270,7 @@
     fn finish(&mut self, end: &str) {
         self.is_ended = true;
         self.source = None;
+        self.charge = None;
         let upstream = self.visit.take().map(|visit| visit.id.clone());
         let upstream = upstream.as_deref().unwrap_or_default();
         if end == "whole" {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -2,12 +2,16 @@
 
 use {
     crate::{
+        allowance::Borrowings,
+        call::Refunds,
         dialect::Dialect,
         front,
         http::Connections,
+        ledger::{LEDGERS, Part},
+        peers, roster,
         settings::GatewaySettings,
         status,
-        store::{Directory, Store},
+        store::{Directory, Store, StoredObject},
         watch,
     },
     serde_json::json,
@@ -15,13 +19,19 @@
     smol::{LocalExecutor, Timer, channel::Receiver},
     std::{
         cell::{Cell, RefCell},
+        collections::HashMap,
         io,
+        net::SocketAddr,
         rc::Rc,
         time::{Duration, Instant},
     },
-    trefoilring_core::{placement::Placement, routing::RoutingTable},
+    trefoilring_core::{
+        ids::Incarnation, placement::Placement, roster::Roster, routing::RoutingTable,
+        shares::Shares,
+    },
     trefoilring_observe::{
         decisions::{Decisions, Weight},
+        log::wall_us,
         metrics::Metrics,
     },
 };
@@ -64,6 +74,17 @@
     pub(crate) connections: Rc<Connections>,
     pub(crate) table: RefCell<Option<Rc<RoutingTable>>>,
     pub(crate) placement: RefCell<Placement>,
+    pub(crate) roster: RefCell<Roster>,
+    pub(crate) shares: RefCell<Shares>,
+    pub(crate) borrowings: RefCell<Borrowings>,
+    pub(crate) ledgers: RefCell<[Part; LEDGERS]>,
+    pub(crate) refunds: RefCell<Refunds>,
+    /// Hosts that did not answer lately, each until when.
+    pub(crate) suspects: RefCell<HashMap<SocketAddr, Instant>>,
+    /// The configuration in force, as it lies in the store.
+    pub(crate) configuration: RefCell<Option<StoredObject>>,
+    /// Which of this host's starts this is.
+    pub(crate) incarnation: Incarnation,
     pub(crate) callers: RefCell<Slab<Rc<front::CallerConnection>>>,
     pub(crate) metrics: Metrics,
     pub(crate) decisions: Decisions,
@@ -94,6 +115,18 @@
             connections,
             table: RefCell::default(),
             placement: RefCell::new(Placement::new(settings.domain.clone())),
+            roster: RefCell::new(Roster::new(
+                Instant::now(),
+                settings.host.clone(),
+                settings.callers_listen.is_some(),
+            )),
+            shares: RefCell::default(),
+            borrowings: RefCell::default(),
+            ledgers: RefCell::default(),
+            refunds: RefCell::default(),
+            suspects: RefCell::default(),
+            configuration: RefCell::default(),
+            incarnation: wall_us() / 1000,
             callers: RefCell::default(),
             metrics: Metrics::default(),
             decisions,
@@ -108,6 +141,8 @@
 
     async fn serve(self: &Rc<Self>, stop: Receiver<()>) -> io::Result<()> {
         front::start(self).await?;
+        peers::start(self).await?;
+        roster::start(self);
         status::start(self).await?;
         watch::start(self);
         self.spawn(self.clone().sweep());
--- /dev/null
+++ b/crates/gateway/src/ledger.rs
@@ -0,0 +1,273 @@
+//! Keeps ledgers of programs' budgets: loads them from the store, writes them back in batches.
+//!
+//! Any host may keep any ledger; the store's condition on each write sorts out two that do. Callers'
+//! hosts agree on one by rendezvous, hosts without callers first.
+
+use {
+    crate::{
+        gateway::Gateway,
+        store::{Collection, Revision, StoreError, StoredObject},
+        time::within,
+    },
+    event_listener::Event,
+    serde_json::json,
+    smol::Timer,
+    std::{
+        rc::Rc,
+        time::{Duration, Instant},
+    },
+    trefoilring_core::{
+        budget::{Charge, Charged, Ledger, LedgerRecord, TokenCount},
+        ids::ProgramId,
+        rendezvous::Point,
+    },
+    trefoilring_observe::{decisions::Weight, log::wall_us},
+};
+
+/// Parts into which all programs are split. A part is one object of the store, which takes a
+/// megabyte: some 30,000 programs. Must not change while programs run.
+pub(crate) const LEDGERS: usize = 4;
+/// Time between two writes of a ledger for which nobody waits: each is a call that is counted, and a
+/// record may lag by a turn and its margin.
+const WRITE_EVERY: Duration = Duration::from_millis(400);
+/// Time between two writes for which turns wait.
+const WRITE_EVERY_URGENT: Duration = Duration::from_millis(40);
+/// Pause after a write that failed. Doubles up to [`PAUSE_MAX`].
+const PAUSE_MIN: Duration = Duration::from_millis(100);
+/// The longest such pause.
+const PAUSE_MAX: Duration = Duration::from_millis(800);
+
+/// One ledger at this host.
+#[derive(Default)]
+pub(crate) struct Part {
+    ledger: Option<Ledger>,
+    /// The store's revision of the record that the ledger goes on from.
+    revision: Option<Revision>,
+    /// Whether the record was read: until then the ledger knows nothing of earlier charges.
+    is_read: bool,
+    is_loading: bool,
+    is_writing: bool,
+    /// Turns that wait for a write.
+    waiting: usize,
+    changed: Rc<Event>,
+}
+
+/// Returns the part of a program.
+pub(crate) fn part_of(program: &str) -> usize {
+    (Point::new(program).weight(Point::new("")) % LEDGERS as u64) as usize
+}
+
+/// Charges a turn. Returns whether it may start, or `None` if that can't be decided in time.
+pub(crate) async fn charge(
+    gateway: &Rc<Gateway>,
+    charge: &Charge,
+    deadline: Instant,
+) -> Option<bool> {
+    let part = part_of(&charge.program);
+    if !load(gateway, part, charge.idle_max, deadline).await {
+        return None;
+    }
+    loop {
+        let changed = {
+            let mut parts = gateway.ledgers.borrow_mut();
+            let state = &mut parts[part];
+            let charged = state.ledger.as_mut()?.charge(Instant::now(), charge);
+            match charged {
+                Charged::Granted => {
+                    drop(parts);
+                    write_if_behind(gateway, part);
+                    return Some(true);
+                }
+                Charged::Spent => return Some(false),
+                Charged::AfterWrite => state.changed.clone(),
+            }
+        };
+        let listener = changed.listen();
+        gateway.ledgers.borrow_mut()[part].waiting += 1;
+        write_if_behind(gateway, part);
+        let woken = within(deadline, listener).await;
+        gateway.ledgers.borrow_mut()[part].waiting -= 1;
+        woken?;
+    }
+}
+
+/// Takes back what turns did not use.
+pub(crate) fn refund(gateway: &Gateway, refunds: &[(ProgramId, TokenCount)]) {
+    let now = Instant::now();
+    let mut parts = gateway.ledgers.borrow_mut();
+    for (program, tokens) in refunds {
+        if let Some(ledger) = &mut parts[part_of(program)].ledger {
+            ledger.refund(now, program, *tokens);
+        }
+    }
+}
+
+/// Reads a part's record, if this host has not. Returns whether it was read in time.
+async fn load(gateway: &Rc<Gateway>, part: usize, idle_max: Duration, deadline: Instant) -> bool {
+    loop {
+        let changed = {
+            let mut parts = gateway.ledgers.borrow_mut();
+            let state = &mut parts[part];
+            if state.is_read {
+                return true;
+            }
+            if !state.is_loading {
+                state.is_loading = true;
+                gateway.spawn(read(gateway.clone(), part, idle_max));
+            }
+            state.changed.clone()
+        };
+        if within(deadline, changed.listen()).await.is_none() {
+            return false;
+        }
+    }
+}
+
+async fn read(gateway: Rc<Gateway>, part: usize, idle_max: Duration) {
+    let name = name(part);
+    let mut pause = PAUSE_MIN;
+    let stored = loop {
+        match gateway.adapter.store.get(Collection::Ledgers, &name).await {
+            Ok(stored) => break stored,
+            Err(error) => {
+                log::warn!("{name} can't be read: {error}");
+                Timer::after(pause).await;
+                pause = (pause * 2).min(PAUSE_MAX);
+            }
+        }
+    };
+    let record = stored.as_ref().and_then(record_of);
+    let ledger = Ledger::take_over(
+        Instant::now(),
+        wall_us() / 1000,
+        (&gateway.settings.host, gateway.incarnation),
+        record.as_ref(),
+        stored.is_none() && gateway.settings.is_first_start,
+        idle_max,
+    );
+    gateway.decisions.note(
+        Weight::Rare,
+        "ledger",
+        json!({
+            "ledger": name,
+            "what": "taken over",
+            "from": record.as_ref().map(|record| &record.writer),
+            "accounts": ledger.len(),
+            "revision": stored.as_ref().map(|stored| stored.revision),
+        }),
+    );
+    let mut parts = gateway.ledgers.borrow_mut();
+    let state = &mut parts[part];
+    state.ledger = Some(ledger);
+    state.revision = stored.map(|stored| stored.revision);
+    state.is_read = true;
+    state.is_loading = false;
+    state.changed.notify(usize::MAX);
+}
+
+fn name(part: usize) -> String {
+    format!("ledger-{part}")
+}
+
+fn record_of(stored: &StoredObject) -> Option<LedgerRecord> {
+    match serde_json::from_value(stored.content.clone()) {
+        Ok(record) => Some(record),
+        Err(error) => {
+            // Taken as no record: accounts are then opened in doubt.
+            log::error!("{}: the record can't be read: {error}", stored.name);
+            None
+        }
+    }
+}
+
+/// Starts to write a part's record if it is behind.
+fn write_if_behind(gateway: &Rc<Gateway>, part: usize) {
+    let mut parts = gateway.ledgers.borrow_mut();
+    let state = &mut parts[part];
+    let is_behind = state.ledger.as_ref().is_some_and(Ledger::needs_write);
+    if is_behind && !state.is_writing {
+        state.is_writing = true;
+        gateway.spawn(write(gateway.clone(), part));
+    }
+}
+
+/// Writes a part's record until it is no longer behind.
+async fn write(gateway: Rc<Gateway>, part: usize) {
+    let name = name(part);
+    let mut pause = PAUSE_MIN;
+    loop {
+        let (record, revision) = {
+            let mut parts = gateway.ledgers.borrow_mut();
+            let state = &mut parts[part];
+            let Some(ledger) = state.ledger.as_mut().filter(|ledger| ledger.needs_write()) else {
+                state.is_writing = false;
+                return;
+            };
+            (ledger.record(Instant::now(), wall_us() / 1000), state.revision)
+        };
+        let content = json!(record);
+        let put = gateway.adapter.store.put(Collection::Ledgers, &name, revision, content).await;
+        if settle(&gateway, part, &record, put) {
+            pause = PAUSE_MIN;
+            wait_for_next(&gateway, part).await;
+        } else {
+            Timer::after(pause).await;
+            pause = (pause * 2).min(PAUSE_MAX);
+        }
+    }
+}
+
+/// Takes in how a write went. Returns whether the store could be written to.
+fn settle(
+    gateway: &Gateway,
+    part: usize,
+    record: &LedgerRecord,
+    put: Result<Revision, StoreError>,
+) -> bool {
+    let now = Instant::now();
+    let mut parts = gateway.ledgers.borrow_mut();
+    let state = &mut parts[part];
+    let Some(ledger) = state.ledger.as_mut() else { return false };
+    let outcome = match put {
+        Ok(revision) => {
+            ledger.written(record);
+            state.revision = Some(revision);
+            true
+        }
+        Err(StoreError::Conflict(stored)) => {
+            let other = stored.as_deref().and_then(record_of);
+            state.revision = stored.map(|stored| stored.revision);
+            match other {
+                // An earlier write of ours whose answer was lost.
+                Some(other) if ledger.is_own(&other) => ledger.written(&other),
+                Some(other) => {
+                    gateway.decisions.note(
+                        Weight::Rare,
+                        "ledger",
+                        json!({"ledger": name(part), "what": "merged", "from": other.writer}),
+                    );
+                    ledger.merge(now, &other, Duration::from_secs(60));
+                }
+                None => {}
+            }
+            true
+        }
+        Err(error) => {
+            log::warn!("{} is not written: {error}", name(part));
+            ledger.write_failed(now);
+            false
+        }
+    };
+    gateway.metrics.count(if outcome { "ledger_writes" } else { "ledger_write_failures" }, 1);
+    state.changed.notify(usize::MAX);
+    outcome
+}
+
+/// Lets charges gather before the next write, unless turns wait for it.
+async fn wait_for_next(gateway: &Gateway, part: usize) {
+    Timer::after(WRITE_EVERY_URGENT).await;
+    let end = Instant::now() + WRITE_EVERY - WRITE_EVERY_URGENT;
+    while Instant::now() < end && gateway.ledgers.borrow()[part].waiting == 0 {
+        Timer::after(WRITE_EVERY_URGENT).await;
+    }
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -6,11 +6,15 @@
 //!
 //! All of it runs on one thread: the hosts that it is for have a quarter of a core.
 
+mod allowance;
 mod call;
 pub mod dialect;
 mod front;
 mod gateway;
 pub mod http;
+mod ledger;
+mod peers;
+mod roster;
 pub mod settings;
 mod status;
 pub mod store;
--- /dev/null
+++ b/crates/gateway/src/peers.rs
@@ -0,0 +1,196 @@
+//! Questions between hosts: one JSON message each way over HTTP.
+
+use {
+    crate::{
+        allowance, gateway::Gateway, http::SendError, ledger, roster, store::StoredObject,
+        time::within, watch,
+    },
+    bytes::Bytes,
+    http::{Method, Request, Response, StatusCode, header},
+    http_body_util::{BodyExt, Full, Limited},
+    hyper::{body::Incoming, server::conn::http1, service::service_fn},
+    smol::net::{TcpListener, TcpStream},
+    smol_hyper::rt::FuturesIo,
+    std::{
+        convert::Infallible,
+        io,
+        net::SocketAddr,
+        rc::Rc,
+        time::{Duration, Instant},
+    },
+    trefoilring_core::{
+        budget::{Charge, TokenCount},
+        ids::{ConfigVersion, HostId, ProgramId, TeamId},
+        placement::UpstreamRecord,
+        roster::HostRecord,
+    },
+};
+
+/// Largest message: a configuration has a megabyte at most.
+const MESSAGE_BYTES_MAX: usize = 2 * 1024 * 1024;
+/// How long a host that did not answer is left alone.
+const SUSPECT_FOR: Duration = Duration::from_millis(1000);
+
+/// What one host asks another.
+#[derive(Clone, Debug, serde::Deserialize, serde::Serialize)]
+#[serde(rename_all = "snake_case")]
+pub(crate) enum Question {
+    /// Know of me, and count me from now on.
+    Greet { host: HostId, record: HostRecord },
+    /// Lend me tokens of a team's allowance.
+    Lend { team: TeamId, tokens: f64 },
+    /// Charge a turn, to be answered until the time is over.
+    Charge { charge: Charge, wait: Duration },
+    /// Take back what turns did not use.
+    Refund { refunds: Vec<(ProgramId, TokenCount)> },
+    /// Give me a newer configuration than this version.
+    Configuration { newer_than: Option<ConfigVersion> },
+    /// Give me the upstreams that you know.
+    Upstreams,
+}
+
+/// What it answers.
+#[derive(Clone, Debug, serde::Deserialize, serde::Serialize)]
+#[serde(rename_all = "snake_case")]
+pub(crate) enum Reply {
+    /// It is done.
+    Done,
+    /// It lends this much.
+    Lent { tokens: f64 },
+    /// What became of the charge; `None` where it can't be decided in time.
+    Charged { is_granted: Option<bool> },
+    /// The configuration, if there is a newer one.
+    Configuration { object: Option<StoredObject> },
+    /// The upstreams.
+    Upstreams { records: Vec<UpstreamRecord> },
+}
+
+/// Listens for other hosts.
+pub(crate) async fn start(gateway: &Rc<Gateway>) -> io::Result<()> {
+    let listener = TcpListener::bind(gateway.settings.peers_listen).await?;
+    gateway.spawn(accept(gateway.clone(), listener));
+    Ok(())
+}
+
+async fn accept(gateway: Rc<Gateway>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => gateway.spawn(serve(gateway.clone(), stream)),
+            Err(error) => {
+                log::warn!("a host's connection was not accepted: {error}");
+                smol::Timer::after(Duration::from_millis(50)).await;
+            }
+        }
+    }
+}
+
+async fn serve(gateway: Rc<Gateway>, stream: TcpStream) {
+    crate::http::set_options(&stream);
+    let service = service_fn(|request: Request<Incoming>| {
+        let gateway = gateway.clone();
+        async move { Ok::<_, Infallible>(respond(&gateway, request).await) }
+    });
+    let serving = http1::Builder::new()
+        .auto_date_header(false)
+        .serve_connection(FuturesIo::new(stream), service);
+    if let Err(error) = serving.await {
+        log::debug!("a host's connection ended: {error}");
+    }
+}
+
+async fn respond(gateway: &Rc<Gateway>, request: Request<Incoming>) -> Response<Full<Bytes>> {
+    let refuse = |status: StatusCode| {
+        let mut response = Response::new(Full::new(Bytes::new()));
+        *response.status_mut() = status;
+        response
+    };
+    let Ok(body) = Limited::new(request.into_body(), MESSAGE_BYTES_MAX).collect().await else {
+        return refuse(StatusCode::PAYLOAD_TOO_LARGE);
+    };
+    let question: Question = match serde_json::from_slice(&body.to_bytes()) {
+        Ok(question) => question,
+        Err(error) => {
+            log::warn!("a host's question can't be read: {error}");
+            return refuse(StatusCode::BAD_REQUEST);
+        }
+    };
+    let reply = answer(gateway, question).await;
+    match serde_json::to_vec(&reply) {
+        Ok(bytes) => Response::new(Full::new(bytes.into())),
+        Err(error) => {
+            log::error!("a reply can't be written: {error}");
+            refuse(StatusCode::INTERNAL_SERVER_ERROR)
+        }
+    }
+}
+
+async fn answer(gateway: &Rc<Gateway>, question: Question) -> Reply {
+    match question {
+        Question::Greet { host, record } => {
+            roster::greeted_by(gateway, &host, record);
+            Reply::Done
+        }
+        Question::Lend { team, tokens } => {
+            Reply::Lent { tokens: allowance::lend(gateway, &team, tokens) }
+        }
+        Question::Charge { charge, wait } => {
+            let is_granted = ledger::charge(gateway, &charge, Instant::now() + wait).await;
+            Reply::Charged { is_granted }
+        }
+        Question::Refund { refunds } => {
+            ledger::refund(gateway, &refunds);
+            Reply::Done
+        }
+        Question::Configuration { newer_than } => {
+            Reply::Configuration { object: watch::newer_configuration(gateway, newer_than) }
+        }
+        Question::Upstreams => {
+            Reply::Upstreams { records: gateway.placement.borrow().records().cloned().collect() }
+        }
+    }
+}
+
+/// Asks another host. `None` means that no answer came; the question may have been answered.
+pub(crate) async fn ask(
+    gateway: &Gateway,
+    address: SocketAddr,
+    question: &Question,
+    deadline: Instant,
+) -> Option<Reply> {
+    let body = match serde_json::to_vec(question) {
+        Ok(body) => body,
+        Err(error) => {
+            log::error!("a question can't be written: {error}");
+            return None;
+        }
+    };
+    let mut request = Request::new(Full::new(Bytes::from(body)));
+    *request.method_mut() = Method::POST;
+    if let Ok(host) = header::HeaderValue::from_str(&address.to_string()) {
+        request.headers_mut().insert(header::HOST, host);
+    }
+    let asked = gateway.connections.call(address, request, MESSAGE_BYTES_MAX, deadline);
+    let outcome = within(deadline, asked).await.unwrap_or(Err(SendError::TimedOut));
+    match outcome {
+        Ok((StatusCode::OK, body)) => match serde_json::from_slice(&body) {
+            Ok(reply) => {
+                gateway.suspects.borrow_mut().remove(&address);
+                return Some(reply);
+            }
+            Err(error) => log::warn!("{address}: a reply can't be read: {error}"),
+        },
+        Ok((status, _)) => log::warn!("{address}: status {status}"),
+        Err(error) => {
+            gateway.metrics.count("peer_unanswered", 1);
+            log::debug!("{address}: {error}");
+        }
+    }
+    gateway.suspects.borrow_mut().insert(address, Instant::now() + SUSPECT_FOR);
+    None
+}
+
+/// Returns whether a host did not answer lately.
+pub(crate) fn is_suspect(gateway: &Gateway, address: SocketAddr) -> bool {
+    let now = Instant::now();
+    gateway.suspects.borrow().get(&address).is_some_and(|until| now < *until)
+}
--- /dev/null
+++ b/crates/gateway/src/roster.rs
@@ -0,0 +1,173 @@
+//! Registers this host, learns of others, and joins them.
+
+use {
+    crate::{
+        gateway::Gateway,
+        peers::{self, Question, Reply},
+        store::{Collection, StoreError, StoredObject},
+    },
+    serde_json::json,
+    smol::Timer,
+    std::{
+        net::SocketAddr,
+        rc::Rc,
+        time::{Duration, Instant},
+    },
+    trefoilring_core::{ids::HostId, roster::HostRecord},
+    trefoilring_observe::decisions::Weight,
+};
+
+/// Pause between two attempts to register or to greet.
+const RETRY_EVERY: Duration = Duration::from_millis(300);
+/// How long a greeting may take.
+const GREETING_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Starts to register and join.
+pub(crate) fn start(gateway: &Rc<Gateway>) {
+    gateway.spawn(run(gateway.clone()));
+}
+
+async fn run(gateway: Rc<Gateway>) {
+    register(&gateway).await;
+    if gateway.settings.callers_listen.is_none() {
+        return;
+    }
+    loop {
+        greet(&gateway).await;
+        let is_new = gateway.roster.borrow_mut().join(Instant::now());
+        refresh_fraction(&gateway);
+        if is_new {
+            gateway.decisions.note(
+                Weight::Rare,
+                "joined",
+                json!({"fraction": gateway.shares.borrow().fraction()}),
+            );
+            // So that a restart of this host need not be greeted again.
+            register(&gateway).await;
+        }
+        Timer::after(RETRY_EVERY).await;
+    }
+}
+
+fn own_record(gateway: &Gateway) -> HostRecord {
+    HostRecord {
+        address: gateway.settings.peers_listen,
+        domain: gateway.settings.domain.clone(),
+        incarnation: gateway.incarnation,
+        serves_callers: gateway.settings.callers_listen.is_some(),
+        has_joined: gateway.roster.borrow().has_joined(),
+    }
+}
+
+/// Writes this host's record to the store, however long that takes.
+async fn register(gateway: &Gateway) {
+    let host = gateway.settings.host.clone();
+    let mut revision = None;
+    loop {
+        let content = json!(own_record(gateway));
+        let put = gateway.adapter.store.put(Collection::Hosts, &host, revision, content).await;
+        match put {
+            Ok(_) => {
+                gateway.roster.borrow_mut().registered(false);
+                return;
+            }
+            Err(StoreError::Conflict(Some(stored))) => {
+                revision = Some(stored.revision);
+                if let Some(record) = read(&stored)
+                    && record.has_joined
+                {
+                    gateway.roster.borrow_mut().registered(true);
+                }
+            }
+            Err(StoreError::Conflict(None)) => revision = None,
+            Err(error) => {
+                log::warn!("this host is not registered yet: {error}");
+                Timer::after(RETRY_EVERY).await;
+            }
+        }
+    }
+}
+
+/// Tells hosts that may not know of this one.
+async fn greet(gateway: &Rc<Gateway>) {
+    let to_greet = gateway.roster.borrow().to_greet();
+    let question =
+        Question::Greet { host: gateway.settings.host.clone(), record: own_record(gateway) };
+    for (host, address) in to_greet {
+        let deadline = Instant::now() + GREETING_TIMEOUT;
+        if let Some(Reply::Done) = peers::ask(gateway, address, &question, deadline).await {
+            gateway.roster.borrow_mut().greeted(&host);
+        }
+    }
+}
+
+/// Takes in a host that has greeted this one.
+pub(crate) fn greeted_by(gateway: &Gateway, host: &HostId, record: HostRecord) {
+    upsert(gateway, host, record, "greeting");
+}
+
+/// Takes in a host's record from the store.
+pub(crate) fn listed(gateway: &Gateway, object: &StoredObject) {
+    match read(object) {
+        Some(record) => upsert(gateway, &HostId::from(object.name.as_str()), record, "store"),
+        None => log::warn!("the record of host {} can't be read", object.name),
+    }
+}
+
+fn read(object: &StoredObject) -> Option<HostRecord> {
+    serde_json::from_value(object.content.clone()).ok()
+}
+
+fn upsert(gateway: &Gateway, host: &HostId, record: HostRecord, by: &str) {
+    let (address, incarnation) = (record.address, record.incarnation);
+    if gateway.roster.borrow_mut().upsert(host, record) {
+        gateway.decisions.note(
+            Weight::Rare,
+            "host",
+            json!({"peer": host, "address": address, "incarnation": incarnation, "by": by}),
+        );
+    }
+    refresh_fraction(gateway);
+}
+
+/// Forgets a host that is gone for good.
+pub(crate) fn removed(gateway: &Gateway, host: &str) {
+    gateway.roster.borrow_mut().remove(host);
+    gateway.decisions.note(Weight::Rare, "host", json!({"peer": host, "what": "removed"}));
+    refresh_fraction(gateway);
+}
+
+/// Notes that the store has said who is there.
+pub(crate) fn heard_from_store(gateway: &Gateway) {
+    gateway.roster.borrow_mut().heard_from_store(Instant::now());
+}
+
+/// Brings this host's part of the allowances in line with the roster.
+pub(crate) fn refresh_fraction(gateway: &Gateway) {
+    let now = Instant::now();
+    let fraction = gateway.roster.borrow().fraction(now);
+    let before = gateway.shares.borrow().fraction();
+    if fraction == before {
+        return;
+    }
+    gateway.decisions.note(
+        Weight::Rare,
+        "allowance_part",
+        json!({"fraction": fraction, "before": before}),
+    );
+    let table = gateway.table.borrow();
+    let rules = table.as_ref().and_then(|table| table.teams.as_ref());
+    let none = std::collections::BTreeMap::new();
+    gateway.shares.borrow_mut().set_fraction(now, fraction, rules.unwrap_or(&none));
+}
+
+/// Addresses of other hosts, or of the seeds while none is known.
+pub(crate) fn some_peers(gateway: &Gateway) -> Vec<SocketAddr> {
+    let known: Vec<SocketAddr> =
+        gateway.roster.borrow().others().map(|(_, record)| record.address).collect();
+    if !known.is_empty() {
+        return known;
+    }
+    let own = gateway.settings.peers_listen;
+    gateway.settings.seeds.iter().copied().filter(|seed| *seed != own).collect()
+}
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -24,6 +24,8 @@
     pub metrics_listen: SocketAddr,
     /// Peer addresses of some hosts, of use while the store can't be reached. May be stale.
     pub seeds: Vec<SocketAddr>,
+    /// Whether the whole system starts for the first time, with nothing in the store.
+    pub is_first_start: bool,
     /// How long a planned stop may take.
     pub stop_grace: Duration,
     /// Memory that the process may use, in bytes.
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -15,7 +15,7 @@
 pub type Local<'a, T> = Pin<Box<dyn Future<Output = T> + 'a>>;
 
 /// An object of the store.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, serde::Deserialize, serde::Serialize)]
 pub struct StoredObject {
     /// Its name within its collection.
     pub name: String,
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -2,24 +2,28 @@
 
 use {
     crate::{
+        allowance,
         gateway::Gateway,
+        peers::{self, Question, Reply},
+        roster,
         store::{Change, Collection, Listing, Revision, StoreError, StoredObject},
     },
-    rand::RngExt,
+    rand::{RngExt, seq::IndexedRandom},
     serde_json::json,
     smol::Timer,
     std::{
         collections::HashSet,
+        net::SocketAddr,
         rc::Rc,
         time::{Duration, Instant},
     },
-    trefoilring_core::ids::UpstreamId,
+    trefoilring_core::ids::{ConfigVersion, UpstreamId},
     trefoilring_observe::decisions::Weight,
 };
 
-/// How long one watch waits. Each is a call that is counted; a connection that went silent is
-/// noticed after this at the latest.
-const WATCH_WAIT: Duration = Duration::from_secs(10);
+/// How long one watch waits. Each is a call that is counted; probes of the connection notice when it
+/// has gone silent.
+const WATCH_WAIT: Duration = Duration::from_secs(25);
 /// The first pause after a failed call. Doubles up to [`PAUSE_MAX`], with jitter.
 const PAUSE_MIN: Duration = Duration::from_millis(150);
 /// The longest pause: what the store says must be known about a second after its return.
@@ -28,9 +32,15 @@
 /// that lapsed with the store are back about two seconds after its return.
 const RETURN_GRACE: Duration = Duration::from_millis(2500);
 
-/// Starts following.
+/// How long another host may take to answer.
+const CONSULT_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// Starts following, if this host serves callers: others need to know nothing of what is followed.
 pub(crate) fn start(gateway: &Rc<Gateway>) {
-    for collection in [Collection::Configuration, Collection::Upstreams] {
+    if gateway.settings.callers_listen.is_none() {
+        return;
+    }
+    for collection in [Collection::Configuration, Collection::Upstreams, Collection::Hosts] {
         gateway.spawn(follow(gateway.clone(), collection));
     }
 }
@@ -76,6 +86,8 @@
                 }
                 if error == StoreError::HistoryGone {
                     revision = None;
+                } else {
+                    consult_peer(&gateway, collection).await;
                 }
                 backoff.wait().await;
             }
@@ -113,7 +125,11 @@
         Collection::Upstreams => {
             replace_upstreams(gateway, &objects, failed_since.is_some());
         }
-        Collection::Hosts | Collection::Ledgers => {}
+        Collection::Hosts => {
+            objects.iter().for_each(|object| roster::listed(gateway, object));
+            roster::heard_from_store(gateway);
+        }
+        Collection::Ledgers => {}
     }
     Ok(revision)
 }
@@ -129,9 +145,17 @@
             (Collection::Configuration, Change::Put(object)) => configure(gateway, &object),
             (Collection::Upstreams, Change::Put(object)) => upsert(gateway, &object),
             (Collection::Upstreams, Change::Removed(name)) => remove(gateway, &name, "removed"),
-            _ => {}
+            (Collection::Hosts, Change::Put(object)) => roster::listed(gateway, &object),
+            (Collection::Hosts, Change::Removed(name)) => roster::removed(gateway, &name),
+            (Collection::Configuration, Change::Removed(name)) => {
+                log::warn!("configuration {name} was removed; the one in force stays");
+            }
+            (Collection::Ledgers, _) => {}
         }
     }
+    if collection == Collection::Hosts {
+        roster::heard_from_store(gateway);
+    }
     Ok(watched.revision)
 }
 
@@ -161,6 +185,51 @@
         }),
     );
     *gateway.table.borrow_mut() = Some(Rc::new(table));
+    *gateway.configuration.borrow_mut() = Some(object.clone());
+    allowance::reconfigure(gateway);
+}
+
+/// Returns the configuration in force if it is newer than a version.
+pub(crate) fn newer_configuration(
+    gateway: &Gateway,
+    newer_than: Option<ConfigVersion>,
+) -> Option<StoredObject> {
+    let version = gateway.table.borrow().as_ref()?.version;
+    let is_newer = newer_than.is_none_or(|before| version > before);
+    is_newer.then(|| gateway.configuration.borrow().clone()).flatten()
+}
+
+/// Asks another host for what the store does not say at present.
+async fn consult_peer(gateway: &Rc<Gateway>, collection: Collection) {
+    let peers: Vec<SocketAddr> = roster::some_peers(gateway)
+        .into_iter()
+        .filter(|address| !peers::is_suspect(gateway, *address))
+        .collect();
+    let Some(address) = peers.choose(&mut rand::rng()).copied() else { return };
+    let deadline = Instant::now() + CONSULT_TIMEOUT;
+    match collection {
+        Collection::Configuration => {
+            let newer_than = gateway.table.borrow().as_ref().map(|table| table.version);
+            let question = Question::Configuration { newer_than };
+            let reply = peers::ask(gateway, address, &question, deadline).await;
+            if let Some(Reply::Configuration { object: Some(object) }) = reply {
+                configure(gateway, &object);
+            }
+        }
+        Collection::Upstreams if !gateway.has_upstreams.get() => {
+            let reply = peers::ask(gateway, address, &Question::Upstreams, deadline).await;
+            if let Some(Reply::Upstreams { records }) = reply
+                && !records.is_empty()
+            {
+                let mut placement = gateway.placement.borrow_mut();
+                for record in records {
+                    placement.upsert(record);
+                }
+                gateway.has_upstreams.set(true);
+            }
+        }
+        _ => {}
+    }
 }
 
 fn upsert(gateway: &Gateway, object: &StoredObject) {
