Reload settings on SIGHUP, and take a dropped history as no outage

Change: SIGHUP and a changed file read the settings again; the seeds hold at once, other fields from the next start, which the log says. Only a store that could not be reached earns the time to come back, and then removals seen by a watch do too.

--- a/crates/cli/src/serve.rs
+++ b/crates/cli/src/serve.rs
@@ -6,21 +6,25 @@
     clap::ArgMatches,
     log::LevelFilter,
     signal_hook::{
-        consts::{SIGINT, SIGTERM},
+        consts::{SIGHUP, SIGINT, SIGTERM},
         iterator::Signals,
     },
     std::{
         io,
         path::{Path, PathBuf},
         process::ExitCode,
+        time::Duration,
     },
     trefoilring_config::settings::{EXIT_USAGE, PLATFORM, RawSettings, Settings},
-    trefoilring_gateway::Gateway,
+    trefoilring_gateway::{Command, Gateway},
     trefoilring_host::{Host, observe},
     trefoilring_observe::decisions::Decisions,
     trefoilring_platform::read_settings,
 };
 
+/// How often the settings file is looked at for changes that no signal told of.
+const SETTINGS_LOOKED_AT_EVERY: Duration = Duration::from_secs(3);
+
 /// Runs one host. The first SIGTERM or SIGINT stops it gracefully, the second at once.
 pub(crate) fn run(matches: &ArgMatches) -> ExitCode {
     if let Some(path) = matches.get_one::<PathBuf>(PLATFORM) {
@@ -53,10 +57,15 @@
     let host = settings.gateway.host.to_string();
     observe::log::init(LevelFilter::Info, &host)?;
     let decisions = Decisions::start(&host, std::io::stdout())?;
-    let stop = stop_signals()?;
+    let commands = commands(path.to_path_buf())?;
+    let path = path.to_path_buf();
+    let read_again = move || match read_settings(&path) {
+        Ok(settings) => Ok(settings.gateway),
+        Err(error) => Err(error.to_string()),
+    };
     let gateway = settings.gateway.clone();
     let adapter = move |connections| trefoilring_platform::adapter(&settings, connections);
-    Gateway::run(gateway, adapter, decisions, stop)?;
+    Gateway::run(gateway, adapter, decisions, Box::new(read_again), commands)?;
     Ok(())
 }
 
@@ -86,6 +95,37 @@
     Ok(())
 }
 
+/// Passes on what signals ask for, and that the settings file has changed, which it may do without
+/// one.
+fn commands(path: PathBuf) -> io::Result<smol::channel::Receiver<Command>> {
+    let (sender, receiver) = smol::channel::unbounded();
+    let mut signals = Signals::new([SIGTERM, SIGINT, SIGHUP])?;
+    let watcher = sender.clone();
+    let pass_on = move || {
+        for signal in signals.forever() {
+            let command = if signal == SIGHUP { Command::Reload } else { Command::Stop };
+            if sender.send_blocking(command).is_err() {
+                return;
+            }
+        }
+    };
+    std::thread::Builder::new().name("signals".into()).spawn(pass_on)?;
+    let modified = move || std::fs::metadata(&path).and_then(|data| data.modified()).ok();
+    let watch_file = move || {
+        let mut known = modified();
+        loop {
+            std::thread::sleep(SETTINGS_LOOKED_AT_EVERY);
+            let now = modified();
+            if now != known && watcher.send_blocking(Command::Reload).is_err() {
+                return;
+            }
+            known = now;
+        }
+    };
+    std::thread::Builder::new().name("settings".into()).spawn(watch_file)?;
+    Ok(receiver)
+}
+
 /// Passes SIGTERM and SIGINT on, one message each.
 fn stop_signals() -> io::Result<smol::channel::Receiver<()>> {
     let (sender, receiver) = smol::channel::unbounded();
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -55,6 +55,18 @@
     pub directory: Rc<dyn Directory>,
 }
 
+/// What a process is told from outside.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Command {
+    /// Stop gracefully.
+    Stop,
+    /// Read the settings again.
+    Reload,
+}
+
+/// Reads the settings again.
+pub type ReadSettings = Box<dyn Fn() -> Result<GatewaySettings, String>>;
+
 /// Where the process is in its life.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum Stage {
@@ -83,6 +95,8 @@
     pub(crate) suspects: RefCell<HashMap<SocketAddr, Instant>>,
     /// The configuration in force, as it lies in the store.
     pub(crate) configuration: RefCell<Option<StoredObject>>,
+    /// Peer addresses of some hosts, of use while no other is known.
+    pub(crate) seeds: RefCell<Vec<SocketAddr>>,
     /// Which of this host's starts this is.
     pub(crate) incarnation: Incarnation,
     pub(crate) callers: RefCell<Slab<Rc<front::CallerConnection>>>,
@@ -96,8 +110,8 @@
 }
 
 impl Gateway {
-    /// Runs a gateway until a message comes on `stop`, and then stops it gracefully. `adapter` makes
-    /// the adapter on the gateway's connections.
+    /// Runs a gateway until it is told to stop, and then stops it gracefully. `adapter` makes the
+    /// adapter on the gateway's connections, `read_settings` reads changed settings.
     ///
     /// # Errors
     ///
@@ -106,7 +120,8 @@
         settings: GatewaySettings,
         adapter: impl FnOnce(Rc<Connections>) -> Adapter,
         decisions: Decisions,
-        stop: Receiver<()>,
+        read_settings: ReadSettings,
+        commands: Receiver<Command>,
     ) -> io::Result<()> {
         let executor = Rc::new(LocalExecutor::new());
         let connections = Rc::new(Connections::new(executor.clone()));
@@ -126,6 +141,7 @@
             refunds: RefCell::default(),
             suspects: RefCell::default(),
             configuration: RefCell::default(),
+            seeds: RefCell::new(settings.seeds.clone()),
             incarnation: wall_us() / 1000,
             callers: RefCell::default(),
             metrics: Metrics::default(),
@@ -136,10 +152,14 @@
             settings,
             executor: executor.clone(),
         });
-        smol::block_on(executor.run(gateway.serve(stop)))
+        smol::block_on(executor.run(gateway.serve(read_settings, commands)))
     }
 
-    async fn serve(self: &Rc<Self>, stop: Receiver<()>) -> io::Result<()> {
+    async fn serve(
+        self: &Rc<Self>,
+        read_settings: ReadSettings,
+        commands: Receiver<Command>,
+    ) -> io::Result<()> {
         front::start(self).await?;
         peers::start(self).await?;
         roster::start(self);
@@ -156,14 +176,42 @@
                 "peers": self.settings.peers_listen,
             }),
         );
-        // A closed channel means that nobody can ask for a stop: go on.
-        if stop.recv().await.is_err() {
-            std::future::pending::<()>().await;
+        loop {
+            match commands.recv().await {
+                Ok(Command::Stop) => break,
+                Ok(Command::Reload) => self.reload(&read_settings),
+                // Nobody can ask for anything: go on.
+                Err(_) => std::future::pending::<()>().await,
+            }
         }
         self.stop().await;
         Ok(())
     }
 
+    /// Takes in changed settings. Only the seeds can change while the process runs.
+    fn reload(&self, read_settings: &ReadSettings) {
+        let settings = match read_settings() {
+            Ok(settings) => settings,
+            Err(error) => {
+                log::error!("the settings stay as they are: {error}");
+                self.decisions.note(Weight::Rare, "reload", json!({"error": error}));
+                return;
+            }
+        };
+        let running = &self.settings;
+        let needs_restart =
+            settings != GatewaySettings { seeds: settings.seeds.clone(), ..running.clone() };
+        self.decisions.note(
+            Weight::Rare,
+            "reload",
+            json!({"seeds": settings.seeds, "needs_restart": needs_restart}),
+        );
+        if needs_restart {
+            log::warn!("settings other than the seeds have changed: they hold from the next start");
+        }
+        *self.seeds.borrow_mut() = settings.seeds;
+    }
+
     async fn stop(&self) {
         let began = Instant::now();
         let open = self.requests_open.get();
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -23,7 +23,7 @@
 
 pub use {
     dialect::Dialect,
-    gateway::{Adapter, Gateway},
+    gateway::{Adapter, Command, Gateway, ReadSettings},
     settings::GatewaySettings,
     store::{Directory, Store},
 };
--- a/crates/gateway/src/roster.rs
+++ b/crates/gateway/src/roster.rs
@@ -169,5 +169,5 @@
         return known;
     }
     let own = gateway.settings.peers_listen;
-    gateway.settings.seeds.iter().copied().filter(|seed| *seed != own).collect()
+    gateway.seeds.borrow().iter().copied().filter(|seed| *seed != own).collect()
 }
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -62,33 +62,61 @@
     }
 }
 
+/// Whether the store can be reached, as one follower sees it.
+#[derive(Default)]
+struct Outage {
+    since: Option<Instant>,
+    ended_at: Option<Instant>,
+}
+
+impl Outage {
+    /// Notes a failure. Returns whether it is the first one.
+    fn began(&mut self, now: Instant) -> bool {
+        let is_first = self.since.is_none();
+        self.since.get_or_insert(now);
+        is_first
+    }
+
+    /// Notes a success. Returns how long an outage has lasted, if one has ended.
+    fn ended(&mut self, now: Instant) -> Option<Duration> {
+        let since = self.since.take()?;
+        self.ended_at = Some(now);
+        Some(now.duration_since(since))
+    }
+
+    /// Returns whether registrations may have lapsed with the store and not be back yet.
+    fn may_have_lapsed(&self, now: Instant) -> bool {
+        let is_recent = |ended: Instant| now.duration_since(ended) < RETURN_GRACE;
+        self.since.is_some() || self.ended_at.is_some_and(is_recent)
+    }
+}
+
 async fn follow(gateway: Rc<Gateway>, collection: Collection) {
     let mut revision: Option<Revision> = None;
     let mut backoff = Backoff::new();
-    let mut failed_since: Option<Instant> = None;
+    let mut outage = Outage::default();
     loop {
         let outcome = match revision {
-            None => list(&gateway, collection, failed_since).await,
-            Some(after) => watch(&gateway, collection, after).await,
+            None => list(&gateway, collection, &outage).await,
+            Some(after) => watch(&gateway, collection, after, &outage).await,
         };
         match outcome {
             Ok(reached) => {
-                if let Some(since) = failed_since.take() {
-                    note_store(&gateway, collection, "regained", &since.elapsed(), None);
+                if let Some(length) = outage.ended(Instant::now()) {
+                    note_store(&gateway, collection, "regained", &length, None);
                 }
                 revision = Some(reached);
                 backoff = Backoff::new();
             }
+            Err(error) if error == StoreError::HistoryGone => {
+                note_store(&gateway, collection, "listed again", &Duration::ZERO, Some(&error));
+                revision = None;
+            }
             Err(error) => {
-                if failed_since.is_none() {
+                if outage.began(Instant::now()) {
                     note_store(&gateway, collection, "lost", &Duration::ZERO, Some(&error));
-                    failed_since = Some(Instant::now());
-                }
-                if error == StoreError::HistoryGone {
-                    revision = None;
-                } else {
-                    consult_peer(&gateway, collection).await;
                 }
+                consult_peer(&gateway, collection).await;
                 backoff.wait().await;
             }
         }
@@ -117,13 +145,13 @@
 async fn list(
     gateway: &Rc<Gateway>,
     collection: Collection,
-    failed_since: Option<Instant>,
+    outage: &Outage,
 ) -> Result<Revision, StoreError> {
     let Listing { objects, revision } = gateway.adapter.store.list(collection).await?;
     match collection {
         Collection::Configuration => objects.iter().for_each(|object| configure(gateway, object)),
         Collection::Upstreams => {
-            replace_upstreams(gateway, &objects, failed_since.is_some());
+            replace_upstreams(gateway, &objects, outage.may_have_lapsed(Instant::now()));
         }
         Collection::Hosts => {
             objects.iter().for_each(|object| roster::listed(gateway, object));
@@ -138,12 +166,18 @@
     gateway: &Rc<Gateway>,
     collection: Collection,
     after: Revision,
+    outage: &Outage,
 ) -> Result<Revision, StoreError> {
     let watched = gateway.adapter.store.watch(collection, after, WATCH_WAIT).await?;
+    let may_have_lapsed = outage.may_have_lapsed(Instant::now());
+    let mut lapsed = Vec::new();
     for change in watched.changes {
         match (collection, change) {
             (Collection::Configuration, Change::Put(object)) => configure(gateway, &object),
             (Collection::Upstreams, Change::Put(object)) => upsert(gateway, &object),
+            (Collection::Upstreams, Change::Removed(name)) if may_have_lapsed => {
+                lapsed.push(UpstreamId::from(name));
+            }
             (Collection::Upstreams, Change::Removed(name)) => remove(gateway, &name, "removed"),
             (Collection::Hosts, Change::Put(object)) => roster::listed(gateway, &object),
             (Collection::Hosts, Change::Removed(name)) => roster::removed(gateway, &name),
@@ -153,6 +187,9 @@
             (Collection::Ledgers, _) => {}
         }
     }
+    if !lapsed.is_empty() {
+        gateway.spawn(remove_later(gateway.clone(), lapsed));
+    }
     if collection == Collection::Hosts {
         roster::heard_from_store(gateway);
     }
@@ -270,13 +307,13 @@
 
 /// Takes in all upstreams. After an outage of the store, those that are missing get time to come
 /// back.
-fn replace_upstreams(gateway: &Rc<Gateway>, objects: &[StoredObject], after_outage: bool) {
+fn replace_upstreams(gateway: &Rc<Gateway>, objects: &[StoredObject], may_have_lapsed: bool) {
     let listed: HashSet<&str> = objects.iter().map(|object| object.name.as_str()).collect();
     let known: Vec<UpstreamId> = gateway.placement.borrow().ids().cloned().collect();
     let missing: Vec<UpstreamId> = known.into_iter().filter(|id| !listed.contains(&**id)).collect();
     objects.iter().for_each(|object| upsert(gateway, object));
     gateway.has_upstreams.set(true);
-    if after_outage && !missing.is_empty() {
+    if may_have_lapsed && !missing.is_empty() {
         gateway.spawn(remove_later(gateway.clone(), missing));
     } else {
         missing.iter().for_each(|id| remove(gateway, id, "not listed"));
