Keep one keeper a ledger through partitions, and programs under way before new ones

Change: a keeper that is out of reach is asked through a third host; a ledger that merges another's record keeps its own unused margin; hosts out of reach are pinged in the background, so that no request finds out. A turn that opens its program leaves the tokens that programs under way need. A host may use its part of allowances only once it has seen itself in a list of all.

--- a/crates/core/src/budget/account.rs
+++ b/crates/core/src/budget/account.rs
@@ -21,6 +21,8 @@
     terms: Option<Terms>,
     /// Whether charges may be missing, made while the store was away.
     is_doubtful: bool,
+    /// What was charged for such doubt.
+    doubt: TokenCount,
     used_at: Instant,
     idle_max: Duration,
 }
@@ -41,7 +43,7 @@
 impl Account {
     pub(super) fn new(now: Instant, is_doubtful: bool) -> Self {
         let idle_max = IDLE_MAX_DEFAULT;
-        Self { charged: 0, recorded: 0, terms: None, is_doubtful, used_at: now, idle_max }
+        Self::recorded(now, 0, idle_max, is_doubtful)
     }
 
     pub(super) fn recorded(
@@ -50,7 +52,15 @@
         idle_max: Duration,
         is_doubtful: bool,
     ) -> Self {
-        Self { charged: recorded, recorded, terms: None, is_doubtful, used_at: now, idle_max }
+        Self {
+            charged: recorded,
+            recorded,
+            terms: None,
+            is_doubtful,
+            doubt: 0,
+            used_at: now,
+            idle_max,
+        }
     }
 
     pub(super) fn charge(&mut self, now: Instant, charge: &Charge, is_outage: bool) -> Charged {
@@ -64,6 +74,7 @@
             let missing = terms.outage_max() - terms.turn_max;
             self.charged += missing;
             self.recorded += missing;
+            self.doubt += missing;
         }
         let after = self.charged.saturating_add(terms.turn_max);
         if after > terms.budget {
@@ -73,8 +84,9 @@
         if after.saturating_sub(self.recorded) > beyond_max {
             return Charged::AfterWrite;
         }
+        let is_new = self.charged == self.doubt;
         self.charged = after;
-        Charged::Granted
+        Charged::Granted { is_new }
     }
 
     pub(super) fn refund(&mut self, now: Instant, tokens: TokenCount) {
@@ -103,9 +115,10 @@
         self.recorded = recorded;
     }
 
+    /// Takes in what another host has recorded since this one last did. That contains this host's
+    /// own record, of which it may use what it has not.
     pub(super) fn merge(&mut self, recorded: TokenCount) {
-        let missing = self.charged.saturating_sub(self.recorded);
-        self.charged = recorded + missing;
+        self.charged = (recorded + self.charged).saturating_sub(self.recorded);
         self.recorded = recorded;
     }
 
--- a/crates/core/src/budget/mod.rs
+++ b/crates/core/src/budget/mod.rs
@@ -57,7 +57,10 @@
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Charged {
     /// The turn may start.
-    Granted,
+    Granted {
+        /// Whether the program has neither run nor run anything yet.
+        is_new: bool,
+    },
     /// The budget does not hold it.
     Spent,
     /// It may start once the ledger has been written: ask again then.
--- a/crates/core/src/budget/tests.rs
+++ b/crates/core/src/budget/tests.rs
@@ -11,6 +11,10 @@
     Ledger::take_over(now, 0, ("host-1", 1), None, true, IDLE)
 }
 
+fn is_granted(ledger: &mut Ledger, now: Instant, charge: &Charge) -> bool {
+    matches!(ledger.charge(now, charge), Charged::Granted { .. })
+}
+
 fn write(ledger: &mut Ledger, now: Instant, wall_ms: u64) -> LedgerRecord {
     let record = ledger.record(now, wall_ms);
     ledger.written(&record);
@@ -22,14 +26,14 @@
     let now = Instant::now();
     let mut ledger = first(now);
     let turn = charge("p", 1160);
-    assert_eq!(ledger.charge(now, &turn), Charged::Granted);
+    assert!(is_granted(&mut ledger, now, &turn));
     write(&mut ledger, now, 0);
-    assert_eq!(ledger.charge(now, &turn), Charged::Granted);
+    assert!(is_granted(&mut ledger, now, &turn));
     assert_eq!(ledger.charge(now, &turn), Charged::Spent);
     ledger.refund(now, "p", 400);
     assert_eq!(ledger.charge(now, &turn), Charged::Spent);
     ledger.refund(now, "p", 400);
-    assert_eq!(ledger.charge(now, &turn), Charged::Granted);
+    assert!(is_granted(&mut ledger, now, &turn));
 }
 
 #[test]
@@ -37,26 +41,26 @@
     let now = Instant::now();
     let mut ledger = first(now);
     let turn = charge("p", 5300);
-    assert_eq!(ledger.charge(now, &turn), Charged::Granted);
+    assert!(is_granted(&mut ledger, now, &turn));
     assert!(ledger.needs_write());
     assert_eq!(ledger.charge(now, &turn), Charged::AfterWrite);
     write(&mut ledger, now, 0);
-    assert_eq!(ledger.charge(now, &turn), Charged::Granted);
-    assert_eq!(ledger.charge(now, &turn), Charged::Granted);
+    assert!(is_granted(&mut ledger, now, &turn));
+    assert!(is_granted(&mut ledger, now, &turn));
 }
 
 #[test]
 fn crash_forgets_one_turn_at_most() {
     let now = Instant::now();
     let mut ledger = first(now);
-    assert_eq!(ledger.charge(now, &charge("p", 2320)), Charged::Granted);
+    assert!(is_granted(&mut ledger, now, &charge("p", 2320)));
     let record = write(&mut ledger, now, 1000);
     let mut granted = 1;
-    while ledger.charge(now, &charge("p", 2320)) == Charged::Granted {
+    while is_granted(&mut ledger, now, &charge("p", 2320)) {
         granted += 1;
     }
     let mut next = Ledger::take_over(now, 1500, ("host-2", 1), Some(&record), false, IDLE);
-    while next.charge(now, &charge("p", 2320)) == Charged::Granted {
+    while is_granted(&mut next, now, &charge("p", 2320)) {
         granted += 1;
         write(&mut next, now, 1500);
     }
@@ -72,12 +76,12 @@
     ledger.write_failed(now);
     let later = now + OUTAGE_AFTER;
     let mut granted = 0;
-    while ledger.charge(later, &charge("p", budget)) == Charged::Granted {
+    while is_granted(&mut ledger, later, &charge("p", budget)) {
         granted += 1;
     }
     assert_eq!(granted, 5);
     let mut next = Ledger::take_over(later, 9000, ("host-2", 1), Some(&record), false, IDLE);
-    while next.charge(later, &charge("p", budget)) == Charged::Granted {
+    while is_granted(&mut next, later, &charge("p", budget)) {
         granted += 1;
         write(&mut next, later, 9000);
     }
@@ -89,7 +93,7 @@
 fn record_of_another_writer_is_added_to_what_no_record_has() {
     let now = Instant::now();
     let mut ledger = first(now);
-    assert_eq!(ledger.charge(now, &charge("p", 2320)), Charged::Granted);
+    assert!(is_granted(&mut ledger, now, &charge("p", 2320)));
     let other = LedgerRecord {
         writer: "host-2@1".into(),
         charged: [("p".into(), 1160), ("q".into(), 100)].into(),
@@ -99,16 +103,50 @@
     ledger.merge(now, &other, IDLE);
     write(&mut ledger, now, 0);
     // 580 of its own and 1160 of the other's are charged.
-    assert_eq!(ledger.charge(now, &charge("p", 2320)), Charged::Granted);
+    assert!(is_granted(&mut ledger, now, &charge("p", 2320)));
     assert_eq!(ledger.charge(now, &charge("p", 2320)), Charged::Spent);
     assert_eq!(ledger.len(), 2);
 }
 
+#[test]
+fn two_keepers_in_turn_do_not_use_up_a_budget_by_their_margins() {
+    let now = Instant::now();
+    let budget = 9 * 880;
+    let mut one = first(now);
+    let mut two = first(now);
+    let mut granted = 0;
+    let mut stored = None;
+    for turn in 0..9 {
+        let keeper = if turn % 2 == 0 { &mut one } else { &mut two };
+        if let Some(record) = &stored {
+            keeper.merge(now, record, IDLE);
+        }
+        if is_granted(keeper, now, &charge("p", budget)) {
+            granted += 1;
+            keeper.refund(now, "p", 400);
+        }
+        stored = Some(write(keeper, now, 0));
+    }
+    assert_eq!(granted, 9);
+}
+
+#[test]
+fn program_is_new_until_a_turn_was_kept() {
+    let now = Instant::now();
+    let mut ledger = first(now);
+    let turn = charge("p", 5300);
+    assert_eq!(ledger.charge(now, &turn), Charged::Granted { is_new: true });
+    ledger.refund(now, "p", TURN);
+    assert_eq!(ledger.charge(now, &turn), Charged::Granted { is_new: true });
+    write(&mut ledger, now, 0);
+    assert_eq!(ledger.charge(now, &turn), Charged::Granted { is_new: false });
+}
+
 #[test]
 fn accounts_are_forgotten_when_their_programs_can_not_come_back() {
     let now = Instant::now();
     let mut ledger = first(now);
-    assert_eq!(ledger.charge(now, &charge("p", 5300)), Charged::Granted);
+    assert!(is_granted(&mut ledger, now, &charge("p", 5300)));
     assert_eq!(ledger.record(now + IDLE, 0).charged.len(), 1);
     assert!(ledger.record(now + IDLE + KEEP_MARGIN + Duration::from_secs(1), 0).charged.is_empty());
 }
@@ -150,7 +188,7 @@
         for step in steps {
             match step {
                 Step::Turn { used } => {
-                    if ledger.charge(now, &charge("p", budget)) == Charged::Granted {
+                    if is_granted(&mut ledger, now, &charge("p", budget)) {
                         used_tokens += used;
                         ledger.refund(now, "p", TURN - used);
                     }
--- a/crates/core/src/roster/mod.rs
+++ b/crates/core/src/roster/mod.rs
@@ -47,6 +47,7 @@
     others: BTreeMap<HostId, HostRecord>,
     /// Others that know of this host.
     greeted: BTreeSet<HostId>,
+    /// Whether a list of all hosts has had this one.
     is_listed: bool,
     has_joined: bool,
     started_at: Instant,
@@ -69,20 +70,18 @@
         }
     }
 
-    /// Notes that this host is registered, and whether it had joined in an earlier life.
-    pub fn registered(&mut self, has_joined: bool) {
-        self.is_listed = true;
-        self.has_joined |= has_joined;
-    }
-
     /// Notes that the store has said who is there.
     pub fn heard_from_store(&mut self, now: Instant) {
         self.seen_at = now;
     }
 
-    /// Takes in another host's record, from the store or from itself. Returns whether it is new.
+    /// Takes in a host's record, from a list of all or from itself. Returns whether it is new.
+    ///
+    /// A list that has this host has all others that it must greet: later ones greet it.
     pub fn upsert(&mut self, host: &HostId, record: HostRecord) -> bool {
         if *host == self.host {
+            self.is_listed = true;
+            self.has_joined |= record.has_joined;
             return false;
         }
         match self.others.get(host) {
@@ -132,7 +131,7 @@
 
     /// Returns which part of each team's allowance this host may use.
     pub fn fraction(&self, now: Instant) -> f64 {
-        if !self.has_joined || !self.serves_callers {
+        if !self.has_joined || !self.is_listed || !self.serves_callers {
             return 0.0;
         }
         let others = self.others.values().filter(|record| record.serves_callers).count();
--- a/crates/core/src/roster/tests.rs
+++ b/crates/core/src/roster/tests.rs
@@ -10,6 +10,10 @@
     }
 }
 
+fn listed(roster: &mut Roster, has_joined: bool) {
+    roster.upsert(&"me".into(), HostRecord { has_joined, ..record(1) });
+}
+
 fn roster(now: Instant, others: &[&str]) -> Roster {
     let mut roster = Roster::new(now, "me".into(), true);
     for other in others {
@@ -22,8 +26,8 @@
 fn new_host_has_no_part_until_all_others_know_of_it() {
     let now = Instant::now();
     let mut roster = roster(now, &["one", "two"]);
-    assert!(!roster.join(now), "not registered yet");
-    roster.registered(false);
+    assert!(!roster.join(now), "not listed yet");
+    listed(&mut roster, false);
     assert_eq!(roster.to_greet().len(), 2);
     roster.greeted(&"one".into());
     assert!(!roster.join(now));
@@ -37,7 +41,7 @@
 fn host_that_can_not_be_reached_is_waited_for_as_long_as_it_trusts_its_view() {
     let now = Instant::now();
     let mut roster = roster(now, &["cut-off"]);
-    roster.registered(false);
+    listed(&mut roster, false);
     assert!(!roster.join(now + VIEW_TRUSTED));
     assert!(roster.join(now + JOIN_WAIT_MAX));
     assert!(JOIN_WAIT_MAX > VIEW_TRUSTED);
@@ -47,7 +51,7 @@
 fn view_without_word_from_the_store_leaves_room_for_new_hosts() {
     let now = Instant::now();
     let mut cut_off = roster(now, &["one"]);
-    cut_off.registered(true);
+    listed(&mut cut_off, true);
     assert_eq!(cut_off.fraction(now), 0.5);
     assert_eq!(cut_off.fraction(now + VIEW_TRUSTED), 0.25);
     cut_off.heard_from_store(now + VIEW_TRUSTED);
@@ -58,7 +62,7 @@
 fn restarted_host_has_its_part_at_once() {
     let now = Instant::now();
     let mut roster = roster(now, &["one"]);
-    roster.registered(true);
+    listed(&mut roster, true);
     assert!(roster.to_greet().is_empty());
     assert_eq!(roster.fraction(now), 0.5);
 }
@@ -68,12 +72,12 @@
     let now = Instant::now();
     let mut mine = roster(now, &["one"]);
     mine.upsert(&"ledger".into(), HostRecord { serves_callers: false, ..record(1) });
-    mine.registered(true);
+    listed(&mut mine, true);
     assert_eq!(mine.fraction(now), 0.5);
     assert_eq!(mine.lenders().count(), 1);
     assert_eq!(mine.others().count(), 2);
     let mut ledger = Roster::new(now, "ledger".into(), false);
-    ledger.registered(true);
+    ledger.upsert(&"ledger".into(), record(1));
     assert_eq!(ledger.fraction(now), 0.0);
 }
 
--- a/crates/core/src/shares/mod.rs
+++ b/crates/core/src/shares/mod.rs
@@ -27,6 +27,10 @@
 const RESERVE: Duration = Duration::from_millis(300);
 /// Demand that a borrower asks for: two round trips and some work, many times over.
 const BORROW: Duration = Duration::from_millis(600);
+/// Demand that is kept for programs under way before a new one is begun.
+const KEPT_FOR_PROGRAMS: Duration = Duration::from_millis(500);
+/// The most of a bucket that is kept so.
+const KEPT_SHARE_MAX: f64 = 0.75;
 /// Demand under which a bucket is short.
 const LOW_WATER: Duration = Duration::from_millis(250);
 
@@ -92,14 +96,18 @@
     }
 
     /// Takes a token for a request. Teams without a limit always have one.
-    pub fn take(&mut self, now: Instant, team: &str) -> Take {
+    ///
+    /// A program that is begun needs tokens until its end, and one that is refused midway has used
+    /// them for nothing: a request that opens one leaves what those under way need soon.
+    pub fn take(&mut self, now: Instant, team: &str, opens_program: bool) -> Take {
         let Some(bucket) = self.buckets.get_mut(team) else { return Take::Granted };
         bucket.fill(now);
-        if bucket.tokens >= 1.0 {
+        let left = if opens_program { bucket.kept_for_programs() } else { 0.0 };
+        if bucket.tokens >= 1.0 + left {
             bucket.tokens -= 1.0;
             return Take::Granted;
         }
-        let missing = 1.0 - bucket.tokens;
+        let missing = 1.0 + left - bucket.tokens;
         let seconds = missing / bucket.rate_per_s;
         let next_token = Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX);
         Take::Short { next_token }
@@ -161,6 +169,12 @@
         Self { rate_per_s: 0.0, capacity: 0.0, tokens: 0.0, at: now, demand_per_s: 0.0 }
     }
 
+    /// Tokens kept for programs under way.
+    fn kept_for_programs(&self) -> f64 {
+        let demand = self.demand_per_s * KEPT_FOR_PROGRAMS.as_secs_f64();
+        demand.min(self.capacity * KEPT_SHARE_MAX).min(self.capacity - 1.0)
+    }
+
     fn fill(&mut self, now: Instant) {
         let elapsed_s = now.saturating_duration_since(self.at).as_secs_f64();
         self.at = self.at.max(now);
--- a/crates/core/src/shares/tests.rs
+++ b/crates/core/src/shares/tests.rs
@@ -13,7 +13,7 @@
 }
 
 fn takes(shares: &mut Shares, now: Instant) -> usize {
-    std::iter::repeat_with(|| shares.take(now, "t"))
+    std::iter::repeat_with(|| shares.take(now, "t", false))
         .take_while(|take| *take == Take::Granted)
         .take(10_000)
         .count()
@@ -32,20 +32,20 @@
 fn teams_without_limit_always_have_a_token() {
     let now = Instant::now();
     let mut shares = host(now, 0.25, &rules(40.0, 40.0));
-    assert_eq!(shares.take(now, "unlimited"), Take::Granted);
+    assert_eq!(shares.take(now, "unlimited", true), Take::Granted);
 }
 
 #[test]
 fn short_host_is_told_when_its_own_share_has_a_token() {
     let now = Instant::now();
     let mut shares = host(now, 0.5, &rules(20.0, 20.0));
-    let Take::Short { next_token } = shares.take(now, "t") else {
+    let Take::Short { next_token } = shares.take(now, "t", false) else {
         panic!("empty buckets are short")
     };
     assert_eq!(next_token, Duration::from_millis(100));
     assert_eq!(takes(&mut shares, now + next_token), 1);
     let mut without = host(now, 0.0, &rules(20.0, 20.0));
-    assert_eq!(without.take(now, "t"), Take::Short { next_token: Duration::MAX });
+    assert_eq!(without.take(now, "t", false), Take::Short { next_token: Duration::MAX });
 }
 
 #[test]
@@ -62,6 +62,20 @@
     assert_eq!(shares.lend(later, "t", -5.0), 0.0);
 }
 
+#[test]
+fn new_programs_leave_what_those_under_way_need() {
+    let now = Instant::now();
+    let mut shares = host(now, 1.0, &rules(10.0, 10.0));
+    let later = now + Duration::from_secs(60);
+    assert_eq!(shares.take(later, "t", true), Take::Granted, "nobody else is there");
+    for _ in 0..20 {
+        shares.note_demand(later, "t");
+    }
+    assert_eq!(shares.take(later, "t", true), Take::Granted);
+    assert!(matches!(shares.take(later, "t", true), Take::Short { .. }));
+    assert_eq!(shares.take(later, "t", false), Take::Granted);
+}
+
 #[test]
 fn lower_limit_clips_what_was_saved() {
     let now = Instant::now();
@@ -113,7 +127,7 @@
                 Step::Requests { host, count } => {
                     for _ in 0..count {
                         hosts[host].note_demand(now, "t");
-                        if hosts[host].take(now, "t") == Take::Granted {
+                        if hosts[host].take(now, "t", false) == Take::Granted {
                             granted.push(now);
                         }
                     }
--- a/crates/gateway/src/allowance.rs
+++ b/crates/gateway/src/allowance.rs
@@ -48,7 +48,7 @@
 /// Borrowing by team.
 pub(crate) type Borrowings = HashMap<TeamId, Borrowing>;
 
-/// Takes a token for a request of a team.
+/// Takes a token for a request of a team. One that opens a program leaves some for others.
 ///
 /// # Errors
 ///
@@ -56,6 +56,7 @@
 pub(crate) async fn take(
     gateway: &Rc<Gateway>,
     team: &TeamId,
+    opens_program: bool,
     deadline: Instant,
 ) -> Result<(), Refusal> {
     let began = Instant::now();
@@ -63,7 +64,7 @@
     let give_up = deadline.min(began + WAIT_MAX);
     loop {
         let now = Instant::now();
-        let take = gateway.shares.borrow_mut().take(now, team);
+        let take = gateway.shares.borrow_mut().take(now, team, opens_program);
         let is_borrowing = borrow_if_short(gateway, team);
         let Take::Short { next_token } = take else { return Ok(()) };
         let own_token_at = now.checked_add(next_token);
--- a/crates/gateway/src/call/budget.rs
+++ b/crates/gateway/src/call/budget.rs
@@ -5,8 +5,9 @@
     crate::{
         gateway::Gateway,
         ledger,
-        peers::{self, Question, Reply},
+        peers::{self, ChargeDecision, Question, Reply},
     },
+    rand::seq::IndexedRandom,
     smol::Timer,
     std::{
         cell::Cell,
@@ -48,6 +49,8 @@
     keeper: Option<SocketAddr>,
     program: ProgramId,
     charged: TokenCount,
+    /// Whether the turn opens its program.
+    pub(super) opens_program: bool,
     used: Cell<TokenCount>,
 }
 
@@ -95,28 +98,22 @@
     };
     for keeper in keepers(gateway, &charge.program).into_iter().take(KEEPERS_MAX) {
         let wait = CHARGE_TIMEOUT.min(call.time_left());
-        let is_granted = match keeper {
+        let decision = match keeper {
             None => ledger::charge(gateway, &charge, Instant::now() + wait).await,
-            Some(address) => {
-                let question = Question::Charge { charge: charge.clone(), wait };
-                let deadline = Instant::now() + wait + CHARGE_TRANSIT;
-                match peers::ask(gateway, address, &question, deadline).await {
-                    Some(Reply::Charged { is_granted }) => is_granted,
-                    _ => None,
-                }
-            }
+            Some(address) => charge_at(gateway, address, &charge, wait).await,
         };
-        match is_granted {
-            Some(true) => {
+        match decision {
+            Some(ChargeDecision::Granted { is_new }) => {
                 return Ok(Some(TurnCharge {
                     gateway: gateway.clone(),
                     keeper,
                     program: charge.program,
                     charged: charge.turn_max,
+                    opens_program: is_new,
                     used: Cell::new(0),
                 }));
             }
-            Some(false) => {
+            Some(ChargeDecision::Spent) => {
                 let detail = format!("the program's budget of {budget} tokens is spent");
                 return Err(Refusal::not_run(Reason::BudgetSpent, detail));
             }
@@ -127,8 +124,44 @@
     Err(Refusal::not_run(Reason::StoreUnavailable, detail).retry_after(RETRY_AFTER))
 }
 
+/// Charges a turn at another host, through a third one if it is out of reach from here: a second
+/// keeper would have to leave out what the first may grant.
+async fn charge_at(
+    gateway: &Rc<Gateway>,
+    address: SocketAddr,
+    charge: &Charge,
+    wait: Duration,
+) -> Option<ChargeDecision> {
+    let question = Question::Charge { charge: charge.clone(), wait };
+    if !peers::is_suspect(gateway, address) {
+        let deadline = Instant::now() + wait + CHARGE_TRANSIT;
+        if let Some(Reply::Charged { decision }) =
+            peers::ask(gateway, address, &question, deadline).await
+        {
+            return decision;
+        }
+    }
+    let relays: Vec<SocketAddr> = gateway
+        .roster
+        .borrow()
+        .lenders()
+        .map(|(_, relay)| relay)
+        .filter(|relay| *relay != address && !peers::is_suspect(gateway, *relay))
+        .collect();
+    let relay = *relays.choose(&mut rand::rng())?;
+    let question = Question::Relay { to: address, question: Box::new(question), wait };
+    let deadline = Instant::now() + wait + CHARGE_TRANSIT;
+    match peers::ask(gateway, relay, &question, deadline).await {
+        Some(Reply::Relayed { reply }) => match reply.map(|reply| *reply) {
+            Some(Reply::Charged { decision }) => decision,
+            _ => None,
+        },
+        _ => None,
+    }
+}
+
 /// Returns the hosts that may keep a program's ledger, best first; `None` is this host. Hosts
-/// without callers come first, then those that answered lately.
+/// without callers come first.
 fn keepers(gateway: &Gateway, program: &str) -> Vec<Option<SocketAddr>> {
     let roster = gateway.roster.borrow();
     let own = &gateway.settings.host;
@@ -141,10 +174,7 @@
     );
     let ranked = rank(&ledger::part_of(program).to_string(), hosts.iter().map(|host| host.0));
     let place = |name: &str| ranked.iter().position(|ranked| *ranked == name);
-    hosts.sort_by_cached_key(|(name, serves_callers, address)| {
-        let is_suspect = address.is_some_and(|address| peers::is_suspect(gateway, address));
-        (is_suspect, *serves_callers, place(name))
-    });
+    hosts.sort_by_cached_key(|(name, serves_callers, _)| (*serves_callers, place(name)));
     hosts.into_iter().map(|(_, _, address)| address).collect()
 }
 
--- a/crates/gateway/src/call/mod.rs
+++ b/crates/gateway/src/call/mod.rs
@@ -86,16 +86,15 @@
 }
 
 async fn deliver(gateway: &Rc<Gateway>, call: &Rc<Call>) -> Result<Answer, Refusal> {
+    let charge = budget::charge(gateway, call).await?;
     if let Some(team) = &call.team {
-        allowance::take(gateway, &team.id, call.deadline).await?;
+        let opens_program = charge.as_ref().is_some_and(|charge| charge.opens_program);
+        allowance::take(gateway, &team.id, opens_program, call.deadline).await?;
     }
     let answered = match call.route.kind {
         RouteKind::NonIdempotent => finish_apart(gateway, call).await,
         RouteKind::Idempotent => exchange::deliver(gateway, call).await,
-        RouteKind::Stream { .. } => match budget::charge(gateway, call).await {
-            Ok(charge) => relay::deliver(gateway, call, charge).await,
-            Err(refusal) => Err(refusal),
-        },
+        RouteKind::Stream { .. } => relay::deliver(gateway, call, charge).await,
     };
     if let (Err(refusal), Some(team)) = (&answered, &call.team)
         && refusal.verdict == Verdict::NotRun
@@ -230,6 +229,8 @@
             "program": call.about.program.as_ref().map(|of| &of.program),
             "line": call.line(),
             "token_budget": call.about.program.as_ref().and_then(|of| of.token_budget),
+            "prompt_parts": call.about.generation.as_ref().map(|of| of.prompt.len()),
+            "prompt_tokens": call.about.generation.as_ref().map(|of| of.prompt_tokens),
             "output_tokens_max": call.about.generation.as_ref().map(|of| of.output_tokens_max),
             "upstream": upstream,
             "status": status,
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -19,7 +19,7 @@
     smol::{LocalExecutor, Timer, channel::Receiver},
     std::{
         cell::{Cell, RefCell},
-        collections::HashMap,
+        collections::HashSet,
         io,
         net::SocketAddr,
         rc::Rc,
@@ -91,8 +91,8 @@
     pub(crate) borrowings: RefCell<Borrowings>,
     pub(crate) ledgers: RefCell<[Part; LEDGERS]>,
     pub(crate) refunds: RefCell<Refunds>,
-    /// Hosts that did not answer lately, each until when.
-    pub(crate) suspects: RefCell<HashMap<SocketAddr, Instant>>,
+    /// Hosts that did not answer and have not since.
+    pub(crate) suspects: RefCell<HashSet<SocketAddr>>,
     /// The configuration in force, as it lies in the store.
     pub(crate) configuration: RefCell<Option<StoredObject>>,
     /// Peer addresses of some hosts, of use while no other is known.
--- a/crates/gateway/src/ledger.rs
+++ b/crates/gateway/src/ledger.rs
@@ -6,6 +6,7 @@
 use {
     crate::{
         gateway::Gateway,
+        peers::ChargeDecision,
         store::{Collection, Revision, StoreError, StoredObject},
         time::within,
     },
@@ -57,12 +58,12 @@
     (Point::new(program).weight(Point::new("")) % LEDGERS as u64) as usize
 }
 
-/// Charges a turn. Returns whether it may start, or `None` if that can't be decided in time.
+/// Charges a turn. Returns `None` if it can\'t be decided in time.
 pub(crate) async fn charge(
     gateway: &Rc<Gateway>,
     charge: &Charge,
     deadline: Instant,
-) -> Option<bool> {
+) -> Option<ChargeDecision> {
     let part = part_of(&charge.program);
     if !load(gateway, part, charge.idle_max, deadline).await {
         return None;
@@ -73,12 +74,12 @@
             let state = &mut parts[part];
             let charged = state.ledger.as_mut()?.charge(Instant::now(), charge);
             match charged {
-                Charged::Granted => {
+                Charged::Granted { is_new } => {
                     drop(parts);
                     write_if_behind(gateway, part);
-                    return Some(true);
+                    return Some(ChargeDecision::Granted { is_new });
                 }
-                Charged::Spent => return Some(false),
+                Charged::Spent => return Some(ChargeDecision::Spent),
                 Charged::AfterWrite => state.changed.clone(),
             }
         };
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -9,6 +9,7 @@
     http::{Method, Request, Response, StatusCode, header},
     http_body_util::{BodyExt, Full, Limited},
     hyper::{body::Incoming, server::conn::http1, service::service_fn},
+    serde_json::json,
     smol::net::{TcpListener, TcpStream},
     smol_hyper::rt::FuturesIo,
     std::{
@@ -24,12 +25,15 @@
         placement::UpstreamRecord,
         roster::HostRecord,
     },
+    trefoilring_observe::decisions::Weight,
 };
 
 /// Largest message: a configuration has a megabyte at most.
 const MESSAGE_BYTES_MAX: usize = 2 * 1024 * 1024;
-/// How long a host that did not answer is left alone.
-const SUSPECT_FOR: Duration = Duration::from_millis(1000);
+/// How often a host that did not answer is pinged.
+const PROBE_EVERY: Duration = Duration::from_millis(400);
+/// How long an answer to a ping may take.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(250);
 
 /// What one host asks another.
 #[derive(Clone, Debug, serde::Deserialize, serde::Serialize)]
@@ -47,6 +51,12 @@
     Configuration { newer_than: Option<ConfigVersion> },
     /// Give me the upstreams that you know.
     Upstreams,
+    /// Give me the hosts that you know.
+    Hosts,
+    /// Ask a host that I can't reach, and pass its answer on.
+    Relay { to: SocketAddr, question: Box<Question>, wait: Duration },
+    /// Answer, so that I know you can be reached.
+    Ping,
 }
 
 /// What it answers.
@@ -58,11 +68,28 @@
     /// It lends this much.
     Lent { tokens: f64 },
     /// What became of the charge; `None` where it can't be decided in time.
-    Charged { is_granted: Option<bool> },
+    Charged { decision: Option<ChargeDecision> },
     /// The configuration, if there is a newer one.
     Configuration { object: Option<StoredObject> },
     /// The upstreams.
     Upstreams { records: Vec<UpstreamRecord> },
+    /// The hosts.
+    Hosts { hosts: Vec<(HostId, HostRecord)> },
+    /// What the other host has answered, if it has.
+    Relayed { reply: Option<Box<Reply>> },
+}
+
+/// What became of a charge.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
+#[serde(rename_all = "snake_case")]
+pub(crate) enum ChargeDecision {
+    /// The turn may start.
+    Granted {
+        /// Whether it opens its program.
+        is_new: bool,
+    },
+    /// The budget does not hold it.
+    Spent,
 }
 
 /// Listens for other hosts.
@@ -134,8 +161,8 @@
             Reply::Lent { tokens: allowance::lend(gateway, &team, tokens) }
         }
         Question::Charge { charge, wait } => {
-            let is_granted = ledger::charge(gateway, &charge, Instant::now() + wait).await;
-            Reply::Charged { is_granted }
+            let decision = ledger::charge(gateway, &charge, Instant::now() + wait).await;
+            Reply::Charged { decision }
         }
         Question::Refund { refunds } => {
             ledger::refund(gateway, &refunds);
@@ -144,6 +171,16 @@
         Question::Configuration { newer_than } => {
             Reply::Configuration { object: watch::newer_configuration(gateway, newer_than) }
         }
+        Question::Hosts => Reply::Hosts { hosts: roster::all(gateway) },
+        Question::Ping => Reply::Done,
+        Question::Relay { to, question, wait } => {
+            let reply = match *question {
+                // One hop is enough: more could go round in circles.
+                Question::Relay { .. } => None,
+                question => ask(gateway, to, &question, Instant::now() + wait).await,
+            };
+            Reply::Relayed { reply: reply.map(Box::new) }
+        }
         Question::Upstreams => {
             Reply::Upstreams { records: gateway.placement.borrow().records().cloned().collect() }
         }
@@ -152,6 +189,20 @@
 
 /// Asks another host. `None` means that no answer came; the question may have been answered.
 pub(crate) async fn ask(
+    gateway: &Rc<Gateway>,
+    address: SocketAddr,
+    question: &Question,
+    deadline: Instant,
+) -> Option<Reply> {
+    let reply = send(gateway, address, question, deadline).await;
+    if reply.is_none() {
+        gateway.metrics.count("peer_unanswered", 1);
+        suspect(gateway, address);
+    }
+    reply
+}
+
+async fn send(
     gateway: &Gateway,
     address: SocketAddr,
     question: &Question,
@@ -173,24 +224,49 @@
     let outcome = within(deadline, asked).await.unwrap_or(Err(SendError::TimedOut));
     match outcome {
         Ok((StatusCode::OK, body)) => match serde_json::from_slice(&body) {
-            Ok(reply) => {
-                gateway.suspects.borrow_mut().remove(&address);
-                return Some(reply);
-            }
+            Ok(reply) => return Some(reply),
             Err(error) => log::warn!("{address}: a reply can't be read: {error}"),
         },
         Ok((status, _)) => log::warn!("{address}: status {status}"),
-        Err(error) => {
-            gateway.metrics.count("peer_unanswered", 1);
-            log::debug!("{address}: {error}");
-        }
+        Err(error) => log::debug!("{address}: {error}"),
     }
-    gateway.suspects.borrow_mut().insert(address, Instant::now() + SUSPECT_FOR);
     None
 }
 
+/// Takes a host as out of reach until it answers again.
+fn suspect(gateway: &Rc<Gateway>, address: SocketAddr) {
+    if gateway.suspects.borrow_mut().insert(address) {
+        gateway.decisions.note(
+            Weight::Trouble,
+            "peer",
+            json!({"address": address, "what": "out of reach"}),
+        );
+        gateway.spawn(probe(gateway.clone(), address));
+    }
+}
+
+/// Pings a host that is out of reach, so that no request has to find out.
+async fn probe(gateway: Rc<Gateway>, address: SocketAddr) {
+    while gateway.suspects.borrow().contains(&address) {
+        smol::Timer::after(PROBE_EVERY).await;
+        let is_known = gateway.roster.borrow().others().any(|(_, other)| other.address == address);
+        if !is_known {
+            gateway.suspects.borrow_mut().remove(&address);
+            return;
+        }
+        let deadline = Instant::now() + PROBE_TIMEOUT;
+        if send(&gateway, address, &Question::Ping, deadline).await.is_some() {
+            gateway.suspects.borrow_mut().remove(&address);
+            gateway.decisions.note(
+                Weight::Trouble,
+                "peer",
+                json!({"address": address, "what": "in reach"}),
+            );
+        }
+    }
+}
+
 /// Returns whether a host did not answer lately.
 pub(crate) fn is_suspect(gateway: &Gateway, address: SocketAddr) -> bool {
-    let now = Instant::now();
-    gateway.suspects.borrow().get(&address).is_some_and(|until| now < *until)
+    gateway.suspects.borrow().contains(&address)
 }
--- a/crates/gateway/src/roster.rs
+++ b/crates/gateway/src/roster.rs
@@ -62,22 +62,18 @@
 /// Writes this host's record to the store, however long that takes.
 async fn register(gateway: &Gateway) {
     let host = gateway.settings.host.clone();
-    let mut revision = None;
+    let (mut revision, mut has_joined) = (None, false);
     loop {
-        let content = json!(own_record(gateway));
+        let mut record = own_record(gateway);
+        // Joined in an earlier life: the others know of it.
+        record.has_joined |= has_joined;
+        let content = json!(record);
         let put = gateway.adapter.store.put(Collection::Hosts, &host, revision, content).await;
         match put {
-            Ok(_) => {
-                gateway.roster.borrow_mut().registered(false);
-                return;
-            }
+            Ok(_) => return,
             Err(StoreError::Conflict(Some(stored))) => {
                 revision = Some(stored.revision);
-                if let Some(record) = read(&stored)
-                    && record.has_joined
-                {
-                    gateway.roster.borrow_mut().registered(true);
-                }
+                has_joined |= read(&stored).is_some_and(|record| record.has_joined);
             }
             Err(StoreError::Conflict(None)) => revision = None,
             Err(error) => {
@@ -101,6 +97,23 @@
     }
 }
 
+/// Takes in the hosts that another one knows.
+pub(crate) fn told_by_peer(gateway: &Gateway, hosts: Vec<(HostId, HostRecord)>) {
+    for (host, record) in hosts {
+        upsert(gateway, &host, record, "peer");
+    }
+}
+
+/// All hosts that this one knows, itself too.
+pub(crate) fn all(gateway: &Gateway) -> Vec<(HostId, HostRecord)> {
+    let roster = gateway.roster.borrow();
+    let others = roster.others().map(|(host, record)| (host.clone(), record.clone()));
+    let mut hosts: Vec<_> = others.collect();
+    drop(roster);
+    hosts.push((gateway.settings.host.clone(), own_record(gateway)));
+    hosts
+}
+
 /// Takes in a host that has greeted this one.
 pub(crate) fn greeted_by(gateway: &Gateway, host: &HostId, record: HostRecord) {
     upsert(gateway, host, record, "greeting");
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -265,7 +265,13 @@
                 gateway.has_upstreams.set(true);
             }
         }
-        _ => {}
+        Collection::Hosts => {
+            let reply = peers::ask(gateway, address, &Question::Hosts, deadline).await;
+            if let Some(Reply::Hosts { hosts }) = reply {
+                roster::told_by_peer(gateway, hosts);
+            }
+        }
+        Collection::Upstreams | Collection::Ledgers => {}
     }
 }
 
