--- a/crates/core/src/placement/mod.rs
+++ b/crates/core/src/placement/mod.rs
@@ -5,12 +5,16 @@
 //! the two, so that a host neither follows stale reports nor forgets the other hosts. Lines of turns
 //! stay at the upstream that has read them, until it is clearly busier than others.
 
+mod outage;
 mod upstream;
 
 #[cfg(test)]
 mod tests;
 
-pub use upstream::{Load, Outcome, UpstreamRecord};
+pub use {
+    outage::{Delisted, StoreOutage},
+    upstream::{Load, Outcome, UpstreamRecord},
+};
 
 use {
     crate::{
--- a/crates/core/src/shares/mod.rs
+++ b/crates/core/src/shares/mod.rs
@@ -26,7 +26,7 @@
 /// Demand that a lender keeps for itself.
 const RESERVE: Duration = Duration::from_millis(300);
 /// Demand that a borrower asks for: two round trips and some work, many times over.
-const BORROW: Duration = Duration::from_millis(600);
+const BORROW: Duration = Duration::from_millis(900);
 /// Demand that is kept for programs under way before a new one is begun.
 const KEPT_FOR_PROGRAMS: Duration = Duration::from_millis(500);
 /// The most of a bucket that is kept so.
@@ -130,7 +130,8 @@
     pub fn shortage(&mut self, now: Instant, team: &str) -> Option<f64> {
         let bucket = self.buckets.get_mut(team)?;
         bucket.fill(now);
-        let low = (bucket.demand_per_s * LOW_WATER.as_secs_f64()).max(1.0).min(bucket.capacity);
+        let soon = bucket.demand_per_s * LOW_WATER.as_secs_f64();
+        let low = soon.max(1.0 + bucket.kept_for_programs()).min(bucket.capacity);
         let wanted = (bucket.demand_per_s * BORROW.as_secs_f64()).max(BUCKET_TOKENS_MIN);
         let missing = wanted.min(bucket.capacity) - bucket.tokens;
         (bucket.tokens < low && missing > 0.0).then_some(missing)
@@ -155,6 +156,16 @@
         }
     }
 
+    /// Says how a team stands at this host, for logs.
+    pub fn describe(&self, team: &str) -> String {
+        match self.buckets.get(team) {
+            Some(Bucket { rate_per_s, capacity, tokens, demand_per_s, .. }) => format!(
+                "{tokens:.2} of {capacity:.2} tokens, {rate_per_s:.2}/s, demand {demand_per_s:.2}/s"
+            ),
+            None => "no limit".into(),
+        }
+    }
+
     /// This host's part of each allowance.
     pub fn fraction(&self) -> f64 {
         self.fraction
--- a/crates/gateway/src/allowance.rs
+++ b/crates/gateway/src/allowance.rs
@@ -72,8 +72,9 @@
         let comes_in_time = is_borrowing || own_token_at.is_some_and(|at| at <= give_up);
         if now >= give_up || !comes_in_time {
             let after = next_token.clamp(RETRY_AFTER_MIN, RETRY_AFTER_MAX);
-            let refusal = Refusal::not_run(Reason::OverAllowance, "the team is over its allowance");
-            return Err(refusal.retry_after(after));
+            let state = gateway.shares.borrow().describe(team);
+            let detail = format!("the team is over its allowance here: {state}");
+            return Err(Refusal::not_run(Reason::OverAllowance, detail).retry_after(after));
         }
         let arrived =
             gateway.borrowings.borrow().get(team).map(|borrowing| borrowing.arrived.clone());
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -17,7 +17,10 @@
         rc::Rc,
         time::{Duration, Instant},
     },
-    trefoilring_core::ids::{ConfigVersion, UpstreamId},
+    trefoilring_core::{
+        ids::{ConfigVersion, UpstreamId},
+        placement::{Delisted, StoreOutage},
+    },
     trefoilring_observe::decisions::Weight,
 };
 
@@ -28,9 +31,6 @@
 const PAUSE_MIN: Duration = Duration::from_millis(150);
 /// The longest pause: what the store says must be known about a second after its return.
 const PAUSE_MAX: Duration = Duration::from_millis(1000);
-/// How long a listing may lack an upstream that was known before it is taken as gone: registrations
-/// that lapsed with the store are back about two seconds after its return.
-const RETURN_GRACE: Duration = Duration::from_millis(2500);
 
 /// How long another host may take to answer.
 const CONSULT_TIMEOUT: Duration = Duration::from_millis(400);
@@ -62,39 +62,10 @@
     }
 }
 
-/// Whether the store can be reached, as one follower sees it.
-#[derive(Default)]
-struct Outage {
-    since: Option<Instant>,
-    ended_at: Option<Instant>,
-}
-
-impl Outage {
-    /// Notes a failure. Returns whether it is the first one.
-    fn began(&mut self, now: Instant) -> bool {
-        let is_first = self.since.is_none();
-        self.since.get_or_insert(now);
-        is_first
-    }
-
-    /// Notes a success. Returns how long an outage has lasted, if one has ended.
-    fn ended(&mut self, now: Instant) -> Option<Duration> {
-        let since = self.since.take()?;
-        self.ended_at = Some(now);
-        Some(now.duration_since(since))
-    }
-
-    /// Returns whether registrations may have lapsed with the store and not be back yet.
-    fn may_have_lapsed(&self, now: Instant) -> bool {
-        let is_recent = |ended: Instant| now.duration_since(ended) < RETURN_GRACE;
-        self.since.is_some() || self.ended_at.is_some_and(is_recent)
-    }
-}
-
 async fn follow(gateway: Rc<Gateway>, collection: Collection) {
     let mut revision: Option<Revision> = None;
     let mut backoff = Backoff::new();
-    let mut outage = Outage::default();
+    let mut outage = StoreOutage::default();
     loop {
         let outcome = match revision {
             None => list(&gateway, collection, &outage).await,
@@ -145,13 +116,13 @@
 async fn list(
     gateway: &Rc<Gateway>,
     collection: Collection,
-    outage: &Outage,
+    outage: &StoreOutage,
 ) -> Result<Revision, StoreError> {
     let Listing { objects, revision } = gateway.adapter.store.list(collection).await?;
     match collection {
         Collection::Configuration => objects.iter().for_each(|object| configure(gateway, object)),
         Collection::Upstreams => {
-            replace_upstreams(gateway, &objects, outage.may_have_lapsed(Instant::now()));
+            replace_upstreams(gateway, &objects, outage);
         }
         Collection::Hosts => {
             objects.iter().for_each(|object| roster::listed(gateway, object));
@@ -166,19 +137,17 @@
     gateway: &Rc<Gateway>,
     collection: Collection,
     after: Revision,
-    outage: &Outage,
+    outage: &StoreOutage,
 ) -> Result<Revision, StoreError> {
     let watched = gateway.adapter.store.watch(collection, after, WATCH_WAIT).await?;
-    let may_have_lapsed = outage.may_have_lapsed(Instant::now());
-    let mut lapsed = Vec::new();
+    let mut delisted = Vec::new();
     for change in watched.changes {
         match (collection, change) {
             (Collection::Configuration, Change::Put(object)) => configure(gateway, &object),
             (Collection::Upstreams, Change::Put(object)) => upsert(gateway, &object),
-            (Collection::Upstreams, Change::Removed(name)) if may_have_lapsed => {
-                lapsed.push(UpstreamId::from(name));
+            (Collection::Upstreams, Change::Removed(name)) => {
+                delisted.push(UpstreamId::from(name));
             }
-            (Collection::Upstreams, Change::Removed(name)) => remove(gateway, &name, "removed"),
             (Collection::Hosts, Change::Put(object)) => roster::listed(gateway, &object),
             (Collection::Hosts, Change::Removed(name)) => roster::removed(gateway, &name),
             (Collection::Configuration, Change::Removed(name)) => {
@@ -187,9 +156,7 @@
             (Collection::Ledgers, _) => {}
         }
     }
-    if !lapsed.is_empty() {
-        gateway.spawn(remove_later(gateway.clone(), lapsed));
-    }
+    delist(gateway, delisted, outage);
     if collection == Collection::Hosts {
         roster::heard_from_store(gateway);
     }
@@ -311,23 +278,32 @@
     }
 }
 
-/// Takes in all upstreams. After an outage of the store, those that are missing get time to come
-/// back.
-fn replace_upstreams(gateway: &Rc<Gateway>, objects: &[StoredObject], may_have_lapsed: bool) {
+/// Takes in all upstreams.
+fn replace_upstreams(gateway: &Rc<Gateway>, objects: &[StoredObject], outage: &StoreOutage) {
     let listed: HashSet<&str> = objects.iter().map(|object| object.name.as_str()).collect();
     let known: Vec<UpstreamId> = gateway.placement.borrow().ids().cloned().collect();
-    let missing: Vec<UpstreamId> = known.into_iter().filter(|id| !listed.contains(&**id)).collect();
+    let missing = known.into_iter().filter(|id| !listed.contains(&**id)).collect();
     objects.iter().for_each(|object| upsert(gateway, object));
     gateway.has_upstreams.set(true);
-    if may_have_lapsed && !missing.is_empty() {
-        gateway.spawn(remove_later(gateway.clone(), missing));
-    } else {
-        missing.iter().for_each(|id| remove(gateway, id, "not listed"));
+    delist(gateway, missing, outage);
+}
+
+/// Removes upstreams that are no longer listed, unless they may come back.
+fn delist(gateway: &Rc<Gateway>, delisted: Vec<UpstreamId>, outage: &StoreOutage) {
+    if delisted.is_empty() {
+        return;
+    }
+    let known = gateway.placement.borrow().ids().count();
+    match outage.delisted(Instant::now(), delisted.len(), known) {
+        Delisted::Gone => delisted.iter().for_each(|id| remove(gateway, id, "delisted")),
+        Delisted::Awaited(grace) => {
+            gateway.spawn(remove_later(gateway.clone(), delisted, grace));
+        }
     }
 }
 
-async fn remove_later(gateway: Rc<Gateway>, missing: Vec<UpstreamId>) {
-    Timer::after(RETURN_GRACE).await;
+async fn remove_later(gateway: Rc<Gateway>, missing: Vec<UpstreamId>, grace: Duration) {
+    Timer::after(grace).await;
     let Ok(Listing { objects, .. }) = gateway.adapter.store.list(Collection::Upstreams).await
     else {
         // The store is away again: what follows its return decides.
