Leave hosts out that nobody reaches, and ask keepers in short turns

From second 14 on turns took 600 ms at the median, tools 15 ms.

Change: a host that a third one does not reach either is ranked last for 2 s; a third host answers at once if it knows the host to be away; keepers answer within 120 ms that they can't decide yet, so that one that is gone is told from one that waits; connections between hosts get 150 ms. Charges that do not simply pass have a line in the log, which is what showed the cause.

--- a/crates/gateway/src/call/budget.rs
+++ b/crates/gateway/src/call/budget.rs
@@ -7,7 +7,7 @@
         ledger,
         peers::{self, ChargeDecision, Question, Reply},
     },
-    rand::seq::IndexedRandom,
+    serde_json::json,
     smol::Timer,
     std::{
         cell::Cell,
@@ -21,13 +21,19 @@
         rendezvous::rank,
         verdict::{Reason, Refusal},
     },
+    trefoilring_observe::decisions::Weight,
 };
 
-/// How long one host may take to decide on a charge. Above the time in which a ledger is written
-/// when turns wait for it.
-const CHARGE_TIMEOUT: Duration = Duration::from_millis(500);
+/// How long one keeper may take to decide on a charge, in all. Above the time in which a ledger is
+/// written when turns wait for it, by a slow store too.
+const KEEPER_TIMEOUT: Duration = Duration::from_millis(600);
+/// How long a keeper may wait for its record before it answers that it can't decide yet. Short, so
+/// that one that is gone is told from one that waits.
+const CHARGE_WAIT: Duration = Duration::from_millis(120);
+/// A charge that takes longer is noted: some round trips between hosts.
+const CHARGE_SLOW: Duration = Duration::from_millis(50);
 /// Time beyond the host's own for the answer to come back.
-const CHARGE_TRANSIT: Duration = Duration::from_millis(150);
+const CHARGE_TRANSIT: Duration = Duration::from_millis(130);
 /// Hosts that are asked to decide on a charge before the request is refused.
 const KEEPERS_MAX: usize = 3;
 /// Time over which refunds are gathered into one message.
@@ -96,12 +102,15 @@
         turn_max: generation.output_tokens_max,
         idle_max: call.route.program_idle.unwrap_or(IDLE_MAX_DEFAULT),
     };
-    for keeper in keepers(gateway, &charge.program).into_iter().take(KEEPERS_MAX) {
-        let wait = CHARGE_TIMEOUT.min(call.time_left());
-        let decision = match keeper {
-            None => ledger::charge(gateway, &charge, Instant::now() + wait).await,
-            Some(address) => charge_at(gateway, address, &charge, wait).await,
+    let began = Instant::now();
+    for (tries, keeper) in
+        keepers(gateway, &charge.program).into_iter().take(KEEPERS_MAX).enumerate()
+    {
+        let decision = match charge_at(gateway, keeper, &charge, call.time_left()).await {
+            Asked::Decided(decision) => Some(decision),
+            Asked::Undecided | Asked::Unreached => None,
         };
+        note(gateway, call, keeper, tries, decision, began.elapsed());
         match decision {
             Some(ChargeDecision::Granted { is_new }) => {
                 return Ok(Some(TurnCharge {
@@ -124,44 +133,73 @@
     Err(Refusal::not_run(Reason::StoreUnavailable, detail).retry_after(RETRY_AFTER))
 }
 
-/// Charges a turn at another host, through a third one if it is out of reach from here: a second
-/// keeper would have to leave out what the first may grant.
+/// Notes a charge that did not simply pass.
+fn note(
+    gateway: &Gateway,
+    call: &Call,
+    keeper: Option<SocketAddr>,
+    tries: usize,
+    decision: Option<ChargeDecision>,
+    took: Duration,
+) {
+    if matches!(decision, Some(ChargeDecision::Granted { .. })) && tries == 0 && took < CHARGE_SLOW
+    {
+        return;
+    }
+    gateway.decisions.note(
+        Weight::Trouble,
+        "charge",
+        json!({
+            "request": call.about.request,
+            "program": call.about.program.as_ref().map(|of| &of.program),
+            "token_budget": call.about.program.as_ref().and_then(|of| of.token_budget),
+            "keeper": keeper,
+            "tries": tries,
+            "decision": decision,
+            "took_ms": took.as_millis() as u64,
+        }),
+    );
+}
+
+/// How a keeper has taken a charge.
+enum Asked {
+    /// It has decided.
+    Decided(ChargeDecision),
+    /// It could not in the time that it was given: its record has to be read or written first.
+    Undecided,
+    /// It can't be reached, from here or through another host.
+    Unreached,
+}
+
+/// Charges a turn at one keeper.
 async fn charge_at(
     gateway: &Rc<Gateway>,
-    address: SocketAddr,
+    keeper: Option<SocketAddr>,
     charge: &Charge,
-    wait: Duration,
-) -> Option<ChargeDecision> {
-    let question = Question::Charge { charge: charge.clone(), wait };
-    if !peers::is_suspect(gateway, address) {
-        let deadline = Instant::now() + wait + CHARGE_TRANSIT;
-        if let Some(Reply::Charged { decision }) =
-            peers::ask(gateway, address, &question, deadline).await
-        {
-            return decision;
+    time_left: Duration,
+) -> Asked {
+    let end = Instant::now() + KEEPER_TIMEOUT.min(time_left);
+    while Instant::now() < end {
+        let decision = match keeper {
+            None => ledger::charge(gateway, charge, end).await,
+            Some(address) => {
+                let question = Question::Charge { charge: charge.clone(), wait: CHARGE_WAIT };
+                let wait = CHARGE_WAIT + CHARGE_TRANSIT;
+                match peers::reach(gateway, address, question, wait).await {
+                    Some(Reply::Charged { decision }) => decision,
+                    _ => return Asked::Unreached,
+                }
+            }
+        };
+        if let Some(decision) = decision {
+            return Asked::Decided(decision);
         }
     }
-    let relays: Vec<SocketAddr> = gateway
-        .roster
-        .borrow()
-        .lenders()
-        .map(|(_, relay)| relay)
-        .filter(|relay| *relay != address && !peers::is_suspect(gateway, *relay))
-        .collect();
-    let relay = *relays.choose(&mut rand::rng())?;
-    let question = Question::Relay { to: address, question: Box::new(question), wait };
-    let deadline = Instant::now() + wait + CHARGE_TRANSIT;
-    match peers::ask(gateway, relay, &question, deadline).await {
-        Some(Reply::Relayed { reply }) => match reply.map(|reply| *reply) {
-            Some(Reply::Charged { decision }) => decision,
-            _ => None,
-        },
-        _ => None,
-    }
+    Asked::Undecided
 }
 
 /// Returns the hosts that may keep a program's ledger, best first; `None` is this host. Hosts
-/// without callers come first.
+/// without callers come first, those that nobody reaches last.
 fn keepers(gateway: &Gateway, program: &str) -> Vec<Option<SocketAddr>> {
     let roster = gateway.roster.borrow();
     let own = &gateway.settings.host;
@@ -174,7 +212,10 @@
     );
     let ranked = rank(&ledger::part_of(program).to_string(), hosts.iter().map(|host| host.0));
     let place = |name: &str| ranked.iter().position(|ranked| *ranked == name);
-    hosts.sort_by_cached_key(|(name, serves_callers, _)| (*serves_callers, place(name)));
+    hosts.sort_by_cached_key(|(name, serves_callers, address)| {
+        let is_lost = address.is_some_and(|address| peers::is_lost(gateway, address));
+        (is_lost, *serves_callers, place(name))
+    });
     hosts.into_iter().map(|(_, _, address)| address).collect()
 }
 
@@ -186,9 +227,8 @@
             ledger::refund(&gateway, &refunds);
             continue;
         };
-        let deadline = Instant::now() + REFUND_TIMEOUT;
         let question = Question::Refund { refunds };
-        if peers::ask(&gateway, address, &question, deadline).await.is_none() {
+        if peers::reach(&gateway, address, question, REFUND_TIMEOUT).await.is_none() {
             // The programs keep less of their budgets than they could.
             gateway.metrics.count("refunds_lost", 1);
         }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -19,7 +19,7 @@
     smol::{LocalExecutor, Timer, channel::Receiver},
     std::{
         cell::{Cell, RefCell},
-        collections::HashSet,
+        collections::{HashMap, HashSet},
         io,
         net::SocketAddr,
         rc::Rc,
@@ -41,6 +41,11 @@
 const LAME_DUCK: Duration = Duration::from_millis(2500);
 /// Time kept at the end of a planned stop, before the platform kills the process.
 const STOP_MARGIN: Duration = Duration::from_millis(700);
+/// How long a connection attempt may take: callers give up on one after a second.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(800);
+/// How long one to another host may take: a lost packet is sent again after a second, and requests
+/// wait.
+const PEER_CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
 /// How often idle connections are looked through.
 const SWEEP_EVERY: Duration = Duration::from_millis(500);
 
@@ -84,6 +89,7 @@
     pub(crate) adapter: Adapter,
     pub(crate) executor: Rc<LocalExecutor<'static>>,
     pub(crate) connections: Rc<Connections>,
+    pub(crate) peer_connections: Connections,
     pub(crate) table: RefCell<Option<Rc<RoutingTable>>>,
     pub(crate) placement: RefCell<Placement>,
     pub(crate) roster: RefCell<Roster>,
@@ -93,6 +99,8 @@
     pub(crate) refunds: RefCell<Refunds>,
     /// Hosts that did not answer and have not since.
     pub(crate) suspects: RefCell<HashSet<SocketAddr>>,
+    /// Hosts that others did not reach either, each until when they are left out.
+    pub(crate) lost: RefCell<HashMap<SocketAddr, Instant>>,
     /// The configuration in force, as it lies in the store.
     pub(crate) configuration: RefCell<Option<StoredObject>>,
     /// Peer addresses of some hosts, of use while no other is known.
@@ -124,10 +132,11 @@
         commands: Receiver<Command>,
     ) -> io::Result<()> {
         let executor = Rc::new(LocalExecutor::new());
-        let connections = Rc::new(Connections::new(executor.clone()));
+        let connections = Rc::new(Connections::new(executor.clone(), CONNECT_TIMEOUT));
         let gateway = Rc::new(Self {
             adapter: adapter(connections.clone()),
             connections,
+            peer_connections: Connections::new(executor.clone(), PEER_CONNECT_TIMEOUT),
             table: RefCell::default(),
             placement: RefCell::new(Placement::new(settings.domain.clone())),
             roster: RefCell::new(Roster::new(
@@ -140,6 +149,7 @@
             ledgers: RefCell::default(),
             refunds: RefCell::default(),
             suspects: RefCell::default(),
+            lost: RefCell::default(),
             configuration: RefCell::default(),
             seeds: RefCell::new(settings.seeds.clone()),
             incarnation: wall_us() / 1000,
@@ -246,7 +256,8 @@
             for (_, connection) in self.callers.borrow().iter() {
                 connection.sweep(now, &limits);
             }
-            self.connections.prune(|_| true);
+            self.connections.prune();
+            self.peer_connections.prune();
         }
     }
 
--- a/crates/gateway/src/http.rs
+++ b/crates/gateway/src/http.rs
@@ -32,8 +32,6 @@
 const PROBE_EVERY: Duration = Duration::from_secs(1);
 /// Probes without an answer after which it is taken as broken.
 const PROBES_MAX: u32 = 2;
-/// How long a connection attempt may take: callers give up on one after a second.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(800);
 /// How long an idle connection is kept when its other end names no time.
 const IDLE_MAX: Duration = Duration::from_secs(4);
 /// Margin before the time at which the other end closes an idle connection.
@@ -77,6 +75,7 @@
 /// Connections by address.
 pub struct Connections {
     executor: Rc<LocalExecutor<'static>>,
+    connect_timeout: Duration,
     idle: RefCell<HashMap<SocketAddr, Vec<Idle>>>,
     counts: RefCell<ConnectionCounts>,
 }
@@ -97,9 +96,9 @@
 }
 
 impl Connections {
-    /// Makes an empty pool whose connections run on `executor`.
-    pub fn new(executor: Rc<LocalExecutor<'static>>) -> Self {
-        Self { executor, idle: RefCell::default(), counts: RefCell::default() }
+    /// Makes an empty pool whose connections run on `executor` and take up to `connect_timeout`.
+    pub fn new(executor: Rc<LocalExecutor<'static>>, connect_timeout: Duration) -> Self {
+        Self { executor, connect_timeout, idle: RefCell::default(), counts: RefCell::default() }
     }
 
     /// Counts so far.
@@ -160,7 +159,7 @@
         address: SocketAddr,
         deadline: Instant,
     ) -> Result<SendRequest<Full<Bytes>>, SendError> {
-        let deadline = deadline.min(Instant::now() + CONNECT_TIMEOUT);
+        let deadline = deadline.min(Instant::now() + self.connect_timeout);
         let connected = within(deadline, TcpStream::connect(address)).await;
         let stream = match connected {
             Some(Ok(stream)) => stream,
@@ -203,12 +202,12 @@
         }
     }
 
-    /// Closes the idle connections to an address that is no longer used, and all that are too old.
-    pub fn prune(&self, is_used: impl Fn(&SocketAddr) -> bool) {
+    /// Closes idle connections that are too old.
+    pub fn prune(&self) {
         let now = Instant::now();
-        self.idle.borrow_mut().retain(|address, connections| {
+        self.idle.borrow_mut().retain(|_, connections| {
             connections.retain(|connection| connection.until > now && connection.sender.is_ready());
-            is_used(address) && !connections.is_empty()
+            !connections.is_empty()
         });
     }
 
--- a/crates/gateway/src/ledger.rs
+++ b/crates/gateway/src/ledger.rs
@@ -208,32 +208,48 @@
         };
         let content = json!(record);
         let put = gateway.adapter.store.put(Collection::Ledgers, &name, revision, content).await;
-        if settle(&gateway, part, &record, put) {
-            pause = PAUSE_MIN;
-            wait_for_next(&gateway, part).await;
-        } else {
-            Timer::after(pause).await;
-            pause = (pause * 2).min(PAUSE_MAX);
+        match settle(&gateway, part, &record, put) {
+            Written::Done => {
+                pause = PAUSE_MIN;
+                wait_for_next(&gateway, part).await;
+            }
+            // At once: another keeper that writes at the same pace would be first again.
+            Written::Merged => {}
+            Written::Failed => {
+                Timer::after(pause).await;
+                pause = (pause * 2).min(PAUSE_MAX);
+            }
         }
     }
 }
 
-/// Takes in how a write went. Returns whether the store could be written to.
+/// How a write went.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Written {
+    /// The record is in the store.
+    Done,
+    /// Another record was there, and has been taken in.
+    Merged,
+    /// The store could not be written to, as far as is known.
+    Failed,
+}
+
+/// Takes in how a write went.
 fn settle(
     gateway: &Gateway,
     part: usize,
     record: &LedgerRecord,
     put: Result<Revision, StoreError>,
-) -> bool {
+) -> Written {
     let now = Instant::now();
     let mut parts = gateway.ledgers.borrow_mut();
     let state = &mut parts[part];
-    let Some(ledger) = state.ledger.as_mut() else { return false };
+    let Some(ledger) = state.ledger.as_mut() else { return Written::Failed };
     let outcome = match put {
         Ok(revision) => {
             ledger.written(record);
             state.revision = Some(revision);
-            true
+            Written::Done
         }
         Err(StoreError::Conflict(stored)) => {
             let other = stored.as_deref().and_then(record_of);
@@ -251,15 +267,20 @@
                 }
                 None => {}
             }
-            true
+            Written::Merged
         }
         Err(error) => {
             log::warn!("{} is not written: {error}", name(part));
             ledger.write_failed(now);
-            false
+            Written::Failed
         }
     };
-    gateway.metrics.count(if outcome { "ledger_writes" } else { "ledger_write_failures" }, 1);
+    let metric = match outcome {
+        Written::Done => "ledger_writes",
+        Written::Merged => "ledger_merges",
+        Written::Failed => "ledger_write_failures",
+    };
+    gateway.metrics.count(metric, 1);
     state.changed.notify(usize::MAX);
     outcome
 }
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -9,6 +9,7 @@
     http::{Method, Request, Response, StatusCode, header},
     http_body_util::{BodyExt, Full, Limited},
     hyper::{body::Incoming, server::conn::http1, service::service_fn},
+    rand::seq::IndexedRandom,
     serde_json::json,
     smol::net::{TcpListener, TcpStream},
     smol_hyper::rt::FuturesIo,
@@ -32,6 +33,12 @@
 const MESSAGE_BYTES_MAX: usize = 2 * 1024 * 1024;
 /// How often a host that did not answer is pinged.
 const PROBE_EVERY: Duration = Duration::from_millis(400);
+/// The longest pause between two pings of a host that stays away.
+const PROBE_EVERY_MAX: Duration = Duration::from_millis(3200);
+/// Time beyond the other host's own for an answer through a third one.
+const RELAY_TRANSIT: Duration = Duration::from_millis(50);
+/// How long a host that another one does not reach either is left out.
+const LOST_FOR: Duration = Duration::from_secs(2);
 /// How long an answer to a ping may take.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(250);
 
@@ -177,6 +184,7 @@
             let reply = match *question {
                 // One hop is enough: more could go round in circles.
                 Question::Relay { .. } => None,
+                _ if is_suspect(gateway, to) => None,
                 question => ask(gateway, to, &question, Instant::now() + wait).await,
             };
             Reply::Relayed { reply: reply.map(Box::new) }
@@ -220,7 +228,7 @@
     if let Ok(host) = header::HeaderValue::from_str(&address.to_string()) {
         request.headers_mut().insert(header::HOST, host);
     }
-    let asked = gateway.connections.call(address, request, MESSAGE_BYTES_MAX, deadline);
+    let asked = gateway.peer_connections.call(address, request, MESSAGE_BYTES_MAX, deadline);
     let outcome = within(deadline, asked).await.unwrap_or(Err(SendError::TimedOut));
     match outcome {
         Ok((StatusCode::OK, body)) => match serde_json::from_slice(&body) {
@@ -233,6 +241,49 @@
     None
 }
 
+/// Asks another host, through a third one if it is out of reach from here.
+pub(crate) async fn reach(
+    gateway: &Rc<Gateway>,
+    address: SocketAddr,
+    question: Question,
+    wait: Duration,
+) -> Option<Reply> {
+    if !is_suspect(gateway, address) {
+        let reply = ask(gateway, address, &question, Instant::now() + wait).await;
+        if reply.is_some() {
+            return reply;
+        }
+    }
+    if is_lost(gateway, address) {
+        return None;
+    }
+    let relays: Vec<SocketAddr> = gateway
+        .roster
+        .borrow()
+        .lenders()
+        .map(|(_, relay)| relay)
+        .filter(|relay| *relay != address && !is_suspect(gateway, *relay))
+        .collect();
+    let relay = *relays.choose(&mut rand::rng())?;
+    let question = Question::Relay { to: address, question: Box::new(question), wait };
+    let deadline = Instant::now() + wait + RELAY_TRANSIT;
+    match ask(gateway, relay, &question, deadline).await {
+        Some(Reply::Relayed { reply: Some(reply) }) => Some(*reply),
+        Some(Reply::Relayed { reply: None }) => {
+            gateway.lost.borrow_mut().insert(address, Instant::now() + LOST_FOR);
+            None
+        }
+        _ => None,
+    }
+}
+
+/// Returns whether a host was not reached through another one lately.
+pub(crate) fn is_lost(gateway: &Gateway, address: SocketAddr) -> bool {
+    let now = Instant::now();
+    let is_lost = gateway.lost.borrow().get(&address).is_some_and(|until| now < *until);
+    is_lost && is_suspect(gateway, address)
+}
+
 /// Takes a host as out of reach until it answers again.
 fn suspect(gateway: &Rc<Gateway>, address: SocketAddr) {
     if gateway.suspects.borrow_mut().insert(address) {
@@ -247,8 +298,10 @@
 
 /// Pings a host that is out of reach, so that no request has to find out.
 async fn probe(gateway: Rc<Gateway>, address: SocketAddr) {
+    let mut pause = PROBE_EVERY;
     while gateway.suspects.borrow().contains(&address) {
-        smol::Timer::after(PROBE_EVERY).await;
+        smol::Timer::after(pause).await;
+        pause = (pause * 2).min(PROBE_EVERY_MAX);
         let is_known = gateway.roster.borrow().others().any(|(_, other)| other.address == address);
         if !is_known {
             gateway.suspects.borrow_mut().remove(&address);
