--- a/crates/core/src/placement/outage.rs
+++ b/crates/core/src/placement/outage.rs
@@ -38,6 +38,11 @@
         is_first
     }
 
+    /// Returns whether the last call failed.
+    pub fn is_on(&self) -> bool {
+        self.since.is_some()
+    }
+
     /// Notes that a call succeeded. Returns how long an outage has lasted, if one has ended.
     pub fn ended(&mut self, now: Instant) -> Option<Duration> {
         let length = now.duration_since(self.since.take()?);
--- a/crates/core/src/placement/outage/tests.rs
+++ b/crates/core/src/placement/outage/tests.rs
@@ -7,7 +7,9 @@
     let mut outage = StoreOutage::default();
     assert!(outage.began(start));
     assert!(!outage.began(start + MS));
+    assert!(outage.is_on());
     assert_eq!(outage.ended(start + length), Some(length));
+    assert!(!outage.is_on());
     (outage, start + length)
 }
 
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -27,6 +27,8 @@
 /// How long one watch waits. Each is a call that is counted; probes of the connection notice when it
 /// has gone silent.
 const WATCH_WAIT: Duration = Duration::from_secs(25);
+/// How long the first watch after a failure waits.
+const WATCH_WAIT_PROBE: Duration = Duration::from_millis(20);
 /// The first pause after a failed call. Doubles up to [`PAUSE_MAX`], with jitter.
 const PAUSE_MIN: Duration = Duration::from_millis(150);
 /// The longest pause: what the store says must be known about a second after its return.
@@ -139,7 +141,9 @@
     after: Revision,
     outage: &StoreOutage,
 ) -> Result<Revision, StoreError> {
-    let watched = gateway.adapter.store.watch(collection, after, WATCH_WAIT).await?;
+    // A watch that waits says nothing: after a failure a short one tells whether the store is back.
+    let wait = if outage.is_on() { WATCH_WAIT_PROBE } else { WATCH_WAIT };
+    let watched = gateway.adapter.store.watch(collection, after, wait).await?;
     let mut delisted = Vec::new();
     for change in watched.changes {
         match (collection, change) {
