Let keepers of second choice grant only what is recorded, and remove lost ones

A relay that was cut off too had made the first choice look lost.

Change: only the first host by rank may grant beyond the record; up to three relays are asked; a host without callers that is out of reach for 15 s is removed, so that its ledgers get a new first choice, and registers again when it comes back.

--- a/crates/core/src/budget/account.rs
+++ b/crates/core/src/budget/account.rs
@@ -80,7 +80,11 @@
         if after > terms.budget {
             return Charged::Spent;
         }
-        let beyond_max = if is_outage { terms.outage_max() } else { terms.turn_max };
+        let beyond_max = match charge.is_first_choice {
+            false => 0,
+            true if is_outage => terms.outage_max(),
+            true => terms.turn_max,
+        };
         if after.saturating_sub(self.recorded) > beyond_max {
             return Charged::AfterWrite;
         }
--- a/crates/core/src/budget/mod.rs
+++ b/crates/core/src/budget/mod.rs
@@ -51,6 +51,9 @@
     pub turn_max: TokenCount,
     /// How long the program may pause and come back.
     pub idle_max: Duration,
+    /// Whether the ledger's first host by rank is asked. Others may grant only what is recorded:
+    /// several keepers that don't know of each other yet must not each grant a turn beyond it.
+    pub is_first_choice: bool,
 }
 
 /// What becomes of a charge.
--- a/crates/core/src/budget/tests.rs
+++ b/crates/core/src/budget/tests.rs
@@ -4,7 +4,13 @@
 const TURN: TokenCount = 580;
 
 fn charge(program: &str, budget: TokenCount) -> Charge {
-    Charge { program: program.into(), budget, turn_max: TURN, idle_max: IDLE }
+    Charge {
+        program: program.into(),
+        budget,
+        turn_max: TURN,
+        idle_max: IDLE,
+        is_first_choice: true,
+    }
 }
 
 fn first(now: Instant) -> Ledger {
@@ -130,6 +136,27 @@
     assert_eq!(granted, 9);
 }
 
+#[test]
+fn keepers_of_second_choice_grant_only_what_is_recorded() {
+    let now = Instant::now();
+    let budget = 2 * TURN;
+    let turn = Charge { is_first_choice: false, ..charge("p", budget) };
+    let mut granted = 0;
+    let mut first_choice = first(now);
+    assert!(is_granted(&mut first_choice, now, &charge("p", budget)));
+    granted += 1;
+    let stored = write(&mut first_choice, now, 0);
+    for host in ["two", "three", "four"] {
+        // They took the ledger over before the program began.
+        let mut keeper = Ledger::take_over(now, 0, (host, 1), None, true, IDLE);
+        assert_eq!(keeper.charge(now, &turn), Charged::AfterWrite);
+        assert!(keeper.needs_write());
+        keeper.merge(now, &stored, IDLE);
+        granted += u64::from(is_granted(&mut keeper, now, &turn));
+    }
+    assert!(granted * TURN <= budget + TURN, "{granted} turns");
+}
+
 #[test]
 fn program_is_new_until_a_turn_was_kept() {
     let now = Instant::now();
--- a/crates/gateway/src/call/budget.rs
+++ b/crates/gateway/src/call/budget.rs
@@ -96,16 +96,18 @@
     let Some(budget) = program.token_budget.filter(|_| call.route.kind.is_stream()) else {
         return Ok(None);
     };
-    let charge = Charge {
+    let mut charge = Charge {
         program: program.program.as_str().into(),
         budget,
         turn_max: generation.output_tokens_max,
         idle_max: call.route.program_idle.unwrap_or(IDLE_MAX_DEFAULT),
+        is_first_choice: true,
     };
     let began = Instant::now();
-    for (tries, keeper) in
+    for (tries, Keeper { address: keeper, is_first_choice }) in
         keepers(gateway, &charge.program).into_iter().take(KEEPERS_MAX).enumerate()
     {
+        charge.is_first_choice = is_first_choice;
         let decision = match charge_at(gateway, keeper, &charge, call.time_left()).await {
             Asked::Decided(decision) => Some(decision),
             Asked::Undecided | Asked::Unreached => None,
@@ -198,25 +200,34 @@
     Asked::Undecided
 }
 
-/// Returns the hosts that may keep a program's ledger, best first; `None` is this host. Hosts
-/// without callers come first, those that nobody reaches last.
-fn keepers(gateway: &Gateway, program: &str) -> Vec<Option<SocketAddr>> {
+/// A host that may keep a ledger.
+struct Keeper {
+    /// Where it is; `None` is this host.
+    address: Option<SocketAddr>,
+    /// Whether it comes first by rank, whoever can be reached.
+    is_first_choice: bool,
+}
+
+/// Returns the hosts that may keep a program's ledger, best first: hosts without callers before
+/// others, those that nobody reaches last.
+fn keepers(gateway: &Gateway, program: &str) -> Vec<Keeper> {
     let roster = gateway.roster.borrow();
-    let own = &gateway.settings.host;
+    let own: &str = &gateway.settings.host;
     let mut hosts: Vec<(&str, bool, Option<SocketAddr>)> =
         vec![(own, gateway.settings.callers_listen.is_some(), None)];
-    hosts.extend(
-        roster
-            .others()
-            .map(|(host, record)| (&**host, record.serves_callers, Some(record.address))),
-    );
+    let others = roster.others();
+    hosts.extend(others.map(|(host, of)| (&**host, of.serves_callers, Some(of.address))));
     let ranked = rank(&ledger::part_of(program).to_string(), hosts.iter().map(|host| host.0));
     let place = |name: &str| ranked.iter().position(|ranked| *ranked == name);
-    hosts.sort_by_cached_key(|(name, serves_callers, address)| {
-        let is_lost = address.is_some_and(|address| peers::is_lost(gateway, address));
-        (is_lost, *serves_callers, place(name))
-    });
-    hosts.into_iter().map(|(_, _, address)| address).collect()
+    hosts.sort_by_cached_key(|(name, serves_callers, _)| (*serves_callers, place(name)));
+    let in_order = hosts.into_iter().enumerate();
+    let mut keepers: Vec<Keeper> = in_order
+        .map(|(at, (_, _, address))| Keeper { address, is_first_choice: at == 0 })
+        .collect();
+    let is_lost =
+        |keeper: &Keeper| keeper.address.is_some_and(|address| peers::is_lost(gateway, address));
+    keepers.sort_by_cached_key(is_lost);
+    keepers
 }
 
 async fn send_refunds(gateway: Rc<Gateway>) {
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -35,6 +35,8 @@
 const PROBE_EVERY: Duration = Duration::from_millis(400);
 /// The longest pause between two pings of a host that stays away.
 const PROBE_EVERY_MAX: Duration = Duration::from_millis(3200);
+/// Third hosts that are asked for one that is out of reach.
+const RELAYS_MAX: usize = 3;
 /// Time beyond the other host's own for an answer through a third one.
 const RELAY_TRANSIT: Duration = Duration::from_millis(50);
 /// How long a host that another one does not reach either is left out.
@@ -264,17 +266,20 @@
         .map(|(_, relay)| relay)
         .filter(|relay| *relay != address && !is_suspect(gateway, *relay))
         .collect();
-    let relay = *relays.choose(&mut rand::rng())?;
-    let question = Question::Relay { to: address, question: Box::new(question), wait };
-    let deadline = Instant::now() + wait + RELAY_TRANSIT;
-    match ask(gateway, relay, &question, deadline).await {
-        Some(Reply::Relayed { reply: Some(reply) }) => Some(*reply),
-        Some(Reply::Relayed { reply: None }) => {
-            gateway.lost.borrow_mut().insert(address, Instant::now() + LOST_FOR);
-            None
+    let mut unreached = 0;
+    for relay in relays.sample(&mut rand::rng(), RELAYS_MAX) {
+        let question = Question::Relay { to: address, question: Box::new(question.clone()), wait };
+        match ask(gateway, *relay, &question, Instant::now() + wait + RELAY_TRANSIT).await {
+            Some(Reply::Relayed { reply: Some(reply) }) => return Some(*reply),
+            // It may be cut off from there as well as from here.
+            Some(Reply::Relayed { reply: None }) => unreached += 1,
+            _ => {}
         }
-        _ => None,
     }
+    if unreached > 0 {
+        gateway.lost.borrow_mut().insert(address, Instant::now() + LOST_FOR);
+    }
+    None
 }
 
 /// Returns whether a host was not reached through another one lately.
--- a/crates/gateway/src/roster.rs
+++ b/crates/gateway/src/roster.rs
@@ -6,9 +6,11 @@
         peers::{self, Question, Reply},
         store::{Collection, StoreError, StoredObject},
     },
+    rand::RngExt,
     serde_json::json,
     smol::Timer,
     std::{
+        collections::HashMap,
         net::SocketAddr,
         rc::Rc,
         time::{Duration, Instant},
@@ -19,6 +21,13 @@
 
 /// Pause between two attempts to register or to greet.
 const RETRY_EVERY: Duration = Duration::from_millis(300);
+/// How often a host without callers looks whether it is still registered.
+const REGISTRATION_LOOKED_AT_EVERY: Duration = Duration::from_secs(20);
+/// How often hosts out of reach are looked through.
+const LOST_LOOKED_AT_EVERY: Duration = Duration::from_secs(3);
+/// How long a host without callers is out of reach before it is removed: longer than restarts and
+/// most cuts.
+const REMOVED_AFTER: Duration = Duration::from_secs(15);
 /// How long a greeting may take.
 const GREETING_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -30,8 +39,10 @@
 async fn run(gateway: Rc<Gateway>) {
     register(&gateway).await;
     if gateway.settings.callers_listen.is_none() {
+        stay_registered(&gateway).await;
         return;
     }
+    gateway.spawn(remove_lost(gateway.clone()));
     loop {
         greet(&gateway).await;
         let is_new = gateway.roster.borrow_mut().join(Instant::now());
@@ -49,6 +60,64 @@
     }
 }
 
+/// Registers again when others have taken this host as gone for good.
+async fn stay_registered(gateway: &Gateway) {
+    loop {
+        Timer::after(REGISTRATION_LOOKED_AT_EVERY).await;
+        let host = &gateway.settings.host;
+        match gateway.adapter.store.get(Collection::Hosts, host).await {
+            Ok(Some(_)) => {}
+            Ok(None) => register(gateway).await,
+            Err(error) => log::warn!("whether this host is registered is unknown: {error}"),
+        }
+    }
+}
+
+/// Removes hosts without callers that nobody has reached for long, so that ledgers get new first
+/// choices. Hosts with callers stay: their parts of allowances are not given away.
+async fn remove_lost(gateway: Rc<Gateway>) {
+    let mut lost_since: HashMap<HostId, Instant> = HashMap::new();
+    loop {
+        let jitter = rand::rng().random_range(0.5..1.5);
+        Timer::after(LOST_LOOKED_AT_EVERY.mul_f64(jitter)).await;
+        let lost = lost_hosts(&gateway);
+        let now = Instant::now();
+        lost_since.retain(|host, _| lost.contains(host));
+        for host in lost {
+            let since = *lost_since.entry(host.clone()).or_insert(now);
+            if now.duration_since(since) >= REMOVED_AFTER {
+                remove(&gateway, &host).await;
+            }
+        }
+    }
+}
+
+/// Returns hosts without callers that can't be reached, if this host reaches most others.
+fn lost_hosts(gateway: &Gateway) -> Vec<HostId> {
+    let roster = gateway.roster.borrow();
+    let total = roster.others().count();
+    let is_suspect = |record: &HostRecord| peers::is_suspect(gateway, record.address);
+    let suspects: Vec<_> = roster.others().filter(|(_, record)| is_suspect(record)).collect();
+    if suspects.len() * 2 > total {
+        return Vec::new();
+    }
+    let without_callers = suspects.into_iter().filter(|(_, record)| !record.serves_callers);
+    without_callers.map(|(host, _)| host.clone()).collect()
+}
+
+async fn remove(gateway: &Gateway, host: &HostId) {
+    let store = &gateway.adapter.store;
+    let outcome = match store.get(Collection::Hosts, host).await {
+        Ok(Some(stored)) => store.remove(Collection::Hosts, host, stored.revision).await,
+        Ok(None) => Ok(()),
+        Err(error) => Err(error),
+    };
+    match outcome {
+        Ok(()) => removed(gateway, host),
+        Err(error) => log::warn!("host {host} is not removed yet: {error}"),
+    }
+}
+
 fn own_record(gateway: &Gateway) -> HostRecord {
     HostRecord {
         address: gateway.settings.peers_listen,
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -120,6 +120,14 @@
         content: Value,
     ) -> Local<'a, Result<Revision, StoreError>>;
 
+    /// Removes the object of revision `if_revision`.
+    fn remove<'a>(
+        &'a self,
+        collection: Collection,
+        name: &'a str,
+        if_revision: Revision,
+    ) -> Local<'a, Result<(), StoreError>>;
+
     /// Calls made so far: the store counts and prices each.
     fn calls(&self) -> u64;
 }
