Test the whole path on the platform's protocol against stand-ins

Found by them: a stream that broke before its head was refused, though it may be sent to the same worker again.

--- a/crates/cli/src/serve.rs
+++ b/crates/cli/src/serve.rs
@@ -65,7 +65,7 @@
     };
     let gateway = settings.gateway.clone();
     let adapter = move |connections| trefoilring_platform::adapter(&settings, connections);
-    Gateway::run(gateway, adapter, decisions, Box::new(read_again), commands)?;
+    Gateway::run(gateway, adapter, decisions, Box::new(read_again), commands, |_| ())?;
     Ok(())
 }
 
--- a/crates/gateway/src/call/relay.rs
+++ b/crates/gateway/src/call/relay.rs
@@ -9,7 +9,12 @@
         exchange::{Received, Sent, Visit, failed, next_visit, read_whole, send, to_caller},
         note_answer, timed_out,
     },
-    crate::{front::Answer, gateway::Gateway, http::ConnectionLease, time::within},
+    crate::{
+        front::Answer,
+        gateway::Gateway,
+        http::{ConnectionLease, SendError},
+        time::within,
+    },
     bytes::{Bytes, BytesMut},
     futures_lite::stream,
     http_body_util::BodyExt,
@@ -67,14 +72,25 @@
     charge: Option<TurnCharge>,
 ) -> Result<Answer, Refusal> {
     let mut refused_by = Vec::new();
+    let (mut runs, mut again_at) = (0, None);
     loop {
-        let visit = next_visit(gateway, call, &refused_by, 0)?;
+        let visit = match again_at.take() {
+            Some(visit) => visit,
+            None => next_visit(gateway, call, &refused_by, runs)?,
+        };
         let key = visit.key;
         match send(gateway, call, &visit, call.about.last_event).await {
             Sent::NotRun(outcome) => {
                 visit.end(outcome);
                 refused_by.push(key);
             }
+            // At the same upstream, if it lives: a request may run at a bounded number of them.
+            Sent::Unknown(SendError::Broken)
+                if call.route.kind.is_repeatable() && runs < RESUMES_MAX =>
+            {
+                runs += 1;
+                again_at = Some(visit);
+            }
             Sent::Unknown(error) => {
                 visit.end(Outcome::Failed);
                 return Err(failed(error));
@@ -123,7 +139,7 @@
         Some(Err(BrokenOff)) if call.time_left().is_zero() => {
             return Err(timed_out(Verdict::MayHaveRun));
         }
-        Some(Err(BrokenOff)) => return Err(failed(crate::http::SendError::Broken)),
+        Some(Err(BrokenOff)) => return Err(failed(SendError::Broken)),
     };
     let rest = stream::unfold(relay, |mut relay| async move {
         let next = relay.next().await?;
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -22,6 +22,7 @@
         cell::Cell,
         convert::Infallible,
         io,
+        net::SocketAddr,
         pin::Pin,
         rc::Rc,
         task::{Context, Poll},
@@ -91,11 +92,12 @@
 }
 
 /// Listens for callers, if this host serves them.
-pub(crate) async fn start(gateway: &Rc<Gateway>) -> io::Result<()> {
-    let Some(address) = gateway.settings.callers_listen else { return Ok(()) };
+pub(crate) async fn start(gateway: &Rc<Gateway>) -> io::Result<Option<SocketAddr>> {
+    let Some(address) = gateway.settings.callers_listen else { return Ok(None) };
     let listener = TcpListener::bind(address).await?;
+    let bound = listener.local_addr()?;
     gateway.spawn(accept(gateway.clone(), listener));
-    Ok(())
+    Ok(Some(bound))
 }
 
 async fn accept(gateway: Rc<Gateway>, listener: TcpListener) {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -72,6 +72,19 @@
 /// Reads the settings again.
 pub type ReadSettings = Box<dyn Fn() -> Result<GatewaySettings, String>>;
 
+/// Where a gateway listens, once ports that were left to the kernel are known.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Bound {
+    /// For callers, if it serves them.
+    pub callers: Option<SocketAddr>,
+    /// For the question whether it is ready.
+    pub ready: Option<SocketAddr>,
+    /// For other hosts.
+    pub peers: SocketAddr,
+    /// For metrics.
+    pub metrics: SocketAddr,
+}
+
 /// Where the process is in its life.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum Stage {
@@ -110,6 +123,8 @@
     pub(crate) callers: RefCell<Slab<Rc<front::CallerConnection>>>,
     pub(crate) metrics: Metrics,
     pub(crate) decisions: Decisions,
+    /// Where this gateway listens; `None` until all is bound.
+    pub(crate) bound: Cell<Option<Bound>>,
     /// Whether all upstreams were listed once.
     pub(crate) has_upstreams: Cell<bool>,
     pub(crate) stage: Cell<Stage>,
@@ -119,7 +134,8 @@
 
 impl Gateway {
     /// Runs a gateway until it is told to stop, and then stops it gracefully. `adapter` makes the
-    /// adapter on the gateway's connections, `read_settings` reads changed settings.
+    /// adapter on the gateway's connections, `read_settings` reads changed settings, and `on_bound`
+    /// is told where the gateway listens.
     ///
     /// # Errors
     ///
@@ -130,6 +146,7 @@
         decisions: Decisions,
         read_settings: ReadSettings,
         commands: Receiver<Command>,
+        on_bound: impl FnOnce(Bound),
     ) -> io::Result<()> {
         let executor = Rc::new(LocalExecutor::new());
         let connections = Rc::new(Connections::new(executor.clone(), CONNECT_TIMEOUT));
@@ -156,24 +173,29 @@
             callers: RefCell::default(),
             metrics: Metrics::default(),
             decisions,
+            bound: Cell::new(None),
             has_upstreams: Cell::new(false),
             stage: Cell::new(Stage::Serving),
             requests_open: Cell::new(0),
             settings,
             executor: executor.clone(),
         });
-        smol::block_on(executor.run(gateway.serve(read_settings, commands)))
+        smol::block_on(executor.run(gateway.serve(read_settings, commands, on_bound)))
     }
 
     async fn serve(
         self: &Rc<Self>,
         read_settings: ReadSettings,
         commands: Receiver<Command>,
+        on_bound: impl FnOnce(Bound),
     ) -> io::Result<()> {
-        front::start(self).await?;
-        peers::start(self).await?;
+        let callers = front::start(self).await?;
+        let peers = peers::start(self).await?;
+        let (ready, metrics) = status::start(self).await?;
+        let bound = Bound { callers, ready, peers, metrics };
+        self.bound.set(Some(bound));
+        on_bound(bound);
         roster::start(self);
-        status::start(self).await?;
         watch::start(self);
         self.spawn(self.clone().sweep());
         self.decisions.note(
@@ -182,8 +204,8 @@
             json!({
                 "version": env!("CARGO_PKG_VERSION"),
                 "domain": self.settings.domain,
-                "callers": self.settings.callers_listen,
-                "peers": self.settings.peers_listen,
+                "callers": callers,
+                "peers": peers,
             }),
         );
         loop {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -23,7 +23,7 @@
 
 pub use {
     dialect::Dialect,
-    gateway::{Adapter, Command, Gateway, ReadSettings},
+    gateway::{Adapter, Bound, Command, Gateway, ReadSettings},
     settings::GatewaySettings,
     store::{Directory, Store},
 };
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -102,10 +102,11 @@
 }
 
 /// Listens for other hosts.
-pub(crate) async fn start(gateway: &Rc<Gateway>) -> io::Result<()> {
+pub(crate) async fn start(gateway: &Rc<Gateway>) -> io::Result<SocketAddr> {
     let listener = TcpListener::bind(gateway.settings.peers_listen).await?;
+    let bound = listener.local_addr()?;
     gateway.spawn(accept(gateway.clone(), listener));
-    Ok(())
+    Ok(bound)
 }
 
 async fn accept(gateway: Rc<Gateway>, listener: TcpListener) {
--- a/crates/gateway/src/roster.rs
+++ b/crates/gateway/src/roster.rs
@@ -118,9 +118,13 @@
     }
 }
 
+fn own_address(gateway: &Gateway) -> SocketAddr {
+    gateway.bound.get().map_or(gateway.settings.peers_listen, |bound| bound.peers)
+}
+
 fn own_record(gateway: &Gateway) -> HostRecord {
     HostRecord {
-        address: gateway.settings.peers_listen,
+        address: own_address(gateway),
         domain: gateway.settings.domain.clone(),
         incarnation: gateway.incarnation,
         serves_callers: gateway.settings.callers_listen.is_some(),
@@ -250,6 +254,6 @@
     if !known.is_empty() {
         return known;
     }
-    let own = gateway.settings.peers_listen;
+    let own = own_address(gateway);
     gateway.seeds.borrow().iter().copied().filter(|seed| *seed != own).collect()
 }
--- a/crates/gateway/src/status.rs
+++ b/crates/gateway/src/status.rs
@@ -15,17 +15,19 @@
 const METRICS_PATH: &str = "/metrics";
 
 /// Listens for questions about readiness and for metrics.
-pub(crate) async fn start(gateway: &Rc<Gateway>) -> io::Result<()> {
-    if let Some(address) = gateway.settings.ready_listen {
-        listen(gateway, address).await?;
-    }
-    listen(gateway, gateway.settings.metrics_listen).await
+pub(crate) async fn start(gateway: &Rc<Gateway>) -> io::Result<(Option<SocketAddr>, SocketAddr)> {
+    let ready = match gateway.settings.ready_listen {
+        Some(address) => Some(listen(gateway, address).await?),
+        None => None,
+    };
+    Ok((ready, listen(gateway, gateway.settings.metrics_listen).await?))
 }
 
-async fn listen(gateway: &Rc<Gateway>, address: SocketAddr) -> io::Result<()> {
+async fn listen(gateway: &Rc<Gateway>, address: SocketAddr) -> io::Result<SocketAddr> {
     let listener = TcpListener::bind(address).await?;
+    let bound = listener.local_addr()?;
     gateway.spawn(accept(gateway.clone(), listener));
-    Ok(())
+    Ok(bound)
 }
 
 async fn accept(gateway: Rc<Gateway>, listener: TcpListener) {
--- /dev/null
+++ b/crates/standin/src/fleet/store.rs
@@ -0,0 +1,250 @@
+//! The platform's store: objects by kind and name, lists, watches, conditional changes.
+
+use {
+    super::{Answer, Body, full, serve},
+    bytes::Bytes,
+    http::{Method, Request, Response, StatusCode},
+    serde_json::{Value, json},
+    smol::{Task, Timer},
+    std::{
+        collections::BTreeMap,
+        io,
+        net::SocketAddr,
+        sync::{Arc, Mutex, MutexGuard, PoisonError},
+        time::{Duration, Instant},
+    },
+};
+
+/// How often a waiting watch looks for changes.
+const WATCH_LOOKS_EVERY: Duration = Duration::from_millis(5);
+const OBJECTS: &str = "/trefoilring/objects/";
+
+/// What is wrong with the store.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum StoreFault {
+    /// Nothing.
+    #[default]
+    None,
+    /// It answers 503 and does nothing.
+    Busy,
+    /// It closes connections without doing anything.
+    Resets,
+    /// It does what it is asked and closes the connection.
+    LosesAnswers,
+}
+
+/// A store on loopback.
+pub struct StoreStandIn {
+    /// Where it listens.
+    pub address: SocketAddr,
+    shared: Arc<Shared>,
+    _task: Task<()>,
+}
+
+struct Shared {
+    state: Mutex<State>,
+}
+
+#[derive(Default)]
+struct State {
+    revision: u64,
+    fault: StoreFault,
+    objects: BTreeMap<(String, String), Value>,
+    /// Changes in order: revision, kind, whether it is a removal, the object.
+    history: Vec<(u64, String, bool, Value)>,
+    /// Watches from before this revision get 410.
+    history_begins: u64,
+    calls: u64,
+}
+
+impl StoreStandIn {
+    /// Starts an empty store.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no port can be bound.
+    pub async fn start() -> io::Result<Self> {
+        let shared = Arc::new(Shared { state: Mutex::default() });
+        let (address, task) = serve(shared.clone()).await?;
+        Ok(Self { address, shared, _task: task })
+    }
+
+    /// Switches a fault on or off.
+    pub fn set_fault(&self, fault: StoreFault) {
+        self.shared.lock().fault = fault;
+    }
+
+    /// Creates or replaces an object, as operators and workers do.
+    pub fn put(&self, kind: &str, name: &str, spec: Value) {
+        self.shared.lock().change(kind, name, Some(spec));
+    }
+
+    /// Removes an object.
+    pub fn remove(&self, kind: &str, name: &str) {
+        self.shared.lock().change(kind, name, None);
+    }
+
+    /// Drops the history: watches from before get 410.
+    pub fn compact(&self) {
+        let mut state = self.shared.lock();
+        state.history_begins = state.revision;
+        state.history.clear();
+    }
+
+    /// Returns what an object holds.
+    pub fn spec(&self, kind: &str, name: &str) -> Option<Value> {
+        let state = self.shared.lock();
+        state.objects.get(&(kind.into(), name.into())).map(|object| object["spec"].clone())
+    }
+
+    /// Calls so far.
+    pub fn calls(&self) -> u64 {
+        self.shared.lock().calls
+    }
+}
+
+impl Shared {
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl State {
+    fn change(&mut self, kind: &str, name: &str, spec: Option<Value>) -> Value {
+        self.revision += 1;
+        let key = (kind.to_string(), name.to_string());
+        let meta = json!({"name": name, "rev": self.revision, "created": 1, "finalizers": [],
+                          "deleting": false});
+        let object = json!({"meta": meta, "spec": spec, "status": null});
+        let is_removal = spec.is_none();
+        if is_removal {
+            self.objects.remove(&key);
+        } else {
+            self.objects.insert(key, object.clone());
+        }
+        self.history.push((self.revision, kind.into(), is_removal, object.clone()));
+        object
+    }
+
+    fn list(&self, kind: &str) -> Value {
+        let of_kind = self.objects.iter().filter(|((of, _), _)| of == kind);
+        let items: Vec<&Value> = of_kind.map(|(_, object)| object).collect();
+        json!({"items": items, "has_more": false, "at": self.revision})
+    }
+
+    fn events_after(&self, kind: &str, after: u64) -> Option<Value> {
+        let later = self.history.iter().filter(|(at, of, ..)| *at > after && of == kind);
+        let events: Vec<Value> = later
+            .map(|(_, _, is_removal, object)| json!({"deleted": is_removal, "object": object}))
+            .collect();
+        (!events.is_empty()).then(|| json!({"events": events, "at": self.revision}))
+    }
+
+    fn write(&mut self, method: &Method, kind: &str, name: Option<&str>, body: &Value) -> Answered {
+        let meta = &body["meta"];
+        let name = name.or(meta["name"].as_str()).unwrap_or_default().to_string();
+        let present = self.objects.get(&(kind.into(), name.clone())).cloned();
+        let expected = body["meta"]["rev"].as_u64();
+        match (method, present) {
+            (&Method::POST, Some(object)) => (StatusCode::CONFLICT, object),
+            (&Method::POST, None) => {
+                (StatusCode::OK, self.change(kind, &name, Some(body["spec"].clone())))
+            }
+            (_, None) => (StatusCode::NOT_FOUND, Value::Null),
+            (_, Some(object)) if expected.is_some_and(|rev| object["meta"]["rev"] != rev) => {
+                (StatusCode::CONFLICT, object)
+            }
+            (&Method::DELETE, Some(_)) => (StatusCode::OK, self.change(kind, &name, None)),
+            (_, Some(_)) => (StatusCode::OK, self.change(kind, &name, Some(body["spec"].clone()))),
+        }
+    }
+}
+
+type Answered = (StatusCode, Value);
+
+impl Answer for Shared {
+    async fn answer(self: Arc<Self>, request: Request<Bytes>) -> Option<Response<Body>> {
+        let fault = {
+            let mut state = self.lock();
+            state.calls += 1;
+            state.fault
+        };
+        match fault {
+            StoreFault::Busy => {
+                return Some(respond(StatusCode::SERVICE_UNAVAILABLE, &Value::Null));
+            }
+            StoreFault::Resets => return None,
+            StoreFault::None | StoreFault::LosesAnswers => {}
+        }
+        let (status, body) = self.handle(&request).await;
+        let is_write = request.method() != Method::GET;
+        if fault == StoreFault::LosesAnswers && is_write {
+            return None;
+        }
+        Some(respond(status, &body))
+    }
+}
+
+impl Shared {
+    async fn handle(&self, request: &Request<Bytes>) -> Answered {
+        let Some(path) = request.uri().path().strip_prefix(OBJECTS) else {
+            return (StatusCode::NOT_FOUND, Value::Null);
+        };
+        let (kind, name) = match path.split_once('/') {
+            Some((kind, name)) => (kind, Some(name.replace("%2D", "-"))),
+            None => (path, None),
+        };
+        let query = |wanted: &str| -> Option<u64> {
+            let pairs = request.uri().query().unwrap_or_default().split('&');
+            pairs
+                .filter_map(|pair| pair.split_once('='))
+                .find(|(key, _)| *key == wanted)?
+                .1
+                .parse()
+                .ok()
+        };
+        if request.method() != Method::GET {
+            let mut body: Value = serde_json::from_slice(request.body()).unwrap_or_default();
+            if let Some(revision) = query("rev") {
+                body["meta"]["rev"] = revision.into();
+            }
+            return self.lock().write(request.method(), kind, name.as_deref(), &body);
+        }
+        match (name, query("watch")) {
+            (Some(name), _) => {
+                let object = self.lock().objects.get(&(kind.into(), name)).cloned();
+                object
+                    .map_or((StatusCode::NOT_FOUND, Value::Null), |object| (StatusCode::OK, object))
+            }
+            (None, None) => (StatusCode::OK, self.lock().list(kind)),
+            (None, Some(after)) => {
+                let wait = Duration::from_millis(query("wait_ms").unwrap_or_default());
+                self.watch(kind, after, Instant::now() + wait).await
+            }
+        }
+    }
+
+    async fn watch(&self, kind: &str, after: u64, deadline: Instant) -> Answered {
+        loop {
+            {
+                let state = self.lock();
+                if after < state.history_begins {
+                    return (StatusCode::GONE, Value::Null);
+                }
+                if let Some(events) = state.events_after(kind, after) {
+                    return (StatusCode::OK, events);
+                }
+                if Instant::now() >= deadline {
+                    return (StatusCode::OK, json!({"events": [], "at": state.revision}));
+                }
+            }
+            Timer::after(WATCH_LOOKS_EVERY).await;
+        }
+    }
+}
+
+fn respond(status: StatusCode, body: &Value) -> Response<Body> {
+    let mut response = Response::new(full(body.to_string()));
+    *response.status_mut() = status;
+    response
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod cli;
 pub mod engine;
 pub mod faults;
+pub mod fleet;
 pub mod hosts;
 pub mod objects;
 mod request;
