Let the listener go before a planned stop ends

Change: the listener closes when the lame duck time is over, and only then are connections waited for. The test that keeps connecting until nobody listens fails without it (3 of 3 runs) and passes with it.

--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -101,6 +101,14 @@
 }
 
 async fn accept(gateway: Rc<Gateway>, listener: TcpListener) {
+    let closing = gateway.closing.listen();
+    gateway.is_accepting.set(true);
+    smol::future::or(accept_all(&gateway, &listener), closing).await;
+    drop(listener);
+    gateway.is_accepting.set(false);
+}
+
+async fn accept_all(gateway: &Rc<Gateway>, listener: &TcpListener) {
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -14,6 +14,7 @@
         store::{Directory, Store, StoredObject},
         watch,
     },
+    event_listener::Event,
     serde_json::json,
     slab::Slab,
     smol::{LocalExecutor, Timer, channel::Receiver},
@@ -128,6 +129,10 @@
     /// Whether all upstreams were listed once.
     pub(crate) has_upstreams: Cell<bool>,
     pub(crate) stage: Cell<Stage>,
+    /// Tells the listener for callers that no more connections are taken.
+    pub(crate) closing: Event,
+    /// Whether callers' connections are taken.
+    pub(crate) is_accepting: Cell<bool>,
     /// Requests of callers that have no final answer yet.
     pub(crate) requests_open: Cell<usize>,
 }
@@ -173,6 +178,8 @@
             callers: RefCell::default(),
             metrics: Metrics::default(),
             decisions,
+            closing: Event::new(),
+            is_accepting: Cell::new(false),
             bound: Cell::new(None),
             has_upstreams: Cell::new(false),
             stage: Cell::new(Stage::Serving),
@@ -251,6 +258,12 @@
         self.stage.set(Stage::LameDuck);
         Timer::after(LAME_DUCK).await;
         self.stage.set(Stage::Closing);
+        // Lets the listener go first: a connection that came after the last one has ended would be
+        // cut with its request.
+        self.closing.notify(usize::MAX);
+        while self.is_accepting.get() {
+            Timer::after(Duration::from_millis(1)).await;
+        }
         self.close_idle_callers();
         let end = began + self.settings.stop_grace.saturating_sub(STOP_MARGIN);
         while Instant::now() < end && !self.callers.borrow().is_empty() {
