Leave no ledger in doubt after a loss of power, and say at once that the store is away

After all hosts had lost power for a second, records were taken as old, and half of each budget was left out; short programs also lost their margin. While the store was silent, turns waited 600 ms at each of three keepers, and 208 requests reached their callers' deadline untold.

Programs that begin while the store is away wait up to 4 s for their second turn: the price of a budget that holds through a loss of all hosts.

--- a/crates/core/src/budget/account.rs
+++ b/crates/core/src/budget/account.rs
@@ -21,6 +21,8 @@
     terms: Option<Terms>,
     /// Whether charges may be missing, made while the store was away.
     is_doubtful: bool,
+    /// What a turn that waits for the record needs.
+    awaited: TokenCount,
     /// What was charged for such doubt.
     doubt: TokenCount,
     used_at: Instant,
@@ -57,6 +59,7 @@
             recorded,
             terms: None,
             is_doubtful,
+            awaited: 0,
             doubt: 0,
             used_at: now,
             idle_max,
@@ -86,8 +89,10 @@
             true => terms.turn_max,
         };
         if after.saturating_sub(self.recorded) > beyond_max {
+            self.awaited = terms.turn_max;
             return Charged::AfterWrite;
         }
+        self.awaited = 0;
         let is_new = self.charged == self.doubt;
         self.charged = after;
         Charged::Granted { is_new }
@@ -98,21 +103,24 @@
         self.used_at = now;
     }
 
-    /// Returns whether the next turn, or this one, is beyond the record.
+    /// Returns whether charges are beyond the record, or will be soon.
     pub(super) fn needs_write(&self) -> bool {
         let Some(terms) = self.terms else { return false };
-        let next = self.charged.saturating_add(terms.turn_max).min(terms.budget);
-        self.recorded < next
+        let soon = if self.margin() > 0 { terms.turn_max } else { 0 };
+        self.recorded < self.charged + self.awaited.max(soon)
     }
 
     /// Returns what to record: the charges and a margin for the next ones.
     pub(super) fn to_record(&self) -> TokenCount {
-        let Some(Terms { budget, turn_max }) = self.terms else {
-            return self.charged;
-        };
-        let left = budget.saturating_sub(self.charged);
-        let margin = (left / MARGIN_DIVISOR).max(turn_max).min(left);
-        self.charged + margin
+        self.charged + self.margin().max(self.awaited)
+    }
+
+    /// Returns by how much the record runs ahead. A short program has no turn to spare: whoever
+    /// takes its ledger over must take the margin as used.
+    fn margin(&self) -> TokenCount {
+        let Some(Terms { budget, turn_max }) = self.terms else { return 0 };
+        let margin = budget.saturating_sub(self.charged) / MARGIN_DIVISOR;
+        if margin < turn_max { 0 } else { margin }
     }
 
     pub(super) fn written(&mut self, recorded: TokenCount) {
--- a/crates/core/src/budget/mod.rs
+++ b/crates/core/src/budget/mod.rs
@@ -31,12 +31,14 @@
 /// Counts tokens.
 pub type TokenCount = u64;
 
-/// How long the store may fail before charges beyond one turn are granted without it: longer than
-/// slow calls take.
-const OUTAGE_AFTER: Duration = Duration::from_millis(1500);
+/// How long the store may fail before charges beyond one turn are granted without it. Longer than all
+/// hosts take to be back after a loss of power, so that such a loss leaves no ledger in doubt.
+const OUTAGE_AFTER: Duration = Duration::from_millis(4000);
 /// A record older than this may miss charges made while the store was away: below [`OUTAGE_AFTER`]
 /// by what clocks may differ.
-const RECENT_MAX_MS: u64 = 1000;
+const RECENT_MAX_MS: u64 = 3500;
+/// How long the store fails before it is taken as away: longer than slow calls take.
+const AWAY_AFTER: Duration = Duration::from_millis(300);
 /// Time that accounts are kept beyond the time in which a program may come back.
 const KEEP_MARGIN: Duration = Duration::from_secs(10);
 
@@ -184,6 +186,11 @@
         self.failing_since.get_or_insert(now);
     }
 
+    /// Returns whether the store could not be written to for a while.
+    pub fn is_store_away(&self, now: Instant) -> bool {
+        self.failing_since.is_some_and(|since| now.duration_since(since) >= AWAY_AFTER)
+    }
+
     /// Returns whether a record is one of this ledger's own writes.
     pub fn is_own(&self, record: &LedgerRecord) -> bool {
         record.writer == self.writer
--- a/crates/core/src/budget/tests.rs
+++ b/crates/core/src/budget/tests.rs
@@ -86,6 +86,7 @@
         granted += 1;
     }
     assert_eq!(granted, 5);
+    assert!(ledger.is_store_away(later) && !ledger.is_store_away(now));
     let mut next = Ledger::take_over(later, 9000, ("host-2", 1), Some(&record), false, IDLE);
     while is_granted(&mut next, later, &charge("p", budget)) {
         granted += 1;
@@ -192,7 +193,7 @@
         6 => (0..=TURN / 29).prop_map(|events| Step::Turn { used: events * 29 }),
         3 => Just(Step::Write),
         2 => Just(Step::FailedWrite),
-        2 => (1_u64..2000).prop_map(|wait_ms| Step::Wait { wait_ms }),
+        2 => (1_u64..5000).prop_map(|wait_ms| Step::Wait { wait_ms }),
         1 => any::<bool>().prop_map(|recorded_late| Step::Crash { recorded_late }),
     ]
 }
--- a/crates/gateway/src/call/budget.rs
+++ b/crates/gateway/src/call/budget.rs
@@ -43,7 +43,7 @@
 /// How long a program may pause where its route does not say.
 const IDLE_MAX_DEFAULT: Duration = Duration::from_secs(60);
 /// When to come back while no host can decide on a charge.
-const RETRY_AFTER: Duration = Duration::from_millis(300);
+const RETRY_AFTER: Duration = Duration::from_millis(500);
 
 /// Refunds by the host that keeps the ledger; `None` is this one.
 pub(crate) type Refunds =
@@ -108,10 +108,7 @@
         keepers(gateway, &charge.program).into_iter().take(KEEPERS_MAX).enumerate()
     {
         charge.is_first_choice = is_first_choice;
-        let decision = match charge_at(gateway, keeper, &charge, call.time_left()).await {
-            Asked::Decided(decision) => Some(decision),
-            Asked::Undecided | Asked::Unreached => None,
-        };
+        let decision = charge_at(gateway, keeper, &charge, call.time_left()).await;
         note(gateway, call, keeper, tries, decision, began.elapsed());
         match decision {
             Some(ChargeDecision::Granted { is_new }) => {
@@ -128,7 +125,7 @@
                 let detail = format!("the program's budget of {budget} tokens is spent");
                 return Err(Refusal::not_run(Reason::BudgetSpent, detail));
             }
-            None => {}
+            Some(ChargeDecision::Undecided | ChargeDecision::StoreAway) | None => {}
         }
     }
     let detail = "no host can tell what the program has spent";
@@ -163,23 +160,13 @@
     );
 }
 
-/// How a keeper has taken a charge.
-enum Asked {
-    /// It has decided.
-    Decided(ChargeDecision),
-    /// It could not in the time that it was given: its record has to be read or written first.
-    Undecided,
-    /// It can't be reached, from here or through another host.
-    Unreached,
-}
-
-/// Charges a turn at one keeper.
+/// Charges a turn at one keeper; `None` if it can't be reached, from here or through another host.
 async fn charge_at(
     gateway: &Rc<Gateway>,
     keeper: Option<SocketAddr>,
     charge: &Charge,
     time_left: Duration,
-) -> Asked {
+) -> Option<ChargeDecision> {
     let end = Instant::now() + KEEPER_TIMEOUT.min(time_left);
     while Instant::now() < end {
         let decision = match keeper {
@@ -189,15 +176,15 @@
                 let wait = CHARGE_WAIT + CHARGE_TRANSIT;
                 match peers::reach(gateway, address, question, wait).await {
                     Some(Reply::Charged { decision }) => decision,
-                    _ => return Asked::Unreached,
+                    _ => return None,
                 }
             }
         };
-        if let Some(decision) = decision {
-            return Asked::Decided(decision);
+        if decision != ChargeDecision::Undecided {
+            return Some(decision);
         }
     }
-    Asked::Undecided
+    Some(ChargeDecision::Undecided)
 }
 
 /// A host that may keep a ledger.
--- a/crates/gateway/src/ledger.rs
+++ b/crates/gateway/src/ledger.rs
@@ -47,6 +47,8 @@
     /// Whether the record was read: until then the ledger knows nothing of earlier charges.
     is_read: bool,
     is_loading: bool,
+    /// Whether the last attempt to read it has failed.
+    is_read_failing: bool,
     is_writing: bool,
     /// Turns that wait for a write.
     waiting: usize,
@@ -63,23 +65,29 @@
     gateway: &Rc<Gateway>,
     charge: &Charge,
     deadline: Instant,
-) -> Option<ChargeDecision> {
+) -> ChargeDecision {
     let part = part_of(&charge.program);
-    if !load(gateway, part, charge.idle_max, deadline).await {
-        return None;
+    match load(gateway, part, charge.idle_max, deadline).await {
+        Loaded::Yes => {}
+        Loaded::NotYet => return ChargeDecision::Undecided,
+        Loaded::StoreAway => return ChargeDecision::StoreAway,
     }
     loop {
         let changed = {
             let mut parts = gateway.ledgers.borrow_mut();
             let state = &mut parts[part];
-            let charged = state.ledger.as_mut()?.charge(Instant::now(), charge);
+            let Some(ledger) = state.ledger.as_mut() else { return ChargeDecision::Undecided };
+            let now = Instant::now();
+            let charged = ledger.charge(now, charge);
+            let is_store_away = ledger.is_store_away(now);
             match charged {
                 Charged::Granted { is_new } => {
                     drop(parts);
                     write_if_behind(gateway, part);
-                    return Some(ChargeDecision::Granted { is_new });
+                    return ChargeDecision::Granted { is_new };
                 }
-                Charged::Spent => return Some(ChargeDecision::Spent),
+                Charged::Spent => return ChargeDecision::Spent,
+                Charged::AfterWrite if is_store_away => return ChargeDecision::StoreAway,
                 Charged::AfterWrite => state.changed.clone(),
             }
         };
@@ -88,7 +96,9 @@
         write_if_behind(gateway, part);
         let woken = within(deadline, listener).await;
         gateway.ledgers.borrow_mut()[part].waiting -= 1;
-        woken?;
+        if woken.is_none() {
+            return ChargeDecision::Undecided;
+        }
     }
 }
 
@@ -103,23 +113,33 @@
     }
 }
 
-/// Reads a part's record, if this host has not. Returns whether it was read in time.
-async fn load(gateway: &Rc<Gateway>, part: usize, idle_max: Duration, deadline: Instant) -> bool {
+/// Whether this host keeps a ledger.
+enum Loaded {
+    Yes,
+    NotYet,
+    StoreAway,
+}
+
+/// Reads a part's record, if this host has not.
+async fn load(gateway: &Rc<Gateway>, part: usize, idle_max: Duration, deadline: Instant) -> Loaded {
     loop {
         let changed = {
             let mut parts = gateway.ledgers.borrow_mut();
             let state = &mut parts[part];
             if state.is_read {
-                return true;
+                return Loaded::Yes;
             }
             if !state.is_loading {
                 state.is_loading = true;
                 gateway.spawn(read(gateway.clone(), part, idle_max));
             }
+            if state.is_read_failing {
+                return Loaded::StoreAway;
+            }
             state.changed.clone()
         };
         if within(deadline, changed.listen()).await.is_none() {
-            return false;
+            return Loaded::NotYet;
         }
     }
 }
@@ -132,6 +152,11 @@
             Ok(stored) => break stored,
             Err(error) => {
                 log::warn!("{name} can't be read: {error}");
+                {
+                    let mut parts = gateway.ledgers.borrow_mut();
+                    parts[part].is_read_failing = true;
+                    parts[part].changed.notify(usize::MAX);
+                }
                 Timer::after(pause).await;
                 pause = (pause * 2).min(PAUSE_MAX);
             }
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -76,8 +76,8 @@
     Done,
     /// It lends this much.
     Lent { tokens: f64 },
-    /// What became of the charge; `None` where it can't be decided in time.
-    Charged { decision: Option<ChargeDecision> },
+    /// What became of the charge.
+    Charged { decision: ChargeDecision },
     /// The configuration, if there is a newer one.
     Configuration { object: Option<StoredObject> },
     /// The upstreams.
@@ -99,6 +99,10 @@
     },
     /// The budget does not hold it.
     Spent,
+    /// The ledger has to be read or written first, which takes longer.
+    Undecided,
+    /// The same, and the store can't be reached from here.
+    StoreAway,
 }
 
 /// Listens for other hosts.
