--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -51,7 +51,7 @@
     Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd, serde::Deserialize, serde::Serialize,
 )]
 #[serde(rename_all = "snake_case")]
-#[allow(missing_docs)] // The names say what happened; docs/operations.md has a line for each.
+#[allow(missing_docs)] // The names say what happened; docs/OPERATIONS.md has a line for each.
 pub enum Kind {
     HostStarted,
     HostDraining,
--- a/crates/gateway/src/call/mod.rs
+++ b/crates/gateway/src/call/mod.rs
@@ -198,6 +198,7 @@
             "program": call.and_then(|call| call.about.program.as_ref()).map(|of| &of.program),
             "reason": refusal.reason,
             "verdict": refusal.verdict,
+            "repeatable": call.map(|call| call.route.kind.is_repeatable()),
             "detail": refusal.detail,
             "retry_after_ms": refusal.retry_after.map(|after| after.as_millis() as u64),
             "sends": call.map(|call| call.sends.get()),
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -238,8 +238,13 @@
             }
         };
         let running = &self.settings;
-        let needs_restart =
-            settings != GatewaySettings { seeds: settings.seeds.clone(), ..running.clone() };
+        let can_change = GatewaySettings {
+            seeds: settings.seeds.clone(),
+            // Says something of this start only.
+            is_first_start: settings.is_first_start,
+            ..running.clone()
+        };
+        let needs_restart = settings != can_change;
         self.decisions.note(
             Weight::Rare,
             "reload",
