--- a/crates/core/src/shares/mod.rs
+++ b/crates/core/src/shares/mod.rs
@@ -61,7 +61,8 @@
     capacity: f64,
     tokens: f64,
     at: Instant,
-    /// Requests a second that came lately.
+    /// Requests a second that were granted lately: those of programs under way, mostly. Refused ones
+    /// would make a host keep what others could use.
     demand_per_s: f64,
 }
 
@@ -105,6 +106,7 @@
         let left = if opens_program { bucket.kept_for_programs() } else { 0.0 };
         if bucket.tokens >= 1.0 + left {
             bucket.tokens -= 1.0;
+            bucket.demand_per_s += 1.0 / DEMAND_WINDOW_S;
             return Take::Granted;
         }
         let missing = 1.0 + left - bucket.tokens;
@@ -113,14 +115,6 @@
         Take::Short { next_token }
     }
 
-    /// Counts a request towards the team's demand.
-    pub fn note_demand(&mut self, now: Instant, team: &str) {
-        if let Some(bucket) = self.buckets.get_mut(team) {
-            bucket.fill(now);
-            bucket.demand_per_s += 1.0 / DEMAND_WINDOW_S;
-        }
-    }
-
     /// Gives back the token of a request that did not run.
     pub fn give_back(&mut self, now: Instant, team: &str) {
         self.receive(now, team, 1.0);
--- a/crates/gateway/src/allowance.rs
+++ b/crates/gateway/src/allowance.rs
@@ -60,7 +60,6 @@
     deadline: Instant,
 ) -> Result<(), Refusal> {
     let began = Instant::now();
-    gateway.shares.borrow_mut().note_demand(began, team);
     let give_up = deadline.min(began + WAIT_MAX);
     loop {
         let now = Instant::now();
