Let few hosts hold small bursts

Change: an allowance is held by as many hosts as have two tokens of its burst each, chosen by rendezvous; the others borrow from them. A host that holds nothing borrows two tokens at most.

--- a/crates/core/src/roster/mod.rs
+++ b/crates/core/src/roster/mod.rs
@@ -10,7 +10,10 @@
 mod tests;
 
 use {
-    crate::ids::{DomainId, HostId, Incarnation},
+    crate::{
+        ids::{DomainId, HostId, Incarnation},
+        shares::Holders,
+    },
     std::{
         collections::{BTreeMap, BTreeSet},
         net::SocketAddr,
@@ -129,15 +132,15 @@
         self.has_joined
     }
 
-    /// Returns which part of each team's allowance this host may use.
-    pub fn fraction(&self, now: Instant) -> f64 {
-        if !self.has_joined || !self.is_listed || !self.serves_callers {
-            return 0.0;
-        }
-        let others = self.others.values().filter(|record| record.serves_callers).count();
-        let part = 1.0 / (others + 1) as f64;
+    /// Returns who holds teams' allowances, and which share of its parts this host may use.
+    pub fn holders(&self, now: Instant) -> Holders {
         let is_trusted = now.saturating_duration_since(self.seen_at) < VIEW_TRUSTED;
-        if is_trusted { part } else { part / 2.0 }
+        let trusted = match self.has_joined && self.is_listed && self.serves_callers {
+            false => 0.0,
+            true if is_trusted => 1.0,
+            true => 0.5,
+        };
+        Holders::new(self.host.clone(), self.lenders().map(|(host, _)| host.clone()), trusted)
     }
 
     /// Returns the other hosts that callers connect to.
--- a/crates/core/src/roster/tests.rs
+++ b/crates/core/src/roster/tests.rs
@@ -10,6 +10,12 @@
     }
 }
 
+/// This host's part of an allowance that all hosts hold.
+fn part(roster: &Roster, now: Instant) -> f64 {
+    let holders = roster.holders(now);
+    holders.trusted() / holders.hosts() as f64
+}
+
 fn listed(roster: &mut Roster, has_joined: bool) {
     roster.upsert(&"me".into(), HostRecord { has_joined, ..record(1) });
 }
@@ -31,10 +37,10 @@
     assert_eq!(roster.to_greet().len(), 2);
     roster.greeted(&"one".into());
     assert!(!roster.join(now));
-    assert_eq!(roster.fraction(now), 0.0);
+    assert_eq!(part(&roster, now), 0.0);
     roster.greeted(&"two".into());
     assert!(roster.join(now));
-    assert!((roster.fraction(now) - 1.0 / 3.0).abs() < 1e-9);
+    assert!((part(&roster, now) - 1.0 / 3.0).abs() < 1e-9);
 }
 
 #[test]
@@ -52,10 +58,10 @@
     let now = Instant::now();
     let mut cut_off = roster(now, &["one"]);
     listed(&mut cut_off, true);
-    assert_eq!(cut_off.fraction(now), 0.5);
-    assert_eq!(cut_off.fraction(now + VIEW_TRUSTED), 0.25);
+    assert_eq!(part(&cut_off, now), 0.5);
+    assert_eq!(part(&cut_off, now + VIEW_TRUSTED), 0.25);
     cut_off.heard_from_store(now + VIEW_TRUSTED);
-    assert_eq!(cut_off.fraction(now + VIEW_TRUSTED), 0.5);
+    assert_eq!(part(&cut_off, now + VIEW_TRUSTED), 0.5);
 }
 
 #[test]
@@ -64,7 +70,7 @@
     let mut roster = roster(now, &["one"]);
     listed(&mut roster, true);
     assert!(roster.to_greet().is_empty());
-    assert_eq!(roster.fraction(now), 0.5);
+    assert_eq!(part(&roster, now), 0.5);
 }
 
 #[test]
@@ -73,12 +79,12 @@
     let mut mine = roster(now, &["one"]);
     mine.upsert(&"ledger".into(), HostRecord { serves_callers: false, ..record(1) });
     listed(&mut mine, true);
-    assert_eq!(mine.fraction(now), 0.5);
+    assert_eq!(part(&mine, now), 0.5);
     assert_eq!(mine.lenders().count(), 1);
     assert_eq!(mine.others().count(), 2);
     let mut ledger = Roster::new(now, "ledger".into(), false);
     ledger.upsert(&"ledger".into(), record(1));
-    assert_eq!(ledger.fraction(now), 0.0);
+    assert_eq!(part(&ledger, now), 0.0);
 }
 
 #[test]
--- a/crates/core/src/shares/mod.rs
+++ b/crates/core/src/shares/mod.rs
@@ -1,14 +1,18 @@
 //! A team's allowance, split evenly between the hosts that callers connect to.
 //!
 //! Load pattern: a team's callers sit at a few hosts, so its requests come to some hosts and not to
-//! others. Each host fills a bucket with its even share of the rate and burst. One that runs short
+//! others. Each holder fills a bucket with its even share of the rate and burst. A host that runs short
 //! borrows tokens from others, which take them out of their own buckets first. The sum over all hosts
 //! thus stays within the allowance whoever is cut off, killed or restarted, and no host waits for a
 //! single limiter. A restarted host begins with an empty bucket: the one before may have used it up.
 
+mod holders;
+
 #[cfg(test)]
 mod tests;
 
+pub use holders::Holders;
+
 use {
     crate::{ids::TeamId, routing::TeamRules},
     std::{
@@ -18,9 +22,9 @@
     },
 };
 
-/// Least size of a host's bucket in tokens, so that whole requests fit into it. Over all hosts of a
-/// small site this stays below the slack of the users' bound.
-const BUCKET_TOKENS_MIN: f64 = 2.0;
+/// What a host that holds no part of an allowance borrows at most: what some requests need at once.
+/// Borrowed tokens come on top of what the holders have filled again meanwhile.
+const BORROWED_TOKENS_MAX: f64 = 2.0;
 /// Time over which a team's demand at this host is averaged.
 const DEMAND_WINDOW_S: f64 = 1.0;
 /// Demand that a lender keeps for itself.
@@ -47,10 +51,9 @@
 }
 
 /// This host's part of all teams' allowances.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub struct Shares {
-    /// This host's part of each allowance, from 0 to 1.
-    fraction: f64,
+    holders: Holders,
     buckets: HashMap<TeamId, Bucket>,
 }
 
@@ -66,17 +69,11 @@
     demand_per_s: f64,
 }
 
-impl Default for Shares {
-    fn default() -> Self {
-        Self { fraction: 0.0, buckets: HashMap::new() }
-    }
-}
-
 impl Shares {
-    /// Sets this host's part of each allowance. What was filled before counts at the former part.
-    pub fn set_fraction(&mut self, now: Instant, fraction: f64, rules: &Rules) {
+    /// Sets who holds allowances. What was filled before counts at the former parts.
+    pub fn set_holders(&mut self, now: Instant, holders: Holders, rules: &Rules) {
         self.buckets.values_mut().for_each(|bucket| bucket.fill(now));
-        self.fraction = fraction;
+        self.holders = holders;
         self.set_rules(now, rules);
     }
 
@@ -87,10 +84,11 @@
             .retain(|team, _| rules.get(team).is_some_and(|rules| rules.rate_per_s.is_some()));
         for (team, rules) in rules {
             let Some(rate_per_s) = rules.rate_per_s else { continue };
-            let capacity = (rules.burst_requests * self.fraction).max(BUCKET_TOKENS_MIN);
+            let part = self.holders.own_part(team, rules.burst_requests);
+            let capacity = (rules.burst_requests * part).max(BORROWED_TOKENS_MAX);
             let bucket = self.buckets.entry(team.clone()).or_insert_with(|| Bucket::empty(now));
             bucket.fill(now);
-            bucket.rate_per_s = rate_per_s * self.fraction;
+            bucket.rate_per_s = rate_per_s * part;
             bucket.capacity = capacity;
             bucket.tokens = bucket.tokens.min(capacity);
         }
@@ -126,7 +124,7 @@
         bucket.fill(now);
         let soon = bucket.demand_per_s * LOW_WATER.as_secs_f64();
         let low = soon.max(1.0 + bucket.kept_for_programs()).min(bucket.capacity);
-        let wanted = (bucket.demand_per_s * BORROW.as_secs_f64()).max(BUCKET_TOKENS_MIN);
+        let wanted = (bucket.demand_per_s * BORROW.as_secs_f64()).max(BORROWED_TOKENS_MAX);
         let missing = wanted.min(bucket.capacity) - bucket.tokens;
         (bucket.tokens < low && missing > 0.0).then_some(missing)
     }
@@ -160,9 +158,9 @@
         }
     }
 
-    /// This host's part of each allowance.
-    pub fn fraction(&self) -> f64 {
-        self.fraction
+    /// Who holds allowances.
+    pub fn holders(&self) -> &Holders {
+        &self.holders
     }
 }
 
--- a/crates/core/src/shares/tests.rs
+++ b/crates/core/src/shares/tests.rs
@@ -1,4 +1,4 @@
-use {super::*, proptest::prelude::*};
+use {super::*, crate::ids::HostId, proptest::prelude::*};
 
 fn rules(rate_per_s: f64, burst_requests: f64) -> Rules {
     let team =
@@ -6,9 +6,15 @@
     [("t".into(), Arc::new(team))].into()
 }
 
-fn host(now: Instant, fraction: f64, rules: &Rules) -> Shares {
+/// One of some hosts.
+fn one_of(hosts: usize, own: usize, trusted: f64) -> Holders {
+    let name = |at: usize| format!("host-{at}").into();
+    Holders::new(name(own), (0..hosts).filter(|at| *at != own).map(name), trusted)
+}
+
+fn host(now: Instant, holders: Holders, rules: &Rules) -> Shares {
     let mut shares = Shares::default();
-    shares.set_fraction(now, fraction, rules);
+    shares.set_holders(now, holders, rules);
     shares
 }
 
@@ -22,7 +28,7 @@
 #[test]
 fn host_begins_empty_and_fills_at_its_share() {
     let now = Instant::now();
-    let mut shares = host(now, 0.25, &rules(40.0, 40.0));
+    let mut shares = host(now, one_of(4, 0, 1.0), &rules(40.0, 40.0));
     assert_eq!(takes(&mut shares, now), 0);
     assert_eq!(takes(&mut shares, now + Duration::from_millis(500)), 5);
     assert_eq!(takes(&mut shares, now + Duration::from_secs(60)), 10);
@@ -31,27 +37,27 @@
 #[test]
 fn teams_without_limit_always_have_a_token() {
     let now = Instant::now();
-    let mut shares = host(now, 0.25, &rules(40.0, 40.0));
+    let mut shares = host(now, one_of(4, 0, 1.0), &rules(40.0, 40.0));
     assert_eq!(shares.take(now, "unlimited", true), Take::Granted);
 }
 
 #[test]
 fn short_host_is_told_when_its_own_share_has_a_token() {
     let now = Instant::now();
-    let mut shares = host(now, 0.5, &rules(20.0, 20.0));
+    let mut shares = host(now, one_of(2, 0, 1.0), &rules(20.0, 20.0));
     let Take::Short { next_token } = shares.take(now, "t", false) else {
         panic!("empty buckets are short")
     };
     assert_eq!(next_token, Duration::from_millis(100));
     assert_eq!(takes(&mut shares, now + next_token), 1);
-    let mut without = host(now, 0.0, &rules(20.0, 20.0));
+    let mut without = host(now, one_of(2, 0, 0.0), &rules(20.0, 20.0));
     assert_eq!(without.take(now, "t", false), Take::Short { next_token: Duration::MAX });
 }
 
 #[test]
 fn lender_keeps_what_it_needs_itself() {
     let now = Instant::now();
-    let mut shares = host(now, 1.0, &rules(10.0, 10.0));
+    let mut shares = host(now, one_of(1, 0, 1.0), &rules(10.0, 10.0));
     let later = now + Duration::from_secs(60);
     for _ in 0..5 {
         assert_eq!(shares.take(later, "t", false), Take::Granted);
@@ -66,7 +72,7 @@
 #[test]
 fn new_programs_leave_what_those_under_way_need() {
     let now = Instant::now();
-    let mut shares = host(now, 1.0, &rules(10.0, 10.0));
+    let mut shares = host(now, one_of(1, 0, 1.0), &rules(10.0, 10.0));
     let later = now + Duration::from_secs(60);
     assert_eq!(shares.take(later, "t", true), Take::Granted, "nobody else is there");
     for _ in 0..5 {
@@ -81,12 +87,46 @@
 #[test]
 fn lower_limit_clips_what_was_saved() {
     let now = Instant::now();
-    let mut shares = host(now, 1.0, &rules(100.0, 100.0));
+    let mut shares = host(now, one_of(1, 0, 1.0), &rules(100.0, 100.0));
     let later = now + Duration::from_secs(60);
     shares.set_rules(later, &rules(5.0, 5.0));
     assert_eq!(takes(&mut shares, later), 5);
 }
 
+#[test]
+fn small_bursts_are_held_by_few_hosts_that_all_agree_on() {
+    let seen_by: Vec<Vec<String>> = (0..65)
+        .map(|own| {
+            let holders = one_of(65, own, 1.0);
+            holders.of("t", 8.0).iter().map(|host| host.to_string()).collect()
+        })
+        .collect();
+    assert_eq!(seen_by[0].len(), 4);
+    assert!(seen_by.iter().all(|seen| *seen == seen_by[0]));
+    let parts: f64 = (0..65).map(|own| one_of(65, own, 1.0).own_part("t", 8.0)).sum();
+    assert!((parts - 1.0).abs() < 1e-9, "the parts add up to the whole: {parts}");
+    assert_eq!(one_of(65, 0, 1.0).of("t", 1.0).len(), 1);
+    assert_eq!(one_of(7, 0, 1.0).of("t", 1000.0).len(), 7);
+    assert_eq!(one_of(7, 0, 1.0).of("t", f64::NAN).len(), 1);
+}
+
+#[test]
+fn host_without_a_part_lives_on_borrowed_tokens() {
+    let now = Instant::now();
+    let rules = rules(8.0, 8.0);
+    let name = |at: usize| HostId::from(format!("host-{at}"));
+    let holders = one_of(65, 0, 1.0);
+    let holds: Vec<HostId> = holders.of("t", 8.0).into_iter().cloned().collect();
+    let without = (0..65).find(|at| !holds.contains(&name(*at))).expect("61 hosts hold nothing");
+    let mut shares = host(now, one_of(65, without, 1.0), &rules);
+    let later = now + Duration::from_secs(60);
+    assert!(matches!(shares.take(later, "t", false), Take::Short { .. }));
+    let wanted = shares.shortage(later, "t").expect("it has nothing");
+    assert!(wanted <= BORROWED_TOKENS_MAX);
+    shares.receive(later, "t", 100.0);
+    assert_eq!(takes(&mut shares, later), BORROWED_TOKENS_MAX as usize);
+}
+
 /// A day of several hosts: requests come to one of them, tokens are lent, lent tokens get lost,
 /// hosts restart.
 #[derive(Clone, Copy, Debug)]
@@ -122,7 +162,7 @@
         let start = Instant::now();
         let mut now = start;
         let mut hosts: Vec<Shares> =
-            (0..HOSTS).map(|_| host(now, 1.0 / HOSTS as f64, &rules)).collect();
+            (0..HOSTS).map(|at| host(now, one_of(HOSTS, at, 1.0), &rules)).collect();
         let mut granted: Vec<Instant> = Vec::new();
         for step in steps {
             match step {
@@ -141,14 +181,14 @@
                     }
                 }
                 Step::Restart { host } => {
-                    hosts[host] = super::tests::host(now, 1.0 / HOSTS as f64, &rules);
+                    hosts[host] = super::tests::host(now, one_of(HOSTS, host, 1.0), &rules);
                 }
                 Step::Wait { ms } => now += Duration::from_millis(ms),
             }
         }
-        // Any window of five seconds, with the least buckets on top of the burst.
+        // Any window of five seconds, with what was borrowed before it on top of the burst.
         let window = Duration::from_secs(5);
-        let allowed = rate * 5.0 + rate + BUCKET_TOKENS_MIN * HOSTS as f64;
+        let allowed = rate * 5.0 + rate + BORROWED_TOKENS_MAX * HOSTS as f64;
         for (first, &from) in granted.iter().enumerate() {
             let in_window = granted[first..].iter().take_while(|at| **at <= from + window).count();
             prop_assert!(in_window as f64 <= allowed + 1e-6, "{in_window} of {allowed}");
--- a/crates/gateway/src/allowance.rs
+++ b/crates/gateway/src/allowance.rs
@@ -115,10 +115,24 @@
     true
 }
 
+/// Returns the other hosts that hold a team's allowance.
+fn lenders(gateway: &Gateway, team: &TeamId) -> Vec<SocketAddr> {
+    let table = gateway.table.borrow();
+    let rules = table.as_ref().and_then(|table| table.teams.as_ref()?.get(team));
+    let burst = rules.map_or(0.0, |rules| rules.burst_requests);
+    let shares = gateway.shares.borrow();
+    let holders = shares.holders().of(team, burst);
+    let roster = gateway.roster.borrow();
+    roster
+        .lenders()
+        .filter(|(host, _)| holders.contains(host))
+        .map(|(_, address)| address)
+        .collect()
+}
+
 /// Asks the other hosts in turn until the shortage is over.
 async fn borrow(gateway: Rc<Gateway>, team: TeamId) {
-    let mut lenders: Vec<SocketAddr> =
-        gateway.roster.borrow().lenders().map(|(_, address)| address).collect();
+    let mut lenders = lenders(&gateway, &team);
     lenders.retain(|address| !peers::is_suspect(&gateway, *address));
     lenders.shuffle(&mut rand::rng());
     let mut total = 0.0;
@@ -157,7 +171,7 @@
 
 /// Takes in the allowances of a new configuration.
 pub(crate) fn reconfigure(gateway: &Gateway) {
-    roster::refresh_fraction(gateway);
+    roster::refresh_holders(gateway);
     let table = gateway.table.borrow();
     let none = std::collections::BTreeMap::new();
     let rules = table.as_ref().and_then(|table| table.teams.as_ref()).unwrap_or(&none);
--- a/crates/gateway/src/roster.rs
+++ b/crates/gateway/src/roster.rs
@@ -46,12 +46,12 @@
     loop {
         greet(&gateway).await;
         let is_new = gateway.roster.borrow_mut().join(Instant::now());
-        refresh_fraction(&gateway);
+        refresh_holders(&gateway);
         if is_new {
             gateway.decisions.note(
                 Weight::Rare,
                 "joined",
-                json!({"fraction": gateway.shares.borrow().fraction()}),
+                json!({"hosts": gateway.shares.borrow().holders().hosts()}),
             );
             // So that a restart of this host need not be greeted again.
             register(&gateway).await;
@@ -213,14 +213,14 @@
             json!({"peer": host, "address": address, "incarnation": incarnation, "by": by}),
         );
     }
-    refresh_fraction(gateway);
+    refresh_holders(gateway);
 }
 
 /// Forgets a host that is gone for good.
 pub(crate) fn removed(gateway: &Gateway, host: &str) {
     gateway.roster.borrow_mut().remove(host);
     gateway.decisions.note(Weight::Rare, "host", json!({"peer": host, "what": "removed"}));
-    refresh_fraction(gateway);
+    refresh_holders(gateway);
 }
 
 /// Notes that the store has said who is there.
@@ -228,23 +228,22 @@
     gateway.roster.borrow_mut().heard_from_store(Instant::now());
 }
 
-/// Brings this host's part of the allowances in line with the roster.
-pub(crate) fn refresh_fraction(gateway: &Gateway) {
+/// Brings this host's parts of the allowances in line with the roster.
+pub(crate) fn refresh_holders(gateway: &Gateway) {
     let now = Instant::now();
-    let fraction = gateway.roster.borrow().fraction(now);
-    let before = gateway.shares.borrow().fraction();
-    if fraction == before {
+    let holders = gateway.roster.borrow().holders(now);
+    if holders == *gateway.shares.borrow().holders() {
         return;
     }
     gateway.decisions.note(
         Weight::Rare,
         "allowance_part",
-        json!({"fraction": fraction, "before": before}),
+        json!({"hosts": holders.hosts(), "trusted": holders.trusted()}),
     );
     let table = gateway.table.borrow();
     let rules = table.as_ref().and_then(|table| table.teams.as_ref());
     let none = std::collections::BTreeMap::new();
-    gateway.shares.borrow_mut().set_fraction(now, fraction, rules.unwrap_or(&none));
+    gateway.shares.borrow_mut().set_holders(now, holders, rules.unwrap_or(&none));
 }
 
 /// Addresses of other hosts, or of the seeds while none is known.
