Split the hosts' questions by job, and bound what others send

Peers are now messages, answering and reaching; one accept loop serves callers, hosts and status connections. A relay goes to known hosts only, waits are bounded, and numbers in heads that no program has can't overflow an account (the test panicked on an addition before).

--- a/crates/core/src/budget/account.rs
+++ b/crates/core/src/budget/account.rs
@@ -75,9 +75,9 @@
             // One turn may be over the budget anyway. The doubt needs no write of its own: whoever
             // takes the ledger over has it too.
             let missing = terms.outage_max() - terms.turn_max;
-            self.charged += missing;
-            self.recorded += missing;
-            self.doubt += missing;
+            self.charged = self.charged.saturating_add(missing);
+            self.recorded = self.recorded.saturating_add(missing);
+            self.doubt = missing;
         }
         let after = self.charged.saturating_add(terms.turn_max);
         if after > terms.budget {
@@ -107,12 +107,12 @@
     pub(super) fn needs_write(&self) -> bool {
         let Some(terms) = self.terms else { return false };
         let soon = if self.margin() > 0 { terms.turn_max } else { 0 };
-        self.recorded < self.charged + self.awaited.max(soon)
+        self.recorded < self.charged.saturating_add(self.awaited.max(soon))
     }
 
     /// Returns what to record: the charges and a margin for the next ones.
     pub(super) fn to_record(&self) -> TokenCount {
-        self.charged + self.margin().max(self.awaited)
+        self.charged.saturating_add(self.margin().max(self.awaited))
     }
 
     /// Returns by how much the record runs ahead. A short program has no turn to spare: whoever
@@ -130,7 +130,10 @@
     /// Takes in what another host has recorded since this one last did. That contains this host's
     /// own record, of which it may use what it has not.
     pub(super) fn merge(&mut self, recorded: TokenCount) {
-        self.charged = (recorded + self.charged).saturating_sub(self.recorded);
+        self.charged = match self.charged.checked_sub(self.recorded) {
+            Some(missing) => recorded.saturating_add(missing),
+            None => recorded.saturating_sub(self.recorded - self.charged),
+        };
         self.recorded = recorded;
     }
 
--- a/crates/core/src/budget/tests.rs
+++ b/crates/core/src/budget/tests.rs
@@ -170,6 +170,21 @@
     assert_eq!(ledger.charge(now, &turn), Charged::Granted { is_new: false });
 }
 
+#[test]
+fn numbers_that_no_program_has_do_no_harm() {
+    let now = Instant::now();
+    let mut ledger = first(now);
+    let huge = |budget, turn_max| Charge { turn_max, ..charge("p", budget) };
+    assert_eq!(ledger.charge(now, &huge(0, TokenCount::MAX)), Charged::Spent);
+    assert!(is_granted(&mut ledger, now, &huge(TokenCount::MAX, TokenCount::MAX)));
+    let record = write(&mut ledger, now, 0);
+    ledger.merge(now, &record, IDLE);
+    assert!(is_granted(&mut ledger, now, &huge(TokenCount::MAX, 0)));
+    assert_eq!(ledger.charge(now, &huge(10, 20)), Charged::Spent);
+    ledger.refund(now, "p", TokenCount::MAX);
+    assert!(is_granted(&mut ledger, now, &huge(20, 20)));
+}
+
 #[test]
 fn accounts_are_forgotten_when_their_programs_can_not_come_back() {
     let now = Instant::now();
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -5,6 +5,7 @@
         call,
         gateway::{Gateway, Stage},
         http::set_options,
+        listen::accept_all,
     },
     http::{HeaderValue, Response, header},
     hyper::{
@@ -103,28 +104,13 @@
 async fn accept(gateway: Rc<Gateway>, listener: TcpListener) {
     let closing = gateway.closing.listen();
     gateway.is_accepting.set(true);
-    smol::future::or(accept_all(&gateway, &listener), closing).await;
+    smol::future::or(accept_all(&gateway, &listener, serve), closing).await;
     drop(listener);
     gateway.is_accepting.set(false);
 }
 
-async fn accept_all(gateway: &Rc<Gateway>, listener: &TcpListener) {
-    loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                gateway.metrics.count("caller_connections", 1);
-                gateway.spawn(serve(gateway.clone(), stream));
-            }
-            Err(error) => {
-                // Out of descriptors: those in use must end first.
-                log::warn!("a caller's connection was not accepted: {error}");
-                smol::Timer::after(std::time::Duration::from_millis(50)).await;
-            }
-        }
-    }
-}
-
 async fn serve(gateway: Rc<Gateway>, stream: TcpStream) {
+    gateway.metrics.count("caller_connections", 1);
     set_options(&stream);
     let (closing, asked) = smol::channel::bounded(1);
     let connection = Rc::new(CallerConnection {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -13,6 +13,7 @@
 mod gateway;
 pub mod http;
 mod ledger;
+mod listen;
 mod peers;
 mod roster;
 pub mod settings;
--- /dev/null
+++ b/crates/gateway/src/peers/message.rs
@@ -0,0 +1,73 @@
+//! What hosts ask each other, and answer.
+
+use {
+    crate::store::StoredObject,
+    std::{net::SocketAddr, time::Duration},
+    trefoilring_core::{
+        budget::{Charge, TokenCount},
+        ids::{ConfigVersion, HostId, ProgramId, TeamId},
+        placement::UpstreamRecord,
+        roster::HostRecord,
+    },
+};
+
+/// What one host asks another.
+#[derive(Clone, Debug, serde::Deserialize, serde::Serialize)]
+#[serde(rename_all = "snake_case")]
+pub(crate) enum Question {
+    /// Know of me, and count me from now on.
+    Greet { host: HostId, record: HostRecord },
+    /// Lend me tokens of a team's allowance.
+    Lend { team: TeamId, tokens: f64 },
+    /// Charge a turn, to be answered until the time is over.
+    Charge { charge: Charge, wait: Duration },
+    /// Take back what turns did not use.
+    Refund { refunds: Vec<(ProgramId, TokenCount)> },
+    /// Give me a newer configuration than this version.
+    Configuration { newer_than: Option<ConfigVersion> },
+    /// Give me the upstreams that you know.
+    Upstreams,
+    /// Give me the hosts that you know.
+    Hosts,
+    /// Ask a host that I can't reach, and pass its answer on.
+    Relay { to: SocketAddr, question: Box<Question>, wait: Duration },
+    /// Answer, so that I know you can be reached.
+    Ping,
+}
+
+/// What it answers.
+#[derive(Clone, Debug, serde::Deserialize, serde::Serialize)]
+#[serde(rename_all = "snake_case")]
+pub(crate) enum Reply {
+    /// It is done.
+    Done,
+    /// It lends this much.
+    Lent { tokens: f64 },
+    /// What became of the charge.
+    Charged { decision: ChargeDecision },
+    /// The configuration, if there is a newer one.
+    Configuration { object: Option<StoredObject> },
+    /// The upstreams.
+    Upstreams { records: Vec<UpstreamRecord> },
+    /// The hosts.
+    Hosts { hosts: Vec<(HostId, HostRecord)> },
+    /// What the other host has answered, if it has.
+    Relayed { reply: Option<Box<Reply>> },
+}
+
+/// What became of a charge.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
+#[serde(rename_all = "snake_case")]
+pub(crate) enum ChargeDecision {
+    /// The turn may start.
+    Granted {
+        /// Whether it opens its program.
+        is_new: bool,
+    },
+    /// The budget does not hold it.
+    Spent,
+    /// The ledger has to be read or written first, which takes longer.
+    Undecided,
+    /// The same, and the store can't be reached from here.
+    StoreAway,
+}
--- a/crates/gateway/src/roster.rs
+++ b/crates/gateway/src/roster.rs
@@ -246,6 +246,11 @@
     gateway.shares.borrow_mut().set_holders(now, holders, rules.unwrap_or(&none));
 }
 
+/// Returns whether another host has this address.
+pub(crate) fn is_known(gateway: &Gateway, address: SocketAddr) -> bool {
+    gateway.roster.borrow().others().any(|(_, record)| record.address == address)
+}
+
 /// Addresses of other hosts, or of the seeds while none is known.
 pub(crate) fn some_peers(gateway: &Gateway) -> Vec<SocketAddr> {
     let known: Vec<SocketAddr> =
--- a/crates/gateway/src/status.rs
+++ b/crates/gateway/src/status.rs
@@ -1,14 +1,14 @@
 //! What the platform and operators ask a host: whether it is ready, and its metrics.
 
 use {
-    crate::gateway::Gateway,
+    crate::{gateway::Gateway, listen::listen},
     bytes::Bytes,
     http::{Request, Response, StatusCode},
     http_body_util::Full,
     hyper::{body::Incoming, server::conn::http1, service::service_fn},
-    smol::net::{TcpListener, TcpStream},
+    smol::net::TcpStream,
     smol_hyper::rt::FuturesIo,
-    std::{convert::Infallible, io, net::SocketAddr, rc::Rc, time::Duration},
+    std::{convert::Infallible, io, net::SocketAddr, rc::Rc},
 };
 
 /// Path of the metrics.
@@ -17,29 +17,10 @@
 /// Listens for questions about readiness and for metrics.
 pub(crate) async fn start(gateway: &Rc<Gateway>) -> io::Result<(Option<SocketAddr>, SocketAddr)> {
     let ready = match gateway.settings.ready_listen {
-        Some(address) => Some(listen(gateway, address).await?),
+        Some(address) => Some(listen(gateway, address, serve).await?),
         None => None,
     };
-    Ok((ready, listen(gateway, gateway.settings.metrics_listen).await?))
-}
-
-async fn listen(gateway: &Rc<Gateway>, address: SocketAddr) -> io::Result<SocketAddr> {
-    let listener = TcpListener::bind(address).await?;
-    let bound = listener.local_addr()?;
-    gateway.spawn(accept(gateway.clone(), listener));
-    Ok(bound)
-}
-
-async fn accept(gateway: Rc<Gateway>, listener: TcpListener) {
-    loop {
-        match listener.accept().await {
-            Ok((stream, _)) => gateway.spawn(serve(gateway.clone(), stream)),
-            Err(error) => {
-                log::warn!("a status connection was not accepted: {error}");
-                smol::Timer::after(Duration::from_millis(50)).await;
-            }
-        }
-    }
+    Ok((ready, listen(gateway, gateway.settings.metrics_listen, serve).await?))
 }
 
 async fn serve(gateway: Rc<Gateway>, stream: TcpStream) {
