Keep a request within its route's number of upstreams when a broken one refuses it

A stream that broke at an upstream that lives, and is then full, went on at another one: two upstreams for a route that allows one. Found by reading. A dropped history is listed again with jitter.

--- a/crates/gateway/src/call/relay.rs
+++ b/crates/gateway/src/call/relay.rs
@@ -80,6 +80,10 @@
         };
         let key = visit.key;
         match send(gateway, call, &visit, call.about.last_event).await {
+            Sent::NotRun(outcome) if runs > 0 && !may_move(call, outcome) => {
+                visit.end(outcome);
+                return Err(failed(SendError::Broken));
+            }
             Sent::NotRun(outcome) => {
                 visit.end(outcome);
                 refused_by.push(key);
@@ -107,6 +111,12 @@
     }
 }
 
+/// Returns whether a request that an upstream has begun and now does not run may go on at another
+/// one. One that can't be reached has ended, and doesn't count.
+fn may_move(call: &Call, outcome: Outcome) -> bool {
+    outcome == Outcome::Failed || call.route.upstreams_max.is_none_or(|max| max > 1)
+}
+
 /// Waits for the first event, so that a stream that breaks before it can still be refused.
 async fn relay(
     gateway: &Rc<Gateway>,
@@ -258,6 +268,9 @@
                 Sent::NotRun(outcome) => {
                     refused_by.push(visit.key);
                     visit.end(outcome);
+                    if !may_move(&self.call, outcome) {
+                        return false;
+                    }
                 }
                 Sent::Unknown(_) => {
                     visit.end(Outcome::Failed);
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -34,6 +34,8 @@
 /// The longest pause: what the store says must be known about a second after its return.
 const PAUSE_MAX: Duration = Duration::from_millis(1000);
 
+/// The longest pause before a collection is listed again because its history is gone.
+const RELIST_PAUSE_MAX: Duration = Duration::from_millis(100);
 /// How long another host may take to answer.
 const CONSULT_TIMEOUT: Duration = Duration::from_millis(400);
 
@@ -84,6 +86,8 @@
             Err(error) if error == StoreError::HistoryGone => {
                 note_store(&gateway, collection, "listed again", &Duration::ZERO, Some(&error));
                 revision = None;
+                // All hosts hear of it at once.
+                Timer::after(RELIST_PAUSE_MAX.mul_f64(rand::rng().random_range(0.0..1.0))).await;
             }
             Err(error) => {
                 if outage.began(Instant::now()) {
