--- a/crates/cli/tests/support/agent.rs
+++ b/crates/cli/tests/support/agent.rs
@@ -166,7 +166,7 @@
             match &reply {
                 Some(reply) if reply.is_success() => return Some(reply.clone()),
                 Some(reply) => match reply.text("verdict") {
-                    "not_run" => self.check_not_run(step),
+                    "not_run" => self.check_not_run(step, reply),
                     "may_have_run" => {
                         unknown += 1;
                         self.cut.push(format!("{}/{step}: {}", self.program, reply.json));
@@ -186,9 +186,9 @@
     }
 
     /// A refusal that says `not_run` must be true of the step, whichever request ran it.
-    fn check_not_run(&self, step: &str) {
+    fn check_not_run(&self, step: &str, reply: &Reply) {
         let key = format!("{}/{step}", self.program);
-        assert!(!(self.has_run)(&key), "{key}: not_run was false");
+        assert!(!(self.has_run)(&key), "{key}: not_run was false: {}", reply.json);
     }
 
     /// Sends a request through the next host; `None` without a whole answer.
