--- a/crates/edge/src/handler.rs
+++ b/crates/edge/src/handler.rs
@@ -14,8 +14,12 @@
         view::{HistoryView, ProgramView},
     },
     http_types::{Method, StatusCode},
-    smol::{Executor, future::or},
-    std::{future::Future, sync::Arc},
+    smol::{Executor, Timer, future::or},
+    std::{
+        future::Future,
+        sync::Arc,
+        time::{Duration, Instant},
+    },
     trefoilring_core::{
         call::{Call, Caller, CreateProgram, ProgramQuery, ServiceCall, Work},
         ids::{ProgramId, RequestId, StepKey, random_suffix},
@@ -26,6 +30,11 @@
 /// Methods that service calls take.
 const SERVICE_METHODS: &str = "GET, HEAD, POST, PUT, PATCH, DELETE";
 
+/// How long a request that names a step waits for this host to confirm keys: some heartbeats.
+const KEYS_WAIT_MAX: Duration = Duration::from_secs(2);
+/// How often such a request looks whether it can.
+const KEYS_LOOKED_AT_EVERY: Duration = Duration::from_millis(50);
+
 /// Headers whose values name something, and so are logged, stored and sent on.
 const NAMING_HEADERS: [&str; 3] = ["idempotency-key", "trefoil-class", "trefoil-program"];
 
@@ -92,16 +101,37 @@
     }
 }
 
-fn authenticate<B: Backend>(backend: &B, head: &Head) -> Result<(Caller, String), Problem> {
+/// Waits while this host can't confirm keys, if the request names a step: it could not be refused as
+/// not run, and a host that has just started can confirm them soon.
+pub(crate) async fn wait_for_keys<B: Backend>(backend: &B, head: &Head) {
+    let deadline = Instant::now() + KEYS_WAIT_MAX;
+    let is_unconfirmed = || {
+        let refusal = secret(head).ok().and_then(|secret| backend.authenticate(secret).err());
+        refusal.is_some_and(|refusal| refusal.retry_after.is_some())
+    };
+    while names_step(head) && is_unconfirmed() && Instant::now() < deadline {
+        Timer::after(KEYS_LOOKED_AT_EVERY).await;
+    }
+}
+
+fn names_step(head: &Head) -> bool {
+    matches!(head.single("idempotency-key"), Ok(Some(_)))
+}
+
+fn secret(head: &Head) -> Result<&str, Problem> {
     let value = head.single("authorization")?;
     let bearer = value.and_then(|value| {
         let (scheme, secret) = value.split_once(' ')?;
         scheme.eq_ignore_ascii_case("bearer").then(|| secret.trim())
     });
-    let Some(secret) = bearer.filter(|secret| !secret.is_empty()) else {
+    bearer.filter(|secret| !secret.is_empty()).ok_or_else(|| {
         let detail = "this route needs a key: Authorization: Bearer KEY";
-        return Err(Problem::not_run(Reason::Unauthorized, detail));
-    };
+        Problem::not_run(Reason::Unauthorized, detail)
+    })
+}
+
+fn authenticate<B: Backend>(backend: &B, head: &Head) -> Result<(Caller, String), Problem> {
+    let secret = secret(head)?;
     let caller = backend.authenticate(secret).map_err(|refusal| of_step(head, refusal))?;
     Ok((caller, secret.to_owned()))
 }
@@ -110,7 +140,7 @@
 /// the same step may have run it, through another host or before the key was withdrawn, and only the
 /// program's home knows.
 fn of_step(head: &Head, mut refusal: Refusal) -> Refusal {
-    if matches!(head.single("idempotency-key"), Ok(Some(_))) {
+    if names_step(head) {
         refusal.verdict = Verdict::MayHaveRun;
     }
     refusal
