Go beyond a budget's record only when all keepers are without the store

Change: the first choice is asked once more, and may do so, only when the others have said that the store is away too. The test of a keeper that is alone cut off fails without it.

--- a/crates/core/src/budget/account.rs
+++ b/crates/core/src/budget/account.rs
@@ -85,7 +85,7 @@
         }
         let beyond_max = match charge.is_first_choice {
             false => 0,
-            true if is_outage => terms.outage_max(),
+            true if is_outage && charge.others_are_away => terms.outage_max(),
             true => terms.turn_max,
         };
         if after.saturating_sub(self.recorded) > beyond_max {
--- a/crates/core/src/budget/mod.rs
+++ b/crates/core/src/budget/mod.rs
@@ -56,6 +56,9 @@
     /// Whether the ledger's first host by rank is asked. Others may grant only what is recorded:
     /// several keepers that don't know of each other yet must not each grant a turn beyond it.
     pub is_first_choice: bool,
+    /// Whether the other keepers can't reach the store either. While one of them can, it grants what
+    /// is recorded, and nobody may grant half of a budget beyond the record.
+    pub others_are_away: bool,
 }
 
 /// What becomes of a charge.
--- a/crates/core/src/budget/tests.rs
+++ b/crates/core/src/budget/tests.rs
@@ -10,6 +10,7 @@
         turn_max: TURN,
         idle_max: IDLE,
         is_first_choice: true,
+        others_are_away: true,
     }
 }
 
@@ -137,6 +138,20 @@
     assert_eq!(granted, 9);
 }
 
+#[test]
+fn keeper_that_alone_is_cut_off_from_the_store_grants_one_turn_beyond_the_record() {
+    let now = Instant::now();
+    let budget = 10 * TURN;
+    let mut ledger = first(now);
+    write(&mut ledger, now, 1000);
+    ledger.write_failed(now);
+    let later = now + OUTAGE_AFTER;
+    let alone = Charge { others_are_away: false, ..charge("p", budget) };
+    assert!(is_granted(&mut ledger, later, &alone));
+    assert_eq!(ledger.charge(later, &alone), Charged::AfterWrite);
+    assert!(is_granted(&mut ledger, later, &charge("p", budget)));
+}
+
 #[test]
 fn keepers_of_second_choice_grant_only_what_is_recorded() {
     let now = Instant::now();
--- a/crates/gateway/src/call/budget.rs
+++ b/crates/gateway/src/call/budget.rs
@@ -102,11 +102,20 @@
         turn_max: generation.output_tokens_max,
         idle_max: call.route.program_idle.unwrap_or(IDLE_MAX_DEFAULT),
         is_first_choice: true,
+        others_are_away: false,
     };
     let began = Instant::now();
-    for (tries, Keeper { address: keeper, is_first_choice }) in
-        keepers(gateway, &charge.program).into_iter().take(KEEPERS_MAX).enumerate()
-    {
+    let mut keepers = keepers(gateway, &charge.program);
+    keepers.truncate(KEEPERS_MAX);
+    // When all have said that the store is away, the first choice may go beyond its record.
+    let again = keepers.iter().find(|keeper| keeper.is_first_choice).copied();
+    let (asked, mut are_away) = (keepers.len(), true);
+    for (tries, keeper) in keepers.into_iter().map(Some).chain([again]).enumerate() {
+        let Some(Keeper { address: keeper, is_first_choice }) = keeper else { break };
+        charge.others_are_away = tries == asked;
+        if charge.others_are_away && !are_away {
+            break;
+        }
         charge.is_first_choice = is_first_choice;
         let decision = charge_at(gateway, keeper, &charge, call.time_left()).await;
         note(gateway, call, keeper, tries, decision, began.elapsed());
@@ -125,7 +134,8 @@
                 let detail = format!("the program's budget of {budget} tokens is spent");
                 return Err(Refusal::not_run(Reason::BudgetSpent, detail));
             }
-            Some(ChargeDecision::Undecided | ChargeDecision::StoreAway) | None => {}
+            Some(ChargeDecision::StoreAway) | None => {}
+            Some(ChargeDecision::Undecided) => are_away = false,
         }
     }
     let detail = "no host can tell what the program has spent";
@@ -188,6 +198,7 @@
 }
 
 /// A host that may keep a ledger.
+#[derive(Clone, Copy)]
 struct Keeper {
     /// Where it is; `None` is this host.
     address: Option<SocketAddr>,
