Mend what a second reading of the change found

No behaviour is meant to change, but for one case: a request on a route open to all, or with a wrong route or method, no longer waits for its key before it is answered.

- exchange: a branch that could not be reached (an unsigned success is refused when its head is read), and the flag that fed it.
- budget: ranking the keepers looked each host up in a list for each turn, a time that grows with the square of the hosts; now the hosts themselves are ranked.
- ledger: whether the record was read follows from the ledger being there; all accounts are looked through only when no write is under way, which looks itself.
- edge: a key was checked twice for each request that names a step; the wait is now where the key is checked.
- serve: both kinds of host pass signals on through one function.

Left: three loops whose pause doubles (ledger twice, probe) beside watch::Backoff, which has jitter that they have not; the platform's statuses and rules have one place each.

--- a/crates/cli/src/serve.rs
+++ b/crates/cli/src/serve.rs
@@ -99,24 +99,17 @@
 /// one.
 fn commands(path: PathBuf) -> io::Result<smol::channel::Receiver<Command>> {
     let (sender, receiver) = smol::channel::unbounded();
-    let mut signals = Signals::new([SIGTERM, SIGINT, SIGHUP])?;
-    let watcher = sender.clone();
-    let pass_on = move || {
-        for signal in signals.forever() {
-            let command = if signal == SIGHUP { Command::Reload } else { Command::Stop };
-            if sender.send_blocking(command).is_err() {
-                return;
-            }
-        }
-    };
-    std::thread::Builder::new().name("signals".into()).spawn(pass_on)?;
+    pass_on_signals(&[SIGTERM, SIGINT, SIGHUP], sender.clone(), |signal| match signal {
+        SIGHUP => Command::Reload,
+        _ => Command::Stop,
+    })?;
     let modified = move || std::fs::metadata(&path).and_then(|data| data.modified()).ok();
     let watch_file = move || {
         let mut known = modified();
         loop {
             std::thread::sleep(SETTINGS_LOOKED_AT_EVERY);
             let now = modified();
-            if now != known && watcher.send_blocking(Command::Reload).is_err() {
+            if now != known && sender.send_blocking(Command::Reload).is_err() {
                 return;
             }
             known = now;
@@ -129,14 +122,24 @@
 /// Passes SIGTERM and SIGINT on, one message each.
 fn stop_signals() -> io::Result<smol::channel::Receiver<()>> {
     let (sender, receiver) = smol::channel::unbounded();
-    let mut signals = Signals::new([SIGTERM, SIGINT])?;
+    pass_on_signals(&[SIGTERM, SIGINT], sender, |_| ())?;
+    Ok(receiver)
+}
+
+/// Sends a message for each signal, from a thread of its own, until nobody listens.
+fn pass_on_signals<T: Send + 'static>(
+    signals: &[i32],
+    sender: smol::channel::Sender<T>,
+    message: impl Fn(i32) -> T + Send + 'static,
+) -> io::Result<()> {
+    let mut signals = Signals::new(signals)?;
     let pass_on = move || {
-        for _ in signals.forever() {
-            if sender.send_blocking(()).is_err() {
+        for signal in signals.forever() {
+            if sender.send_blocking(message(signal)).is_err() {
                 return;
             }
         }
     };
     std::thread::Builder::new().name("signals".into()).spawn(pass_on)?;
-    Ok(receiver)
+    Ok(())
 }
--- a/crates/edge/src/handler.rs
+++ b/crates/edge/src/handler.rs
@@ -67,12 +67,12 @@
 }
 
 /// Checks all that can be checked before the body is read.
-pub(crate) fn admit<B: Backend>(backend: &B, head: Head) -> Result<Request, Problem> {
+pub(crate) async fn admit<B: Backend>(backend: &B, head: Head) -> Result<Request, Problem> {
     let route = Route::try_from(head.target.as_str())?;
     check_method(&route, head.method)?;
     let caller = match is_open(backend, &route, head.method) {
         true => None,
-        false => Some(authenticate(backend, &head)?),
+        false => Some(authenticate(backend, &head).await?),
     };
     Ok(Request { head, route, caller, id: random_suffix(&mut rand::rng()).into() })
 }
@@ -101,19 +101,6 @@
     }
 }
 
-/// Waits while this host can't confirm keys, if the request names a step: it could not be refused as
-/// not run, and a host that has just started can confirm them soon.
-pub(crate) async fn wait_for_keys<B: Backend>(backend: &B, head: &Head) {
-    let deadline = Instant::now() + KEYS_WAIT_MAX;
-    let is_unconfirmed = || {
-        let refusal = secret(head).ok().and_then(|secret| backend.authenticate(secret).err());
-        refusal.is_some_and(|refusal| refusal.retry_after.is_some())
-    };
-    while names_step(head) && is_unconfirmed() && Instant::now() < deadline {
-        Timer::after(KEYS_LOOKED_AT_EVERY).await;
-    }
-}
-
 fn names_step(head: &Head) -> bool {
     matches!(head.single("idempotency-key"), Ok(Some(_)))
 }
@@ -130,10 +117,22 @@
     })
 }
 
-fn authenticate<B: Backend>(backend: &B, head: &Head) -> Result<(Caller, String), Problem> {
+/// Finds the caller of a key. While this host can't confirm keys, a request that names a step waits:
+/// it could not be refused as not run, and a host that has just started can confirm them soon.
+async fn authenticate<B: Backend>(backend: &B, head: &Head) -> Result<(Caller, String), Problem> {
     let secret = secret(head)?;
-    let caller = backend.authenticate(secret).map_err(|refusal| of_step(head, refusal))?;
-    Ok((caller, secret.to_owned()))
+    let deadline = Instant::now() + KEYS_WAIT_MAX;
+    loop {
+        let refusal = match backend.authenticate(secret) {
+            Ok(caller) => return Ok((caller, secret.to_owned())),
+            Err(refusal) => refusal,
+        };
+        let is_unconfirmed = refusal.retry_after.is_some();
+        if !is_unconfirmed || !names_step(head) || Instant::now() >= deadline {
+            return Err(of_step(head, refusal).into());
+        }
+        Timer::after(KEYS_LOOKED_AT_EVERY).await;
+    }
 }
 
 /// Takes back the promise that nothing has run where a request names a step: an earlier request of
--- a/crates/edge/src/server.rs
+++ b/crates/edge/src/server.rs
@@ -155,8 +155,7 @@
         let closes = reply::closes_after(&head);
         // What was refused before its body was read leaves the body on the connection.
         let received = async {
-            handler::wait_for_keys(&handler.backend, &head).await;
-            let request = handler::admit(&handler.backend, head)?;
+            let request = handler::admit(&handler.backend, head).await?;
             let body = receive::body(conn, &request.head, options).await?;
             Ok((request, body))
         };
--- a/crates/gateway/src/call/budget.rs
+++ b/crates/gateway/src/call/budget.rs
@@ -206,21 +206,42 @@
     is_first_choice: bool,
 }
 
+/// A host to rank.
+struct Candidate<'a> {
+    host: &'a str,
+    serves_callers: bool,
+    /// Where it is; `None` is this host.
+    address: Option<SocketAddr>,
+}
+
+impl AsRef<str> for Candidate<'_> {
+    fn as_ref(&self) -> &str {
+        self.host
+    }
+}
+
 /// Returns the hosts that may keep a program's ledger, best first: hosts without callers before
 /// others, those that nobody reaches last.
 fn keepers(gateway: &Gateway, program: &str) -> Vec<Keeper> {
     let roster = gateway.roster.borrow();
-    let own: &str = &gateway.settings.host;
-    let mut hosts: Vec<(&str, bool, Option<SocketAddr>)> =
-        vec![(own, gateway.settings.callers_listen.is_some(), None)];
-    let others = roster.others();
-    hosts.extend(others.map(|(host, of)| (&**host, of.serves_callers, Some(of.address))));
-    let ranked = rank(&ledger::part_of(program).to_string(), hosts.iter().map(|host| host.0));
-    let place = |name: &str| ranked.iter().position(|ranked| *ranked == name);
-    hosts.sort_by_cached_key(|(name, serves_callers, _)| (*serves_callers, place(name)));
-    let in_order = hosts.into_iter().enumerate();
-    let mut keepers: Vec<Keeper> = in_order
-        .map(|(at, (_, _, address))| Keeper { address, is_first_choice: at == 0 })
+    let others = roster.others().map(|(host, of)| Candidate {
+        host,
+        serves_callers: of.serves_callers,
+        address: Some(of.address),
+    });
+    let own = Candidate {
+        host: &gateway.settings.host,
+        serves_callers: gateway.settings.callers_listen.is_some(),
+        address: None,
+    };
+    let candidates: Vec<Candidate<'_>> = others.chain([own]).collect();
+    let mut ranked = rank(&ledger::part_of(program).to_string(), &candidates);
+    // A stable sort: the order by rank stays within both groups.
+    ranked.sort_by_key(|candidate| candidate.serves_callers);
+    let mut keepers: Vec<Keeper> = ranked
+        .into_iter()
+        .enumerate()
+        .map(|(at, candidate)| Keeper { address: candidate.address, is_first_choice: at == 0 })
         .collect();
     let is_lost =
         |keeper: &Keeper| keeper.address.is_some_and(|address| peers::is_lost(gateway, address));
--- a/crates/gateway/src/call/exchange.rs
+++ b/crates/gateway/src/call/exchange.rs
@@ -10,7 +10,7 @@
         time::within,
     },
     bytes::Bytes,
-    http::{HeaderMap, Request, Response, StatusCode, header, response},
+    http::{HeaderMap, Request, Response, header, response},
     http_body_util::{BodyExt, Full, Limited},
     hyper::body::Incoming,
     std::{
@@ -78,7 +78,6 @@
     pub(super) head: response::Parts,
     pub(super) body: Incoming,
     pub(super) lease: ConnectionLease,
-    pub(super) is_signed: bool,
 }
 
 /// Delivers a request whose answer is passed on as a whole.
@@ -171,7 +170,7 @@
     if head.status.is_success() && (!is_signed || is_encoded) {
         return Sent::Unknown(SendError::Broken);
     }
-    Sent::Answered(Box::new(Received { head, body, lease, is_signed }))
+    Sent::Answered(Box::new(Received { head, body, lease }))
 }
 
 /// Reads the rest of an answer that nobody wants, so that its connection can be used again.
@@ -193,7 +192,7 @@
     call: &Call,
     received: Received,
 ) -> Result<(response::Parts, Bytes), SendError> {
-    let Received { mut head, body, lease, is_signed } = received;
+    let Received { head, body, lease } = received;
     match within(call.deadline, Limited::new(body, ANSWER_BYTES_MAX).collect()).await {
         None => Err(SendError::TimedOut),
         Some(Err(error)) => {
@@ -202,9 +201,6 @@
         }
         Some(Ok(body)) => {
             gateway.connections.give_back(lease);
-            if !is_signed && head.status.is_success() {
-                head.status = StatusCode::BAD_GATEWAY;
-            }
             Ok((head, body.to_bytes()))
         }
     }
--- a/crates/gateway/src/call/relay.rs
+++ b/crates/gateway/src/call/relay.rs
@@ -125,7 +125,7 @@
     received: Received,
     charge: Option<TurnCharge>,
 ) -> Result<Answer, Refusal> {
-    let Received { head, body, lease, .. } = received;
+    let Received { head, body, lease } = received;
     let engine = gateway.table.borrow().as_ref().and_then(|table| {
         table.services.get(&call.service)?.engine.as_ref().map(|engine| engine.event_tokens)
     });
--- a/crates/gateway/src/ledger.rs
+++ b/crates/gateway/src/ledger.rs
@@ -41,11 +41,10 @@
 /// One ledger at this host.
 #[derive(Default)]
 pub(crate) struct Part {
+    /// `None` until its record was read: it would know nothing of earlier charges.
     ledger: Option<Ledger>,
     /// The store's revision of the record that the ledger goes on from.
     revision: Option<Revision>,
-    /// Whether the record was read: until then the ledger knows nothing of earlier charges.
-    is_read: bool,
     is_loading: bool,
     /// Whether the last attempt to read it has failed.
     is_read_failing: bool,
@@ -126,7 +125,7 @@
         let changed = {
             let mut parts = gateway.ledgers.borrow_mut();
             let state = &mut parts[part];
-            if state.is_read {
+            if state.ledger.is_some() {
                 return Loaded::Yes;
             }
             if !state.is_loading {
@@ -186,7 +185,6 @@
     let state = &mut parts[part];
     state.ledger = Some(ledger);
     state.revision = stored.map(|stored| stored.revision);
-    state.is_read = true;
     state.is_loading = false;
     state.changed.notify(usize::MAX);
 }
@@ -210,8 +208,8 @@
 fn write_if_behind(gateway: &Rc<Gateway>, part: usize) {
     let mut parts = gateway.ledgers.borrow_mut();
     let state = &mut parts[part];
-    let is_behind = state.ledger.as_ref().is_some_and(Ledger::needs_write);
-    if is_behind && !state.is_writing {
+    // A write under way looks again itself, and looking goes over all accounts.
+    if !state.is_writing && state.ledger.as_ref().is_some_and(Ledger::needs_write) {
         state.is_writing = true;
         gateway.spawn(write(gateway.clone(), part));
     }
