Charge budgets through an outage of the store once all keepers have noted it

Cause: with the store away, a ledger's first choice granted one turn beyond its record for 4 s, and half of a budget only after that.

Ruled out: a shorter wait alone (a restart of all hosts within it would leave every ledger in doubt), and a second copy of the ledgers (a store of our own).

Change: keepers with a disk note durably up to which write charges may go beyond a ledger's record; the first choice goes so far once all three have, 0.3 s after the store has failed. Who takes over finds by the notes whether charges may be missing. A record of the same writer with a later number is whole, so no clocks are compared for it. Also: - a record written while the store fails says that charges may be missing, as it may take effect late while its keeper goes on beyond it (a test granted 15 turns of 10), and is replaced at once afterwards; - a stand-in in doubt leaves the decision to a first choice that answers, instead of 402; - a write that is waited for is started also while the store is away; pauses end when any task reaches the store again.

What binds is a keeper lost in the outage: its programs have none until the store is back.

--- a/crates/core/src/budget/account.rs
+++ b/crates/core/src/budget/account.rs
@@ -1,7 +1,7 @@
 //! The account of one program.
 
 use {
-    super::{Charge, Charged, KEEP_MARGIN, TokenCount},
+    super::{AskedAs, Charge, Charged, KEEP_MARGIN, TokenCount},
     std::time::{Duration, Instant},
 };
 
@@ -71,6 +71,9 @@
         self.terms = Some(terms);
         self.used_at = now;
         self.idle_max = charge.idle_max;
+        if self.is_doubtful && charge.asked_as == AskedAs::StandInForStore {
+            return Charged::InDoubt;
+        }
         if std::mem::take(&mut self.is_doubtful) {
             // One turn may be over the budget anyway. The doubt needs no write of its own: whoever
             // takes the ledger over has it too.
@@ -83,10 +86,10 @@
         if after > terms.budget {
             return Charged::Spent;
         }
-        let beyond_max = match charge.is_first_choice {
-            false => 0,
-            true if is_outage && charge.others_are_away => terms.outage_max(),
-            true => terms.turn_max,
+        let beyond_max = match charge.asked_as {
+            AskedAs::StandIn | AskedAs::StandInForStore => 0,
+            AskedAs::FirstChoice if is_outage => terms.outage_max(),
+            AskedAs::FirstChoice => terms.turn_max,
         };
         if after.saturating_sub(self.recorded) > beyond_max {
             self.awaited = terms.turn_max;
@@ -129,7 +132,8 @@
 
     /// Takes in what another host has recorded since this one last did. That contains this host's
     /// own record, of which it may use what it has not.
-    pub(super) fn merge(&mut self, recorded: TokenCount) {
+    pub(super) fn merge(&mut self, recorded: TokenCount, is_doubtful: bool) {
+        self.is_doubtful |= is_doubtful;
         self.charged = match self.charged.checked_sub(self.recorded) {
             Some(missing) => recorded.saturating_add(missing),
             None => recorded.saturating_sub(self.recorded - self.charged),
--- a/crates/core/src/budget/mod.rs
+++ b/crates/core/src/budget/mod.rs
@@ -11,14 +11,18 @@
 //! - Charges beyond the record are granted up to the most of **one turn**. After a crash a program
 //!   can thus get at most one turn over its budget.
 //! - While the store can't be written to, charges beyond the record go up to **half of the budget**,
-//!   if that is more. Whoever takes a ledger over whose record is not recent therefore grants only
-//!   what is left after that half, for as long as programs may come back.
+//!   if that is more. Whoever takes over a ledger that may have been charged so grants only what is
+//!   left after that half, for as long as programs may come back. It knows by the age of the record,
+//!   or by the [`notes`](OutageNotes) that the keepers of a ledger take before any of them goes so far.
 
 mod account;
+mod notes;
 
 #[cfg(test)]
 mod tests;
 
+pub use notes::{LedgerPosition, OutageNote, OutageNotes};
+
 use {
     crate::ids::{Incarnation, ProgramId},
     account::Account,
@@ -31,12 +35,15 @@
 /// Counts tokens.
 pub type TokenCount = u64;
 
-/// How long the store may fail before charges beyond one turn are granted without it. Longer than all
-/// hosts take to be back after a loss of power, so that such a loss leaves no ledger in doubt.
+/// How long the store may fail before charges beyond one turn are granted without it and without the
+/// notes of all keepers. Longer than all hosts take to be back after a loss of power, so that such a
+/// loss leaves no ledger in doubt.
 const OUTAGE_AFTER: Duration = Duration::from_millis(4000);
 /// A record older than this may miss charges made while the store was away: below [`OUTAGE_AFTER`]
 /// by what clocks may differ.
 const RECENT_MAX_MS: u64 = 3500;
+/// The same where the keepers' notes can't be had: below [`AWAY_AFTER`] by what clocks may differ.
+const UNNOTED_MAX_MS: u64 = 200;
 /// How long the store fails before it is taken as away: longer than slow calls take.
 const AWAY_AFTER: Duration = Duration::from_millis(300);
 /// Time that accounts are kept beyond the time in which a program may come back.
@@ -53,12 +60,63 @@
     pub turn_max: TokenCount,
     /// How long the program may pause and come back.
     pub idle_max: Duration,
-    /// Whether the ledger's first host by rank is asked. Others may grant only what is recorded:
-    /// several keepers that don't know of each other yet must not each grant a turn beyond it.
-    pub is_first_choice: bool,
-    /// Whether the other keepers can't reach the store either. While one of them can, it grants what
-    /// is recorded, and nobody may grant half of a budget beyond the record.
-    pub others_are_away: bool,
+    /// As what the keeper is asked.
+    pub asked_as: AskedAs,
+    /// What the other keepers say. While one of them can reach the store, it grants what is recorded,
+    /// and nobody may grant half of a budget beyond the record.
+    pub others: OthersSay,
+    /// Up to which write the first choice would go beyond the record, if it has said so: what the
+    /// others are to note, and what they have noted.
+    pub beyond: Option<LedgerPosition>,
+}
+
+/// As what a keeper of a ledger is asked.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum AskedAs {
+    /// It is the ledger's first host by rank.
+    FirstChoice,
+    /// The first can't be reached. Others grant only what is recorded: several keepers that don't
+    /// know of each other yet must not each grant a turn beyond it.
+    StandIn,
+    /// The first answers, but can't reach the store. It knows what charges the record misses, so that
+    /// nobody else decides as long as any may be missing.
+    StandInForStore,
+}
+
+/// What the other keepers of a ledger say of the store, least first.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    Eq,
+    Ord,
+    PartialEq,
+    PartialOrd,
+    serde::Deserialize,
+    serde::Serialize,
+)]
+#[serde(rename_all = "snake_case")]
+pub enum OthersSay {
+    /// One of them may reach it.
+    #[default]
+    Unknown,
+    /// None that answers can reach it.
+    StoreAway,
+    /// None can reach it, and every one has noted durably that the record may miss charges.
+    StoreAwayNoted,
+}
+
+/// What a host that takes a ledger over has found.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Inherited<'a> {
+    /// The ledger's record, if there is one.
+    pub record: Option<&'a LedgerRecord>,
+    /// What keepers have noted of outages: this host, and others that it has asked.
+    pub notes: &'a [OutageNotes],
+    /// Whether no host has ever kept the ledger.
+    pub is_first: bool,
 }
 
 /// What becomes of a charge.
@@ -73,6 +131,8 @@
     Spent,
     /// It may start once the ledger has been written: ask again then.
     AfterWrite,
+    /// The first choice has to decide, which knows of charges that may be missing here.
+    InDoubt,
 }
 
 /// What lies in the store for one ledger.
@@ -102,25 +162,35 @@
     /// Until when accounts are opened as if charges were missing from the record.
     doubtful_until: Instant,
     failing_since: Option<Instant>,
+    /// The last write beyond which others have noted that charges may go.
+    noted_sequence: u64,
+    /// Whether the record in the store says that charges may be missing, and none are.
+    is_record_doubted: bool,
+    /// Whether this host is the ledger's first by rank, as the last charge said.
+    is_first_choice: bool,
 }
 
 impl Ledger {
-    /// Makes the ledger of a host that takes it over, from its record if there is one. `is_first`
-    /// says that no host has ever kept it.
+    /// Makes the ledger of a host that takes it over.
     pub fn take_over(
         now: Instant,
         wall_ms: u64,
         writer: (&str, Incarnation),
-        record: Option<&LedgerRecord>,
-        is_first: bool,
+        inherited: Inherited<'_>,
         idle_max: Duration,
     ) -> Self {
-        let is_recent = |record: &LedgerRecord| {
+        let Inherited { record, notes, is_first } = inherited;
+        let is_whole = |record: &LedgerRecord| {
             let age_ms = wall_ms.checked_sub(record.written_at_ms);
-            age_ms.is_some_and(|age_ms| age_ms <= RECENT_MAX_MS)
+            let is_recent = |max_ms| age_ms.is_some_and(|age_ms| age_ms <= max_ms);
+            match notes::has_outage(notes, record) {
+                Some(true) => false,
+                Some(false) => is_recent(RECENT_MAX_MS),
+                None => is_recent(UNNOTED_MAX_MS),
+            }
         };
         let doubtful = match record {
-            Some(record) if is_recent(record) => Duration::from_millis(record.doubtful_ms),
+            Some(record) if is_whole(record) => Duration::from_millis(record.doubtful_ms),
             None if is_first => Duration::ZERO,
             _ => idle_max + KEEP_MARGIN,
         };
@@ -132,6 +202,9 @@
             idle_max,
             doubtful_until: now + doubtful,
             failing_since: None,
+            noted_sequence: 0,
+            is_record_doubted: false,
+            is_first_choice: false,
         };
         for (program, &recorded) in record.iter().flat_map(|record| &record.charged) {
             let account = Account::recorded(now, recorded, idle_max, !doubtful.is_zero());
@@ -142,14 +215,35 @@
 
     /// Charges a turn at its most, if the budget and the record allow it.
     pub fn charge(&mut self, now: Instant, charge: &Charge) -> Charged {
-        let is_outage =
-            self.failing_since.is_some_and(|since| now.duration_since(since) >= OUTAGE_AFTER);
-        let is_doubtful = now < self.doubtful_until;
+        let is_outage = self.is_store_away(now) && self.may_go_beyond(now, charge);
+        self.is_first_choice = charge.asked_as == AskedAs::FirstChoice;
+        let is_doubtful = self.is_in_doubt(now);
         let open = || Account::new(now, is_doubtful);
         let account = self.accounts.entry(charge.program.clone()).or_insert_with(open);
         account.charge(now, charge, is_outage)
     }
 
+    /// Returns whether others know enough for charges far beyond the record.
+    fn may_go_beyond(&mut self, now: Instant, charge: &Charge) -> bool {
+        match (charge.others, &charge.beyond) {
+            (OthersSay::Unknown, _) => false,
+            // A write that began after the notes may still take effect, and would seem whole.
+            (OthersSay::StoreAwayNoted, Some(noted))
+                if noted.writer == self.writer && self.sequence <= noted.sequence =>
+            {
+                self.noted_sequence = noted.sequence;
+                true
+            }
+            _ => self.failing_since.is_some_and(|since| now.duration_since(since) >= OUTAGE_AFTER),
+        }
+    }
+
+    /// Returns up to which write charges would go beyond the record: this one and the next, which
+    /// may begin at any time.
+    pub fn beyond(&self) -> LedgerPosition {
+        LedgerPosition { writer: self.writer.clone(), sequence: self.sequence + 1 }
+    }
+
     /// Gives back what a turn did not use.
     pub fn refund(&mut self, now: Instant, program: &str, tokens: TokenCount) {
         if let Some(account) = self.accounts.get_mut(program) {
@@ -157,9 +251,19 @@
         }
     }
 
-    /// Returns whether the record lags so far behind that turns may have to wait for it.
+    /// Returns whether the record lags so far behind that turns may have to wait for it, or whether
+    /// the store may still be away.
     pub fn needs_write(&self) -> bool {
-        self.accounts.values().any(Account::needs_write)
+        self.failing_since.is_some()
+            || self.is_doubted_for_nothing()
+            || self.accounts.values().any(Account::needs_write)
+    }
+
+    /// Returns whether a successor would take the record over in doubt although no charge is missing.
+    /// It should be replaced at once.
+    pub fn is_doubted_for_nothing(&self) -> bool {
+        let is_noted = 0 < self.sequence && self.sequence <= self.noted_sequence;
+        self.failing_since.is_none() && (self.is_record_doubted || is_noted)
     }
 
     /// Returns the record to write, without the accounts of programs that won't come back.
@@ -168,18 +272,23 @@
         self.sequence += 1;
         let charged =
             self.accounts.iter().map(|(program, account)| (program.clone(), account.to_record()));
+        // Seen from here the write may fail and take effect all the same, while charges go beyond it.
+        let doubtful = match self.failing_since {
+            Some(_) => self.idle_max + KEEP_MARGIN,
+            None => self.doubtful_until.saturating_duration_since(now),
+        };
         LedgerRecord {
             writer: self.writer.clone(),
             sequence: self.sequence,
             written_at_ms: wall_ms,
-            doubtful_ms: self.doubtful_until.saturating_duration_since(now).as_millis() as u64,
+            doubtful_ms: doubtful.as_millis() as u64,
             charged: charged.collect(),
         }
     }
 
     /// Notes that a record is in the store.
     pub fn written(&mut self, record: &LedgerRecord) {
-        self.failing_since = None;
+        self.is_record_doubted = self.failing_since.take().is_some();
         for (program, &recorded) in &record.charged {
             if let Some(account) = self.accounts.get_mut(program) {
                 account.written(recorded);
@@ -187,9 +296,9 @@
         }
     }
 
-    /// Notes that the store could not be written to.
-    pub fn write_failed(&mut self, now: Instant) {
-        self.failing_since.get_or_insert(now);
+    /// Notes that the store could not be written to by an attempt that began at this time.
+    pub fn write_failed(&mut self, began: Instant) {
+        self.failing_since.get_or_insert(began);
     }
 
     /// Returns whether the store could not be written to for a while.
@@ -197,19 +306,32 @@
         self.failing_since.is_some_and(|since| now.duration_since(since) >= AWAY_AFTER)
     }
 
+    /// Returns whether accounts are opened as if charges were missing.
+    pub fn is_in_doubt(&self, now: Instant) -> bool {
+        now < self.doubtful_until
+    }
+
     /// Returns whether a record is one of this ledger's own writes.
     pub fn is_own(&self, record: &LedgerRecord) -> bool {
         record.writer == self.writer
     }
 
     /// Takes in the record of another host that wrote in between. Charges of this host that no
-    /// record has are added to it.
-    pub fn merge(&mut self, now: Instant, record: &LedgerRecord) {
+    /// record has are added to it. `notes` are this host's own.
+    pub fn merge(&mut self, now: Instant, record: &LedgerRecord, notes: OutageNotes) {
+        // The first choice alone goes far beyond a record, and knows what it has charged.
+        let doubtful = match notes::has_outage(&[notes], record) {
+            _ if self.is_first_choice => Duration::ZERO,
+            Some(true) => self.idle_max + KEEP_MARGIN,
+            _ => Duration::from_millis(record.doubtful_ms),
+        };
+        self.doubtful_until = self.doubtful_until.max(now + doubtful);
         for (program, &recorded) in &record.charged {
+            let is_doubtful = !doubtful.is_zero();
             match self.accounts.get_mut(program) {
-                Some(account) => account.merge(recorded),
+                Some(account) => account.merge(recorded, is_doubtful),
                 None => {
-                    let account = Account::recorded(now, recorded, self.idle_max, false);
+                    let account = Account::recorded(now, recorded, self.idle_max, is_doubtful);
                     self.accounts.insert(program.clone(), account);
                 }
             }
--- a/crates/gateway/src/call/budget.rs
+++ b/crates/gateway/src/call/budget.rs
@@ -4,7 +4,7 @@
     super::Call,
     crate::{
         gateway::Gateway,
-        ledger,
+        ledger::{self, KEEPERS, Keeper},
         peers::{self, ChargeDecision, Question, Reply},
     },
     serde_json::json,
@@ -16,9 +16,8 @@
         time::{Duration, Instant},
     },
     trefoilring_core::{
-        budget::{Charge, TokenCount},
+        budget::{AskedAs, Charge, OthersSay, TokenCount},
         ids::ProgramId,
-        rendezvous::rank,
         verdict::{Reason, Refusal},
     },
     trefoilring_observe::decisions::Weight,
@@ -34,8 +33,6 @@
 const CHARGE_SLOW: Duration = Duration::from_millis(50);
 /// Time beyond the host's own for the answer to come back.
 const CHARGE_TRANSIT: Duration = Duration::from_millis(130);
-/// Hosts that are asked to decide on a charge before the request is refused.
-const KEEPERS_MAX: usize = 3;
 /// Time over which refunds are gathered into one message.
 const REFUND_EVERY: Duration = Duration::from_millis(250);
 /// How long a host may take to note refunds.
@@ -101,24 +98,31 @@
         budget,
         turn_max: generation.output_tokens_max,
         idle_max: call.route.program_idle.unwrap_or(IDLE_MAX_DEFAULT),
-        is_first_choice: true,
-        others_are_away: false,
+        asked_as: AskedAs::StandIn,
+        others: OthersSay::Unknown,
+        beyond: None,
     };
     let began = Instant::now();
-    let mut keepers = keepers(gateway, &charge.program);
-    keepers.truncate(KEEPERS_MAX);
+    let keepers = keepers(gateway, ledger::part_of(&charge.program));
     // When all have said that the store is away, the first choice may go beyond its record.
-    let again = keepers.iter().find(|keeper| keeper.is_first_choice).copied();
-    let (asked, mut are_away) = (keepers.len(), true);
+    let again = keepers.iter().find(|keeper| keeper.rank == 0).copied();
+    let asked = keepers.len();
+    let mut others = OthersSay::StoreAwayNoted;
     for (tries, keeper) in keepers.into_iter().map(Some).chain([again]).enumerate() {
-        let Some(Keeper { address: keeper, is_first_choice }) = keeper else { break };
-        charge.others_are_away = tries == asked;
-        if charge.others_are_away && !are_away {
-            break;
+        let Some(Keeper { address: keeper, rank }) = keeper else { break };
+        if tries == asked {
+            if others == OthersSay::Unknown {
+                break;
+            }
+            charge.others = others;
         }
-        charge.is_first_choice = is_first_choice;
+        charge.asked_as = match rank {
+            0 => AskedAs::FirstChoice,
+            _ if charge.beyond.is_some() => AskedAs::StandInForStore,
+            _ => AskedAs::StandIn,
+        };
         let decision = charge_at(gateway, keeper, &charge, call.time_left()).await;
-        note(gateway, call, keeper, tries, decision, began.elapsed());
+        note(gateway, call, keeper, tries, decision.as_ref(), began.elapsed());
         match decision {
             Some(ChargeDecision::Granted { is_new }) => {
                 return Ok(Some(TurnCharge {
@@ -134,8 +138,12 @@
                 let detail = format!("the program's budget of {budget} tokens is spent");
                 return Err(Refusal::not_run(Reason::BudgetSpent, detail));
             }
-            Some(ChargeDecision::StoreAway) | None => {}
-            Some(ChargeDecision::Undecided) => are_away = false,
+            Some(ChargeDecision::StoreAway { beyond, .. }) if rank == 0 => charge.beyond = beyond,
+            // Whoever takes the ledger over asks the first by rank for their notes.
+            Some(ChargeDecision::StoreAway { is_noted: true, .. }) if rank < KEEPERS => {}
+            Some(ChargeDecision::StoreAway { .. }) => others = others.min(OthersSay::StoreAway),
+            None => others = others.min(OthersSay::StoreAway),
+            Some(ChargeDecision::Undecided) => others = OthersSay::Unknown,
         }
     }
     let detail = "no host can tell what the program has spent";
@@ -148,7 +156,7 @@
     call: &Call,
     keeper: Option<SocketAddr>,
     tries: usize,
-    decision: Option<ChargeDecision>,
+    decision: Option<&ChargeDecision>,
     took: Duration,
 ) {
     if matches!(decision, Some(ChargeDecision::Granted { .. })) && tries == 0 && took < CHARGE_SLOW
@@ -197,55 +205,13 @@
     Some(ChargeDecision::Undecided)
 }
 
-/// A host that may keep a ledger.
-#[derive(Clone, Copy)]
-struct Keeper {
-    /// Where it is; `None` is this host.
-    address: Option<SocketAddr>,
-    /// Whether it comes first by rank, whoever can be reached.
-    is_first_choice: bool,
-}
-
-/// A host to rank.
-struct Candidate<'a> {
-    host: &'a str,
-    serves_callers: bool,
-    /// Where it is; `None` is this host.
-    address: Option<SocketAddr>,
-}
-
-impl AsRef<str> for Candidate<'_> {
-    fn as_ref(&self) -> &str {
-        self.host
-    }
-}
-
-/// Returns the hosts that may keep a program's ledger, best first: hosts without callers before
-/// others, those that nobody reaches last.
-fn keepers(gateway: &Gateway, program: &str) -> Vec<Keeper> {
-    let roster = gateway.roster.borrow();
-    let others = roster.others().map(|(host, of)| Candidate {
-        host,
-        serves_callers: of.serves_callers,
-        address: Some(of.address),
-    });
-    let own = Candidate {
-        host: &gateway.settings.host,
-        serves_callers: gateway.settings.callers_listen.is_some(),
-        address: None,
-    };
-    let candidates: Vec<Candidate<'_>> = others.chain([own]).collect();
-    let mut ranked = rank(&ledger::part_of(program).to_string(), &candidates);
-    // A stable sort: the order by rank stays within both groups.
-    ranked.sort_by_key(|candidate| candidate.serves_callers);
-    let mut keepers: Vec<Keeper> = ranked
-        .into_iter()
-        .enumerate()
-        .map(|(at, candidate)| Keeper { address: candidate.address, is_first_choice: at == 0 })
-        .collect();
+/// Returns the hosts that decide on charges to a ledger, best first: those that nobody reaches last.
+fn keepers(gateway: &Gateway, part: usize) -> Vec<Keeper> {
+    let mut keepers = ledger::keepers(gateway, part);
     let is_lost =
         |keeper: &Keeper| keeper.address.is_some_and(|address| peers::is_lost(gateway, address));
     keepers.sort_by_cached_key(is_lost);
+    keepers.truncate(KEEPERS);
     keepers
 }
 
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -8,10 +8,12 @@
         front,
         http::Connections,
         ledger::{LEDGERS, Part},
+        outage_notes::NoteBook,
         peers, roster,
         settings::GatewaySettings,
         status,
         store::{Directory, Store, StoredObject},
+        time::within,
         watch,
     },
     event_listener::Event,
@@ -110,6 +112,7 @@
     pub(crate) shares: RefCell<Shares>,
     pub(crate) borrowings: RefCell<Borrowings>,
     pub(crate) ledgers: RefCell<[Part; LEDGERS]>,
+    pub(crate) outage_notes: NoteBook,
     pub(crate) refunds: RefCell<Refunds>,
     /// Hosts that did not answer and have not since.
     pub(crate) suspects: RefCell<HashSet<SocketAddr>>,
@@ -128,6 +131,8 @@
     pub(crate) bound: Cell<Option<Bound>>,
     /// Whether all upstreams were listed once.
     pub(crate) has_upstreams: Cell<bool>,
+    /// Tells tasks that pause after a failure of the store that it answers again.
+    pub(crate) store_answers: Event,
     pub(crate) stage: Cell<Stage>,
     /// Tells the listener for callers that no more connections are taken.
     pub(crate) closing: Event,
@@ -144,7 +149,7 @@
     ///
     /// # Errors
     ///
-    /// Fails if an address can't be bound.
+    /// Fails if an address can't be bound or the data folder can't be used.
     pub fn run(
         settings: GatewaySettings,
         adapter: impl FnOnce(Rc<Connections>) -> Adapter,
@@ -169,6 +174,7 @@
             shares: RefCell::default(),
             borrowings: RefCell::default(),
             ledgers: RefCell::default(),
+            outage_notes: NoteBook::open(settings.data_folder.clone(), settings.is_first_start)?,
             refunds: RefCell::default(),
             suspects: RefCell::default(),
             lost: RefCell::default(),
@@ -179,6 +185,7 @@
             metrics: Metrics::default(),
             decisions,
             closing: Event::new(),
+            store_answers: Event::new(),
             is_accepting: Cell::new(false),
             bound: Cell::new(None),
             has_upstreams: Cell::new(false),
@@ -190,6 +197,11 @@
         smol::block_on(executor.run(gateway.serve(read_settings, commands, on_bound)))
     }
 
+    /// Pauses after a failure of the store, until another task has reached it or the time is over.
+    pub(crate) async fn until_store_answers(&self, pause: Duration) {
+        within(Instant::now() + pause, self.store_answers.listen()).await;
+    }
+
     async fn serve(
         self: &Rc<Self>,
         read_settings: ReadSettings,
--- a/crates/gateway/src/ledger.rs
+++ b/crates/gateway/src/ledger.rs
@@ -6,7 +6,7 @@
 use {
     crate::{
         gateway::Gateway,
-        peers::ChargeDecision,
+        peers::{self, ChargeDecision, Question, Reply},
         store::{Collection, Revision, StoreError, StoredObject},
         time::within,
     },
@@ -14,13 +14,17 @@
     serde_json::json,
     smol::Timer,
     std::{
+        net::SocketAddr,
         rc::Rc,
         time::{Duration, Instant},
     },
     trefoilring_core::{
-        budget::{Charge, Charged, Ledger, LedgerRecord, TokenCount},
+        budget::{
+            AskedAs, Charge, Charged, Inherited, Ledger, LedgerRecord, OthersSay, OutageNotes,
+            TokenCount,
+        },
         ids::ProgramId,
-        rendezvous::Point,
+        rendezvous::{Point, rank},
     },
     trefoilring_observe::{decisions::Weight, log::wall_us},
 };
@@ -38,6 +42,12 @@
 /// The longest such pause.
 const PAUSE_MAX: Duration = Duration::from_millis(800);
 
+/// Hosts that keep a ledger in turn: the first by rank, and those that stand in for it. All of them
+/// note an outage before charges go far beyond the record.
+pub(crate) const KEEPERS: usize = 3;
+/// How long keepers are asked for their notes when a ledger is taken over.
+const NOTES_TIMEOUT: Duration = Duration::from_millis(300);
+
 /// One ledger at this host.
 #[derive(Default)]
 pub(crate) struct Part {
@@ -54,11 +64,62 @@
     changed: Rc<Event>,
 }
 
+impl Part {
+    /// Returns whether the store has failed this ledger for a while.
+    fn is_store_away(&self) -> bool {
+        let is_away = |ledger: &Ledger| ledger.is_store_away(Instant::now());
+        self.is_read_failing || self.ledger.as_ref().is_some_and(is_away)
+    }
+}
+
 /// Returns the part of a program.
 pub(crate) fn part_of(program: &str) -> usize {
     (Point::new(program).weight(Point::new("")) % LEDGERS as u64) as usize
 }
 
+/// A host that may keep a ledger.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Keeper {
+    /// Where it is; `None` is this host.
+    pub(crate) address: Option<SocketAddr>,
+    /// Its place by rank, from zero, whoever can be reached.
+    pub(crate) rank: usize,
+}
+
+/// A host to rank.
+struct Candidate<'a> {
+    host: &'a str,
+    serves_callers: bool,
+    address: Option<SocketAddr>,
+}
+
+impl AsRef<str> for Candidate<'_> {
+    fn as_ref(&self) -> &str {
+        self.host
+    }
+}
+
+/// Returns the hosts that may keep a ledger, best first: hosts without callers before others.
+pub(crate) fn keepers(gateway: &Gateway, part: usize) -> Vec<Keeper> {
+    let roster = gateway.roster.borrow();
+    let others = roster.others().map(|(host, of)| Candidate {
+        host,
+        serves_callers: of.serves_callers,
+        address: Some(of.address),
+    });
+    let own = Candidate {
+        host: &gateway.settings.host,
+        serves_callers: gateway.settings.callers_listen.is_some(),
+        address: None,
+    };
+    let candidates: Vec<Candidate<'_>> = others.chain([own]).collect();
+    let mut ranked = rank(&part.to_string(), &candidates);
+    // A stable sort: the order by rank stays within both groups.
+    ranked.sort_by_key(|candidate| candidate.serves_callers);
+    let addresses = ranked.into_iter().map(|candidate| candidate.address);
+    addresses.enumerate().map(|(rank, address)| Keeper { address, rank }).collect()
+}
+
 /// Charges a turn, if that can be decided in time.
 pub(crate) async fn charge(
     gateway: &Rc<Gateway>,
@@ -66,10 +127,34 @@
     deadline: Instant,
 ) -> ChargeDecision {
     let part = part_of(&charge.program);
+    // Each host notes what the first choice is to do, itself too, before that does it.
+    let is_noted = match &charge.beyond {
+        Some(beyond) => gateway.outage_notes.note(part, beyond).await,
+        None => false,
+    };
+    let others = match charge.others {
+        OthersSay::StoreAwayNoted if !is_noted => OthersSay::StoreAway,
+        others => others,
+    };
+    let mut decision = decide(gateway, part, &Charge { others, ..charge.clone() }, deadline).await;
+    if let ChargeDecision::StoreAway { is_noted: noted, .. } = &mut decision {
+        *noted = is_noted;
+    }
+    decision
+}
+
+async fn decide(
+    gateway: &Rc<Gateway>,
+    part: usize,
+    charge: &Charge,
+    deadline: Instant,
+) -> ChargeDecision {
     match load(gateway, part, charge.idle_max, deadline).await {
         Loaded::Yes => {}
         Loaded::NotYet => return ChargeDecision::Undecided,
-        Loaded::StoreAway => return ChargeDecision::StoreAway,
+        Loaded::StoreAway => {
+            return ChargeDecision::StoreAway { is_noted: false, beyond: None };
+        }
     }
     loop {
         let changed = {
@@ -79,6 +164,8 @@
             let now = Instant::now();
             let charged = ledger.charge(now, charge);
             let is_store_away = ledger.is_store_away(now);
+            let is_first_choice = charge.asked_as == AskedAs::FirstChoice;
+            let beyond = is_first_choice.then(|| ledger.beyond());
             match charged {
                 Charged::Granted { is_new } => {
                     drop(parts);
@@ -86,7 +173,12 @@
                     return ChargeDecision::Granted { is_new };
                 }
                 Charged::Spent => return ChargeDecision::Spent,
-                Charged::AfterWrite if is_store_away => return ChargeDecision::StoreAway,
+                Charged::InDoubt => return ChargeDecision::Undecided,
+                Charged::AfterWrite if is_store_away => {
+                    drop(parts);
+                    write_if_behind(gateway, part);
+                    return ChargeDecision::StoreAway { is_noted: false, beyond };
+                }
                 Charged::AfterWrite => state.changed.clone(),
             }
         };
@@ -132,10 +224,11 @@
                 state.is_loading = true;
                 gateway.spawn(read(gateway.clone(), part, idle_max));
             }
-            if state.is_read_failing {
+            let changed = state.changed.clone();
+            if parts.iter().any(Part::is_store_away) {
                 return Loaded::StoreAway;
             }
-            state.changed.clone()
+            changed
         };
         if within(deadline, changed.listen()).await.is_none() {
             return Loaded::NotYet;
@@ -156,18 +249,24 @@
                     parts[part].is_read_failing = true;
                     parts[part].changed.notify(usize::MAX);
                 }
-                Timer::after(pause).await;
+                gateway.until_store_answers(pause).await;
                 pause = (pause * 2).min(PAUSE_MAX);
             }
         }
     };
+    gateway.store_answers.notify(usize::MAX);
     let record = stored.as_ref().and_then(record_of);
+    let notes = notes(&gateway, part).await;
+    let inherited = Inherited {
+        record: record.as_ref(),
+        notes: &notes,
+        is_first: stored.is_none() && gateway.settings.is_first_start,
+    };
     let ledger = Ledger::take_over(
         Instant::now(),
         wall_us() / 1000,
         (&gateway.settings.host, gateway.incarnation),
-        record.as_ref(),
-        stored.is_none() && gateway.settings.is_first_start,
+        inherited,
         idle_max,
     );
     gateway.decisions.note(
@@ -177,6 +276,9 @@
             "ledger": name,
             "what": "taken over",
             "from": record.as_ref().map(|record| &record.writer),
+            "written_at_ms": record.as_ref().map(|record| record.written_at_ms),
+            "notes": notes,
+            "is_in_doubt": ledger.is_in_doubt(Instant::now()),
             "accounts": ledger.len(),
             "revision": stored.as_ref().map(|stored| stored.revision),
         }),
@@ -185,11 +287,31 @@
     let state = &mut parts[part];
     state.ledger = Some(ledger);
     state.revision = stored.map(|stored| stored.revision);
-    state.is_loading = false;
+    (state.is_loading, state.is_read_failing) = (false, false);
     state.changed.notify(usize::MAX);
 }
 
-fn name(part: usize) -> String {
+/// Returns what is noted of a ledger here, or at its keepers if that can't be enough.
+async fn notes(gateway: &Rc<Gateway>, part: usize) -> Vec<OutageNotes> {
+    let own = gateway.outage_notes.of(part);
+    let keepers = keepers(gateway, part);
+    let is_keeper = keepers.iter().take(KEEPERS).any(|keeper| keeper.address.is_none());
+    if is_keeper && matches!(own, OutageNotes::Taken { since_ms: 0, .. }) {
+        return vec![own];
+    }
+    let mut notes = if is_keeper { vec![own] } else { Vec::new() };
+    for address in keepers.iter().take(KEEPERS).filter_map(|keeper| keeper.address) {
+        let question = Question::OutageNotes { part };
+        match peers::reach(gateway, address, question, NOTES_TIMEOUT).await {
+            Some(Reply::OutageNotes { notes: of }) => notes.push(of),
+            _ => log::warn!("{}: no notes of outages from {address}", name(part)),
+        }
+    }
+    notes
+}
+
+/// The name of a ledger in the store and in notes.
+pub(crate) fn name(part: usize) -> String {
     format!("ledger-{part}")
 }
 
@@ -230,8 +352,9 @@
             (ledger.record(Instant::now(), wall_us() / 1000), state.revision)
         };
         let content = json!(record);
+        let began = Instant::now();
         let put = gateway.adapter.store.put(Collection::Ledgers, &name, revision, content).await;
-        match settle(&gateway, part, &record, put) {
+        match settle(&gateway, part, &record, began, put) {
             Written::Done => {
                 pause = PAUSE_MIN;
                 wait_for_next(&gateway, part).await;
@@ -239,7 +362,7 @@
             // At once: another keeper that writes at the same pace would be first again.
             Written::Merged => {}
             Written::Failed => {
-                Timer::after(pause).await;
+                gateway.until_store_answers(pause).await;
                 pause = (pause * 2).min(PAUSE_MAX);
             }
         }
@@ -262,9 +385,9 @@
     gateway: &Gateway,
     part: usize,
     record: &LedgerRecord,
+    began: Instant,
     put: Result<Revision, StoreError>,
 ) -> Written {
-    let now = Instant::now();
     let mut parts = gateway.ledgers.borrow_mut();
     let state = &mut parts[part];
     let Some(ledger) = state.ledger.as_mut() else { return Written::Failed };
@@ -286,7 +409,7 @@
                         "ledger",
                         json!({"ledger": name(part), "what": "merged", "from": other.writer}),
                     );
-                    ledger.merge(now, &other);
+                    ledger.merge(Instant::now(), &other, gateway.outage_notes.of(part));
                 }
                 None => {}
             }
@@ -294,10 +417,13 @@
         }
         Err(error) => {
             log::warn!("{} is not written: {error}", name(part));
-            ledger.write_failed(now);
+            ledger.write_failed(began);
             Written::Failed
         }
     };
+    if outcome != Written::Failed {
+        gateway.store_answers.notify(usize::MAX);
+    }
     let metric = match outcome {
         Written::Done => "ledger_writes",
         Written::Merged => "ledger_merges",
@@ -308,8 +434,13 @@
     outcome
 }
 
-/// Lets charges gather before the next write, unless turns wait for it.
+/// Lets charges gather before the next write, unless turns wait for it or a successor should not find
+/// the last one.
 async fn wait_for_next(gateway: &Gateway, part: usize) {
+    let is_doubted = |part: &Part| part.ledger.as_ref().is_some_and(Ledger::is_doubted_for_nothing);
+    if is_doubted(&gateway.ledgers.borrow()[part]) {
+        return;
+    }
     Timer::after(WRITE_EVERY_URGENT).await;
     let end = Instant::now() + WRITE_EVERY - WRITE_EVERY_URGENT;
     while Instant::now() < end && gateway.ledgers.borrow()[part].waiting == 0 {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod http;
 mod ledger;
 mod listen;
+mod outage_notes;
 mod peers;
 mod roster;
 pub mod settings;
--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/peers/message.rs
@@ -4,7 +4,7 @@
     crate::store::StoredObject,
     std::{net::SocketAddr, time::Duration},
     trefoilring_core::{
-        budget::{Charge, TokenCount},
+        budget::{Charge, LedgerPosition, OutageNotes, TokenCount},
         ids::{ConfigVersion, HostId, ProgramId, TeamId},
         placement::UpstreamRecord,
         roster::HostRecord,
@@ -23,6 +23,8 @@
     Charge { charge: Charge, wait: Duration },
     /// Take back what turns did not use.
     Refund { refunds: Vec<(ProgramId, TokenCount)> },
+    /// Tell me what you have noted of a ledger.
+    OutageNotes { part: usize },
     /// Give me a newer configuration than this version.
     Configuration { newer_than: Option<ConfigVersion> },
     /// Give me the upstreams that you know.
@@ -45,6 +47,8 @@
     Lent { tokens: f64 },
     /// What became of the charge.
     Charged { decision: ChargeDecision },
+    /// The notes.
+    OutageNotes { notes: OutageNotes },
     /// The configuration, if there is a newer one.
     Configuration { object: Option<StoredObject> },
     /// The upstreams.
@@ -56,7 +60,7 @@
 }
 
 /// What became of a charge.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
 #[serde(rename_all = "snake_case")]
 pub(crate) enum ChargeDecision {
     /// The turn may start.
@@ -69,5 +73,11 @@
     /// The ledger has to be read or written first, which takes longer.
     Undecided,
     /// The same, and the store can't be reached from here.
-    StoreAway,
+    StoreAway {
+        /// Whether this host has noted what it was asked to.
+        is_noted: bool,
+        /// Up to which write this host would go beyond the record, if it keeps the ledger as its
+        /// first choice.
+        beyond: Option<LedgerPosition>,
+    },
 }
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -94,6 +94,9 @@
             ledger::refund(gateway, &refunds);
             Reply::Done
         }
+        Question::OutageNotes { part } => {
+            Reply::OutageNotes { notes: gateway.outage_notes.of(part) }
+        }
         Question::Configuration { newer_than } => {
             Reply::Configuration { object: watch::newer_configuration(gateway, newer_than) }
         }
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -1,7 +1,7 @@
 //! Settings of one gateway, checked.
 
 use {
-    std::{net::SocketAddr, time::Duration},
+    std::{net::SocketAddr, path::PathBuf, time::Duration},
     trefoilring_core::ids::{DomainId, HostId},
 };
 
@@ -24,6 +24,8 @@
     pub metrics_listen: SocketAddr,
     /// Peer addresses of some hosts, of use while the store can't be reached. May be stale.
     pub seeds: Vec<SocketAddr>,
+    /// Where this host may keep files over restarts; `None` if it has no disk.
+    pub data_folder: Option<PathBuf>,
     /// Whether the whole system starts for the first time, with nothing in the store.
     pub is_first_start: bool,
     /// How long a planned stop may take.
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -79,6 +79,7 @@
             Ok(reached) => {
                 if let Some(length) = outage.ended(Instant::now()) {
                     note_store(&gateway, collection, "regained", &length, None);
+                    gateway.store_answers.notify(usize::MAX);
                 }
                 revision = Some(reached);
                 backoff = Backoff::new();
