Note an outage only where the store is away, and ask others for lost notes

Change: a stand-in notes only when it says that the store is away; "in doubt" is an answer of its own, and holds for 1.5 s after a takeover; a host without notes that reach back reads the hosts from the store once and asks the keepers until their notes are enough, for two seconds at most.

--- a/crates/core/src/budget/account.rs
+++ b/crates/core/src/budget/account.rs
@@ -71,9 +71,6 @@
         self.terms = Some(terms);
         self.used_at = now;
         self.idle_max = charge.idle_max;
-        if self.is_doubtful && charge.asked_as == AskedAs::StandInForStore {
-            return Charged::InDoubt;
-        }
         if std::mem::take(&mut self.is_doubtful) {
             // One turn may be over the budget anyway. The doubt needs no write of its own: whoever
             // takes the ledger over has it too.
@@ -101,6 +98,10 @@
         Charged::Granted { is_new }
     }
 
+    pub(super) fn is_doubtful(&self) -> bool {
+        self.is_doubtful
+    }
+
     pub(super) fn refund(&mut self, now: Instant, tokens: TokenCount) {
         self.charged = self.charged.saturating_sub(tokens);
         self.used_at = now;
--- a/crates/core/src/budget/mod.rs
+++ b/crates/core/src/budget/mod.rs
@@ -46,6 +46,9 @@
 const UNNOTED_MAX_MS: u64 = 200;
 /// How long the store fails before it is taken as away: longer than slow calls take.
 const AWAY_AFTER: Duration = Duration::from_millis(300);
+/// How long after taking a ledger over in doubt a stand-in leaves decisions to a first choice that can't
+/// reach the store: longer than it takes to notice that an outage is over.
+const FIRST_CHOICE_BACK_WITHIN: Duration = Duration::from_millis(1500);
 /// Time that accounts are kept beyond the time in which a program may come back.
 const KEEP_MARGIN: Duration = Duration::from_secs(10);
 
@@ -80,7 +83,7 @@
     /// know of each other yet must not each grant a turn beyond it.
     StandIn,
     /// The first answers, but can't reach the store. It knows what charges the record misses, so that
-    /// nobody else decides as long as any may be missing.
+    /// others that are in doubt leave it some time to be back.
     StandInForStore,
 }
 
@@ -159,6 +162,7 @@
     accounts: HashMap<ProgramId, Account>,
     /// How long programs may pause that have not said so.
     idle_max: Duration,
+    taken_over_at: Instant,
     /// Until when accounts are opened as if charges were missing from the record.
     doubtful_until: Instant,
     failing_since: Option<Instant>,
@@ -200,6 +204,7 @@
             sequence: 0,
             accounts: HashMap::new(),
             idle_max,
+            taken_over_at: now,
             doubtful_until: now + doubtful,
             failing_since: None,
             noted_sequence: 0,
@@ -218,8 +223,13 @@
         let is_outage = self.is_store_away(now) && self.may_go_beyond(now, charge);
         self.is_first_choice = charge.asked_as == AskedAs::FirstChoice;
         let is_doubtful = self.is_in_doubt(now);
+        let is_left_to_first = charge.asked_as == AskedAs::StandInForStore
+            && now.duration_since(self.taken_over_at) < FIRST_CHOICE_BACK_WITHIN;
         let open = || Account::new(now, is_doubtful);
         let account = self.accounts.entry(charge.program.clone()).or_insert_with(open);
+        if is_left_to_first && account.is_doubtful() {
+            return Charged::InDoubt;
+        }
         account.charge(now, charge, is_outage)
     }
 
--- a/crates/core/src/budget/notes.rs
+++ b/crates/core/src/budget/notes.rs
@@ -45,6 +45,13 @@
     },
 }
 
+impl OutageNotes {
+    /// Returns whether notes tell if charges beyond a record were noted.
+    pub fn are_enough(notes: &[Self], record: &LedgerRecord) -> bool {
+        has_outage(notes, record).is_some()
+    }
+}
+
 /// Returns whether charges beyond a record were noted; `None` if no notes reach back far enough to
 /// tell.
 pub(super) fn has_outage(notes: &[OutageNotes], record: &LedgerRecord) -> Option<bool> {
--- a/crates/core/src/budget/tests.rs
+++ b/crates/core/src/budget/tests.rs
@@ -203,7 +203,7 @@
 }
 
 #[test]
-fn stand_in_in_doubt_leaves_the_decision_to_a_first_choice_that_answers() {
+fn stand_in_in_doubt_leaves_a_first_choice_that_answers_time_to_be_back() {
     let now = Instant::now();
     let mut ledger = first(now);
     let record = write(&mut ledger, now, 100_000);
@@ -213,6 +213,9 @@
     let asked_as = |asked_as| Charge { asked_as, ..charge("p", 3 * TURN) };
     assert_eq!(next.charge(now, &asked_as(AskedAs::StandInForStore)), Charged::InDoubt);
     assert_eq!(next.charge(now, &asked_as(AskedAs::StandIn)), Charged::AfterWrite);
+    let mut other = Ledger::take_over(now, 101_000, ("host-3", 1), inherited, IDLE);
+    let later = now + FIRST_CHOICE_BACK_WITHIN;
+    assert_eq!(other.charge(later, &asked_as(AskedAs::StandInForStore)), Charged::AfterWrite);
 }
 
 #[test]
--- a/crates/gateway/src/call/budget.rs
+++ b/crates/gateway/src/call/budget.rs
@@ -143,7 +143,9 @@
             Some(ChargeDecision::StoreAway { is_noted: true, .. }) if rank < KEEPERS => {}
             Some(ChargeDecision::StoreAway { .. }) => others = others.min(OthersSay::StoreAway),
             None => others = others.min(OthersSay::StoreAway),
-            Some(ChargeDecision::Undecided) => others = OthersSay::Unknown,
+            Some(ChargeDecision::Undecided | ChargeDecision::InDoubt) => {
+                others = OthersSay::Unknown;
+            }
         }
     }
     let detail = "no host can tell what the program has spent";
--- a/crates/gateway/src/ledger.rs
+++ b/crates/gateway/src/ledger.rs
@@ -7,6 +7,7 @@
     crate::{
         gateway::Gateway,
         peers::{self, ChargeDecision, Question, Reply},
+        roster,
         store::{Collection, Revision, StoreError, StoredObject},
         time::within,
     },
@@ -45,8 +46,13 @@
 /// Hosts that keep a ledger in turn: the first by rank, and those that stand in for it. All of them
 /// note an outage before charges go far beyond the record.
 pub(crate) const KEEPERS: usize = 3;
-/// How long keepers are asked for their notes when a ledger is taken over.
+/// How long one keeper may take to tell its notes.
 const NOTES_TIMEOUT: Duration = Duration::from_millis(300);
+/// Time between two rounds of asking keepers for their notes.
+const NOTES_EVERY: Duration = Duration::from_millis(100);
+/// How long a host without notes of its own waits for those of others before it takes a ledger over in
+/// doubt: processes that are started together are there within a second.
+const NOTES_WAIT: Duration = Duration::from_secs(2);
 
 /// One ledger at this host.
 #[derive(Default)]
@@ -127,18 +133,18 @@
     deadline: Instant,
 ) -> ChargeDecision {
     let part = part_of(&charge.program);
-    // Each host notes what the first choice is to do, itself too, before that does it.
-    let is_noted = match &charge.beyond {
+    let note = async || match &charge.beyond {
         Some(beyond) => gateway.outage_notes.note(part, beyond).await,
         None => false,
     };
+    // The first choice, too, notes what it is to do before it does it.
     let others = match charge.others {
-        OthersSay::StoreAwayNoted if !is_noted => OthersSay::StoreAway,
+        OthersSay::StoreAwayNoted if !note().await => OthersSay::StoreAway,
         others => others,
     };
     let mut decision = decide(gateway, part, &Charge { others, ..charge.clone() }, deadline).await;
-    if let ChargeDecision::StoreAway { is_noted: noted, .. } = &mut decision {
-        *noted = is_noted;
+    if let ChargeDecision::StoreAway { is_noted, .. } = &mut decision {
+        *is_noted = note().await;
     }
     decision
 }
@@ -173,7 +179,7 @@
                     return ChargeDecision::Granted { is_new };
                 }
                 Charged::Spent => return ChargeDecision::Spent,
-                Charged::InDoubt => return ChargeDecision::Undecided,
+                Charged::InDoubt => return ChargeDecision::InDoubt,
                 Charged::AfterWrite if is_store_away => {
                     drop(parts);
                     write_if_behind(gateway, part);
@@ -256,7 +262,10 @@
     };
     gateway.store_answers.notify(usize::MAX);
     let record = stored.as_ref().and_then(record_of);
-    let notes = notes(&gateway, part).await;
+    let notes = match &record {
+        Some(record) => notes(&gateway, part, record).await,
+        None => Vec::new(),
+    };
     let inherited = Inherited {
         record: record.as_ref(),
         notes: &notes,
@@ -291,23 +300,39 @@
     state.changed.notify(usize::MAX);
 }
 
-/// Returns what is noted of a ledger here, or at its keepers if that can't be enough.
-async fn notes(gateway: &Rc<Gateway>, part: usize) -> Vec<OutageNotes> {
-    let own = gateway.outage_notes.of(part);
-    let keepers = keepers(gateway, part);
-    let is_keeper = keepers.iter().take(KEEPERS).any(|keeper| keeper.address.is_none());
-    if is_keeper && matches!(own, OutageNotes::Taken { since_ms: 0, .. }) {
-        return vec![own];
+/// Returns what is noted of a ledger here, and at other keepers until it is enough for a record. A host
+/// that lost its notes in a loss of all power comes back before it knows the others, or before they
+/// listen.
+async fn notes(gateway: &Rc<Gateway>, part: usize, record: &LedgerRecord) -> Vec<OutageNotes> {
+    let own = [gateway.outage_notes.of(part)];
+    if gateway.settings.callers_listen.is_none()
+        && !OutageNotes::are_enough(&own, record)
+        && let Err(error) = roster::list(gateway).await
+    {
+        log::warn!("{}: the other keepers can't be read: {error}", name(part));
     }
-    let mut notes = if is_keeper { vec![own] } else { Vec::new() };
-    for address in keepers.iter().take(KEEPERS).filter_map(|keeper| keeper.address) {
-        let question = Question::OutageNotes { part };
-        match peers::reach(gateway, address, question, NOTES_TIMEOUT).await {
-            Some(Reply::OutageNotes { notes: of }) => notes.push(of),
-            _ => log::warn!("{}: no notes of outages from {address}", name(part)),
+    let end = Instant::now() + NOTES_WAIT;
+    loop {
+        let keepers = keepers(gateway, part);
+        let (own, others): (Vec<&Keeper>, Vec<&Keeper>) =
+            keepers.iter().take(KEEPERS).partition(|keeper| keeper.address.is_none());
+        let mut notes: Vec<OutageNotes> =
+            own.iter().map(|_| gateway.outage_notes.of(part)).collect();
+        for address in others.iter().filter_map(|keeper| keeper.address) {
+            if OutageNotes::are_enough(&notes, record) {
+                break;
+            }
+            let question = Question::OutageNotes { part };
+            match peers::reach(gateway, address, question, NOTES_TIMEOUT).await {
+                Some(Reply::OutageNotes { notes: of }) => notes.push(of),
+                _ => log::warn!("{}: no notes of outages from {address}", name(part)),
+            }
+        }
+        if OutageNotes::are_enough(&notes, record) || Instant::now() >= end {
+            return notes;
         }
+        Timer::after(NOTES_EVERY).await;
     }
-    notes
 }
 
 /// The name of a ledger in the store and in notes.
--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/peers/message.rs
@@ -72,7 +72,9 @@
     Spent,
     /// The ledger has to be read or written first, which takes longer.
     Undecided,
-    /// The same, and the store can't be reached from here.
+    /// The ledger's first choice has to decide, which knows of charges that may be missing here.
+    InDoubt,
+    /// The ledger has to be read or written first, and the store can't be reached from here.
     StoreAway {
         /// Whether this host has noted what it was asked to.
         is_noted: bool,
--- a/crates/gateway/src/roster.rs
+++ b/crates/gateway/src/roster.rs
@@ -223,6 +223,17 @@
     refresh_holders(gateway);
 }
 
+/// Reads who is there, at a host that does not follow it.
+pub(crate) async fn list(gateway: &Gateway) -> Result<(), StoreError> {
+    let objects = gateway.adapter.store.list(Collection::Hosts).await?.objects;
+    objects.iter().for_each(|object| listed(gateway, object));
+    let is_gone = |host: &HostId| objects.iter().all(|object| *object.name != **host);
+    let others: Vec<HostId> =
+        gateway.roster.borrow().others().map(|(host, _)| host.clone()).collect();
+    others.into_iter().filter(is_gone).for_each(|host| removed(gateway, &host));
+    Ok(())
+}
+
 /// Notes that the store has said who is there.
 pub(crate) fn heard_from_store(gateway: &Gateway) {
     gateway.roster.borrow_mut().heard_from_store(Instant::now());
