--- a/crates/standin/src/fleet/store.rs
+++ b/crates/standin/src/fleet/store.rs
@@ -37,10 +37,16 @@
 pub struct StoreStandIn {
     /// Where it listens.
     pub address: SocketAddr,
-    shared: Arc<Shared>,
+    door: Arc<Door>,
     _task: Task<()>,
 }
 
+/// One address of a store, with faults of its own.
+struct Door {
+    shared: Arc<Shared>,
+    fault: Mutex<StoreFault>,
+}
+
 struct Shared {
     state: Mutex<State>,
 }
@@ -48,7 +54,6 @@
 #[derive(Default)]
 struct State {
     revision: u64,
-    fault: StoreFault,
     objects: BTreeMap<(String, String), Value>,
     /// Changes in order: revision, kind, whether it is a removal, the object.
     history: Vec<(u64, String, bool, Value)>,
@@ -64,42 +69,55 @@
     ///
     /// Fails if no port can be bound.
     pub async fn start() -> io::Result<Self> {
-        let shared = Arc::new(Shared { state: Mutex::default() });
-        let (address, task) = serve(shared.clone()).await?;
-        Ok(Self { address, shared, _task: task })
+        Self::open(Arc::new(Shared { state: Mutex::default() })).await
     }
 
-    /// Switches a fault on or off.
+    /// Opens another address of the same store. Its faults are its own.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no port can be bound.
+    pub async fn another_address(&self) -> io::Result<Self> {
+        Self::open(self.door.shared.clone()).await
+    }
+
+    async fn open(shared: Arc<Shared>) -> io::Result<Self> {
+        let door = Arc::new(Door { shared, fault: Mutex::default() });
+        let (address, task) = serve(door.clone()).await?;
+        Ok(Self { address, door, _task: task })
+    }
+
+    /// Switches a fault of this address on or off.
     pub fn set_fault(&self, fault: StoreFault) {
-        self.shared.lock().fault = fault;
+        *self.door.fault.lock().unwrap_or_else(PoisonError::into_inner) = fault;
     }
 
     /// Creates or replaces an object, as operators and workers do.
     pub fn put(&self, kind: &str, name: &str, spec: Value) {
-        self.shared.lock().change(kind, name, Some(spec));
+        self.door.shared.lock().change(kind, name, Some(spec));
     }
 
     /// Removes an object.
     pub fn remove(&self, kind: &str, name: &str) {
-        self.shared.lock().change(kind, name, None);
+        self.door.shared.lock().change(kind, name, None);
     }
 
     /// Drops the history: watches from before get 410.
     pub fn compact(&self) {
-        let mut state = self.shared.lock();
+        let mut state = self.door.shared.lock();
         state.history_begins = state.revision;
         state.history.clear();
     }
 
     /// Returns what an object holds.
     pub fn spec(&self, kind: &str, name: &str) -> Option<Value> {
-        let state = self.shared.lock();
+        let state = self.door.shared.lock();
         state.objects.get(&(kind.into(), name.into())).map(|object| object["spec"].clone())
     }
 
     /// Calls so far.
     pub fn calls(&self) -> u64 {
-        self.shared.lock().calls
+        self.door.shared.lock().calls
     }
 }
 
@@ -162,13 +180,10 @@
 
 type Answered = (StatusCode, Value);
 
-impl Answer for Shared {
+impl Answer for Door {
     async fn answer(self: Arc<Self>, request: Request<Bytes>) -> Option<Response<Body>> {
-        let fault = {
-            let mut state = self.lock();
-            state.calls += 1;
-            state.fault
-        };
+        self.shared.lock().calls += 1;
+        let fault = *self.fault.lock().unwrap_or_else(PoisonError::into_inner);
         match fault {
             StoreFault::Busy => {
                 return Some(respond(StatusCode::SERVICE_UNAVAILABLE, &Value::Null));
@@ -176,7 +191,7 @@
             StoreFault::Resets => return None,
             StoreFault::None | StoreFault::LosesAnswers => {}
         }
-        let (status, body) = self.handle(&request).await;
+        let (status, body) = self.shared.handle(&request).await;
         let is_write = request.method() != Method::GET;
         if fault == StoreFault::LosesAnswers && is_write {
             return None;
