--- /dev/null
+++ b/crates/gateway/src/ledger/mod.rs
@@ -0,0 +1,169 @@
+//! Keeps ledgers of programs' budgets.
+//!
+//! Any host may keep any ledger; the store's condition on each write sorts out two that do. Callers'
+//! hosts agree on one by rendezvous, hosts without callers first. `trefoilring_core::budget` decides.
+
+mod keepers;
+mod takeover;
+mod writing;
+
+pub(crate) use {
+    keepers::{KEEPERS, Keeper, keepers},
+    takeover::is_kept_by,
+};
+
+use {
+    crate::{
+        gateway::Gateway,
+        peers::ChargeDecision,
+        store::{Revision, StoredObject},
+        time::within,
+    },
+    event_listener::Event,
+    std::{
+        rc::Rc,
+        time::{Duration, Instant},
+    },
+    takeover::{Loaded, load},
+    trefoilring_core::{
+        budget::{Charge, Charged, Ledger, LedgerRecord, OthersSay, TokenCount},
+        ids::ProgramId,
+        rendezvous::Point,
+    },
+    writing::write_if_behind,
+};
+
+/// Parts into which all programs are split. A part is one object of the store, which takes a
+/// megabyte: some 30,000 programs. Must not change while programs run.
+pub(crate) const LEDGERS: usize = 4;
+/// Pause after a failure of the store. Doubles up to [`PAUSE_MAX`].
+const PAUSE_MIN: Duration = Duration::from_millis(100);
+/// The longest such pause.
+const PAUSE_MAX: Duration = Duration::from_millis(800);
+
+/// One ledger at this host.
+#[derive(Default)]
+pub(crate) struct Part {
+    /// `None` until its record was read: it would know nothing of earlier charges.
+    ledger: Option<Ledger>,
+    /// The store's revision of the record that the ledger goes on from.
+    revision: Option<Revision>,
+    is_loading: bool,
+    /// Whether the last attempt to read it has failed.
+    is_read_failing: bool,
+    is_writing: bool,
+    /// Turns that wait for a write.
+    waiting: usize,
+    changed: Rc<Event>,
+}
+
+impl Part {
+    /// Returns whether the store has failed this ledger for a while.
+    fn is_store_away(&self) -> bool {
+        let is_away = |ledger: &Ledger| ledger.is_store_away(Instant::now());
+        self.is_read_failing || self.ledger.as_ref().is_some_and(is_away)
+    }
+}
+
+/// Returns the part of a program.
+pub(crate) fn part_of(program: &str) -> usize {
+    (Point::new(program).weight(Point::new("")) % LEDGERS as u64) as usize
+}
+
+/// Charges a turn, if that can be decided in time.
+pub(crate) async fn charge(
+    gateway: &Rc<Gateway>,
+    charge: &Charge,
+    deadline: Instant,
+) -> ChargeDecision {
+    let part = part_of(&charge.program);
+    let note = async || match &charge.beyond {
+        Some(beyond) => gateway.outage_notes.note(part, beyond).await,
+        None => false,
+    };
+    // The first choice, too, notes what it is to do before it does it.
+    let others = match charge.others {
+        OthersSay::StoreAwayNoted if !note().await => OthersSay::StoreAway,
+        others => others,
+    };
+    let mut decision = decide(gateway, part, &Charge { others, ..charge.clone() }, deadline).await;
+    if let ChargeDecision::StoreAway { is_noted, .. } = &mut decision {
+        *is_noted = note().await;
+    }
+    decision
+}
+
+async fn decide(
+    gateway: &Rc<Gateway>,
+    part: usize,
+    charge: &Charge,
+    deadline: Instant,
+) -> ChargeDecision {
+    match load(gateway, part, charge.idle_max, deadline).await {
+        Loaded::Yes => {}
+        Loaded::NotYet => return ChargeDecision::Undecided,
+        Loaded::StoreAway => {
+            return ChargeDecision::StoreAway { is_noted: false, beyond: None };
+        }
+    }
+    loop {
+        let changed = {
+            let mut parts = gateway.ledgers.borrow_mut();
+            let state = &mut parts[part];
+            let Some(ledger) = state.ledger.as_mut() else { return ChargeDecision::Undecided };
+            let now = Instant::now();
+            let charged = ledger.charge(now, charge);
+            let is_store_away = ledger.is_store_away(now);
+            let beyond = charge.is_first_choice.then(|| ledger.beyond());
+            match charged {
+                Charged::Granted { is_new } => {
+                    drop(parts);
+                    write_if_behind(gateway, part);
+                    return ChargeDecision::Granted { is_new };
+                }
+                Charged::Spent => return ChargeDecision::Spent,
+                Charged::AfterWrite if is_store_away => {
+                    drop(parts);
+                    write_if_behind(gateway, part);
+                    return ChargeDecision::StoreAway { is_noted: false, beyond };
+                }
+                Charged::AfterWrite => state.changed.clone(),
+            }
+        };
+        let listener = changed.listen();
+        gateway.ledgers.borrow_mut()[part].waiting += 1;
+        write_if_behind(gateway, part);
+        let woken = within(deadline, listener).await;
+        gateway.ledgers.borrow_mut()[part].waiting -= 1;
+        if woken.is_none() {
+            return ChargeDecision::Undecided;
+        }
+    }
+}
+
+/// Takes back what turns did not use.
+pub(crate) fn refund(gateway: &Gateway, refunds: &[(ProgramId, TokenCount)]) {
+    let now = Instant::now();
+    let mut parts = gateway.ledgers.borrow_mut();
+    for (program, tokens) in refunds {
+        if let Some(ledger) = &mut parts[part_of(program)].ledger {
+            ledger.refund(now, program, *tokens);
+        }
+    }
+}
+
+/// The name of a ledger in the store and in notes.
+pub(crate) fn name(part: usize) -> String {
+    format!("ledger-{part}")
+}
+
+fn record_of(stored: &StoredObject) -> Option<LedgerRecord> {
+    match serde_json::from_value(stored.content.clone()) {
+        Ok(record) => Some(record),
+        Err(error) => {
+            // Taken as no record: accounts are then opened in doubt.
+            log::error!("{}: the record can't be read: {error}", stored.name);
+            None
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/ledger/takeover.rs
@@ -0,0 +1,205 @@
+//! Takes ledgers over from their records, and finds out whether those may miss charges.
+
+use {
+    super::{KEEPERS, Keeper, PAUSE_MAX, PAUSE_MIN, Part, keepers, name, record_of},
+    crate::{
+        gateway::Gateway,
+        peers::{self, Question, Reply},
+        roster,
+        store::{Collection, StoredObject},
+        time::within,
+    },
+    serde_json::json,
+    smol::Timer,
+    std::{
+        rc::Rc,
+        time::{Duration, Instant},
+    },
+    trefoilring_core::budget::{Inherited, Ledger, LedgerRecord, OutageNotes},
+    trefoilring_observe::{decisions::Weight, log::wall_us},
+};
+
+/// How long one keeper may take to tell its notes.
+const NOTES_TIMEOUT: Duration = Duration::from_millis(300);
+/// Time between two rounds of asking other keepers before a ledger is taken over.
+const ROUND_EVERY: Duration = Duration::from_millis(100);
+/// How long a host that would take a ledger over in doubt leaves it to the keeper that wrote the record
+/// and is there: longer than that takes to notice that the store is back.
+const KEEPER_BACK_WITHIN: Duration = Duration::from_millis(1500);
+/// How long a host without notes of its own waits for those of others before it takes a ledger over in
+/// doubt: processes that are started together are there within a second.
+const NOTES_WAIT: Duration = Duration::from_secs(2);
+
+/// Whether this host keeps a ledger.
+pub(super) enum Loaded {
+    Yes,
+    NotYet,
+    StoreAway,
+}
+
+/// Reads a part's record, if this host has not.
+pub(super) async fn load(
+    gateway: &Rc<Gateway>,
+    part: usize,
+    idle_max: Duration,
+    deadline: Instant,
+) -> Loaded {
+    loop {
+        let changed = {
+            let mut parts = gateway.ledgers.borrow_mut();
+            let state = &mut parts[part];
+            if state.ledger.is_some() {
+                return Loaded::Yes;
+            }
+            if !state.is_loading {
+                state.is_loading = true;
+                gateway.spawn(read(gateway.clone(), part, idle_max));
+            }
+            let changed = state.changed.clone();
+            if parts.iter().any(Part::is_store_away) {
+                return Loaded::StoreAway;
+            }
+            changed
+        };
+        if within(deadline, changed.listen()).await.is_none() {
+            return Loaded::NotYet;
+        }
+    }
+}
+
+/// Takes a part's ledger over from its record.
+async fn read(gateway: Rc<Gateway>, part: usize, idle_max: Duration) {
+    let mut left_until = None;
+    let (ledger, revision) = loop {
+        let stored = stored(&gateway, part).await;
+        let record = stored.as_ref().and_then(record_of);
+        let notes = match &record {
+            Some(record) => notes(&gateway, part, record).await,
+            None => Vec::new(),
+        };
+        let inherited = Inherited {
+            record: record.as_ref(),
+            notes: &notes,
+            is_first: stored.is_none() && gateway.settings.is_first_start,
+        };
+        let now = Instant::now();
+        let ledger = Ledger::take_over(
+            now,
+            wall_us() / 1000,
+            (&gateway.settings.host, gateway.incarnation),
+            inherited,
+            idle_max,
+        );
+        let revision = stored.map(|stored| stored.revision);
+        // A keeper that is there knows what charges its record misses, and will write them.
+        if let Some(record) = &record
+            && ledger.is_in_doubt(now)
+            && now < *left_until.get_or_insert(now + KEEPER_BACK_WITHIN)
+            && is_kept(&gateway, part, &record.writer).await
+        {
+            Timer::after(ROUND_EVERY).await;
+            continue;
+        }
+        gateway.decisions.note(
+            Weight::Rare,
+            "ledger",
+            json!({
+                "ledger": name(part),
+                "what": "taken over",
+                "from": record.as_ref().map(|record| &record.writer),
+                "written_at_ms": record.as_ref().map(|record| record.written_at_ms),
+                "notes": notes,
+                "is_in_doubt": ledger.is_in_doubt(now),
+                "accounts": ledger.len(),
+                "revision": revision,
+            }),
+        );
+        break (ledger, revision);
+    };
+    let mut parts = gateway.ledgers.borrow_mut();
+    let state = &mut parts[part];
+    state.ledger = Some(ledger);
+    state.revision = revision;
+    state.is_loading = false;
+    state.changed.notify(usize::MAX);
+}
+
+/// Reads a part's record, as often as it takes.
+async fn stored(gateway: &Gateway, part: usize) -> Option<StoredObject> {
+    let name = name(part);
+    let mut pause = PAUSE_MIN;
+    loop {
+        let read = gateway.adapter.store.get(Collection::Ledgers, &name).await;
+        gateway.ledgers.borrow_mut()[part].is_read_failing = read.is_err();
+        match read {
+            Ok(stored) => {
+                gateway.store_answers.notify(usize::MAX);
+                return stored;
+            }
+            Err(error) => log::warn!("{name} can't be read: {error}"),
+        }
+        gateway.ledgers.borrow()[part].changed.notify(usize::MAX);
+        gateway.until_store_answers(pause).await;
+        pause = (pause * 2).min(PAUSE_MAX);
+    }
+}
+
+/// Returns whether the writer of a record still keeps the ledger, at another host.
+async fn is_kept(gateway: &Rc<Gateway>, part: usize, writer: &str) -> bool {
+    let Some((host, _)) = writer.rsplit_once('@') else { return false };
+    if roster::address_of(gateway, host).is_none() {
+        read_hosts(gateway, part).await;
+    }
+    let Some(address) = roster::address_of(gateway, host) else { return false };
+    let question = Question::IsLedgerKept { part, writer: writer.into() };
+    let reply = peers::reach(gateway, address, question, NOTES_TIMEOUT).await;
+    matches!(reply, Some(Reply::LedgerKept { is_kept: true }))
+}
+
+/// Reads who is there, at a host without callers: it does not follow the roster.
+async fn read_hosts(gateway: &Gateway, part: usize) {
+    if gateway.settings.callers_listen.is_none()
+        && let Err(error) = roster::list(gateway).await
+    {
+        log::warn!("{}: the other keepers can't be read: {error}", name(part));
+    }
+}
+
+/// Returns whether this host keeps a ledger as a writer of its records.
+pub(crate) fn is_kept_by(gateway: &Gateway, part: usize, writer: &str) -> bool {
+    let parts = gateway.ledgers.borrow();
+    let ledger = parts.get(part).and_then(|state| state.ledger.as_ref());
+    ledger.is_some_and(|ledger| ledger.beyond().writer == writer)
+}
+
+/// Returns what is noted of a ledger here, and at other keepers until it is enough for a record. A host
+/// that lost its notes in a loss of all power comes back before it knows the others, or before they
+/// listen.
+async fn notes(gateway: &Rc<Gateway>, part: usize, record: &LedgerRecord) -> Vec<OutageNotes> {
+    let own = [gateway.outage_notes.of(part)];
+    if !OutageNotes::are_enough(&own, record) {
+        read_hosts(gateway, part).await;
+    }
+    let end = Instant::now() + NOTES_WAIT;
+    loop {
+        let keepers = keepers(gateway, part);
+        let (own, others): (Vec<&Keeper>, Vec<&Keeper>) =
+            keepers.iter().take(KEEPERS).partition(|keeper| keeper.address.is_none());
+        let mut notes: Vec<OutageNotes> =
+            own.iter().map(|_| gateway.outage_notes.of(part)).collect();
+        for address in others.iter().filter_map(|keeper| keeper.address) {
+            if OutageNotes::are_enough(&notes, record) {
+                break;
+            }
+            let question = Question::OutageNotes { part };
+            match peers::reach(gateway, address, question, NOTES_TIMEOUT).await {
+                Some(Reply::OutageNotes { notes: of }) => notes.push(of),
+                _ => log::warn!("{}: no notes of outages from {address}", name(part)),
+            }
+        }
+        if OutageNotes::are_enough(&notes, record) || Instant::now() >= end {
+            return notes;
+        }
+        Timer::after(ROUND_EVERY).await;
+    }
+}
