--- a/crates/gateway/src/ledger/mod.rs
+++ b/crates/gateway/src/ledger/mod.rs
@@ -15,21 +15,24 @@
 use {
     crate::{
         gateway::Gateway,
+        outage_notes::Noted,
         peers::ChargeDecision,
         store::{Revision, StoredObject},
         time::within,
     },
     event_listener::Event,
+    serde_json::json,
     std::{
         rc::Rc,
         time::{Duration, Instant},
     },
     takeover::{Loaded, load},
     trefoilring_core::{
-        budget::{Charge, Charged, Ledger, LedgerRecord, OthersSay, TokenCount},
+        budget::{Charge, Charged, Ledger, LedgerPosition, LedgerRecord, OthersSay, TokenCount},
         ids::ProgramId,
         rendezvous::Point,
     },
+    trefoilring_observe::decisions::Weight,
     writing::write_if_behind,
 };
 
@@ -78,7 +81,7 @@
 ) -> ChargeDecision {
     let part = part_of(&charge.program);
     let note = async || match &charge.beyond {
-        Some(beyond) => gateway.outage_notes.note(part, beyond).await,
+        Some(beyond) => note_outage(gateway, part, beyond).await,
         None => false,
     };
     // The first choice, too, notes what it is to do before it does it.
@@ -93,6 +96,19 @@
     decision
 }
 
+/// Notes that charges may go beyond a write of a ledger. Returns whether that will last.
+async fn note_outage(gateway: &Gateway, part: usize, beyond: &LedgerPosition) -> bool {
+    let noted = gateway.outage_notes.note(part, beyond).await;
+    if noted == Noted::Now {
+        gateway.decisions.note(
+            Weight::Rare,
+            "ledger",
+            json!({"ledger": name(part), "what": "outage noted", "beyond": beyond}),
+        );
+    }
+    noted != Noted::Not
+}
+
 async fn decide(
     gateway: &Rc<Gateway>,
     part: usize,
--- a/crates/gateway/src/outage_notes.rs
+++ b/crates/gateway/src/outage_notes.rs
@@ -24,6 +24,14 @@
     last: BTreeMap<String, OutageNote>,
 }
 
+/// Whether something is noted so that it lasts.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Noted {
+    Now,
+    Before,
+    Not,
+}
+
 /// The notes of one host, if it has a disk.
 pub(crate) struct NoteBook {
     folder: Option<PathBuf>,
@@ -58,16 +66,16 @@
         }
     }
 
-    /// Notes that charges may go beyond a write of a ledger. Returns whether that will last.
-    pub(crate) async fn note(&self, part: usize, beyond: &LedgerPosition) -> bool {
-        let Some(folder) = self.folder.clone() else { return false };
+    /// Notes that charges may go beyond a write of a ledger.
+    pub(crate) async fn note(&self, part: usize, beyond: &LedgerPosition) -> Noted {
+        let Some(folder) = self.folder.clone() else { return Noted::Not };
         let _writing = self.writing.lock().await;
         let is_enough = |last: &OutageNote| {
             last.position.writer == beyond.writer && last.position.sequence >= beyond.sequence
         };
         let mut notes = self.notes.borrow().clone();
         if notes.last.get(&ledger::name(part)).is_some_and(is_enough) {
-            return true;
+            return Noted::Before;
         }
         let note = OutageNote { noted_at_ms: wall_us() / 1000, position: beyond.clone() };
         notes.last.insert(ledger::name(part), note);
@@ -75,11 +83,11 @@
         match smol::unblock(move || write(&folder, &written)).await {
             Ok(()) => {
                 *self.notes.borrow_mut() = notes;
-                true
+                Noted::Now
             }
             Err(error) => {
                 log::error!("{FILE} can't be written: {error}");
-                false
+                Noted::Not
             }
         }
     }
--- a/crates/gateway/src/outage_notes/tests.rs
+++ b/crates/gateway/src/outage_notes/tests.rs
@@ -16,11 +16,11 @@
     let folder = folder("notes-outlast");
     let first = NoteBook::open(Some(folder.clone()), true).unwrap();
     assert_eq!(first.of(0), OutageNotes::Taken { since_ms: 0, last: None });
-    assert!(block_on(first.note(0, &position(7))));
+    assert_eq!(block_on(first.note(0, &position(7))), Noted::Now);
     let noted = first.of(0);
     let OutageNotes::Taken { since_ms: 0, last: Some(note) } = &noted else { panic!("{noted:?}") };
     assert_eq!(note.position, position(7));
-    assert!(block_on(first.note(0, &position(6))));
+    assert_eq!(block_on(first.note(0, &position(6))), Noted::Before);
     assert_eq!(first.of(0), noted, "an earlier write is noted with a later one");
     drop(first);
     let second = NoteBook::open(Some(folder.clone()), false).unwrap();
@@ -49,7 +49,7 @@
 #[test]
 fn host_without_a_disk_takes_none() {
     let notes = NoteBook::open(None, true).unwrap();
-    assert!(!block_on(notes.note(0, &position(7))));
+    assert_eq!(block_on(notes.note(0, &position(7))), Noted::Not);
     assert_eq!(notes.of(0), OutageNotes::NotTaken);
 }
 
@@ -62,7 +62,7 @@
     let notes = NoteBook::open(Some(folder.clone()), true).unwrap();
     fs::remove_dir_all(&folder).unwrap();
     fs::write(&folder, b"a file").unwrap();
-    assert!(!block_on(notes.note(0, &position(7))));
+    assert_eq!(block_on(notes.note(0, &position(7))), Noted::Not);
     assert_eq!(notes.of(0), OutageNotes::Taken { since_ms: 0, last: None });
     fs::remove_file(&folder).unwrap();
 }
