Leave a charge without work that only an outage needs

From a second reading; behaviour stays. The position up to which charges may go beyond a record was made for every charge of a first choice and used only while the store is away; asking for a ledger's writer made one too. Two arms of a match that did the same are one.

--- a/crates/core/src/budget/mod.rs
+++ b/crates/core/src/budget/mod.rs
@@ -296,9 +296,14 @@
         now < self.doubtful_until
     }
 
+    /// Returns whether this ledger's own writes bear a writer's name.
+    pub fn is_writer(&self, writer: &str) -> bool {
+        self.writer == writer
+    }
+
     /// Returns whether a record is one of this ledger's own writes.
     pub fn is_own(&self, record: &LedgerRecord) -> bool {
-        record.writer == self.writer
+        self.is_writer(&record.writer)
     }
 
     /// Takes in the record of another host that wrote in between. Charges of this host that no
@@ -311,8 +316,8 @@
             _ => Duration::from_millis(record.doubtful_ms),
         };
         self.doubtful_until = self.doubtful_until.max(now + doubtful);
+        let is_doubtful = !doubtful.is_zero();
         for (program, &recorded) in &record.charged {
-            let is_doubtful = !doubtful.is_zero();
             match self.accounts.get_mut(program) {
                 Some(account) => account.merge(recorded, is_doubtful),
                 None => {
--- a/crates/gateway/src/call/budget.rs
+++ b/crates/gateway/src/call/budget.rs
@@ -137,8 +137,9 @@
             Some(ChargeDecision::StoreAway { beyond, .. }) if rank == 0 => charge.beyond = beyond,
             // Whoever takes the ledger over asks the first by rank for their notes.
             Some(ChargeDecision::StoreAway { is_noted: true, .. }) if rank < KEEPERS => {}
-            Some(ChargeDecision::StoreAway { .. }) => others = others.min(OthersSay::StoreAway),
-            None => others = others.min(OthersSay::StoreAway),
+            Some(ChargeDecision::StoreAway { .. }) | None => {
+                others = others.min(OthersSay::StoreAway);
+            }
             Some(ChargeDecision::Undecided) => others = OthersSay::Unknown,
         }
     }
--- a/crates/gateway/src/ledger/mod.rs
+++ b/crates/gateway/src/ledger/mod.rs
@@ -130,7 +130,6 @@
             let now = Instant::now();
             let charged = ledger.charge(now, charge);
             let is_store_away = ledger.is_store_away(now);
-            let beyond = charge.is_first_choice.then(|| ledger.beyond());
             match charged {
                 Charged::Granted { is_new } => {
                     drop(parts);
@@ -139,6 +138,7 @@
                 }
                 Charged::Spent => return ChargeDecision::Spent,
                 Charged::AfterWrite if is_store_away => {
+                    let beyond = charge.is_first_choice.then(|| ledger.beyond());
                     drop(parts);
                     write_if_behind(gateway, part);
                     return ChargeDecision::StoreAway { is_noted: false, beyond };
--- a/crates/gateway/src/ledger/takeover.rs
+++ b/crates/gateway/src/ledger/takeover.rs
@@ -169,7 +169,7 @@
 pub(crate) fn is_kept_by(gateway: &Gateway, part: usize, writer: &str) -> bool {
     let parts = gateway.ledgers.borrow();
     let ledger = parts.get(part).and_then(|state| state.ledger.as_ref());
-    ledger.is_some_and(|ledger| ledger.beyond().writer == writer)
+    ledger.is_some_and(|ledger| ledger.is_writer(writer))
 }
 
 /// Returns what is noted of a ledger here, and at other keepers until it is enough for a record. A host
