Hold bursts of new connections in a deeper queue

Cause: the standard library listens with a queue of 128 connections. 300 callers at once overflow it, the kernel drops their opening packets, and they come again after 1 s and 2 s; the client's connect timeout is 2 s, so that a second overflow fails the stream, and nothing awaited the failed task for a minute. The gateway's and host's listeners had the same queue: callers that come at once when a host is lost would wait a second for their connection.

The test of the engine notices a stream that fails, and says why, instead of waiting in vain.

--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -95,7 +95,7 @@
 /// Listens for callers, if this host serves them.
 pub(crate) async fn start(gateway: &Rc<Gateway>) -> io::Result<Option<SocketAddr>> {
     let Some(address) = gateway.settings.callers_listen else { return Ok(None) };
-    let listener = TcpListener::bind(address).await?;
+    let listener = trefoilring_net::listen(address)?;
     let bound = listener.local_addr()?;
     gateway.spawn(accept(gateway.clone(), listener));
     Ok(Some(bound))
--- a/crates/gateway/src/listen.rs
+++ b/crates/gateway/src/listen.rs
@@ -23,7 +23,7 @@
     F: Future<Output = ()> + 'static,
     S: Fn(Rc<Gateway>, TcpStream) -> F + 'static,
 {
-    let listener = TcpListener::bind(address).await?;
+    let listener = trefoilring_net::listen(address)?;
     let bound = listener.local_addr()?;
     let gateway_of_task = gateway.clone();
     gateway.spawn(async move { accept_all(&gateway_of_task, &listener, serve).await });
--- a/crates/host/src/host.rs
+++ b/crates/host/src/host.rs
@@ -198,7 +198,7 @@
 }
 
 fn listen(flag: &'static str, address: SocketAddr) -> Result<TcpListener, Report<HostError>> {
-    smol::block_on(TcpListener::bind(address)).change_context(HostError::Listen { flag, address })
+    trefoilring_net::listen(address).change_context(HostError::Listen { flag, address })
 }
 
 fn local_address(listener: &TcpListener, asked: SocketAddr) -> SocketAddr {
--- /dev/null
+++ b/crates/net/tests/burst.rs
@@ -0,0 +1,24 @@
+//! Connections that come at once, before any is accepted.
+
+use {
+    std::{
+        net::{Ipv4Addr, TcpStream},
+        time::Duration,
+    },
+    trefoilring_net::listen,
+};
+
+/// Callers at once: several times the queue that the standard library asks for.
+const CALLERS: usize = 500;
+/// Below the second after which a dropped opening packet is sent again, and far above a round trip.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(900);
+
+#[test]
+fn a_burst_waits_in_the_queue() {
+    let listener = listen((Ipv4Addr::LOCALHOST, 0).into()).unwrap();
+    let address = listener.local_addr().unwrap();
+    let connect = |_| TcpStream::connect_timeout(&address, CONNECT_TIMEOUT);
+    let connected: Vec<_> = (0..CALLERS).map(connect).collect();
+    let refused = connected.iter().filter(|stream| stream.is_err()).count();
+    assert_eq!(refused, 0, "of {CALLERS}");
+}
--- a/crates/standin/src/fleet/mod.rs
+++ b/crates/standin/src/fleet/mod.rs
@@ -16,10 +16,7 @@
     http::{Request, Response},
     http_body_util::{BodyExt, Full, combinators::BoxBody},
     hyper::{body::Incoming, server::conn::http1, service::service_fn},
-    smol::{
-        Task,
-        net::{TcpListener, TcpStream},
-    },
+    smol::{Task, net::TcpStream},
     smol_hyper::rt::FuturesIo,
     std::{
         convert::Infallible,
@@ -43,7 +40,7 @@
 
 /// Serves on a port from the kernel until the task is dropped.
 async fn serve(answer: Arc<impl Answer>) -> io::Result<(SocketAddr, Task<()>)> {
-    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await?;
+    let listener = trefoilring_net::listen((Ipv4Addr::LOCALHOST, 0).into())?;
     let address = listener.local_addr()?;
     let accept = async move {
         let mut connections = Vec::new();
--- a/crates/standin/src/server.rs
+++ b/crates/standin/src/server.rs
@@ -257,9 +257,8 @@
 
 /// Starts to serve.
 pub(crate) fn start<S: Service>(service: S, options: ServerOptions) -> io::Result<Running<S>> {
-    let listener = std::net::TcpListener::bind(options.address)?;
+    let listener = trefoilring_net::listen(options.address)?;
     let address = listener.local_addr()?;
-    let listener = TcpListener::from(smol::Async::new(listener)?);
     let control = Control {
         shared: Arc::new(Shared {
             address,
@@ -321,7 +320,7 @@
 }
 
 async fn rebind(address: SocketAddr) -> Option<TcpListener> {
-    let bound = TcpListener::bind(address).await;
+    let bound = trefoilring_net::listen(address);
     if bound.is_err() {
         Timer::after(REBIND_WAIT).await;
     }
--- a/crates/standin/tests/contract_engine.rs
+++ b/crates/standin/tests/contract_engine.rs
@@ -5,7 +5,7 @@
 use {
     common::{PATIENCE, SHORT, deadline, switch, until},
     serde_json::json,
-    smol::block_on,
+    smol::{Task, block_on},
     std::time::Instant,
     trefoilring_clients::{
         CacheEventKind, CallError, ChatAssembler, ChatRequest, ChatStream, Engine, ErrorKind,
@@ -107,7 +107,11 @@
                 })
             })
             .collect();
-        until("all streams in the queue", || engine.load().waiting == STREAMS as u64).await;
+        // One that has ended already has failed, and says why below.
+        until("all streams in the queue", || {
+            engine.load().waiting == STREAMS as u64 || streams.iter().any(Task::is_finished)
+        })
+        .await;
         let steps_before = engine.stats().steps;
         drop(holder);
         for stream in streams {
