Leave a ledger to the keeper that has it until a new one's notes reach back

Ruled out: loss of refunds (none lost), the store (it answered in 4 ms), the closing fault (the doubt was inherited).

Change: who would need others' notes, or would be in doubt, asks the writer of the record first, and leaves the ledger to it as long as it keeps it and reaches the store, for 8 s at most. Charges are told so at once, and go to the next keeper.

--- a/crates/gateway/src/call/budget.rs
+++ b/crates/gateway/src/call/budget.rs
@@ -140,7 +140,9 @@
             Some(ChargeDecision::StoreAway { .. }) | None => {
                 others = others.min(OthersSay::StoreAway);
             }
-            Some(ChargeDecision::Undecided) => others = OthersSay::Unknown,
+            Some(ChargeDecision::Undecided | ChargeDecision::KeptElsewhere) => {
+                others = OthersSay::Unknown;
+            }
         }
     }
     let detail = "no host can tell what the program has spent";
--- a/crates/gateway/src/ledger/mod.rs
+++ b/crates/gateway/src/ledger/mod.rs
@@ -9,7 +9,7 @@
 
 pub(crate) use {
     keepers::{KEEPERS, Keeper, keepers},
-    takeover::is_kept_by,
+    takeover::kept_by,
 };
 
 use {
@@ -52,6 +52,8 @@
     /// The store's revision of the record that the ledger goes on from.
     revision: Option<Revision>,
     is_loading: bool,
+    /// Whether it is left to the host that keeps it, for now.
+    is_left: bool,
     /// Whether the last attempt to read it has failed.
     is_read_failing: bool,
     is_writing: bool,
@@ -118,6 +120,7 @@
     match load(gateway, part, charge.idle_max, deadline).await {
         Loaded::Yes => {}
         Loaded::NotYet => return ChargeDecision::Undecided,
+        Loaded::KeptElsewhere => return ChargeDecision::KeptElsewhere,
         Loaded::StoreAway => {
             return ChargeDecision::StoreAway { is_noted: false, beyond: None };
         }
--- a/crates/gateway/src/ledger/takeover.rs
+++ b/crates/gateway/src/ledger/takeover.rs
@@ -4,7 +4,7 @@
     super::{KEEPERS, Keeper, PAUSE_MAX, PAUSE_MIN, Part, keepers, name, record_of},
     crate::{
         gateway::Gateway,
-        peers::{self, Question, Reply},
+        peers::{self, Kept, Question, Reply},
         roster,
         store::{Collection, StoredObject},
         time::within,
@@ -24,8 +24,13 @@
 /// Time between two rounds of asking other keepers before a ledger is taken over.
 const ROUND_EVERY: Duration = Duration::from_millis(100);
 /// How long a host that would take a ledger over in doubt leaves it to the keeper that wrote the record
-/// and is there: longer than that takes to notice that the store is back.
+/// and is there, but without the store: longer than that takes to notice that the store is back.
 const KEEPER_BACK_WITHIN: Duration = Duration::from_millis(1500);
+/// How long it leaves it to a keeper that reaches the store: until records are newer than its own notes,
+/// by more than clocks differ. What is in doubt then was so before.
+const KEEPER_STAYS_MAX: Duration = Duration::from_secs(8);
+/// Time between two looks at a ledger that is left to its keeper: each is a call of the store.
+const LEFT_LOOKED_AT_EVERY: Duration = Duration::from_millis(500);
 /// How long a host without notes of its own waits for those of others before it takes a ledger over in
 /// doubt: processes that are started together are there within a second.
 const NOTES_WAIT: Duration = Duration::from_secs(2);
@@ -34,6 +39,7 @@
 pub(super) enum Loaded {
     Yes,
     NotYet,
+    KeptElsewhere,
     StoreAway,
 }
 
@@ -59,6 +65,9 @@
             if parts.iter().any(Part::is_store_away) {
                 return Loaded::StoreAway;
             }
+            if parts[part].is_left {
+                return Loaded::KeptElsewhere;
+            }
             changed
         };
         if within(deadline, changed.listen()).await.is_none() {
@@ -69,10 +78,16 @@
 
 /// Takes a part's ledger over from its record.
 async fn read(gateway: Rc<Gateway>, part: usize, idle_max: Duration) {
-    let mut left_until = None;
+    let began = Instant::now();
     let (ledger, revision) = loop {
         let stored = stored(&gateway, part).await;
         let record = stored.as_ref().and_then(record_of);
+        if let Some(record) = &record
+            && !OutageNotes::are_enough(&[gateway.outage_notes.of(part)], record)
+            && leave_to_writer(&gateway, part, record, began).await
+        {
+            continue;
+        }
         let notes = match &record {
             Some(record) => notes(&gateway, part, record).await,
             None => Vec::new(),
@@ -90,16 +105,13 @@
             inherited,
             idle_max,
         );
-        let revision = stored.map(|stored| stored.revision);
-        // A keeper that is there knows what charges its record misses, and will write them.
         if let Some(record) = &record
             && ledger.is_in_doubt(now)
-            && now < *left_until.get_or_insert(now + KEEPER_BACK_WITHIN)
-            && is_kept(&gateway, part, &record.writer).await
+            && leave_to_writer(&gateway, part, record, began).await
         {
-            Timer::after(ROUND_EVERY).await;
             continue;
         }
+        let revision = stored.map(|stored| stored.revision);
         gateway.decisions.note(
             Weight::Rare,
             "ledger",
@@ -112,6 +124,7 @@
                 "is_in_doubt": ledger.is_in_doubt(now),
                 "accounts": ledger.len(),
                 "revision": revision,
+                "took_ms": began.elapsed().as_millis() as u64,
             }),
         );
         break (ledger, revision);
@@ -121,9 +134,43 @@
     state.ledger = Some(ledger);
     state.revision = revision;
     state.is_loading = false;
+    state.is_left = false;
     state.changed.notify(usize::MAX);
 }
 
+/// Leaves a ledger for a while to the host that wrote its record, if that still keeps it: it knows what
+/// charges its record misses, and will write them. Returns whether the record is worth reading again.
+async fn leave_to_writer(
+    gateway: &Rc<Gateway>,
+    part: usize,
+    record: &LedgerRecord,
+    began: Instant,
+) -> bool {
+    let kept = writer_keeps(gateway, part, &record.writer).await;
+    let (stays_max, pause) = match kept {
+        Kept::WithStore => (KEEPER_STAYS_MAX, LEFT_LOOKED_AT_EVERY),
+        Kept::WithoutStore => (KEEPER_BACK_WITHIN, ROUND_EVERY),
+        Kept::No => return false,
+    };
+    if began.elapsed() >= stays_max {
+        return false;
+    }
+    let was_left = {
+        let state = &mut gateway.ledgers.borrow_mut()[part];
+        state.changed.notify(usize::MAX);
+        std::mem::replace(&mut state.is_left, kept == Kept::WithStore)
+    };
+    if kept == Kept::WithStore && !was_left {
+        gateway.decisions.note(
+            Weight::Rare,
+            "ledger",
+            json!({"ledger": name(part), "what": "left to its keeper", "keeper": record.writer}),
+        );
+    }
+    Timer::after(pause).await;
+    true
+}
+
 /// Reads a part's record, as often as it takes.
 async fn stored(gateway: &Gateway, part: usize) -> Option<StoredObject> {
     let name = name(part);
@@ -144,16 +191,18 @@
     }
 }
 
-/// Returns whether the writer of a record still keeps the ledger, at another host.
-async fn is_kept(gateway: &Rc<Gateway>, part: usize, writer: &str) -> bool {
-    let Some((host, _)) = writer.rsplit_once('@') else { return false };
+/// Asks the writer of a record, if that is another host, whether it still keeps the ledger.
+async fn writer_keeps(gateway: &Rc<Gateway>, part: usize, writer: &str) -> Kept {
+    let Some((host, _)) = writer.rsplit_once('@') else { return Kept::No };
     if roster::address_of(gateway, host).is_none() {
         read_hosts(gateway, part).await;
     }
-    let Some(address) = roster::address_of(gateway, host) else { return false };
+    let Some(address) = roster::address_of(gateway, host) else { return Kept::No };
     let question = Question::IsLedgerKept { part, writer: writer.into() };
-    let reply = peers::reach(gateway, address, question, NOTES_TIMEOUT).await;
-    matches!(reply, Some(Reply::LedgerKept { is_kept: true }))
+    match peers::reach(gateway, address, question, NOTES_TIMEOUT).await {
+        Some(Reply::LedgerKept { kept }) => kept,
+        _ => Kept::No,
+    }
 }
 
 /// Reads who is there, at a host without callers: it does not follow the roster.
@@ -166,10 +215,14 @@
 }
 
 /// Returns whether this host keeps a ledger as a writer of its records.
-pub(crate) fn is_kept_by(gateway: &Gateway, part: usize, writer: &str) -> bool {
+pub(crate) fn kept_by(gateway: &Gateway, part: usize, writer: &str) -> Kept {
     let parts = gateway.ledgers.borrow();
-    let ledger = parts.get(part).and_then(|state| state.ledger.as_ref());
-    ledger.is_some_and(|ledger| ledger.is_writer(writer))
+    match parts.get(part) {
+        Some(state) if !state.ledger.as_ref().is_some_and(|of| of.is_writer(writer)) => Kept::No,
+        Some(state) if state.is_store_away() => Kept::WithoutStore,
+        Some(_) => Kept::WithStore,
+        None => Kept::No,
+    }
 }
 
 /// Returns what is noted of a ledger here, and at other keepers until it is enough for a record. A host
--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/peers/message.rs
@@ -52,7 +52,7 @@
     /// The notes.
     OutageNotes { notes: OutageNotes },
     /// Whether it does.
-    LedgerKept { is_kept: bool },
+    LedgerKept { kept: Kept },
     /// The configuration, if there is a newer one.
     Configuration { object: Option<StoredObject> },
     /// The upstreams.
@@ -63,6 +63,18 @@
     Relayed { reply: Option<Box<Reply>> },
 }
 
+/// Whether a host keeps a ledger.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
+#[serde(rename_all = "snake_case")]
+pub(crate) enum Kept {
+    /// It does, and can write its record.
+    WithStore,
+    /// It does, and the store has failed it for a while.
+    WithoutStore,
+    /// It does not.
+    No,
+}
+
 /// What became of a charge.
 #[derive(Clone, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
 #[serde(rename_all = "snake_case")]
@@ -76,6 +88,8 @@
     Spent,
     /// The ledger has to be read or written first, which takes longer.
     Undecided,
+    /// Another host keeps the ledger, and this one has not taken it over yet.
+    KeptElsewhere,
     /// The ledger has to be read or written first, and the store can't be reached from here.
     StoreAway {
         /// Whether this host has noted what it was asked to.
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -4,7 +4,7 @@
 mod reach;
 
 pub(crate) use {
-    message::{ChargeDecision, Question, Reply},
+    message::{ChargeDecision, Kept, Question, Reply},
     reach::{ask, is_lost, is_suspect, reach},
 };
 
@@ -100,7 +100,7 @@
         Question::IsLedgerKept { part, writer } => {
             // Whoever asks has just read the ledger's record.
             gateway.store_answers.notify(usize::MAX);
-            Reply::LedgerKept { is_kept: ledger::is_kept_by(gateway, part, &writer) }
+            Reply::LedgerKept { kept: ledger::kept_by(gateway, part, &writer) }
         }
         Question::Configuration { newer_than } => {
             Reply::Configuration { object: watch::newer_configuration(gateway, newer_than) }
