Let requests of programs under way wait in line for allowance tokens

Ruled out: unequal hosts (refusals spread over all), wrong limits (the sum granted was within the rate).

Requests that open a program wait 60 ms as before, and leave tokens for those under way. What a refused turn was charged goes back at once.

--- a/crates/core/src/shares/mod.rs
+++ b/crates/core/src/shares/mod.rs
@@ -107,10 +107,14 @@
             bucket.demand_per_s += 1.0 / DEMAND_WINDOW_S;
             return Take::Granted;
         }
-        let missing = 1.0 + left - bucket.tokens;
-        let seconds = missing / bucket.rate_per_s;
-        let next_token = Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX);
-        Take::Short { next_token }
+        Take::Short { next_token: bucket.time_until(1.0 + left) }
+    }
+
+    /// Returns when a request has a token of the host's own share, if so many wait before it.
+    pub fn own_token_in(&mut self, now: Instant, team: &str, waiting: usize) -> Duration {
+        let Some(bucket) = self.buckets.get_mut(team) else { return Duration::ZERO };
+        bucket.fill(now);
+        bucket.time_until(1.0 + waiting as f64)
     }
 
     /// Gives back the token of a request that did not run.
@@ -172,6 +176,12 @@
         Self { rate_per_s: 0.0, capacity: 0.0, tokens: 0.0, at: now, demand_per_s: 0.0 }
     }
 
+    /// Returns when the bucket has filled so many tokens, if none are taken meanwhile.
+    fn time_until(&self, tokens: f64) -> Duration {
+        let seconds = (tokens - self.tokens).max(0.0) / self.rate_per_s;
+        Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX)
+    }
+
     /// Tokens kept for programs under way.
     fn kept_for_programs(&self) -> f64 {
         let demand = self.demand_per_s * KEPT_FOR_PROGRAMS.as_secs_f64();
--- a/crates/core/src/shares/tests.rs
+++ b/crates/core/src/shares/tests.rs
@@ -54,6 +54,20 @@
     assert_eq!(without.take(now, "t", false), Take::Short { next_token: Duration::MAX });
 }
 
+#[test]
+fn those_who_wait_are_told_their_turn() {
+    let now = Instant::now();
+    let mut shares = host(now, one_of(2, 0, 1.0), &rules(20.0, 20.0));
+    assert_eq!(shares.own_token_in(now, "t", 0), Duration::from_millis(100));
+    assert_eq!(shares.own_token_in(now, "t", 4), Duration::from_millis(500));
+    let later = now + Duration::from_millis(300);
+    assert_eq!(shares.own_token_in(later, "t", 0), Duration::ZERO);
+    assert_eq!(shares.own_token_in(later, "t", 3), Duration::from_millis(100));
+    assert_eq!(shares.own_token_in(later, "unlimited", 100), Duration::ZERO);
+    let mut without = host(now, one_of(2, 0, 0.0), &rules(20.0, 20.0));
+    assert_eq!(without.own_token_in(now, "t", 0), Duration::MAX);
+}
+
 #[test]
 fn lender_keeps_what_it_needs_itself() {
     let now = Instant::now();
--- a/crates/gateway/src/allowance.rs
+++ b/crates/gateway/src/allowance.rs
@@ -9,7 +9,9 @@
     },
     event_listener::Event,
     rand::seq::SliceRandom,
+    smol::lock::Mutex,
     std::{
+        cell::Cell,
         collections::HashMap,
         net::SocketAddr,
         rc::Rc,
@@ -22,8 +24,13 @@
     },
 };
 
-/// How long a request waits for borrowed tokens: some round trips between hosts.
+/// How long a request that opens a program waits for tokens: some round trips between hosts.
 const WAIT_MAX: Duration = Duration::from_millis(60);
+/// How long one of a program under way does: a refusal would end the program, and waste the tokens that
+/// it has used. Some waits of this length still leave a program within twice its target.
+const WAIT_UNDER_WAY_MAX: Duration = Duration::from_millis(500);
+/// Part of the time that a request has left which it waits at most.
+const WAIT_SHARE_MAX: f64 = 0.3;
 /// How long one host may take to lend.
 const LEND_TIMEOUT: Duration = Duration::from_millis(100);
 /// Pause after a round in which nobody had tokens to lend. Doubles up to [`PAUSE_MAX`].
@@ -43,12 +50,62 @@
     paused_until: Option<Instant>,
     pause: Duration,
     arrived: Rc<Event>,
+    queue: Rc<Queue>,
+}
+
+/// Requests of programs under way that wait for tokens, in the order in which they came.
+#[derive(Default)]
+struct Queue {
+    /// Held by the first.
+    first: Mutex<()>,
+    waiting: Cell<usize>,
+}
+
+/// A place in a queue.
+struct Place(Rc<Queue>);
+
+impl Place {
+    fn new(queue: Rc<Queue>) -> Self {
+        queue.waiting.set(queue.waiting.get() + 1);
+        Self(queue)
+    }
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        self.0.waiting.set(self.0.waiting.get() - 1);
+    }
 }
 
 /// Borrowing by team.
 pub(crate) type Borrowings = HashMap<TeamId, Borrowing>;
 
-/// Takes a token for a request of a team. One that opens a program leaves some for others.
+/// Refuses a request of a team that would get no token in the time that it may wait, before anything is
+/// charged for it.
+///
+/// # Errors
+///
+/// Refuses the request when the team is over its allowance.
+pub(crate) fn check(
+    gateway: &Rc<Gateway>,
+    team: &TeamId,
+    deadline: Instant,
+) -> Result<(), Refusal> {
+    let now = Instant::now();
+    let waiting = queue(gateway, team).waiting.get();
+    let token_in = gateway.shares.borrow_mut().own_token_in(now, team, waiting);
+    if now + token_in.min(WAIT_UNDER_WAY_MAX) < give_up_at(now, deadline, false) {
+        return Ok(());
+    }
+    // What others lend may be there before.
+    match waiting == 0 && borrow_if_short(gateway, team) {
+        true => Ok(()),
+        false => Err(over_allowance(gateway, team, token_in)),
+    }
+}
+
+/// Takes a token for a request of a team. Those of programs under way wait in line for a while; one that
+/// opens a program leaves some tokens for them.
 ///
 /// # Errors
 ///
@@ -59,8 +116,29 @@
     opens_program: bool,
     deadline: Instant,
 ) -> Result<(), Refusal> {
-    let began = Instant::now();
-    let give_up = deadline.min(began + WAIT_MAX);
+    let give_up = give_up_at(Instant::now(), deadline, opens_program);
+    if opens_program {
+        return take_first(gateway, team, true, give_up).await;
+    }
+    let queue = queue(gateway, team);
+    let place = Place::new(queue.clone());
+    let Some(_first) = within(give_up, queue.first.lock()).await else {
+        let waiting = queue.waiting.get();
+        let token_in = gateway.shares.borrow_mut().own_token_in(Instant::now(), team, waiting);
+        return Err(over_allowance(gateway, team, token_in));
+    };
+    let taken = take_first(gateway, team, false, give_up).await;
+    drop(place);
+    taken
+}
+
+/// Takes a token for a request that has none before it.
+async fn take_first(
+    gateway: &Rc<Gateway>,
+    team: &TeamId,
+    opens_program: bool,
+    give_up: Instant,
+) -> Result<(), Refusal> {
     loop {
         let now = Instant::now();
         let take = gateway.shares.borrow_mut().take(now, team, opens_program);
@@ -70,10 +148,7 @@
         let wakes_at = own_token_at.map_or(give_up, |at| at.min(give_up));
         let comes_in_time = is_borrowing || own_token_at.is_some_and(|at| at <= give_up);
         if now >= give_up || !comes_in_time {
-            let after = next_token.clamp(RETRY_AFTER_MIN, RETRY_AFTER_MAX);
-            let state = gateway.shares.borrow().describe(team);
-            let detail = format!("the team is over its allowance here: {state}");
-            return Err(Refusal::not_run(Reason::OverAllowance, detail).retry_after(after));
+            return Err(over_allowance(gateway, team, next_token));
         }
         let arrived =
             gateway.borrowings.borrow().get(team).map(|borrowing| borrowing.arrived.clone());
@@ -88,6 +163,23 @@
     }
 }
 
+/// Returns until when a request waits for a token.
+fn give_up_at(now: Instant, deadline: Instant, opens_program: bool) -> Instant {
+    let max = if opens_program { WAIT_MAX } else { WAIT_UNDER_WAY_MAX };
+    now + deadline.saturating_duration_since(now).mul_f64(WAIT_SHARE_MAX).min(max)
+}
+
+fn queue(gateway: &Gateway, team: &TeamId) -> Rc<Queue> {
+    gateway.borrowings.borrow_mut().entry(team.clone()).or_default().queue.clone()
+}
+
+fn over_allowance(gateway: &Gateway, team: &TeamId, token_in: Duration) -> Refusal {
+    let after = token_in.clamp(RETRY_AFTER_MIN, RETRY_AFTER_MAX);
+    let state = gateway.shares.borrow().describe(team);
+    let detail = format!("the team is over its allowance here: {state}");
+    Refusal::not_run(Reason::OverAllowance, detail).retry_after(after)
+}
+
 /// Gives back the token of a request that did not run.
 pub(crate) fn give_back(gateway: &Gateway, team: &str) {
     gateway.shares.borrow_mut().give_back(Instant::now(), team);
--- a/crates/gateway/src/call/budget.rs
+++ b/crates/gateway/src/call/budget.rs
@@ -70,11 +70,17 @@
         if unused == 0 {
             return;
         }
+        let refund = (self.program.clone(), unused);
+        if self.used.get() == 0 {
+            // A refused turn comes again soon, and others of its program must not find it charged.
+            self.gateway.spawn(send_refund(self.gateway.clone(), self.keeper, vec![refund]));
+            return;
+        }
         let mut refunds = self.gateway.refunds.borrow_mut();
         if refunds.is_empty() {
             self.gateway.spawn(send_refunds(self.gateway.clone()));
         }
-        refunds.entry(self.keeper).or_default().push((self.program.clone(), unused));
+        refunds.entry(self.keeper).or_default().push(refund);
     }
 }
 
@@ -218,14 +224,22 @@
     Timer::after(REFUND_EVERY).await;
     let refunds = std::mem::take(&mut *gateway.refunds.borrow_mut());
     for (keeper, refunds) in refunds {
-        let Some(address) = keeper else {
-            ledger::refund(&gateway, &refunds);
-            continue;
-        };
-        let question = Question::Refund { refunds };
-        if peers::reach(&gateway, address, question, REFUND_TIMEOUT).await.is_none() {
-            // The programs keep less of their budgets than they could.
-            gateway.metrics.count("refunds_lost", 1);
-        }
+        send_refund(gateway.clone(), keeper, refunds).await;
+    }
+}
+
+async fn send_refund(
+    gateway: Rc<Gateway>,
+    keeper: Option<SocketAddr>,
+    refunds: Vec<(ProgramId, TokenCount)>,
+) {
+    let Some(address) = keeper else {
+        ledger::refund(&gateway, &refunds);
+        return;
+    };
+    let question = Question::Refund { refunds };
+    if peers::reach(&gateway, address, question, REFUND_TIMEOUT).await.is_none() {
+        // The programs keep less of their budgets than they could.
+        gateway.metrics.count("refunds_lost", 1);
     }
 }
--- a/crates/gateway/src/call/mod.rs
+++ b/crates/gateway/src/call/mod.rs
@@ -86,6 +86,9 @@
 }
 
 async fn deliver(gateway: &Rc<Gateway>, call: &Rc<Call>) -> Result<Answer, Refusal> {
+    if let Some(team) = &call.team {
+        allowance::check(gateway, &team.id, call.deadline)?;
+    }
     let charge = budget::charge(gateway, call).await?;
     if let Some(team) = &call.team {
         let opens_program = charge.as_ref().is_some_and(|charge| charge.opens_program);
