Count borrowed tokens where a host has no part of an allowance

Requests that came at once at such a host were also refused while the first one borrowed. Ruled out: the line itself (57 refusals at holders), lenders without spare tokens (buckets were full).

Change: a token that is there comes in no time; whoever may borrow waits in line.

--- a/crates/core/src/shares/mod.rs
+++ b/crates/core/src/shares/mod.rs
@@ -178,8 +178,11 @@
 
     /// Returns when the bucket has filled so many tokens, if none are taken meanwhile.
     fn time_until(&self, tokens: f64) -> Duration {
-        let seconds = (tokens - self.tokens).max(0.0) / self.rate_per_s;
-        Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX)
+        let missing = tokens - self.tokens;
+        if missing <= 0.0 {
+            return Duration::ZERO;
+        }
+        Duration::try_from_secs_f64(missing / self.rate_per_s).unwrap_or(Duration::MAX)
     }
 
     /// Tokens kept for programs under way.
--- a/crates/core/src/shares/tests.rs
+++ b/crates/core/src/shares/tests.rs
@@ -66,6 +66,8 @@
     assert_eq!(shares.own_token_in(later, "unlimited", 100), Duration::ZERO);
     let mut without = host(now, one_of(2, 0, 0.0), &rules(20.0, 20.0));
     assert_eq!(without.own_token_in(now, "t", 0), Duration::MAX);
+    without.receive(now, "t", 2.0);
+    assert_eq!(without.own_token_in(now, "t", 1), Duration::ZERO, "borrowed tokens are there");
 }
 
 #[test]
--- a/crates/gateway/src/allowance.rs
+++ b/crates/gateway/src/allowance.rs
@@ -97,8 +97,8 @@
     if now + token_in.min(WAIT_UNDER_WAY_MAX) < give_up_at(now, deadline, false) {
         return Ok(());
     }
-    // What others lend may be there before.
-    match waiting == 0 && borrow_if_short(gateway, team) {
+    // What others lend may be there before: a host without a part of the allowance has nothing else.
+    match borrow_if_short(gateway, team) {
         true => Ok(()),
         false => Err(over_allowance(gateway, team, token_in)),
     }
