Gather changes of the store for longer while many come, and watch within its history

Watches that waited 25 s outlived the store's history of 20 s, so that each was followed by a list of everything; each host wrote its record anew by a create that the store refused.

Change: the time over which changes gather doubles while watches end soon after each other, up to 0.8 s for upstreams and 4 s for hosts; a watch waits 0.9 of the store's history at most, which the settings say; a host that registers again replaces its record.

--- a/crates/gateway/src/roster.rs
+++ b/crates/gateway/src/roster.rs
@@ -4,7 +4,7 @@
     crate::{
         gateway::Gateway,
         peers::{self, Question, Reply},
-        store::{Collection, StoreError, StoredObject},
+        store::{Collection, Revision, StoreError, StoredObject},
     },
     rand::RngExt,
     serde_json::json,
@@ -37,7 +37,7 @@
 }
 
 async fn run(gateway: Rc<Gateway>) {
-    register(&gateway).await;
+    let mut revision = register(&gateway, None).await;
     if gateway.settings.callers_listen.is_none() {
         stay_registered(&gateway).await;
         return;
@@ -54,7 +54,7 @@
                 json!({"hosts": gateway.shares.borrow().holders().hosts()}),
             );
             // So that a restart of this host need not be greeted again.
-            register(&gateway).await;
+            revision = register(&gateway, Some(revision)).await;
         }
         Timer::after(RETRY_EVERY).await;
     }
@@ -67,7 +67,9 @@
         let host = &gateway.settings.host;
         match gateway.adapter.store.get(Collection::Hosts, host).await {
             Ok(Some(_)) => {}
-            Ok(None) => register(gateway).await,
+            Ok(None) => {
+                register(gateway, None).await;
+            }
             Err(error) => log::warn!("whether this host is registered is unknown: {error}"),
         }
     }
@@ -132,10 +134,11 @@
     }
 }
 
-/// Writes this host's record to the store, however long that takes.
-async fn register(gateway: &Gateway) {
+/// Writes this host's record to the store, however long that takes. `revision` is that of the record
+/// before, if it is known.
+async fn register(gateway: &Gateway, mut revision: Option<Revision>) -> Revision {
     let host = gateway.settings.host.clone();
-    let (mut revision, mut has_joined) = (None, false);
+    let mut has_joined = false;
     loop {
         let mut record = own_record(gateway);
         // Joined in an earlier life: the others know of it.
@@ -143,7 +146,7 @@
         let content = json!(record);
         let put = gateway.adapter.store.put(Collection::Hosts, &host, revision, content).await;
         match put {
-            Ok(_) => return,
+            Ok(written) => return written,
             Err(StoreError::Conflict(Some(stored))) => {
                 revision = Some(stored.revision);
                 has_joined |= read(&stored).is_some_and(|record| record.has_joined);
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -24,6 +24,8 @@
     pub metrics_listen: SocketAddr,
     /// Peer addresses of some hosts, of use while the store can't be reached. May be stale.
     pub seeds: Vec<SocketAddr>,
+    /// For how long the store keeps the history that a watch goes on from.
+    pub store_history: Duration,
     /// Where this host may keep files over restarts; `None` if it has no disk.
     pub data_folder: Option<PathBuf>,
     /// Whether the whole system starts for the first time, with nothing in the store.
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -1,5 +1,7 @@
 //! Follows the store: the configuration in force, and the upstreams.
 
+mod pace;
+
 use {
     crate::{
         allowance,
@@ -8,6 +10,7 @@
         roster,
         store::{Change, Collection, Listing, Revision, StoreError, StoredObject},
     },
+    pace::{Backoff, Gathering},
     rand::{RngExt, seq::IndexedRandom},
     serde_json::json,
     smol::Timer,
@@ -24,16 +27,14 @@
     trefoilring_observe::decisions::Weight,
 };
 
-/// How long one watch waits. Each is a call that is counted; probes of the connection notice when it
-/// has gone silent.
-const WATCH_WAIT: Duration = Duration::from_secs(25);
+/// The longest that one watch waits. Each is a call that is counted; probes of the connection notice
+/// when it has gone silent.
+const WATCH_WAIT_MAX: Duration = Duration::from_secs(25);
+/// Part of the store's history that one watch waits: one that waits longer ends without it, and everything
+/// has to be listed again.
+const WATCH_WAIT_SHARE: f64 = 0.9;
 /// How long the first watch after a failure waits.
 const WATCH_WAIT_PROBE: Duration = Duration::from_millis(20);
-/// The first pause after a failed call. Doubles up to [`PAUSE_MAX`], with jitter.
-const PAUSE_MIN: Duration = Duration::from_millis(150);
-/// The longest pause: what the store says must be known about a second after its return.
-const PAUSE_MAX: Duration = Duration::from_millis(1000);
-
 /// The longest pause before a collection is listed again because its history is gone.
 const RELIST_PAUSE_MAX: Duration = Duration::from_millis(100);
 /// How long another host may take to answer.
@@ -49,31 +50,15 @@
     }
 }
 
-/// A pause that grows while calls fail.
-struct Backoff {
-    pause: Duration,
-}
-
-impl Backoff {
-    fn new() -> Self {
-        Self { pause: PAUSE_MIN }
-    }
-
-    async fn wait(&mut self) {
-        let share = rand::rng().random_range(0.5..1.0);
-        Timer::after(self.pause.mul_f64(share)).await;
-        self.pause = (self.pause * 2).min(PAUSE_MAX);
-    }
-}
-
 async fn follow(gateway: Rc<Gateway>, collection: Collection) {
     let mut revision: Option<Revision> = None;
     let mut backoff = Backoff::new();
     let mut outage = StoreOutage::default();
+    let mut gathering = Gathering::new(collection);
     loop {
         let outcome = match revision {
             None => list(&gateway, collection, &outage).await,
-            Some(after) => watch(&gateway, collection, after, &outage).await,
+            Some(after) => watch(&gateway, collection, after, &outage, &mut gathering).await,
         };
         match outcome {
             Ok(reached) => {
@@ -145,9 +130,13 @@
     collection: Collection,
     after: Revision,
     outage: &StoreOutage,
+    gathering: &mut Gathering,
 ) -> Result<Revision, StoreError> {
     // A watch that waits says nothing: after a failure a short one tells whether the store is back.
-    let wait = if outage.is_on() { WATCH_WAIT_PROBE } else { WATCH_WAIT };
+    let wait = match outage.is_on() {
+        true => WATCH_WAIT_PROBE,
+        false => gateway.settings.store_history.mul_f64(WATCH_WAIT_SHARE).min(WATCH_WAIT_MAX),
+    };
     let watched = gateway.adapter.store.watch(collection, after, wait).await?;
     let is_busy = !watched.changes.is_empty();
     let mut delisted = Vec::new();
@@ -171,23 +160,11 @@
         roster::heard_from_store(gateway);
     }
     if is_busy {
-        Timer::after(gather_time(collection)).await;
+        Timer::after(gathering.after_changes(Instant::now())).await;
     }
     Ok(watched.revision)
 }
 
-/// Returns how long further changes are gathered before the next watch: when many hosts or upstreams
-/// start, each of them would end a watch of every host.
-fn gather_time(collection: Collection) -> Duration {
-    match collection {
-        // New hosts greet the others; nothing else depends on them soon.
-        Collection::Hosts => Duration::from_secs(1),
-        // A tenth of the time in which a leaving upstream must get no more work.
-        Collection::Upstreams => Duration::from_millis(200),
-        Collection::Configuration | Collection::Ledgers => Duration::ZERO,
-    }
-}
-
 /// Takes a configuration in, if it is newer than the one in force.
 fn configure(gateway: &Gateway, object: &StoredObject) {
     let table = match gateway.adapter.directory.routing(&object.content) {
