Count an upstream's errors as load, and send a call that may be repeated elsewhere after one

An answer with an error counted as a good one, and an upstream that fails at once is always idle, so that each host sent it more and more; lines of turns stayed there. Ruled out: crashed workers (connections held), the health reports (not used for placement).

Change: each error counts as a quarter of the slots, with a half-life of 2 s, and lines leave an upstream that has just failed; a call that may be repeated goes to one other upstream after an error, within its route's attempts, and gets the error if there is no other. A stream that breaks off counts as a failure of its upstream.

--- a/crates/core/src/placement/mod.rs
+++ b/crates/core/src/placement/mod.rs
@@ -3,7 +3,8 @@
 //! Load pattern: many entry hosts send to the same few upstreams without asking each other. What a
 //! host knows is its own requests under way, and the load that each answer reports. An estimate adds
 //! the two, so that a host neither follows stale reports nor forgets the other hosts. Lines of turns
-//! stay at the upstream that has read them, until it is clearly busier than others.
+//! stay at the upstream that has read them, until it is clearly busier than others. An upstream that
+//! fails fast is always idle: its errors count like load until they are some seconds old.
 
 mod outage;
 mod upstream;
@@ -34,9 +35,6 @@
     pub struct UpstreamKey;
 }
 
-/// Share of an upstream's slots up to which a line of turns stays with it: beyond that, waiting
-/// costs more than reading the prompt again (13,000 tokens take 40 ms, a queued turn some 200 ms).
-const STICKY_LOAD_MAX: f64 = 0.9;
 /// Load that a busier upstream of the own failure domain may have over another one: sending bytes to
 /// another domain costs delay and is priced, but a tenth of the slots is worth it.
 const DOMAIN_PREFERENCE: f64 = 0.15;
@@ -183,7 +181,7 @@
             let point = Point::new(&upstream.record.id);
             // Hosts agree on the upstream of a line that none of them has seen, all else equal.
             let tie = line.map_or(0, |line| u64::MAX - line.weight(point));
-            (upstream.load(now) + away, tie)
+            (upstream.load(now) + upstream.error_score(now) + away, tie)
         };
         let by_cost = |a: &UpstreamKey, b: &UpstreamKey| {
             let ((a_cost, a_tie), (b_cost, b_tie)) = (cost(*a), cost(*b));
@@ -199,8 +197,8 @@
         line: Option<&str>,
     ) -> Option<UpstreamKey> {
         let upstream = self.lines.get(line?)?.upstream;
-        let has_room = || self.upstreams[upstream].load(now) < STICKY_LOAD_MAX;
-        (usable.contains(&upstream) && has_room()).then_some(upstream)
+        let may_stay = usable.contains(&upstream) && self.upstreams[upstream].keeps_lines(now);
+        may_stay.then_some(upstream)
     }
 
     fn remember(&mut self, now: Instant, line: &str, upstream: UpstreamKey) {
--- a/crates/core/src/placement/tests.rs
+++ b/crates/core/src/placement/tests.rs
@@ -120,3 +120,55 @@
     let demand = Demand { service: "llm", line: None, refused_by: &[one] };
     assert_eq!(placement.choose(now, &demand), Choice::AllRefused);
 }
+
+/// Requests of ten seconds, one each 10 ms, of which each takes 50 ms but for those that fail at once.
+/// Returns how many the upstream "bad" got.
+fn sent_to_bad(fails: impl Fn(usize) -> bool) -> usize {
+    const REQUESTS: usize = 1000;
+    const STEP: Duration = Duration::from_millis(10);
+    const WORK: Duration = Duration::from_millis(50);
+    let start = Instant::now();
+    let ids = ["bad", "good-1", "good-2", "good-3", "good-4"];
+    let mut placement = placement(&ids.map(|id| record(id, "a")));
+    let (mut under_way, mut to_bad) = (std::collections::VecDeque::new(), 0);
+    for number in 0..REQUESTS {
+        let now = start + STEP * number as u32;
+        while let Some((_, key)) = under_way.pop_front_if(|(at, _): &mut (Instant, _)| *at <= now) {
+            placement.ended(now, key, Outcome::Done);
+        }
+        let demand = Demand { service: "llm", line: None, refused_by: &[] };
+        let Choice::Use(key) = placement.choose(now, &demand) else { panic!("all take work") };
+        placement.started(key);
+        if key == placement.by_id["bad"] {
+            to_bad += 1;
+            if fails(to_bad) {
+                placement.ended(now, key, Outcome::Errored);
+                continue;
+            }
+        }
+        under_way.push_back((now + WORK, key));
+    }
+    to_bad
+}
+
+#[test]
+fn upstream_that_fails_at_once_draws_no_work() {
+    let all = sent_to_bad(|_| true);
+    assert!(all <= 30, "{all} of 1000, of which it would have a fifth if it were sound");
+    let some = sent_to_bad(|number| number % 5 < 2);
+    assert!(some <= 100, "{some} of 1000, half of its part");
+    // A tool that answers one request in a hundred with an error of its own keeps its work.
+    let few = sent_to_bad(|number| number % 100 == 0);
+    assert!(few >= 150, "{few} of 1000");
+}
+
+#[test]
+fn line_of_turns_leaves_an_upstream_that_has_failed_it() {
+    let now = Instant::now();
+    let mut placement = placement(&[record("one", "a"), record("two", "a")]);
+    let first = chosen(&mut placement, now, Some("line"));
+    let first_key = key(&placement, &first);
+    placement.started(first_key);
+    placement.ended(now, first_key, Outcome::Errored);
+    assert_ne!(chosen(&mut placement, now, Some("line")), first);
+}
--- a/crates/core/src/placement/upstream.rs
+++ b/crates/core/src/placement/upstream.rs
@@ -8,12 +8,23 @@
     },
 };
 
+/// Share of an upstream's slots up to which a line of turns stays with it: beyond that, waiting
+/// costs more than reading the prompt again (13,000 tokens take 40 ms, a queued turn some 200 ms).
+const STICKY_LOAD_MAX: f64 = 0.9;
 /// Failures in a row after which an upstream gets no work for a while.
 const FAILURES_MAX: u32 = 3;
 /// How long the first ejection lasts; each further one lasts twice as long.
 const EJECTION: Duration = Duration::from_millis(500);
 /// The longest ejection: a restarted process is back after a few seconds.
 const EJECTION_MAX: Duration = Duration::from_secs(4);
+/// What one error adds to an upstream's error score, and what its score is at most. A single error keeps
+/// work away as a quarter of the slots would: tools answer some requests with errors of their own.
+const ERROR_WEIGHT: f64 = 0.25;
+const ERROR_SCORE_MAX: f64 = 1.0;
+/// Time in which half of an error score is forgiven.
+const ERROR_HALF_LIFE_S: f64 = 2.0;
+/// Error score above which lines of turns leave an upstream: a part of one error.
+const ERROR_SCORE_STICKY_MAX: f64 = 0.1;
 /// Time in which half of what a report says of other hosts' requests is taken as gone.
 const REPORT_HALF_LIFE_S: f64 = 0.4;
 
@@ -61,6 +72,8 @@
 pub enum Outcome {
     /// It answered, or was cancelled by the caller.
     Done,
+    /// It answered with an error of its own.
+    Errored,
     /// It refused the request without running it, since it was full.
     Full,
     /// It could not be reached, or its answer broke off.
@@ -78,6 +91,9 @@
     others: f64,
     reported_at: Option<Instant>,
     failures: u32,
+    /// What its errors count for, at `errors_at`.
+    error_score: f64,
+    errors_at: Option<Instant>,
     ejected_until: Option<Instant>,
     ejection: Duration,
 }
@@ -90,6 +106,8 @@
             others: 0.0,
             reported_at: None,
             failures: 0,
+            error_score: 0.0,
+            errors_at: None,
             ejected_until: None,
             ejection: EJECTION,
         }
@@ -106,6 +124,18 @@
         (f64::from(self.own) + others) / f64::from(self.record.slots)
     }
 
+    /// Returns how much its latest errors count, as load does. An upstream that answers at once with
+    /// errors seems idle, and would draw all work.
+    pub(super) fn error_score(&self, now: Instant) -> f64 {
+        let age = self.errors_at.map_or(Duration::ZERO, |at| now.duration_since(at));
+        self.error_score * 0.5_f64.powf(age.as_secs_f64() / ERROR_HALF_LIFE_S)
+    }
+
+    /// Returns whether lines of turns may stay.
+    pub(super) fn keeps_lines(&self, now: Instant) -> bool {
+        self.load(now) < STICKY_LOAD_MAX && self.error_score(now) < ERROR_SCORE_STICKY_MAX
+    }
+
     pub(super) fn started(&mut self) {
         self.own += 1;
     }
@@ -117,6 +147,10 @@
                 self.failures = 0;
                 self.ejection = EJECTION;
             }
+            Outcome::Errored => {
+                self.error_score = (self.error_score(now) + ERROR_WEIGHT).min(ERROR_SCORE_MAX);
+                self.errors_at = Some(now);
+            }
             Outcome::Full => {
                 let slots = f64::from(self.record.slots);
                 self.others = self.others.max(slots - f64::from(self.own));
--- a/crates/gateway/src/call/exchange.rs
+++ b/crates/gateway/src/call/exchange.rs
@@ -10,7 +10,7 @@
         time::within,
     },
     bytes::Bytes,
-    http::{HeaderMap, Request, Response, header, response},
+    http::{HeaderMap, Request, Response, StatusCode, header, response},
     http_body_util::{BodyExt, Full, Limited},
     hyper::body::Incoming,
     std::{
@@ -83,15 +83,31 @@
 /// Delivers a request whose answer is passed on as a whole.
 pub(super) async fn deliver(gateway: &Rc<Gateway>, call: &Call) -> Result<Answer, Refusal> {
     let mut refused_by = Vec::new();
-    let mut runs = 0;
+    let (mut runs, mut errored) = (0, None);
     loop {
-        let visit = next_visit(gateway, call, &refused_by, runs)?;
+        let visit = match next_visit(gateway, call, &refused_by, runs) {
+            Ok(visit) => visit,
+            // The error is an answer, and there is no other.
+            Err(refusal) => return errored.ok_or(refusal),
+        };
         let key = visit.key;
         let error = match send(gateway, call, &visit, None).await {
             Sent::Answered(received) => match read_whole(gateway, call, *received).await {
                 Ok((head, body)) => {
                     note_answer(gateway, call, &visit.id, head.status.as_u16(), None);
-                    return Ok(to_caller(head, AnswerBody::Whole(body)));
+                    let is_error = is_own_error(head.status);
+                    let answer = to_caller(head, AnswerBody::Whole(body));
+                    if !is_error {
+                        return Ok(answer);
+                    }
+                    visit.end(Outcome::Errored);
+                    runs += 1;
+                    refused_by.push(key);
+                    if errored.is_some() || !may_run_again(call, runs) {
+                        return Ok(answer);
+                    }
+                    errored = Some(answer);
+                    continue;
                 }
                 Err(error) => error,
             },
@@ -105,13 +121,23 @@
         visit.end(Outcome::Failed);
         runs += 1;
         refused_by.push(key);
-        let runs_max = call.route.upstreams_max.unwrap_or(RUNS_MAX);
-        if !call.route.kind.is_repeatable() || runs >= runs_max {
-            return Err(failed(error));
+        if !may_run_again(call, runs) {
+            return errored.ok_or_else(|| failed(error));
         }
     }
 }
 
+/// Returns whether a request that has run so often may run at another upstream.
+fn may_run_again(call: &Call, runs: u32) -> bool {
+    call.route.kind.is_repeatable() && runs < call.route.upstreams_max.unwrap_or(RUNS_MAX)
+}
+
+/// Returns whether an upstream's answer says that it is in trouble. At the deadline of a request it says
+/// so of the request only.
+pub(super) fn is_own_error(status: StatusCode) -> bool {
+    status.is_server_error() && status != StatusCode::GATEWAY_TIMEOUT
+}
+
 /// Picks the next upstream and begins a visit there.
 pub(super) fn next_visit(
     gateway: &Rc<Gateway>,
--- a/crates/gateway/src/call/relay.rs
+++ b/crates/gateway/src/call/relay.rs
@@ -6,7 +6,9 @@
         body::BrokenOff,
         budget::TurnCharge,
         events::EventCutter,
-        exchange::{Received, Sent, Visit, failed, next_visit, read_whole, send, to_caller},
+        exchange::{
+            Received, Sent, Visit, failed, is_own_error, next_visit, read_whole, send, to_caller,
+        },
         note_answer, timed_out,
     },
     crate::{
@@ -105,6 +107,9 @@
             Sent::Answered(received) => {
                 let (head, body) = read_whole(gateway, call, *received).await.map_err(failed)?;
                 note_answer(gateway, call, &visit.id, head.status.as_u16(), None);
+                if is_own_error(head.status) {
+                    visit.end(Outcome::Errored);
+                }
                 return Ok(to_caller(head, AnswerBody::Whole(body)));
             }
         }
@@ -300,7 +305,13 @@
         self.is_ended = true;
         self.source = None;
         self.charge = None;
-        let upstream = self.visit.take().map(|visit| visit.id.clone());
+        let upstream = self.visit.take().map(|visit| {
+            let id = visit.id.clone();
+            if end == "broken" {
+                visit.end(Outcome::Failed);
+            }
+            id
+        });
         let upstream = upstream.as_deref().unwrap_or_default();
         if end == "whole" {
             note_answer(&self.gateway, &self.call, upstream, self.status, Some(self.events));
