Count slow events as load, and let lines of turns leave slow upstreams

Change: a pause between events that is four times longer than is usual for the service counts as a tenth of the upstream's slots, with the half-life of errors; lines leave at two of them. What is usual follows when all upstreams slow down. Only the wait for an upstream counts, not that for a caller.

Left: the first turn at a slow worker, whose prompt is read slowly before its first event. Tests: slow_upstream_is_left_until_it_is_as_fast_as_others, upstreams_that_all_slow_down_keep_their_work.

--- a/crates/core/src/placement/mod.rs
+++ b/crates/core/src/placement/mod.rs
@@ -3,8 +3,9 @@
 //! Load pattern: many entry hosts send to the same few upstreams without asking each other. What a
 //! host knows is its own requests under way, and the load that each answer reports. An estimate adds
 //! the two, so that a host neither follows stale reports nor forgets the other hosts. Lines of turns
-//! stay at the upstream that has read them, until it is clearly busier than others. An upstream that
-//! fails fast is always idle: its errors count like load until they are some seconds old.
+//! stay at the upstream that has read them, until it is full or in trouble. An upstream that fails fast is
+//! always idle, and a slow one fills up late: errors and slow events count like load until they are some
+//! seconds old.
 
 mod outage;
 mod upstream;
@@ -38,6 +39,11 @@
 /// Load that a busier upstream of the own failure domain may have over another one: sending bytes to
 /// another domain costs delay and is priced, but a tenth of the slots is worth it.
 const DOMAIN_PREFERENCE: f64 = 0.15;
+/// How many times longer than usual a pause between events is that counts as slow. Beside the reading of
+/// other prompts, and in a full batch, pauses are some two times longer.
+const SLOW_EVENT_FACTOR: f64 = 4.0;
+/// Weight of one pause in what is usual for a service.
+const USUAL_PAUSE_WEIGHT: f64 = 0.02;
 /// Lines of turns remembered, about a minute of them at the size to design for.
 const LINES_MAX: usize = 16_384;
 /// How long a line of turns is remembered after its last turn.
@@ -81,6 +87,8 @@
     /// Invariant: has each upstream of `by_id` once, under its service.
     by_service: HashMap<ServiceId, Vec<UpstreamKey>>,
     lines: HashMap<String, Line>,
+    /// The usual pause between events of a service's streams, in seconds.
+    usual_pauses_s: HashMap<ServiceId, f64>,
 }
 
 impl Placement {
@@ -92,6 +100,7 @@
             by_id: HashMap::new(),
             by_service: HashMap::new(),
             lines: HashMap::new(),
+            usual_pauses_s: HashMap::new(),
         }
     }
 
@@ -181,7 +190,7 @@
             let point = Point::new(&upstream.record.id);
             // Hosts agree on the upstream of a line that none of them has seen, all else equal.
             let tie = line.map_or(0, |line| u64::MAX - line.weight(point));
-            (upstream.load(now) + upstream.error_score(now) + away, tie)
+            (upstream.load(now) + upstream.trouble_score(now) + away, tie)
         };
         let by_cost = |a: &UpstreamKey, b: &UpstreamKey| {
             let ((a_cost, a_tie), (b_cost, b_tie)) = (cost(*a), cost(*b));
@@ -235,6 +244,22 @@
         }
     }
 
+    /// Takes in the pause between two events of a stream.
+    pub fn paused(&mut self, now: Instant, key: UpstreamKey, pause: Duration) {
+        let Some(upstream) = self.upstreams.get_mut(key) else { return };
+        let pause_s = pause.as_secs_f64();
+        let Some(usual_s) = self.usual_pauses_s.get_mut(&upstream.record.service) else {
+            self.usual_pauses_s.insert(upstream.record.service.clone(), pause_s);
+            return;
+        };
+        let slow_s = *usual_s * SLOW_EVENT_FACTOR;
+        if pause_s > slow_s {
+            upstream.was_slow(now);
+        }
+        // When all upstreams slow down, what is usual follows.
+        *usual_s += (pause_s.min(slow_s) - *usual_s) * USUAL_PAUSE_WEIGHT;
+    }
+
     /// Returns how many upstreams of a service take work, and how many of their slots seem taken.
     pub fn service_load(&self, now: Instant, service: &str) -> (usize, f64) {
         let keys = self.by_service.get(service).map_or(&[][..], Vec::as_slice);
--- a/crates/core/src/placement/tests.rs
+++ b/crates/core/src/placement/tests.rs
@@ -172,3 +172,37 @@
     placement.ended(now, first_key, Outcome::Errored);
     assert_ne!(chosen(&mut placement, now, Some("line")), first);
 }
+
+#[test]
+fn slow_upstream_is_left_until_it_is_as_fast_as_others() {
+    const USUAL: Duration = Duration::from_millis(30);
+    let start = Instant::now();
+    let mut placement = placement(&[record("slow", "a"), record("sound", "b")]);
+    let (slow, sound) = (key(&placement, "slow"), key(&placement, "sound"));
+    for event in 0..100 {
+        let key = if event % 2 == 0 { slow } else { sound };
+        placement.paused(start, key, USUAL * (1 + event % 3));
+    }
+    assert_eq!(chosen(&mut placement, start, Some("line")), "slow", "three times longer is usual");
+    for _ in 0..3 {
+        placement.paused(start, slow, USUAL * 10);
+    }
+    assert_eq!(chosen(&mut placement, start, None), "sound");
+    assert_eq!(chosen(&mut placement, start, Some("line")), "sound");
+    assert_eq!(chosen(&mut placement, start + Duration::from_secs(10), None), "slow");
+}
+
+#[test]
+fn upstreams_that_all_slow_down_keep_their_work() {
+    let start = Instant::now();
+    let mut placement = placement(&[record("one", "a"), record("two", "b")]);
+    let keys = [key(&placement, "one"), key(&placement, "two")];
+    let pause = |second: u64| Duration::from_millis(if second < 2 { 20 } else { 200 });
+    for event in 0..1000_u64 {
+        let now = start + Duration::from_millis(10 * event);
+        keys.iter().for_each(|key| placement.paused(now, *key, pause(event / 100)));
+    }
+    let end = start + Duration::from_secs(10);
+    assert_eq!(chosen(&mut placement, end, None), "one");
+    assert_eq!(placement.service_load(end, "llm"), (2, 0.0));
+}
--- a/crates/core/src/placement/upstream.rs
+++ b/crates/core/src/placement/upstream.rs
@@ -17,14 +17,17 @@
 const EJECTION: Duration = Duration::from_millis(500);
 /// The longest ejection: a restarted process is back after a few seconds.
 const EJECTION_MAX: Duration = Duration::from_secs(4);
-/// What one error adds to an upstream's error score, and what its score is at most. A single error keeps
-/// work away as a quarter of the slots would: tools answer some requests with errors of their own.
+/// What one error adds to an upstream's trouble score. It keeps work away as a quarter of the slots would:
+/// tools answer some requests with errors of their own.
 const ERROR_WEIGHT: f64 = 0.25;
-const ERROR_SCORE_MAX: f64 = 1.0;
-/// Time in which half of an error score is forgiven.
-const ERROR_HALF_LIFE_S: f64 = 2.0;
-/// Error score above which lines of turns leave an upstream: a part of one error.
-const ERROR_SCORE_STICKY_MAX: f64 = 0.1;
+/// What one pause between events adds that is far longer than the service's others. A turn has some ten.
+const SLOW_EVENT_WEIGHT: f64 = 0.1;
+/// The highest trouble score: that of a full upstream.
+const TROUBLE_MAX: f64 = 1.0;
+/// Time in which half of a trouble score is forgiven.
+const TROUBLE_HALF_LIFE_S: f64 = 2.0;
+/// Trouble score above which lines of turns leave an upstream: a few slow events, or a part of an error.
+const TROUBLE_STICKY_MAX: f64 = 0.2;
 /// Time in which half of what a report says of other hosts' requests is taken as gone.
 const REPORT_HALF_LIFE_S: f64 = 0.4;
 
@@ -91,9 +94,9 @@
     others: f64,
     reported_at: Option<Instant>,
     failures: u32,
-    /// What its errors count for, at `errors_at`.
-    error_score: f64,
-    errors_at: Option<Instant>,
+    /// What its errors and slow events count for, at `trouble_at`.
+    trouble_score: f64,
+    trouble_at: Option<Instant>,
     ejected_until: Option<Instant>,
     ejection: Duration,
 }
@@ -106,8 +109,8 @@
             others: 0.0,
             reported_at: None,
             failures: 0,
-            error_score: 0.0,
-            errors_at: None,
+            trouble_score: 0.0,
+            trouble_at: None,
             ejected_until: None,
             ejection: EJECTION,
         }
@@ -124,16 +127,26 @@
         (f64::from(self.own) + others) / f64::from(self.record.slots)
     }
 
-    /// Returns how much its latest errors count, as load does. An upstream that answers at once with
-    /// errors seems idle, and would draw all work.
-    pub(super) fn error_score(&self, now: Instant) -> f64 {
-        let age = self.errors_at.map_or(Duration::ZERO, |at| now.duration_since(at));
-        self.error_score * 0.5_f64.powf(age.as_secs_f64() / ERROR_HALF_LIFE_S)
+    /// Returns how much its latest errors and slow events count, as load does. An upstream that answers
+    /// at once with errors seems idle, and would draw all work.
+    pub(super) fn trouble_score(&self, now: Instant) -> f64 {
+        let age = self.trouble_at.map_or(Duration::ZERO, |at| now.duration_since(at));
+        self.trouble_score * 0.5_f64.powf(age.as_secs_f64() / TROUBLE_HALF_LIFE_S)
     }
 
     /// Returns whether lines of turns may stay.
     pub(super) fn keeps_lines(&self, now: Instant) -> bool {
-        self.load(now) < STICKY_LOAD_MAX && self.error_score(now) < ERROR_SCORE_STICKY_MAX
+        self.load(now) < STICKY_LOAD_MAX && self.trouble_score(now) < TROUBLE_STICKY_MAX
+    }
+
+    /// Notes a pause between two events that was far longer than others of the service.
+    pub(super) fn was_slow(&mut self, now: Instant) {
+        self.note_trouble(now, SLOW_EVENT_WEIGHT);
+    }
+
+    fn note_trouble(&mut self, now: Instant, weight: f64) {
+        self.trouble_score = (self.trouble_score(now) + weight).min(TROUBLE_MAX);
+        self.trouble_at = Some(now);
     }
 
     pub(super) fn started(&mut self) {
@@ -147,10 +160,7 @@
                 self.failures = 0;
                 self.ejection = EJECTION;
             }
-            Outcome::Errored => {
-                self.error_score = (self.error_score(now) + ERROR_WEIGHT).min(ERROR_SCORE_MAX);
-                self.errors_at = Some(now);
-            }
+            Outcome::Errored => self.note_trouble(now, ERROR_WEIGHT),
             Outcome::Full => {
                 let slots = f64::from(self.record.slots);
                 self.others = self.others.max(slots - f64::from(self.own));
--- a/crates/gateway/src/call/relay.rs
+++ b/crates/gateway/src/call/relay.rs
@@ -22,7 +22,7 @@
     http_body_util::BodyExt,
     hyper::body::Incoming,
     serde_json::json,
-    std::rc::Rc,
+    std::{rc::Rc, time::Instant},
     trefoilring_core::{
         budget::TokenCount,
         placement::Outcome,
@@ -220,7 +220,13 @@
 
     async fn read(&mut self) -> Result<(), End> {
         let Some(source) = &mut self.source else { return Err(End::Broken) };
+        // Only what the upstream takes: a caller that reads slowly keeps events waiting here.
+        let began = Instant::now();
         let frame = within(self.call.deadline, source.body.frame()).await;
+        if let Some(visit) = self.visit.as_ref().filter(|_| self.events > 0) {
+            let now = Instant::now();
+            self.gateway.placement.borrow_mut().paused(now, visit.key, now - began);
+        }
         match frame {
             None => Err(End::TimedOut),
             Some(None) if self.cutter.is_mid_event() => Err(End::Broken),
