--- a/crates/standin/src/fleet/worker.rs
+++ b/crates/standin/src/fleet/worker.rs
@@ -38,6 +38,8 @@
     Unsigned,
     /// Its next stream breaks off in the middle of the event after this one; later ones are whole.
     CutsOnceAfter(u64),
+    /// It answers with an error of its own.
+    Errors,
     /// It takes this long for each request.
     Slow(Duration),
 }
@@ -149,6 +151,9 @@
         match fault {
             WorkerFault::LosesAnswers => return None,
             WorkerFault::AnswersLate => answer = self.head("another", StatusCode::OK),
+            WorkerFault::Errors => {
+                answer = self.head(&id, StatusCode::INTERNAL_SERVER_ERROR);
+            }
             WorkerFault::Slow(time) => {
                 Timer::after(time).await;
             }
