Ask keepers no more once they have noted an outage, and note some writes ahead

The other ledgers' keepers had noted the outage, but each charge asked all three again, since failed writes had moved the ledger beyond what was noted; the lost one could note nothing, and their programs waited for the 4 s as well.

Change: notes run twelve writes ahead, and a keeper remembers that all have taken them. The first record after an outage is followed by one beyond the notes at once, so that successors find it whole. Tests: noted_outage_goes_on_when_a_keeper_is_lost; charges_go_no_further_than_the_notes now asks for every write up to the note and one beyond; record_after_a_noted_outage_is_whole asks for one more write only.

--- a/crates/core/src/budget/mod.rs
+++ b/crates/core/src/budget/mod.rs
@@ -46,6 +46,9 @@
 const UNNOTED_MAX_MS: u64 = 200;
 /// How long the store fails before it is taken as away: longer than slow calls take.
 const AWAY_AFTER: Duration = Duration::from_millis(300);
+/// Writes by which notes run ahead: as many as fail in some ten seconds. As long as they hold, no keeper has
+/// to be asked again, and one that is lost meanwhile holds nobody up.
+const NOTED_AHEAD: u64 = 12;
 /// Time that accounts are kept beyond the time in which a program may come back.
 const KEEP_MARGIN: Duration = Duration::from_secs(10);
 
@@ -147,7 +150,9 @@
     /// Until when accounts are opened as if charges were missing from the record.
     doubtful_until: Instant,
     failing_since: Option<Instant>,
-    /// The last write beyond which others have noted that charges may go.
+    /// The last write beyond which others may have noted that charges go.
+    offered_sequence: u64,
+    /// The last write of which all of them have. Invariant: at most `offered_sequence`.
     noted_sequence: u64,
     /// Whether the record in the store says that charges may be missing, and none are.
     is_record_doubted: bool,
@@ -187,6 +192,7 @@
             idle_max,
             doubtful_until: now + doubtful,
             failing_since: None,
+            offered_sequence: 0,
             noted_sequence: 0,
             is_record_doubted: false,
             is_first_choice: false,
@@ -210,6 +216,9 @@
 
     /// Returns whether others know enough for charges far beyond the record.
     fn may_go_beyond(&mut self, now: Instant, charge: &Charge) -> bool {
+        if self.is_noted() {
+            return true;
+        }
         match (charge.others, &charge.beyond) {
             (OthersSay::Unknown, _) => false,
             // A write that began after the notes may still take effect, and would seem whole.
@@ -223,10 +232,18 @@
         }
     }
 
-    /// Returns up to which write charges would go beyond the record: this one and the next, which
+    /// Returns whether all keepers have noted that charges may go beyond the last write.
+    fn is_noted(&self) -> bool {
+        0 < self.sequence && self.sequence <= self.noted_sequence
+    }
+
+    /// Returns up to which write charges would go beyond the record: this one and the next ones, which
     /// may begin at any time.
-    pub fn beyond(&self) -> LedgerPosition {
-        LedgerPosition { writer: self.writer.clone(), sequence: self.sequence + 1 }
+    pub fn beyond(&mut self) -> LedgerPosition {
+        if self.offered_sequence <= self.sequence {
+            self.offered_sequence = self.sequence + NOTED_AHEAD;
+        }
+        LedgerPosition { writer: self.writer.clone(), sequence: self.offered_sequence }
     }
 
     /// Gives back what a turn did not use.
@@ -247,13 +264,17 @@
     /// Returns whether a successor would take the record over in doubt although no charge is missing.
     /// It should be replaced at once.
     pub fn is_doubted_for_nothing(&self) -> bool {
-        let is_noted = 0 < self.sequence && self.sequence <= self.noted_sequence;
-        self.failing_since.is_none() && (self.is_record_doubted || is_noted)
+        let may_be_noted = 0 < self.sequence && self.sequence <= self.offered_sequence;
+        self.failing_since.is_none() && (self.is_record_doubted || may_be_noted)
     }
 
     /// Returns the record to write, without the accounts of programs that won't come back.
     pub fn record(&mut self, now: Instant, wall_ms: u64) -> LedgerRecord {
         self.accounts.retain(|_, account| !account.is_over(now));
+        if self.failing_since.is_none() {
+            // Whole again: beyond what may be noted.
+            self.sequence = self.sequence.max(self.offered_sequence);
+        }
         self.sequence += 1;
         let charged =
             self.accounts.iter().map(|(program, account)| (program.clone(), account.to_record()));
--- a/crates/core/src/budget/tests.rs
+++ b/crates/core/src/budget/tests.rs
@@ -37,12 +37,12 @@
 }
 
 /// A charge whose notes have been taken by all keepers of a ledger.
-fn noted(ledger: &Ledger, charge: Charge) -> Charge {
+fn noted(ledger: &mut Ledger, charge: Charge) -> Charge {
     Charge { others: OthersSay::StoreAwayNoted, beyond: Some(ledger.beyond()), ..charge }
 }
 
 /// Notes of the writes up to which charges went beyond a ledger's record.
-fn notes_of(ledger: &Ledger, noted_at_ms: u64) -> OutageNotes {
+fn notes_of(ledger: &mut Ledger, noted_at_ms: u64) -> OutageNotes {
     let note = OutageNote { noted_at_ms, position: ledger.beyond() };
     OutageNotes::Taken { since_ms: 0, last: Some(note) }
 }
@@ -143,7 +143,7 @@
         let mut ledger = first(now);
         let record = write(&mut ledger, now, 100_000);
         ledger.write_failed(now);
-        let turn = noted(&ledger, charge("p", budget));
+        let turn = noted(&mut ledger, charge("p", budget));
         assert!(is_granted(&mut ledger, now, &turn));
         assert_eq!(ledger.charge(now, &turn), Charged::AfterWrite, "the store may be slow");
         let later = now + AWAY_AFTER;
@@ -153,8 +153,8 @@
         }
         assert_eq!(granted, 5);
         let notes = match name {
-            "its notes" => vec![notes_of(&ledger, 100_400)],
-            "another's notes" => vec![no_notes(100_900), notes_of(&ledger, 100_400)],
+            "its notes" => vec![notes_of(&mut ledger, 100_400)],
+            "another's notes" => vec![no_notes(100_900), notes_of(&mut ledger, 100_400)],
             "only notes from later on" => vec![no_notes(100_900)],
             _ => vec![],
         };
@@ -172,16 +172,42 @@
     write(&mut ledger, now, 100_000);
     ledger.write_failed(now);
     let later = now + AWAY_AFTER;
-    let turn = noted(&ledger, charge("p", 10 * TURN));
+    let turn = noted(&mut ledger, charge("p", 10 * TURN));
     assert!(is_granted(&mut ledger, later, &turn));
-    // One write began since the notes, and would be taken for one without missing charges.
-    ledger.record(later, 100_400);
+    for write in 0..NOTED_AHEAD {
+        ledger.record(later, 100_400);
+        let of_another = charge(&format!("p{write}"), 10 * TURN);
+        assert!(
+            is_granted(&mut ledger, later, &of_another)
+                && is_granted(&mut ledger, later, &of_another)
+        );
+    }
+    // One more write would be taken for one without missing charges.
     ledger.record(later, 100_800);
     assert_eq!(ledger.charge(later, &turn), Charged::AfterWrite);
-    let noted_again = noted(&ledger, charge("p", 10 * TURN));
+    let noted_again = noted(&mut ledger, charge("p", 10 * TURN));
     assert!(is_granted(&mut ledger, later, &noted_again));
 }
 
+/// The keepers are asked no more once they have noted an outage.
+#[test]
+fn noted_outage_goes_on_when_a_keeper_is_lost() {
+    let now = Instant::now();
+    let mut ledger = first(now);
+    write(&mut ledger, now, 100_000);
+    ledger.write_failed(now);
+    let later = now + AWAY_AFTER;
+    let turn = noted(&mut ledger, charge("p", 10 * TURN));
+    assert!(is_granted(&mut ledger, later, &turn));
+    ledger.record(later, 100_400);
+    for others in [OthersSay::StoreAway, OthersSay::Unknown] {
+        let turn = Charge { others, ..charge("p", 10 * TURN) };
+        assert!(is_granted(&mut ledger, later, &turn), "{others:?}");
+    }
+    let second_choice = Charge { is_first_choice: false, ..charge("p", 10 * TURN) };
+    assert!(!is_granted(&mut ledger, later, &second_choice));
+}
+
 #[test]
 fn record_after_a_noted_outage_is_whole() {
     let now = Instant::now();
@@ -190,13 +216,13 @@
     write(&mut ledger, now, 100_000);
     ledger.write_failed(now);
     let later = now + AWAY_AFTER;
-    let turn = noted(&ledger, charge("p", budget));
+    let turn = noted(&mut ledger, charge("p", budget));
     assert!(is_granted(&mut ledger, later, &turn) && is_granted(&mut ledger, later, &turn));
-    let notes = [notes_of(&ledger, 100_400)];
-    let mut record = write(&mut ledger, later, 100_500);
-    while ledger.needs_write() {
-        record = write(&mut ledger, later, 100_600);
-    }
+    let notes = [notes_of(&mut ledger, 100_400)];
+    write(&mut ledger, later, 100_500);
+    assert!(ledger.needs_write());
+    let record = write(&mut ledger, later, 100_600);
+    assert!(!ledger.needs_write(), "one more write is enough");
     let inherited = Inherited { record: Some(&record), notes: &notes, is_first: false };
     let next = Ledger::take_over(later, 100_700, ("host-2", 1), inherited, IDLE);
     assert!(!next.is_in_doubt(later));
@@ -207,7 +233,7 @@
     let now = Instant::now();
     let budget = 10 * TURN;
     let mut ledger = first(now);
-    let earlier = notes_of(&ledger, 90_000);
+    let earlier = notes_of(&mut ledger, 90_000);
     write(&mut ledger, now, 99_000);
     let record = write(&mut ledger, now, 100_000);
     let cases = [
@@ -235,12 +261,12 @@
     let record = write(&mut ledger, now, 100_000);
     ledger.write_failed(now);
     let later = now + AWAY_AFTER;
-    let turn = noted(&ledger, charge("p", budget));
+    let turn = noted(&mut ledger, charge("p", budget));
     let mut granted = 0;
     while is_granted(&mut ledger, later, &turn) {
         granted += 1;
     }
-    let notes = notes_of(&ledger, 100_300);
+    let notes = notes_of(&mut ledger, 100_300);
     next.merge(later, &record, notes.clone());
     granted += grant_all(&mut next, later, 101_000, &charge("p", budget));
     assert!(granted * TURN <= budget + TURN, "{granted} turns");
