--- a/crates/gateway/src/ledger/takeover.rs
+++ b/crates/gateway/src/ledger/takeover.rs
@@ -79,12 +79,13 @@
 /// Takes a part's ledger over from its record.
 async fn read(gateway: Rc<Gateway>, part: usize, idle_max: Duration) {
     let began = Instant::now();
+    let mut left_since = None;
     let (ledger, revision) = loop {
         let stored = stored(&gateway, part).await;
         let record = stored.as_ref().and_then(record_of);
         if let Some(record) = &record
             && !OutageNotes::are_enough(&[gateway.outage_notes.of(part)], record)
-            && leave_to_writer(&gateway, part, record, began).await
+            && leave_to_writer(&gateway, part, record, &mut left_since).await
         {
             continue;
         }
@@ -107,7 +108,7 @@
         );
         if let Some(record) = &record
             && ledger.is_in_doubt(now)
-            && leave_to_writer(&gateway, part, record, began).await
+            && leave_to_writer(&gateway, part, record, &mut left_since).await
         {
             continue;
         }
@@ -140,11 +141,12 @@
 
 /// Leaves a ledger for a while to the host that wrote its record, if that still keeps it: it knows what
 /// charges its record misses, and will write them. Returns whether the record is worth reading again.
+/// `left_since` is when that was first done: an outage before it doesn't count.
 async fn leave_to_writer(
     gateway: &Rc<Gateway>,
     part: usize,
     record: &LedgerRecord,
-    began: Instant,
+    left_since: &mut Option<Instant>,
 ) -> bool {
     let kept = writer_keeps(gateway, part, &record.writer).await;
     let (stays_max, pause) = match kept {
@@ -152,7 +154,7 @@
         Kept::WithoutStore => (KEEPER_BACK_WITHIN, ROUND_EVERY),
         Kept::No => return false,
     };
-    if began.elapsed() >= stays_max {
+    if left_since.get_or_insert_with(Instant::now).elapsed() >= stays_max {
         return false;
     }
     let was_left = {
