Split allowances into taking, waiting and borrowing

allowance.rs had grown to 370 lines with three jobs: what a request is told, who waits, and who is asked to lend. In the takeover of ledgers, a ledger that is no longer left to its keeper is not said to be kept elsewhere while notes are gathered.

--- /dev/null
+++ b/crates/gateway/src/allowance/borrowing.rs
@@ -0,0 +1,154 @@
+//! Borrows tokens of a team's allowance from the hosts that hold parts of it.
+
+use {
+    super::queue::Queue,
+    crate::{
+        gateway::Gateway,
+        peers::{self, Question, Reply},
+    },
+    event_listener::Event,
+    rand::seq::SliceRandom,
+    std::{
+        collections::HashMap,
+        net::SocketAddr,
+        rc::Rc,
+        time::{Duration, Instant},
+    },
+    trefoilring_core::ids::TeamId,
+};
+
+/// How long one host may take to lend.
+const LEND_TIMEOUT: Duration = Duration::from_millis(100);
+/// Pause after a round in which nobody had tokens to lend. Doubles up to [`PAUSE_MAX`].
+const PAUSE_MIN: Duration = Duration::from_millis(150);
+/// The longest pause between such rounds.
+const PAUSE_MAX: Duration = Duration::from_millis(600);
+
+/// Borrowing for one team.
+#[derive(Default)]
+pub(crate) struct Borrowing {
+    is_under_way: bool,
+    /// No round before this time.
+    paused_until: Option<Instant>,
+    pause: Duration,
+    /// Notified when tokens have come, or when nobody is asked any more.
+    pub(super) arrived: Rc<Event>,
+    pub(super) queue: Rc<Queue>,
+}
+
+/// Whether other hosts may lend tokens.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Loan {
+    /// They are being asked.
+    Asked,
+    /// They had none to spare, and are asked again at this time.
+    Paused(Instant),
+    /// None is needed.
+    NotNeeded,
+}
+
+impl Loan {
+    /// Returns whether tokens may come before a time.
+    pub(super) fn may_come_before(self, time: Instant) -> bool {
+        match self {
+            Self::Asked => true,
+            Self::Paused(until) => until < time,
+            Self::NotNeeded => false,
+        }
+    }
+}
+
+/// Borrowing by team.
+pub(crate) type Borrowings = HashMap<TeamId, Borrowing>;
+
+pub(super) fn borrowing<T>(
+    gateway: &Gateway,
+    team: &TeamId,
+    read: impl FnOnce(&Borrowing) -> T,
+) -> T {
+    read(gateway.borrowings.borrow_mut().entry(team.clone()).or_default())
+}
+
+pub(super) fn queue(gateway: &Gateway, team: &TeamId) -> Rc<Queue> {
+    borrowing(gateway, team, |borrowing| borrowing.queue.clone())
+}
+
+/// Returns how many tokens to borrow for a team, if it is short here.
+fn shortage(gateway: &Gateway, team: &TeamId) -> Option<f64> {
+    let waiting = queue(gateway, team).waiting();
+    gateway.shares.borrow_mut().shortage(Instant::now(), team, waiting)
+}
+
+/// Starts to borrow if the team is short here.
+pub(super) fn borrow_if_short(gateway: &Rc<Gateway>, team: &TeamId) -> Loan {
+    if shortage(gateway, team).is_none() {
+        return Loan::NotNeeded;
+    }
+    let now = Instant::now();
+    let mut borrowings = gateway.borrowings.borrow_mut();
+    let borrowing = borrowings.entry(team.clone()).or_default();
+    if borrowing.is_under_way {
+        return Loan::Asked;
+    }
+    if let Some(until) = borrowing.paused_until.filter(|until| now < *until) {
+        return Loan::Paused(until);
+    }
+    borrowing.is_under_way = true;
+    gateway.spawn(borrow(gateway.clone(), team.clone()));
+    Loan::Asked
+}
+
+/// Returns the other hosts that hold a team's allowance.
+fn lenders(gateway: &Gateway, team: &TeamId) -> Vec<SocketAddr> {
+    let table = gateway.table.borrow();
+    let rules = table.as_ref().and_then(|table| table.teams.as_ref()?.get(team));
+    let burst = rules.map_or(0.0, |rules| rules.burst_requests);
+    let shares = gateway.shares.borrow();
+    let holders = shares.holders().of(team, burst);
+    let roster = gateway.roster.borrow();
+    roster
+        .lenders()
+        .filter(|(host, _)| holders.contains(host))
+        .map(|(_, address)| address)
+        .collect()
+}
+
+/// Asks the other hosts in turn until the shortage is over.
+async fn borrow(gateway: Rc<Gateway>, team: TeamId) {
+    let mut lenders = lenders(&gateway, &team);
+    lenders.retain(|address| !peers::is_suspect(&gateway, *address));
+    lenders.shuffle(&mut rand::rng());
+    let (mut total, mut is_short) = (0.0, false);
+    for address in lenders {
+        let missing = shortage(&gateway, &team);
+        is_short = missing.is_some();
+        let Some(tokens) = missing else { break };
+        let question = Question::Lend { team: team.clone(), tokens };
+        let deadline = Instant::now() + LEND_TIMEOUT;
+        if let Some(Reply::Lent { tokens }) =
+            peers::ask(&gateway, address, &question, deadline).await
+            && tokens > 0.0
+        {
+            total += tokens;
+            gateway.shares.borrow_mut().receive(Instant::now(), &team, tokens);
+            notify(&gateway, &team);
+        }
+    }
+    gateway.metrics.count("borrow_rounds", 1);
+    let mut borrowings = gateway.borrowings.borrow_mut();
+    let borrowing = borrowings.entry(team.clone()).or_default();
+    borrowing.is_under_way = false;
+    if total < 1.0 && is_short {
+        borrowing.pause = (borrowing.pause * 2).clamp(PAUSE_MIN, PAUSE_MAX);
+        borrowing.paused_until = Some(Instant::now() + borrowing.pause);
+    } else {
+        borrowing.pause = Duration::ZERO;
+    }
+    borrowing.arrived.notify(usize::MAX);
+}
+
+fn notify(gateway: &Gateway, team: &TeamId) {
+    if let Some(borrowing) = gateway.borrowings.borrow().get(team) {
+        borrowing.arrived.notify(usize::MAX);
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/allowance/queue.rs
@@ -0,0 +1,47 @@
+//! Requests of a team that wait for tokens at this host.
+
+use {
+    smol::lock::Mutex,
+    std::{cell::Cell, rc::Rc},
+    trefoilring_core::shares::Waiting,
+};
+
+/// Those who wait. Requests of programs under way go one after the other, in the order in which they came.
+#[derive(Default)]
+pub(super) struct Queue {
+    /// Held by the first request of a program under way.
+    pub(super) first: Mutex<()>,
+    under_way: Cell<usize>,
+    opening: Cell<usize>,
+}
+
+impl Queue {
+    pub(super) fn waiting(&self) -> Waiting {
+        Waiting { under_way: self.under_way.get(), opens_program: self.opening.get() > 0 }
+    }
+
+    fn count(&self, opens_program: bool) -> &Cell<usize> {
+        if opens_program { &self.opening } else { &self.under_way }
+    }
+}
+
+/// A place among those who wait.
+pub(super) struct Place {
+    queue: Rc<Queue>,
+    opens_program: bool,
+}
+
+impl Place {
+    pub(super) fn new(queue: Rc<Queue>, opens_program: bool) -> Self {
+        let count = queue.count(opens_program);
+        count.set(count.get() + 1);
+        Self { queue, opens_program }
+    }
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        let count = self.queue.count(self.opens_program);
+        count.set(count.get() - 1);
+    }
+}
--- a/crates/gateway/src/ledger/takeover.rs
+++ b/crates/gateway/src/ledger/takeover.rs
@@ -152,25 +152,26 @@
     let (stays_max, pause) = match kept {
         Kept::WithStore => (KEEPER_STAYS_MAX, LEFT_LOOKED_AT_EVERY),
         Kept::WithoutStore => (KEEPER_BACK_WITHIN, ROUND_EVERY),
-        Kept::No => return false,
+        Kept::No => (Duration::ZERO, Duration::ZERO),
     };
-    if left_since.get_or_insert_with(Instant::now).elapsed() >= stays_max {
-        return false;
-    }
-    let was_left = {
+    let is_left = left_since.get_or_insert_with(Instant::now).elapsed() < stays_max;
+    let serves_elsewhere = is_left && kept == Kept::WithStore;
+    let did_before = {
         let state = &mut gateway.ledgers.borrow_mut()[part];
         state.changed.notify(usize::MAX);
-        std::mem::replace(&mut state.is_left, kept == Kept::WithStore)
+        std::mem::replace(&mut state.is_left, serves_elsewhere)
     };
-    if kept == Kept::WithStore && !was_left {
+    if serves_elsewhere && !did_before {
         gateway.decisions.note(
             Weight::Rare,
             "ledger",
             json!({"ledger": name(part), "what": "left to its keeper", "keeper": record.writer}),
         );
     }
-    Timer::after(pause).await;
-    true
+    if is_left {
+        Timer::after(pause).await;
+    }
+    is_left
 }
 
 /// Reads a part's record, as often as it takes.
