Charge at the host that keeps a ledger which others leave to it

Change: who leaves a ledger names the host that keeps it, and the turn is charged there. Test: ledger_that_all_new_keepers_leave_to_another_host_is_charged_there, 503 at its second turn before.

--- a/crates/gateway/src/call/budget.rs
+++ b/crates/gateway/src/call/budget.rs
@@ -6,6 +6,7 @@
         gateway::Gateway,
         ledger::{self, KEEPERS, Keeper},
         peers::{self, ChargeDecision, Question, Reply},
+        roster,
     },
     serde_json::json,
     smol::Timer,
@@ -123,8 +124,20 @@
             charge.others = others;
         }
         charge.is_first_choice = rank == 0;
-        let decision = charge_at(gateway, keeper, &charge, call.time_left()).await;
+        let mut keeper = keeper;
+        let mut decision = charge_at(gateway, keeper, &charge, call.time_left()).await;
         note(gateway, call, keeper, tries, decision.as_ref(), began.elapsed());
+        let left_to = match decision {
+            Some(ChargeDecision::KeptElsewhere { keeper }) => Some(keeper),
+            _ => None,
+        };
+        if let Some(address) = left_to {
+            // It stands in, wherever it ranks.
+            keeper = (address != roster::own_address(gateway)).then_some(address);
+            let as_stand_in = Charge { is_first_choice: false, ..charge.clone() };
+            decision = charge_at(gateway, keeper, &as_stand_in, call.time_left()).await;
+            note(gateway, call, keeper, tries, decision.as_ref(), began.elapsed());
+        }
         match decision {
             Some(ChargeDecision::Granted { is_new }) => {
                 return Ok(Some(TurnCharge {
@@ -140,13 +153,15 @@
                 let detail = format!("the program's budget of {budget} tokens is spent");
                 return Err(Refusal::not_run(Reason::BudgetSpent, detail));
             }
+            // Whoever leaves a ledger reaches the store.
+            _ if left_to.is_some() => others = OthersSay::Unknown,
             Some(ChargeDecision::StoreAway { beyond, .. }) if rank == 0 => charge.beyond = beyond,
             // Whoever takes the ledger over asks the first by rank for their notes.
             Some(ChargeDecision::StoreAway { is_noted: true, .. }) if rank < KEEPERS => {}
             Some(ChargeDecision::StoreAway { .. }) | None => {
                 others = others.min(OthersSay::StoreAway);
             }
-            Some(ChargeDecision::Undecided | ChargeDecision::KeptElsewhere) => {
+            Some(ChargeDecision::Undecided | ChargeDecision::KeptElsewhere { .. }) => {
                 others = OthersSay::Unknown;
             }
         }
--- a/crates/gateway/src/ledger/mod.rs
+++ b/crates/gateway/src/ledger/mod.rs
@@ -23,6 +23,7 @@
     event_listener::Event,
     serde_json::json,
     std::{
+        net::SocketAddr,
         rc::Rc,
         time::{Duration, Instant},
     },
@@ -52,8 +53,8 @@
     /// The store's revision of the record that the ledger goes on from.
     revision: Option<Revision>,
     is_loading: bool,
-    /// Whether it is left to the host that keeps it, for now.
-    is_left: bool,
+    /// The host that keeps it, while it is left to that.
+    left_to: Option<SocketAddr>,
     /// Whether the last attempt to read it has failed.
     is_read_failing: bool,
     is_writing: bool,
@@ -120,7 +121,7 @@
     match load(gateway, part, charge.idle_max, deadline).await {
         Loaded::Yes => {}
         Loaded::NotYet => return ChargeDecision::Undecided,
-        Loaded::KeptElsewhere => return ChargeDecision::KeptElsewhere,
+        Loaded::KeptElsewhere { keeper } => return ChargeDecision::KeptElsewhere { keeper },
         Loaded::StoreAway => {
             return ChargeDecision::StoreAway { is_noted: false, beyond: None };
         }
--- a/crates/gateway/src/ledger/takeover.rs
+++ b/crates/gateway/src/ledger/takeover.rs
@@ -12,6 +12,7 @@
     serde_json::json,
     smol::Timer,
     std::{
+        net::SocketAddr,
         rc::Rc,
         time::{Duration, Instant},
     },
@@ -39,7 +40,7 @@
 pub(super) enum Loaded {
     Yes,
     NotYet,
-    KeptElsewhere,
+    KeptElsewhere { keeper: SocketAddr },
     StoreAway,
 }
 
@@ -65,8 +66,8 @@
             if parts.iter().any(Part::is_store_away) {
                 return Loaded::StoreAway;
             }
-            if parts[part].is_left {
-                return Loaded::KeptElsewhere;
+            if let Some(keeper) = parts[part].left_to {
+                return Loaded::KeptElsewhere { keeper };
             }
             changed
         };
@@ -135,7 +136,7 @@
     state.ledger = Some(ledger);
     state.revision = revision;
     state.is_loading = false;
-    state.is_left = false;
+    state.left_to = None;
     state.changed.notify(usize::MAX);
 }
 
@@ -148,20 +149,24 @@
     record: &LedgerRecord,
     left_since: &mut Option<Instant>,
 ) -> bool {
-    let kept = writer_keeps(gateway, part, &record.writer).await;
+    let address = writer_address(gateway, part, &record.writer).await;
+    let kept = match address {
+        Some(address) => writer_keeps(gateway, part, &record.writer, address).await,
+        None => Kept::No,
+    };
     let (stays_max, pause) = match kept {
         Kept::WithStore => (KEEPER_STAYS_MAX, LEFT_LOOKED_AT_EVERY),
         Kept::WithoutStore => (KEEPER_BACK_WITHIN, ROUND_EVERY),
         Kept::No => (Duration::ZERO, Duration::ZERO),
     };
     let is_left = left_since.get_or_insert_with(Instant::now).elapsed() < stays_max;
-    let serves_elsewhere = is_left && kept == Kept::WithStore;
-    let did_before = {
+    let left_to = address.filter(|_| is_left && kept == Kept::WithStore);
+    let left_before = {
         let state = &mut gateway.ledgers.borrow_mut()[part];
         state.changed.notify(usize::MAX);
-        std::mem::replace(&mut state.is_left, serves_elsewhere)
+        std::mem::replace(&mut state.left_to, left_to)
     };
-    if serves_elsewhere && !did_before {
+    if left_to.is_some() && left_before.is_none() {
         gateway.decisions.note(
             Weight::Rare,
             "ledger",
@@ -194,13 +199,22 @@
     }
 }
 
-/// Asks the writer of a record, if that is another host, whether it still keeps the ledger.
-async fn writer_keeps(gateway: &Rc<Gateway>, part: usize, writer: &str) -> Kept {
-    let Some((host, _)) = writer.rsplit_once('@') else { return Kept::No };
+/// Returns where the writer of a record is, if that is another host that is there.
+async fn writer_address(gateway: &Gateway, part: usize, writer: &str) -> Option<SocketAddr> {
+    let (host, _) = writer.rsplit_once('@')?;
     if roster::address_of(gateway, host).is_none() {
         read_hosts(gateway, part).await;
     }
-    let Some(address) = roster::address_of(gateway, host) else { return Kept::No };
+    roster::address_of(gateway, host)
+}
+
+/// Asks the writer of a record whether it still keeps the ledger.
+async fn writer_keeps(
+    gateway: &Rc<Gateway>,
+    part: usize,
+    writer: &str,
+    address: SocketAddr,
+) -> Kept {
     let question = Question::IsLedgerKept { part, writer: writer.into() };
     match peers::reach(gateway, address, question, NOTES_TIMEOUT).await {
         Some(Reply::LedgerKept { kept }) => kept,
--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/peers/message.rs
@@ -88,8 +88,11 @@
     Spent,
     /// The ledger has to be read or written first, which takes longer.
     Undecided,
-    /// Another host keeps the ledger, and this one has not taken it over yet.
-    KeptElsewhere,
+    /// Another host keeps the ledger, and this one leaves it to that for now.
+    KeptElsewhere {
+        /// Where that host is.
+        keeper: SocketAddr,
+    },
     /// The ledger has to be read or written first, and the store can't be reached from here.
     StoreAway {
         /// Whether this host has noted what it was asked to.
--- a/crates/gateway/src/roster.rs
+++ b/crates/gateway/src/roster.rs
@@ -120,7 +120,8 @@
     }
 }
 
-fn own_address(gateway: &Gateway) -> SocketAddr {
+/// Where other hosts reach this one.
+pub(crate) fn own_address(gateway: &Gateway) -> SocketAddr {
     gateway.bound.get().map_or(gateway.settings.peers_listen, |bound| bound.peers)
 }
 
