Pause between borrowing rounds where there is nobody to ask

Found by reading: with no lender in reach a round ended at once and counted as enough, so that whoever waited began the next one without a pause until its wait was over, up to half a second of processor time.

--- a/crates/gateway/src/allowance/borrowing.rs
+++ b/crates/gateway/src/allowance/borrowing.rs
@@ -118,7 +118,7 @@
     let mut lenders = lenders(&gateway, &team);
     lenders.retain(|address| !peers::is_suspect(&gateway, *address));
     lenders.shuffle(&mut rand::rng());
-    let (mut total, mut is_short) = (0.0, false);
+    let (mut total, mut is_short) = (0.0, true);
     for address in lenders {
         let missing = shortage(&gateway, &team);
         is_short = missing.is_some();
