Let requests wait where all upstreams of a service are full

The last one keeps up on the whole, but its queue is full for moments: 739 requests were refused at once, and a program ends with a call that is refused twice.

Ruled out: the upstream's own queue (it is full, load 5.0); a wrong placement (there is one worker).

Change: core::placement::full decides how long a request waits at the host (0.5 s for programs under way, 0.15 s for others, at most 0.3 of the time left), who comes first (the oldest), and who is refused at once (when the oldest has waited 0.8 of that). call::offers holds the offers of a request; a caller that leaves ends the wait of a call that may not be repeated, too.

Tests: a burst pattern against one upstream that nine hosts share, in virtual time (249 of 1,800 refused at once, 10 with waits; bound a tenth), lasting overload (2,056 served of a capacity of 2,000 and the queue; the median refusal at once; 3.3 offers a request; bound 4); two path tests, of which the one on the caller that leaves counts 7 offers without the check.

--- a/crates/core/src/placement/mod.rs
+++ b/crates/core/src/placement/mod.rs
@@ -7,6 +7,7 @@
 //! always idle, and a slow one fills up late: errors and slow events count like load until they are some
 //! seconds old.
 
+mod full;
 mod outage;
 mod upstream;
 
@@ -14,6 +15,7 @@
 mod tests;
 
 pub use {
+    full::{FullServices, FullWait},
     outage::{Delisted, StoreOutage},
     upstream::{Load, Outcome, UpstreamRecord},
 };
--- a/crates/gateway/src/call/exchange.rs
+++ b/crates/gateway/src/call/exchange.rs
@@ -1,7 +1,11 @@
 //! One request at one upstream after the other, until one has answered or the end is unknown.
 
 use {
-    super::{AnswerBody, Call, RETRY_AFTER_DEFAULT, note_answer, timed_out},
+    super::{
+        AnswerBody, Call, note_answer,
+        offers::{Offers, Visit},
+        timed_out,
+    },
     crate::{
         dialect::{AnswerHead, Forwarding},
         front::Answer,
@@ -13,14 +17,9 @@
     http::{HeaderMap, Request, Response, StatusCode, header, response},
     http_body_util::{BodyExt, Full, Limited},
     hyper::body::Incoming,
-    std::{
-        net::SocketAddr,
-        rc::Rc,
-        time::{Duration, Instant},
-    },
+    std::{rc::Rc, time::Instant},
     trefoilring_core::{
-        ids::UpstreamId,
-        placement::{Choice, Demand, Outcome, UpstreamKey},
+        placement::Outcome,
         verdict::{Reason, Refusal, Verdict},
     },
 };
@@ -29,39 +28,6 @@
 const ANSWER_BYTES_MAX: usize = 8 * 1024 * 1024;
 /// Upstreams that may run one repeatable request where the route has no bound of its own.
 const RUNS_MAX: u32 = 3;
-/// The least time left for which a request is sent: less is over before an upstream answers.
-const TIME_LEFT_MIN: Duration = Duration::from_millis(5);
-
-/// An upstream that a request is under way at. Counts as load until it is dropped.
-pub(super) struct Visit {
-    gateway: Rc<Gateway>,
-    pub(super) key: UpstreamKey,
-    pub(super) id: UpstreamId,
-    pub(super) address: SocketAddr,
-    outcome: Outcome,
-}
-
-impl Visit {
-    fn begin(gateway: &Rc<Gateway>, key: UpstreamKey) -> Option<Self> {
-        let mut placement = gateway.placement.borrow_mut();
-        let (id, address) =
-            placement.record(key).map(|record| (record.id.clone(), record.address))?;
-        placement.started(key);
-        Some(Self { gateway: gateway.clone(), key, id, address, outcome: Outcome::Done })
-    }
-
-    /// Ends the visit with an outcome other than an answer.
-    pub(super) fn end(mut self, outcome: Outcome) {
-        self.outcome = outcome;
-    }
-}
-
-impl Drop for Visit {
-    fn drop(&mut self) {
-        let mut placement = self.gateway.placement.borrow_mut();
-        placement.ended(Instant::now(), self.key, self.outcome);
-    }
-}
 
 /// How one send ended.
 pub(super) enum Sent {
@@ -82,15 +48,14 @@
 
 /// Delivers a request whose answer is passed on as a whole.
 pub(super) async fn deliver(gateway: &Rc<Gateway>, call: &Call) -> Result<Answer, Refusal> {
-    let mut refused_by = Vec::new();
+    let mut offers = Offers::new(call.about.program.is_some());
     let (mut runs, mut errored) = (0, None);
     loop {
-        let visit = match next_visit(gateway, call, &refused_by, runs) {
+        let visit = match offers.next(gateway, call, runs).await {
             Ok(visit) => visit,
             // The error is an answer, and there is no other.
             Err(refusal) => return errored.ok_or(refusal),
         };
-        let key = visit.key;
         let error = match send(gateway, call, &visit, None).await {
             Sent::Answered(received) => match read_whole(gateway, call, *received).await {
                 Ok((head, body)) => {
@@ -100,9 +65,8 @@
                     if !is_error {
                         return Ok(answer);
                     }
-                    visit.end(Outcome::Errored);
+                    offers.end(visit, Outcome::Errored);
                     runs += 1;
-                    refused_by.push(key);
                     if errored.is_some() || !may_run_again(call, runs) {
                         return Ok(answer);
                     }
@@ -112,15 +76,13 @@
                 Err(error) => error,
             },
             Sent::NotRun(outcome) => {
-                visit.end(outcome);
-                refused_by.push(key);
+                offers.end(visit, outcome);
                 continue;
             }
             Sent::Unknown(error) => error,
         };
-        visit.end(Outcome::Failed);
+        offers.end(visit, Outcome::Failed);
         runs += 1;
-        refused_by.push(key);
         if !may_run_again(call, runs) {
             return errored.ok_or_else(|| failed(error));
         }
@@ -138,31 +100,6 @@
     status.is_server_error() && status != StatusCode::GATEWAY_TIMEOUT
 }
 
-/// Picks the next upstream and begins a visit there.
-pub(super) fn next_visit(
-    gateway: &Rc<Gateway>,
-    call: &Call,
-    refused_by: &[UpstreamKey],
-    runs: u32,
-) -> Result<Visit, Refusal> {
-    let verdict = if runs == 0 { Verdict::NotRun } else { Verdict::MayHaveRun };
-    if call.time_left() < TIME_LEFT_MIN {
-        return Err(timed_out(verdict));
-    }
-    let demand = Demand { service: &call.service, line: call.line(), refused_by };
-    let choice = gateway.placement.borrow_mut().choose(Instant::now(), &demand);
-    let (reason, detail) = match choice {
-        Choice::Use(key) => match Visit::begin(gateway, key) {
-            Some(visit) => return Ok(visit),
-            None => (Reason::Internal, "the chosen upstream is gone"),
-        },
-        Choice::AllRefused => (Reason::Overloaded, "all upstreams of the service are full"),
-        Choice::NoUpstream => (Reason::NoUpstream, "the service has no upstream at present"),
-    };
-    let refusal = Refusal { verdict, reason, detail: detail.into(), retry_after: None };
-    Err(refusal.retry_after(RETRY_AFTER_DEFAULT))
-}
-
 /// Sends a request to one upstream and waits for the head of its answer.
 pub(super) async fn send(
     gateway: &Gateway,
--- a/crates/gateway/src/call/mod.rs
+++ b/crates/gateway/src/call/mod.rs
@@ -4,6 +4,7 @@
 mod budget;
 mod events;
 mod exchange;
+mod offers;
 mod relay;
 
 pub(crate) use {
@@ -51,6 +52,8 @@
     pub(crate) deadline: Instant,
     /// Sends to upstreams so far, refused ones too.
     pub(crate) sends: Cell<u32>,
+    /// Whether nobody waits for the answer any more.
+    pub(crate) caller_left: Cell<bool>,
 }
 
 impl Call {
@@ -112,6 +115,7 @@
 async fn finish_apart(gateway: &Rc<Gateway>, call: &Rc<Call>) -> Result<Answer, Refusal> {
     let (sender, receiver) = smol::channel::bounded(1);
     let (apart, apart_call) = (gateway.clone(), call.clone());
+    let _caller = Caller(call);
     gateway.spawn(async move {
         let answered = exchange::deliver(&apart, &apart_call).await;
         // The caller may have left.
@@ -122,6 +126,15 @@
     })
 }
 
+/// The caller of a request that goes on without it.
+struct Caller<'a>(&'a Call);
+
+impl Drop for Caller<'_> {
+    fn drop(&mut self) {
+        self.0.caller_left.set(true);
+    }
+}
+
 async fn admit(
     gateway: &Gateway,
     head: request::Parts,
@@ -143,8 +156,8 @@
             .retry_after(RETRY_AFTER_DEFAULT)
     })?;
     let body = read_body(body, table.limits.body_bytes_max, deadline).await?;
-    let sends = Cell::new(0);
-    Ok(Call { head, about, route, team, service, body, arrived, deadline, sends })
+    let (sends, caller_left) = (Cell::new(0), Cell::new(false));
+    Ok(Call { head, about, route, team, service, body, arrived, deadline, sends, caller_left })
 }
 
 fn route_and_team(
--- /dev/null
+++ b/crates/gateway/src/call/offers.rs
@@ -0,0 +1,211 @@
+//! Offers a request to one upstream after the other, and lets it wait where all of them are full.
+
+use {
+    super::{Call, RETRY_AFTER_DEFAULT, timed_out},
+    crate::{gateway::Gateway, time::within},
+    event_listener::{Event, EventListener},
+    rand::RngExt,
+    serde_json::json,
+    std::{
+        net::SocketAddr,
+        rc::Rc,
+        time::{Duration, Instant},
+    },
+    trefoilring_core::{
+        ids::{ServiceId, UpstreamId},
+        placement::{Choice, Demand, FullWait, Outcome, UpstreamKey},
+        verdict::{Reason, Refusal, Verdict},
+    },
+    trefoilring_observe::decisions::Weight,
+};
+
+/// The least time left for which a request is sent: less is over before an upstream answers.
+const TIME_LEFT_MIN: Duration = Duration::from_millis(5);
+
+/// An upstream that a request is under way at. Counts as load until it is dropped.
+pub(super) struct Visit {
+    gateway: Rc<Gateway>,
+    pub(super) key: UpstreamKey,
+    pub(super) id: UpstreamId,
+    pub(super) address: SocketAddr,
+    service: ServiceId,
+    outcome: Outcome,
+}
+
+impl Visit {
+    fn begin(gateway: &Rc<Gateway>, key: UpstreamKey) -> Option<Self> {
+        let mut placement = gateway.placement.borrow_mut();
+        let record = placement.record(key)?;
+        let (id, service) = (record.id.clone(), record.service.clone());
+        let address = record.address;
+        placement.started(key);
+        let gateway = gateway.clone();
+        Some(Self { gateway, key, id, address, service, outcome: Outcome::Done })
+    }
+
+    /// Ends the visit with an outcome other than an answer.
+    pub(super) fn end(mut self, outcome: Outcome) {
+        self.outcome = outcome;
+    }
+}
+
+impl Drop for Visit {
+    fn drop(&mut self) {
+        self.gateway.placement.borrow_mut().ended(Instant::now(), self.key, self.outcome);
+        if matches!(self.outcome, Outcome::Done | Outcome::Errored)
+            && let Some(first) = self.gateway.full_services.borrow().first(&self.service)
+        {
+            // The upstream has a place for it.
+            first.notify(1);
+        }
+    }
+}
+
+/// The offers of one request.
+pub(super) struct Offers {
+    /// Whether it belongs to a program under way.
+    is_under_way: bool,
+    /// Upstreams that were full when it was offered to them last.
+    full: Vec<UpstreamKey>,
+    /// Upstreams that have failed it.
+    failed: Vec<UpstreamKey>,
+    /// Its wait, once all upstreams were full.
+    wait: Option<FullWait>,
+}
+
+impl Offers {
+    pub(super) fn new(is_under_way: bool) -> Self {
+        Self { is_under_way, full: Vec::new(), failed: Vec::new(), wait: None }
+    }
+
+    /// Ends a visit after which the request may go elsewhere.
+    pub(super) fn end(&mut self, visit: Visit, outcome: Outcome) {
+        let left = if outcome == Outcome::Full { &mut self.full } else { &mut self.failed };
+        left.push(visit.key);
+        visit.end(outcome);
+    }
+
+    /// Begins a visit at the next upstream, after a wait if all are full. `runs` is how often the request
+    /// may have run.
+    ///
+    /// # Errors
+    ///
+    /// Refuses the request when no upstream takes it in the time that it may wait.
+    pub(super) async fn next(
+        &mut self,
+        gateway: &Rc<Gateway>,
+        call: &Call,
+        runs: u32,
+    ) -> Result<Visit, Refusal> {
+        let verdict = if runs == 0 { Verdict::NotRun } else { Verdict::MayHaveRun };
+        loop {
+            if call.time_left() < TIME_LEFT_MIN {
+                return Err(timed_out(verdict));
+            }
+            let (reason, detail) = match self.choose(gateway, call) {
+                Choice::Use(key) => match Visit::begin(gateway, key) {
+                    Some(visit) => return Ok(visit),
+                    None => (Reason::Internal, "the chosen upstream is gone"),
+                },
+                Choice::AllRefused => match self.wait(gateway, call).await {
+                    true => continue,
+                    false => (Reason::Overloaded, "all upstreams of the service are full"),
+                },
+                Choice::NoUpstream => {
+                    (Reason::NoUpstream, "the service has no upstream at present")
+                }
+            };
+            let refusal = Refusal { verdict, reason, detail: detail.into(), retry_after: None };
+            return Err(refusal.retry_after(RETRY_AFTER_DEFAULT));
+        }
+    }
+
+    fn choose(&self, gateway: &Gateway, call: &Call) -> Choice {
+        let is_new = self.wait.is_none() && self.full.is_empty() && self.failed.is_empty();
+        if is_new && gateway.full_services.borrow().is_waited_for(&call.service) {
+            // Those who wait come first.
+            return Choice::AllRefused;
+        }
+        let refused_by = [&self.full[..], &self.failed[..]].concat();
+        let demand = Demand { service: &call.service, line: call.line(), refused_by: &refused_by };
+        gateway.placement.borrow_mut().choose(Instant::now(), &demand)
+    }
+
+    /// Waits until the full upstreams may be asked again. Returns whether they may.
+    async fn wait(&mut self, gateway: &Gateway, call: &Call) -> bool {
+        let Some((in_line, turn, asks_again_at)) = self.line_up(gateway, call) else {
+            return false;
+        };
+        within(asks_again_at, turn).await;
+        drop(in_line);
+        self.full.clear();
+        // A request that was sent goes on without its caller; one that waits does not.
+        !call.caller_left.get()
+    }
+
+    /// Begins to wait, at first or after a further refusal, if the request may. Returns what tells its turn,
+    /// and when it asks again without one.
+    fn line_up<'a>(
+        &mut self,
+        gateway: &'a Gateway,
+        call: &'a Call,
+    ) -> Option<(InLine<'a>, EventListener, Instant)> {
+        // Upstreams that have failed this request take others, which need not come after it.
+        let is_in_line = self.failed.is_empty();
+        if !is_in_line && self.full.is_empty() {
+            return None;
+        }
+        let now = Instant::now();
+        let mut services = gateway.full_services.borrow_mut();
+        let mut wait = match self.wait {
+            Some(wait) => wait,
+            None => {
+                let wait = services.begin(now, call.deadline, self.is_under_way);
+                if !services.may_wait(now, &call.service, &wait) {
+                    return None;
+                }
+                note_wait(gateway, call, self.full.len());
+                wait
+            }
+        };
+        let asks_again_at = wait.next(now, rand::rng().random())?;
+        self.wait = Some(wait);
+        let freed = Rc::new(Event::new());
+        let turn = freed.listen();
+        if is_in_line {
+            services.join(&call.service, &wait, freed);
+        }
+        Some((InLine { gateway, service: &call.service, wait }, turn, asks_again_at))
+    }
+}
+
+/// A request among those that wait.
+struct InLine<'a> {
+    gateway: &'a Gateway,
+    service: &'a str,
+    wait: FullWait,
+}
+
+impl Drop for InLine<'_> {
+    fn drop(&mut self) {
+        self.gateway.full_services.borrow_mut().leave(self.service, &self.wait);
+    }
+}
+
+fn note_wait(gateway: &Gateway, call: &Call, full: usize) {
+    gateway.metrics.count("waited_for_upstream", 1);
+    let (upstreams, load) = gateway.placement.borrow().service_load(Instant::now(), &call.service);
+    gateway.decisions.note(
+        Weight::Routine,
+        "wait",
+        json!({
+            "request": call.about.request,
+            "program": call.about.program.as_ref().map(|of| &of.program),
+            "service": call.service,
+            "full": full,
+            "upstreams": upstreams,
+            "service_load": load,
+            "time_left_ms": call.time_left().as_millis() as u64,
+        }),
+    );
+}
--- a/crates/gateway/src/call/relay.rs
+++ b/crates/gateway/src/call/relay.rs
@@ -6,10 +6,10 @@
         body::BrokenOff,
         budget::TurnCharge,
         events::EventCutter,
-        exchange::{
-            Received, Sent, Visit, failed, is_own_error, next_visit, read_whole, send, to_caller,
-        },
-        note_answer, timed_out,
+        exchange::{Received, Sent, failed, is_own_error, read_whole, send, to_caller},
+        note_answer,
+        offers::{Offers, Visit},
+        timed_out,
     },
     crate::{
         front::Answer,
@@ -73,23 +73,20 @@
     call: &Rc<Call>,
     charge: Option<TurnCharge>,
 ) -> Result<Answer, Refusal> {
-    let mut refused_by = Vec::new();
+    let is_under_way = charge.as_ref().is_some_and(|charge| !charge.opens_program);
+    let mut offers = Offers::new(is_under_way);
     let (mut runs, mut again_at) = (0, None);
     loop {
         let visit = match again_at.take() {
             Some(visit) => visit,
-            None => next_visit(gateway, call, &refused_by, runs)?,
+            None => offers.next(gateway, call, runs).await?,
         };
-        let key = visit.key;
         match send(gateway, call, &visit, call.about.last_event).await {
             Sent::NotRun(outcome) if runs > 0 && !may_move(call, outcome) => {
                 visit.end(outcome);
                 return Err(failed(SendError::Broken));
             }
-            Sent::NotRun(outcome) => {
-                visit.end(outcome);
-                refused_by.push(key);
-            }
+            Sent::NotRun(outcome) => offers.end(visit, outcome),
             // At the same upstream, if it lives: a request may run at a bounded number of them.
             Sent::Unknown(SendError::Broken)
                 if call.route.kind.is_repeatable() && runs < RESUMES_MAX =>
@@ -257,12 +254,12 @@
         if !self.call.route.kind.is_repeatable() {
             return false;
         }
-        let mut refused_by = Vec::new();
+        let mut offers = Offers::new(true);
         while self.resumes < RESUMES_MAX {
             self.resumes += 1;
             let visit = match self.visit.take() {
                 Some(visit) => visit,
-                None => match next_visit(&self.gateway, &self.call, &refused_by, 1) {
+                None => match offers.next(&self.gateway, &self.call, 1).await {
                     Ok(visit) => visit,
                     Err(_) => return false,
                 },
@@ -277,8 +274,7 @@
                 }
                 Sent::Answered(_) => return false,
                 Sent::NotRun(outcome) => {
-                    refused_by.push(visit.key);
-                    visit.end(outcome);
+                    offers.end(visit, outcome);
                     if !may_move(&self.call, outcome) {
                         return false;
                     }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -29,7 +29,10 @@
         time::{Duration, Instant},
     },
     trefoilring_core::{
-        ids::Incarnation, placement::Placement, roster::Roster, routing::RoutingTable,
+        ids::Incarnation,
+        placement::{FullServices, Placement},
+        roster::Roster,
+        routing::RoutingTable,
         shares::Shares,
     },
     trefoilring_observe::{
@@ -108,6 +111,8 @@
     pub(crate) peer_connections: Connections,
     pub(crate) table: RefCell<Option<Rc<RoutingTable>>>,
     pub(crate) placement: RefCell<Placement>,
+    /// Requests that wait for a place at a service whose upstreams are all full.
+    pub(crate) full_services: RefCell<FullServices<Rc<Event>>>,
     pub(crate) roster: RefCell<Roster>,
     pub(crate) shares: RefCell<Shares>,
     pub(crate) borrowings: RefCell<Borrowings>,
@@ -166,6 +171,7 @@
             peer_connections: Connections::new(executor.clone(), PEER_CONNECT_TIMEOUT),
             table: RefCell::default(),
             placement: RefCell::new(Placement::new(settings.domain.clone())),
+            full_services: RefCell::default(),
             roster: RefCell::new(Roster::new(
                 Instant::now(),
                 settings.host.clone(),
--- a/crates/standin/src/fleet/worker.rs
+++ b/crates/standin/src/fleet/worker.rs
@@ -30,6 +30,8 @@
     None,
     /// It refuses all requests, without running them.
     Full,
+    /// It refuses this many requests, and takes those that come after.
+    FullFor(usize),
     /// It runs requests and closes the connection without an answer.
     LosesAnswers,
     /// It answers with the id of another request.
@@ -74,6 +76,21 @@
 struct State {
     fault: WorkerFault,
     runs: Vec<Arrival>,
+    /// Requests that it refused as full.
+    refusals: usize,
+}
+
+impl State {
+    /// Returns whether it is full, and counts the refusal.
+    fn refuses(&mut self) -> bool {
+        match &mut self.fault {
+            WorkerFault::Full => {}
+            WorkerFault::FullFor(requests) if *requests > 0 => *requests -= 1,
+            _ => return false,
+        }
+        self.refusals += 1;
+        true
+    }
 }
 
 impl WorkerStandIn {
@@ -98,6 +115,11 @@
         self.shared.lock().runs.clone()
     }
 
+    /// How many requests it has refused since it was full.
+    pub fn refusals(&self) -> usize {
+        self.shared.lock().refusals
+    }
+
     /// The body of a whole stream.
     pub fn whole_stream() -> String {
         (1..=EVENTS).map(event).collect()
@@ -134,7 +156,7 @@
             return self.head(&id, StatusCode::MISDIRECTED_REQUEST).body(full("")).ok();
         }
         let fault = self.lock().fault;
-        if fault == WorkerFault::Full {
+        if self.lock().refuses() {
             let answer = self.head(&id, StatusCode::SERVICE_UNAVAILABLE);
             return answer.header("Trefoilring-Not-Executed", "1").body(full("")).ok();
         }
