Tell callers refused at a full service to come back after the oldest wait

Cause: a caller that was refused since others had waited 0.4 s for the service came back after 0.15 s, before those had had their turns, was refused again, and its program ended.

Change: Retry-After is the time that the oldest request has waited, 0.15 s at least.

--- a/crates/core/src/placement/full.rs
+++ b/crates/core/src/placement/full.rs
@@ -88,11 +88,16 @@
         self.lines.contains_key(service)
     }
 
+    /// Returns how long the oldest request that waits for a service has done so.
+    pub fn oldest_wait(&self, now: Instant, service: &str) -> Duration {
+        let oldest = self.lines.get(service).and_then(|line| line.first_key_value());
+        oldest.map_or(Duration::ZERO, |(place, _)| now.saturating_duration_since(place.began))
+    }
+
     /// Returns whether a request that begins to wait may expect its turn before its wait is over.
     pub fn may_wait(&self, now: Instant, service: &str, wait: &FullWait) -> bool {
-        let oldest = self.lines.get(service).and_then(|line| line.first_key_value());
-        let waited = oldest.map_or(Duration::ZERO, |(place, _)| now - place.began);
-        waited <= wait.gives_up_at.saturating_duration_since(now).mul_f64(OLDEST_SHARE_MAX)
+        self.oldest_wait(now, service)
+            <= wait.gives_up_at.saturating_duration_since(now).mul_f64(OLDEST_SHARE_MAX)
     }
 
     /// Lets a request wait, at first or after a further refusal.
--- a/crates/core/src/placement/full/tests.rs
+++ b/crates/core/src/placement/full/tests.rs
@@ -20,6 +20,8 @@
     /// Time that each refused request was held.
     refused_after: Vec<Duration>,
     offers: usize,
+    /// Requests whose callers came back once and were refused again.
+    refused_twice: usize,
 }
 
 impl Played {
@@ -35,17 +37,27 @@
     arrived: Instant,
     wait: Option<FullWait>,
     again_at: Instant,
+    is_back: bool,
 }
 
+/// What refused callers are told, given how long the oldest request has waited.
+type RetryAfter = fn(Duration) -> Duration;
+
 /// Plays requests of programs under way against one upstream that several hosts share. `rate` gives the
-/// arrivals a second at a time; without `waits`, a refusal of the upstream is the request's.
-fn play(length: Duration, rate: impl Fn(Duration) -> f64, waits: bool) -> Played {
+/// arrivals a second at a time; without `waits`, a refusal of the upstream is the request's. Refused callers
+/// come back once if they are told when.
+fn play(
+    length: Duration,
+    rate: impl Fn(Duration) -> f64,
+    waits: bool,
+    retry_after: Option<RetryAfter>,
+) -> Played {
     let start = Instant::now();
     let mut rng = StdRng::seed_from_u64(SEED);
     let mut hosts: Vec<FullServices<usize>> = (0..HOSTS).map(|_| Default::default()).collect();
     let service = ServiceId::from("tools");
     let (mut played, mut due, mut begun) = (Played::default(), 0.0, 0);
-    let mut waiting: Vec<Asking> = Vec::new();
+    let (mut waiting, mut away): (Vec<Asking>, Vec<Asking>) = Default::default();
     let (mut running, mut queued): (Vec<(Instant, usize)>, VecDeque<usize>) = Default::default();
     let steps = length.as_millis() as u32 + 2_000;
     for step in 0..steps {
@@ -74,8 +86,10 @@
             due -= 1.0;
             begun += 1;
             let host = rng.random_range(0..HOSTS);
-            asks.push(Asking { number: begun, host, arrived: now, wait: None, again_at: now });
+            let (wait, again_at, is_back) = (None, now, false);
+            asks.push(Asking { number: begun, host, arrived: now, wait, again_at, is_back });
         }
+        asks.extend(away.extract_if(.., |asking| asking.again_at <= now));
         for mut asking in asks {
             let services = &mut hosts[asking.host];
             let is_first = asking.wait.is_none();
@@ -95,7 +109,16 @@
                     (asking.wait, asking.again_at) = (Some(wait), again_at);
                     waiting.push(asking);
                 }
-                None => played.refused_after.push(now - asking.arrived),
+                None => {
+                    played.refused_after.push(now - asking.arrived);
+                    played.refused_twice += usize::from(asking.is_back);
+                    if let (Some(retry_after), false) = (retry_after, asking.is_back) {
+                        let again_at = now + retry_after(services.oldest_wait(now, &service));
+                        let host = rng.random_range(0..HOSTS);
+                        let (arrived, wait, is_back) = (again_at, None, true);
+                        away.push(Asking { host, arrived, wait, again_at, is_back, ..asking });
+                    }
+                }
             }
         }
     }
@@ -111,17 +134,17 @@
 #[test]
 fn bursts_that_fill_the_last_upstream_are_served() {
     let length = Duration::from_secs(20);
-    let at_once = play(length, bursts, false);
+    let at_once = play(length, bursts, false, None);
     let refused_at_once = at_once.refused_after.len();
     assert!(refused_at_once * 20 > at_once.requests(), "the pattern fills the upstream");
-    let refused = play(length, bursts, true).refused_after.len();
+    let refused = play(length, bursts, true, None).refused_after.len();
     assert!(refused * 10 <= refused_at_once, "{refused} refused, {refused_at_once} at once");
 }
 
 #[test]
 fn lasting_overload_is_refused_early_and_keeps_the_upstream_busy() {
     let length = Duration::from_secs(20);
-    let played = play(length, |_| 200.0, true);
+    let played = play(length, |_| 200.0, true, None);
     let capacity = 100 * length.as_secs() as usize;
     assert!(played.served * 100 >= capacity * 98, "{} served", played.served);
     let mut held = played.refused_after.clone();
@@ -132,6 +155,18 @@
     assert!(played.offers <= 4 * played.requests(), "{} offers", played.offers);
 }
 
+#[test]
+fn callers_that_come_back_after_the_oldest_wait_are_seldom_refused_again() {
+    // Fills the line, which then empties for longer than it has filled.
+    let rate = |at: Duration| if at.as_millis() % 3_000 < 1_000 { 180.0 } else { 20.0 };
+    let length = Duration::from_secs(30);
+    let soon = play(length, rate, true, Some(|_| Duration::from_millis(150)));
+    let later = play(length, rate, true, Some(|oldest| oldest.max(Duration::from_millis(150))));
+    assert!(soon.refused_twice > 0, "the pattern refuses callers that come back too soon");
+    let (soon, later) = (soon.refused_twice, later.refused_twice);
+    assert!(later * 2 <= soon, "{later} refused twice, {soon} if they come back soon");
+}
+
 #[test]
 fn service_that_takes_nothing_is_found_out() {
     let start = Instant::now();
@@ -144,8 +179,9 @@
         services.join(&service, &wait, number);
         waits.push(wait);
     }
-    let later = start + Duration::from_millis(400);
+    let later = start + Duration::from_millis(410);
     let late = services.begin(later, later + TIME_LEFT, true);
+    assert_eq!(services.oldest_wait(later, &service), later - start);
     assert!(!services.may_wait(later, &service, &late));
     for (number, wait) in waits.iter().enumerate() {
         assert_eq!(services.first(&service), Some(&number), "the oldest comes first");
--- a/crates/gateway/src/call/offers.rs
+++ b/crates/gateway/src/call/offers.rs
@@ -116,7 +116,9 @@
                 }
             };
             let refusal = Refusal { verdict, reason, detail: detail.into(), retry_after: None };
-            return Err(refusal.retry_after(RETRY_AFTER_DEFAULT));
+            // Before those who wait have had their turns, it would be refused again.
+            let oldest = gateway.full_services.borrow().oldest_wait(Instant::now(), &call.service);
+            return Err(refusal.retry_after(oldest.max(RETRY_AFTER_DEFAULT)));
         }
     }
 
