--- a/crates/core/src/placement/full/tests.rs
+++ b/crates/core/src/placement/full/tests.rs
@@ -128,7 +128,7 @@
 
 /// A second at 1.4 times what the upstream does, and one at 0.4.
 fn bursts(at: Duration) -> f64 {
-    if at.as_secs() % 2 == 0 { 140.0 } else { 40.0 }
+    if at.as_secs().is_multiple_of(2) { 140.0 } else { 40.0 }
 }
 
 #[test]
