Let streams leave upstreams that break them off each time

A route may bound the upstreams of a request to one, but those that have ended don't count.

Ruled out: lost answers (36 calls that may not be repeated); leaving after one or two breaks (with one answer in twenty lost, a request in 400 would go elsewhere from an upstream that is up).

Change: core::placement::breaks: a repeatable request goes elsewhere after four breaks in a row, once. Each break counts as a failure of the upstream, so that it is ejected by the third. Streams that break midway go on by the same rule.

--- a/crates/core/src/placement/mod.rs
+++ b/crates/core/src/placement/mod.rs
@@ -7,6 +7,7 @@
 //! always idle, and a slow one fills up late: errors and slow events count like load until they are some
 //! seconds old.
 
+mod breaks;
 mod full;
 mod outage;
 mod upstream;
@@ -15,6 +16,7 @@
 mod tests;
 
 pub use {
+    breaks::{AfterBreak, Breaks},
     full::{FullServices, FullWait},
     outage::{Delisted, StoreOutage},
     upstream::{Load, Outcome, UpstreamRecord},
@@ -239,6 +241,13 @@
         }
     }
 
+    /// Notes that an upstream broke off a request that is sent to it again.
+    pub fn broke_off(&mut self, now: Instant, key: UpstreamKey) {
+        if let Some(upstream) = self.upstreams.get_mut(key) {
+            upstream.failed(now);
+        }
+    }
+
     /// Takes in the load that an answer reports.
     pub fn reported(&mut self, now: Instant, key: UpstreamKey, load: Load) {
         if let Some(upstream) = self.upstreams.get_mut(key) {
--- a/crates/core/src/placement/upstream.rs
+++ b/crates/core/src/placement/upstream.rs
@@ -166,16 +166,19 @@
                 self.others = self.others.max(slots - f64::from(self.own));
                 self.reported_at = Some(now);
             }
-            Outcome::Failed => {
-                self.failures += 1;
-                if self.failures >= FAILURES_MAX {
-                    self.eject(now);
-                }
-            }
+            Outcome::Failed => self.failed(now),
             Outcome::Misdirected => self.eject(now),
         }
     }
 
+    /// Notes that it could not be reached, or broke an answer off.
+    pub(super) fn failed(&mut self, now: Instant) {
+        self.failures += 1;
+        if self.failures >= FAILURES_MAX {
+            self.eject(now);
+        }
+    }
+
     fn eject(&mut self, now: Instant) {
         self.ejected_until = Some(now + self.ejection);
         self.ejection = (self.ejection * 2).min(EJECTION_MAX);
--- a/crates/gateway/src/call/offers.rs
+++ b/crates/gateway/src/call/offers.rs
@@ -1,8 +1,8 @@
 //! Offers a request to one upstream after the other, and lets it wait where all of them are full.
 
 use {
-    super::{Call, RETRY_AFTER_DEFAULT, timed_out},
-    crate::{gateway::Gateway, time::within},
+    super::{Call, RETRY_AFTER_DEFAULT, exchange::failed, timed_out},
+    crate::{gateway::Gateway, http::SendError, time::within},
     event_listener::{Event, EventListener},
     rand::RngExt,
     serde_json::json,
@@ -13,7 +13,7 @@
     },
     trefoilring_core::{
         ids::{ServiceId, UpstreamId},
-        placement::{Choice, Demand, FullWait, Outcome, UpstreamKey},
+        placement::{AfterBreak, Breaks, Choice, Demand, FullWait, Outcome, UpstreamKey},
         verdict::{Reason, Refusal, Verdict},
     },
     trefoilring_observe::decisions::Weight,
@@ -43,6 +43,11 @@
         Some(Self { gateway, key, id, address, service, outcome: Outcome::Done })
     }
 
+    /// Notes that the upstream broke the request off, which goes there again.
+    fn broke_off(&self) {
+        self.gateway.placement.borrow_mut().broke_off(Instant::now(), self.key);
+    }
+
     /// Ends the visit with an outcome other than an answer.
     pub(super) fn end(mut self, outcome: Outcome) {
         self.outcome = outcome;
@@ -71,11 +76,13 @@
     failed: Vec<UpstreamKey>,
     /// Its wait, once all upstreams were full.
     wait: Option<FullWait>,
+    breaks: Breaks,
 }
 
 impl Offers {
     pub(super) fn new(is_under_way: bool) -> Self {
-        Self { is_under_way, full: Vec::new(), failed: Vec::new(), wait: None }
+        let breaks = Breaks::default();
+        Self { is_under_way, full: Vec::new(), failed: Vec::new(), wait: None, breaks }
     }
 
     /// Ends a visit after which the request may go elsewhere.
@@ -85,6 +92,29 @@
         visit.end(outcome);
     }
 
+    /// Decides where a repeatable request goes after an upstream has broken it off. Returns the visit if it
+    /// goes there again.
+    ///
+    /// # Errors
+    ///
+    /// Gives the request up when it was broken off too often.
+    pub(super) fn after_break(&mut self, visit: Visit) -> Result<Option<Visit>, Refusal> {
+        match self.breaks.broke_off() {
+            AfterBreak::Again => {
+                visit.broke_off();
+                Ok(Some(visit))
+            }
+            AfterBreak::Elsewhere => {
+                self.end(visit, Outcome::Failed);
+                Ok(None)
+            }
+            AfterBreak::GiveUp => {
+                visit.end(Outcome::Failed);
+                Err(failed(SendError::Broken))
+            }
+        }
+    }
+
     /// Begins a visit at the next upstream, after a wait if all are full. `runs` is how often the request
     /// may have run.
     ///
--- a/crates/gateway/src/call/relay.rs
+++ b/crates/gateway/src/call/relay.rs
@@ -87,12 +87,9 @@
                 return Err(failed(SendError::Broken));
             }
             Sent::NotRun(outcome) => offers.end(visit, outcome),
-            // At the same upstream, if it lives: a request may run at a bounded number of them.
-            Sent::Unknown(SendError::Broken)
-                if call.route.kind.is_repeatable() && runs < RESUMES_MAX =>
-            {
+            Sent::Unknown(SendError::Broken) if call.route.kind.is_repeatable() => {
                 runs += 1;
-                again_at = Some(visit);
+                again_at = offers.after_break(visit)?;
             }
             Sent::Unknown(error) => {
                 visit.end(Outcome::Failed);
@@ -245,47 +242,47 @@
         }
     }
 
-    /// Goes on after a break: at the same upstream if it lives, else at another one. Only an
-    /// upstream that can't be reached any more is left, since a request may run at a bounded number
-    /// of upstreams, and one that has ended doesn't count.
+    /// Goes on after a break, at the same upstream if it lives.
     async fn resume(&mut self) -> bool {
         self.cutter.clear();
         self.source = None;
-        if !self.call.route.kind.is_repeatable() {
+        if !self.call.route.kind.is_repeatable() || self.resumes >= RESUMES_MAX {
             return false;
         }
+        self.resumes += 1;
         let mut offers = Offers::new(true);
-        while self.resumes < RESUMES_MAX {
-            self.resumes += 1;
-            let visit = match self.visit.take() {
-                Some(visit) => visit,
-                None => match offers.next(&self.gateway, &self.call, 1).await {
+        let Some(mut again_at) = self.visit.take().map(|visit| offers.after_break(visit)) else {
+            return false;
+        };
+        loop {
+            let visit = match again_at {
+                Ok(Some(visit)) => visit,
+                Ok(None) => match offers.next(&self.gateway, &self.call, 1).await {
                     Ok(visit) => visit,
                     Err(_) => return false,
                 },
+                Err(_) => return false,
             };
             self.note_resume(&visit);
-            match send(&self.gateway, &self.call, &visit, self.last_event).await {
+            again_at = match send(&self.gateway, &self.call, &visit, self.last_event).await {
                 Sent::Answered(received) if received.head.status.is_success() => {
                     let Received { body, lease, .. } = *received;
                     self.source = Some(Source { body, lease });
                     self.visit = Some(visit);
                     return true;
                 }
-                Sent::Answered(_) => return false,
-                Sent::NotRun(outcome) => {
+                Sent::NotRun(outcome) if may_move(&self.call, outcome) => {
                     offers.end(visit, outcome);
-                    if !may_move(&self.call, outcome) {
-                        return false;
-                    }
+                    Ok(None)
                 }
+                Sent::Unknown(SendError::Broken) => offers.after_break(visit),
+                Sent::Answered(_) | Sent::NotRun(_) => return false,
                 Sent::Unknown(_) => {
                     visit.end(Outcome::Failed);
                     return false;
                 }
-            }
+            };
         }
-        false
     }
 
     fn note_resume(&self, visit: &Visit) {
