Copy ledgers to a standby while the store is away

Ruled out: giving the next keeper the other half of the budget without a copy (it does not know what a program under way has used, and a keeper that still lives may go on); more ledgers (each writes its own records); another ledger for new programs (hosts see the loss at different times, and a program would have two accounts); copies in calm times (messages for each turn).

Change: once all keepers of a ledger have noted an outage, the first of the others becomes its standby, and gets the accounts and each charge before the turn is granted. It stands in when the keeper is lost and a third keeper, the witness, consents. The witness consents either to that or to the keeper's going on without the standby, never to both, and a restarted one to neither. The record stays in doubt until the standby has forgotten its copy. Whoever takes a ledger over in doubt asks the other keepers, too, whether they stand in for the writer of its record. core::budget::standby decides, gateway::ledger::standby does the messages.

--- a/crates/core/src/budget/account.rs
+++ b/crates/core/src/budget/account.rs
@@ -29,7 +29,18 @@
     idle_max: Duration,
 }
 
-#[derive(Clone, Copy, Debug)]
+/// An account as it is copied to a standby.
+#[derive(Clone, Debug, PartialEq, serde::Deserialize, serde::Serialize)]
+pub struct AccountCopy {
+    charged: TokenCount,
+    recorded: TokenCount,
+    terms: Option<Terms>,
+    is_doubtful: bool,
+    doubt: TokenCount,
+    idle_max: Duration,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, serde::Deserialize, serde::Serialize)]
 struct Terms {
     budget: TokenCount,
     turn_max: TokenCount,
@@ -66,6 +77,31 @@
         }
     }
 
+    pub(super) fn from_copy(now: Instant, copy: &AccountCopy) -> Self {
+        Self {
+            charged: copy.charged,
+            recorded: copy.recorded,
+            terms: copy.terms,
+            is_doubtful: copy.is_doubtful,
+            awaited: 0,
+            doubt: copy.doubt,
+            used_at: now,
+            idle_max: copy.idle_max,
+        }
+    }
+
+    pub(super) fn to_copy(&self) -> AccountCopy {
+        AccountCopy {
+            charged: self.charged,
+            recorded: self.recorded,
+            terms: self.terms,
+            is_doubtful: self.is_doubtful,
+            doubt: self.doubt,
+            idle_max: self.idle_max,
+        }
+    }
+
+    /// Charges a turn. `is_outage` lets charges go far beyond the record.
     pub(super) fn charge(&mut self, now: Instant, charge: &Charge, is_outage: bool) -> Charged {
         let terms = Terms { budget: charge.budget, turn_max: charge.turn_max };
         self.terms = Some(terms);
@@ -84,9 +120,9 @@
             return Charged::Spent;
         }
         let beyond_max = match charge.is_first_choice {
-            false => 0,
-            true if is_outage => terms.outage_max(),
+            _ if is_outage => terms.outage_max(),
             true => terms.turn_max,
+            false => 0,
         };
         if after.saturating_sub(self.recorded) > beyond_max {
             self.awaited = terms.turn_max;
@@ -138,6 +174,11 @@
         self.recorded = recorded;
     }
 
+    /// Takes in a record of the keeper that this host stands in for, whose charges it has all.
+    pub(super) fn merge_copied(&mut self, recorded: TokenCount) {
+        self.recorded = recorded;
+    }
+
     pub(super) fn is_over(&self, now: Instant) -> bool {
         now.saturating_duration_since(self.used_at) > self.idle_max + KEEP_MARGIN
     }
--- a/crates/core/src/budget/mod.rs
+++ b/crates/core/src/budget/mod.rs
@@ -17,17 +17,24 @@
 
 mod account;
 mod notes;
+mod standby;
 
 #[cfg(test)]
 mod tests;
 
-pub use notes::{LedgerPosition, OutageNote, OutageNotes};
+pub use {
+    account::AccountCopy,
+    notes::{LedgerPosition, OutageNote, OutageNotes},
+    standby::{ConsentTo, CopyId, CopyUpdate, LedgerCopy, Witness},
+};
 
 use {
     crate::ids::{Incarnation, ProgramId},
     account::Account,
+    standby::Copying,
     std::{
         collections::{BTreeMap, HashMap},
+        net::SocketAddr,
         time::{Duration, Instant},
     },
 };
@@ -72,6 +79,8 @@
     /// Up to which write the first choice would go beyond the record, if it has said so: what the
     /// others are to note, and what they have noted.
     pub beyond: Option<LedgerPosition>,
+    /// Where the others are that have noted it.
+    pub noted_by: Vec<SocketAddr>,
 }
 
 /// What the other keepers of a ledger say of the store, least first.
@@ -158,6 +167,13 @@
     is_record_doubted: bool,
     /// Whether this host is the ledger's first by rank, as the last charge said.
     is_first_choice: bool,
+    /// The copying to a standby.
+    copying: Option<Copying>,
+    copyings: u64,
+    /// Whether the ledger has been copied in this outage.
+    has_copied: bool,
+    /// The keeper whose copy this ledger goes on from.
+    stands_in_for: Option<String>,
 }
 
 impl Ledger {
@@ -184,39 +200,54 @@
             None if is_first => Duration::ZERO,
             _ => idle_max + KEEP_MARGIN,
         };
+        let mut ledger =
+            Self { doubtful_until: now + doubtful, ..Self::empty(now, writer, idle_max) };
+        for (program, &recorded) in record.iter().flat_map(|record| &record.charged) {
+            let account = Account::recorded(now, recorded, idle_max, !doubtful.is_zero());
+            ledger.accounts.insert(program.clone(), account);
+        }
+        ledger
+    }
+
+    fn empty(now: Instant, writer: (&str, Incarnation), idle_max: Duration) -> Self {
         let (host, incarnation) = writer;
-        let mut ledger = Self {
+        Self {
             writer: format!("{host}@{incarnation}"),
             sequence: 0,
             accounts: HashMap::new(),
             idle_max,
-            doubtful_until: now + doubtful,
+            doubtful_until: now,
             failing_since: None,
             offered_sequence: 0,
             noted_sequence: 0,
             is_record_doubted: false,
             is_first_choice: false,
-        };
-        for (program, &recorded) in record.iter().flat_map(|record| &record.charged) {
-            let account = Account::recorded(now, recorded, idle_max, !doubtful.is_zero());
-            ledger.accounts.insert(program.clone(), account);
+            copying: None,
+            copyings: 0,
+            has_copied: false,
+            stands_in_for: None,
         }
-        ledger
     }
 
     /// Charges a turn at its most, if the budget and the record allow it.
     pub fn charge(&mut self, now: Instant, charge: &Charge) -> Charged {
-        let is_outage = self.is_store_away(now) && self.may_go_beyond(now, charge);
+        let is_outage = self.is_store_away(now)
+            && self.may_go_beyond(now, charge)
+            && (charge.is_first_choice || self.stands_in_for.is_some());
         self.is_first_choice = charge.is_first_choice;
         let is_doubtful = self.is_in_doubt(now);
         let open = || Account::new(now, is_doubtful);
         let account = self.accounts.entry(charge.program.clone()).or_insert_with(open);
-        account.charge(now, charge, is_outage)
+        let charged = account.charge(now, charge, is_outage);
+        if let (Charged::Granted { .. }, Some(copying)) = (charged, &mut self.copying) {
+            copying.changed(&charge.program);
+        }
+        charged
     }
 
     /// Returns whether others know enough for charges far beyond the record.
     fn may_go_beyond(&mut self, now: Instant, charge: &Charge) -> bool {
-        if self.is_noted() {
+        if self.is_noted() || self.stands_in_for.is_some() {
             return true;
         }
         match (charge.others, &charge.beyond) {
@@ -250,6 +281,9 @@
     pub fn refund(&mut self, now: Instant, program: &str, tokens: TokenCount) {
         if let Some(account) = self.accounts.get_mut(program) {
             account.refund(now, tokens);
+            if let Some(copying) = &mut self.copying {
+                copying.changed(program);
+            }
         }
     }
 
@@ -293,8 +327,12 @@
     }
 
     /// Notes that a record is in the store.
-    pub fn written(&mut self, record: &LedgerRecord) {
-        self.is_record_doubted = self.failing_since.take().is_some();
+    pub fn written(&mut self, now: Instant, record: &LedgerRecord) {
+        match &mut self.copying {
+            // The record stays in doubt until no standby can stand in.
+            Some(copying) => copying.store_is_back(now),
+            None => self.store_took_a_write(),
+        }
         for (program, &recorded) in &record.charged {
             if let Some(account) = self.accounts.get_mut(program) {
                 account.written(recorded);
@@ -302,6 +340,11 @@
         }
     }
 
+    fn store_took_a_write(&mut self) {
+        self.is_record_doubted = self.failing_since.take().is_some();
+        self.has_copied = false;
+    }
+
     /// Notes that the store could not be written to by an attempt that began at this time.
     pub fn write_failed(&mut self, began: Instant) {
         self.failing_since.get_or_insert(began);
@@ -330,6 +373,10 @@
     /// Takes in the record of another host that wrote in between. Charges of this host that no
     /// record has are added to it. `notes` are this host's own.
     pub fn merge(&mut self, now: Instant, record: &LedgerRecord, notes: OutageNotes) {
+        if self.stands_in_for(&record.writer) {
+            self.merge_copied(now, record);
+            return;
+        }
         // The first choice alone goes far beyond a record, and knows what it has charged.
         let doubtful = match notes::has_outage(&[notes], record) {
             _ if self.is_first_choice => Duration::ZERO,
@@ -347,6 +394,22 @@
                 }
             }
         }
+        if let Some(copying) = &mut self.copying {
+            copying.all_changed(record.charged.keys());
+        }
+    }
+
+    /// Takes in a record of the keeper that this host stands in for: it has all its charges.
+    fn merge_copied(&mut self, now: Instant, record: &LedgerRecord) {
+        for (program, &recorded) in &record.charged {
+            match self.accounts.get_mut(program) {
+                Some(account) => account.merge_copied(recorded),
+                None => {
+                    let account = Account::recorded(now, recorded, self.idle_max, false);
+                    self.accounts.insert(program.clone(), account);
+                }
+            }
+        }
     }
 
     /// Returns how many accounts there are.
--- a/crates/core/src/budget/tests.rs
+++ b/crates/core/src/budget/tests.rs
@@ -12,6 +12,7 @@
         is_first_choice: true,
         others: OthersSay::StoreAway,
         beyond: None,
+        noted_by: Vec::new(),
     }
 }
 
@@ -68,7 +69,7 @@
 
 fn write(ledger: &mut Ledger, now: Instant, wall_ms: u64) -> LedgerRecord {
     let record = ledger.record(now, wall_ms);
-    ledger.written(&record);
+    ledger.written(now, &record);
     record
 }
 
@@ -476,7 +477,7 @@
                 }
                 Step::Write => {
                     let record = ledger.record(now, wall_ms);
-                    ledger.written(&record);
+                    ledger.written(now, &record);
                     (stored, pending) = (Some(record), None);
                 }
                 Step::FailedWrite => {
--- a/crates/gateway/src/call/budget.rs
+++ b/crates/gateway/src/call/budget.rs
@@ -108,13 +108,14 @@
         is_first_choice: true,
         others: OthersSay::Unknown,
         beyond: None,
+        noted_by: Vec::new(),
     };
     let began = Instant::now();
     let keepers = keepers(gateway, ledger::part_of(&charge.program));
     // When all have said that the store is away, the first choice may go beyond its record.
     let again = keepers.iter().find(|keeper| keeper.rank == 0).copied();
     let asked = keepers.len();
-    let mut others = OthersSay::StoreAwayNoted;
+    let (mut others, mut noted_by) = (OthersSay::StoreAwayNoted, Vec::new());
     for (tries, keeper) in keepers.into_iter().map(Some).chain([again]).enumerate() {
         let Some(Keeper { address: keeper, rank }) = keeper else { break };
         if tries == asked {
@@ -122,6 +123,9 @@
                 break;
             }
             charge.others = others;
+            if others == OthersSay::StoreAwayNoted {
+                charge.noted_by = std::mem::take(&mut noted_by);
+            }
         }
         charge.is_first_choice = rank == 0;
         let mut keeper = keeper;
@@ -157,7 +161,9 @@
             _ if left_to.is_some() => others = OthersSay::Unknown,
             Some(ChargeDecision::StoreAway { beyond, .. }) if rank == 0 => charge.beyond = beyond,
             // Whoever takes the ledger over asks the first by rank for their notes.
-            Some(ChargeDecision::StoreAway { is_noted: true, .. }) if rank < KEEPERS => {}
+            Some(ChargeDecision::StoreAway { is_noted: true, .. }) if rank < KEEPERS => {
+                noted_by.push(keeper.unwrap_or_else(|| roster::own_address(gateway)));
+            }
             Some(ChargeDecision::StoreAway { .. }) | None => {
                 others = others.min(OthersSay::StoreAway);
             }
--- a/crates/gateway/src/ledger/mod.rs
+++ b/crates/gateway/src/ledger/mod.rs
@@ -4,11 +4,13 @@
 //! hosts agree on one by rendezvous, hosts without callers first. `trefoilring_core::budget` decides.
 
 mod keepers;
+mod standby;
 mod takeover;
 mod writing;
 
 pub(crate) use {
     keepers::{KEEPERS, Keeper, keepers},
+    standby::{consent, end as end_copy, take_update as take_copy_update},
     takeover::kept_by,
 };
 
@@ -60,10 +62,18 @@
     is_writing: bool,
     /// Turns that wait for a write.
     waiting: usize,
+    copying: standby::Copying,
     changed: Rc<Event>,
 }
 
 impl Part {
+    /// Forgets the ledger: another host has what it holds, or its record has.
+    fn leave(&mut self) {
+        self.ledger = None;
+        self.revision = None;
+        self.copying.times_left += 1;
+    }
+
     /// Returns whether the store has failed this ledger for a while.
     fn is_store_away(&self) -> bool {
         let is_away = |ledger: &Ledger| ledger.is_store_away(Instant::now());
@@ -103,6 +113,7 @@
 async fn note_outage(gateway: &Gateway, part: usize, beyond: &LedgerPosition) -> bool {
     let noted = gateway.outage_notes.note(part, beyond).await;
     if noted == Noted::Now {
+        gateway.ledgers.borrow_mut()[part].copying.witness.noted(beyond);
         gateway.decisions.note(
             Weight::Rare,
             "ledger",
@@ -127,19 +138,18 @@
         }
     }
     loop {
-        let changed = {
+        let decided = {
             let mut parts = gateway.ledgers.borrow_mut();
             let state = &mut parts[part];
             let Some(ledger) = state.ledger.as_mut() else { return ChargeDecision::Undecided };
             let now = Instant::now();
             let charged = ledger.charge(now, charge);
             let is_store_away = ledger.is_store_away(now);
+            if charge.is_first_choice {
+                standby::begin(gateway, part, ledger, &charge.noted_by);
+            }
             match charged {
-                Charged::Granted { is_new } => {
-                    drop(parts);
-                    write_if_behind(gateway, part);
-                    return ChargeDecision::Granted { is_new };
-                }
+                Charged::Granted { is_new } => Ok((is_new, ledger.copying().cloned())),
                 Charged::Spent => return ChargeDecision::Spent,
                 Charged::AfterWrite if is_store_away => {
                     let beyond = charge.is_first_choice.then(|| ledger.beyond());
@@ -147,8 +157,22 @@
                     write_if_behind(gateway, part);
                     return ChargeDecision::StoreAway { is_noted: false, beyond };
                 }
-                Charged::AfterWrite => state.changed.clone(),
+                Charged::AfterWrite => Err(state.changed.clone()),
+            }
+        };
+        let changed = match decided {
+            Ok((is_new, copy)) => {
+                write_if_behind(gateway, part);
+                let is_lost = match copy {
+                    Some(copy) => !standby::is_copied(gateway, part, &copy, charge, deadline).await,
+                    None => false,
+                };
+                return match is_lost {
+                    true => ChargeDecision::Undecided,
+                    false => ChargeDecision::Granted { is_new },
+                };
             }
+            Err(changed) => changed,
         };
         let listener = changed.listen();
         gateway.ledgers.borrow_mut()[part].waiting += 1;
--- a/crates/gateway/src/ledger/takeover.rs
+++ b/crates/gateway/src/ledger/takeover.rs
@@ -1,7 +1,7 @@
 //! Takes ledgers over from their records, and finds out whether those may miss charges.
 
 use {
-    super::{KEEPERS, Keeper, PAUSE_MAX, PAUSE_MIN, Part, keepers, name, record_of},
+    super::{KEEPERS, Keeper, PAUSE_MAX, PAUSE_MIN, Part, keepers, name, record_of, standby},
     crate::{
         gateway::Gateway,
         peers::{self, Kept, Question, Reply},
@@ -36,6 +36,9 @@
 /// doubt: processes that are started together are there within a second.
 const NOTES_WAIT: Duration = Duration::from_secs(2);
 
+/// How long a program may pause that no charge has told of yet.
+const IDLE_MAX_DEFAULT: Duration = Duration::from_secs(60);
+
 /// Whether this host keeps a ledger.
 pub(super) enum Loaded {
     Yes,
@@ -51,6 +54,9 @@
     idle_max: Duration,
     deadline: Instant,
 ) -> Loaded {
+    if standby::may_stand_in(gateway, part) {
+        standby::stand_in(gateway.clone(), part, idle_max).await;
+    }
     loop {
         let changed = {
             let mut parts = gateway.ledgers.borrow_mut();
@@ -100,10 +106,11 @@
             is_first: stored.is_none() && gateway.settings.is_first_start,
         };
         let now = Instant::now();
+        let times_left = gateway.ledgers.borrow()[part].copying.times_left;
         let ledger = Ledger::take_over(
             now,
             wall_us() / 1000,
-            (&gateway.settings.host, gateway.incarnation),
+            (&gateway.settings.host, gateway.incarnation + times_left),
             inherited,
             idle_max,
         );
@@ -133,8 +140,11 @@
     };
     let mut parts = gateway.ledgers.borrow_mut();
     let state = &mut parts[part];
-    state.ledger = Some(ledger);
-    state.revision = revision;
+    // It may stand in by now.
+    if state.ledger.is_none() {
+        state.ledger = Some(ledger);
+        state.revision = revision;
+    }
     state.is_loading = false;
     state.left_to = None;
     state.changed.notify(usize::MAX);
@@ -149,11 +159,7 @@
     record: &LedgerRecord,
     left_since: &mut Option<Instant>,
 ) -> bool {
-    let address = writer_address(gateway, part, &record.writer).await;
-    let kept = match address {
-        Some(address) => writer_keeps(gateway, part, &record.writer, address).await,
-        None => Kept::No,
-    };
+    let (address, kept) = keeper_of(gateway, part, &record.writer).await;
     let (stays_max, pause) = match kept {
         Kept::WithStore => (KEEPER_STAYS_MAX, LEFT_LOOKED_AT_EVERY),
         Kept::WithoutStore => (KEEPER_BACK_WITHIN, ROUND_EVERY),
@@ -208,13 +214,22 @@
     roster::address_of(gateway, host)
 }
 
-/// Asks the writer of a record whether it still keeps the ledger.
-async fn writer_keeps(
-    gateway: &Rc<Gateway>,
-    part: usize,
-    writer: &str,
-    address: SocketAddr,
-) -> Kept {
+/// Returns who keeps the ledger as the writer of its record: that host, or another one that stands in.
+async fn keeper_of(gateway: &Rc<Gateway>, part: usize, writer: &str) -> (Option<SocketAddr>, Kept) {
+    let address = writer_address(gateway, part, writer).await;
+    let stand_ins = keepers(gateway, part).into_iter().filter_map(|keeper| keeper.address);
+    let stand_ins = stand_ins.filter(|other| Some(*other) != address).take(KEEPERS);
+    for address in address.into_iter().chain(stand_ins) {
+        let kept = is_kept_by(gateway, part, writer, address).await;
+        if kept != Kept::No {
+            return (Some(address), kept);
+        }
+    }
+    (None, Kept::No)
+}
+
+/// Asks a host whether it still keeps a ledger as the writer of its record.
+async fn is_kept_by(gateway: &Rc<Gateway>, part: usize, writer: &str, address: SocketAddr) -> Kept {
     let question = Question::IsLedgerKept { part, writer: writer.into() };
     match peers::reach(gateway, address, question, NOTES_TIMEOUT).await {
         Some(Reply::LedgerKept { kept }) => kept,
@@ -231,14 +246,20 @@
     }
 }
 
-/// Returns whether this host keeps a ledger as a writer of its records.
-pub(crate) fn kept_by(gateway: &Gateway, part: usize, writer: &str) -> Kept {
+/// Returns whether this host keeps a ledger as a writer of its records, or stands in for that.
+pub(crate) fn kept_by(gateway: &Rc<Gateway>, part: usize, writer: &str) -> Kept {
+    if standby::holds_copy_of(gateway, part, writer) {
+        // Whoever asks has lost the writer, or is about to.
+        gateway.spawn(standby::stand_in(gateway.clone(), part, IDLE_MAX_DEFAULT));
+        return Kept::WithoutStore;
+    }
     let parts = gateway.ledgers.borrow();
-    match parts.get(part) {
-        Some(state) if !state.ledger.as_ref().is_some_and(|of| of.is_writer(writer)) => Kept::No,
-        Some(state) if state.is_store_away() => Kept::WithoutStore,
-        Some(_) => Kept::WithStore,
-        None => Kept::No,
+    let Some(state) = parts.get(part) else { return Kept::No };
+    let keeps = |of: &Ledger| of.is_writer(writer) || of.stands_in_for(writer);
+    match &state.ledger {
+        Some(ledger) if keeps(ledger) && state.is_store_away() => Kept::WithoutStore,
+        Some(ledger) if keeps(ledger) => Kept::WithStore,
+        _ => Kept::No,
     }
 }
 
--- a/crates/gateway/src/ledger/writing.rs
+++ b/crates/gateway/src/ledger/writing.rs
@@ -86,10 +86,14 @@
 ) -> Written {
     let mut parts = gateway.ledgers.borrow_mut();
     let state = &mut parts[part];
-    let Some(ledger) = state.ledger.as_mut() else { return Written::Failed };
+    // It may have been left to a standby meanwhile, and read again.
+    let Some(ledger) = state.ledger.as_mut().filter(|ledger| ledger.is_own(record)) else {
+        return Written::Failed;
+    };
+    let now = Instant::now();
     let outcome = match put {
         Ok(revision) => {
-            ledger.written(record);
+            ledger.written(now, record);
             state.revision = Some(revision);
             Written::Done
         }
@@ -98,14 +102,14 @@
             state.revision = stored.map(|stored| stored.revision);
             match other {
                 // An earlier write of ours whose answer was lost.
-                Some(other) if ledger.is_own(&other) => ledger.written(&other),
+                Some(other) if ledger.is_own(&other) => ledger.written(now, &other),
                 Some(other) => {
                     gateway.decisions.note(
                         Weight::Rare,
                         "ledger",
                         json!({"ledger": name(part), "what": "merged", "from": other.writer}),
                     );
-                    ledger.merge(Instant::now(), &other, gateway.outage_notes.of(part));
+                    ledger.merge(now, &other, gateway.outage_notes.of(part));
                 }
                 None => {}
             }
--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/peers/message.rs
@@ -4,7 +4,7 @@
     crate::store::StoredObject,
     std::{net::SocketAddr, time::Duration},
     trefoilring_core::{
-        budget::{Charge, LedgerPosition, OutageNotes, TokenCount},
+        budget::{Charge, ConsentTo, CopyId, CopyUpdate, LedgerPosition, OutageNotes, TokenCount},
         ids::{ConfigVersion, HostId, ProgramId, TeamId},
         placement::UpstreamRecord,
         roster::HostRecord,
@@ -27,6 +27,12 @@
     OutageNotes { part: usize },
     /// Tell me whether you keep a ledger as this writer of its records.
     IsLedgerKept { part: usize, writer: String },
+    /// Keep a copy of my ledger up to date, and stand in for me if I am lost and the witness consents.
+    CopyLedger { part: usize, update: CopyUpdate, keeper: SocketAddr, witness: SocketAddr },
+    /// Forget the copy.
+    EndCopy { part: usize, copy: CopyId },
+    /// Consent, as the witness, to one of two things.
+    Consent { part: usize, copy: CopyId, to: ConsentTo },
     /// Give me a newer configuration than this version.
     Configuration { newer_than: Option<ConfigVersion> },
     /// Give me the upstreams that you know.
@@ -53,6 +59,10 @@
     OutageNotes { notes: OutageNotes },
     /// Whether it does.
     LedgerKept { kept: Kept },
+    /// What became of the copy.
+    Copied { copied: Copied },
+    /// Whether it does.
+    Consented { is_given: bool },
     /// The configuration, if there is a newer one.
     Configuration { object: Option<StoredObject> },
     /// The upstreams.
@@ -75,6 +85,18 @@
     No,
 }
 
+/// What became of the copy of a ledger at its standby.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
+#[serde(rename_all = "snake_case")]
+pub(crate) enum Copied {
+    /// The standby has what it was sent.
+    Kept,
+    /// It has none, and will not stand in with one.
+    NotKept,
+    /// It stands in.
+    StandsIn,
+}
+
 /// What became of a charge.
 #[derive(Clone, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
 #[serde(rename_all = "snake_case")]
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -4,7 +4,7 @@
 mod reach;
 
 pub(crate) use {
-    message::{ChargeDecision, Kept, Question, Reply},
+    message::{ChargeDecision, Copied, Kept, Question, Reply},
     reach::{ask, is_lost, is_suspect, reach},
 };
 
@@ -102,6 +102,19 @@
             gateway.store_answers.notify(usize::MAX);
             Reply::LedgerKept { kept: ledger::kept_by(gateway, part, &writer) }
         }
+        Question::CopyLedger { part, update, keeper, witness } => {
+            match ledger::take_copy_update(gateway, part, update, keeper, witness) {
+                Some(copied) => Reply::Copied { copied },
+                None => Reply::Done,
+            }
+        }
+        Question::EndCopy { part, copy } => match ledger::end_copy(gateway, part, copy) {
+            Some(copied) => Reply::Copied { copied },
+            None => Reply::Done,
+        },
+        Question::Consent { part, copy, to } => {
+            Reply::Consented { is_given: ledger::consent(gateway, part, &copy, to) }
+        }
         Question::Configuration { newer_than } => {
             Reply::Configuration { object: watch::newer_configuration(gateway, newer_than) }
         }
