--- a/crates/core/src/budget/mod.rs
+++ b/crates/core/src/budget/mod.rs
@@ -80,6 +80,7 @@
     /// others are to note, and what they have noted.
     pub beyond: Option<LedgerPosition>,
     /// Where the others are that have noted it.
+    #[serde(default)]
     pub noted_by: Vec<SocketAddr>,
 }
 
--- a/crates/core/src/budget/standby.rs
+++ b/crates/core/src/budget/standby.rs
@@ -18,6 +18,9 @@
     },
 };
 
+/// How long a copy is good for after its last message. Below the time for which a host that takes the ledger
+/// over in doubt leaves out what a standby may grant.
+const COPY_KEPT: Duration = Duration::from_secs(30);
 /// Accounts in one message to the standby: some 200 kB.
 const UPDATE_ACCOUNTS_MAX: usize = 2000;
 
@@ -207,6 +210,7 @@
     id: CopyId,
     number: u64,
     is_complete: bool,
+    updated_at: Instant,
     failing_since: Option<Instant>,
     doubtful_until: Instant,
     accounts: BTreeMap<ProgramId, AccountCopy>,
@@ -219,6 +223,7 @@
             id: update.copy.clone(),
             number: 0,
             is_complete: false,
+            updated_at: now,
             failing_since: None,
             doubtful_until: now,
             accounts: BTreeMap::new(),
@@ -233,6 +238,7 @@
             return false;
         }
         self.number = update.number;
+        self.updated_at = now;
         self.is_complete |= update.is_complete;
         self.failing_since = now.checked_sub(update.failing_for);
         self.doubtful_until = now + update.doubtful_for;
@@ -245,9 +251,9 @@
         &self.id
     }
 
-    /// Returns whether it has all accounts.
-    pub fn is_complete(&self) -> bool {
-        self.is_complete
+    /// Returns whether a host may stand in with it: it has all accounts, and is not old.
+    pub fn is_usable(&self, now: Instant) -> bool {
+        self.is_complete && now.saturating_duration_since(self.updated_at) < COPY_KEPT
     }
 }
 
--- a/crates/core/src/budget/standby/tests.rs
+++ b/crates/core/src/budget/standby/tests.rs
@@ -120,7 +120,7 @@
     keeper.begin_copying(now);
     let mut copy = copy_of(&mut keeper, now);
     let mut messages = 1;
-    while !copy.is_complete() {
+    while !copy.is_usable(now) {
         let update = keeper.next_update(now).expect("more is to be sent");
         assert!(update.accounts.len() <= UPDATE_ACCOUNTS_MAX);
         assert!(copy.apply(now, update));
@@ -129,6 +129,7 @@
     }
     assert_eq!((messages, copy.accounts.len()), (3, keeper.len()));
     assert!(keeper.next_update(now).is_none());
+    assert!(!copy.is_usable(now + COPY_KEPT) && COPY_KEPT < IDLE);
 }
 
 #[test]
@@ -253,7 +254,7 @@
                 }
             }
             10 => {
-                let Some(copy) = self.copy.take_if(|copy| copy.is_complete()) else { return };
+                let Some(copy) = self.copy.take_if(|copy| copy.is_usable(now)) else { return };
                 match self.witness.consents(copy.id(), ConsentTo::StandIn) {
                     true => self.standby = Some(Ledger::stand_in(now, ("standby", 1), copy, IDLE)),
                     false => self.copy = Some(copy),
--- a/crates/gateway/src/ledger/standby.rs
+++ b/crates/gateway/src/ledger/standby.rs
@@ -264,7 +264,9 @@
     let parts = gateway.ledgers.borrow();
     let copying = &parts[part].copying;
     let lives = copying.keeper_lived_at.is_some_and(|at| at.elapsed() < KEEPER_LIVES_FOR);
-    !copying.is_asking && !lives && copying.held.as_ref().is_some_and(|of| of.copy.is_complete())
+    !copying.is_asking
+        && !lives
+        && copying.held.as_ref().is_some_and(|of| of.copy.is_usable(Instant::now()))
 }
 
 /// Returns whether this host holds a copy of a writer's ledger.
