Count broken answers and failed connections as trouble

Three failures in a row eject an upstream, at each of 64 hosts by itself.

Ruled out: connections that were dropped while idle (the failures come from 7 to 15 s only, and repeatable calls went elsewhere 579 times in the same time).

Change: a broken answer or failed connection adds 1 to the trouble score, as much as the load of a full upstream. Ejection stays.

Tests: an upstream that is down gets 5 of 1,000 requests at most, 15 before; one that loses an answer in fifty keeps half of its part. In upstream_that_fails_three_times_rests_while_others_serve the upstream came first again after 0.6 s; now it takes work as the last resort then, and comes first after 6 s.

--- a/crates/core/src/placement/upstream.rs
+++ b/crates/core/src/placement/upstream.rs
@@ -20,6 +20,9 @@
 /// What one error adds to an upstream's trouble score. It keeps work away as a quarter of the slots would:
 /// tools answer some requests with errors of their own.
 const ERROR_WEIGHT: f64 = 0.25;
+/// What one broken answer or failed connection adds: as much as a full upstream's load. A call that may not be
+/// repeated ends with the next one, and many hosts that each wait for some failures lose a call for each.
+const FAILURE_WEIGHT: f64 = 1.0;
 /// What one pause between events adds that is far longer than the service's others. A turn has some ten.
 const SLOW_EVENT_WEIGHT: f64 = 0.1;
 /// The highest trouble score: that of a full upstream.
@@ -173,6 +176,7 @@
 
     /// Notes that it could not be reached, or broke an answer off.
     pub(super) fn failed(&mut self, now: Instant) {
+        self.note_trouble(now, FAILURE_WEIGHT);
         self.failures += 1;
         if self.failures >= FAILURES_MAX {
             self.eject(now);
