--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -22,4 +22,5 @@
 pub mod sched;
 pub mod shares;
 pub mod spread;
+pub mod store_pace;
 pub mod verdict;
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -1,7 +1,5 @@
 //! Follows the store: the configuration in force, and the upstreams.
 
-mod pace;
-
 use {
     crate::{
         allowance,
@@ -10,7 +8,6 @@
         roster,
         store::{Change, Collection, Listing, Revision, StoreError, StoredObject},
     },
-    pace::{Backoff, Gathering},
     rand::{RngExt, seq::IndexedRandom},
     serde_json::json,
     smol::Timer,
@@ -23,6 +20,7 @@
     trefoilring_core::{
         ids::{ConfigVersion, UpstreamId},
         placement::{Delisted, StoreOutage},
+        store_pace::{Backoff, Gathering},
     },
     trefoilring_observe::decisions::Weight,
 };
@@ -52,9 +50,13 @@
 
 async fn follow(gateway: Rc<Gateway>, collection: Collection) {
     let mut revision: Option<Revision> = None;
-    let mut backoff = Backoff::new();
+    let mut backoff = Backoff::default();
     let mut outage = StoreOutage::default();
-    let mut gathering = Gathering::new(collection);
+    let mut gathering = match collection {
+        Collection::Hosts => Gathering::of_hosts(),
+        Collection::Upstreams => Gathering::of_upstreams(),
+        Collection::Configuration | Collection::Ledgers => Gathering::none(),
+    };
     loop {
         let outcome = match revision {
             None => list(&gateway, collection, &outage).await,
@@ -67,7 +69,7 @@
                     gateway.store_answers.notify(usize::MAX);
                 }
                 revision = Some(reached);
-                backoff = Backoff::new();
+                backoff = Backoff::default();
             }
             Err(error) if error == StoreError::HistoryGone => {
                 note_store(&gateway, collection, "listed again", &Duration::ZERO, Some(&error));
@@ -80,7 +82,7 @@
                     note_store(&gateway, collection, "lost", &Duration::ZERO, Some(&error));
                 }
                 consult_peer(&gateway, collection).await;
-                backoff.wait().await;
+                Timer::after(backoff.after_failure(rand::rng().random())).await;
             }
         }
     }
