--- a/crates/core/src/budget/standby.rs
+++ b/crates/core/src/budget/standby.rs
@@ -55,6 +55,8 @@
     pub failing_for: Duration,
     /// How much longer the keeper opens accounts in doubt.
     pub doubtful_for: Duration,
+    /// How long programs may pause that have not said so.
+    pub idle_max: Duration,
     /// The accounts as they are now.
     pub accounts: Vec<(ProgramId, AccountCopy)>,
 }
@@ -145,6 +147,7 @@
             is_complete: copying.unsent.is_empty(),
             failing_for,
             doubtful_for,
+            idle_max: self.idle_max,
             accounts: accounts.collect(),
         };
         copying.sent = sent;
@@ -179,12 +182,7 @@
     }
 
     /// Makes the ledger of a standby that stands in for the keeper.
-    pub fn stand_in(
-        now: Instant,
-        writer: (&str, Incarnation),
-        copy: LedgerCopy,
-        idle_max: Duration,
-    ) -> Self {
+    pub fn stand_in(now: Instant, writer: (&str, Incarnation), copy: LedgerCopy) -> Self {
         let accounts = copy.accounts.iter();
         let accounts: HashMap<ProgramId, Account> = accounts
             .map(|(program, account)| (program.clone(), Account::from_copy(now, account)))
@@ -194,7 +192,7 @@
             doubtful_until: copy.doubtful_until,
             failing_since: copy.failing_since,
             stands_in_for: Some(copy.id.writer),
-            ..Self::empty(now, writer, idle_max)
+            ..Self::empty(now, writer, copy.idle_max)
         }
     }
 
@@ -213,6 +211,7 @@
     updated_at: Instant,
     failing_since: Option<Instant>,
     doubtful_until: Instant,
+    idle_max: Duration,
     accounts: BTreeMap<ProgramId, AccountCopy>,
 }
 
@@ -226,6 +225,7 @@
             updated_at: now,
             failing_since: None,
             doubtful_until: now,
+            idle_max: update.idle_max,
             accounts: BTreeMap::new(),
         };
         (update.number == 1 && copy.apply(now, update)).then_some(copy)
--- a/crates/core/src/budget/standby/tests.rs
+++ b/crates/core/src/budget/standby/tests.rs
@@ -72,7 +72,7 @@
         assert!(keeper.is_copied("p"));
     }
     drop(keeper);
-    let mut standby = Ledger::stand_in(now, ("standby", 1), copy, IDLE);
+    let mut standby = Ledger::stand_in(now, ("standby", 1), copy);
     assert!(standby.stands_in_for("keeper@1"));
     // Half of the budget is five turns.
     assert_eq!(grant_all(&mut standby, now, &charge("p", false)), 3);
@@ -256,7 +256,7 @@
             10 => {
                 let Some(copy) = self.copy.take_if(|copy| copy.is_usable(now)) else { return };
                 match self.witness.consents(copy.id(), ConsentTo::StandIn) {
-                    true => self.standby = Some(Ledger::stand_in(now, ("standby", 1), copy, IDLE)),
+                    true => self.standby = Some(Ledger::stand_in(now, ("standby", 1), copy)),
                     false => self.copy = Some(copy),
                 }
             }
--- a/crates/gateway/src/call/exchange.rs
+++ b/crates/gateway/src/call/exchange.rs
@@ -2,9 +2,8 @@
 
 use {
     super::{
-        AnswerBody, Call, note_answer,
+        AnswerBody, Call, failed, note_answer,
         offers::{Offers, Visit},
-        timed_out,
     },
     crate::{
         dialect::{AnswerHead, Forwarding},
@@ -18,10 +17,7 @@
     http_body_util::{BodyExt, Full, Limited},
     hyper::body::Incoming,
     std::{rc::Rc, time::Instant},
-    trefoilring_core::{
-        placement::Outcome,
-        verdict::{Reason, Refusal, Verdict},
-    },
+    trefoilring_core::{placement::Outcome, verdict::Refusal},
 };
 
 /// Largest answer that is held in memory.
@@ -220,13 +216,3 @@
     }
     headers.remove(header::TRANSFER_ENCODING);
 }
-
-/// Refuses a request whose end is unknown.
-pub(super) fn failed(error: SendError) -> Refusal {
-    match error {
-        SendError::TimedOut => timed_out(Verdict::MayHaveRun),
-        SendError::Broken | SendError::NotConnected => {
-            Refusal::may_have_run(Reason::UpstreamFailed, "the upstream's answer broke off")
-        }
-    }
-}
--- a/crates/gateway/src/call/mod.rs
+++ b/crates/gateway/src/call/mod.rs
@@ -13,7 +13,10 @@
 };
 
 use {
-    crate::{allowance, dialect::CallHead, front::Answer, gateway::Gateway, time::within},
+    crate::{
+        allowance, dialect::CallHead, front::Answer, gateway::Gateway, http::SendError,
+        time::within,
+    },
     bytes::Bytes,
     http::{Request, request},
     http_body_util::{BodyExt, LengthLimitError, Limited},
@@ -266,3 +269,13 @@
     };
     Refusal { verdict, reason: Reason::Timeout, detail: detail.into(), retry_after: None }
 }
+
+/// Refuses a request whose end is unknown.
+pub(super) fn failed(error: SendError) -> Refusal {
+    match error {
+        SendError::TimedOut => timed_out(Verdict::MayHaveRun),
+        SendError::Broken | SendError::NotConnected => {
+            Refusal::may_have_run(Reason::UpstreamFailed, "the upstream's answer broke off")
+        }
+    }
+}
--- a/crates/gateway/src/call/offers.rs
+++ b/crates/gateway/src/call/offers.rs
@@ -1,7 +1,7 @@
 //! Offers a request to one upstream after the other, and lets it wait where all of them are full.
 
 use {
-    super::{Call, RETRY_AFTER_DEFAULT, exchange::failed, timed_out},
+    super::{Call, RETRY_AFTER_DEFAULT, failed, timed_out},
     crate::{gateway::Gateway, http::SendError, time::within},
     event_listener::{Event, EventListener},
     rand::RngExt,
--- a/crates/gateway/src/ledger/mod.rs
+++ b/crates/gateway/src/ledger/mod.rs
@@ -24,6 +24,7 @@
     },
     event_listener::Event,
     serde_json::json,
+    standby::StandbyState,
     std::{
         net::SocketAddr,
         rc::Rc,
@@ -31,7 +32,9 @@
     },
     takeover::{Loaded, load},
     trefoilring_core::{
-        budget::{Charge, Charged, Ledger, LedgerPosition, LedgerRecord, OthersSay, TokenCount},
+        budget::{
+            Charge, Charged, CopyId, Ledger, LedgerPosition, LedgerRecord, OthersSay, TokenCount,
+        },
         ids::ProgramId,
         rendezvous::Point,
     },
@@ -62,7 +65,7 @@
     is_writing: bool,
     /// Turns that wait for a write.
     waiting: usize,
-    copying: standby::Copying,
+    standby: StandbyState,
     changed: Rc<Event>,
 }
 
@@ -71,7 +74,7 @@
     fn leave(&mut self) {
         self.ledger = None;
         self.revision = None;
-        self.copying.times_left += 1;
+        self.standby.times_left += 1;
     }
 
     /// Returns whether the store has failed this ledger for a while.
@@ -113,7 +116,7 @@
 async fn note_outage(gateway: &Gateway, part: usize, beyond: &LedgerPosition) -> bool {
     let noted = gateway.outage_notes.note(part, beyond).await;
     if noted == Noted::Now {
-        gateway.ledgers.borrow_mut()[part].copying.witness.noted(beyond);
+        gateway.ledgers.borrow_mut()[part].standby.witness.noted(beyond);
         gateway.decisions.note(
             Weight::Rare,
             "ledger",
@@ -123,6 +126,14 @@
     noted != Noted::Not
 }
 
+/// What a ledger has decided on a charge, and what it takes for it to hold.
+enum Decided {
+    /// It holds once the standby has it, if the ledger is being copied.
+    Granted { is_new: bool, copy: Option<CopyId> },
+    /// It can be decided once the ledger has been written.
+    AfterWrite(Rc<Event>),
+}
+
 async fn decide(
     gateway: &Rc<Gateway>,
     part: usize,
@@ -149,7 +160,9 @@
                 standby::begin(gateway, part, ledger, &charge.noted_by);
             }
             match charged {
-                Charged::Granted { is_new } => Ok((is_new, ledger.copying().cloned())),
+                Charged::Granted { is_new } => {
+                    Decided::Granted { is_new, copy: ledger.copying().cloned() }
+                }
                 Charged::Spent => return ChargeDecision::Spent,
                 Charged::AfterWrite if is_store_away => {
                     let beyond = charge.is_first_choice.then(|| ledger.beyond());
@@ -157,11 +170,11 @@
                     write_if_behind(gateway, part);
                     return ChargeDecision::StoreAway { is_noted: false, beyond };
                 }
-                Charged::AfterWrite => Err(state.changed.clone()),
+                Charged::AfterWrite => Decided::AfterWrite(state.changed.clone()),
             }
         };
         let changed = match decided {
-            Ok((is_new, copy)) => {
+            Decided::Granted { is_new, copy } => {
                 write_if_behind(gateway, part);
                 let is_lost = match copy {
                     Some(copy) => !standby::is_copied(gateway, part, &copy, charge, deadline).await,
@@ -172,7 +185,7 @@
                     false => ChargeDecision::Granted { is_new },
                 };
             }
-            Err(changed) => changed,
+            Decided::AfterWrite(changed) => changed,
         };
         let listener = changed.listen();
         gateway.ledgers.borrow_mut()[part].waiting += 1;
--- a/crates/gateway/src/ledger/standby.rs
+++ b/crates/gateway/src/ledger/standby.rs
@@ -35,9 +35,9 @@
 /// How long a standby takes the keeper's word that it lives.
 const KEEPER_LIVES_FOR: Duration = Duration::from_millis(300);
 
-/// What this host has to do with the copying of one ledger.
+/// What this host is to the other keepers of one ledger.
 #[derive(Default)]
-pub(super) struct Copying {
+pub(super) struct StandbyState {
     /// The copy that it holds as the standby.
     held: Option<Held>,
     /// The last copying that has ended here.
@@ -106,47 +106,61 @@
             }
             Step::End(since) => (Question::EndCopy { part, copy: id.clone() }, Some(since)),
         };
-        let copied = match peers::reach(&gateway, standby, question, COPY_TIMEOUT).await {
-            Some(Reply::Copied { copied }) => Some(copied),
-            _ => None,
+        let answer = match peers::reach(&gateway, standby, question, COPY_TIMEOUT).await {
+            Some(Reply::Copied { copied }) => Answer::Standby(copied),
+            _ if consents(&gateway, witness, part, &id, ConsentTo::GoOn).await => Answer::Consent,
+            _ => Answer::None,
         };
-        let goes_on_alone = match copied {
-            None => consents(&gateway, witness, part, &id, ConsentTo::GoOn).await,
-            Some(_) => false,
-        };
-        let is_undecided = copied.is_none() && !goes_on_alone;
-        {
-            let mut parts = gateway.ledgers.borrow_mut();
-            let state = &mut parts[part];
-            let Some(ledger) = state.ledger.as_mut().filter(|of| of.copying() == Some(&id)) else {
-                break;
-            };
-            let is_too_late = ends_since.is_some_and(|since| since.elapsed() >= END_WITHIN);
-            match copied {
-                Some(Copied::Kept) => ledger.update_arrived(),
-                Some(Copied::StandsIn) => state.leave(),
-                Some(Copied::NotKept) => ledger.end_copying(),
-                None if goes_on_alone => ledger.end_copying(),
-                // Whoever reads the record finds it in doubt, also this host.
-                None if is_too_late => state.leave(),
-                None => ledger.update_lost(),
-            }
-            if !matches!(copied, Some(Copied::Kept)) {
-                gateway.decisions.note(
-                    Weight::Rare,
-                    "ledger",
-                    json!({"ledger": name(part), "what": "standby", "copy": id, "copied": copied,
-                           "goes_on_alone": goes_on_alone, "is_left": state.ledger.is_none()}),
-                );
-            }
-            state.changed.notify(usize::MAX);
-        }
-        if is_undecided {
+        settle(&gateway, part, &id, answer, ends_since);
+        if answer == Answer::None {
             Timer::after(PAUSE).await;
         }
     }
 }
 
+/// What became of a message to the standby.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Answer {
+    /// The standby has answered.
+    Standby(Copied),
+    /// It has not, and the witness consents to going on without it.
+    Consent,
+    /// Neither has answered, or the witness does not consent.
+    None,
+}
+
+/// Takes in what became of a message to the standby. `ends_since` is when the copying was to end.
+fn settle(
+    gateway: &Gateway,
+    part: usize,
+    id: &CopyId,
+    answer: Answer,
+    ends_since: Option<Instant>,
+) {
+    let mut parts = gateway.ledgers.borrow_mut();
+    let state = &mut parts[part];
+    let Some(ledger) = state.ledger.as_mut().filter(|of| of.copying() == Some(id)) else { return };
+    match answer {
+        Answer::Standby(Copied::Kept) => {
+            ledger.update_arrived();
+            state.changed.notify(usize::MAX);
+            return;
+        }
+        Answer::Standby(Copied::StandsIn) => state.leave(),
+        Answer::Standby(Copied::NotKept) | Answer::Consent => ledger.end_copying(),
+        // Whoever reads the record finds it in doubt, also this host.
+        Answer::None if ends_since.is_some_and(|at| at.elapsed() >= END_WITHIN) => state.leave(),
+        Answer::None => ledger.update_lost(),
+    }
+    gateway.decisions.note(
+        Weight::Rare,
+        "ledger",
+        json!({"ledger": name(part), "what": "standby", "copy": id,
+               "answer": format!("{answer:?}"), "is_left": state.ledger.is_none()}),
+    );
+    state.changed.notify(usize::MAX);
+}
+
 /// Returns what to do next for a copying; `None` once it has ended.
 fn next_step(gateway: &Gateway, part: usize, id: &CopyId) -> Option<Step> {
     let mut parts = gateway.ledgers.borrow_mut();
@@ -208,22 +222,22 @@
         return Some(if stands_in { Copied::StandsIn } else { Copied::NotKept });
     }
     let now = Instant::now();
-    let copying = &mut state.copying;
-    if copying.ended.as_ref().is_some_and(|ended| !update.copy.is_later_than(ended)) {
+    let own = &mut state.standby;
+    if own.ended.as_ref().is_some_and(|ended| !update.copy.is_later_than(ended)) {
         return Some(Copied::NotKept);
     }
-    if let Some(held) = copying.held.as_mut().filter(|held| *held.copy.id() == update.copy) {
+    if let Some(held) = own.held.as_mut().filter(|held| *held.copy.id() == update.copy) {
         return held.copy.apply(now, update).then_some(Copied::Kept);
     }
     let id = update.copy.clone();
     match LedgerCopy::begin(now, update) {
         Some(copy) => {
-            copying.held = Some(Held { copy, keeper, witness });
+            own.held = Some(Held { copy, keeper, witness });
             Some(Copied::Kept)
         }
         None => {
             // Its first message, if that comes now, would be older than what the keeper goes on with.
-            copying.ended = Some(id);
+            own.ended = Some(id);
             Some(Copied::NotKept)
         }
     }
@@ -236,15 +250,15 @@
     if state.ledger.as_ref().is_some_and(|ledger| ledger.stands_in_for(&copy.writer)) {
         return Some(Copied::StandsIn);
     }
-    state.copying.held.take_if(|held| *held.copy.id() == copy);
-    state.copying.ended = Some(copy);
+    state.standby.held.take_if(|held| *held.copy.id() == copy);
+    state.standby.ended = Some(copy);
     Some(Copied::NotKept)
 }
 
 /// Decides as a witness.
 pub(crate) fn consent(gateway: &Gateway, part: usize, copy: &CopyId, to: ConsentTo) -> bool {
     let mut parts = gateway.ledgers.borrow_mut();
-    parts.get_mut(part).is_some_and(|state| state.copying.witness.consents(copy, to))
+    parts.get_mut(part).is_some_and(|state| state.standby.witness.consents(copy, to))
 }
 
 async fn consents(
@@ -262,30 +276,30 @@
 /// Returns whether this host holds a copy with which it could stand in.
 pub(super) fn may_stand_in(gateway: &Gateway, part: usize) -> bool {
     let parts = gateway.ledgers.borrow();
-    let copying = &parts[part].copying;
-    let lives = copying.keeper_lived_at.is_some_and(|at| at.elapsed() < KEEPER_LIVES_FOR);
-    !copying.is_asking
+    let own = &parts[part].standby;
+    let lives = own.keeper_lived_at.is_some_and(|at| at.elapsed() < KEEPER_LIVES_FOR);
+    !own.is_asking
         && !lives
-        && copying.held.as_ref().is_some_and(|of| of.copy.is_usable(Instant::now()))
+        && own.held.as_ref().is_some_and(|of| of.copy.is_usable(Instant::now()))
 }
 
 /// Returns whether this host holds a copy of a writer's ledger.
 pub(super) fn holds_copy_of(gateway: &Gateway, part: usize, writer: &str) -> bool {
     let parts = gateway.ledgers.borrow();
-    let held = parts.get(part).and_then(|state| state.copying.held.as_ref());
+    let held = parts.get(part).and_then(|state| state.standby.held.as_ref());
     held.is_some_and(|held| held.copy.id().writer == writer)
 }
 
 /// Stands in for the keeper of a copy, if that is lost and the witness consents.
-pub(super) async fn stand_in(gateway: Rc<Gateway>, part: usize, idle_max: Duration) {
+pub(super) async fn stand_in(gateway: Rc<Gateway>, part: usize) {
     if !may_stand_in(&gateway, part) {
         return;
     }
     let (id, keeper, witness) = {
         let mut parts = gateway.ledgers.borrow_mut();
-        let copying = &mut parts[part].copying;
-        let Some(held) = &copying.held else { return };
-        copying.is_asking = true;
+        let own = &mut parts[part].standby;
+        let Some(held) = &own.held else { return };
+        own.is_asking = true;
         (held.copy.id().clone(), held.keeper, held.witness)
     };
     let question = Question::IsLedgerKept { part, writer: id.writer.clone() };
@@ -296,15 +310,15 @@
     let is_given = !lives && consents(&gateway, witness, part, &id, ConsentTo::StandIn).await;
     let mut parts = gateway.ledgers.borrow_mut();
     let state = &mut parts[part];
-    state.copying.is_asking = false;
-    state.copying.keeper_lived_at = lives.then(Instant::now);
+    state.standby.is_asking = false;
+    state.standby.keeper_lived_at = lives.then(Instant::now);
     let held = match state.ledger {
-        None if is_given => state.copying.held.take_if(|held| *held.copy.id() == id),
+        None if is_given => state.standby.held.take_if(|held| *held.copy.id() == id),
         _ => None,
     };
     if let Some(Held { copy, .. }) = held {
-        let writer = (&*gateway.settings.host, gateway.incarnation + state.copying.times_left);
-        let ledger = Ledger::stand_in(Instant::now(), writer, copy, idle_max);
+        let writer = (&*gateway.settings.host, gateway.incarnation + state.standby.times_left);
+        let ledger = Ledger::stand_in(Instant::now(), writer, copy);
         gateway.decisions.note(
             Weight::Rare,
             "ledger",
--- a/crates/gateway/src/ledger/takeover.rs
+++ b/crates/gateway/src/ledger/takeover.rs
@@ -36,9 +36,6 @@
 /// doubt: processes that are started together are there within a second.
 const NOTES_WAIT: Duration = Duration::from_secs(2);
 
-/// How long a program may pause that no charge has told of yet.
-const IDLE_MAX_DEFAULT: Duration = Duration::from_secs(60);
-
 /// Whether this host keeps a ledger.
 pub(super) enum Loaded {
     Yes,
@@ -55,7 +52,7 @@
     deadline: Instant,
 ) -> Loaded {
     if standby::may_stand_in(gateway, part) {
-        standby::stand_in(gateway.clone(), part, idle_max).await;
+        standby::stand_in(gateway.clone(), part).await;
     }
     loop {
         let changed = {
@@ -106,7 +103,7 @@
             is_first: stored.is_none() && gateway.settings.is_first_start,
         };
         let now = Instant::now();
-        let times_left = gateway.ledgers.borrow()[part].copying.times_left;
+        let times_left = gateway.ledgers.borrow()[part].standby.times_left;
         let ledger = Ledger::take_over(
             now,
             wall_us() / 1000,
@@ -250,7 +247,7 @@
 pub(crate) fn kept_by(gateway: &Rc<Gateway>, part: usize, writer: &str) -> Kept {
     if standby::holds_copy_of(gateway, part, writer) {
         // Whoever asks has lost the writer, or is about to.
-        gateway.spawn(standby::stand_in(gateway.clone(), part, IDLE_MAX_DEFAULT));
+        gateway.spawn(standby::stand_in(gateway.clone(), part));
         return Kept::WithoutStore;
     }
     let parts = gateway.ledgers.borrow();
