Copy a ledger again after its keeper went on alone

A message to the standby that takes longer than 60 ms makes the keeper go on alone, and nothing was copied any more in that outage; when the keeper was lost later, nobody stood in.

Ruled out: a longer limit alone (turns wait for it while a standby is away).

Change: half a second after a keeper went on alone it copies its ledger again, as another copying with consents of its own, if neither standby nor witness is out of reach.

Test: keeper_that_went_on_alone_copies_again_a_little_later; the random outages begin copyings anew too.

--- a/crates/core/src/budget/mod.rs
+++ b/crates/core/src/budget/mod.rs
@@ -171,8 +171,8 @@
     /// The copying to a standby.
     copying: Option<Copying>,
     copyings: u64,
-    /// Whether the ledger has been copied in this outage.
-    has_copied: bool,
+    /// Before when no other copying begins in this outage, after one that has ended.
+    copies_again_at: Option<Instant>,
     /// The keeper whose copy this ledger goes on from.
     stands_in_for: Option<String>,
 }
@@ -225,7 +225,7 @@
             is_first_choice: false,
             copying: None,
             copyings: 0,
-            has_copied: false,
+            copies_again_at: None,
             stands_in_for: None,
         }
     }
@@ -343,7 +343,7 @@
 
     fn store_took_a_write(&mut self) {
         self.is_record_doubted = self.failing_since.take().is_some();
-        self.has_copied = false;
+        self.copies_again_at = None;
     }
 
     /// Notes that the store could not be written to by an attempt that began at this time.
--- a/crates/core/src/budget/standby.rs
+++ b/crates/core/src/budget/standby.rs
@@ -21,6 +21,9 @@
 /// How long a copy is good for after its last message. Below the time for which a host that takes the ledger
 /// over in doubt leaves out what a standby may grant.
 const COPY_KEPT: Duration = Duration::from_secs(30);
+/// How long a keeper that went on alone does so before it copies its ledger again: a message that was late must
+/// not cost the standby for the whole outage, and one that is away not a wait for each turn.
+const COPY_AGAIN_AFTER: Duration = Duration::from_millis(500);
 /// Accounts in one message to the standby: some 200 kB.
 const UPDATE_ACCOUNTS_MAX: usize = 2000;
 
@@ -89,13 +92,13 @@
 }
 
 impl Ledger {
-    /// Begins to copy the ledger, if charges go beyond the record and this has not been tried in the outage.
+    /// Begins to copy the ledger, if charges go beyond the record and no copying has ended just before.
     /// Returns whether it has.
     pub fn begin_copying(&mut self, now: Instant) -> bool {
-        if !self.is_noted() || !self.is_store_away(now) || self.has_copied {
+        let is_too_soon = self.copies_again_at.is_some_and(|at| now < at);
+        if !self.is_noted() || !self.is_store_away(now) || self.copying.is_some() || is_too_soon {
             return false;
         }
-        self.has_copied = true;
         self.copyings += 1;
         self.copying = Some(Copying {
             id: CopyId {
@@ -175,7 +178,8 @@
     }
 
     /// Ends the copying: no standby can stand in any more.
-    pub fn end_copying(&mut self) {
+    pub fn end_copying(&mut self, now: Instant) {
+        self.copies_again_at = Some(now + COPY_AGAIN_AFTER);
         if let Some(Copying { store_back_since: Some(_), .. }) = self.copying.take() {
             self.store_took_a_write();
         }
--- a/crates/core/src/budget/standby/tests.rs
+++ b/crates/core/src/budget/standby/tests.rs
@@ -90,6 +90,24 @@
     assert_eq!(rest, 5, "the other half, in as many writes as it takes");
 }
 
+#[test]
+fn keeper_that_went_on_alone_copies_again_a_little_later() {
+    let (mut keeper, now, note) = keeper_in_outage(Instant::now());
+    let mut witness = Witness::default();
+    witness.noted(&note.position);
+    keeper.begin_copying(now);
+    let first = keeper.copying().cloned().expect("it is copied");
+    assert!(witness.consents(&first, ConsentTo::GoOn));
+    keeper.end_copying(now);
+    assert!(!keeper.begin_copying(now));
+    let later = now + COPY_AGAIN_AFTER;
+    assert!(keeper.begin_copying(later));
+    let copy = copy_of(&mut keeper, later);
+    assert!(copy.is_usable(later) && copy.id().is_later_than(&first));
+    assert!(witness.consents(copy.id(), ConsentTo::StandIn));
+    assert!(!witness.consents(&first, ConsentTo::GoOn));
+}
+
 #[test]
 fn record_stays_in_doubt_until_no_standby_can_stand_in() {
     let (mut keeper, now, note) = keeper_in_outage(Instant::now());
@@ -100,7 +118,7 @@
     keeper.written(now, &in_doubt);
     assert_eq!(keeper.copying_ends_since(), Some(now));
     let still = keeper.record(now, 2000);
-    keeper.end_copying();
+    keeper.end_copying(now);
     let whole = keeper.record(now, 3000);
     let notes = [OutageNotes::Taken { since_ms: 0, last: Some(note) }];
     let is_in_doubt = |record| {
@@ -196,8 +214,9 @@
             return false;
         }
         match &mut self.copy {
-            Some(copy) => copy.apply(self.now, update),
-            None => {
+            Some(copy) if *copy.id() == update.copy => copy.apply(self.now, update),
+            Some(copy) if !update.copy.is_later_than(copy.id()) => false,
+            _ => {
                 self.copy = LedgerCopy::begin(self.now, update);
                 self.copy.is_some()
             }
@@ -250,7 +269,10 @@
                 let Some(keeper) = &mut self.keeper else { return };
                 let copy = keeper.copying().cloned();
                 if copy.is_some_and(|copy| self.witness.consents(&copy, ConsentTo::GoOn)) {
-                    keeper.end_copying();
+                    keeper.end_copying(now);
+                    if self.rng.random() {
+                        assert!(keeper.begin_copying(now + COPY_AGAIN_AFTER));
+                    }
                 }
             }
             10 => {
--- a/crates/gateway/src/ledger/mod.rs
+++ b/crates/gateway/src/ledger/mod.rs
@@ -156,8 +156,11 @@
             let now = Instant::now();
             let charged = ledger.charge(now, charge);
             let is_store_away = ledger.is_store_away(now);
+            if !charge.noted_by.is_empty() {
+                state.standby.noted_by.clone_from(&charge.noted_by);
+            }
             if charge.is_first_choice {
-                standby::begin(gateway, part, ledger, &charge.noted_by);
+                standby::begin(gateway, part, ledger, &state.standby.noted_by);
             }
             match charged {
                 Charged::Granted { is_new } => {
--- a/crates/gateway/src/ledger/standby.rs
+++ b/crates/gateway/src/ledger/standby.rs
@@ -46,6 +46,8 @@
     /// When the keeper of the copy has last said that it lives.
     keeper_lived_at: Option<Instant>,
     pub(super) witness: Witness,
+    /// Where the others are that have noted the outage, at the keeper.
+    pub(super) noted_by: Vec<SocketAddr>,
     /// How often this process has left the ledger to a standby. A writer's name is not used again.
     pub(super) times_left: u64,
 }
@@ -73,6 +75,9 @@
     noted_by: &[SocketAddr],
 ) {
     let &[standby, witness, ..] = noted_by else { return };
+    if peers::is_suspect(gateway, standby) || peers::is_suspect(gateway, witness) {
+        return;
+    }
     if !ledger.begin_copying(Instant::now()) {
         return;
     }
@@ -147,7 +152,9 @@
             return;
         }
         Answer::Standby(Copied::StandsIn) => state.leave(),
-        Answer::Standby(Copied::NotKept) | Answer::Consent => ledger.end_copying(),
+        Answer::Standby(Copied::NotKept) | Answer::Consent => {
+            ledger.end_copying(Instant::now());
+        }
         // Whoever reads the record finds it in doubt, also this host.
         Answer::None if ends_since.is_some_and(|at| at.elapsed() >= END_WITHIN) => state.leave(),
         Answer::None => ledger.update_lost(),
@@ -229,6 +236,9 @@
     if let Some(held) = own.held.as_mut().filter(|held| *held.copy.id() == update.copy) {
         return held.copy.apply(now, update).then_some(Copied::Kept);
     }
+    if own.held.as_ref().is_some_and(|held| !update.copy.is_later_than(held.copy.id())) {
+        return None;
+    }
     let id = update.copy.clone();
     match LedgerCopy::begin(now, update) {
         Some(copy) => {
