Record how an upstream refused the rest of a stream

Found in a second reading: where a stream broke, and its upstream then refused the rest without the request being allowed to go elsewhere, the visit ended as if it had been answered. The upstream's failures were forgotten, a full one was not known as full, and a request that waited for a place was woken for none.

The loop is written like that of a first send, so that each way out stands by itself. No test shows the fault: what it changes is an estimate of load.

--- a/crates/gateway/src/call/relay.rs
+++ b/crates/gateway/src/call/relay.rs
@@ -242,7 +242,7 @@
         }
     }
 
-    /// Goes on after a break, at the same upstream if it lives.
+    /// Goes on after a break, at the same upstream if it lives. Returns whether it does.
     async fn resume(&mut self) -> bool {
         self.cutter.clear();
         self.source = None;
@@ -250,38 +250,43 @@
             return false;
         }
         self.resumes += 1;
+        match self.visit.take() {
+            Some(broken) => self.go_on_after(broken).await.is_some(),
+            None => false,
+        }
+    }
+
+    /// Sends the rest of the stream to upstreams until one begins to answer. Returns `None` if none does.
+    async fn go_on_after(&mut self, broken: Visit) -> Option<()> {
         let mut offers = Offers::new(true);
-        let Some(mut again_at) = self.visit.take().map(|visit| offers.after_break(visit)) else {
-            return false;
-        };
+        let mut again_at = offers.after_break(broken).ok()?;
         loop {
-            let visit = match again_at {
-                Ok(Some(visit)) => visit,
-                Ok(None) => match offers.next(&self.gateway, &self.call, 1).await {
-                    Ok(visit) => visit,
-                    Err(_) => return false,
-                },
-                Err(_) => return false,
+            let visit = match again_at.take() {
+                Some(visit) => visit,
+                None => offers.next(&self.gateway, &self.call, 1).await.ok()?,
             };
             self.note_resume(&visit);
-            again_at = match send(&self.gateway, &self.call, &visit, self.last_event).await {
+            match send(&self.gateway, &self.call, &visit, self.last_event).await {
                 Sent::Answered(received) if received.head.status.is_success() => {
                     let Received { body, lease, .. } = *received;
                     self.source = Some(Source { body, lease });
                     self.visit = Some(visit);
-                    return true;
+                    return Some(());
                 }
+                Sent::Answered(_) => return None,
                 Sent::NotRun(outcome) if may_move(&self.call, outcome) => {
                     offers.end(visit, outcome);
-                    Ok(None)
                 }
-                Sent::Unknown(SendError::Broken) => offers.after_break(visit),
-                Sent::Answered(_) | Sent::NotRun(_) => return false,
+                Sent::NotRun(outcome) => {
+                    visit.end(outcome);
+                    return None;
+                }
+                Sent::Unknown(SendError::Broken) => again_at = offers.after_break(visit).ok()?,
                 Sent::Unknown(_) => {
                     visit.end(Outcome::Failed);
-                    return false;
+                    return None;
                 }
-            };
+            }
         }
     }
 
