Merge records of a copied keeper by the same loop as others

A second loop over a record's accounts differed in one call, and that call, merge_copied, was Account::written under another name. An account from a copy starts from that of a record. No change of behaviour.

--- a/crates/core/src/budget/account.rs
+++ b/crates/core/src/budget/account.rs
@@ -80,13 +80,9 @@
     pub(super) fn from_copy(now: Instant, copy: &AccountCopy) -> Self {
         Self {
             charged: copy.charged,
-            recorded: copy.recorded,
             terms: copy.terms,
-            is_doubtful: copy.is_doubtful,
-            awaited: 0,
             doubt: copy.doubt,
-            used_at: now,
-            idle_max: copy.idle_max,
+            ..Self::recorded(now, copy.recorded, copy.idle_max, copy.is_doubtful)
         }
     }
 
@@ -174,11 +170,6 @@
         self.recorded = recorded;
     }
 
-    /// Takes in a record of the keeper that this host stands in for, whose charges it has all.
-    pub(super) fn merge_copied(&mut self, recorded: TokenCount) {
-        self.recorded = recorded;
-    }
-
     pub(super) fn is_over(&self, now: Instant) -> bool {
         now.saturating_duration_since(self.used_at) > self.idle_max + KEEP_MARGIN
     }
--- a/crates/core/src/budget/mod.rs
+++ b/crates/core/src/budget/mod.rs
@@ -374,13 +374,11 @@
     /// Takes in the record of another host that wrote in between. Charges of this host that no
     /// record has are added to it. `notes` are this host's own.
     pub fn merge(&mut self, now: Instant, record: &LedgerRecord, notes: OutageNotes) {
-        if self.stands_in_for(&record.writer) {
-            self.merge_copied(now, record);
-            return;
-        }
-        // The first choice alone goes far beyond a record, and knows what it has charged.
+        let has_copy_of_writer = self.stands_in_for(&record.writer);
+        // The first choice alone goes far beyond a record. It knows what it has charged, and so does who
+        // stands in for it.
         let doubtful = match notes::has_outage(&[notes], record) {
-            _ if self.is_first_choice => Duration::ZERO,
+            _ if self.is_first_choice || has_copy_of_writer => Duration::ZERO,
             Some(true) => self.idle_max + KEEP_MARGIN,
             _ => Duration::from_millis(record.doubtful_ms),
         };
@@ -388,6 +386,8 @@
         let is_doubtful = !doubtful.is_zero();
         for (program, &recorded) in &record.charged {
             match self.accounts.get_mut(program) {
+                // The copy has all that the writer has charged.
+                Some(account) if has_copy_of_writer => account.written(recorded),
                 Some(account) => account.merge(recorded, is_doubtful),
                 None => {
                     let account = Account::recorded(now, recorded, self.idle_max, is_doubtful);
@@ -400,19 +400,6 @@
         }
     }
 
-    /// Takes in a record of the keeper that this host stands in for: it has all its charges.
-    fn merge_copied(&mut self, now: Instant, record: &LedgerRecord) {
-        for (program, &recorded) in &record.charged {
-            match self.accounts.get_mut(program) {
-                Some(account) => account.merge_copied(recorded),
-                None => {
-                    let account = Account::recorded(now, recorded, self.idle_max, false);
-                    self.accounts.insert(program.clone(), account);
-                }
-            }
-        }
-    }
-
     /// Returns how many accounts there are.
     pub fn len(&self) -> usize {
         self.accounts.len()
