Bound all waits at a host by one function

Requests that wait for an allowance token and those that wait at a full service had the same two constants and the same formula, in the gateway and in the core. No change of behaviour.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -24,3 +24,4 @@
 pub mod spread;
 pub mod store_pace;
 pub mod verdict;
+pub mod wait;
--- a/crates/core/src/placement/full.rs
+++ b/crates/core/src/placement/full.rs
@@ -7,26 +7,24 @@
 //! requests are refused at once.
 
 use {
-    crate::ids::ServiceId,
+    crate::{ids::ServiceId, wait},
     std::{
         collections::{BTreeMap, HashMap},
         time::{Duration, Instant},
     },
 };
 
-/// How long a request of a program under way waits at most: as long as one waits for its team's
-/// allowance. Some waits of this length still leave a program within twice its target.
-const WAIT_UNDER_WAY_MAX: Duration = Duration::from_millis(500);
-/// How long any other waits: about the work of one request at a plain service.
+/// How long a request waits that is of no program under way: about the work of one request at a plain
+/// service.
 const WAIT_MAX: Duration = Duration::from_millis(150);
-/// Part of the time that a request has left which it waits at most.
-const WAIT_SHARE_MAX: f64 = 0.3;
 /// Part of a request's own wait that the oldest one may have waited when it comes. The oldest waits longer
 /// than most, since free places go to the host that asks first. Above this, most requests that are refused
 /// in lasting overload are held until then.
 const OLDEST_SHARE_MAX: f64 = 0.8;
 /// The first pause before the upstreams are asked again. Doubles with each refusal.
 const PAUSE_MIN: Duration = Duration::from_millis(20);
+/// The least part of a pause that jitter leaves; the most is one more.
+const JITTER_MIN: f64 = 0.5;
 /// The longest pause: other hosts' requests take the places that become free.
 const PAUSE_MAX: Duration = Duration::from_millis(160);
 
@@ -53,7 +51,7 @@
         if left < PAUSE_MIN / 2 {
             return None;
         }
-        let pause = self.pause.mul_f64(0.5 + draw);
+        let pause = self.pause.mul_f64(JITTER_MIN + draw);
         self.pause = (self.pause * 2).min(PAUSE_MAX);
         Some(now + pause.min(left))
     }
@@ -76,11 +74,11 @@
 impl<W> FullServices<W> {
     /// Begins the wait of a request.
     pub fn begin(&mut self, now: Instant, deadline: Instant, is_under_way: bool) -> FullWait {
-        let max = if is_under_way { WAIT_UNDER_WAY_MAX } else { WAIT_MAX };
-        let share = deadline.saturating_duration_since(now).mul_f64(WAIT_SHARE_MAX);
+        let max = if is_under_way { wait::UNDER_WAY_MAX } else { WAIT_MAX };
         self.begun += 1;
         let place = Place { began: now, number: self.begun };
-        FullWait { place, gives_up_at: now + share.min(max), pause: PAUSE_MIN }
+        let gives_up_at = wait::gives_up_at(now, deadline, max);
+        FullWait { place, gives_up_at, pause: PAUSE_MIN }
     }
 
     /// Returns whether requests wait here for a service, so that a further one comes after them.
--- a/crates/core/src/placement/full/tests.rs
+++ b/crates/core/src/placement/full/tests.rs
@@ -150,8 +150,8 @@
     let mut held = played.refused_after.clone();
     held.sort();
     let median = held[held.len() / 2];
-    assert!(median < WAIT_UNDER_WAY_MAX / 5, "half are held {median:?}");
-    assert!(held[held.len() - 1] <= WAIT_UNDER_WAY_MAX);
+    assert!(median < wait::UNDER_WAY_MAX / 5, "half are held {median:?}");
+    assert!(held[held.len() - 1] <= wait::UNDER_WAY_MAX);
     assert!(played.offers <= 4 * played.requests(), "{} offers", played.offers);
 }
 
@@ -202,7 +202,7 @@
         }
         at - now
     };
-    assert_eq!(gives_up_in(TIME_LEFT, true), WAIT_UNDER_WAY_MAX);
+    assert_eq!(gives_up_in(TIME_LEFT, true), wait::UNDER_WAY_MAX);
     assert_eq!(gives_up_in(TIME_LEFT, false), WAIT_MAX);
     assert_eq!(gives_up_in(Duration::from_millis(200), true), Duration::from_millis(60));
     assert_eq!(gives_up_in(Duration::ZERO, true), Duration::ZERO);
--- a/crates/gateway/src/allowance.rs
+++ b/crates/gateway/src/allowance.rs
@@ -17,16 +17,12 @@
         ids::TeamId,
         shares::Take,
         verdict::{Reason, Refusal},
+        wait,
     },
 };
 
 /// How long a request that opens a program waits for tokens: some round trips between hosts.
 const WAIT_MAX: Duration = Duration::from_millis(60);
-/// How long one of a program under way does: a refusal would end the program, and waste the tokens that
-/// it has used. Some waits of this length still leave a program within twice its target.
-const WAIT_UNDER_WAY_MAX: Duration = Duration::from_millis(500);
-/// Part of the time that a request has left which it waits at most.
-const WAIT_SHARE_MAX: f64 = 0.3;
 /// The least that a refused caller is asked to wait.
 const RETRY_AFTER_MIN: Duration = Duration::from_millis(200);
 /// The most that it is asked to wait.
@@ -123,8 +119,7 @@
 
 /// Returns until when a request waits for a token.
 fn give_up_at(now: Instant, deadline: Instant, opens_program: bool) -> Instant {
-    let max = if opens_program { WAIT_MAX } else { WAIT_UNDER_WAY_MAX };
-    now + deadline.saturating_duration_since(now).mul_f64(WAIT_SHARE_MAX).min(max)
+    wait::gives_up_at(now, deadline, if opens_program { WAIT_MAX } else { wait::UNDER_WAY_MAX })
 }
 
 fn over_allowance(gateway: &Gateway, team: &TeamId, token_in: Duration) -> Refusal {
