Look once whether a host may stand in for a ledger's keeper

The caller and the function asked the same question, the latter twice; the name under which a host writes records was put together in two places; a held copy was looked up twice for one message. No change of behaviour.

--- a/crates/gateway/src/ledger/mod.rs
+++ b/crates/gateway/src/ledger/mod.rs
@@ -35,7 +35,7 @@
         budget::{
             Charge, Charged, CopyId, Ledger, LedgerPosition, LedgerRecord, OthersSay, TokenCount,
         },
-        ids::ProgramId,
+        ids::{Incarnation, ProgramId},
         rendezvous::Point,
     },
     trefoilring_observe::decisions::Weight,
@@ -70,6 +70,11 @@
 }
 
 impl Part {
+    /// Returns as whom this host writes records of a ledger that it takes over now.
+    fn writer<'a>(&self, gateway: &'a Gateway) -> (&'a str, Incarnation) {
+        (&gateway.settings.host, gateway.incarnation + self.standby.times_left)
+    }
+
     /// Forgets the ledger: another host has what it holds, or its record has.
     fn leave(&mut self) {
         self.ledger = None;
--- a/crates/gateway/src/ledger/standby.rs
+++ b/crates/gateway/src/ledger/standby.rs
@@ -52,6 +52,20 @@
     pub(super) times_left: u64,
 }
 
+impl StandbyState {
+    /// Returns whether this host holds a copy of a writer's ledger.
+    pub(super) fn holds_copy_of(&self, writer: &str) -> bool {
+        self.held.as_ref().is_some_and(|held| held.copy.id().writer == writer)
+    }
+
+    /// Returns the copy with which this host could stand in, if it is not asking already whether it may.
+    fn usable_copy(&self) -> Option<&Held> {
+        let lives = self.keeper_lived_at.is_some_and(|at| at.elapsed() < KEEPER_LIVES_FOR);
+        let held = self.held.as_ref().filter(|_| !self.is_asking && !lives);
+        held.filter(|held| held.copy.is_usable(Instant::now()))
+    }
+}
+
 /// A copy, and who else has to do with it.
 struct Held {
     copy: LedgerCopy,
@@ -233,11 +247,12 @@
     if own.ended.as_ref().is_some_and(|ended| !update.copy.is_later_than(ended)) {
         return Some(Copied::NotKept);
     }
-    if let Some(held) = own.held.as_mut().filter(|held| *held.copy.id() == update.copy) {
-        return held.copy.apply(now, update).then_some(Copied::Kept);
-    }
-    if own.held.as_ref().is_some_and(|held| !update.copy.is_later_than(held.copy.id())) {
-        return None;
+    match &mut own.held {
+        Some(held) if *held.copy.id() == update.copy => {
+            return held.copy.apply(now, update).then_some(Copied::Kept);
+        }
+        Some(held) if !update.copy.is_later_than(held.copy.id()) => return None,
+        _ => {}
     }
     let id = update.copy.clone();
     match LedgerCopy::begin(now, update) {
@@ -283,34 +298,15 @@
     matches!(reply, Some(Reply::Consented { is_given: true }))
 }
 
-/// Returns whether this host holds a copy with which it could stand in.
-pub(super) fn may_stand_in(gateway: &Gateway, part: usize) -> bool {
-    let parts = gateway.ledgers.borrow();
-    let own = &parts[part].standby;
-    let lives = own.keeper_lived_at.is_some_and(|at| at.elapsed() < KEEPER_LIVES_FOR);
-    !own.is_asking
-        && !lives
-        && own.held.as_ref().is_some_and(|of| of.copy.is_usable(Instant::now()))
-}
-
-/// Returns whether this host holds a copy of a writer's ledger.
-pub(super) fn holds_copy_of(gateway: &Gateway, part: usize, writer: &str) -> bool {
-    let parts = gateway.ledgers.borrow();
-    let held = parts.get(part).and_then(|state| state.standby.held.as_ref());
-    held.is_some_and(|held| held.copy.id().writer == writer)
-}
-
-/// Stands in for the keeper of a copy, if that is lost and the witness consents.
+/// Stands in for the keeper of a copy, if this host holds a usable one, the keeper is lost and the witness
+/// consents.
 pub(super) async fn stand_in(gateway: Rc<Gateway>, part: usize) {
-    if !may_stand_in(&gateway, part) {
-        return;
-    }
     let (id, keeper, witness) = {
-        let mut parts = gateway.ledgers.borrow_mut();
-        let own = &mut parts[part].standby;
-        let Some(held) = &own.held else { return };
+        let own = &mut gateway.ledgers.borrow_mut()[part].standby;
+        let Some(held) = own.usable_copy() else { return };
+        let asked = (held.copy.id().clone(), held.keeper, held.witness);
         own.is_asking = true;
-        (held.copy.id().clone(), held.keeper, held.witness)
+        asked
     };
     let question = Question::IsLedgerKept { part, writer: id.writer.clone() };
     let lives = match peers::reach(&gateway, keeper, question, ASK_TIMEOUT).await {
@@ -327,8 +323,7 @@
         _ => None,
     };
     if let Some(Held { copy, .. }) = held {
-        let writer = (&*gateway.settings.host, gateway.incarnation + state.standby.times_left);
-        let ledger = Ledger::stand_in(Instant::now(), writer, copy);
+        let ledger = Ledger::stand_in(Instant::now(), state.writer(&gateway), copy);
         gateway.decisions.note(
             Weight::Rare,
             "ledger",
--- a/crates/gateway/src/ledger/takeover.rs
+++ b/crates/gateway/src/ledger/takeover.rs
@@ -51,9 +51,7 @@
     idle_max: Duration,
     deadline: Instant,
 ) -> Loaded {
-    if standby::may_stand_in(gateway, part) {
-        standby::stand_in(gateway.clone(), part).await;
-    }
+    standby::stand_in(gateway.clone(), part).await;
     loop {
         let changed = {
             let mut parts = gateway.ledgers.borrow_mut();
@@ -103,14 +101,8 @@
             is_first: stored.is_none() && gateway.settings.is_first_start,
         };
         let now = Instant::now();
-        let times_left = gateway.ledgers.borrow()[part].standby.times_left;
-        let ledger = Ledger::take_over(
-            now,
-            wall_us() / 1000,
-            (&gateway.settings.host, gateway.incarnation + times_left),
-            inherited,
-            idle_max,
-        );
+        let writer = gateway.ledgers.borrow()[part].writer(&gateway);
+        let ledger = Ledger::take_over(now, wall_us() / 1000, writer, inherited, idle_max);
         if let Some(record) = &record
             && ledger.is_in_doubt(now)
             && leave_to_writer(&gateway, part, record, &mut left_since).await
@@ -245,13 +237,13 @@
 
 /// Returns whether this host keeps a ledger as a writer of its records, or stands in for that.
 pub(crate) fn kept_by(gateway: &Rc<Gateway>, part: usize, writer: &str) -> Kept {
-    if standby::holds_copy_of(gateway, part, writer) {
+    let parts = gateway.ledgers.borrow();
+    let Some(state) = parts.get(part) else { return Kept::No };
+    if state.standby.holds_copy_of(writer) {
         // Whoever asks has lost the writer, or is about to.
         gateway.spawn(standby::stand_in(gateway.clone(), part));
         return Kept::WithoutStore;
     }
-    let parts = gateway.ledgers.borrow();
-    let Some(state) = parts.get(part) else { return Kept::No };
     let keeps = |of: &Ledger| of.is_writer(writer) || of.stands_in_for(writer);
     match &state.ledger {
         Some(ledger) if keeps(ledger) && state.is_store_away() => Kept::WithoutStore,
