Reproduce the crashes of one request that is sent again under new ids

What callers saw: a request that crashes each worker that starts it is sent on each time it comes again. Of 24 sends, to three hosts in turn, all crashed up to three workers each: 72 crashes, where the third should have been followed by three more at most. Meanwhile others find no worker.

The stand-ins get a pool of workers that restart after a crash with a new id and address.

--- a/crates/standin/src/fleet/mod.rs
+++ b/crates/standin/src/fleet/mod.rs
@@ -6,12 +6,14 @@
 //! calls directly. The stand-ins implement only as much of the published protocol as end-to-end
 //! tests over loopback need, and every fault that those tests inject.
 
+mod pool;
 mod store;
 mod worker;
 
 pub use {
+    pool::{PoolOptions, WorkerPool},
     store::{StoreFault, StoreStandin},
-    worker::{RecordedRequest, WorkerFault, WorkerStandin},
+    worker::{RecordedRequest, SERVICE, WorkerFault, WorkerStandin},
 };
 
 use {
--- a/crates/standin/src/fleet/store.rs
+++ b/crates/standin/src/fleet/store.rs
@@ -95,6 +95,11 @@
         *self.endpoint.fault.lock().unwrap_or_else(PoisonError::into_inner) = fault;
     }
 
+    /// Returns the fault of this address.
+    pub fn fault(&self) -> StoreFault {
+        *self.endpoint.fault.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Creates or replaces an object without a version check, in place of an operator or a worker.
     pub fn put(&self, kind: &str, name: &str, spec: Value) {
         self.endpoint.store.lock().change(kind, name, Some(spec));
--- a/crates/standin/src/fleet/worker.rs
+++ b/crates/standin/src/fleet/worker.rs
@@ -8,15 +8,22 @@
     http::{HeaderMap, Request, Response, StatusCode},
     http_body_util::{BodyExt, StreamBody},
     hyper::body::Frame,
-    smol::{Task, Timer},
+    serde_json::{Value, json},
+    smol::{
+        Task, Timer,
+        channel::{Receiver, Sender},
+    },
     std::{
         io,
         net::SocketAddr,
         sync::{Arc, Mutex, MutexGuard, PoisonError},
-        time::Duration,
+        time::{Duration, Instant},
     },
 };
 
+/// Service of all workers.
+pub const SERVICE: &str = "work";
+
 /// Number of events in a complete stream.
 const STREAM_EVENTS: u64 = 6;
 
@@ -50,6 +57,10 @@
     InternalError,
     /// Takes this long for each request.
     Slow(Duration),
+    /// Crashes as soon as it starts a request whose path or body contains this text. Takes the
+    /// given time for other requests. The owner of the stand-in carries the crash out by dropping
+    /// it, see [`WorkerStandin::crashed`].
+    CrashesOn(&'static str, Duration),
 }
 
 /// A request that a worker has started to run.
@@ -63,6 +74,8 @@
     pub request_line: String,
     /// The complete body.
     pub body: Bytes,
+    /// When the worker started to run the request.
+    pub started_at: Instant,
 }
 
 /// A worker on loopback.
@@ -70,12 +83,14 @@
     /// Listening address.
     pub address: SocketAddr,
     worker: Arc<Worker>,
+    crashes: Receiver<()>,
     _task: Task<()>,
 }
 
 struct Worker {
     id: String,
     state: Mutex<State>,
+    crash_sender: Sender<()>,
 }
 
 #[derive(Default)]
@@ -110,9 +125,28 @@
     ///
     /// Fails if no port can be bound.
     pub async fn start(id: &str) -> io::Result<Self> {
-        let worker = Arc::new(Worker { id: id.into(), state: Mutex::default() });
+        let (crash_sender, crashes) = smol::channel::bounded(1);
+        let worker = Arc::new(Worker { id: id.into(), state: Mutex::default(), crash_sender });
         let (address, task) = serve(worker.clone()).await?;
-        Ok(Self { address, worker, _task: task })
+        Ok(Self { address, worker, crashes, _task: task })
+    }
+
+    /// Returns the entry under which the worker registers in the store.
+    pub fn entry(&self) -> Value {
+        json!({"service": SERVICE, "addr": self.address, "zone": "a", "version": "v1",
+               "slots": 4, "state": "ready", "cold_left_ms": 0, "seq": 1})
+    }
+
+    /// Waits until a request crashes the worker ([`WorkerFault::CrashesOn`]). The owner must then
+    /// drop the stand-in, which closes its listener and all connections.
+    pub async fn crashed(&self) {
+        // The sender lives as long as the worker, so the channel is not closed.
+        let _ = self.crashes.recv().await;
+    }
+
+    /// Returns a handle to the requests that the worker has started to run, which outlives it.
+    pub(super) fn run_log(&self) -> RunLog {
+        RunLog(self.worker.clone())
     }
 
     /// Sets the fault.
@@ -142,6 +176,15 @@
     }
 }
 
+/// The requests that a worker has started to run.
+pub(super) struct RunLog(Arc<Worker>);
+
+impl RunLog {
+    pub(super) fn runs(&self) -> Vec<RecordedRequest> {
+        self.0.lock().runs.clone()
+    }
+}
+
 fn event(id: u64) -> String {
     format!("id: {id}\ndata: piece {id}\n\n")
 }
@@ -208,11 +251,14 @@
         // A request with this header, a forecast of its tokens, counts as a turn, whose response is
         // a stream.
         let is_stream = head.headers.contains_key("trefoilring-token-usage");
+        let crashes_worker = matches!(fault, WorkerFault::CrashesOn(text, _)
+            if request_line.contains(text) || String::from_utf8_lossy(&body).contains(text));
         self.lock().runs.push(RecordedRequest {
             request_id: id.clone(),
             headers: head.headers,
             request_line,
             body: body.clone(),
+            started_at: Instant::now(),
         });
         let mut response = self.response_builder(&id, StatusCode::OK);
         let guard = RunGuard { worker: &self, is_finished: false };
@@ -224,7 +270,12 @@
             WorkerFault::InternalError => {
                 response = self.response_builder(&id, StatusCode::INTERNAL_SERVER_ERROR);
             }
-            WorkerFault::Slow(time) => {
+            WorkerFault::CrashesOn(..) if crashes_worker => {
+                // A second crashing request before the stand-in is dropped changes nothing.
+                let _ = self.crash_sender.try_send(());
+                std::future::pending::<()>().await;
+            }
+            WorkerFault::Slow(time) | WorkerFault::CrashesOn(_, time) => {
                 Timer::after(time).await;
             }
             _ => {}
