Refuse content that crashes upstreams at all hosts

What callers saw: a request that crashes each worker that starts it was sent on whenever it came again, under a new id and at any host: 72 crashes of 24 sends to three hosts, and next to nobody else was served.

Each new id began at zero, and nothing tied the request to the crashes before it. Ejection, which does outlive an attempt, blames the worker and moves the request on to the next one.

Change: after a broken connection the host checks whether the worker still listens. If not, it reports the attempts that broke to two hosts, chosen by rendezvous hashing of the service. core::crashes blames content that took part in three crashes in sequence, unless other content explains them as well or so many upstreams crash without it that the sequence may be a coincidence. Blame is announced to all hosts, lasts ten minutes and ends with a complete answer. A host that starts asks the others before it is ready; each asks one more every ten seconds. Blamed content is answered 503 at once, with the time that is left, or 502 if this attempt has run.

--- a/crates/core/src/ids.rs
+++ b/crates/core/src/ids.rs
@@ -37,6 +37,8 @@
 pub type ConfigVersion = u64;
 /// Start time of a host process in milliseconds since 1970. Distinguishes the restarts of a host.
 pub type Incarnation = u64;
+/// Hash of a request's content and its team. Equal for all repetitions of a request by its caller.
+pub type ContentHash = u64;
 
 /// One incarnation of one host. Leases and journals are assigned to a member.
 #[derive(
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod call;
 pub mod catalog;
 pub mod config_distribution;
+pub mod crashes;
 pub mod event;
 pub mod hlc;
 pub mod ids;
--- a/crates/core/src/placement/mod.rs
+++ b/crates/core/src/placement/mod.rs
@@ -146,6 +146,11 @@
         true
     }
 
+    /// Returns the number of known upstreams of a service.
+    pub fn upstream_count(&self, service: &str) -> usize {
+        self.by_service.get(service).map_or(0, Vec::len)
+    }
+
     /// Returns the ids of all known upstreams.
     pub fn ids(&self) -> impl Iterator<Item = &UpstreamId> {
         self.by_id.keys()
--- a/crates/core/src/roster/mod.rs
+++ b/crates/core/src/roster/mod.rs
@@ -132,6 +132,11 @@
         self.has_joined
     }
 
+    /// Returns whether this host was in a host list that it has read.
+    pub fn is_listed(&self) -> bool {
+        self.is_listed
+    }
+
     /// Returns whether this host has completed its join.
     pub fn has_joined(&self) -> bool {
         self.has_joined
--- a/crates/gateway/src/call/attempts.rs
+++ b/crates/gateway/src/call/attempts.rs
@@ -2,11 +2,17 @@
 
 use {
     super::{Call, RETRY_AFTER_DEFAULT, failure_refusal, timeout_refusal},
-    crate::{gateway::Gateway, http::SendError, time::within},
+    crate::{
+        crashes::{self, BrokenAttempt},
+        gateway::Gateway,
+        http::SendError,
+        time::within,
+    },
     event_listener::{Event, EventListener},
     rand::RngExt,
     serde_json::json,
     std::{
+        cell::Cell,
         net::SocketAddr,
         rc::Rc,
         time::{Duration, Instant},
@@ -32,18 +38,43 @@
     pub(super) id: UpstreamId,
     pub(super) address: SocketAddr,
     service: ServiceId,
+    /// When the request was last sent to the upstream.
+    sent_at: Cell<Instant>,
+    /// Whether the content took part in the crash of an upstream before.
+    is_suspect: bool,
     outcome: Outcome,
 }
 
 impl Attempt {
-    fn start(gateway: &Rc<Gateway>, key: UpstreamKey) -> Option<Self> {
+    fn start(gateway: &Rc<Gateway>, call: &Call, key: UpstreamKey) -> Option<Self> {
         let mut placement = gateway.placement.borrow_mut();
         let record = placement.record(key)?;
         let (id, service) = (record.id.clone(), record.service.clone());
         let address = record.address;
         placement.record_sent(key);
-        let gateway = gateway.clone();
-        Some(Self { gateway, key, id, address, service, outcome: Outcome::Done })
+        let is_suspect = gateway.crash_watch.borrow().is_suspect(call);
+        if is_suspect {
+            gateway.crash_watch.borrow_mut().record_suspect_sent(key);
+        }
+        let (gateway, sent_at) = (gateway.clone(), Cell::new(Instant::now()));
+        let outcome = Outcome::Done;
+        Some(Self { gateway, key, id, address, service, sent_at, is_suspect, outcome })
+    }
+
+    /// Records that the request is sent.
+    pub(super) fn record_sent(&self) {
+        self.sent_at.set(Instant::now());
+    }
+
+    /// Handles the end of the connection before the answer was complete.
+    pub(super) async fn on_broken(&self, call: &Call) {
+        let broken = BrokenAttempt {
+            key: self.key,
+            upstream: self.id.clone(),
+            address: self.address,
+            sent_at: self.sent_at.get(),
+        };
+        crashes::on_broken(&self.gateway, call, broken).await;
     }
 
     /// Records that the connection broke and that the request is sent to the same upstream again.
@@ -60,6 +91,9 @@
 impl Drop for Attempt {
     fn drop(&mut self) {
         self.gateway.placement.borrow_mut().record_end(Instant::now(), self.key, self.outcome);
+        if self.is_suspect {
+            self.gateway.crash_watch.borrow_mut().record_suspect_end(self.key);
+        }
         if matches!(self.outcome, Outcome::Done | Outcome::Errored)
             && let Some(capacity_event) =
                 self.gateway.wait_queues.borrow().front_waker(&self.service)
@@ -111,8 +145,14 @@
     ///
     /// # Errors
     ///
-    /// Returns a refusal if the request's connections broke too often.
-    pub(super) fn on_broken(&mut self, attempt: Attempt) -> Result<Option<Attempt>, Refusal> {
+    /// Returns a refusal if the request's connections broke too often, or if it is to blame.
+    pub(super) async fn on_broken(
+        &mut self,
+        call: &Call,
+        attempt: Attempt,
+    ) -> Result<Option<Attempt>, Refusal> {
+        attempt.on_broken(call).await;
+        crashes::check(&attempt.gateway, call, Verdict::MayHaveRun)?;
         match self.broken_attempts.on_break() {
             RetryDecision::SameUpstream => {
                 attempt.record_broken();
@@ -143,11 +183,12 @@
     ) -> Result<Attempt, Refusal> {
         let verdict = if possible_runs == 0 { Verdict::NotRun } else { Verdict::MayHaveRun };
         loop {
+            crashes::check(gateway, call, verdict)?;
             if call.time_left() < TIME_LEFT_MIN {
                 return Err(timeout_refusal(verdict));
             }
             let (reason, detail) = match self.choose(gateway, call) {
-                Choice::Use(key) => match Attempt::start(gateway, key) {
+                Choice::Use(key) => match Attempt::start(gateway, call, key) {
                     Some(attempt) => return Ok(attempt),
                     None => (Reason::Internal, "the chosen upstream is gone"),
                 },
@@ -174,13 +215,17 @@
             // Waiting requests come first.
             return Choice::AllRefused;
         }
-        let excluded = [&self.full_upstreams[..], &self.failed_upstreams[..]].concat();
-        let request = PlacementRequest {
-            service: &call.service,
-            session: call.session(),
-            refused_by: &excluded,
-        };
-        gateway.placement.borrow_mut().choose(Instant::now(), &request)
+        let mut excluded = [&self.full_upstreams[..], &self.failed_upstreams[..]].concat();
+        if gateway.crash_watch.borrow().is_suspect(call) {
+            // Two suspects at one upstream would both be suspected again if it crashed.
+            let refused = excluded.len();
+            excluded.extend(gateway.crash_watch.borrow().upstreams_with_suspects());
+            if let Choice::Use(key) = choose_upstream(gateway, call, &excluded) {
+                return Choice::Use(key);
+            }
+            excluded.truncate(refused);
+        }
+        choose_upstream(gateway, call, &excluded)
     }
 
     /// Waits until the full upstreams may be tried again. Returns whether the request may try them.
@@ -233,6 +278,12 @@
     }
 }
 
+fn choose_upstream(gateway: &Gateway, call: &Call, excluded: &[UpstreamKey]) -> Choice {
+    let request =
+        PlacementRequest { service: &call.service, session: call.session(), refused_by: excluded };
+    gateway.placement.borrow_mut().choose(Instant::now(), &request)
+}
+
 /// Removes the request from its service's queue when dropped, if it is queued.
 struct QueueGuard<'a> {
     gateway: &'a Gateway,
--- a/crates/gateway/src/call/exchange.rs
+++ b/crates/gateway/src/call/exchange.rs
@@ -9,6 +9,7 @@
     },
     crate::{
         callers::Answer,
+        crashes,
         dialect::{AnswerMetadata, Forwarding},
         gateway::Gateway,
         http::{self as http_client, ActiveConnection, SendError},
@@ -62,6 +63,7 @@
                     let is_error = is_upstream_error(head.status);
                     let answer = caller_answer(head, AnswerBody::Complete(body));
                     if !is_error {
+                        crashes::on_answered(gateway, call);
                         return Ok(answer);
                     }
                     selector.end(attempt, Outcome::Errored);
@@ -80,6 +82,9 @@
             }
             SendOutcome::Unknown(error) => error,
         };
+        if error == SendError::Broken {
+            attempt.on_broken(call).await;
+        }
         selector.end(attempt, Outcome::Failed);
         possible_runs += 1;
         if !may_run_again(call, possible_runs) {
@@ -108,6 +113,7 @@
     last_event: Option<u64>,
 ) -> SendOutcome {
     call.send_count.set(call.send_count.get() + 1);
+    attempt.record_sent();
     let request = upstream_request(gateway, call, &attempt.id, last_event);
     let sent = gateway.connections.send(attempt.address, request, call.deadline).await;
     let http_client::UnreadAnswer { response, connection } = match sent {
--- a/crates/gateway/src/call/mod.rs
+++ b/crates/gateway/src/call/mod.rs
@@ -14,23 +14,24 @@
 
 use {
     crate::{
-        allowance, callers::Answer, dialect::CallMetadata, gateway::Gateway, http::SendError,
-        time::within,
+        allowance, callers::Answer, crashes, dialect::CallMetadata, gateway::Gateway,
+        http::SendError, time::within,
     },
     bytes::Bytes,
-    http::{Request, request},
+    http::{HeaderValue, Request, header, request, uri::PathAndQuery},
     http_body_util::{BodyExt, LengthLimitError, Limited},
     hyper::body::{Body, Incoming},
     rand::RngExt,
     serde_json::json,
     std::{
-        cell::Cell,
+        cell::{Cell, OnceCell},
         rc::Rc,
         sync::Arc,
         time::{Duration, Instant},
     },
     trefoilring_core::{
-        ids::ServiceId,
+        crashes::hash_content,
+        ids::{ContentHash, ServiceId},
         routing::{Route, RouteKind, RoutingTable, TeamRules},
         verdict::{Reason, Refusal, Verdict},
     },
@@ -59,6 +60,7 @@
     pub(crate) send_count: Cell<u32>,
     /// Whether the caller has disconnected. Set only for detached requests.
     pub(crate) caller_disconnected: Cell<bool>,
+    content: OnceCell<ContentHash>,
 }
 
 impl Call {
@@ -70,6 +72,22 @@
         Some(program.session.as_deref().unwrap_or(&program.id))
     }
 
+    /// Returns the hash of what stays the same when the caller repeats the request under a new id.
+    pub(crate) fn content(&self) -> ContentHash {
+        *self.content.get_or_init(|| {
+            let host = self.head.headers.get(header::HOST).map_or(&b""[..], HeaderValue::as_bytes);
+            let path = self.head.uri.path_and_query().map_or("", PathAndQuery::as_str);
+            let team = self.team.as_ref().map_or("", |team| &team.id);
+            hash_content(&[
+                self.head.method.as_str().as_bytes(),
+                host,
+                path.as_bytes(),
+                team.as_bytes(),
+                &self.body,
+            ])
+        })
+    }
+
     pub(crate) fn time_left(&self) -> Duration {
         self.deadline.saturating_duration_since(Instant::now())
     }
@@ -95,6 +113,7 @@
 }
 
 async fn deliver(gateway: &Rc<Gateway>, call: &Rc<Call>) -> Result<Answer, Refusal> {
+    crashes::check(gateway, call, Verdict::NotRun)?;
     if let Some(team) = &call.team {
         allowance::check(gateway, &team.id, call.deadline)?;
     }
@@ -174,6 +193,7 @@
         deadline,
         send_count,
         caller_disconnected,
+        content: OnceCell::new(),
     })
 }
 
@@ -234,6 +254,7 @@
             "verdict": refusal.verdict,
             "repeatable": call.map(|call| call.route.kind.is_repeatable()),
             "detail": refusal.detail,
+            "content": call.and_then(|call| call.content.get()).map(|hash| format!("{hash:016x}")),
             "retry_after_ms": refusal.retry_after.map(|after| after.as_millis() as u64),
             "sends": call.map(|call| call.send_count.get()),
             "upstreams": usable,
--- a/crates/gateway/src/call/streaming.rs
+++ b/crates/gateway/src/call/streaming.rs
@@ -15,6 +15,7 @@
     },
     crate::{
         callers::Answer,
+        crashes,
         gateway::Gateway,
         http::{ActiveConnection, SendError},
         time::within,
@@ -93,9 +94,12 @@
             SendOutcome::NotRun(outcome) => selector.end(attempt, outcome),
             SendOutcome::Unknown(SendError::Broken) if call.route.kind.is_repeatable() => {
                 possible_runs += 1;
-                retry_attempt = selector.on_broken(attempt)?;
+                retry_attempt = selector.on_broken(call, attempt).await?;
             }
             SendOutcome::Unknown(error) => {
+                if error == SendError::Broken {
+                    attempt.on_broken(call).await;
+                }
                 attempt.end(Outcome::Failed);
                 return Err(failure_refusal(error));
             }
@@ -255,6 +259,9 @@
         self.splitter.clear();
         self.source = None;
         if !self.call.route.kind.is_repeatable() || self.resumes >= RESUMES_MAX {
+            if let Some(attempt) = &self.attempt {
+                attempt.on_broken(&self.call).await;
+            }
             return false;
         }
         self.resumes += 1;
@@ -268,7 +275,7 @@
     /// if none does.
     async fn request_rest(&mut self, broken: Attempt) -> Option<()> {
         let mut selector = UpstreamSelector::new(true);
-        let mut retry_attempt = selector.on_broken(broken).ok()?;
+        let mut retry_attempt = selector.on_broken(&self.call, broken).await.ok()?;
         loop {
             let attempt = match retry_attempt.take() {
                 Some(attempt) => attempt,
@@ -291,7 +298,7 @@
                     return None;
                 }
                 SendOutcome::Unknown(SendError::Broken) => {
-                    retry_attempt = selector.on_broken(attempt).ok()?
+                    retry_attempt = selector.on_broken(&self.call, attempt).await.ok()?
                 }
                 SendOutcome::Unknown(_) => {
                     attempt.end(Outcome::Failed);
@@ -329,6 +336,7 @@
         });
         let upstream = upstream.as_deref().unwrap_or_default();
         if end == "whole" {
+            crashes::on_answered(&self.gateway, &self.call);
             log_answer(&self.gateway, &self.call, upstream, self.status, Some(self.event_count));
             return;
         }
--- /dev/null
+++ b/crates/gateway/src/crashes/mod.rs
@@ -0,0 +1,246 @@
+//! Detects crashes of upstreams, and refuses content that crashes the upstreams that run it.
+//!
+//! When a connection breaks, this module checks whether the upstream's process has ended. If it
+//! has, the attempts that it cut off are reported to the hosts that collect the crashes of the
+//! service ([`reports`]). `trefoilring_core::crashes` decides which content is to blame.
+
+mod reports;
+
+pub(crate) use reports::{
+    CrashReport, adopt_blame, blamed_contents, clear_content, collect_report, start,
+};
+
+use {
+    crate::{call::Call, gateway::Gateway, http::ListenerState, time::within},
+    event_listener::Event,
+    serde_json::json,
+    smol::Timer,
+    std::{
+        collections::HashMap,
+        net::SocketAddr,
+        rc::Rc,
+        time::{Duration, Instant},
+    },
+    trefoilring_core::{
+        crashes::{CrashLog, CrashedAttempt, UpstreamCrash},
+        ids::{ContentHash, ServiceId, UpstreamId},
+        placement::UpstreamKey,
+        verdict::{Reason, Refusal, Verdict},
+    },
+    trefoilring_observe::decisions::LineRate,
+};
+
+/// Delays between the checks whether an upstream has ended. A process that is killed may close its
+/// connections shortly before its listener.
+const CHECK_DELAYS: [Duration; 3] =
+    [Duration::ZERO, Duration::from_millis(100), Duration::from_millis(400)];
+/// Timeout of one check. A process that has ended refuses connections at once.
+const CHECK_TIMEOUT: Duration = Duration::from_millis(100);
+/// Maximum time that a request waits for the first check and its report before it is retried.
+const REPORT_WAIT_MAX: Duration = Duration::from_millis(150);
+/// An upstream that was known to leave for this long has not crashed: it stops as planned.
+const PLANNED_STOP_NOTICE: Duration = Duration::from_millis(500);
+/// How long the departure of an upstream is remembered. Upstreams may serve for many seconds after
+/// they have left the list.
+const DEPARTURE_TTL: Duration = Duration::from_secs(60);
+
+/// What this host knows about crashes.
+#[derive(Default)]
+pub(crate) struct CrashWatch {
+    log: CrashLog,
+    /// Upstreams whose connections broke a moment ago.
+    checks: HashMap<UpstreamKey, Check>,
+    /// Number of attempts with suspect content in flight. Invariant: each is above zero.
+    suspects_in_flight: HashMap<UpstreamKey, u32>,
+    /// When upstreams began to leave or were delisted.
+    departures: HashMap<UpstreamId, Instant>,
+    announcements: reports::Announcements,
+}
+
+/// The check whether an upstream has ended.
+struct Check {
+    /// Attempts that broke and were not reported.
+    attempts: Vec<CrashedAttempt>,
+    /// Notified when the first check has ended and its report was delivered.
+    first_result: Rc<Event>,
+    has_first_result: bool,
+}
+
+/// An attempt whose connection broke.
+#[derive(Clone, Debug)]
+pub(crate) struct BrokenAttempt {
+    pub(crate) key: UpstreamKey,
+    pub(crate) upstream: UpstreamId,
+    pub(crate) address: SocketAddr,
+    pub(crate) sent_at: Instant,
+}
+
+impl CrashWatch {
+    /// Returns whether the content took part in a crash.
+    pub(crate) fn is_suspect(&self, call: &Call) -> bool {
+        !self.log.is_empty() && self.log.is_suspect(call.content())
+    }
+
+    /// Returns the upstreams to which this host has sent suspect content that is still in flight.
+    pub(crate) fn upstreams_with_suspects(&self) -> impl Iterator<Item = UpstreamKey> {
+        self.suspects_in_flight.keys().copied()
+    }
+
+    /// Records that suspect content was sent to an upstream.
+    pub(crate) fn record_suspect_sent(&mut self, key: UpstreamKey) {
+        *self.suspects_in_flight.entry(key).or_default() += 1;
+    }
+
+    /// Records that suspect content is no longer in flight at an upstream.
+    pub(crate) fn record_suspect_end(&mut self, key: UpstreamKey) {
+        if let Some(count) = self.suspects_in_flight.get_mut(&key) {
+            *count -= 1;
+            if *count == 0 {
+                self.suspects_in_flight.remove(&key);
+            }
+        }
+    }
+
+    /// Records that an upstream begins to leave or was delisted.
+    pub(crate) fn record_departure(&mut self, now: Instant, upstream: &UpstreamId) {
+        self.departures.retain(|_, at| now.duration_since(*at) < DEPARTURE_TTL);
+        self.departures.entry(upstream.clone()).or_insert(now);
+    }
+
+    /// Records that an upstream accepts work.
+    pub(crate) fn record_arrival(&mut self, upstream: &UpstreamId) {
+        self.departures.remove(upstream);
+    }
+
+    fn stops_as_planned(&self, now: Instant, upstream: &UpstreamId) -> bool {
+        let departed_at = self.departures.get(upstream);
+        departed_at.is_some_and(|at| now.duration_since(*at) >= PLANNED_STOP_NOTICE)
+    }
+}
+
+/// Checks that a call's content is not blamed for crashes.
+///
+/// # Errors
+///
+/// Returns the refusal of blamed content.
+pub(crate) fn check(gateway: &Gateway, call: &Call, verdict: Verdict) -> Result<(), Refusal> {
+    let watch = gateway.crash_watch.borrow();
+    if watch.log.is_empty() {
+        return Ok(());
+    }
+    match watch.log.blamed_for(Instant::now(), call.content()) {
+        None => Ok(()),
+        Some(rest) => {
+            let detail = "this content has crashed the upstreams that ran it".into();
+            let reason = Reason::Quarantined;
+            Err(Refusal { verdict, reason, detail, retry_after: Some(rest) })
+        }
+    }
+}
+
+/// Handles an attempt whose connection broke before its answer was complete. Returns when it is
+/// known whether the upstream has crashed, or after [`REPORT_WAIT_MAX`].
+pub(crate) async fn on_broken(gateway: &Rc<Gateway>, call: &Call, broken: BrokenAttempt) {
+    let now = Instant::now();
+    let content = call.content();
+    gateway.metrics.count("broken_attempts", 1);
+    gateway.decisions.log(
+        LineRate::Failure,
+        "broken",
+        json!({
+            "request": call.metadata.request_id,
+            "content": format!("{content:016x}"),
+            "upstream": broken.upstream,
+            "in_flight_ms": now.duration_since(broken.sent_at).as_millis() as u64,
+        }),
+    );
+    if gateway.crash_watch.borrow().stops_as_planned(now, &broken.upstream) {
+        return;
+    }
+    let attempt = CrashedAttempt { content, sent_at: broken.sent_at, broke_at: now };
+    let first_result = {
+        let mut watch = gateway.crash_watch.borrow_mut();
+        let is_new = !watch.checks.contains_key(&broken.key);
+        let check = watch.checks.entry(broken.key).or_insert_with(|| Check {
+            attempts: Vec::new(),
+            first_result: Rc::new(Event::new()),
+            has_first_result: false,
+        });
+        check.attempts.push(attempt);
+        if is_new {
+            gateway.spawn(check_upstream(gateway.clone(), call.service.clone(), broken));
+        }
+        if check.has_first_result {
+            return;
+        }
+        check.first_result.listen()
+    };
+    within(now + REPORT_WAIT_MAX, first_result).await;
+}
+
+/// Checks several times whether an upstream has ended. If so, reports the attempts that broke.
+async fn check_upstream(gateway: Rc<Gateway>, service: ServiceId, broken: BrokenAttempt) {
+    let BrokenAttempt { key, upstream, address, .. } = broken;
+    for delay in CHECK_DELAYS {
+        if !delay.is_zero() {
+            Timer::after(delay).await;
+        }
+        if has_ended(&gateway, address, delay.is_zero()).await {
+            let attempts = match gateway.crash_watch.borrow_mut().checks.get_mut(&key) {
+                Some(check) => std::mem::take(&mut check.attempts),
+                None => return,
+            };
+            let upstream_count = gateway.placement.borrow().upstream_count(&service);
+            let crash = UpstreamCrash { service, upstream, upstream_count, attempts };
+            reports::report(&gateway, crash).await;
+            break;
+        }
+        notify_first_result(&gateway, key);
+    }
+    notify_first_result(&gateway, key);
+    gateway.crash_watch.borrow_mut().checks.remove(&key);
+}
+
+/// Returns whether no process listens at an address. An open connection shows that one does, except
+/// in the first check, when the connection's end may not have been seen.
+async fn has_ended(gateway: &Gateway, address: SocketAddr, is_first_check: bool) -> bool {
+    if !is_first_check && gateway.connections.has_idle(address) {
+        return false;
+    }
+    let deadline = Instant::now() + CHECK_TIMEOUT;
+    gateway.connections.probe_listener(address, deadline).await == ListenerState::Absent
+}
+
+fn notify_first_result(gateway: &Gateway, key: UpstreamKey) {
+    if let Some(check) = gateway.crash_watch.borrow_mut().checks.get_mut(&key) {
+        check.has_first_result = true;
+        check.first_result.notify(usize::MAX);
+    }
+}
+
+/// Handles a complete answer: its content does not crash upstreams.
+pub(crate) fn on_answered(gateway: &Rc<Gateway>, call: &Call) {
+    if gateway.crash_watch.borrow().log.is_empty() {
+        return;
+    }
+    let content = call.content();
+    let was_blamed = {
+        let mut watch = gateway.crash_watch.borrow_mut();
+        let was_blamed = watch.log.blamed_for(Instant::now(), content).is_some();
+        if !watch.log.clear(content) {
+            return;
+        }
+        was_blamed
+    };
+    log_content(gateway, content, "cleared", "answer");
+    reports::announce_cleared(gateway, &call.service, content, was_blamed);
+}
+
+fn log_content(gateway: &Gateway, content: ContentHash, what: &str, by: &str) {
+    gateway.metrics.count(&format!("content.{what}"), 1);
+    gateway.decisions.log(
+        LineRate::Failure,
+        "content",
+        json!({"content": format!("{content:016x}"), "what": what, "by": by}),
+    );
+}
--- /dev/null
+++ b/crates/gateway/src/crashes/reports.rs
@@ -0,0 +1,397 @@
+//! Reports of crashes between hosts.
+//!
+//! Two hosts collect the crashes of a service, chosen by rendezvous hashing, so that a crash costs
+//! two messages for each host that had requests at the upstream, at any number of hosts. Only the
+//! blame of content, which is rare, is announced to all hosts. Each host also asks another one for
+//! its blamed contents at intervals, which covers restarts and lost announcements.
+
+use {
+    super::log_content,
+    crate::{
+        gateway::Gateway,
+        peers::{self, PeerReply, PeerRequest},
+        time::within,
+    },
+    rand::{RngExt, seq::IndexedRandom},
+    serde_json::json,
+    smol::{Timer, channel::Sender},
+    std::{
+        cell::RefCell,
+        net::SocketAddr,
+        rc::Rc,
+        time::{Duration, Instant},
+    },
+    trefoilring_core::{
+        crashes::{CrashedAttempt, UpstreamCrash},
+        ids::{ContentHash, ServiceId, UpstreamId},
+        rendezvous::rank,
+    },
+    trefoilring_observe::decisions::LineRate,
+};
+
+/// Number of hosts that collect the crashes of a service. With two, a restart of one loses none.
+const COLLECTORS: usize = 2;
+/// Timeout of a report.
+const REPORT_TIMEOUT: Duration = Duration::from_millis(400);
+/// Maximum time that the requests of the reporting host wait for a collector's reply.
+const REPLY_WAIT_MAX: Duration = Duration::from_millis(50);
+/// Maximum number of attempts in one report.
+const ATTEMPTS_MAX: usize = 64;
+/// Timeout of an announcement to one host.
+const ANNOUNCEMENT_TIMEOUT: Duration = Duration::from_millis(500);
+/// Minimum time between two announcements.
+const ANNOUNCEMENT_INTERVAL: Duration = Duration::from_millis(100);
+/// Number of hosts to which an announcement is sent at the same time.
+const CONCURRENT_ANNOUNCEMENTS: usize = 16;
+/// Mean interval at which a host asks another one for its blamed contents.
+const SYNC_INTERVAL: Duration = Duration::from_secs(10);
+/// Pause before a host that has just started asks again.
+const FIRST_SYNC_RETRY: Duration = Duration::from_millis(20);
+/// Time after its start at which a host is ready even if no other host has replied.
+const FIRST_SYNC_MAX: Duration = Duration::from_secs(1);
+/// Timeout of a request for the blamed contents.
+const SYNC_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// A crash, as it is sent to the collectors. Times are relative to the moment of sending, because
+/// the hosts' clocks differ.
+#[derive(Clone, Debug, serde::Deserialize, serde::Serialize)]
+pub(crate) struct CrashReport {
+    service: ServiceId,
+    upstream: UpstreamId,
+    upstream_count: usize,
+    /// Content, time since it was sent, and time since its connection broke.
+    attempts: Vec<(ContentHash, Duration, Duration)>,
+}
+
+impl CrashReport {
+    fn new(now: Instant, crash: &UpstreamCrash) -> Self {
+        let relative = |attempt: &CrashedAttempt| {
+            (attempt.content, now - attempt.sent_at, now - attempt.broke_at)
+        };
+        Self {
+            service: crash.service.clone(),
+            upstream: crash.upstream.clone(),
+            upstream_count: crash.upstream_count,
+            attempts: crash.attempts.iter().take(ATTEMPTS_MAX).map(relative).collect(),
+        }
+    }
+
+    fn into_crash(self, now: Instant) -> UpstreamCrash {
+        let at = |ago: Duration| now.checked_sub(ago).unwrap_or(now);
+        let attempts = self.attempts.into_iter().take(ATTEMPTS_MAX);
+        let absolute = |(content, sent_ago, broke_ago)| CrashedAttempt {
+            content,
+            sent_at: at(sent_ago),
+            broke_at: at(broke_ago),
+        };
+        UpstreamCrash {
+            service: self.service,
+            upstream: self.upstream,
+            upstream_count: self.upstream_count,
+            attempts: attempts.map(absolute).collect(),
+        }
+    }
+}
+
+/// Changes that were not announced to the other hosts yet.
+#[derive(Default)]
+pub(crate) struct Announcements {
+    blamed: Vec<ContentHash>,
+    cleared: Vec<ContentHash>,
+    is_sending: bool,
+}
+
+/// Starts to exchange blamed contents with other hosts.
+pub(crate) fn start(gateway: &Rc<Gateway>) {
+    gateway.spawn(sync(gateway.clone()));
+    let waiting = gateway.clone();
+    gateway.spawn(async move {
+        Timer::after(FIRST_SYNC_MAX).await;
+        waiting.has_synced_blame.set(true);
+    });
+}
+
+/// Reports a crash to its collectors. Returns when one of them has replied, or after
+/// [`REPLY_WAIT_MAX`].
+pub(super) async fn report(gateway: &Rc<Gateway>, crash: UpstreamCrash) {
+    gateway.metrics.count("upstream_crashes", 1);
+    let contents: Vec<ContentHash> = crash.attempts.iter().map(|attempt| attempt.content).collect();
+    let collectors = collectors(gateway, &crash.service);
+    gateway.decisions.log(
+        LineRate::Failure,
+        "upstream",
+        json!({
+            "upstream": crash.upstream,
+            "service": crash.service,
+            "what": "crashed",
+            "contents": contents.iter().map(|content| format!("{content:016x}")).collect::<Vec<_>>(),
+            "reported_to": collectors,
+        }),
+    );
+    gateway.crash_watch.borrow_mut().log.record(Instant::now(), &crash);
+    let is_collector = collectors.contains(&None);
+    if is_collector {
+        judge(gateway, &contents);
+    }
+    let others: Vec<SocketAddr> = collectors.into_iter().flatten().collect();
+    if others.is_empty() {
+        return;
+    }
+    let (sender, replies) = smol::channel::bounded(others.len());
+    let unanswered = Rc::new(RefCell::new(others.len()));
+    for address in others {
+        let delivery = Delivery {
+            address,
+            crash: crash.clone(),
+            is_collector,
+            unanswered: unanswered.clone(),
+            sender: sender.clone(),
+        };
+        gateway.spawn(deliver(gateway.clone(), delivery));
+    }
+    drop(sender);
+    if !is_collector {
+        // Fails when no collector has replied.
+        let _ = within(Instant::now() + REPLY_WAIT_MAX, replies.recv()).await;
+    }
+}
+
+/// The delivery of a report to one of its collectors.
+struct Delivery {
+    address: SocketAddr,
+    crash: UpstreamCrash,
+    /// Whether the reporting host is a collector, too.
+    is_collector: bool,
+    /// Number of collectors that have not replied, shared by all deliveries of a report.
+    unanswered: Rc<RefCell<usize>>,
+    sender: Sender<()>,
+}
+
+async fn deliver(gateway: Rc<Gateway>, delivery: Delivery) {
+    let Delivery { address, crash, is_collector, unanswered, sender } = delivery;
+    let report = CrashReport::new(Instant::now(), &crash);
+    let request = PeerRequest::ReportCrash { report };
+    let deadline = Instant::now() + REPORT_TIMEOUT;
+    let reply = peers::send_request(&gateway, address, &request, deadline).await;
+    if let Some(PeerReply::Blamed { contents }) = reply {
+        adopt_blame(&gateway, contents);
+        // The reporting host may have stopped to wait.
+        let _ = sender.try_send(());
+        return;
+    }
+    *unanswered.borrow_mut() -= 1;
+    if *unanswered.borrow() == 0 && !is_collector {
+        // No collector can be reached, so this host decides with what it knows.
+        let contents: Vec<ContentHash> =
+            crash.attempts.iter().map(|attempt| attempt.content).collect();
+        judge(&gateway, &contents);
+    }
+}
+
+/// Records a report of another host. Returns the contents in it that are blamed.
+pub(crate) fn collect_report(
+    gateway: &Rc<Gateway>,
+    report: CrashReport,
+) -> Vec<(ContentHash, Duration)> {
+    let now = Instant::now();
+    let crash = report.into_crash(now);
+    let contents: Vec<ContentHash> = crash.attempts.iter().map(|attempt| attempt.content).collect();
+    gateway.crash_watch.borrow_mut().log.record(now, &crash);
+    judge(gateway, &contents);
+    let log = &gateway.crash_watch.borrow().log;
+    let blamed = |content: &ContentHash| Some((*content, log.blamed_for(now, *content)?));
+    contents.iter().filter_map(blamed).collect()
+}
+
+/// Decides whether contents that took part in a crash are to blame, and announces those that are.
+fn judge(gateway: &Rc<Gateway>, contents: &[ContentHash]) {
+    let now = Instant::now();
+    for &content in contents {
+        let is_newly_blamed = gateway.crash_watch.borrow_mut().log.judge(now, content);
+        if is_newly_blamed {
+            log_content(gateway, content, "blamed", "crashes");
+            gateway.crash_watch.borrow_mut().announcements.blamed.push(content);
+        }
+    }
+    announce(gateway);
+}
+
+/// Blames contents that another host blames.
+pub(crate) fn adopt_blame(gateway: &Gateway, contents: Vec<(ContentHash, Duration)>) {
+    let now = Instant::now();
+    for (content, rest) in contents {
+        if gateway.crash_watch.borrow_mut().log.adopt_blame(now, content, rest) {
+            log_content(gateway, content, "blamed", "peer");
+        }
+    }
+}
+
+/// Clears a content that got a complete answer at another host.
+pub(crate) fn clear_content(gateway: &Gateway, content: ContentHash) {
+    if gateway.crash_watch.borrow_mut().log.clear(content) {
+        log_content(gateway, content, "cleared", "peer");
+    }
+}
+
+/// Returns the contents that this host blames.
+pub(crate) fn blamed_contents(gateway: &Gateway) -> Vec<(ContentHash, Duration)> {
+    gateway.crash_watch.borrow().log.blamed(Instant::now())
+}
+
+/// Tells the collectors that a content got a complete answer, and all hosts if it was blamed.
+pub(super) fn announce_cleared(
+    gateway: &Rc<Gateway>,
+    service: &ServiceId,
+    content: ContentHash,
+    was_blamed: bool,
+) {
+    if was_blamed {
+        gateway.crash_watch.borrow_mut().announcements.cleared.push(content);
+        announce(gateway);
+        return;
+    }
+    let request = PeerRequest::ClearContents { contents: vec![content] };
+    for address in collectors(gateway, service).into_iter().flatten() {
+        gateway.spawn(send_announcement(gateway.clone(), address, request.clone()));
+    }
+}
+
+async fn send_announcement(gateway: Rc<Gateway>, address: SocketAddr, request: PeerRequest) {
+    let deadline = Instant::now() + ANNOUNCEMENT_TIMEOUT;
+    if peers::send_request(&gateway, address, &request, deadline).await.is_none() {
+        gateway.metrics.count("announcements_lost", 1);
+    }
+}
+
+/// Announces the changes to all hosts, unless that is under way.
+fn announce(gateway: &Rc<Gateway>) {
+    let announcements = &mut gateway.crash_watch.borrow_mut().announcements;
+    let is_empty = announcements.blamed.is_empty() && announcements.cleared.is_empty();
+    if !is_empty && !announcements.is_sending {
+        announcements.is_sending = true;
+        gateway.spawn(send_announcements(gateway.clone()));
+    }
+}
+
+async fn send_announcements(gateway: Rc<Gateway>) {
+    loop {
+        let requests = take_announcements(&gateway);
+        if requests.is_empty() {
+            return;
+        }
+        let addresses: Vec<SocketAddr> =
+            gateway.roster.borrow().peers().map(|(_, record)| record.address).collect();
+        let remaining = Rc::new(RefCell::new(addresses));
+        for _ in 0..CONCURRENT_ANNOUNCEMENTS {
+            gateway.spawn(send_to_each(gateway.clone(), remaining.clone(), requests.clone()));
+        }
+        Timer::after(ANNOUNCEMENT_INTERVAL).await;
+    }
+}
+
+async fn send_to_each(
+    gateway: Rc<Gateway>,
+    remaining: Rc<RefCell<Vec<SocketAddr>>>,
+    requests: Vec<PeerRequest>,
+) {
+    loop {
+        let Some(address) = remaining.borrow_mut().pop() else { return };
+        for request in &requests {
+            send_announcement(gateway.clone(), address, request.clone()).await;
+        }
+    }
+}
+
+/// Takes the changes that are to be announced, as messages. Ends the sending if there are none.
+fn take_announcements(gateway: &Gateway) -> Vec<PeerRequest> {
+    let watch = &mut *gateway.crash_watch.borrow_mut();
+    let announcements = &mut watch.announcements;
+    let blamed = std::mem::take(&mut announcements.blamed);
+    let cleared = std::mem::take(&mut announcements.cleared);
+    announcements.is_sending = !blamed.is_empty() || !cleared.is_empty();
+    let now = Instant::now();
+    let contents: Vec<(ContentHash, Duration)> = blamed
+        .into_iter()
+        .filter_map(|content| Some((content, watch.log.blamed_for(now, content)?)))
+        .collect();
+    let mut requests = Vec::new();
+    if !contents.is_empty() {
+        requests.push(PeerRequest::BlameContents { contents });
+    }
+    if !cleared.is_empty() {
+        requests.push(PeerRequest::ClearContents { contents: cleared });
+    }
+    requests
+}
+
+/// Asks other hosts for their blamed contents, all kinds of hosts at the start and a random one
+/// from then on.
+async fn sync(gateway: Rc<Gateway>) {
+    while !sync_at_start(&gateway).await {
+        Timer::after(FIRST_SYNC_RETRY).await;
+    }
+    gateway.has_synced_blame.set(true);
+    loop {
+        let jitter = rand::rng().random_range(0.5..1.5);
+        Timer::after(SYNC_INTERVAL.mul_f64(jitter)).await;
+        gateway.crash_watch.borrow_mut().log.expire(Instant::now());
+        let peers: Vec<SocketAddr> =
+            gateway.roster.borrow().peers().map(|(_, record)| record.address).collect();
+        if let Some(address) = peers.choose(&mut rand::rng()) {
+            sync_with(&gateway, *address).await;
+        }
+    }
+}
+
+/// Asks hosts with and without callers, since those without often outlive the others. Returns
+/// whether one has replied, or there is no other host.
+async fn sync_at_start(gateway: &Rc<Gateway>) -> bool {
+    let (with_callers, without_callers): (Vec<_>, Vec<_>) = {
+        let roster = gateway.roster.borrow();
+        if roster.is_listed() && roster.peers().next().is_none() {
+            return true;
+        }
+        let records = roster.peers().map(|(_, record)| (record.address, record.serves_callers));
+        records.partition(|(_, serves_callers)| *serves_callers)
+    };
+    let mut has_reply = false;
+    for group in [with_callers, without_callers] {
+        let asked: Vec<SocketAddr> =
+            group.sample(&mut rand::rng(), COLLECTORS).map(|(address, _)| *address).collect();
+        for address in asked {
+            has_reply |= sync_with(gateway, address).await;
+        }
+    }
+    has_reply
+}
+
+async fn sync_with(gateway: &Rc<Gateway>, address: SocketAddr) -> bool {
+    let deadline = Instant::now() + SYNC_TIMEOUT;
+    let reply = peers::send_request(gateway, address, &PeerRequest::BlamedContents, deadline).await;
+    let Some(PeerReply::Blamed { contents }) = reply else { return false };
+    adopt_blame(gateway, contents);
+    true
+}
+
+struct Collector<'a> {
+    host: &'a str,
+    /// `None` stands for this host.
+    address: Option<SocketAddr>,
+}
+
+impl AsRef<str> for Collector<'_> {
+    fn as_ref(&self) -> &str {
+        self.host
+    }
+}
+
+/// Returns the hosts that collect the crashes of a service. `None` stands for this host.
+fn collectors(gateway: &Gateway, service: &str) -> Vec<Option<SocketAddr>> {
+    let roster = gateway.roster.borrow();
+    let reachable = roster.lenders().filter(|(_, address)| !peers::is_suspect(gateway, *address));
+    let others = reachable.map(|(host, address)| Collector { host, address: Some(address) });
+    let own = Collector { host: &gateway.settings.host, address: None };
+    let candidates: Vec<Collector<'_>> = others.chain([own]).collect();
+    let ranked = rank(service, &candidates);
+    ranked.into_iter().take(COLLECTORS).map(|collector| collector.address).collect()
+}
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -5,6 +5,7 @@
         allowance::Borrowings,
         call::Refunds,
         callers,
+        crashes::{self, CrashWatch},
         dialect::Dialect,
         http::ConnectionPool,
         ledger::{PARTITION_COUNT, Partition},
@@ -116,6 +117,7 @@
     /// Requests that wait for capacity, by service. A service has a queue while all its upstreams
     /// are full.
     pub(crate) wait_queues: RefCell<WaitQueues<Rc<Event>>>,
+    pub(crate) crash_watch: RefCell<CrashWatch>,
     pub(crate) roster: RefCell<Roster>,
     pub(crate) shares: RefCell<Shares>,
     pub(crate) borrowings: RefCell<Borrowings>,
@@ -141,6 +143,9 @@
     pub(crate) bound: Cell<Option<BoundAddresses>>,
     /// Whether the list of upstreams has been received at least once.
     pub(crate) has_received_upstreams: Cell<bool>,
+    /// Whether this host has asked others for the contents that they blame for crashes, or has
+    /// waited long enough.
+    pub(crate) has_synced_blame: Cell<bool>,
     /// Notified when the store answers again after a failure; wakes the tasks that wait to retry.
     pub(crate) store_recovered: Event,
     pub(crate) stage: Cell<Stage>,
@@ -178,6 +183,7 @@
             routing_table: RefCell::default(),
             placement: RefCell::new(Placement::new(settings.domain.clone())),
             wait_queues: RefCell::default(),
+            crash_watch: RefCell::default(),
             roster: RefCell::new(Roster::new(
                 Instant::now(),
                 settings.host.clone(),
@@ -204,6 +210,7 @@
             is_accepting: Cell::new(false),
             bound: Cell::new(None),
             has_received_upstreams: Cell::new(false),
+            has_synced_blame: Cell::new(false),
             stage: Cell::new(Stage::Serving),
             requests_open: Cell::new(0),
             settings,
@@ -232,6 +239,7 @@
         on_bound(bound);
         roster::start(self);
         watch::start(self);
+        crashes::start(self);
         self.spawn(self.clone().close_stale_connections());
         self.decisions.log(
             LineRate::Rare,
@@ -342,6 +350,7 @@
     pub(crate) fn is_ready(&self) -> bool {
         self.stage.get() == Stage::Serving
             && self.has_received_upstreams.get()
+            && self.has_synced_blame.get()
             && self.routing_table.borrow().is_some()
     }
 }
--- a/crates/gateway/src/http.rs
+++ b/crates/gateway/src/http.rs
@@ -20,6 +20,7 @@
     std::{
         cell::RefCell,
         collections::HashMap,
+        io,
         net::SocketAddr,
         rc::Rc,
         time::{Duration, Instant},
@@ -57,6 +58,17 @@
     TimedOut,
 }
 
+/// Whether a process accepts connections at an address.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ListenerState {
+    /// A connection was established.
+    Present,
+    /// The connection was refused.
+    Absent,
+    /// No answer came in time, or another error.
+    Unknown,
+}
+
 /// Connection counters for the metrics.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct ConnectionCounts {
@@ -124,7 +136,10 @@
         loop {
             let (mut sender, is_reused) = match self.take_idle(address) {
                 Some(sender) => (sender, true),
-                None => (self.connect(address, deadline).await?, false),
+                None => {
+                    let connected = self.connect(address, deadline).await;
+                    (connected.map_err(|_| SendError::NotConnected)?, false)
+                }
             };
             let sent = sender.try_send_request(request);
             match within(deadline, sent).await {
@@ -158,11 +173,32 @@
         None
     }
 
+    /// Returns whether an idle connection to an address is open.
+    pub fn has_idle(&self, address: SocketAddr) -> bool {
+        let idle = self.idle.borrow();
+        let connections = idle.get(&address);
+        connections.is_some_and(|list| list.iter().any(|connection| connection.sender.is_ready()))
+    }
+
+    /// Checks whether a process accepts connections at an address. A connection that it accepts is
+    /// kept for a later request.
+    pub async fn probe_listener(&self, address: SocketAddr, deadline: Instant) -> ListenerState {
+        match self.connect(address, deadline).await {
+            Ok(sender) => {
+                let idle_timeout = IDLE_TIMEOUT_DEFAULT;
+                self.release(ActiveConnection { address, sender, idle_timeout });
+                ListenerState::Present
+            }
+            Err(state) => state,
+        }
+    }
+
+    /// Opens a connection. Returns the state of the listener if that fails.
     async fn connect(
         &self,
         address: SocketAddr,
         deadline: Instant,
-    ) -> Result<SendRequest<Full<Bytes>>, SendError> {
+    ) -> Result<SendRequest<Full<Bytes>>, ListenerState> {
         let deadline = deadline.min(Instant::now() + self.connect_timeout);
         let connected = within(deadline, TcpStream::connect(address)).await;
         let stream = match connected {
@@ -170,11 +206,14 @@
             Some(Err(error)) => {
                 self.counts.borrow_mut().failed += 1;
                 log::debug!("failed to connect to {address}: {error}");
-                return Err(SendError::NotConnected);
+                return Err(match error.kind() {
+                    io::ErrorKind::ConnectionRefused => ListenerState::Absent,
+                    _ => ListenerState::Unknown,
+                });
             }
             None => {
                 self.counts.borrow_mut().failed += 1;
-                return Err(SendError::NotConnected);
+                return Err(ListenerState::Unknown);
             }
         };
         set_options(&stream);
@@ -183,7 +222,7 @@
             .max_header_size(ANSWER_HEAD_BYTES_MAX)
             .handshake(FuturesIo::new(stream))
             .await;
-        let (sender, connection) = handshake.map_err(|_| SendError::NotConnected)?;
+        let (sender, connection) = handshake.map_err(|_| ListenerState::Unknown)?;
         let run = async move {
             if let Err(error) = connection.await {
                 log::debug!("connection to {address} closed with an error: {error}");
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -11,6 +11,7 @@
 mod allowance;
 mod call;
 mod callers;
+mod crashes;
 pub mod dialect;
 mod gateway;
 pub mod http;
--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/peers/message.rs
@@ -1,14 +1,14 @@
 //! Messages between hosts. Each partition of the programs has one ledger.
 
 use {
-    crate::store::StoredObject,
+    crate::{crashes::CrashReport, store::StoredObject},
     std::{net::SocketAddr, time::Duration},
     trefoilring_core::{
         budget::{
             Charge, LedgerPosition, OutageNotes, ReplicaUpdate, ReplicationId, TokenCount,
             VoteOption,
         },
-        ids::{ConfigVersion, HostId, ProgramId, TeamId},
+        ids::{ConfigVersion, ContentHash, HostId, ProgramId, TeamId},
         placement::UpstreamRecord,
         roster::HostRecord,
     },
@@ -71,6 +71,14 @@
     },
     /// Requests the configuration if the receiver has a newer one than this version.
     Configuration { newer_than: Option<ConfigVersion> },
+    /// Reports attempts that ended with the crash of their upstream.
+    ReportCrash { report: CrashReport },
+    /// Blames contents for crashes, each for this time: the receiver must not send them.
+    BlameContents { contents: Vec<(ContentHash, Duration)> },
+    /// Clears contents that got a complete answer.
+    ClearContents { contents: Vec<ContentHash> },
+    /// Requests the contents that the receiver blames for crashes.
+    BlamedContents,
     /// Requests the receiver's list of upstreams.
     Upstreams,
     /// Requests the receiver's roster.
@@ -118,6 +126,9 @@
     },
     /// The configuration, if the host has a newer one.
     Configuration { object: Option<StoredObject> },
+    /// The contents that the host blames for crashes, each with the time that is left. In reply to
+    /// a report only those of the report.
+    Blamed { contents: Vec<(ContentHash, Duration)> },
     /// The host's list of upstreams.
     Upstreams { records: Vec<UpstreamRecord> },
     /// All hosts in the host's roster, including itself.
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -9,7 +9,7 @@
 };
 
 use {
-    crate::{allowance, gateway::Gateway, ledger, listen::listen, roster, watch},
+    crate::{allowance, crashes, gateway::Gateway, ledger, listen::listen, roster, watch},
     bytes::Bytes,
     http::{Request, Response, StatusCode},
     http_body_util::{BodyExt, Full, Limited},
@@ -121,6 +121,20 @@
         PeerRequest::Configuration { newer_than } => {
             PeerReply::Configuration { object: watch::newer_configuration(gateway, newer_than) }
         }
+        PeerRequest::ReportCrash { report } => {
+            PeerReply::Blamed { contents: crashes::collect_report(gateway, report) }
+        }
+        PeerRequest::BlameContents { contents } => {
+            crashes::adopt_blame(gateway, contents);
+            PeerReply::Done
+        }
+        PeerRequest::ClearContents { contents } => {
+            contents.into_iter().for_each(|content| crashes::clear_content(gateway, content));
+            PeerReply::Done
+        }
+        PeerRequest::BlamedContents => {
+            PeerReply::Blamed { contents: crashes::blamed_contents(gateway) }
+        }
         PeerRequest::Hosts => PeerReply::Hosts { hosts: roster::all_hosts(gateway) },
         PeerRequest::Ping => PeerReply::Done,
         PeerRequest::Relay { to, request, wait } => {
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -266,6 +266,13 @@
     match gateway.adapter.object_parser.parse_upstream(&object.name, &object.content) {
         Ok(record) => {
             let (is_leaving, service) = (record.is_leaving, record.service.clone());
+            let mut crash_watch = gateway.crash_watch.borrow_mut();
+            if is_leaving {
+                crash_watch.record_departure(Instant::now(), &record.id);
+            } else {
+                crash_watch.record_arrival(&record.id);
+            }
+            drop(crash_watch);
             if gateway.placement.borrow_mut().upsert(record) {
                 gateway.decisions.log(
                     LineRate::Failure,
@@ -293,6 +300,7 @@
 
 fn remove_upstream(gateway: &Gateway, name: &str, reason: &str) {
     if gateway.placement.borrow_mut().remove(name) {
+        gateway.crash_watch.borrow_mut().record_departure(Instant::now(), &name.into());
         gateway.decisions.log(
             LineRate::Failure,
             "upstream",
--- a/crates/standin/src/fleet/pool.rs
+++ b/crates/standin/src/fleet/pool.rs
@@ -65,7 +65,7 @@
         let pool = Arc::new(Pool { store, options, next_id, state });
         let (mut kill_senders, mut supervisors) = (Vec::new(), Vec::new());
         for _ in 0..options.size {
-            let (kill_sender, kills) = smol::channel::unbounded();
+            let (kill_sender, kills) = smol::channel::bounded(1);
             let first = pool.start_worker().await?;
             supervisors.push(smol::spawn(pool.clone().supervise(first, kills)));
             kill_senders.push(kill_sender);
@@ -73,9 +73,9 @@
         Ok(Self { pool, kill_senders, _supervisors: supervisors })
     }
 
-    /// Kills one of the workers. It restarts like a crashed one.
+    /// Kills one of the workers, if it runs. It restarts like a crashed one.
     pub fn kill(&self, index: usize) {
-        // The supervisor runs as long as the pool, so the channel is open.
+        // Fails if a kill of this worker is pending.
         let _ = self.kill_senders[index].try_send(());
     }
 
@@ -130,6 +130,8 @@
             drop(worker);
             self.record_crash();
             Timer::after(self.options.restart_delay).await;
+            // The worker was down, so there was nothing to kill.
+            let _ = kills.try_recv();
             self.store.remove("servers", &id);
             match self.start_worker().await {
                 Ok(started) => (id, worker) = started,
