End answers without end before they occupy a gateway

What callers saw: nothing any more. An upstream, the store or another host that sends bytes without end as fast as they are read kept the connection's task busy, and with it the host's only thread: no request was answered, no deadline fired, until the peer stopped.

Cause: the HTTP library parses interim heads, chunk sizes and the like in a loop that ends only when no byte is left to read.

Evidence: tests with a server that does not end any part of its answer (13 parts, fast and dripped) as upstream, store and host. Without this change the four fast ones time out on the requests of others; the dripped ones pass.

Change: a connection lets other tasks run after four reads, and closes when it has received more than the answer may have: 256 KB before the body, the limit of the body, or two events of a stream. Either alone lets the tests pass; the first bounds how long others wait, the second how much is read. Answers over 16 KB share a quarter of the host's memory, as 14 answers of 8 MB each would have used it up. Refusals of upstreams are drained up to 64 KB, not kept. A stream is cut when its events exceed the tokens that the turn was charged, so that endless events don't exceed a program's budget.

--- a/crates/gateway/src/call/body.rs
+++ b/crates/gateway/src/call/body.rs
@@ -1,6 +1,7 @@
 //! Bodies of the answers to callers.
 
 use {
+    super::buffer::Reservation,
     crate::callers::OpenRequest,
     bytes::Bytes,
     derive_more::{Display, Error},
@@ -12,6 +13,10 @@
     },
 };
 
+/// Maximum size of a frame. What a slow caller has not read stays in the body, whose memory is
+/// reserved.
+const FRAME_BYTES_MAX: usize = 64 * 1024;
+
 /// The answer ended too early. The caller's connection is closed, so that the caller does not take
 /// the received part for the complete answer.
 #[derive(Clone, Copy, Debug, Display, Error)]
@@ -21,7 +26,12 @@
 /// Content of an answer.
 pub(crate) enum AnswerBody {
     /// The complete body.
-    Complete(Bytes),
+    Complete {
+        /// What the connection has not taken yet.
+        bytes: Bytes,
+        /// Memory of the body.
+        _reservation: Option<Reservation>,
+    },
     /// A stream of events, relayed as they arrive.
     Events(Pin<Box<dyn Stream<Item = Result<Bytes, AnswerTruncated>>>>),
 }
@@ -47,9 +57,10 @@
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, AnswerTruncated>>> {
         match &mut self.body {
-            AnswerBody::Complete(bytes) if bytes.is_empty() => Poll::Ready(None),
-            AnswerBody::Complete(bytes) => {
-                Poll::Ready(Some(Ok(Frame::data(std::mem::take(bytes)))))
+            AnswerBody::Complete { bytes, .. } if bytes.is_empty() => Poll::Ready(None),
+            AnswerBody::Complete { bytes, .. } => {
+                let size = bytes.len().min(FRAME_BYTES_MAX);
+                Poll::Ready(Some(Ok(Frame::data(bytes.split_to(size)))))
             }
             AnswerBody::Events(events) => {
                 events.as_mut().poll_next(cx).map(|next| next.map(|next| next.map(Frame::data)))
@@ -58,12 +69,12 @@
     }
 
     fn is_end_stream(&self) -> bool {
-        matches!(&self.body, AnswerBody::Complete(bytes) if bytes.is_empty())
+        matches!(&self.body, AnswerBody::Complete { bytes, .. } if bytes.is_empty())
     }
 
     fn size_hint(&self) -> SizeHint {
         match &self.body {
-            AnswerBody::Complete(bytes) => SizeHint::with_exact(bytes.len() as u64),
+            AnswerBody::Complete { bytes, .. } => SizeHint::with_exact(bytes.len() as u64),
             AnswerBody::Events(_) => SizeHint::default(),
         }
     }
--- a/crates/gateway/src/call/budget.rs
+++ b/crates/gateway/src/call/budget.rs
@@ -61,6 +61,11 @@
 }
 
 impl TurnCharge {
+    /// Returns whether the caller has got all tokens that were charged.
+    pub(crate) fn is_used_up(&self) -> bool {
+        self.charged > 0 && self.used.get() >= self.charged
+    }
+
     /// Counts tokens that are relayed to the caller.
     pub(crate) fn add_used_tokens(&self, tokens: TokenCount) {
         self.used.set(self.used.get() + tokens);
--- a/crates/gateway/src/call/events.rs
+++ b/crates/gateway/src/call/events.rs
@@ -6,7 +6,7 @@
 };
 
 /// Maximum size of the buffered bytes, and so of an event.
-const EVENT_BYTES_MAX: usize = 1024 * 1024;
+pub(crate) const EVENT_BYTES_MAX: usize = 1024 * 1024;
 
 /// Buffers the bytes of an event stream and splits them into events.
 #[derive(Debug, Default)]
--- a/crates/gateway/src/call/exchange.rs
+++ b/crates/gateway/src/call/exchange.rs
@@ -5,6 +5,7 @@
     super::{
         AnswerBody, Call,
         attempts::{Attempt, UpstreamSelector},
+        buffer::{ANSWER_BYTES_MAX, read_whole},
         failure_refusal, log_answer,
     },
     crate::{
@@ -17,14 +18,14 @@
     },
     bytes::Bytes,
     http::{HeaderMap, Request, Response, StatusCode, header, response},
-    http_body_util::{BodyExt, Full, Limited},
+    http_body_util::{BodyExt, Full},
     hyper::body::Incoming,
     std::{rc::Rc, time::Instant},
     trefoilring_core::{placement::Outcome, verdict::Refusal},
 };
 
-/// Maximum size of an answer that is buffered in memory.
-const ANSWER_BYTES_MAX: usize = 8 * 1024 * 1024;
+/// Maximum size of an answer that is read only so that its connection can be reused.
+const DRAINED_BYTES_MAX: usize = 64 * 1024;
 /// Maximum number of upstreams that may run a repeatable request, if the route sets none.
 /// Repeatable requests are idempotent requests and resumable streams.
 const RUNS_MAX: u32 = 3;
@@ -61,7 +62,7 @@
                 Ok((head, body)) => {
                     log_answer(gateway, call, &attempt.id, head.status.as_u16(), None);
                     let is_error = is_upstream_error(head.status);
-                    let answer = caller_answer(head, AnswerBody::Complete(body));
+                    let answer = caller_answer(head, body);
                     if !is_error {
                         crashes::on_answered(gateway, call);
                         return Ok(answer);
@@ -149,13 +150,17 @@
 
 /// Reads and discards the rest of an answer, so that its connection can be reused.
 async fn drain(
-    body: Incoming,
+    mut body: Incoming,
     connection: ActiveConnection,
     deadline: Instant,
     connections: Rc<http_client::ConnectionPool>,
 ) {
-    let body = Limited::new(body, ANSWER_BYTES_MAX).collect();
-    if let Some(Ok(_)) = within(deadline, body).await {
+    connection.limit_received(DRAINED_BYTES_MAX);
+    let read = async {
+        while body.frame().await.transpose()?.is_some() {}
+        Ok::<_, hyper::Error>(())
+    };
+    if let Some(Ok(())) = within(deadline, read).await {
         connections.release(connection);
     }
 }
@@ -165,9 +170,11 @@
     gateway: &Gateway,
     call: &Call,
     received: ReceivedAnswer,
-) -> Result<(response::Parts, Bytes), SendError> {
+) -> Result<(response::Parts, AnswerBody), SendError> {
     let ReceivedAnswer { head, body, connection } = received;
-    match within(call.deadline, Limited::new(body, ANSWER_BYTES_MAX).collect()).await {
+    // Chunks of a few bytes each may need as many bytes for their framing.
+    connection.limit_received(2 * ANSWER_BYTES_MAX);
+    match within(call.deadline, read_whole(body, &gateway.answer_memory)).await {
         None => Err(SendError::TimedOut),
         Some(Err(error)) => {
             log::debug!(
@@ -176,9 +183,9 @@
             );
             Err(SendError::Broken)
         }
-        Some(Ok(body)) => {
+        Some(Ok((bytes, reservation))) => {
             gateway.connections.release(connection);
-            Ok((head, body.to_bytes()))
+            Ok((head, AnswerBody::Complete { bytes, _reservation: Some(reservation) }))
         }
     }
 }
--- a/crates/gateway/src/call/mod.rs
+++ b/crates/gateway/src/call/mod.rs
@@ -3,6 +3,7 @@
 mod attempts;
 mod body;
 mod budget;
+mod buffer;
 mod events;
 mod exchange;
 mod streaming;
@@ -10,6 +11,7 @@
 pub(crate) use {
     body::{AnswerBody, TrackedAnswerBody},
     budget::Refunds,
+    buffer::AnswerMemory,
 };
 
 use {
@@ -263,7 +265,7 @@
         }),
     );
     let answer = gateway.adapter.dialect.refuse(request_id, refusal);
-    answer.map(|text| AnswerBody::Complete(text.into()))
+    answer.map(|text| AnswerBody::Complete { bytes: text.into(), _reservation: None })
 }
 
 /// Writes a decision line for a request that was answered by an upstream.
--- a/crates/gateway/src/call/streaming.rs
+++ b/crates/gateway/src/call/streaming.rs
@@ -7,7 +7,7 @@
         attempts::{Attempt, UpstreamSelector},
         body::AnswerTruncated,
         budget::TurnCharge,
-        events::EventSplitter,
+        events::{EVENT_BYTES_MAX, EventSplitter},
         exchange::{
             ReceivedAnswer, SendOutcome, caller_answer, is_upstream_error, read_to_end, send,
         },
@@ -55,6 +55,8 @@
     event_count: u64,
     resumes: u32,
     status: u16,
+    /// Whether the upstream has sent more events than the turn's charge covers.
+    is_too_long: bool,
     has_ended: bool,
 }
 
@@ -113,7 +115,7 @@
                 if is_upstream_error(head.status) {
                     attempt.end(Outcome::Errored);
                 }
-                return Ok(caller_answer(head, AnswerBody::Complete(body)));
+                return Ok(caller_answer(head, body));
             }
         }
     }
@@ -151,6 +153,7 @@
         event_count: 0,
         resumes: 0,
         status: head.status.as_u16(),
+        is_too_long: false,
         has_ended: false,
     };
     let first = match forwarder.next().await {
@@ -180,6 +183,10 @@
             if !events.is_empty() {
                 return Some(Ok(events));
             }
+            if self.is_too_long {
+                self.finish("too_long");
+                return Some(Err(AnswerTruncated));
+            }
             match self.read().await {
                 Ok(()) => {}
                 Err(StreamEnd::Complete) => {
@@ -210,6 +217,10 @@
             if is_repeated {
                 continue;
             }
+            if event.id.is_some() && self.charge.as_ref().is_some_and(TurnCharge::is_used_up) {
+                self.is_too_long = true;
+                break;
+            }
             self.last_event = event.id.or(self.last_event);
             self.event_count += 1;
             if let Some(charge) = &self.charge {
@@ -225,6 +236,7 @@
 
     async fn read(&mut self) -> Result<(), StreamEnd> {
         let Some(source) = &mut self.source else { return Err(StreamEnd::Broken) };
+        source.connection.limit_received(2 * EVENT_BYTES_MAX);
         // Measures only the upstream's pauses. A caller that reads slowly delays the next call of
         // this function, and that delay is not counted.
         let began = Instant::now();
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         allowance::Borrowings,
-        call::Refunds,
+        call::{AnswerMemory, Refunds},
         callers,
         crashes::{self, CrashWatch},
         dialect::Dialect,
@@ -124,6 +124,7 @@
     pub(crate) ledgers: RefCell<[Partition; PARTITION_COUNT]>,
     pub(crate) outage_notes: OutageNoteStore,
     pub(crate) refunds: RefCell<Refunds>,
+    pub(crate) answer_memory: Rc<AnswerMemory>,
     /// Peer addresses of suspect hosts: they did not answer the last request or ping.
     pub(crate) suspects: RefCell<HashSet<SocketAddr>>,
     /// Peer addresses of lost hosts: a relay could not reach them either. The value is the time
@@ -197,6 +198,7 @@
                 settings.is_first_start,
             )?,
             refunds: RefCell::default(),
+            answer_memory: AnswerMemory::new(settings.memory_bytes_max),
             suspects: RefCell::default(),
             lost_until: RefCell::default(),
             configuration: RefCell::default(),
--- a/crates/gateway/src/http.rs
+++ b/crates/gateway/src/http.rs
@@ -5,6 +5,8 @@
 //! if nothing of a request was written to it, the request is sent on another connection. After any
 //! other failure of a connection the request may have run.
 
+mod received;
+
 use {
     crate::time::within,
     bytes::Bytes,
@@ -15,8 +17,8 @@
         body::Incoming,
         client::conn::http1::{self, SendRequest},
     },
+    received::{LimitedStream, ReceiveLimit},
     smol::{LocalExecutor, net::TcpStream},
-    smol_hyper::rt::FuturesIo,
     std::{
         cell::RefCell,
         collections::HashMap,
@@ -42,6 +44,11 @@
 const IDLE_CONNECTIONS_MAX: usize = 16;
 /// Maximum size of an answer's head.
 const ANSWER_HEAD_BYTES_MAX: usize = 64 * 1024;
+/// Maximum size of what comes before an answer's body: interim heads, the head, and what is read
+/// ahead of the body.
+const BYTES_BEFORE_BODY_MAX: usize = 4 * ANSWER_HEAD_BYTES_MAX;
+/// Maximum size of the bytes that a connection has received and not parsed.
+const RECEIVE_BUFFER_BYTES_MAX: usize = 2 * ANSWER_HEAD_BYTES_MAX;
 
 /// Why a request failed, and whether it may have run.
 #[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
@@ -80,8 +87,14 @@
     pub reused: u64,
 }
 
-struct IdleConnection {
+/// A connection that can send a request.
+struct Connection {
     sender: SendRequest<Full<Bytes>>,
+    limit: ReceiveLimit,
+}
+
+struct IdleConnection {
+    connection: Connection,
     /// Time after which the connection is not reused, because the peer may close it.
     expires_at: Instant,
 }
@@ -105,10 +118,24 @@
 /// A connection that is in use by a request. Dropping it closes the connection.
 pub struct ActiveConnection {
     address: SocketAddr,
-    sender: SendRequest<Full<Bytes>>,
+    connection: Connection,
     idle_timeout: Duration,
 }
 
+impl ActiveConnection {
+    /// Limits the bytes that the connection may receive from now on. It is closed if it receives
+    /// more. The framing of a body counts as well as its content.
+    pub fn limit_received(&self, bytes: usize) {
+        self.connection.limit.set(bytes);
+    }
+}
+
+impl IdleConnection {
+    fn is_usable(&self, now: Instant) -> bool {
+        self.expires_at > now && self.connection.sender.is_ready()
+    }
+}
+
 impl ConnectionPool {
     /// Creates an empty pool. Its connections run on `executor` and must be established within
     /// `connect_timeout`.
@@ -134,19 +161,20 @@
         deadline: Instant,
     ) -> Result<UnreadAnswer, SendError> {
         loop {
-            let (mut sender, is_reused) = match self.take_idle(address) {
-                Some(sender) => (sender, true),
+            let (mut connection, is_reused) = match self.take_idle(address) {
+                Some(connection) => (connection, true),
                 None => {
                     let connected = self.connect(address, deadline).await;
                     (connected.map_err(|_| SendError::NotConnected)?, false)
                 }
             };
-            let sent = sender.try_send_request(request);
+            connection.limit.set(BYTES_BEFORE_BODY_MAX);
+            let sent = connection.sender.try_send_request(request);
             match within(deadline, sent).await {
                 None => return Err(SendError::TimedOut),
                 Some(Ok(response)) => {
                     let idle_timeout = idle_timeout(&response);
-                    let connection = ActiveConnection { address, sender, idle_timeout };
+                    let connection = ActiveConnection { address, connection, idle_timeout };
                     return Ok(UnreadAnswer { response, connection });
                 }
                 Some(Err(mut error)) => match error.take_message() {
@@ -160,14 +188,14 @@
         }
     }
 
-    fn take_idle(&self, address: SocketAddr) -> Option<SendRequest<Full<Bytes>>> {
+    fn take_idle(&self, address: SocketAddr) -> Option<Connection> {
         let now = Instant::now();
         let mut idle = self.idle.borrow_mut();
         let connections = idle.get_mut(&address)?;
-        while let Some(connection) = connections.pop() {
-            if connection.expires_at > now && connection.sender.is_ready() {
+        while let Some(idle) = connections.pop() {
+            if idle.is_usable(now) {
                 self.counts.borrow_mut().reused += 1;
-                return Some(connection.sender);
+                return Some(idle.connection);
             }
         }
         None
@@ -177,16 +205,16 @@
     pub fn has_idle(&self, address: SocketAddr) -> bool {
         let idle = self.idle.borrow();
         let connections = idle.get(&address);
-        connections.is_some_and(|list| list.iter().any(|connection| connection.sender.is_ready()))
+        connections.is_some_and(|list| list.iter().any(|idle| idle.connection.sender.is_ready()))
     }
 
     /// Checks whether a process accepts connections at an address. A connection that it accepts is
     /// kept for a later request.
     pub async fn probe_listener(&self, address: SocketAddr, deadline: Instant) -> ListenerState {
         match self.connect(address, deadline).await {
-            Ok(sender) => {
+            Ok(connection) => {
                 let idle_timeout = IDLE_TIMEOUT_DEFAULT;
-                self.release(ActiveConnection { address, sender, idle_timeout });
+                self.release(ActiveConnection { address, connection, idle_timeout });
                 ListenerState::Present
             }
             Err(state) => state,
@@ -198,7 +226,7 @@
         &self,
         address: SocketAddr,
         deadline: Instant,
-    ) -> Result<SendRequest<Full<Bytes>>, ListenerState> {
+    ) -> Result<Connection, ListenerState> {
         let deadline = deadline.min(Instant::now() + self.connect_timeout);
         let connected = within(deadline, TcpStream::connect(address)).await;
         let stream = match connected {
@@ -218,9 +246,11 @@
         };
         set_options(&stream);
         self.counts.borrow_mut().opened += 1;
+        let limit = ReceiveLimit::new(BYTES_BEFORE_BODY_MAX);
         let handshake = http1::Builder::new()
             .max_header_size(ANSWER_HEAD_BYTES_MAX)
-            .handshake(FuturesIo::new(stream))
+            .max_buf_size(RECEIVE_BUFFER_BYTES_MAX)
+            .handshake(LimitedStream::new(stream, limit.clone()))
             .await;
         let (sender, connection) = handshake.map_err(|_| ListenerState::Unknown)?;
         let run = async move {
@@ -229,19 +259,21 @@
             }
         };
         self.executor.spawn(run).detach();
-        Ok(sender)
+        Ok(Connection { sender, limit })
     }
 
     /// Returns a connection to the pool after its answer has been read to the end.
     pub fn release(&self, connection: ActiveConnection) {
-        let ActiveConnection { address, sender, idle_timeout } = connection;
-        if sender.is_closed() || idle_timeout.is_zero() {
+        let ActiveConnection { address, connection, idle_timeout } = connection;
+        if connection.sender.is_closed() || idle_timeout.is_zero() {
             return;
         }
+        connection.limit.set(BYTES_BEFORE_BODY_MAX);
         let mut idle = self.idle.borrow_mut();
         let connections = idle.entry(address).or_default();
         if connections.len() < IDLE_CONNECTIONS_MAX {
-            connections.push(IdleConnection { sender, expires_at: Instant::now() + idle_timeout });
+            let expires_at = Instant::now() + idle_timeout;
+            connections.push(IdleConnection { connection, expires_at });
         }
     }
 
@@ -249,8 +281,7 @@
     pub fn close_expired(&self) {
         let now = Instant::now();
         self.idle.borrow_mut().retain(|_, connections| {
-            connections
-                .retain(|connection| connection.expires_at > now && connection.sender.is_ready());
+            connections.retain(|idle| idle.is_usable(now));
             !connections.is_empty()
         });
     }
@@ -269,6 +300,7 @@
         deadline: Instant,
     ) -> Result<(StatusCode, Bytes), SendError> {
         let UnreadAnswer { response, connection } = self.send(address, request, deadline).await?;
+        connection.limit_received(body_max + BYTES_BEFORE_BODY_MAX);
         let status = response.status();
         let body = Limited::new(response.into_body(), body_max).collect();
         match within(deadline, body).await {
--- a/crates/standin/src/fleet/mod.rs
+++ b/crates/standin/src/fleet/mod.rs
@@ -6,11 +6,13 @@
 //! calls directly. The stand-ins implement only as much of the published protocol as end-to-end
 //! tests over loopback need, and every fault that those tests inject.
 
+mod endless;
 mod pool;
 mod store;
 mod worker;
 
 pub use {
+    endless::{ENDLESS_PARTS, EndlessPart, EndlessStandin, Pace},
     pool::{PoolOptions, WorkerPool},
     store::{StoreFault, StoreStandin},
     worker::{RecordedRequest, SERVICE, WorkerFault, WorkerStandin},
