Blame no content for crashes that hit it by chance

Found by the test of crashes in series.

Cause: the estimate of how often upstreams crash left out the crashes that the content took part in. At the start of a series there are no others, so that three hits in 150 ms seemed impossible by chance.

Change: if the content is innocent, its own crashes are part of the series and come as often while it does not run. The estimate now counts them over the time from the first send to the last crash. So a request that is sent without a pause says less, and a call ends with 502 after its second crash: its caller's next send, after a pause without crashes, decides.

--- a/crates/core/src/crashes/mod.rs
+++ b/crates/core/src/crashes/mod.rs
@@ -10,7 +10,7 @@
 //! - It crashed several upstreams *in sequence*: each counted attempt was sent after the crash of
 //!   the previous one. Requests in flight while many upstreams crash together count once.
 //! - No other content that took part in as many crashes was running beside it.
-//! - Upstreams that did not run it crash so rarely that the sequence is not a coincidence.
+//! - Crashes are so rare while it does not run that the sequence is not a coincidence.
 //!
 //! A single complete answer clears content, because content that crashes upstreams gets none.
 
@@ -36,6 +36,11 @@
 const SHARED_CRASHES_MAX: usize = 6;
 /// Maximum probability that innocent content takes part in that many crashes by coincidence.
 const COINCIDENCE_MAX: f64 = 1e-6;
+/// The same for content whose last crash was of an upstream that ran nothing else, after
+/// [`CRASHES_MIN_ALONE`] crashes.
+const COINCIDENCE_MAX_ALONE: f64 = 1e-4;
+/// Number of crashes in sequence without which content that ran alone is not blamed.
+const CRASHES_MIN_ALONE: usize = 2;
 /// Times over which the crashes of other upstreams are averaged. The highest average counts, so that
 /// a series that has just begun is not averaged with the calm before it.
 const RATE_PERIODS: [Duration; 3] = [Duration::from_secs(1), Duration::from_secs(10), EVIDENCE_TTL];
@@ -97,7 +102,7 @@
 }
 
 /// Crashes of upstreams, and the contents that took part in them.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct CrashLog {
     /// Invariant: at most [`CRASHES_IN_MEMORY_MAX`], oldest report first.
     crashes: Vec<Crash>,
@@ -152,7 +157,20 @@
 
     /// Decides whether to blame a content. Returns whether it is newly blamed.
     pub fn judge(&mut self, now: Instant, content: ContentHash) -> bool {
-        if self.blamed_for(now, content).is_some() || !self.is_culprit(content) {
+        let is_culprit = self.is_culprit(content, CRASHES_MIN, COINCIDENCE_MAX);
+        self.blame_if(now, content, is_culprit)
+    }
+
+    /// Like [`Self::judge`], for content that was alone at the upstream that crashed last.
+    pub fn judge_alone(&mut self, now: Instant, content: ContentHash) -> bool {
+        let is_culprit = self.is_culprit(content, CRASHES_MIN, COINCIDENCE_MAX)
+            || self.is_culprit(content, CRASHES_MIN_ALONE, COINCIDENCE_MAX_ALONE)
+            || self.is_only_crasher(content);
+        self.blame_if(now, content, is_culprit)
+    }
+
+    fn blame_if(&mut self, now: Instant, content: ContentHash, is_culprit: bool) -> bool {
+        if !is_culprit || self.blamed_for(now, content).is_some() {
             return false;
         }
         self.blame(content, now + BLAME_DURATION);
@@ -262,7 +280,7 @@
         self.blamed.insert(content, until);
     }
 
-    fn is_culprit(&self, content: ContentHash) -> bool {
+    fn is_culprit(&self, content: ContentHash, crashes_min: usize, coincidence_max: f64) -> bool {
         let Some(attempts) = self.suspects.get(&content) else { return false };
         let sequence = longest_sequence(attempts);
         let attributed = if sequence.len() >= SHARED_CRASHES_MAX {
@@ -270,8 +288,16 @@
         } else {
             self.without_shared(content, sequence)
         };
-        attributed.len() >= CRASHES_MIN
-            && self.coincidence(attempts, &attributed) <= COINCIDENCE_MAX
+        attributed.len() >= crashes_min
+            && self.coincidence(attempts, &attributed) <= coincidence_max
+    }
+
+    /// Returns whether content took part in all recent crashes, and in enough of them.
+    fn is_only_crasher(&self, content: ContentHash) -> bool {
+        let Some(attempts) = self.suspects.get(&content) else { return false };
+        let took_part =
+            |crash: &Crash| attempts.iter().any(|attempt| attempt.crash == crash.number);
+        longest_sequence(attempts).len() >= CRASHES_MIN && self.crashes.iter().all(took_part)
     }
 
     /// Removes the crashes in which other content with at least as many crashes took part.
@@ -289,10 +315,11 @@
         sequence.into_iter().filter(|attempt| !shared.contains(&attempt.crash)).collect()
     }
 
-    /// Returns an upper bound for the probability that as many upstreams crash while they run
-    /// content that has nothing to do with it.
+    /// Returns an upper bound for the probability that as many upstreams crash while they run this
+    /// content although it has nothing to do with that. Then crashes are as frequent while it does
+    /// not run.
     fn coincidence(&self, attempts: &[SuspectAttempt], attributed: &[SuspectAttempt]) -> f64 {
-        let Some(last) = attributed.last() else { return 1.0 };
+        let (Some(first), Some(last)) = (attributed.first(), attributed.last()) else { return 1.0 };
         let Some(crash) = self.crashes.iter().find(|crash| crash.number == last.crash) else {
             return 1.0;
         };
@@ -302,15 +329,20 @@
         };
         let unrelated: Vec<Instant> =
             self.crashes.iter().filter(is_unrelated).map(|crash| crash.at).collect();
-        let crashes_per_s = |period: Duration| {
-            let recent = unrelated.iter().filter(|at| **at + period >= last.broke_at).count();
-            recent as f64 / period.as_secs_f64()
-        };
-        let crashes_per_s = RATE_PERIODS.map(crashes_per_s).into_iter().fold(0.0, f64::max);
-        let crashes_per_upstream_s =
-            crashes_per_s / crash.upstream_count.max(1) as f64 + UNSEEN_CRASHES_PER_S;
+        let unrelated_within =
+            |period: Duration| unrelated.iter().filter(|at| **at + period >= last.broke_at).count();
+        let unrelated_per_s =
+            |period: Duration| unrelated_within(period) as f64 / period.as_secs_f64();
         let exposure_s: f64 =
             attributed.iter().map(|attempt| attempt.exposure().as_secs_f64()).sum();
+        let span = last.broke_at.saturating_duration_since(first.sent_at);
+        let crashes_in_span = unrelated_within(span) + attributed.len();
+        // The span contains the exposure, except for the errors of times that other hosts reported.
+        let crashes_per_s = crashes_in_span as f64 / span.as_secs_f64().max(exposure_s);
+        let crashes_per_s =
+            RATE_PERIODS.map(unrelated_per_s).into_iter().fold(crashes_per_s, f64::max);
+        let crashes_per_upstream_s =
+            crashes_per_s / crash.upstream_count.max(1) as f64 + UNSEEN_CRASHES_PER_S;
         let expected = crashes_per_upstream_s * exposure_s;
         // Bounds the tail of a Poisson distribution.
         (1..=attributed.len()).fold(1.0, |term, count| term * expected / count as f64)
--- a/crates/gateway/src/call/mod.rs
+++ b/crates/gateway/src/call/mod.rs
@@ -62,6 +62,8 @@
     pub(crate) send_count: Cell<u32>,
     /// Whether the caller has disconnected. Set only for detached requests.
     pub(crate) caller_disconnected: Cell<bool>,
+    /// Number of upstreams that have crashed while they ran the request.
+    pub(crate) crash_count: Cell<u32>,
     content: OnceCell<ContentHash>,
 }
 
@@ -195,6 +197,7 @@
         deadline,
         send_count,
         caller_disconnected,
+        crash_count: Cell::new(0),
         content: OnceCell::new(),
     })
 }
--- a/crates/gateway/src/crashes/mod.rs
+++ b/crates/gateway/src/crashes/mod.rs
@@ -16,6 +16,7 @@
     serde_json::json,
     smol::Timer,
     std::{
+        cell::Cell,
         collections::HashMap,
         net::SocketAddr,
         rc::Rc,
@@ -38,6 +39,9 @@
 const CHECK_TIMEOUT: Duration = Duration::from_millis(100);
 /// Maximum time that a request waits for the first check and its report before it is retried.
 const REPORT_WAIT_MAX: Duration = Duration::from_millis(150);
+/// Number of upstreams that may crash while they run one request. Its caller may send it again, and
+/// if the pause has no crashes, the content is to blame.
+const CRASHES_PER_CALL_MAX: u32 = 2;
 /// An upstream that was known to leave for this long has not crashed: it stops as planned.
 const PLANNED_STOP_NOTICE: Duration = Duration::from_millis(500);
 /// How long the departure of an upstream is remembered. Upstreams may serve for many seconds after
@@ -64,6 +68,7 @@
     /// Notified when the first check has ended and its report was delivered.
     first_result: Rc<Event>,
     has_first_result: bool,
+    has_crashed: Rc<Cell<bool>>,
 }
 
 /// An attempt whose connection broke.
@@ -118,17 +123,22 @@
     }
 }
 
-/// Checks that a call's content is not blamed for crashes.
+/// Checks that a call may be sent: its content is not blamed for crashes, and not too many upstreams
+/// have crashed while they ran it.
 ///
 /// # Errors
 ///
-/// Returns the refusal of blamed content.
+/// Returns the refusal of the call.
 pub(crate) fn check(gateway: &Gateway, call: &Call, verdict: Verdict) -> Result<(), Refusal> {
     let watch = gateway.crash_watch.borrow();
     if watch.log.is_empty() {
         return Ok(());
     }
     match watch.log.blamed_for(Instant::now(), call.content()) {
+        None if call.crash_count.get() >= CRASHES_PER_CALL_MAX => {
+            let detail = "the upstreams that ran this request have crashed";
+            Err(Refusal::may_have_run(Reason::UpstreamFailed, detail))
+        }
         None => Ok(()),
         Some(rest) => {
             let detail = "this content has crashed the upstreams that ran it".into();
@@ -158,13 +168,14 @@
         return;
     }
     let attempt = CrashedAttempt { content, sent_at: broken.sent_at, broke_at: now };
-    let first_result = {
+    let (first_result, has_crashed) = {
         let mut watch = gateway.crash_watch.borrow_mut();
         let is_new = !watch.checks.contains_key(&broken.key);
         let check = watch.checks.entry(broken.key).or_insert_with(|| Check {
             attempts: Vec::new(),
             first_result: Rc::new(Event::new()),
             has_first_result: false,
+            has_crashed: Rc::default(),
         });
         check.attempts.push(attempt);
         if is_new {
@@ -173,9 +184,10 @@
         if check.has_first_result {
             return;
         }
-        check.first_result.listen()
+        (check.first_result.listen(), check.has_crashed.clone())
     };
     within(now + REPORT_WAIT_MAX, first_result).await;
+    call.crash_count.update(|count| count + u32::from(has_crashed.get()));
 }
 
 /// Checks several times whether an upstream has ended. If so, reports the attempts that broke.
@@ -187,7 +199,10 @@
         }
         if has_ended(&gateway, address, delay.is_zero()).await {
             let attempts = match gateway.crash_watch.borrow_mut().checks.get_mut(&key) {
-                Some(check) => std::mem::take(&mut check.attempts),
+                Some(check) => {
+                    check.has_crashed.set(true);
+                    std::mem::take(&mut check.attempts)
+                }
                 None => return,
             };
             let upstream_count = gateway.placement.borrow().upstream_count(&service);
