Quarantine only content that has crashed upstreams

What callers saw: on the product's own interface, a request whose answer was lost or spoiled twice, or that a tool answered with 500 twice, was refused with 422 for ten minutes.

Cause: any broken or unusable answer counted as the crash of its upstream, and the second one, with the request alone at an upstream, as proof.

Change: the host checks whether the upstream still accepts connections; only if not, the call counts as crashed. Upstreams that leave as planned don't count.

--- a/crates/clients/src/http/mod.rs
+++ b/crates/clients/src/http/mod.rs
@@ -20,6 +20,7 @@
     smol::{Timer, future::FutureExt, net::TcpStream},
     std::{
         future::Future,
+        io,
         net::SocketAddr,
         sync::{Arc, Mutex, PoisonError},
         time::{Duration, Instant},
@@ -30,6 +31,11 @@
 const MAX_IDLE_CONNECTIONS: usize = 32;
 /// Idle time after which a pooled connection is dropped, to do so before the server closes it.
 const MAX_IDLE_TIME: Duration = Duration::from_secs(15);
+/// Delays before the checks of [`has_ended`]. A process that is killed may close its connections
+/// shortly before its listener.
+const LISTENER_CHECK_DELAYS: [Duration; 2] = [Duration::ZERO, Duration::from_millis(100)];
+/// Timeout of one check. A process that has ended refuses connections at once.
+const LISTENER_CHECK_TIMEOUT: Duration = Duration::from_millis(100);
 /// Timeout for opening a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -135,6 +141,22 @@
     }
 }
 
+/// Returns whether the process at an address has ended: connections are refused.
+pub async fn has_ended(address: SocketAddr) -> bool {
+    for delay in LISTENER_CHECK_DELAYS {
+        if !delay.is_zero() {
+            Timer::after(delay).await;
+        }
+        let deadline = Instant::now() + LISTENER_CHECK_TIMEOUT;
+        let connected = until_deadline(deadline, TcpStream::connect(address)).await;
+        if matches!(connected, Some(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused)
+        {
+            return true;
+        }
+    }
+    false
+}
+
 /// Runs a future until the deadline. Returns `None` if the deadline has passed, even if the future
 /// is ready at the same time.
 pub(crate) async fn until_deadline<T>(
--- a/crates/clients/src/lib.rs
+++ b/crates/clients/src/lib.rs
@@ -18,7 +18,7 @@
     },
     error::{CallError, ErrorKind},
     hosts::{HostList, UpstreamRecord},
-    http::is_forbidden_header,
+    http::{has_ended, is_forbidden_header},
     objects::{
         CallCounts, ChangedKey, KeyVersion, Object, ObjectApi, ReadError, Version, WatchReply,
         WriteError,
--- a/crates/core/src/sched/dispatcher/health.rs
+++ b/crates/core/src/sched/dispatcher/health.rs
@@ -3,6 +3,7 @@
 use {
     super::{Dispatcher, LEAK_MARGIN, Slot},
     crate::{
+        crashes::{CrashedAttempt, UpstreamCrash},
         event::Kind,
         ids::UpstreamId,
         message::Usage,
@@ -182,28 +183,44 @@
         self.set_cached_tokens(slot.upstream, &slot.request.program, cached_tokens);
     }
 
-    /// Handles a call whose connection broke. Every request that ran at the upstream becomes
-    /// suspected. A request that ran there alone is quarantined.
+    /// Handles a call whose upstream ended. Every request that ran at the upstream becomes
+    /// suspected, unless the upstream was to end. A request that ran there alone may be quarantined.
     fn on_call_broken(&mut self, now: Instant, slot: &Slot) {
         self.retries.record_failure(now, &slot.request.request);
-        if slot.is_alone {
-            self.suspects.quarantine(now, slot.request.fingerprint);
-            self.log(LogEvent::new(Kind::Quarantined).with_request(&slot.request));
-        } else {
-            self.suspects.suspect(now, slot.request.fingerprint);
-        }
         if slot.is_crash_counted {
             // The crash was already counted when the first of the affected calls was released.
             return;
         }
-        let co_running = self.upstreams[slot.upstream].tickets.clone();
-        for ticket in co_running {
+        let upstream = &self.upstreams[slot.upstream];
+        if upstream.is_listed && !upstream.view.is_leaving {
+            self.record_crash(now, slot);
+        }
+        self.fail_upstream(now, slot.upstream, Failure::Hard);
+    }
+
+    fn record_crash(&mut self, now: Instant, slot: &Slot) {
+        let attempt = |slot: &Slot| CrashedAttempt {
+            content: slot.request.fingerprint,
+            sent_at: slot.granted,
+            broke_at: now,
+        };
+        let mut attempts = vec![attempt(slot)];
+        for ticket in self.upstreams[slot.upstream].tickets.clone() {
             if let Some(other) = self.slots.get_mut(&ticket) {
                 other.is_crash_counted = true;
-                self.suspects.suspect(now, other.request.fingerprint);
+                attempts.push(attempt(other));
             }
         }
-        self.fail_upstream(now, slot.upstream, Failure::Hard);
+        let listed = self.upstreams.values().filter(|upstream| upstream.is_listed);
+        let crash = UpstreamCrash {
+            service: slot.request.service.clone(),
+            upstream: self.upstreams[slot.upstream].view.upstream.clone(),
+            upstream_count: listed.count(),
+            attempts,
+        };
+        if self.suspects.record_crash(now, &crash, slot.is_alone) {
+            self.log(LogEvent::new(Kind::Quarantined).with_request(&slot.request));
+        }
     }
 
     fn fail_upstream(&mut self, now: Instant, key: UpstreamKey, failure: Failure) {
--- a/crates/core/src/sched/request.rs
+++ b/crates/core/src/sched/request.rs
@@ -88,9 +88,10 @@
     },
     /// The upstream refused the call before running any of it.
     Refused,
-    /// The connection broke during the call. The call may have crashed the upstream.
+    /// The upstream ended during the call. The call may have crashed it.
     Broken,
-    /// No connection could be made, so the call can't have caused the failure.
+    /// No connection could be made, or the upstream failed the call and is still there, so the call
+    /// has not crashed it.
     Unreachable,
     /// No response arrived within the deadline.
     TimedOut,
--- a/crates/core/src/sched/suspects.rs
+++ b/crates/core/src/sched/suspects.rs
@@ -1,17 +1,19 @@
 //! Requests that may crash every upstream that runs them, identified by the fingerprint of their
 //! content.
 //!
-//! An upstream counts as crashed when the connection of a call breaks. Every request that was
-//! running there becomes suspected. A suspected request is tried alone on one more upstream. If
-//! that one crashes too, the request is quarantined for a time. Otherwise it is cleared.
+//! An upstream has crashed when it ends during a call. Every request that was running there becomes
+//! suspected. A suspected request is tried alone on one more upstream. If that one crashes too, the
+//! request is quarantined for a time, unless so many upstreams crash that this may be a
+//! coincidence. If the upstream answers, the request is cleared.
 
-use std::{
-    collections::{BTreeMap, HashSet},
-    time::{Duration, Instant},
+use {
+    crate::crashes::{CrashLog, UpstreamCrash},
+    std::{
+        collections::{BTreeMap, HashSet},
+        time::{Duration, Instant},
+    },
 };
 
-/// Duration of a quarantine.
-const QUARANTINE_TIME: Duration = Duration::from_secs(600);
 /// Time after which a suspicion expires if the request is not retried.
 const SUSPICION_TIME: Duration = Duration::from_secs(600);
 /// Maximum size of one generation of fingerprints known to be safe. At most twice this many are
@@ -29,16 +31,12 @@
     Quarantined(Duration),
 }
 
-#[derive(Clone, Copy, Debug)]
-struct Entry {
-    is_quarantined: bool,
-    until: Instant,
-}
-
 /// All fingerprints that are suspected, quarantined or known to be safe.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Suspects {
-    by_fingerprint: BTreeMap<u64, Entry>,
+    /// Suspected fingerprints, and when each suspicion expires.
+    suspected: BTreeMap<u64, Instant>,
+    crashes: CrashLog,
     /// Fingerprints of requests that completed, in two generations. Used only for membership tests.
     known_safe: HashSet<u64>,
     previous_known_safe: HashSet<u64>,
@@ -47,13 +45,12 @@
 impl Suspects {
     /// Returns the state of the request with this fingerprint.
     pub(super) fn check(&self, now: Instant, fingerprint: u64) -> Suspicion {
-        match self.by_fingerprint.get(&fingerprint) {
-            Some(entry) if entry.until <= now => Suspicion::Clear,
-            Some(entry) if entry.is_quarantined => {
-                Suspicion::Quarantined(entry.until.duration_since(now))
-            }
-            Some(_) => Suspicion::Suspected,
-            None => Suspicion::Clear,
+        if let Some(remaining) = self.crashes.blamed_for(now, fingerprint) {
+            return Suspicion::Quarantined(remaining);
+        }
+        match self.suspected.get(&fingerprint) {
+            Some(until) if *until > now => Suspicion::Suspected,
+            _ => Suspicion::Clear,
         }
     }
 
@@ -63,26 +60,30 @@
         self.known_safe.contains(&fingerprint) || self.previous_known_safe.contains(&fingerprint)
     }
 
-    /// Records that an upstream crashed while running this request among others.
-    pub(super) fn suspect(&mut self, now: Instant, fingerprint: u64) {
-        self.known_safe.remove(&fingerprint);
-        self.previous_known_safe.remove(&fingerprint);
-        let entry = Entry { is_quarantined: false, until: now + SUSPICION_TIME };
-        self.by_fingerprint.entry(fingerprint).or_insert(entry);
-    }
-
-    /// Records that an upstream crashed while running only this suspected request.
-    pub(super) fn quarantine(&mut self, now: Instant, fingerprint: u64) {
-        let entry = Entry { is_quarantined: true, until: now + QUARANTINE_TIME };
-        self.by_fingerprint.insert(fingerprint, entry);
+    /// Records the crash of an upstream and suspects all requests that ran there. `is_alone` says
+    /// that a single suspected request ran there. Returns whether it is quarantined.
+    pub(super) fn record_crash(
+        &mut self,
+        now: Instant,
+        crash: &UpstreamCrash,
+        is_alone: bool,
+    ) -> bool {
+        for attempt in &crash.attempts {
+            self.known_safe.remove(&attempt.content);
+            self.previous_known_safe.remove(&attempt.content);
+            self.suspected.entry(attempt.content).or_insert(now + SUSPICION_TIME);
+        }
+        self.crashes.record(now, crash);
+        match &crash.attempts[..] {
+            [attempt] if is_alone => self.crashes.judge_alone(now, attempt.content),
+            _ => false,
+        }
     }
 
     /// Records that a request with this fingerprint completed.
     pub(super) fn clear(&mut self, fingerprint: u64) {
-        let is_suspected = |entry: &Entry| !entry.is_quarantined;
-        if self.by_fingerprint.get(&fingerprint).is_some_and(is_suspected) {
-            self.by_fingerprint.remove(&fingerprint);
-        }
+        self.suspected.remove(&fingerprint);
+        self.crashes.clear(fingerprint);
         if self.known_safe.len() >= SAFE_GENERATION_SIZE {
             self.previous_known_safe = std::mem::take(&mut self.known_safe);
         }
@@ -91,6 +92,7 @@
 
     /// Removes expired entries.
     pub(super) fn expire(&mut self, now: Instant) {
-        self.by_fingerprint.retain(|_, entry| entry.until > now);
+        self.suspected.retain(|_, until| *until > now);
+        self.crashes.expire(now);
     }
 }
--- a/crates/host/src/upstream.rs
+++ b/crates/host/src/upstream.rs
@@ -8,7 +8,7 @@
     },
     trefoilring_clients::{
         CallError, ChatAssembler, ChatEvent, ChatRequest, Engine, ErrorKind, ServiceClient,
-        ServiceRequest,
+        ServiceRequest, has_ended,
     },
     trefoilring_core::{
         call::{Chunk, ServiceCall},
@@ -120,12 +120,12 @@
     let mut held = Vec::new();
     let mut stream = match Engine::new(address).chat(request).await {
         Ok(stream) => stream,
-        Err(error) => return failed_run(error),
+        Err(error) => return failed_run(address, error).await,
     };
     while let Some(event) = stream.next().await {
         let event = match event {
             Ok(event) => event,
-            Err(error) => return failed_run(error),
+            Err(error) => return failed_run(address, error).await,
         };
         first_byte.get_or_insert_with(|| started.elapsed());
         assembler.push(&event);
@@ -134,7 +134,7 @@
             Ok(Some(json)) if assembler.finish_reason().is_some() => held.push(json),
             Ok(Some(json)) => send_event(out, dedup, json).await,
             Ok(None) => (),
-            Err(error) => return failed_run(error),
+            Err(error) => return failed_run(address, error).await,
         }
     }
     let usage = assembler.usage().unwrap_or_default();
@@ -188,7 +188,7 @@
             let result = step_result(reply.status, reply.headers, reply.body);
             UpstreamRun { outcome, result: Ok(result) }
         }
-        Err(error) => failed_run(error),
+        Err(error) => failed_run(address, error).await,
     }
 }
 
@@ -215,7 +215,7 @@
     }
 }
 
-fn failed_run<T>(mut error: CallError) -> UpstreamRun<T> {
+async fn failed_run<T>(address: SocketAddr, mut error: CallError) -> UpstreamRun<T> {
     let outcome = match error.kind {
         // The request is invalid. The upstream is healthy and rejected the request before running
         // it.
@@ -224,10 +224,11 @@
             Outcome::Unused
         }
         ErrorKind::Connect => Outcome::Unreachable,
-        ErrorKind::Broken => Outcome::Broken,
+        ErrorKind::Broken if has_ended(address).await => Outcome::Broken,
         ErrorKind::TimedOut => Outcome::TimedOut,
         _ if error.verdict == Verdict::NotRun => Outcome::Refused,
-        _ => Outcome::Broken,
+        // The upstream is still there, so the call has not crashed it.
+        _ => Outcome::Unreachable,
     };
     UpstreamRun { outcome, result: Err(error) }
 }
