End answers without end before they occupy a traffic thread

The same fault as in the gateway, in the clients of the product's own interface: zeros in a chunk's size kept a thread for 11 s in a debug build, long past the deadline of 300 ms, and small chunks for 4.8 s. The connection's reads now take turns (trefoilring_net::ReadTurns, which the gateway uses as well).

--- a/crates/clients/src/http/connection.rs
+++ b/crates/clients/src/http/connection.rs
@@ -12,8 +12,9 @@
             Arc,
             atomic::{AtomicU64, Ordering},
         },
-        task::{Context, Poll, Waker},
+        task::{Context, Poll, Waker, ready},
     },
+    trefoilring_net::ReadTurns,
 };
 
 /// A connection. Clones share it; it closes when the last clone is dropped.
@@ -21,6 +22,7 @@
 pub(crate) struct Connection {
     stream: TcpStream,
     counts: Arc<Counts>,
+    turns: ReadTurns,
 }
 
 #[derive(Debug, Default)]
@@ -33,7 +35,7 @@
 
 impl Connection {
     pub(crate) fn new(stream: TcpStream) -> Self {
-        Self { stream, counts: Arc::default() }
+        Self { stream, counts: Arc::default(), turns: ReadTurns::default() }
     }
 
     /// Starts an exchange and limits its answer to `max_read_bytes`, including the head.
@@ -71,8 +73,10 @@
         if readable == 0 && !buffer.is_empty() {
             return Poll::Ready(Err(io::Error::other("answer larger than the bound")));
         }
+        ready!(self.turns.poll_turn(context));
         let length = buffer.len().min(usize::try_from(readable).unwrap_or(usize::MAX));
         let polled = Pin::new(&mut self.stream).poll_read(context, &mut buffer[..length]);
+        self.turns.record(&polled);
         if let Poll::Ready(Ok(count)) = polled {
             self.counts.readable.fetch_sub(count as u64, Ordering::Relaxed);
         }
--- a/crates/gateway/src/http/received.rs
+++ b/crates/gateway/src/http/received.rs
@@ -14,15 +14,13 @@
         io,
         pin::Pin,
         rc::Rc,
-        task::{Context, Poll},
+        task::{Context, Poll, ready},
     },
+    trefoilring_net::ReadTurns,
 };
 
 /// Maximum number of bytes in one read.
 const BLOCK_BYTES: usize = 8 * 1024;
-/// Number of reads after which the connection's task lets other tasks run.
-const READS_IN_A_ROW_MAX: u32 = 4;
-
 /// Number of bytes that a connection may still receive.
 #[derive(Clone, Debug)]
 pub(super) struct ReceiveLimit(Rc<Cell<usize>>);
@@ -42,12 +40,12 @@
 pub(super) struct LimitedStream {
     stream: TcpStream,
     limit: ReceiveLimit,
-    reads_in_a_row: u32,
+    turns: ReadTurns,
 }
 
 impl LimitedStream {
     pub(super) fn new(stream: TcpStream, limit: ReceiveLimit) -> Self {
-        Self { stream, limit, reads_in_a_row: 0 }
+        Self { stream, limit, turns: ReadTurns::default() }
     }
 }
 
@@ -57,19 +55,12 @@
         cx: &mut Context<'_>,
         mut buffer: ReadBufCursor<'_>,
     ) -> Poll<io::Result<()>> {
-        if self.reads_in_a_row >= READS_IN_A_ROW_MAX {
-            self.reads_in_a_row = 0;
-            cx.waker().wake_by_ref();
-            return Poll::Pending;
-        }
+        ready!(self.turns.poll_turn(cx));
         let mut block = [0; BLOCK_BYTES];
         let size = buffer.remaining().min(block.len());
-        let Poll::Ready(read) = Pin::new(&mut self.stream).poll_read(cx, &mut block[..size]) else {
-            self.reads_in_a_row = 0;
-            return Poll::Pending;
-        };
-        self.reads_in_a_row += 1;
-        let received = read?;
+        let read = Pin::new(&mut self.stream).poll_read(cx, &mut block[..size]);
+        self.turns.record(&read);
+        let received = ready!(read)?;
         let Some(left) = self.limit.0.get().checked_sub(received) else {
             let message = "the peer sends more than an answer may have";
             return Poll::Ready(Err(io::Error::new(io::ErrorKind::InvalidData, message)));
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -1,9 +1,14 @@
-//! TCP listeners whose backlog holds bursts of new connections.
+//! TCP listeners whose backlog holds bursts of new connections, and turns for connections whose
+//! peers send without pause.
 //!
 //! The standard library requests a backlog of 128 connections that wait to be accepted. The kernel
 //! drops the SYN packet of each further connection, and the client retransmits it after a second or
 //! more: too late for most callers, and beyond the connect timeouts of many clients.
 
+mod read_turns;
+
+pub use read_turns::ReadTurns;
+
 use {
     smol::{Async, net::TcpListener},
     socket2::{Domain, Protocol, Socket, Type},
--- a/crates/standin/src/fleet/endless.rs
+++ b/crates/standin/src/fleet/endless.rs
@@ -96,6 +96,7 @@
     trouble: Mutex<Option<(EndlessPart, Pace)>>,
     answers_begun: AtomicUsize,
     answers_open: AtomicUsize,
+    bytes_written: AtomicUsize,
     /// Notified when the forwarded connections are to be closed.
     close_forwarded: Event,
 }
@@ -115,6 +116,7 @@
             trouble: Mutex::default(),
             answers_begun: AtomicUsize::default(),
             answers_open: AtomicUsize::default(),
+            bytes_written: AtomicUsize::default(),
             close_forwarded: Event::new(),
         });
         let task = smol::spawn(accept(server.clone(), listener));
@@ -132,6 +134,11 @@
         self.server.answers_begun.load(Ordering::SeqCst)
     }
 
+    /// Returns the number of bytes that were written without end.
+    pub fn bytes_written(&self) -> usize {
+        self.server.bytes_written.load(Ordering::SeqCst)
+    }
+
     /// Returns the number of answers whose connections the client has not closed.
     pub fn answers_open(&self) -> usize {
         self.server.answers_open.load(Ordering::SeqCst)
@@ -177,7 +184,7 @@
         }
         self.answers_begun.fetch_add(1, Ordering::SeqCst);
         self.answers_open.fetch_add(1, Ordering::SeqCst);
-        let written = write_without_end(&mut stream, &answer_head(&head), part, pace).await;
+        let written = self.write_without_end(&mut stream, &answer_head(&head), part, pace).await;
         self.answers_open.fetch_sub(1, Ordering::SeqCst);
         written
     }
@@ -196,59 +203,64 @@
     )
 }
 
-async fn write_without_end(
-    stream: &mut TcpStream,
-    head: &str,
-    part: EndlessPart,
-    pace: Pace,
-) -> io::Result<()> {
-    let chunked = format!("{head}Transfer-Encoding: chunked\r\n\r\n");
-    let (start, repeated) = match part {
-        EndlessPart::Garbage => (String::new(), "garbage "),
-        EndlessPart::StatusLine => ("HTTP/1.1 200 ".into(), "OK "),
-        EndlessPart::InterimHeads => (String::new(), "HTTP/1.1 100 Continue\r\n\r\n"),
-        EndlessPart::HeaderName => (format!("{head}X-"), "name"),
-        EndlessPart::Headers => (head.into(), "X-Name: value\r\n"),
-        EndlessPart::ChunkSize => (chunked, "0"),
-        EndlessPart::ChunkExtension => (format!("{chunked}1;"), "name=value;"),
-        EndlessPart::Chunks => (chunked, "4\r\nbody\r\n"),
-        EndlessPart::UnframedBody => (format!("{head}\r\n"), "body"),
-        EndlessPart::Events => return write_events(stream, &chunked, pace).await,
-        EndlessPart::Comment => (format!("{head}\r\n:"), "comment"),
-        EndlessPart::Trailers => (format!("{chunked}4\r\nbody\r\n0\r\n"), "X-Name: value\r\n"),
-        EndlessPart::AfterEnd => (format!("{head}Content-Length: 4\r\n\r\nbody"), "body"),
-    };
-    stream.write_all(start.as_bytes()).await?;
-    match pace {
-        Pace::Fast => {
-            let block = repeated.repeat(BLOCK_BYTES / repeated.len());
-            loop {
-                stream.write_all(block.as_bytes()).await?;
-                // Lets the other stand-ins of the process run.
-                smol::future::yield_now().await;
+impl Server {
+    async fn write_without_end(
+        &self,
+        stream: &mut TcpStream,
+        head: &str,
+        part: EndlessPart,
+        pace: Pace,
+    ) -> io::Result<()> {
+        let chunked = format!("{head}Transfer-Encoding: chunked\r\n\r\n");
+        let (start, repeated) = match part {
+            EndlessPart::Garbage => (String::new(), "garbage "),
+            EndlessPart::StatusLine => ("HTTP/1.1 200 ".into(), "OK "),
+            EndlessPart::InterimHeads => (String::new(), "HTTP/1.1 100 Continue\r\n\r\n"),
+            EndlessPart::HeaderName => (format!("{head}X-"), "name"),
+            EndlessPart::Headers => (head.into(), "X-Name: value\r\n"),
+            EndlessPart::ChunkSize => (chunked, "0"),
+            EndlessPart::ChunkExtension => (format!("{chunked}1;"), "name=value;"),
+            EndlessPart::Chunks => (chunked, "4\r\nbody\r\n"),
+            EndlessPart::UnframedBody => (format!("{head}\r\n"), "body"),
+            EndlessPart::Events => return self.write_events(stream, &chunked, pace).await,
+            EndlessPart::Comment => (format!("{head}\r\n:"), "comment"),
+            EndlessPart::Trailers => (format!("{chunked}4\r\nbody\r\n0\r\n"), "X-Name: value\r\n"),
+            EndlessPart::AfterEnd => (format!("{head}Content-Length: 4\r\n\r\nbody"), "body"),
+        };
+        stream.write_all(start.as_bytes()).await?;
+        match pace {
+            Pace::Fast => {
+                let block = repeated.repeat(BLOCK_BYTES / repeated.len());
+                loop {
+                    stream.write_all(block.as_bytes()).await?;
+                    self.bytes_written.fetch_add(block.len(), Ordering::SeqCst);
+                    // Lets the other stand-ins of the process run.
+                    smol::future::yield_now().await;
+                }
             }
-        }
-        Pace::Dripped => {
-            let bytes = repeated.repeat(DRIP_BYTES);
-            for drip in bytes.as_bytes().chunks(DRIP_BYTES).cycle() {
-                stream.write_all(drip).await?;
-                Timer::after(DRIP_INTERVAL).await;
+            Pace::Dripped => {
+                let bytes = repeated.repeat(DRIP_BYTES);
+                for drip in bytes.as_bytes().chunks(DRIP_BYTES).cycle() {
+                    stream.write_all(drip).await?;
+                    Timer::after(DRIP_INTERVAL).await;
+                }
+                Ok(())
             }
-            Ok(())
         }
     }
-}
 
-async fn write_events(stream: &mut TcpStream, head: &str, pace: Pace) -> io::Result<()> {
-    stream.write_all(head.as_bytes()).await?;
-    for id in 1_u64.. {
-        let event = format!("id: {id}\ndata: piece {id}\n\n");
-        let chunk = format!("{:x}\r\n{event}\r\n", event.len());
-        stream.write_all(chunk.as_bytes()).await?;
-        smol::future::yield_now().await;
-        if pace == Pace::Dripped {
-            Timer::after(DRIP_INTERVAL).await;
+    async fn write_events(&self, stream: &mut TcpStream, head: &str, pace: Pace) -> io::Result<()> {
+        stream.write_all(head.as_bytes()).await?;
+        for id in 1_u64.. {
+            let event = format!("id: {id}\ndata: piece {id}\n\n");
+            let chunk = format!("{:x}\r\n{event}\r\n", event.len());
+            stream.write_all(chunk.as_bytes()).await?;
+            self.bytes_written.fetch_add(chunk.len(), Ordering::SeqCst);
+            smol::future::yield_now().await;
+            if pace == Pace::Dripped {
+                Timer::after(DRIP_INTERVAL).await;
+            }
         }
+        Ok(())
     }
-    Ok(())
 }
