End streams whose key was withdrawn between two waits

Cause: the relay waits for a withdrawal only while it waits for a chunk, and a wait saw only withdrawals after its start. One that came while a chunk was passed on was lost.

Change: a wait subscribes first and then checks that the key is still valid. A configuration makes its keys valid or invalid before it announces withdrawals, so that one of the two shows each.

Result: withdrawal_between_two_waits_ends_the_second fails without the check.

--- a/crates/host/src/backend.rs
+++ b/crates/host/src/backend.rs
@@ -316,7 +316,8 @@
     }
 
     async fn wait_for_key_withdrawal(&self, caller: &Caller) {
-        self.shared.withdrawals.wait(&caller.key).await;
+        let is_valid = || self.shared.has_valid_key(caller);
+        self.shared.withdrawals.wait(&caller.key, is_valid).await;
     }
 
     fn is_open_route(&self, service: &str, method: &str, path: &str) -> bool {
--- a/crates/host/src/withdrawals.rs
+++ b/crates/host/src/withdrawals.rs
@@ -20,12 +20,17 @@
 }
 
 impl Withdrawals {
-    /// Completes when the key is withdrawn after this call.
-    pub(crate) async fn wait(&self, key: &KeyId) {
+    /// Completes when the key is withdrawn, or at once if it no longer `is_valid`. The caller must
+    /// make a key invalid before it calls [`Self::withdraw`], so that no withdrawal between two
+    /// waits is missed.
+    pub(crate) async fn wait(&self, key: &KeyId, is_valid: impl FnOnce() -> bool) {
         let receiver = {
             let mut by_key = self.by_key.lock().unwrap_or_else(PoisonError::into_inner);
             by_key.entry(key.clone()).or_insert_with(|| smol::channel::bounded(1)).1.clone()
         };
+        if !is_valid() {
+            return;
+        }
         // `recv` returns an error once the channel is closed.
         let _ = receiver.recv().await;
     }
@@ -38,3 +43,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
