Begin no call at a host that hands its journals over

Cause: a draining host waited for a moment without calls and then began to close its journals, but went on to accept calls from other hosts. The end of a call that began in between could not be recorded.

Change: the number of running calls and whether calls may begin are one atomic state. The drain closes it in the moment in which none runs; other hosts are told that this host is not the home, and ask the successor.

--- a/crates/host/src/call/mod.rs
+++ b/crates/host/src/call/mod.rs
@@ -24,7 +24,7 @@
         upstream::{AnswerSender, result_body},
     },
     std::{
-        sync::{Arc, atomic::Ordering},
+        sync::Arc,
         time::{Duration, Instant},
     },
     trefoilring_core::{
@@ -84,14 +84,18 @@
     let (out, answer) = smol::channel::bounded(ANSWER_CHUNKS);
     let shared = shared.clone();
     let task_shared = shared.clone();
-    shared.running_calls.fetch_add(1, Ordering::AcqRel);
+    if !shared.running_calls.begin() {
+        // This can't fail because the channel is empty.
+        let _ = out.try_send(Err(not_home()));
+        return answer;
+    }
     shared.spawn(async move {
         let home = HomeCall { shared: task_shared, call };
         if let Err(refusal) = home.run(&out).await {
             home.record_refusal(&refusal);
             let _ = out.send(Err(refusal)).await;
         }
-        home.shared.running_calls.fetch_sub(1, Ordering::AcqRel);
+        home.shared.running_calls.end();
     });
     answer
 }
--- a/crates/host/src/host.rs
+++ b/crates/host/src/host.rs
@@ -14,6 +14,7 @@
         peer_server::PeerServer,
         peers::Peers,
         relay::Relays,
+        running_calls::RunningCalls,
         shared::{Lease, Shared},
         withdrawals::Withdrawals,
     },
@@ -25,7 +26,7 @@
         net::SocketAddr,
         sync::{
             Arc, RwLock,
-            atomic::{AtomicBool, AtomicU64, Ordering},
+            atomic::{AtomicBool, Ordering},
         },
         thread::JoinHandle,
         time::{Duration, Instant, SystemTime, UNIX_EPOCH},
@@ -161,7 +162,7 @@
         let deadline = Instant::now() + self.shared.settings.drain_timeout;
         let calls_ended = async {
             self.callers_done.await;
-            while self.shared.running_calls.load(Ordering::Acquire) > 0 {
+            while !self.shared.running_calls.close_if_none() {
                 smol::Timer::after(DRAIN_POLL).await;
             }
         };
@@ -170,6 +171,9 @@
             log::warn!("requests still running after --drain-timeout-ms; continuing the drain");
         };
         smol::future::or(calls_ended, timeout).await;
+        // From now on the ends of calls could not be recorded. Other hosts send them to the
+        // successor.
+        self.shared.running_calls.close();
         // Journals are handed over once no request runs. The reply comes when all of them are in
         // the store.
         let handed_over = self.shared.control.request(|control, reply| control.hand_over(reply));
@@ -238,7 +242,7 @@
         is_draining: AtomicBool::new(false),
         is_drain_requested: AtomicBool::new(false),
         has_fresh_keys: AtomicBool::new(false),
-        running_calls: AtomicU64::new(0),
+        running_calls: RunningCalls::default(),
         catalog: RwLock::new(Arc::new(Catalog::default())),
         valid_keys: RwLock::default(),
         settings,
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -14,6 +14,7 @@
 mod peer_server;
 mod peers;
 mod relay;
+mod running_calls;
 mod shared;
 mod upstream;
 mod withdrawals;
--- a/crates/host/src/shared.rs
+++ b/crates/host/src/shared.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         control::ControlHandle, observe::events::EventLog, observe::metrics::Metrics, peers::Peers,
-        relay::Relays, withdrawals::Withdrawals,
+        relay::Relays, running_calls::RunningCalls, withdrawals::Withdrawals,
     },
     smol::Executor,
     std::{
@@ -44,7 +44,7 @@
     /// Whether the configuration was confirmed recently enough to accept keys.
     pub(crate) has_fresh_keys: AtomicBool,
     /// Number of calls that this host runs as their home. A drain waits for them.
-    pub(crate) running_calls: AtomicU64,
+    pub(crate) running_calls: RunningCalls,
     pub(crate) catalog: RwLock<Arc<Catalog>>,
     /// Always the valid keys of `catalog`, cached so that the last check of a call is a lookup and
     /// not a scan over all keys.
