Give hosts that were killed together their leases again

Cause: a delegate that takes a roster over keeps the inherited entries until one of the roster's guards releases them. The guards are the delegates of the other domains, which were restarted, too. Their new incarnations answer for the former ones, but the queries went to the addresses of the former ones.

Change: a query for a guard also goes to the delegate that lists the guard's host, which forwards it to the newest process under that name.

Result: RestartAll is a new fault of the membership tests: alone, twice, and in all 361 ordered pairs with the others, with the checks of roles and tokens.

--- a/crates/core/src/membership/delegate.rs
+++ b/crates/core/src/membership/delegate.rs
@@ -109,6 +109,24 @@
         self.other_rosters.get(domain).map(|other| &other.roster.writer)
     }
 
+    /// Returns the hosts and addresses to which a query for a guard is sent: the guard itself, and
+    /// the delegate of the domain that lists its host, which forwards the query. The guard may have
+    /// been restarted at another address since, and answers for its former incarnation.
+    pub fn query_recipients(&self, guard: &Guard) -> Vec<(HostId, String)> {
+        let lists_guard = |roster: &&Roster| {
+            roster.writer.host == guard.member.host || roster.hosts.contains_key(&guard.member.host)
+        };
+        let rosters = self.other_rosters.values().map(|other| &other.roster);
+        let delegates = rosters
+            .filter(lists_guard)
+            .map(|roster| (roster.writer.host.clone(), roster.writer_address.clone()));
+        let itself = (guard.member.host.clone(), guard.address.clone());
+        let mut recipients: Vec<(HostId, String)> = delegates.chain([itself]).collect();
+        recipients.sort();
+        recipients.dedup();
+        recipients
+    }
+
     /// Returns the other domains that have hosts.
     pub fn other_domains(&self) -> BTreeSet<DomainId> {
         self.other_rosters
--- a/crates/core/src/membership/freeze.rs
+++ b/crates/core/src/membership/freeze.rs
@@ -10,7 +10,7 @@
 
 use {
     super::{
-        Answer, Body, Command, Guard, LogEvent, Membership, Query, RosterRole, StoreOp,
+        Answer, Body, Command, Guard, LogEvent, Membership, Message, Query, RosterRole, StoreOp,
         round::IncludedHeartbeat, store::Purpose,
     },
     crate::ids::{DomainId, HostId, Member},
@@ -170,6 +170,10 @@
             Query::Freeze { round, domain } => {
                 self.freeze_query_received(now, from, address, round, domain)
             }
+            Query::Release { domain, revision, guard } if guard.host != self.me.member.host => {
+                let query = Query::Release { domain, revision, guard: guard.clone() };
+                self.forward_to_guard(from, address, &guard, query);
+            }
             Query::Release { domain, revision, guard } => {
                 if self.release(now, &domain, revision, &guard) {
                     let answer = Answer::Release { domain, revision, guard };
@@ -179,6 +183,21 @@
         }
     }
 
+    /// Forwards a query to the process that runs now under the name of a guard of this domain. The
+    /// guard answers the sender.
+    fn forward_to_guard(&mut self, from: Member, address: String, guard: &Member, query: Query) {
+        let RosterRole::Delegate(delegate) = &self.roster_role else { return };
+        let of_guard = |(member, _): &(&Member, _)| member.host == guard.host;
+        let newest = delegate.heartbeats.iter().filter(of_guard).max_by_key(|(member, _)| *member);
+        let Some((member, received)) = newest else { return };
+        let message = Message { from, address, body: Body::Query(query) };
+        self.commands.push(Command::Send {
+            to: member.host.clone(),
+            address: received.entry.address.clone(),
+            message,
+        });
+    }
+
     /// Answers a freeze query at once if the store is known to be unavailable here, and otherwise
     /// after a probe of the store.
     fn freeze_query_received(
--- a/crates/core/src/membership/removal.rs
+++ b/crates/core/src/membership/removal.rs
@@ -5,7 +5,7 @@
         Body, Guard, Membership, Query, ROSTER_PREFIX, Roster, RosterRole, StoreOp,
         follower::encode, freeze::may_remove, options::Rule, store::Purpose,
     },
-    crate::ids::{DomainId, Member},
+    crate::ids::{DomainId, HostId, Member},
     std::{
         collections::{BTreeMap, BTreeSet},
         time::Instant,
@@ -30,14 +30,14 @@
     pub(super) fn request_releases(&mut self, now: Instant, entries: &UnreleasedEntries) {
         let RosterRole::Delegate(delegate) = &self.roster_role else { return };
         let released: BTreeSet<Member> = delegate.releases(&entries.domain, entries.revision);
-        let pending_guards: BTreeMap<Member, String> = entries
+        let pending_guards: BTreeMap<Member, Vec<(HostId, String)>> = entries
             .guard_sets
             .iter()
             .flatten()
             .filter(|guard| !released.contains(&guard.member))
-            .map(|guard| (guard.member.clone(), guard.address.clone()))
+            .map(|guard| (guard.member.clone(), delegate.query_recipients(guard)))
             .collect();
-        for (guard, address) in pending_guards {
+        for (guard, recipients) in pending_guards {
             if guard.host == self.me.member.host {
                 self.release_locally(now, entries, guard);
                 continue;
@@ -47,7 +47,9 @@
                 revision: entries.revision,
                 guard: guard.clone(),
             };
-            self.send(&guard.host, &address, Body::Query(query));
+            for (host, address) in recipients {
+                self.send(&host, &address, Body::Query(query.clone()));
+            }
         }
     }
 
--- a/crates/core/src/membership/tests.rs
+++ b/crates/core/src/membership/tests.rs
@@ -36,6 +36,7 @@
     Pause(&'static str),
     Kill(&'static str),
     Restart(&'static str),
+    RestartAll,
     RestartWhilePaused(&'static str),
     Drain(&'static str),
     Join(&'static str),
@@ -54,6 +55,7 @@
     Fault::Kill("a1"),
     Fault::Kill("c2"),
     Fault::Restart("b1"),
+    Fault::RestartAll,
     Fault::RestartWhilePaused("a2"),
     Fault::RestartWhilePaused("c1"),
     Fault::Drain("a1"),
@@ -78,6 +80,15 @@
                 cluster.kill(host);
                 cluster.launch(host, 1.0);
             }
+            Self::RestartAll => {
+                let mut hosts: Vec<_> =
+                    cluster.processes.keys().map(|member| member.host.clone()).collect();
+                hosts.dedup();
+                hosts.iter().for_each(|host| cluster.kill(host));
+                for host in hosts {
+                    cluster.launch(&host, 1.0);
+                }
+            }
             Self::RestartWhilePaused(host) => {
                 pause(cluster, host);
                 cluster.launch(host, 1.0);
