Add a soak of gateway processes under random faults

Three gateways and three ledger hosts as processes between eight callers and stand-ins of the platform; a seed decides the faults, which come in series and overlap. From what callers get and workers run it checks: a call that may not be repeated runs once at most and never after a refusal; answers are whole and belong to their request; streams have each piece once and in order; budgets hold but for one turn; no content is blamed without cause; no host ends by itself; a planned stop ends in time; all is served once the faults are over, except content that crashes workers, which they start six times at most.

--- /dev/null
+++ b/crates/cli/tests/soak/faults.rs
@@ -0,0 +1,146 @@
+//! Faults injected at random, in series and at the same time.
+
+use {
+    super::{
+        CONTACT,
+        site::{GATEWAYS, HEALTHY, HOSTS, Site, WORKERS},
+    },
+    rand::{RngExt, rngs::SmallRng, seq::IndexedRandom},
+    smol::Timer,
+    std::{
+        rc::Rc,
+        time::{Duration, Instant},
+    },
+    trefoilring_standin::fleet::{
+        ENDLESS_PARTS, EndlessPart, LinkFault, Pace, StoreFault, WorkerFault,
+    },
+};
+
+/// A fault of a host, the store, its link, or a worker.
+#[derive(Clone, Copy, Debug)]
+enum Fault {
+    Kill(usize),
+    Start(usize),
+    Stop(usize),
+    Pause(usize),
+    Resume(usize),
+    Reload(usize),
+    Store(StoreFault),
+    StoreHistoryLost,
+    StoreLink(LinkFault),
+    StoreLinkReset,
+    WorkerKilled(usize),
+    WorkerReleased { worker: usize, gives_notice: bool },
+    EndlessWorker(Option<(EndlessPart, Pace)>),
+    Worker(usize, WorkerFault),
+}
+
+/// Injects faults until `end`.
+pub async fn inject(site: &Rc<Site>, mut random: SmallRng, end: Instant) {
+    while Instant::now() < end {
+        let fault = draw(site, &mut random);
+        println!("{:>6.2} s before the end: {fault:?}", (end - Instant::now()).as_secs_f64());
+        apply(site, fault).await;
+        site.check_processes();
+        let pause_ms = random.random_range(20..600);
+        Timer::after(Duration::from_millis(pause_ms)).await;
+    }
+}
+
+fn draw(site: &Site, random: &mut SmallRng) -> Fault {
+    let host = random.random_range(0..HOSTS);
+    let worker = random.random_range(0..WORKERS);
+    let others_up = |group: std::ops::Range<usize>| {
+        group.filter(|other| *other != host && site.is_up(*other)).count()
+    };
+    // A majority of the hosts of each class stays up.
+    let may_go_down = site.is_up(host)
+        && match host < GATEWAYS {
+            true => others_up(0..GATEWAYS) >= 2,
+            false => others_up(GATEWAYS..HOSTS) >= 2,
+        };
+    match random.random_range(0..16) {
+        0 | 1 if may_go_down => Fault::Kill(host),
+        2 if may_go_down => Fault::Stop(host),
+        3 if may_go_down => Fault::Pause(host),
+        0..=3 if !site.is_up(host) => Fault::Start(host),
+        4 | 5 => Fault::Resume(host),
+        6 => Fault::Reload(host),
+        7 => Fault::Store(store_fault(random)),
+        8 => Fault::StoreLink(link_fault(random)),
+        9 => Fault::StoreLinkReset,
+        10 => Fault::StoreHistoryLost,
+        11 => Fault::WorkerKilled(worker),
+        12 => Fault::WorkerReleased { worker, gives_notice: random.random() },
+        13 => Fault::EndlessWorker(endless(random)),
+        _ => Fault::Worker(worker, worker_fault(random)),
+    }
+}
+
+fn endless(random: &mut SmallRng) -> Option<(EndlessPart, Pace)> {
+    let part = *ENDLESS_PARTS.choose(random).expect("it is not empty");
+    let pace = *[Pace::Fast, Pace::Dripped].choose(random).expect("it is not empty");
+    random.random_bool(0.5).then_some((part, pace))
+}
+
+fn store_fault(random: &mut SmallRng) -> StoreFault {
+    let faults = [
+        StoreFault::None,
+        StoreFault::None,
+        StoreFault::Busy,
+        StoreFault::ClosesConnections,
+        StoreFault::DropsResponses,
+    ];
+    *faults.choose(random).expect("it is not empty")
+}
+
+fn link_fault(random: &mut SmallRng) -> LinkFault {
+    let faults = [
+        LinkFault::None,
+        LinkFault::None,
+        LinkFault::Delayed(Duration::from_millis(50)),
+        LinkFault::Silent,
+        LinkFault::RequestsOnly,
+        LinkFault::Refused,
+    ];
+    *faults.choose(random).expect("it is not empty")
+}
+
+fn worker_fault(random: &mut SmallRng) -> WorkerFault {
+    let event = random.random_range(0..6);
+    let faults = [
+        HEALTHY,
+        HEALTHY,
+        HEALTHY,
+        WorkerFault::RefusesAll,
+        WorkerFault::RefusesNext(3),
+        WorkerFault::DropsResponses,
+        WorkerFault::WrongRequestId,
+        WorkerFault::OmitsStamp,
+        WorkerFault::CutsOnceAfter(event),
+        WorkerFault::CutsOnceAndReplays(event),
+        WorkerFault::InternalError,
+        WorkerFault::Slow(Duration::from_millis(300)),
+        WorkerFault::Slow(CONTACT),
+    ];
+    *faults.choose(random).expect("it is not empty")
+}
+
+async fn apply(site: &Rc<Site>, fault: Fault) {
+    match fault {
+        Fault::Kill(host) => site.kill(host),
+        Fault::Start(host) => site.start_host(host),
+        Fault::Stop(host) => site.stop_host(host).await,
+        Fault::Pause(host) => site.signal(host, "STOP"),
+        Fault::Resume(host) => site.signal(host, "CONT"),
+        Fault::Reload(host) => site.signal(host, "HUP"),
+        Fault::Store(fault) => site.store.set_fault(fault),
+        Fault::StoreHistoryLost => site.store.compact(),
+        Fault::StoreLink(fault) => site.store_link.set_fault(fault),
+        Fault::StoreLinkReset => site.store_link.reset(),
+        Fault::WorkerKilled(worker) => site.pool.kill(worker),
+        Fault::WorkerReleased { worker, gives_notice } => site.pool.release(worker, gives_notice),
+        Fault::EndlessWorker(trouble) => site.set_endless(trouble),
+        Fault::Worker(worker, fault) => site.pool.set_fault(worker, fault),
+    }
+}
--- a/crates/standin/src/fleet/endless.rs
+++ b/crates/standin/src/fleet/endless.rs
@@ -198,7 +198,8 @@
         name.eq_ignore_ascii_case("trefoilring-request-id").then(|| value.trim())
     });
     format!(
-        "HTTP/1.1 200 OK\r\nTrefoilring-Request-Id: {}\r\nTrefoilring-Server-Stamp: stamp\r\n",
+        "HTTP/1.1 200 OK\r\nTrefoilring-Request-Id: {}\r\n\
+         Trefoilring-Server-Stamp: stamp-endless\r\n",
         id.unwrap_or_default()
     )
 }
@@ -225,7 +226,10 @@
             EndlessPart::Events => return self.write_events(stream, &chunked, pace).await,
             EndlessPart::Comment => (format!("{head}\r\n:"), "comment"),
             EndlessPart::Trailers => (format!("{chunked}4\r\nbody\r\n0\r\n"), "X-Name: value\r\n"),
-            EndlessPart::AfterEnd => (format!("{head}Content-Length: 4\r\n\r\nbody"), "body"),
+            EndlessPart::AfterEnd => {
+                let body = "served by endless";
+                (format!("{head}Content-Length: {}\r\n\r\n{body}", body.len()), "body")
+            }
         };
         stream.write_all(start.as_bytes()).await?;
         match pace {
--- a/crates/standin/src/fleet/mod.rs
+++ b/crates/standin/src/fleet/mod.rs
@@ -6,16 +6,19 @@
 //! calls directly. The stand-ins implement only as much of the published protocol as end-to-end
 //! tests over loopback need, and every fault that those tests inject.
 
+pub mod client;
 mod endless;
 mod pool;
+mod proxy;
 mod store;
 mod worker;
 
 pub use {
     endless::{ENDLESS_PARTS, EndlessPart, EndlessStandin, Pace},
-    pool::{PoolOptions, WorkerPool},
+    pool::{DRAIN_TIME, PoolOptions, WorkerPool},
+    proxy::{LinkFault, LinkProxy},
     store::{StoreFault, StoreStandin},
-    worker::{RecordedRequest, SERVICE, WorkerFault, WorkerStandin},
+    worker::{RecordedRequest, SERVICE, WorkerFault, WorkerStandin, entry},
 };
 
 use {
--- a/crates/standin/src/fleet/pool.rs
+++ b/crates/standin/src/fleet/pool.rs
@@ -19,6 +19,9 @@
     },
 };
 
+/// Time for which a worker serves after it has left the list, or announced that it leaves.
+pub const DRAIN_TIME: Duration = Duration::from_millis(2500);
+
 /// Behaviour of the workers of a [`WorkerPool`].
 #[derive(Clone, Copy, Debug)]
 pub struct PoolOptions {
@@ -34,10 +37,19 @@
 /// Workers that register in a store, and restart when they crash or are killed.
 pub struct WorkerPool {
     pool: Arc<Pool>,
-    kill_senders: Vec<Sender<()>>,
+    end_senders: Vec<Sender<End>>,
     _supervisors: Vec<Task<()>>,
 }
 
+/// How a worker ends.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum End {
+    /// It is killed.
+    Kill,
+    /// It leaves as planned. Without notice its entry is removed instead of marked.
+    Release { gives_notice: bool },
+}
+
 struct Pool {
     store: StoreStandin,
     options: PoolOptions,
@@ -51,6 +63,10 @@
     logs: Vec<RunLog>,
     crashed_at: Vec<Instant>,
     running: usize,
+    /// Faults of the workers by their place in the pool.
+    faults: Vec<WorkerFault>,
+    /// The last worker that was started in each place.
+    last_started: Vec<Option<RunLog>>,
 }
 
 impl WorkerPool {
@@ -63,20 +79,41 @@
         let store = store.open_address().await?;
         let (next_id, state) = (AtomicU64::new(1), Mutex::default());
         let pool = Arc::new(Pool { store, options, next_id, state });
-        let (mut kill_senders, mut supervisors) = (Vec::new(), Vec::new());
-        for _ in 0..options.size {
-            let (kill_sender, kills) = smol::channel::bounded(1);
-            let first = pool.start_worker().await?;
-            supervisors.push(smol::spawn(pool.clone().supervise(first, kills)));
-            kill_senders.push(kill_sender);
+        let (mut end_senders, mut supervisors) = (Vec::new(), Vec::new());
+        pool.lock().faults = vec![options.fault; options.size];
+        pool.lock().last_started.resize_with(options.size, || None);
+        for index in 0..options.size {
+            let (end_sender, ends) = smol::channel::bounded(1);
+            let first = pool.start_worker(index).await?;
+            supervisors.push(smol::spawn(pool.clone().supervise(index, first, ends)));
+            end_senders.push(end_sender);
         }
-        Ok(Self { pool, kill_senders, _supervisors: supervisors })
+        Ok(Self { pool, end_senders, _supervisors: supervisors })
     }
 
     /// Kills one of the workers, if it runs. It restarts like a crashed one.
     pub fn kill(&self, index: usize) {
-        // Fails if a kill of this worker is pending.
-        let _ = self.kill_senders[index].try_send(());
+        self.end(index, End::Kill);
+    }
+
+    /// Lets a worker leave as planned, if it runs: it marks its entry as draining, or removes it
+    /// without notice, serves for [`DRAIN_TIME`] and ends. Then it is replaced.
+    pub fn release(&self, index: usize, gives_notice: bool) {
+        self.end(index, End::Release { gives_notice });
+    }
+
+    fn end(&self, index: usize, end: End) {
+        // Fails if an end of this worker is pending.
+        let _ = self.end_senders[index].try_send(end);
+    }
+
+    /// Sets the fault of a worker and its successors.
+    pub fn set_fault(&self, index: usize, fault: WorkerFault) {
+        let mut state = self.pool.lock();
+        state.faults[index] = fault;
+        if let Some(worker) = &state.last_started[index] {
+            worker.set_fault(fault);
+        }
     }
 
     /// Returns the requests that any worker has started to run, oldest first.
@@ -102,38 +139,57 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    async fn start_worker(&self) -> io::Result<(String, WorkerStandin)> {
+    async fn start_worker(&self, index: usize) -> io::Result<(String, WorkerStandin)> {
         let id = format!("w-{}", self.next_id.fetch_add(1, Ordering::Relaxed));
         let worker = WorkerStandin::start(&id).await?;
-        worker.set_fault(self.options.fault);
+        worker.set_fault(self.lock().faults[index]);
         self.store.put("servers", &id, worker.entry());
         let mut state = self.lock();
         state.logs.push(worker.run_log());
+        state.last_started[index] = Some(worker.run_log());
         state.running += 1;
         Ok((id, worker))
     }
 
-    fn record_crash(&self) {
+    fn record_end(&self, end: End) {
         let mut state = self.lock();
-        state.crashed_at.push(Instant::now());
+        if end == End::Kill {
+            state.crashed_at.push(Instant::now());
+        }
         state.running -= 1;
     }
 
-    async fn supervise(self: Arc<Self>, first: (String, WorkerStandin), kills: Receiver<()>) {
+    async fn supervise(
+        self: Arc<Self>,
+        index: usize,
+        first: (String, WorkerStandin),
+        ends: Receiver<End>,
+    ) {
         let (mut id, mut worker) = first;
         loop {
-            let killed = async {
+            let crashed = async {
+                worker.crashed().await;
+                End::Kill
+            };
+            let ended = async {
                 // The sender lives as long as the pool.
-                let _ = kills.recv().await;
+                ends.recv().await.unwrap_or(End::Kill)
             };
-            smol::future::or(worker.crashed(), killed).await;
+            let end = smol::future::or(crashed, ended).await;
+            if let End::Release { gives_notice } = end {
+                match gives_notice {
+                    true => self.store.put("servers", &id, worker.draining_entry()),
+                    false => self.store.remove("servers", &id),
+                }
+                Timer::after(DRAIN_TIME).await;
+            }
             drop(worker);
-            self.record_crash();
+            self.record_end(end);
             Timer::after(self.options.restart_delay).await;
             // The worker was down, so there was nothing to kill.
-            let _ = kills.try_recv();
+            let _ = ends.try_recv();
             self.store.remove("servers", &id);
-            match self.start_worker().await {
+            match self.start_worker(index).await {
                 Ok(started) => (id, worker) = started,
                 Err(error) => {
                     log::error!("failed to restart worker {id}: {error}");
--- a/crates/standin/src/fleet/worker.rs
+++ b/crates/standin/src/fleet/worker.rs
@@ -133,8 +133,12 @@
 
     /// Returns the entry under which the worker registers in the store.
     pub fn entry(&self) -> Value {
-        json!({"service": SERVICE, "addr": self.address, "zone": "a", "version": "v1",
-               "slots": 4, "state": "ready", "cold_left_ms": 0, "seq": 1})
+        entry(self.address, "ready")
+    }
+
+    /// Returns the entry of the worker once it is about to stop.
+    pub fn draining_entry(&self) -> Value {
+        entry(self.address, "draining")
     }
 
     /// Waits until a request crashes the worker ([`WorkerFault::CrashesOn`]). The owner must then
@@ -181,6 +185,12 @@
     }
 }
 
+/// Returns the entry of a worker of [`SERVICE`] in the store.
+pub fn entry(address: SocketAddr, state: &str) -> Value {
+    json!({"service": SERVICE, "addr": address, "zone": "a", "version": "v1", "slots": 4,
+           "state": state, "cold_left_ms": 0, "seq": 1})
+}
+
 /// The requests that a worker has started to run.
 pub(super) struct RunLog(Arc<Worker>);
 
@@ -188,6 +198,10 @@
     pub(super) fn runs(&self) -> Vec<RecordedRequest> {
         self.0.lock().runs.clone()
     }
+
+    pub(super) fn set_fault(&self, fault: WorkerFault) {
+        self.0.lock().fault = fault;
+    }
 }
 
 fn event(id: u64) -> String {
