--- a/crates/cli/tests/soak/site.rs
+++ b/crates/cli/tests/soak/site.rs
@@ -2,6 +2,7 @@
 
 use {
     super::TIMEOUT,
+    rand::RngExt,
     smol::Timer,
     std::{
         cell::RefCell,
@@ -33,6 +34,8 @@
 pub const HEALTHY: WorkerFault = WorkerFault::CrashesOn(CRASHING, WORK);
 /// Time within which a host must stop after SIGTERM.
 const STOP_GRACE: Duration = Duration::from_secs(8);
+/// Ports of the hosts, below the kernel's range for outgoing connections.
+const HOST_PORTS: std::ops::Range<u16> = 12_000..32_000;
 /// Key of the only team.
 pub const KEY: &str = "key-of-the-soak";
 
@@ -302,9 +305,16 @@
     }
 }
 
-/// Returns ports that are free now. A host keeps its ports over its restarts.
+/// Returns ports that are free now, outside the range from which the kernel assigns ports: a host
+/// keeps its ports over its restarts, and nothing may take them meanwhile.
 fn free_ports(count: usize) -> Vec<u16> {
-    let bind = || std::net::TcpListener::bind("127.0.0.1:0").expect("a free port");
-    let listeners: Vec<_> = (0..count).map(|_| bind()).collect();
-    listeners.iter().map(|listener| listener.local_addr().expect("it is bound").port()).collect()
+    let mut random = rand::rng();
+    let mut ports = Vec::new();
+    while ports.len() < count {
+        let port = random.random_range(HOST_PORTS);
+        if !ports.contains(&port) && std::net::TcpListener::bind(("127.0.0.1", port)).is_ok() {
+            ports.push(port);
+        }
+    }
+    ports
 }
