Count a blamed attempt as failed, and let lone hosts ask less often

Two slips of the crash log, found by reading: an attempt after which its content was blamed ended as done, which cleared the failures of the upstream that had just crashed; and a host that knows no other, like a ledger host before its first takeover, looked for one 50 times a second without end. Its pause now doubles to ten seconds.

--- a/crates/gateway/src/call/attempts.rs
+++ b/crates/gateway/src/call/attempts.rs
@@ -152,7 +152,10 @@
         attempt: Attempt,
     ) -> Result<Option<Attempt>, Refusal> {
         attempt.on_broken(call).await;
-        crashes::check(&attempt.gateway, call, Verdict::MayHaveRun)?;
+        if let Err(refusal) = crashes::check(&attempt.gateway, call, Verdict::MayHaveRun) {
+            attempt.end(Outcome::Failed);
+            return Err(refusal);
+        }
         match self.broken_attempts.on_break() {
             RetryDecision::SameUpstream => {
                 attempt.record_broken();
--- a/crates/gateway/src/crashes/reports.rs
+++ b/crates/gateway/src/crashes/reports.rs
@@ -45,8 +45,8 @@
 const CONCURRENT_ANNOUNCEMENTS: usize = 16;
 /// Mean interval at which a host asks another one for its blamed contents.
 const SYNC_INTERVAL: Duration = Duration::from_secs(10);
-/// Pause before a host that has just started asks again.
-const FIRST_SYNC_RETRY: Duration = Duration::from_millis(20);
+/// First pause of a host that knows no other host yet. Doubles up to [`SYNC_INTERVAL`].
+const FIRST_SYNC_PAUSE: Duration = Duration::from_millis(20);
 /// Time after its start at which a host is ready even if no other host has replied.
 const FIRST_SYNC_MAX: Duration = Duration::from_secs(1);
 /// Timeout of a request for the blamed contents.
@@ -327,8 +327,10 @@
 /// Asks other hosts for their blamed contents, all kinds of hosts at the start and a random one
 /// from then on.
 async fn sync(gateway: Rc<Gateway>) {
+    let mut pause = FIRST_SYNC_PAUSE;
     while !sync_at_start(&gateway).await {
-        Timer::after(FIRST_SYNC_RETRY).await;
+        Timer::after(pause).await;
+        pause = (pause * 2).min(SYNC_INTERVAL);
     }
     gateway.has_synced_blame.set(true);
     loop {
