--- a/crates/cli/tests/soak/site.rs
+++ b/crates/cli/tests/soak/site.rs
@@ -36,6 +36,8 @@
 const STOP_GRACE: Duration = Duration::from_secs(8);
 /// Ports of the hosts, below the kernel's range for outgoing connections.
 const HOST_PORTS: std::ops::Range<u16> = 12_000..32_000;
+/// Ports of a host: for callers, readiness, other hosts and metrics.
+const PORTS_PER_HOST: usize = 4;
 /// Key of the only team.
 pub const KEY: &str = "key-of-the-soak";
 
@@ -81,10 +83,13 @@
             restart_delay: Duration::from_millis(500),
         };
         let pool = WorkerPool::start(&store, options).await.expect("ports");
-        let hosts = (0..HOSTS)
-            .map(|number| Host {
+        let ports = free_ports(HOSTS * PORTS_PER_HOST);
+        let hosts = ports
+            .chunks(PORTS_PER_HOST)
+            .enumerate()
+            .map(|(number, ports)| Host {
                 name: format!("host-{number}"),
-                ports: free_ports(4),
+                ports: ports.to_vec(),
                 process: None,
             })
             .collect();
