--- a/crates/cli/tests/soak/site.rs
+++ b/crates/cli/tests/soak/site.rs
@@ -32,6 +32,8 @@
 /// Time that healthy workers take for a request.
 pub const WORK: Duration = Duration::from_millis(10);
 pub const HEALTHY: WorkerFault = WorkerFault::CrashesOn(CRASHING, WORK);
+/// Time after which a host that was down or paused no longer counts as lost.
+const CATCH_UP: Duration = Duration::from_secs(4);
 /// Time within which a host must stop after SIGTERM.
 const STOP_GRACE: Duration = Duration::from_secs(8);
 /// Ports of the hosts, below the kernel's range for outgoing connections.
@@ -57,6 +59,9 @@
     ports: Vec<u16>,
     /// `None` while the host is down.
     process: Option<Child>,
+    is_paused: bool,
+    /// When the host was last started or resumed.
+    back_at: Instant,
 }
 
 impl Drop for Host {
@@ -91,6 +96,8 @@
                 name: format!("host-{number}"),
                 ports: ports.to_vec(),
                 process: None,
+                is_paused: false,
+                back_at: Instant::now(),
             })
             .collect();
         let endless = EndlessStandin::start(None).await.expect("a port");
@@ -145,6 +152,8 @@
             }
         });
         host_state.process = Some(process);
+        host_state.is_paused = false;
+        host_state.back_at = Instant::now();
     }
 
     fn write_settings(&self, number: usize, host: &Host, is_first_start: bool) -> PathBuf {
@@ -189,6 +198,26 @@
         }
     }
 
+    /// Pauses a host, if it runs.
+    pub fn pause(&self, host: usize) {
+        self.signal(host, "STOP");
+        self.hosts.borrow_mut()[host].is_paused = true;
+    }
+
+    /// Resumes a host, if it is paused.
+    pub fn resume(&self, host: usize) {
+        if std::mem::take(&mut self.hosts.borrow_mut()[host].is_paused) {
+            self.signal(host, "CONT");
+            self.hosts.borrow_mut()[host].back_at = Instant::now();
+        }
+    }
+
+    /// Returns whether a host is down or paused, or has been so a moment ago.
+    pub fn is_lost(&self, host: usize) -> bool {
+        let host = &self.hosts.borrow()[host];
+        host.process.is_none() || host.is_paused || host.back_at.elapsed() < CATCH_UP
+    }
+
     /// Kills a host, if it runs.
     pub fn kill(&self, host: usize) {
         if let Some(mut process) = self.hosts.borrow_mut()[host].process.take() {
@@ -201,7 +230,7 @@
     pub async fn stop_host(&self, host: usize) {
         self.signal(host, "TERM");
         // A paused host stops once it goes on.
-        self.signal(host, "CONT");
+        self.resume(host);
         let Some(mut process) = self.hosts.borrow_mut()[host].process.take() else { return };
         let deadline = Instant::now() + TIMEOUT;
         loop {
@@ -243,7 +272,7 @@
         (0..WORKERS).for_each(|worker| self.pool.set_fault(worker, HEALTHY));
         self.set_endless(None);
         for host in 0..HOSTS {
-            self.signal(host, "CONT");
+            self.resume(host);
             if !self.is_up(host) {
                 self.start_host(host);
             }
