Keep announcing blame after one that was cleared meanwhile

Found by reading: if the only blamed content was cleared between its blame and the sending, the sending ended with its flag still set, so that this host announced nothing more until its restart; others would have learned by their questions every ten seconds alone. The flag now says whether there is something to send; the new test fails with the former condition.

--- a/crates/gateway/src/crashes/reports.rs
+++ b/crates/gateway/src/crashes/reports.rs
@@ -101,6 +101,26 @@
     is_sending: bool,
 }
 
+impl Announcements {
+    /// Takes the changes as messages. Ends the sending if there are none. `rest_of` returns for how
+    /// long a content is still blamed.
+    fn take(&mut self, rest_of: impl Fn(ContentHash) -> Option<Duration>) -> Vec<PeerRequest> {
+        let blamed = std::mem::take(&mut self.blamed).into_iter();
+        let contents: Vec<(ContentHash, Duration)> =
+            blamed.filter_map(|content| Some((content, rest_of(content)?))).collect();
+        let cleared = std::mem::take(&mut self.cleared);
+        let mut requests = Vec::new();
+        if !contents.is_empty() {
+            requests.push(PeerRequest::BlameContents { contents });
+        }
+        if !cleared.is_empty() {
+            requests.push(PeerRequest::ClearContents { contents: cleared });
+        }
+        self.is_sending = !requests.is_empty();
+        requests
+    }
+}
+
 /// Starts to exchange blamed contents with other hosts.
 pub(crate) fn start(gateway: &Rc<Gateway>) {
     gateway.spawn(sync(gateway.clone()));
@@ -275,7 +295,11 @@
 
 async fn send_announcements(gateway: Rc<Gateway>) {
     loop {
-        let requests = take_announcements(&gateway);
+        let requests = {
+            let watch = &mut *gateway.crash_watch.borrow_mut();
+            let (now, log) = (Instant::now(), &watch.log);
+            watch.announcements.take(|content| log.blamed_for(now, content))
+        };
         if requests.is_empty() {
             return;
         }
@@ -302,28 +326,6 @@
     }
 }
 
-/// Takes the changes that are to be announced, as messages. Ends the sending if there are none.
-fn take_announcements(gateway: &Gateway) -> Vec<PeerRequest> {
-    let watch = &mut *gateway.crash_watch.borrow_mut();
-    let announcements = &mut watch.announcements;
-    let blamed = std::mem::take(&mut announcements.blamed);
-    let cleared = std::mem::take(&mut announcements.cleared);
-    announcements.is_sending = !blamed.is_empty() || !cleared.is_empty();
-    let now = Instant::now();
-    let contents: Vec<(ContentHash, Duration)> = blamed
-        .into_iter()
-        .filter_map(|content| Some((content, watch.log.blamed_for(now, content)?)))
-        .collect();
-    let mut requests = Vec::new();
-    if !contents.is_empty() {
-        requests.push(PeerRequest::BlameContents { contents });
-    }
-    if !cleared.is_empty() {
-        requests.push(PeerRequest::ClearContents { contents: cleared });
-    }
-    requests
-}
-
 /// Asks other hosts for their blamed contents, all kinds of hosts at the start and a random one
 /// from then on.
 async fn sync(gateway: Rc<Gateway>) {
@@ -397,3 +399,6 @@
     let ranked = rank(service, &candidates);
     ranked.into_iter().take(COLLECTORS).map(|collector| collector.address).collect()
 }
+
+#[cfg(test)]
+mod tests;
