Keep the connection of a listener check within the host's share

The check whether an upstream has ended put its connection into the pool under the pool's own limit of 16, past the share of the connections that the upstream accepts. Found by reading; both now ask Gateway::idle_connections_max.

--- a/crates/gateway/src/crashes/mod.rs
+++ b/crates/gateway/src/crashes/mod.rs
@@ -197,7 +197,7 @@
         if !delay.is_zero() {
             Timer::after(delay).await;
         }
-        if has_ended(&gateway, address, delay.is_zero()).await {
+        if has_ended(&gateway, &service, address, delay.is_zero()).await {
             let attempts = match gateway.crash_watch.borrow_mut().checks.get_mut(&key) {
                 Some(check) => {
                     check.has_crashed.set(true);
@@ -218,12 +218,19 @@
 
 /// Returns whether no process listens at an address. An open connection shows that one does, except
 /// in the first check, when the connection's end may not have been seen.
-async fn has_ended(gateway: &Gateway, address: SocketAddr, is_first_check: bool) -> bool {
+async fn has_ended(
+    gateway: &Gateway,
+    service: &str,
+    address: SocketAddr,
+    is_first_check: bool,
+) -> bool {
     if !is_first_check && gateway.connections.has_idle(address) {
         return false;
     }
     let deadline = Instant::now() + CHECK_TIMEOUT;
-    gateway.connections.probe_listener(address, deadline).await == ListenerState::Absent
+    let idle_max = gateway.idle_connections_max(service);
+    let listener = gateway.connections.probe_listener(address, deadline, idle_max).await;
+    listener == ListenerState::Absent
 }
 
 fn notify_first_result(gateway: &Gateway, key: UpstreamKey) {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -348,16 +348,21 @@
         self.executor.spawn(task).detach();
     }
 
-    /// Returns a connection to an upstream to the pool. All hosts together keep at most half of the
-    /// connections that the upstream accepts, so that new ones are possible from any host.
+    /// Returns a connection to an upstream to the pool, unless this host keeps its share already.
     pub(crate) fn release_connection(&self, service: &str, connection: ActiveConnection) {
+        self.connections.release_up_to(connection, self.idle_connections_max(service));
+    }
+
+    /// Returns how many idle connections to an upstream of the service this host may keep. All hosts
+    /// together keep at most half of those that the upstream accepts, so that new ones are possible
+    /// from any host.
+    pub(crate) fn idle_connections_max(&self, service: &str) -> usize {
         let table = self.routing_table.borrow();
         let rules = table.as_ref().and_then(|table| table.services.get(service));
         let hosts = self.roster.borrow().lenders().count() + 1;
-        let idle_max = rules.and_then(|rules| rules.connections_max).map_or(usize::MAX, |max| {
+        rules.and_then(|rules| rules.connections_max).map_or(usize::MAX, |max| {
             (usize::try_from(max).unwrap_or(usize::MAX) / (2 * hosts)).max(1)
-        });
-        self.connections.release_up_to(connection, idle_max);
+        })
     }
 
     /// Returns whether the platform should send new connections to this host.
--- a/crates/gateway/src/http.rs
+++ b/crates/gateway/src/http.rs
@@ -209,12 +209,18 @@
     }
 
     /// Checks whether a process accepts connections at an address. A connection that it accepts is
-    /// kept for a later request.
-    pub async fn probe_listener(&self, address: SocketAddr, deadline: Instant) -> ListenerState {
+    /// kept for a later request, if there are not `idle_max` already.
+    pub async fn probe_listener(
+        &self,
+        address: SocketAddr,
+        deadline: Instant,
+        idle_max: usize,
+    ) -> ListenerState {
         match self.connect(address, deadline).await {
             Ok(connection) => {
                 let idle_timeout = IDLE_TIMEOUT_DEFAULT;
-                self.release(ActiveConnection { address, connection, idle_timeout });
+                let connection = ActiveConnection { address, connection, idle_timeout };
+                self.release_up_to(connection, idle_max);
                 ListenerState::Present
             }
             Err(state) => state,
