Reproduce budgets that are exceeded after losses in series

Three tests of the core and one with processes fail on this code: the unreserved turn and the overdraft are granted anew by each owner of a ledger, and a write whose outcome is unknown may lower the record below what was granted meanwhile.

The store's stand-in can now reject writes.

--- a/crates/cli/tests/soak/callers.rs
+++ b/crates/cli/tests/soak/callers.rs
@@ -149,6 +149,27 @@
 
     /// Sends one request and records what comes.
     pub async fn send(&mut self, host: usize, kind: Kind, content: &str) -> Record {
+        let mut program = None;
+        if kind == Kind::Stream {
+            program = Some(format!("{}-{}", self.name, self.turns / TURNS_PER_PROGRAM));
+            self.turns += 1;
+        }
+        self.send_as(host, kind, program, TOKEN_BUDGET, content).await
+    }
+
+    /// Sends one turn of a program and records what comes.
+    pub async fn send_turn(&mut self, host: usize, program: &str, token_budget: u64) -> Record {
+        self.send_as(host, Kind::Stream, Some(program.into()), token_budget, "prompt").await
+    }
+
+    async fn send_as(
+        &mut self,
+        host: usize,
+        kind: Kind,
+        program: Option<String>,
+        token_budget: u64,
+        content: &str,
+    ) -> Record {
         self.sent += 1;
         let request_id = format!("{}-{}", self.name, self.sent);
         let path = match kind {
@@ -156,14 +177,9 @@
             Kind::NonIdempotent => "/do/x",
             Kind::Stream => "/turns/x",
         };
-        let mut program = None;
-        if kind == Kind::Stream {
-            program = Some(format!("{}-{}", self.name, self.turns / TURNS_PER_PROGRAM));
-            self.turns += 1;
-        }
         let turn = program.as_deref().map(|program| TurnHead {
             program,
-            token_budget: TOKEN_BUDGET,
+            token_budget,
             turn_tokens: TURN_TOKENS,
         });
         let request = client::request(path, &request_id, KEY, DEADLINE, turn.as_ref(), content);
--- a/crates/cli/tests/soak/main.rs
+++ b/crates/cli/tests/soak/main.rs
@@ -7,6 +7,7 @@
 
 mod callers;
 mod faults;
+mod losses;
 mod site;
 
 use {
--- a/crates/core/src/budget/tests.rs
+++ b/crates/core/src/budget/tests.rs
@@ -123,6 +123,24 @@
     );
 }
 
+#[test]
+fn budget_holds_when_owners_are_lost_in_series() {
+    let now = Instant::now();
+    let turn = charge("p", 2320);
+    let mut owner = new_ledger(now);
+    let mut granted = 0;
+    for host in ["host-2", "host-3", "host-4", "host-5"] {
+        let record = write(&mut owner, now, 1000);
+        // Each owner is lost before it writes the record again.
+        while is_granted(&mut owner, now, &turn) {
+            granted += 1;
+        }
+        owner = take_over(now, 1000, host, Some(&record));
+    }
+    granted += charge_until_refused(&mut owner, now, 1000, &turn);
+    assert!(granted * TURN <= 2320 + TURN, "{} tokens were granted", granted * TURN);
+}
+
 #[test]
 fn overdraft_is_half_the_budget_and_is_held_back_by_the_successor() {
     let now = Instant::now();
@@ -326,6 +344,58 @@
     );
 }
 
+/// A write whose outcome is unknown reserves fewer tokens than the record before it, and succeeds
+/// after turns were granted from the larger reservation.
+#[test]
+fn budget_holds_when_a_late_write_lowers_the_reservation() {
+    let now = Instant::now();
+    let turn = charge("p", 6 * TURN);
+    let mut owner = new_ledger(now);
+    let mut granted = 0;
+    for _ in 0..2 {
+        assert!(is_granted(&mut owner, now, &turn));
+        granted += 1;
+        write(&mut owner, now, 1000);
+    }
+    // Both turns end without a token, so the next record reserves less than the stored one.
+    owner.refund(now, "p", 2 * TURN);
+    granted -= 2;
+    let late_record = owner.next_record(now, 1000);
+    while is_granted(&mut owner, now, &turn) {
+        granted += 1;
+    }
+    let mut successor = take_over(now, 1000, "host-2", Some(&late_record));
+    granted += charge_until_refused(&mut successor, now, 1000, &turn);
+    assert!(granted * TURN <= 7 * TURN, "{granted} turns were granted");
+}
+
+/// Guards against an overdraft that each owner grants anew because the store was away at the loss
+/// of the one before.
+#[test]
+fn budget_holds_when_owners_are_lost_in_one_outage_after_another() {
+    let (mut now, mut unix_ms) = (Instant::now(), 100_000);
+    let budget = 10 * TURN;
+    let mut owner = new_ledger(now);
+    let mut record = write(&mut owner, now, unix_ms);
+    let mut granted = 0;
+    for host in ["host-2", "host-3", "host-4"] {
+        owner.on_write_failed(now);
+        now += STORE_UNAVAILABLE_AFTER;
+        unix_ms += STORE_UNAVAILABLE_AFTER.as_millis() as u64;
+        let turn = with_acknowledged_note(&mut owner, charge("p", budget));
+        while is_granted(&mut owner, now, &turn) {
+            granted += 1;
+        }
+        let notes = [notes_of(&mut owner, unix_ms)];
+        let inputs =
+            TakeoverInputs { record: Some(&record), notes: &notes, was_never_owned: false };
+        owner = Ledger::take_over(now, unix_ms, (host, 1), inputs, IDLE);
+        record = write(&mut owner, now, unix_ms);
+    }
+    granted += charge_until_refused(&mut owner, now, unix_ms, &charge("p", budget));
+    assert!(granted * TURN <= budget + TURN, "{granted} turns were granted");
+}
+
 #[test]
 fn merge_adds_unrecorded_charges_to_the_other_record() {
     let now = Instant::now();
--- a/crates/standin/src/fleet/store.rs
+++ b/crates/standin/src/fleet/store.rs
@@ -33,6 +33,8 @@
     ClosesConnections,
     /// Writes take effect, and their connections are closed without a response.
     DropsResponses,
+    /// Writes are answered with 429 and have no effect, as beyond the store's rate. Reads succeed.
+    RejectsWrites,
 }
 
 /// An object store on loopback.
@@ -199,15 +201,18 @@
     async fn handle(self: Arc<Self>, request: Request<Bytes>) -> Option<Response<Body>> {
         self.store.lock().calls += 1;
         let fault = *self.fault.lock().unwrap_or_else(PoisonError::into_inner);
+        let is_write = request.method() != Method::GET;
         match fault {
             StoreFault::Busy => {
                 return Some(respond(StatusCode::SERVICE_UNAVAILABLE, &Value::Null));
             }
             StoreFault::ClosesConnections => return None,
-            StoreFault::None | StoreFault::DropsResponses => {}
+            StoreFault::RejectsWrites if is_write => {
+                return Some(respond(StatusCode::TOO_MANY_REQUESTS, &Value::Null));
+            }
+            StoreFault::None | StoreFault::DropsResponses | StoreFault::RejectsWrites => {}
         }
         let (status, body) = self.store.handle(&request).await;
-        let is_write = request.method() != Method::GET;
         if fault == StoreFault::DropsResponses && is_write {
             return None;
         }
