--- a/crates/core/src/budget/account.rs
+++ b/crates/core/src/budget/account.rs
@@ -1,194 +1,389 @@
 //! The budget account of one program.
 
 use {
-    super::{Charge, ChargeOutcome, RETENTION_MARGIN, TokenCount},
-    std::time::{Duration, Instant},
+    super::{Charge, ChargeOutcome, RETENTION_MARGIN, TokenCount, TurnId},
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        time::{Duration, Instant},
+    },
 };
 
-/// Divisor of the remaining budget that gives the reservation. With a third, the budget still has
-/// room for every turn of a program after its ledger is taken over.
-const RESERVATION_DIVISOR: TokenCount = 3;
 /// Default idle time of a program that has not set one.
 const IDLE_MAX_DEFAULT: Duration = Duration::from_secs(60);
+/// Number of turns of a program that a record reserves. With two, a program whose turns follow each
+/// other faster than the record is written rarely waits. A successor counts them as uncertain.
+const RESERVED_TURNS: u64 = 2;
+/// Maximum number of turns of a program that are listed one by one. Above it, the oldest turn counts
+/// as having used all its tokens.
+const OPEN_TURNS_MAX: usize = 64;
+/// Maximum number of settled turns that an account remembers, to ignore late and repeated messages.
+const SETTLED_TURNS_MAX: usize = 64;
+/// Maximum number of records with an unknown outcome that an account tracks one by one.
+const HOLDS_MAX: usize = 8;
+/// Marks a hold that stands for several records, at which turns don't free tokens.
+const MERGED_TURN_NUMBER: u64 = u64::MAX;
 
-#[derive(Debug)]
-pub(super) struct Account {
-    /// Tokens granted and not refunded.
+/// The account of a program in the stored record of a ledger.
+#[derive(Clone, Debug, Default, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
+pub struct RecordedAccount {
+    /// Tokens used by turns that have ended.
+    #[serde(rename = "s", default, skip_serializing_if = "is_zero")]
+    pub settled: TokenCount,
+    /// Turns that have not ended, with their maximum tokens.
+    #[serde(rename = "o", default, skip_serializing_if = "Vec::is_empty")]
+    pub open: Vec<(TurnId, TokenCount)>,
+    /// Maximum of the tokens that former owners may have granted without recording the turns.
+    #[serde(rename = "u", default, skip_serializing_if = "is_zero")]
+    pub uncertain: TokenCount,
+    /// Tokens that the writer may grant without another write.
+    #[serde(rename = "r", default, skip_serializing_if = "is_zero")]
+    pub reserved: TokenCount,
+    /// Number of former owners that may have granted an overdraft.
+    #[serde(rename = "d", default, skip_serializing_if = "is_zero")]
+    pub lost_overdrafts: u64,
+}
+
+fn is_zero(number: &u64) -> bool {
+    *number == 0
+}
+
+/// A stored record, or one that may still be stored, as it concerns one account. A successor that
+/// reads it allows for `reserved` more tokens than it lists.
+#[derive(Clone, Copy, Debug, Default, PartialEq, serde::Deserialize, serde::Serialize)]
+struct Hold {
+    /// Sequence of the record; zero for the record that the owner has taken the ledger over from.
+    sequence: u64,
+    /// Turns with this or a higher number are not in the record.
+    next_turn_number: u64,
+    reserved: TokenCount,
+    /// Tokens charged to turns that are not in the record.
+    unrecorded: TokenCount,
+}
+
+/// A turn that was granted and has not ended.
+#[derive(Clone, Copy, Debug, PartialEq, serde::Deserialize, serde::Serialize)]
+struct OpenTurn {
     charged: TokenCount,
-    /// Tokens recorded for the account, including the reservation. After a crash of this host the
-    /// account restarts from this value.
-    recorded: TokenCount,
-    /// Budget and maximum tokens per turn. `None` until the first charge.
-    limits: Option<Limits>,
-    /// Whether charges made while the store was unavailable may be missing from `charged`.
-    is_possibly_incomplete: bool,
-    /// Tokens needed by a turn that waits for the next write of the record.
-    waiting_turn_tokens: TokenCount,
-    /// Tokens charged in place of charges that may be missing.
-    presumed_charge: TokenCount,
-    last_used_at: Instant,
-    idle_max: Duration,
+    /// Position among the turns that this owner has granted; zero for turns of former owners.
+    number: u64,
 }
 
-/// State of an account as it is replicated to a standby.
+/// The part of an account that the owner replicates to a standby.
+///
+/// Invariant: the tokens that callers get are at most `settled`, the open turns, `uncertain` and the
+/// lost overdrafts together.
 #[derive(Clone, Debug, PartialEq, serde::Deserialize, serde::Serialize)]
 pub struct AccountReplica {
-    charged: TokenCount,
-    recorded: TokenCount,
-    #[serde(rename = "terms")]
-    limits: Option<Limits>,
-    #[serde(rename = "is_doubtful")]
-    is_possibly_incomplete: bool,
-    #[serde(rename = "doubt")]
-    presumed_charge: TokenCount,
+    /// Tokens used by turns that have ended.
+    settled: TokenCount,
+    open: BTreeMap<TurnId, OpenTurn>,
+    /// Sum of the charges in `open`.
+    open_tokens: TokenCount,
+    /// Maximum of the tokens that former owners may have granted without recording the turns.
+    uncertain: TokenCount,
+    /// Number of former owners that may have granted an overdraft.
+    lost_overdrafts: u64,
+    /// Records that a successor may read, in the order of their sequences. Never empty. Every grant
+    /// stays within what each of them reserves.
+    holds: Vec<Hold>,
+    /// Number of the next turn that this owner grants. Starts at 1.
+    next_turn_number: u64,
     idle_max: Duration,
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, serde::Deserialize, serde::Serialize)]
+/// Turns for which a record reserves tokens.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Reserving {
+    Nothing,
+    WaitingTurns,
+    /// The next turns of each program, or those that wait if there are more.
+    NextTurns,
+}
+
+#[derive(Debug)]
+pub(super) struct Account {
+    state: AccountReplica,
+    /// Budget and maximum tokens per turn. `None` until the first charge.
+    limits: Option<Limits>,
+    /// Turns that wait for the next write of the record.
+    waiting_turns: BTreeSet<TurnId>,
+    /// Turns that are refused for good once a record is stored that was built after the one with
+    /// this sequence. That shows that no other owner has settled the open turns.
+    refused_turns: BTreeMap<TurnId, u64>,
+    /// Sequence of the last record that was stored.
+    stored_sequence: u64,
+    /// Turns that ended lately, oldest first.
+    settled_turns: Vec<TurnId>,
+    /// Turns whose end is in no stored record yet, each with the sequence of the last record that
+    /// was built before it ended.
+    unsaved_turns: BTreeMap<TurnId, u64>,
+    last_used_at: Instant,
+}
+
+#[derive(Clone, Copy, Debug)]
 struct Limits {
     budget: TokenCount,
     turn_max: TokenCount,
 }
 
-impl Limits {
-    /// Returns the maximum of unreserved charges while the store is unavailable.
-    fn overdraft_max(self) -> TokenCount {
-        (self.budget / 2).max(self.turn_max)
-    }
+/// Returns the maximum of an overdraft.
+fn overdraft_max(budget: TokenCount) -> TokenCount {
+    budget / 2
 }
 
 impl Account {
-    pub(super) fn new(now: Instant, is_possibly_incomplete: bool) -> Self {
-        let idle_max = IDLE_MAX_DEFAULT;
-        Self::from_record(now, 0, idle_max, is_possibly_incomplete)
+    /// Creates the account of a program without turns. `lost_overdrafts` former owners may have
+    /// granted it an overdraft.
+    pub(super) fn new(now: Instant, lost_overdrafts: u64) -> Self {
+        Self::from_replica(
+            now,
+            AccountReplica {
+                settled: 0,
+                open: BTreeMap::new(),
+                open_tokens: 0,
+                uncertain: 0,
+                lost_overdrafts,
+                holds: vec![Hold::default()],
+                next_turn_number: 1,
+                idle_max: IDLE_MAX_DEFAULT,
+            },
+        )
     }
 
+    /// Creates the account of a successor. `lost_overdrafts` is the number of overdrafts that the
+    /// record's writer may have granted.
     pub(super) fn from_record(
         now: Instant,
-        recorded: TokenCount,
+        recorded: &RecordedAccount,
         idle_max: Duration,
-        is_possibly_incomplete: bool,
+        lost_overdrafts: u64,
     ) -> Self {
-        Self {
-            charged: recorded,
-            recorded,
-            limits: None,
-            is_possibly_incomplete,
-            waiting_turn_tokens: 0,
-            presumed_charge: 0,
-            last_used_at: now,
-            idle_max,
-        }
+        let open =
+            recorded.open.iter().map(|&(turn, charged)| (turn, OpenTurn { charged, number: 0 }));
+        Self::from_replica(
+            now,
+            AccountReplica {
+                settled: recorded.settled,
+                open: open.collect(),
+                open_tokens: recorded.open.iter().map(|(_, charged)| charged).sum(),
+                uncertain: recorded.uncertain.saturating_add(recorded.reserved),
+                lost_overdrafts: recorded.lost_overdrafts + lost_overdrafts,
+                holds: vec![Hold::default()],
+                next_turn_number: 1,
+                idle_max,
+            },
+        )
     }
 
-    pub(super) fn from_replica(now: Instant, replica: &AccountReplica) -> Self {
+    pub(super) fn from_replica(now: Instant, state: AccountReplica) -> Self {
         Self {
-            charged: replica.charged,
-            limits: replica.limits,
-            presumed_charge: replica.presumed_charge,
-            ..Self::from_record(
-                now,
-                replica.recorded,
-                replica.idle_max,
-                replica.is_possibly_incomplete,
-            )
+            state,
+            limits: None,
+            waiting_turns: BTreeSet::new(),
+            refused_turns: BTreeMap::new(),
+            stored_sequence: 0,
+            settled_turns: Vec::new(),
+            unsaved_turns: BTreeMap::new(),
+            last_used_at: now,
         }
     }
 
     pub(super) fn to_replica(&self) -> AccountReplica {
-        AccountReplica {
-            charged: self.charged,
-            recorded: self.recorded,
-            limits: self.limits,
-            is_possibly_incomplete: self.is_possibly_incomplete,
-            presumed_charge: self.presumed_charge,
-            idle_max: self.idle_max,
-        }
+        self.state.clone()
     }
 
-    /// Charges a turn. `is_overdraft_allowed` raises the limit of unreserved charges to that of an
-    /// overdraft.
+    /// Charges a turn. `is_overdraft_allowed` allows grants beyond what the records reserve.
+    /// `sequence` is that of the last record that was built.
     pub(super) fn charge(
         &mut self,
         now: Instant,
         charge: &Charge,
         is_overdraft_allowed: bool,
+        sequence: u64,
     ) -> ChargeOutcome {
-        let limits = Limits { budget: charge.budget, turn_max: charge.turn_max };
-        self.limits = Some(limits);
+        let Charge { turn, budget, turn_max, .. } = *charge;
+        self.limits = Some(Limits { budget, turn_max });
         self.last_used_at = now;
-        self.idle_max = charge.idle_max;
-        if std::mem::take(&mut self.is_possibly_incomplete) {
-            // The budget may be exceeded by one turn anyway, so the presumed charge is one turn
-            // less than the maximum overdraft. The presumed charge needs no write of its own: a
-            // host that takes the ledger over also treats the account as possibly incomplete.
-            let presumed_charge = limits.overdraft_max() - limits.turn_max;
-            self.charged = self.charged.saturating_add(presumed_charge);
-            self.recorded = self.recorded.saturating_add(presumed_charge);
-            self.presumed_charge = presumed_charge;
+        self.state.idle_max = charge.idle_max;
+        if let Some(open) = self.state.open.get(&turn) {
+            return ChargeOutcome::Granted { is_new: self.charged() == open.charged };
         }
-        let charged_after = self.charged.saturating_add(limits.turn_max);
-        if charged_after > limits.budget {
-            return ChargeOutcome::InsufficientBudget;
+        let is_new = self.charged() == 0;
+        if self.settled_turns.contains(&turn) {
+            return ChargeOutcome::Cancelled;
         }
-        let unreserved_max = match charge.is_first_ranked {
-            _ if is_overdraft_allowed => limits.overdraft_max(),
-            true => limits.turn_max,
-            false => 0,
-        };
-        if charged_after.saturating_sub(self.recorded) > unreserved_max {
-            self.waiting_turn_tokens = limits.turn_max;
+        let charged_after = self.charged().saturating_add(turn_max);
+        if charged_after > budget {
+            if self.state.settled.saturating_add(turn_max) > budget {
+                return ChargeOutcome::InsufficientBudget;
+            }
+            let refused_after = *self.refused_turns.entry(turn).or_insert(sequence);
+            return match refused_after < self.stored_sequence {
+                true => ChargeOutcome::InsufficientBudget,
+                false => ChargeOutcome::WriteRequired,
+            };
+        }
+        // A program may exceed its budget by one turn, so as many of the uncertain tokens don't
+        // count.
+        let lost = self.state.lost_overdrafts.saturating_mul(overdraft_max(budget));
+        let uncertain = self.state.uncertain.saturating_add(lost).saturating_sub(turn_max);
+        if charged_after.saturating_add(uncertain) > budget {
+            return ChargeOutcome::PossiblySpent;
+        }
+        let overdraft = if is_overdraft_allowed { overdraft_max(budget) } else { 0 };
+        if turn_max > self.available(overdraft) {
+            self.waiting_turns.insert(turn);
             return ChargeOutcome::WriteRequired;
         }
-        self.waiting_turn_tokens = 0;
-        let is_new = self.charged == self.presumed_charge;
-        self.charged = charged_after;
+        self.waiting_turns.remove(&turn);
+        self.grant(turn, turn_max);
         ChargeOutcome::Granted { is_new }
     }
 
-    pub(super) fn refund(&mut self, now: Instant, tokens: TokenCount) {
-        self.charged = self.charged.saturating_sub(tokens);
+    fn grant(&mut self, turn: TurnId, charged: TokenCount) {
+        let state = &mut self.state;
+        if state.open.len() >= OPEN_TURNS_MAX
+            && let Some((&oldest, _)) = state.open.iter().min_by_key(|(_, open)| open.number)
+            && let Some(open) = state.open.remove(&oldest)
+        {
+            state.open_tokens -= open.charged;
+            state.settled = state.settled.saturating_add(open.charged);
+        }
+        let number = state.next_turn_number;
+        state.next_turn_number += 1;
+        state.open.insert(turn, OpenTurn { charged, number });
+        state.open_tokens = state.open_tokens.saturating_add(charged);
+        for hold in &mut state.holds {
+            hold.unrecorded = hold.unrecorded.saturating_add(charged);
+        }
+    }
+
+    /// Ends a turn and frees the tokens that it did not use. Does nothing if the turn has ended
+    /// before. A turn that is not known, and may still be charged late, is cancelled. `sequence` is
+    /// that of the last record that was built.
+    pub(super) fn settle(&mut self, now: Instant, turn: TurnId, used: TokenCount, sequence: u64) {
         self.last_used_at = now;
+        self.waiting_turns.remove(&turn);
+        if self.settled_turns.contains(&turn) {
+            return;
+        }
+        if self.settled_turns.len() >= SETTLED_TURNS_MAX {
+            self.settled_turns.remove(0);
+        }
+        self.settled_turns.push(turn);
+        let state = &mut self.state;
+        let Some(open) = state.open.remove(&turn) else { return };
+        let used = used.min(open.charged);
+        state.open_tokens -= open.charged;
+        state.settled = state.settled.saturating_add(used);
+        // A successor that reads a record with this turn frees the tokens itself.
+        for hold in state.holds.iter_mut().filter(|hold| hold.next_turn_number <= open.number) {
+            hold.unrecorded = hold.unrecorded.saturating_sub(open.charged - used);
+        }
+        self.unsaved_turns.insert(turn, sequence);
     }
 
-    /// Returns whether the record should be written before the next turn.
-    pub(super) fn needs_write(&self) -> bool {
-        let Some(limits) = self.limits else { return false };
-        let next_turn_tokens = if self.reservation() > 0 { limits.turn_max } else { 0 };
-        self.recorded < self.charged.saturating_add(self.waiting_turn_tokens.max(next_turn_tokens))
+    /// Returns whether the end of a turn is in the stored record, or the turn is not known.
+    pub(super) fn is_settlement_stored(&self, turn: TurnId) -> bool {
+        !self.unsaved_turns.contains_key(&turn)
     }
 
-    /// Returns the tokens to record: the charges and the reservation for the next ones.
-    pub(super) fn tokens_to_record(&self) -> TokenCount {
-        self.charged.saturating_add(self.reservation().max(self.waiting_turn_tokens))
+    #[cfg(test)]
+    pub(super) fn is_settled(&self, turn: TurnId) -> bool {
+        self.settled_turns.contains(&turn)
     }
 
-    /// Returns the tokens that the record reserves beyond the charges. Returns 0 if the reservation
-    /// would be less than one turn. A takeover counts the reservation as used, which would cost a
-    /// short program one of its turns.
-    fn reservation(&self) -> TokenCount {
-        let Some(Limits { budget, turn_max }) = self.limits else { return 0 };
-        let reservation = budget.saturating_sub(self.charged) / RESERVATION_DIVISOR;
-        if reservation < turn_max { 0 } else { reservation }
+    /// Returns the tokens that have certainly been granted and not been freed.
+    fn charged(&self) -> TokenCount {
+        self.state.settled.saturating_add(self.state.open_tokens)
     }
 
-    pub(super) fn on_written(&mut self, recorded: TokenCount) {
-        self.recorded = recorded;
+    /// Returns the tokens that may be granted before the next write, whichever of the records a
+    /// successor reads. A successor allows for `overdraft` more tokens than a record reserves.
+    fn available(&self, overdraft: TokenCount) -> TokenCount {
+        let available =
+            |hold: &Hold| hold.reserved.saturating_add(overdraft).saturating_sub(hold.unrecorded);
+        self.state.holds.iter().map(available).min().unwrap_or_default()
     }
 
-    /// Merges the tokens of this account in a record that another host has written since this
-    /// host's last write. They include this host's previous record, so this host may still grant
-    /// the tokens that it has reserved but not charged.
-    pub(super) fn merge(&mut self, recorded: TokenCount, is_possibly_incomplete: bool) {
-        self.is_possibly_incomplete |= is_possibly_incomplete;
-        self.charged = match self.charged.checked_sub(self.recorded) {
-            Some(unreserved) => recorded.saturating_add(unreserved),
-            None => recorded.saturating_sub(self.recorded - self.charged),
+    /// Returns whether the record should be written before the next turn.
+    pub(super) fn needs_write(&self, reserving: Reserving) -> bool {
+        !self.unsaved_turns.is_empty()
+            || self.refused_turns.values().any(|after| *after >= self.stored_sequence)
+            || self.reservation(reserving) > self.available(0)
+    }
+
+    fn reservation(&self, reserving: Reserving) -> TokenCount {
+        let Some(Limits { budget, turn_max }) = self.limits else { return 0 };
+        let waiting_turns = self.waiting_turns.len() as u64;
+        let turns = match reserving {
+            Reserving::Nothing => 0,
+            Reserving::WaitingTurns => waiting_turns,
+            Reserving::NextTurns => waiting_turns.max(RESERVED_TURNS),
         };
-        self.recorded = recorded;
+        let left = budget.saturating_sub(self.charged());
+        let fitting_turns = left.checked_div(turn_max).unwrap_or_default();
+        turns.min(fitting_turns) * turn_max
+    }
+
+    /// Returns the account for a record that is about to be written. Until the outcome of the write
+    /// is known, grants stay within what this record and the stored one reserve.
+    pub(super) fn build_record(&mut self, sequence: u64, reserving: Reserving) -> RecordedAccount {
+        let reserved = self.reservation(reserving);
+        let state = &mut self.state;
+        if state.holds.len() >= HOLDS_MAX {
+            merge_last_two(&mut state.holds);
+        }
+        state.holds.push(Hold {
+            sequence,
+            next_turn_number: state.next_turn_number,
+            reserved,
+            unrecorded: 0,
+        });
+        RecordedAccount {
+            settled: state.settled,
+            open: state.open.iter().map(|(&turn, open)| (turn, open.charged)).collect(),
+            uncertain: state.uncertain,
+            reserved,
+            lost_overdrafts: state.lost_overdrafts,
+        }
+    }
+
+    /// Called when the record with this sequence was stored. None of the others that this owner has
+    /// tried to store since its last stored one can be stored any more.
+    pub(super) fn on_stored(&mut self, sequence: u64) {
+        self.state.holds.retain(|hold| hold.sequence == sequence);
+        if self.state.holds.is_empty() {
+            // The hold was merged with another, so it is not known which turns the record lacks.
+            self.state.holds.push(Hold {
+                sequence,
+                next_turn_number: MERGED_TURN_NUMBER,
+                reserved: 0,
+                unrecorded: TokenCount::MAX,
+            });
+        }
+        self.unsaved_turns.retain(|_, settled_after| *settled_after >= sequence);
+        self.waiting_turns.clear();
+        // Keeps those that this record confirms.
+        let previous = std::mem::replace(&mut self.stored_sequence, sequence);
+        self.refused_turns.retain(|_, refused_after| *refused_after >= previous);
+    }
+
+    /// Called when the last record that was built was not stored and never will be.
+    pub(super) fn on_not_stored(&mut self, sequence: u64) {
+        self.state.holds.retain(|hold| hold.sequence != sequence);
     }
 
     pub(super) fn is_expired(&self, now: Instant) -> bool {
-        now.saturating_duration_since(self.last_used_at) > self.idle_max + RETENTION_MARGIN
+        now.saturating_duration_since(self.last_used_at) > self.state.idle_max + RETENTION_MARGIN
     }
 }
+
+/// Replaces the last two holds by one that allows no more than either of them.
+fn merge_last_two(holds: &mut Vec<Hold>) {
+    let (Some(last), Some(previous)) = (holds.pop(), holds.pop()) else { return };
+    let is_last_smaller = last.reserved.saturating_add(previous.unrecorded)
+        <= previous.reserved.saturating_add(last.unrecorded);
+    let least = if is_last_smaller { last } else { previous };
+    holds.push(Hold { sequence: last.sequence, next_turn_number: MERGED_TURN_NUMBER, ..least });
+}
--- a/crates/core/src/budget/mod.rs
+++ b/crates/core/src/budget/mod.rs
@@ -7,18 +7,20 @@
 //! charged its maximum number of tokens before it starts, and the tokens that it did not use are
 //! refunded.
 //!
-//! The record of an account includes a reservation beyond its charges, so that most turns need no
-//! write and do not wait for one. The record may still lag behind the charges. The charges that a
-//! crash can lose are limited as follows:
+//! The record of an account includes a reservation beyond its charges, so that most turns do not
+//! wait for a write. Every turn is covered by a stored reservation before it starts. A successor
+//! cannot know how much of it the former owner has used, so it counts the reservation as uncertain.
+//! A program may exceed its budget by one turn: this is used once, for the uncertain tokens of all
+//! former owners together. So the bound holds over any number of owners, one after the other and at
+//! the same time, and depends neither on clocks nor on which hosts are believed to be alive.
 //!
-//! - Unreserved charges are granted up to the maximum of **one turn**. A crash therefore lets a
-//!   program exceed its budget by at most one turn.
-//! - While the store is unavailable, unreserved charges are granted up to **half of the budget** if
-//!   that is more than one turn. This is called an overdraft. If a host takes over a ledger whose
-//!   previous owner may have granted overdrafts, the ledger is possibly incomplete: the host grants
-//!   only what remains after half of the budget, for as long as programs of the previous owner may
-//!   resume. It detects a possible overdraft by the age of the record, or by the
-//!   [outage notes](OutageNotes) that the ledger hosts store before an owner grants an overdraft.
+//! While the store is unavailable, the owner grants an **overdraft**: up to half of the budget beyond
+//! what the record reserves. It does so only once a majority of the ledger's hosts has stored an
+//! [outage note](OutageNotes). A successor that learns of such a note, or cannot learn that there is
+//! none, counts the overdraft as uncertain too.
+//!
+//! A program whose budget is certainly spent is told so. One whose budget may be spent, because of
+//! uncertain tokens, is refused as if the store were unavailable.
 
 mod account;
 mod notes;
@@ -28,18 +30,17 @@
 mod tests;
 
 pub use {
-    account::AccountReplica,
-    notes::{LedgerPosition, OutageNote, OutageNotes},
+    account::{AccountReplica, RecordedAccount},
+    notes::{FenceReply, LedgerPosition, NoteHost, OutageNotes, may_lack_overdraft},
     standby::{LedgerReplica, ReplicaUpdate, ReplicationId, VoteOption, Witness},
 };
 
 use {
-    crate::ids::{Incarnation, ProgramId},
-    account::Account,
+    crate::ids::{Epoch, ProgramId},
+    account::{Account, Reserving},
     standby::Replication,
     std::{
         collections::{BTreeMap, HashMap},
-        net::SocketAddr,
         time::{Duration, Instant},
     },
 };
@@ -47,18 +48,9 @@
 /// Number of tokens that the model generates.
 pub type TokenCount = u64;
 
-/// How long writes must have been failing before an overdraft is granted without the
-/// acknowledgement of all ledger hosts. This must exceed the time that all hosts need to restart
-/// after a power loss, so that a power loss alone never makes a ledger count as possibly
-/// incomplete.
-const UNACKNOWLEDGED_OVERDRAFT_AFTER: Duration = Duration::from_millis(4000);
-/// Maximum age of a record that is treated as complete. An older record may lack charges made while
-/// the store was unavailable. 500 ms below [`UNACKNOWLEDGED_OVERDRAFT_AFTER`], to allow for clock
-/// skew.
-const COMPLETE_RECORD_MAX_AGE_MS: u64 = 3500;
-/// Maximum age of a record that is treated as complete if no sufficient outage notes are available.
-/// 100 ms below [`STORE_UNAVAILABLE_AFTER`], to allow for clock skew.
-const COMPLETE_RECORD_MAX_AGE_NO_NOTES_MS: u64 = 200;
+/// Id of one turn, unique among all turns of all hosts. Messages about a turn may be repeated.
+pub type TurnId = u64;
+
 /// How long writes must have been failing before the store counts as unavailable. This must exceed
 /// the duration of a slow call, so that a slow call does not count as an outage.
 const STORE_UNAVAILABLE_AFTER: Duration = Duration::from_millis(300);
@@ -66,6 +58,10 @@
 /// While the note covers the next write, no ledger host has to be queried again, and losing a
 /// ledger host delays no turn.
 const NOTE_LOOKAHEAD_WRITES: u64 = 12;
+/// Number of writes after which an owner reserves tokens for the next turns of each program. Hosts
+/// that take a ledger from each other in turn reserve nothing, because each change of the owner
+/// makes the reservations uncertain.
+const WRITES_BEFORE_RESERVATIONS: u64 = 3;
 /// Time for which accounts are kept after the programs' idle time has passed.
 const RETENTION_MARGIN: Duration = Duration::from_secs(10);
 
@@ -74,68 +70,36 @@
 pub struct Charge {
     /// The program that the turn belongs to.
     pub program: ProgramId,
+    /// The turn. A repeated request for the same turn is charged once.
+    pub turn: TurnId,
     /// Maximum tokens of all turns of the program.
     pub budget: TokenCount,
     /// Maximum tokens of this turn.
     pub turn_max: TokenCount,
     /// How long the program may be idle and still resume.
     pub idle_max: Duration,
-    /// Whether the request goes to the ledger's first-ranked host. Lower-ranked hosts may grant
-    /// only recorded tokens: hosts that concurrently act as owner must not each grant an unreserved
-    /// turn.
-    #[serde(rename = "is_first_choice")]
-    pub is_first_ranked: bool,
-    /// The store status that the other ledger hosts report. If one of them can reach the store, it
-    /// grants the recorded tokens, and no host may grant an overdraft.
-    #[serde(rename = "others")]
-    pub peer_report: PeerReport,
-    /// The last write that the outage note covers, if the first-ranked host has proposed one. The
-    /// other ledger hosts store the note and acknowledge it.
-    #[serde(rename = "beyond")]
-    pub outage_position: Option<LedgerPosition>,
-    /// Addresses of the other ledger hosts that have acknowledged the outage note.
-    #[serde(default)]
-    #[serde(rename = "noted_by")]
-    pub acknowledged_by: Vec<SocketAddr>,
 }
 
-/// Status of the store as reported by the other ledger hosts of a ledger. The variants are ordered:
-/// the minimum of several reports applies.
-#[derive(
-    Clone,
-    Copy,
-    Debug,
-    Default,
-    Eq,
-    Ord,
-    PartialEq,
-    PartialOrd,
-    serde::Deserialize,
-    serde::Serialize,
-)]
-#[serde(rename_all = "snake_case")]
-pub enum PeerReport {
-    /// A ledger host may be able to reach the store.
-    #[default]
-    Unknown,
-    /// No ledger host that answered can reach the store.
-    #[serde(rename = "store_away")]
-    StoreUnavailable,
-    /// No ledger host can reach the store, and all of them have stored a durable outage note that
-    /// covers the last write.
-    #[serde(rename = "store_away_noted")]
-    OutageAcknowledged,
+/// The end of a turn that was charged.
+#[derive(Clone, Debug, PartialEq, serde::Deserialize, serde::Serialize)]
+pub struct Settlement {
+    /// The program that the turn belongs to.
+    pub program: ProgramId,
+    /// The turn. A repeated settlement has no effect.
+    pub turn: TurnId,
+    /// Tokens that the caller got.
+    pub used: TokenCount,
 }
 
 /// State of a ledger as found by the host that takes it over.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct TakeoverInputs<'a> {
     /// The ledger's stored record, if there is one.
     pub record: Option<&'a LedgerRecord>,
-    /// Outage notes of this host and of the ledger hosts that it has queried.
-    pub notes: &'a [OutageNotes],
-    /// Whether no host has ever owned the ledger.
-    pub was_never_owned: bool,
+    /// Whether the record's writer may have granted an overdraft since.
+    pub may_lack_overdraft: bool,
+    /// The hosts that store outage notes for the new owner.
+    pub note_hosts: Vec<NoteHost>,
 }
 
 /// Result of a charge.
@@ -148,6 +112,11 @@
     },
     /// The remaining budget is too small for the turn.
     InsufficientBudget,
+    /// The remaining budget may be too small: lost owners may have granted turns that are in no
+    /// record.
+    PossiblySpent,
+    /// The turn was settled before this request arrived.
+    Cancelled,
     /// The turn may start after the next write of the ledger; the caller has to retry then.
     WriteRequired,
 }
@@ -157,115 +126,139 @@
 pub struct LedgerRecord {
     /// The host and incarnation that wrote the record, as `host@incarnation`.
     pub writer: String,
-    /// Sequence number of the write among those of this writer.
+    /// Counts the owners of the ledger. A successor writes a record with a higher epoch before it
+    /// grants anything.
+    #[serde(default)]
+    pub epoch: Epoch,
+    /// Sequence number of the write within the epoch.
     pub sequence: u64,
-    /// Wall clock time of the write, in milliseconds since 1970.
+    /// Wall clock time of the write, in milliseconds since 1970. Only for operators.
     pub written_at_ms: u64,
-    /// How long after this write new accounts count as possibly incomplete, in milliseconds.
+    /// The hosts that store outage notes for the writer.
+    #[serde(default)]
+    pub note_hosts: Vec<NoteHost>,
+    /// Number of former owners that may have granted an overdraft to programs that are not listed.
+    #[serde(default)]
+    pub lost_overdrafts: u64,
+    /// How long after this write that applies, in milliseconds.
+    #[serde(default)]
+    pub lost_overdrafts_for_ms: u64,
+    /// The accounts by program.
     #[serde(default)]
-    #[serde(rename = "doubtful_ms")]
-    pub possibly_incomplete_for_ms: u64,
-    /// Charged tokens by program, including the reservation.
-    pub charged: BTreeMap<ProgramId, TokenCount>,
+    pub accounts: BTreeMap<ProgramId, RecordedAccount>,
+}
+
+impl LedgerRecord {
+    /// Returns the position of this write.
+    pub fn position(&self) -> LedgerPosition {
+        LedgerPosition { epoch: self.epoch, sequence: self.sequence }
+    }
 }
 
 /// The accounts of one partition of the programs, at the host that owns them.
 #[derive(Debug)]
 pub struct Ledger {
     writer: String,
+    /// Epoch of the records that this owner writes. Invariant: before its first record is stored,
+    /// the owner grants no turn.
+    epoch: Epoch,
+    note_hosts: Vec<NoteHost>,
     sequence: u64,
+    /// Number of records stored in this epoch.
+    stored_count: u64,
     accounts: HashMap<ProgramId, Account>,
     /// Idle time used for accounts that are read from a record.
     idle_max: Duration,
-    /// Accounts created before this time count as possibly incomplete.
-    possibly_incomplete_until: Instant,
+    /// Number of former owners that may have granted an overdraft to programs without an account.
+    lost_overdrafts: u64,
+    /// Time until which that applies. Programs can't resume after it.
+    lost_overdrafts_until: Instant,
+    /// Set until a write succeeds.
     store_failing_since: Option<Instant>,
-    /// Sequence of the last write covered by an outage note that was proposed to the ledger hosts.
+    /// Whether the store has answered a read since the last failure.
+    is_store_reached: bool,
+    /// Sequence of the last write that this owner has asked the note hosts to note.
     proposed_sequence: u64,
-    /// Sequence of the last write covered by an outage note that all ledger hosts have
-    /// acknowledged. Invariant: at most `proposed_sequence`.
-    acknowledged_sequence: u64,
-    /// Whether the stored record is marked as possibly incomplete although no charges are missing.
-    is_record_marked_incomplete: bool,
-    /// Whether this host is the ledger's first-ranked host, according to the last charge.
-    is_first_ranked: bool,
-    /// The replication to a standby, if one is in progress.
+    /// Sequence of the last write that a majority of the note hosts has noted. Invariant: at most
+    /// `proposed_sequence`.
+    noted_sequence: u64,
+    /// The replication to a standby, if one is in progress. No record is written meanwhile.
     replication: Option<Replication>,
     replication_generation: u64,
     /// Earliest start of the next replication in this outage, set when one has ended.
     next_replication_at: Option<Instant>,
-    /// The previous owner, if this ledger was promoted from a replica.
+    /// The former owner, if this ledger was promoted from its replica and has stored no record yet.
+    /// Until the promoted owner claims the ledger, it acts in the epoch of the former one.
     promoted_from: Option<String>,
+    /// Set while the ledger is being released: the sequence of the last record that was built
+    /// before. Later ones reserve nothing and have no note hosts, so that a successor loses nothing.
+    releasing_after: Option<u64>,
 }
 
 impl Ledger {
     /// Creates the ledger of a host that takes it over.
     pub fn take_over(
         now: Instant,
-        unix_ms: u64,
-        writer: (&str, Incarnation),
+        writer: String,
         inputs: TakeoverInputs<'_>,
         idle_max: Duration,
     ) -> Self {
-        let TakeoverInputs { record, notes, was_never_owned } = inputs;
-        let is_treated_as_complete = |record: &LedgerRecord| {
-            let age_ms = unix_ms.checked_sub(record.written_at_ms);
-            let is_recent = |max_ms| age_ms.is_some_and(|age_ms| age_ms <= max_ms);
-            match notes::may_lack_charges(notes, record) {
-                Some(true) => false,
-                Some(false) => is_recent(COMPLETE_RECORD_MAX_AGE_MS),
-                None => is_recent(COMPLETE_RECORD_MAX_AGE_NO_NOTES_MS),
-            }
+        let TakeoverInputs { record, may_lack_overdraft, note_hosts } = inputs;
+        let new_lost_overdrafts = u64::from(may_lack_overdraft);
+        let mut ledger = Self { note_hosts, ..Self::empty(now, writer, idle_max) };
+        let Some(record) = record else { return ledger };
+        ledger.epoch = record.epoch + 1;
+        let lost_for = match may_lack_overdraft {
+            true => idle_max + RETENTION_MARGIN,
+            false => Duration::from_millis(record.lost_overdrafts_for_ms),
         };
-        let possibly_incomplete_for = match record {
-            Some(record) if is_treated_as_complete(record) => {
-                Duration::from_millis(record.possibly_incomplete_for_ms)
-            }
-            None if was_never_owned => Duration::ZERO,
-            _ => idle_max + RETENTION_MARGIN,
-        };
-        let mut ledger = Self {
-            possibly_incomplete_until: now + possibly_incomplete_for,
-            ..Self::empty(now, writer, idle_max)
-        };
-        for (program, &recorded) in record.iter().flat_map(|record| &record.charged) {
-            let account =
-                Account::from_record(now, recorded, idle_max, !possibly_incomplete_for.is_zero());
+        if !lost_for.is_zero() {
+            ledger.lost_overdrafts = record.lost_overdrafts + new_lost_overdrafts;
+            ledger.lost_overdrafts_until = now + lost_for;
+        }
+        for (program, recorded) in &record.accounts {
+            let account = Account::from_record(now, recorded, idle_max, new_lost_overdrafts);
             ledger.accounts.insert(program.clone(), account);
         }
         ledger
     }
 
-    fn empty(now: Instant, writer: (&str, Incarnation), idle_max: Duration) -> Self {
-        let (host, incarnation) = writer;
+    fn empty(now: Instant, writer: String, idle_max: Duration) -> Self {
         Self {
-            writer: format!("{host}@{incarnation}"),
+            writer,
+            epoch: 1,
+            note_hosts: Vec::new(),
             sequence: 0,
+            stored_count: 0,
             accounts: HashMap::new(),
             idle_max,
-            possibly_incomplete_until: now,
+            lost_overdrafts: 0,
+            lost_overdrafts_until: now,
             store_failing_since: None,
+            is_store_reached: false,
             proposed_sequence: 0,
-            acknowledged_sequence: 0,
-            is_record_marked_incomplete: false,
-            is_first_ranked: false,
+            noted_sequence: 0,
             replication: None,
             replication_generation: 0,
             next_replication_at: None,
             promoted_from: None,
+            releasing_after: None,
         }
     }
 
     /// Charges a turn its maximum tokens, if the budget and the record allow it.
     pub fn charge(&mut self, now: Instant, charge: &Charge) -> ChargeOutcome {
-        let is_overdraft_allowed = self.is_store_unavailable(now)
-            && self.peers_allow_overdraft(now, charge)
-            && (charge.is_first_ranked || self.promoted_from.is_some());
-        self.is_first_ranked = charge.is_first_ranked;
-        let is_possibly_incomplete = self.is_possibly_incomplete(now);
-        let open_account = || Account::new(now, is_possibly_incomplete);
+        if self.is_releasing() {
+            return ChargeOutcome::WriteRequired;
+        }
+        let is_overdraft_allowed = self.is_overdraft_allowed(now);
+        let lost_overdrafts = match self.has_lost_overdrafts(now) {
+            true => self.lost_overdrafts,
+            false => 0,
+        };
+        let open_account = || Account::new(now, lost_overdrafts);
         let account = self.accounts.entry(charge.program.clone()).or_insert_with(open_account);
-        let outcome = account.charge(now, charge, is_overdraft_allowed);
+        let outcome = account.charge(now, charge, is_overdraft_allowed, self.sequence);
         if let (ChargeOutcome::Granted { .. }, Some(replication)) = (outcome, &mut self.replication)
         {
             replication.mark_changed(&charge.program);
@@ -273,131 +266,247 @@
         outcome
     }
 
-    /// Returns whether the reports and notes of the other ledger hosts allow an overdraft. Stores
-    /// the acknowledged position.
-    fn peers_allow_overdraft(&mut self, now: Instant, charge: &Charge) -> bool {
-        if self.is_outage_acknowledged() || self.promoted_from.is_some() {
-            return true;
-        }
-        match (charge.peer_report, &charge.outage_position) {
-            (PeerReport::Unknown, _) => false,
-            // A write that began after the notes were stored may still succeed late. A successor
-            // would treat the record of that write as complete unless a note covers it.
-            (PeerReport::OutageAcknowledged, Some(position))
-                if position.writer == self.writer && self.sequence <= position.sequence =>
-            {
-                self.acknowledged_sequence = position.sequence;
-                true
-            }
-            _ => self
-                .store_failing_since
-                .is_some_and(|since| now.duration_since(since) >= UNACKNOWLEDGED_OVERDRAFT_AFTER),
-        }
+    /// Returns whether turns may be granted beyond the record: the store is unavailable, and a
+    /// successor would learn of it from the outage notes.
+    fn is_overdraft_allowed(&self, now: Instant) -> bool {
+        self.is_outage_noted() && self.is_store_unavailable(now)
     }
 
-    /// Returns whether all ledger hosts have acknowledged an outage note that covers the last
-    /// write.
-    fn is_outage_acknowledged(&self) -> bool {
-        0 < self.sequence && self.sequence <= self.acknowledged_sequence
+    /// Returns whether a majority of the note hosts has noted that the last write may be
+    /// incomplete, in this epoch. A late write that is not covered would look complete to a successor.
+    pub fn is_outage_noted(&self) -> bool {
+        0 < self.sequence && self.sequence <= self.noted_sequence
     }
 
-    /// Proposes the last write that an outage note has to cover. The note also covers the next
-    /// `NOTE_LOOKAHEAD_WRITES` writes, which may begin at any time.
-    pub fn propose_outage_position(&mut self) -> LedgerPosition {
+    /// Returns the position that the note hosts have to note before an overdraft is granted. It
+    /// also covers the next `NOTE_LOOKAHEAD_WRITES` writes, which may begin at any time. Returns
+    /// `None` if this owner can't grant an overdraft.
+    pub fn propose_outage_position(&mut self) -> Option<LedgerPosition> {
+        if self.stored_count == 0 || self.note_hosts.is_empty() {
+            return None;
+        }
         if self.proposed_sequence <= self.sequence {
             self.proposed_sequence = self.sequence + NOTE_LOOKAHEAD_WRITES;
         }
-        LedgerPosition { writer: self.writer.clone(), sequence: self.proposed_sequence }
+        Some(LedgerPosition { epoch: self.epoch, sequence: self.proposed_sequence })
+    }
+
+    /// Called with the hosts that have noted a position. Returns whether they are a majority.
+    pub fn on_outage_noted(&mut self, position: LedgerPosition, by: &[NoteHost]) -> bool {
+        let count = self.note_hosts.iter().filter(|note_host| by.contains(note_host)).count();
+        let is_majority =
+            position.epoch == self.epoch && count >= notes::note_quorum(&self.note_hosts);
+        if is_majority {
+            self.noted_sequence = self.noted_sequence.max(position.sequence);
+        }
+        is_majority
+    }
+
+    /// Returns the hosts that store outage notes for this owner.
+    pub fn note_hosts(&self) -> &[NoteHost] {
+        &self.note_hosts
+    }
+
+    /// Returns the epoch of the records that this owner writes.
+    pub fn epoch(&self) -> Epoch {
+        self.epoch
+    }
+
+    /// Begins another epoch of the same owner, with other note hosts. Overdrafts are not possible
+    /// before its first record is stored. Returns false, and changes nothing, while the outcome of
+    /// a write is unknown.
+    pub fn renew(&mut self, note_hosts: Vec<NoteHost>) -> bool {
+        let can_renew = self.can_renew();
+        if can_renew {
+            self.begin_epoch(self.epoch + 1, note_hosts);
+        }
+        can_renew
+    }
+
+    /// Returns whether another epoch of the same owner may begin.
+    pub fn can_renew(&self) -> bool {
+        self.store_failing_since.is_none() && self.stored_count > 0
+    }
+
+    fn begin_epoch(&mut self, epoch: Epoch, note_hosts: Vec<NoteHost>) {
+        self.epoch = epoch;
+        self.note_hosts = note_hosts;
+        self.stored_count = 0;
+        self.noted_sequence = 0;
     }
 
-    /// Refunds the tokens that a turn did not use.
-    pub fn refund(&mut self, now: Instant, program: &str, tokens: TokenCount) {
+    /// Settles a turn: frees the tokens that it did not use.
+    pub fn settle(&mut self, now: Instant, settlement: &Settlement) {
+        let Settlement { program, turn, used } = settlement;
         if let Some(account) = self.accounts.get_mut(program) {
-            account.refund(now, tokens);
+            account.settle(now, *turn, *used, self.sequence);
             if let Some(replication) = &mut self.replication {
                 replication.mark_changed(program);
             }
         }
     }
 
+    /// Returns whether a settlement is in the stored record, or has no effect on it.
+    pub fn is_settlement_stored(&self, settlement: &Settlement) -> bool {
+        let account = self.accounts.get(&settlement.program);
+        account.is_none_or(|account| account.is_settlement_stored(settlement.turn))
+    }
+
+    /// Returns whether a turn was settled at this owner.
+    #[cfg(test)]
+    fn is_settled(&self, program: &str, turn: TurnId) -> bool {
+        self.accounts.get(program).is_some_and(|account| account.is_settled(turn))
+    }
+
     /// Returns whether the record should be written: turns may soon have to wait for it, or a write
     /// has to check whether the store is available again.
     pub fn needs_write(&self) -> bool {
+        let reserving =
+            if self.reserves_turns() { Reserving::NextTurns } else { Reserving::WaitingTurns };
         self.store_failing_since.is_some()
             || self.should_rewrite_record()
-            || self.accounts.values().any(Account::needs_write)
+            || self.is_releasing()
+            || self.replication.is_some()
+            || self.promoted_from.is_some()
+            || self.accounts.values().any(|account| account.needs_write(reserving))
     }
 
-    /// Returns whether a successor would treat the stored record as possibly incomplete although no
-    /// charge is missing. Such a record should be replaced at once.
+    /// Returns whether a successor would count an overdraft as granted although the stored record
+    /// lacks none. Such a record should be replaced at once.
     pub fn should_rewrite_record(&self) -> bool {
-        let may_be_covered_by_notes = 0 < self.sequence && self.sequence <= self.proposed_sequence;
-        self.store_failing_since.is_none()
-            && (self.is_record_marked_incomplete || may_be_covered_by_notes)
+        let may_be_noted = 0 < self.sequence && self.sequence <= self.proposed_sequence;
+        self.store_failing_since.is_none() && may_be_noted
+    }
+
+    /// Begins to release the ledger to a successor: nothing is granted any more, and the next record
+    /// reserves nothing. Returns false if records can't be written at present.
+    pub fn begin_release(&mut self) -> bool {
+        if self.store_failing_since.is_none() && self.stored_count > 0 {
+            self.releasing_after.get_or_insert(self.sequence);
+        }
+        self.is_releasing()
     }
 
-    /// Removes expired accounts, advances the sequence and returns the record to write.
-    pub fn next_record(&mut self, now: Instant, unix_ms: u64) -> LedgerRecord {
+    /// Returns whether the ledger is being released.
+    pub fn is_releasing(&self) -> bool {
+        self.releasing_after.is_some()
+    }
+
+    /// Returns whether the ledger is released once a record is stored.
+    pub fn is_released_by(&self, record: &LedgerRecord) -> bool {
+        self.releasing_after.is_some_and(|after| record.sequence > after)
+    }
+
+    fn reserves_turns(&self) -> bool {
+        self.stored_count >= WRITES_BEFORE_RESERVATIONS
+    }
+
+    /// Removes expired accounts, advances the sequence and returns the record to write. Returns
+    /// `None` if the stored record has to be read instead: while the ledger is replicated, because a
+    /// standby that is promoted would not know what a late record reserves, and before a promoted
+    /// owner has claimed the ledger.
+    pub fn next_record(&mut self, now: Instant, unix_ms: u64) -> Option<LedgerRecord> {
+        if self.replication.is_some() || self.must_claim() {
+            return None;
+        }
         self.accounts.retain(|_, account| !account.is_expired(now));
         if self.store_failing_since.is_none() {
-            // The record is complete again, so its sequence has to be above those that notes may
-            // cover.
+            // The record is complete again, so its sequence has to be above those that are noted.
             self.sequence = self.sequence.max(self.proposed_sequence);
         }
         self.sequence += 1;
-        let charged = self
-            .accounts
-            .iter()
-            .map(|(program, account)| (program.clone(), account.tokens_to_record()));
-        // The write may time out and still succeed later, when there are already charges that its
-        // record lacks.
-        let possibly_incomplete_for = match self.store_failing_since {
-            Some(_) => self.idle_max + RETENTION_MARGIN,
-            None => self.possibly_incomplete_until.saturating_duration_since(now),
+        let (reserving, note_hosts) = match (self.is_releasing(), self.reserves_turns()) {
+            // A released owner grants no overdraft.
+            (true, _) => (Reserving::Nothing, Vec::new()),
+            (false, false) => (Reserving::WaitingTurns, self.note_hosts.clone()),
+            (false, true) => (Reserving::NextTurns, self.note_hosts.clone()),
         };
-        LedgerRecord {
+        let sequence = self.sequence;
+        let accounts = self
+            .accounts
+            .iter_mut()
+            .map(|(program, account)| (program.clone(), account.build_record(sequence, reserving)));
+        let lost_for = self.lost_overdrafts_until.saturating_duration_since(now);
+        Some(LedgerRecord {
             writer: self.writer.clone(),
-            sequence: self.sequence,
+            epoch: self.epoch,
+            sequence,
             written_at_ms: unix_ms,
-            possibly_incomplete_for_ms: possibly_incomplete_for.as_millis() as u64,
-            charged: charged.collect(),
-        }
+            note_hosts,
+            lost_overdrafts: if lost_for.is_zero() { 0 } else { self.lost_overdrafts },
+            lost_overdrafts_for_ms: lost_for.as_millis() as u64,
+            accounts: accounts.collect(),
+        })
     }
 
-    /// Called when a record has been written to the store.
+    /// Called when a record of this owner was found to be stored.
+    ///
+    /// Records that were built earlier or for another epoch can't be stored any more.
     pub fn on_write_succeeded(&mut self, now: Instant, record: &LedgerRecord) {
-        match &mut self.replication {
-            // The record stays marked as possibly incomplete until the replication has ended and no
-            // standby can be promoted.
-            Some(replication) => replication.on_store_write(now),
-            None => self.on_store_recovered(),
-        }
-        for (program, &recorded) in &record.charged {
+        self.on_store_reached(now);
+        self.store_failing_since = None;
+        self.next_replication_at = None;
+        self.promoted_from = None;
+        self.stored_count += 1;
+        for program in record.accounts.keys() {
             if let Some(account) = self.accounts.get_mut(program) {
-                account.on_written(recorded);
+                account.on_stored(record.sequence);
             }
         }
     }
 
-    fn on_store_recovered(&mut self) {
-        self.is_record_marked_incomplete = self.store_failing_since.take().is_some();
-        self.next_replication_at = None;
+    /// Called when the record could not be read. `began` is when the attempt began. Like a failed
+    /// write it advances the sequence, so that an overdraft needs new outage notes after some time.
+    /// A successor that has fenced this epoch prevents them.
+    pub fn on_read_failed(&mut self, began: Instant) {
+        self.store_failing_since.get_or_insert(began);
+        self.is_store_reached = false;
+        self.sequence += 1;
     }
 
-    /// Called when a write to the store failed. `began` is when the attempt began.
-    pub fn on_write_failed(&mut self, began: Instant) {
+    /// Called when a write to the store failed. `began` is when the attempt began, and
+    /// `may_succeed_late` whether the record may still be stored.
+    pub fn on_write_failed(
+        &mut self,
+        began: Instant,
+        record: &LedgerRecord,
+        may_succeed_late: bool,
+    ) {
         self.store_failing_since.get_or_insert(began);
+        self.is_store_reached = false;
+        if self.releasing_after.take().is_some() && may_succeed_late {
+            // A successor that reads the released record does not ask for overdrafts.
+            self.stored_count = 0;
+        }
+        if !may_succeed_late {
+            for program in record.accounts.keys() {
+                if let Some(account) = self.accounts.get_mut(program) {
+                    account.on_not_stored(record.sequence);
+                }
+            }
+        }
     }
 
-    /// Returns whether writes to the store have failed for at least `STORE_UNAVAILABLE_AFTER`.
+    /// Returns whether the store has been failing for at least `STORE_UNAVAILABLE_AFTER`.
     pub fn is_store_unavailable(&self, now: Instant) -> bool {
-        self.store_failing_since
-            .is_some_and(|since| now.duration_since(since) >= STORE_UNAVAILABLE_AFTER)
+        let is_long_enough = |since| now.duration_since(since) >= STORE_UNAVAILABLE_AFTER;
+        !self.is_store_reached && self.store_failing_since.is_some_and(is_long_enough)
+    }
+
+    /// Called while a former owner may still grant overdrafts to programs without an account here.
+    pub fn extend_lost_overdrafts(&mut self, now: Instant) {
+        self.lost_overdrafts_until =
+            self.lost_overdrafts_until.max(now + self.idle_max + RETENTION_MARGIN);
     }
 
-    /// Returns whether accounts created now count as possibly incomplete.
-    pub fn is_possibly_incomplete(&self, now: Instant) -> bool {
-        now < self.possibly_incomplete_until
+    /// Returns whether lost owners may have granted overdrafts to programs without an account.
+    pub fn has_lost_overdrafts(&self, now: Instant) -> bool {
+        now < self.lost_overdrafts_until
+    }
+
+    /// Returns the name under which this ledger writes its records.
+    pub fn writer(&self) -> &str {
+        &self.writer
     }
 
     /// Returns whether this ledger writes its records under the given writer name.
@@ -410,37 +519,6 @@
         self.is_writer(&record.writer)
     }
 
-    /// Merges the record that another host has written since this ledger's last write. Charges of
-    /// this host that are in no record remain charged. `notes` are this host's own.
-    pub fn merge(&mut self, now: Instant, record: &LedgerRecord, notes: OutageNotes) {
-        let is_promoted_from_writer = self.is_promoted_from(&record.writer);
-        // Only the first-ranked host, or a standby promoted from it, grants overdrafts. Their
-        // accounts include these charges.
-        let possibly_incomplete_for = match notes::may_lack_charges(&[notes], record) {
-            _ if self.is_first_ranked || is_promoted_from_writer => Duration::ZERO,
-            Some(true) => self.idle_max + RETENTION_MARGIN,
-            _ => Duration::from_millis(record.possibly_incomplete_for_ms),
-        };
-        self.possibly_incomplete_until =
-            self.possibly_incomplete_until.max(now + possibly_incomplete_for);
-        let is_possibly_incomplete = !possibly_incomplete_for.is_zero();
-        for (program, &recorded) in &record.charged {
-            match self.accounts.get_mut(program) {
-                // The replica contains all charges of the writer.
-                Some(account) if is_promoted_from_writer => account.on_written(recorded),
-                Some(account) => account.merge(recorded, is_possibly_incomplete),
-                None => {
-                    let account =
-                        Account::from_record(now, recorded, self.idle_max, is_possibly_incomplete);
-                    self.accounts.insert(program.clone(), account);
-                }
-            }
-        }
-        if let Some(replication) = &mut self.replication {
-            replication.mark_all_changed(record.charged.keys());
-        }
-    }
-
     /// Returns the number of accounts.
     pub fn len(&self) -> usize {
         self.accounts.len()
--- a/crates/core/src/budget/notes.rs
+++ b/crates/core/src/budget/notes.rs
@@ -1,81 +1,112 @@
-//! Outage notes, which the ledger hosts store before an owner grants an overdraft.
+//! Outage notes, which ledger hosts store before an owner grants an overdraft.
 //!
-//! After a crash during an outage of the store, a successor must not treat the stored record as
-//! complete. Every ledger host of a ledger therefore stores a durable note of the last write after
-//! which charges may be missing. The first-ranked host grants an overdraft only after all ledger
-//! hosts have acknowledged the note. The first write after the outage includes all charges again. A
-//! successor needs the notes of one ledger host that go back to before the record.
+//! A successor must know whether the owner of a record may have granted an overdraft since. The
+//! record names the hosts that store outage notes for its owner. The owner grants an overdraft only
+//! once a majority of them has noted how far its record may be incomplete. A successor asks so many of
+//! the same hosts that one of any majority is among them, and each of them then notes nothing more for earlier epochs. So either
+//! the successor learns of the note, or the overdraft is never granted. No clocks are compared, and
+//! it does not matter which hosts are believed to be alive.
 
-use super::LedgerRecord;
+use {super::LedgerRecord, crate::ids::Epoch, derive_more::Display};
 
-/// A note may be up to this much older than another writer's record and still apply to it. Allows
-/// for clock skew between hosts and for the time between two notes.
-const NOTE_AGE_TOLERANCE_MS: u64 = 4000;
+/// Identifies the notes of one host. Changes when the host loses them.
+#[derive(
+    Clone,
+    Debug,
+    Display,
+    Eq,
+    Hash,
+    Ord,
+    PartialEq,
+    PartialOrd,
+    serde::Deserialize,
+    serde::Serialize,
+)]
+#[display("{host}#{notes_id:016x}")]
+pub struct NoteHost {
+    /// Name of the host.
+    pub host: String,
+    /// Random id of the host's note storage.
+    #[serde(rename = "id")]
+    pub notes_id: u64,
+}
 
-/// Identifies one write of a ledger's record.
-#[derive(Clone, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
+/// Identifies one write of a ledger's record. Ordered by time.
+#[derive(
+    Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd, serde::Deserialize, serde::Serialize,
+)]
 pub struct LedgerPosition {
-    /// The writing host and its incarnation, as `host@incarnation`.
-    pub writer: String,
-    /// Sequence number of the write. Increases with every write, including failed ones.
+    /// Epoch of the owner.
+    pub epoch: Epoch,
+    /// Sequence number of the write within the epoch. Increases with every write, including failed
+    /// ones.
     pub sequence: u64,
 }
 
-/// A note that charges may be missing from records of one writer.
-#[derive(Clone, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
-pub struct OutageNote {
-    /// Wall clock time of the note, in milliseconds since 1970.
-    pub noted_at_ms: u64,
-    /// The last write that the note covers.
-    pub position: LedgerPosition,
+/// The outage notes of one host for one ledger.
+#[derive(Clone, Debug, Default, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
+pub struct OutageNotes {
+    /// Nothing is noted for epochs before this one.
+    fenced_before: Epoch,
+    /// The last write up to which records may be incomplete.
+    noted: Option<LedgerPosition>,
 }
 
-/// The outage notes of one ledger host for one ledger.
+impl OutageNotes {
+    /// Notes that records up to a position may be incomplete. Returns false if a successor has
+    /// fenced that epoch.
+    pub fn note(&mut self, position: LedgerPosition) -> bool {
+        if position.epoch < self.fenced_before {
+            return false;
+        }
+        self.fenced_before = position.epoch;
+        self.noted = self.noted.max(Some(position));
+        true
+    }
+
+    /// Notes nothing more for epochs before `epoch`. Returns the last position noted.
+    pub fn fence(&mut self, epoch: Epoch) -> Option<LedgerPosition> {
+        self.fenced_before = self.fenced_before.max(epoch);
+        self.noted
+    }
+
+    /// Returns whether the notes include a position.
+    pub fn covers(&self, position: LedgerPosition) -> bool {
+        self.noted.is_some_and(|noted| noted.epoch == position.epoch && noted >= position)
+    }
+}
+
+/// The answer of one host to a successor that has fenced the former epochs.
 #[derive(Clone, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
-#[serde(rename_all = "snake_case")]
-pub enum OutageNotes {
-    /// The host has no data folder and stores no notes. While it is one of the ledger hosts, no
-    /// owner grants an overdraft before writes have been failing for
-    /// `UNACKNOWLEDGED_OVERDRAFT_AFTER`.
-    NotTaken,
-    /// The host stores notes.
-    Taken {
-        /// Wall clock time from which the notes are complete, in milliseconds since 1970; zero if
-        /// no note was ever lost.
-        since_ms: u64,
-        /// The latest note.
-        last: Option<OutageNote>,
-    },
+pub struct FenceReply {
+    /// The host that answered.
+    pub note_host: NoteHost,
+    /// The last position that it has noted.
+    pub noted: Option<LedgerPosition>,
 }
 
-impl OutageNotes {
-    /// Returns whether the notes go back far enough to decide if charges are missing from the
-    /// record.
-    pub fn are_sufficient(notes: &[Self], record: &LedgerRecord) -> bool {
-        may_lack_charges(notes, record).is_some()
-    }
+/// Returns the number of note hosts that have to note an outage: a majority.
+pub(super) fn note_quorum(note_hosts: &[NoteHost]) -> usize {
+    note_hosts.len() / 2 + 1
 }
 
-/// Returns whether charges may be missing from a record. Returns `None` if no notes go back far
-/// enough to decide.
-pub(super) fn may_lack_charges(notes: &[OutageNotes], record: &LedgerRecord) -> Option<bool> {
-    let covers_record = |notes: &OutageNotes| {
-        let OutageNotes::Taken { last: Some(note), .. } = notes else { return false };
-        match note.position.writer == record.writer {
-            true => record.sequence <= note.position.sequence,
-            false => note.noted_at_ms.saturating_add(NOTE_AGE_TOLERANCE_MS) >= record.written_at_ms,
-        }
-    };
-    let is_complete_since_record = |notes: &OutageNotes| match notes {
-        OutageNotes::NotTaken => true,
-        OutageNotes::Taken { since_ms: 0, .. } => true,
-        OutageNotes::Taken { since_ms, .. } => {
-            since_ms.saturating_add(NOTE_AGE_TOLERANCE_MS) <= record.written_at_ms
-        }
-    };
-    match (notes.iter().any(covers_record), notes.iter().any(is_complete_since_record)) {
-        (true, _) => Some(true),
-        (false, true) => Some(false),
-        (false, false) => None,
+/// Returns the number of note hosts that a successor has to ask. At least one of them has noted an
+/// outage that as many as [`note_quorum`] have noted.
+fn fence_quorum(note_hosts: &[NoteHost]) -> usize {
+    note_hosts.len() + 1 - note_quorum(note_hosts)
+}
+
+/// Returns whether the owner that wrote a record may have granted an overdraft since. Returns `None`
+/// if too few of its note hosts have answered.
+pub fn may_lack_overdraft(record: &LedgerRecord, replies: &[FenceReply]) -> Option<bool> {
+    // Without note hosts the owner grants no overdraft.
+    if record.note_hosts.is_empty() {
+        return Some(false);
+    }
+    let own_replies =
+        || replies.iter().filter(|reply| record.note_hosts.contains(&reply.note_host));
+    if own_replies().any(|reply| reply.noted >= Some(record.position())) {
+        return Some(true);
     }
+    (own_replies().count() >= fence_quorum(&record.note_hosts)).then_some(false)
 }
--- a/crates/core/src/budget/standby.rs
+++ b/crates/core/src/budget/standby.rs
@@ -4,16 +4,16 @@
 //! that time. The latest charges are in no record, so without a replica all programs of the ledger
 //! would wait for the store.
 //!
-//! Once all ledger hosts of a ledger have acknowledged that charges may exceed its record, the
-//! owner replicates its accounts to one of them, the standby. It then grants a turn only after the
+//! Once the other ledger hosts of a ledger have noted that charges may exceed its record, the owner
+//! replicates its accounts to one of them, the standby. It then grants a turn only after the
 //! standby has received the charge. A third ledger host, the witness, votes either for the
 //! promotion of the standby or for the owner to continue alone, whichever is requested first, and
 //! never for both. So only one host grants at any time. Owner and standby stay within the overdraft
 //! limit, so losing both is no worse than losing the owner without replication.
 
 use {
-    super::{Account, AccountReplica, Ledger, LedgerPosition},
-    crate::ids::{Incarnation, ProgramId},
+    super::{Account, AccountReplica, Ledger, LedgerPosition, NoteHost},
+    crate::ids::{Epoch, ProgramId},
     std::{
         collections::{BTreeMap, BTreeSet, HashMap},
         time::{Duration, Instant},
@@ -21,13 +21,12 @@
 };
 
 /// Maximum age of a replica since its last update. Must be shorter than the time for which a host
-/// that takes over a possibly incomplete ledger holds back the tokens that a standby may have
-/// granted.
+/// that takes the ledger over counts an overdraft as granted.
 const REPLICA_MAX_AGE: Duration = Duration::from_secs(30);
 /// Delay before the owner replicates its ledger again after the witness let it continue without a
 /// standby. After one late message the ledger must not stay without a standby for the whole outage,
 /// but an unreachable standby must not delay every turn.
-const REPLICATION_RETRY_DELAY: Duration = Duration::from_millis(500);
+pub(super) const REPLICATION_RETRY_DELAY: Duration = Duration::from_millis(500);
 /// Maximum number of accounts in one update, about 200 kB.
 const UPDATE_ACCOUNTS_MAX: usize = 2000;
 
@@ -36,12 +35,12 @@
 pub struct ReplicationId {
     /// The owner and its incarnation, as in the records that it writes.
     pub writer: String,
+    /// Epoch of the owner.
+    pub epoch: Epoch,
     /// Generation of the replication. Increases with each one that this writer begins.
     pub generation: u64,
-    /// The last write covered by the outage note that all ledger hosts had acknowledged when the
-    /// replication began.
-    #[serde(rename = "noted_sequence")]
-    pub acknowledged_sequence: u64,
+    /// The last write covered by outage notes when the replication began.
+    pub noted_sequence: u64,
 }
 
 impl ReplicationId {
@@ -64,9 +63,14 @@
     pub is_complete: bool,
     /// How long the owner's writes to the store have failed.
     pub failing_for: Duration,
-    /// Remaining time for which new accounts count as possibly incomplete.
-    #[serde(rename = "doubtful_for")]
-    pub possibly_incomplete_for: Duration,
+    /// Sequence of the last record that the owner has built.
+    pub sequence: u64,
+    /// The hosts that store outage notes for the owner.
+    pub note_hosts: Vec<NoteHost>,
+    /// Number of former owners that may have granted an overdraft to programs without an account.
+    pub lost_overdrafts: u64,
+    /// How long that applies.
+    pub lost_overdrafts_for: Duration,
     /// Idle time used for accounts that are read from a record.
     pub idle_max: Duration,
     /// Current state of the changed accounts.
@@ -82,7 +86,7 @@
     unsent: BTreeSet<ProgramId>,
     /// Accounts in the update that is in flight.
     sent: BTreeSet<ProgramId>,
-    /// Time of the first write that the store accepted after the outage.
+    /// When the store first answered after the outage.
     store_recovered_at: Option<Instant>,
 }
 
@@ -90,14 +94,6 @@
     pub(super) fn mark_changed(&mut self, program: &str) {
         self.unsent.insert(program.into());
     }
-
-    pub(super) fn mark_all_changed<'a>(&mut self, programs: impl Iterator<Item = &'a ProgramId>) {
-        self.unsent.extend(programs.cloned());
-    }
-
-    pub(super) fn on_store_write(&mut self, now: Instant) {
-        self.store_recovered_at.get_or_insert(now);
-    }
 }
 
 impl Ledger {
@@ -105,9 +101,11 @@
     /// replication has passed. Returns whether one has begun.
     pub fn begin_replication(&mut self, now: Instant) -> bool {
         let is_too_soon = self.next_replication_at.is_some_and(|at| now < at);
-        if !self.is_outage_acknowledged()
+        if self.stored_count == 0
+            || !self.is_outage_noted()
             || !self.is_store_unavailable(now)
             || self.replication.is_some()
+            || self.promoted_from.is_some()
             || is_too_soon
         {
             return false;
@@ -116,8 +114,9 @@
         self.replication = Some(Replication {
             id: ReplicationId {
                 writer: self.writer.clone(),
+                epoch: self.epoch,
                 generation: self.replication_generation,
-                acknowledged_sequence: self.acknowledged_sequence,
+                noted_sequence: self.noted_sequence,
             },
             last_update_number: 0,
             unsent: self.accounts.keys().cloned().collect(),
@@ -143,7 +142,7 @@
     /// Returns the next update for the standby, if there are unsent changes and no update is in
     /// flight.
     pub fn next_update(&mut self, now: Instant) -> Option<ReplicaUpdate> {
-        let possibly_incomplete_for = self.possibly_incomplete_until.saturating_duration_since(now);
+        let lost_overdrafts_for = self.lost_overdrafts_until.saturating_duration_since(now);
         let failing_for = self
             .store_failing_since
             .map_or(Duration::ZERO, |since| now.saturating_duration_since(since));
@@ -166,7 +165,10 @@
             number: replication.last_update_number,
             is_complete: replication.unsent.is_empty(),
             failing_for,
-            possibly_incomplete_for,
+            sequence: self.sequence,
+            note_hosts: self.note_hosts.clone(),
+            lost_overdrafts: self.lost_overdrafts,
+            lost_overdrafts_for,
             idle_max: self.idle_max,
             accounts: accounts.collect(),
         };
@@ -189,6 +191,14 @@
         }
     }
 
+    /// Called when the store answers again. A replication has to be ended then.
+    pub fn on_store_reached(&mut self, now: Instant) {
+        self.is_store_reached = true;
+        if let Some(replication) = &mut self.replication {
+            replication.store_recovered_at.get_or_insert(now);
+        }
+    }
+
     /// Returns when the store recovered, if it has. The replication has to be ended then.
     pub fn replication_ending_since(&self) -> Option<Instant> {
         self.replication.as_ref()?.store_recovered_at
@@ -197,26 +207,43 @@
     /// Ends the replication. No standby can be promoted from it afterwards.
     pub fn end_replication(&mut self, now: Instant) {
         self.next_replication_at = Some(now + REPLICATION_RETRY_DELAY);
-        if let Some(Replication { store_recovered_at: Some(_), .. }) = self.replication.take() {
-            self.on_store_recovered();
-        }
+        self.replication = None;
     }
 
     /// Creates the ledger of a standby that is promoted to owner.
-    pub fn promote(now: Instant, writer: (&str, Incarnation), replica: LedgerReplica) -> Self {
-        let accounts = replica.accounts.iter();
+    pub fn promote(now: Instant, writer: String, replica: LedgerReplica) -> Self {
+        let accounts = replica.accounts.into_iter();
         let accounts: HashMap<ProgramId, Account> = accounts
-            .map(|(program, account)| (program.clone(), Account::from_replica(now, account)))
+            .map(|(program, account)| (program, Account::from_replica(now, account)))
             .collect();
         Self {
             accounts,
-            possibly_incomplete_until: replica.possibly_incomplete_until,
+            // Continues the owner's epoch and numbers, to which its notes and accounts refer.
+            epoch: replica.id.epoch,
+            sequence: replica.sequence,
+            proposed_sequence: replica.id.noted_sequence,
+            noted_sequence: replica.id.noted_sequence,
+            note_hosts: replica.note_hosts,
+            stored_count: 1,
+            lost_overdrafts: replica.lost_overdrafts,
+            lost_overdrafts_until: replica.lost_overdrafts_until,
             store_failing_since: replica.store_failing_since,
             promoted_from: Some(replica.id.writer),
             ..Self::empty(now, writer, replica.idle_max)
         }
     }
 
+    /// Called before a promoted owner writes its first record, once it has read the record of the
+    /// former owner and has fenced its epoch.
+    pub fn claim(&mut self, former_epoch: Epoch, note_hosts: Vec<NoteHost>) {
+        self.begin_epoch(former_epoch + 1, note_hosts);
+    }
+
+    /// Returns whether this owner was promoted and has not claimed the ledger yet.
+    pub fn must_claim(&self) -> bool {
+        self.promoted_from.is_some() && self.stored_count > 0
+    }
+
     /// Returns whether this ledger was promoted from a replica of the writer's ledger.
     pub fn is_promoted_from(&self, writer: &str) -> bool {
         self.promoted_from.as_deref() == Some(writer)
@@ -231,7 +258,10 @@
     is_complete: bool,
     updated_at: Instant,
     store_failing_since: Option<Instant>,
-    possibly_incomplete_until: Instant,
+    sequence: u64,
+    note_hosts: Vec<NoteHost>,
+    lost_overdrafts: u64,
+    lost_overdrafts_until: Instant,
     idle_max: Duration,
     accounts: BTreeMap<ProgramId, AccountReplica>,
 }
@@ -245,7 +275,10 @@
             is_complete: false,
             updated_at: now,
             store_failing_since: None,
-            possibly_incomplete_until: now,
+            sequence: update.sequence,
+            note_hosts: update.note_hosts.clone(),
+            lost_overdrafts: update.lost_overdrafts,
+            lost_overdrafts_until: now,
             idle_max: update.idle_max,
             accounts: BTreeMap::new(),
         };
@@ -262,7 +295,9 @@
         self.updated_at = now;
         self.is_complete |= update.is_complete;
         self.store_failing_since = now.checked_sub(update.failing_for);
-        self.possibly_incomplete_until = now + update.possibly_incomplete_for;
+        self.sequence = update.sequence;
+        self.lost_overdrafts = update.lost_overdrafts;
+        self.lost_overdrafts_until = now + update.lost_overdrafts_for;
         self.accounts.extend(update.accounts);
         true
     }
@@ -291,20 +326,20 @@
     ContinueAlone,
 }
 
-/// The witness of a ledger. Its state is in memory only: after a restart it grants no vote for
+/// The witness of a ledger. Its votes are in memory only: after a restart it grants none for
 /// replications that may have begun before the restart.
 #[derive(Debug, Default)]
 pub struct Witness {
-    /// The first note that this process stored for the current writer.
+    /// The first note that this process stored for the current epoch.
     first_note: Option<LedgerPosition>,
     granted_vote: Option<(ReplicationId, VoteOption)>,
 }
 
 impl Witness {
     /// Called after this process has stored a note that was not on disk before.
-    pub fn on_note_stored(&mut self, position: &LedgerPosition) {
-        if self.first_note.as_ref().is_none_or(|first| first.writer != position.writer) {
-            self.first_note = Some(position.clone());
+    pub fn on_note_stored(&mut self, position: LedgerPosition) {
+        if self.first_note.is_none_or(|first| first.epoch != position.epoch) {
+            self.first_note = Some(position);
         }
     }
 
@@ -312,11 +347,10 @@
     /// if the request is repeated, and never for a replication older than the last one it voted on.
     /// Returns whether it votes for `option`.
     pub fn decide_vote(&mut self, replication: &ReplicationId, option: VoteOption) -> bool {
-        let is_noted_before_replication = |first: &LedgerPosition| {
-            first.writer == replication.writer
-                && first.sequence <= replication.acknowledged_sequence
+        let is_noted_before_replication = |first: LedgerPosition| {
+            first.epoch == replication.epoch && first.sequence <= replication.noted_sequence
         };
-        if !self.first_note.as_ref().is_some_and(is_noted_before_replication) {
+        if !self.first_note.is_some_and(is_noted_before_replication) {
             return false;
         }
         match &self.granted_vote {
--- a/crates/core/src/budget/standby/tests.rs
+++ b/crates/core/src/budget/standby/tests.rs
@@ -1,8 +1,8 @@
 use {
     super::{
         super::{
-            Charge, ChargeOutcome, LedgerRecord, OutageNote, OutageNotes, PeerReport,
-            STORE_UNAVAILABLE_AFTER, TakeoverInputs, TokenCount,
+            Charge, ChargeOutcome, FenceReply, LedgerRecord, STORE_UNAVAILABLE_AFTER, Settlement,
+            TakeoverInputs, TokenCount, TurnId, may_lack_overdraft,
         },
         *,
     },
@@ -14,42 +14,81 @@
 const BUDGET: TokenCount = 10 * TURN;
 const SEED: u64 = 20_261_204;
 
-fn charge(program: &str, is_first_ranked: bool) -> Charge {
-    Charge {
-        program: program.into(),
-        budget: BUDGET,
-        turn_max: TURN,
-        idle_max: IDLE,
-        is_first_ranked,
-        peer_report: PeerReport::Unknown,
-        outage_position: None,
-        acknowledged_by: Vec::new(),
+/// Source of turn ids.
+#[derive(Default)]
+struct Turns(TurnId);
+
+impl Turns {
+    fn charge(&mut self, program: &str) -> Charge {
+        self.0 += 1;
+        Charge {
+            program: program.into(),
+            turn: self.0,
+            budget: BUDGET,
+            turn_max: TURN,
+            idle_max: IDLE,
+        }
+    }
+
+    /// Charges turns of a program until one is refused; returns the number granted.
+    fn charge_all(&mut self, ledger: &mut Ledger, now: Instant, program: &str) -> u64 {
+        let charged = std::iter::repeat_with(|| ledger.charge(now, &self.charge(program)));
+        charged.take_while(is_granted).count() as u64
     }
 }
 
-/// Returns an owner in an outage that all ledger hosts have acknowledged, the current time and the
-/// outage note.
-fn owner_in_outage(now: Instant) -> (Ledger, Instant, OutageNote) {
-    let inputs = TakeoverInputs { was_never_owned: true, ..TakeoverInputs::default() };
-    let mut ledger = Ledger::take_over(now, 0, ("keeper", 1), inputs, IDLE);
-    // This write fails.
-    ledger.next_record(now, 0);
-    ledger.on_write_failed(now);
-    let now = now + STORE_UNAVAILABLE_AFTER;
-    let position = ledger.propose_outage_position();
-    let acknowledged = Charge {
-        peer_report: PeerReport::OutageAcknowledged,
-        outage_position: Some(position.clone()),
-        ..charge("before", true)
-    };
-    assert!(matches!(ledger.charge(now, &acknowledged), ChargeOutcome::Granted { .. }));
-    (ledger, now, OutageNote { noted_at_ms: 0, position })
+fn is_granted(outcome: &ChargeOutcome) -> bool {
+    matches!(outcome, ChargeOutcome::Granted { .. })
+}
+
+fn note_hosts() -> Vec<NoteHost> {
+    (1..=3).map(|id| NoteHost { host: format!("host-{id}"), notes_id: id }).collect()
+}
+
+/// An owner in an outage that the note hosts have noted.
+struct Outage {
+    owner: Ledger,
+    now: Instant,
+    position: LedgerPosition,
+    /// The record in the store.
+    record: LedgerRecord,
+}
+
+impl Outage {
+    fn begin(turns: &mut Turns) -> Self {
+        let now = Instant::now();
+        let inputs =
+            TakeoverInputs { record: None, may_lack_overdraft: false, note_hosts: note_hosts() };
+        let mut owner = Ledger::take_over(now, "keeper@1".into(), inputs, IDLE);
+        let record = owner.next_record(now, 0).expect("a record");
+        owner.on_write_succeeded(now, &record);
+        let failed = owner.next_record(now, 0).expect("a record");
+        owner.on_write_failed(now, &failed, false);
+        let now = now + STORE_UNAVAILABLE_AFTER;
+        let position = owner.propose_outage_position().expect("there are note hosts");
+        assert!(owner.on_outage_noted(position, &note_hosts()));
+        assert!(is_granted(&owner.charge(now, &turns.charge("before"))));
+        Self { owner, now, position, record }
+    }
 }
 
-/// Charges turns of a program until one is refused; returns the number granted.
-fn charge_until_refused(ledger: &mut Ledger, now: Instant, charge: &Charge) -> u64 {
-    let granted = std::iter::repeat_with(|| ledger.charge(now, charge));
-    granted.take_while(|charged| matches!(charged, ChargeOutcome::Granted { .. })).count() as u64
+/// Charges turns until one is refused, and writes the record whenever one waits.
+fn write_and_charge_all(turns: &mut Turns, ledger: &mut Ledger, now: Instant) -> u64 {
+    let mut granted = 0;
+    let mut turn = turns.charge("p");
+    loop {
+        match ledger.charge(now, &turn) {
+            ChargeOutcome::Granted { .. } => {
+                granted += 1;
+                turn = turns.charge("p");
+            }
+            ChargeOutcome::WriteRequired => {
+                let record = ledger.next_record(now, 0).expect("a record");
+                ledger.on_write_succeeded(now, &record);
+            }
+            _ => return granted,
+        }
+    }
 }
 
 fn begin_replica(owner: &mut Ledger, now: Instant) -> LedgerReplica {
@@ -61,11 +100,12 @@
 
 #[test]
 fn promoted_standby_continues_after_loss_of_the_owner() {
-    let (mut owner, now, _) = owner_in_outage(Instant::now());
+    let mut turns = Turns::default();
+    let Outage { mut owner, now, record, .. } = Outage::begin(&mut turns);
     assert!(owner.begin_replication(now) && !owner.begin_replication(now));
     let mut replica = begin_replica(&mut owner, now);
     for _ in 0..2 {
-        assert!(matches!(owner.charge(now, &charge("p", true)), ChargeOutcome::Granted { .. }));
+        assert!(is_granted(&owner.charge(now, &turns.charge("p"))));
         assert!(!owner.is_replicated("p") && owner.is_replicated("before"));
         let update = owner.next_update(now).expect("an account has changed");
         assert!(replica.apply(now, update.clone()) && !replica.apply(now, update));
@@ -73,29 +113,26 @@
         assert!(owner.is_replicated("p"));
     }
     drop(owner);
-    let mut standby = Ledger::promote(now, ("standby", 1), replica);
-    assert!(standby.is_promoted_from("keeper@1"));
+    let mut standby = Ledger::promote(now, "standby@1".into(), replica);
+    assert!(standby.is_promoted_from("keeper@1") && standby.must_claim());
     // Half of the budget is five turns.
-    assert_eq!(charge_until_refused(&mut standby, now, &charge("p", false)), 3);
-    assert_eq!(charge_until_refused(&mut standby, now, &charge("new", false)), 5);
-    assert!(standby.needs_write());
-    let record = standby.next_record(now, 1000);
-    standby.on_write_succeeded(now, &record);
-    let grant_and_write = |standby: &mut Ledger| {
-        let granted = charge_until_refused(standby, now, &charge("p", false));
-        let record = standby.next_record(now, 1000);
-        standby.on_write_succeeded(now, &record);
-        granted
-    };
-    let rest: u64 = (0..8).map(|_| grant_and_write(&mut standby)).sum();
-    assert_eq!(rest, 5, "the remaining half is granted after further writes");
+    assert_eq!(turns.charge_all(&mut standby, now, "p"), 3);
+    assert_eq!(turns.charge_all(&mut standby, now, "new"), 5);
+    assert!(standby.needs_write() && standby.next_record(now, 1000).is_none());
+    standby.claim(record.epoch, note_hosts());
+    assert_eq!(turns.charge_all(&mut standby, now, "other"), 0, "its record is not stored yet");
+    let claimed = standby.next_record(now, 1000).expect("a record");
+    assert_eq!(claimed.epoch, record.epoch + 1);
+    standby.on_write_succeeded(now, &claimed);
+    assert_eq!(write_and_charge_all(&mut turns, &mut standby, now), 5, "the remaining half");
 }
 
 #[test]
 fn owner_that_continued_alone_replicates_again_after_the_delay() {
-    let (mut owner, now, note) = owner_in_outage(Instant::now());
+    let mut turns = Turns::default();
+    let Outage { mut owner, now, position, .. } = Outage::begin(&mut turns);
     let mut witness = Witness::default();
-    witness.on_note_stored(&note.position);
+    witness.on_note_stored(position);
     owner.begin_replication(now);
     let first = owner.replication().cloned().expect("a replication is in progress");
     assert!(witness.decide_vote(&first, VoteOption::ContinueAlone));
@@ -109,36 +146,62 @@
     assert!(!witness.decide_vote(&first, VoteOption::ContinueAlone));
 }
 
+/// A record that is stored while the standby may be promoted would list turns that the standby
+/// frees as well, and would seem complete.
 #[test]
-fn record_stays_possibly_incomplete_until_replication_ends() {
-    let (mut owner, now, note) = owner_in_outage(Instant::now());
+fn no_record_is_written_until_the_replication_has_ended() {
+    let mut turns = Turns::default();
+    let Outage { mut owner, now, position, record } = Outage::begin(&mut turns);
+    let replies = [FenceReply { note_host: note_hosts()[0].clone(), noted: Some(position) }];
     owner.begin_replication(now);
     begin_replica(&mut owner, now);
     assert_eq!(owner.replication_ending_since(), None);
-    let incomplete = owner.next_record(now, 1000);
-    owner.on_write_succeeded(now, &incomplete);
+    assert!(owner.needs_write() && owner.next_record(now, 1000).is_none());
+    owner.on_store_reached(now);
     assert_eq!(owner.replication_ending_since(), Some(now));
-    let still_incomplete = owner.next_record(now, 2000);
+    assert!(owner.next_record(now, 2000).is_none());
+    assert_eq!(may_lack_overdraft(&record, &replies), Some(true));
     owner.end_replication(now);
-    let complete = owner.next_record(now, 3000);
-    let notes = [OutageNotes::Taken { since_ms: 0, last: Some(note) }];
-    let is_possibly_incomplete = |record| {
-        let inputs = TakeoverInputs { record: Some(record), notes: &notes, was_never_owned: false };
-        let unix_ms = record.written_at_ms;
-        Ledger::take_over(now, unix_ms, ("next", 1), inputs, IDLE).is_possibly_incomplete(now)
+    let first = owner.next_record(now, 3000).expect("a record");
+    assert_eq!(may_lack_overdraft(&first, &replies), Some(true));
+    owner.on_write_succeeded(now, &first);
+    let complete = owner.next_record(now, 4000).expect("a record");
+    let replies: Vec<FenceReply> = note_hosts()
+        .into_iter()
+        .map(|note_host| FenceReply { note_host, noted: Some(position) })
+        .collect();
+    assert_eq!(may_lack_overdraft(&complete, &replies), Some(false));
+}
+
+/// Guards against a write that began before the replication and succeeds late.
+#[test]
+fn standby_stays_within_records_that_may_be_stored_late() {
+    let mut turns = Turns::default();
+    let Outage { mut owner, now, .. } = Outage::begin(&mut turns);
+    let mut granted = turns.charge_all(&mut owner, now, "p");
+    let late_record = owner.next_record(now, 0).expect("a record");
+    owner.on_write_failed(now, &late_record, true);
+    owner.begin_replication(now);
+    let replica = begin_replica(&mut owner, now);
+    drop(owner);
+    let mut standby = Ledger::promote(now, "standby@1".into(), replica);
+    granted += turns.charge_all(&mut standby, now, "p");
+    let inputs = TakeoverInputs {
+        record: Some(&late_record),
+        may_lack_overdraft: true,
+        note_hosts: note_hosts(),
     };
-    assert!(
-        is_possibly_incomplete(&incomplete)
-            && is_possibly_incomplete(&still_incomplete)
-            && !is_possibly_incomplete(&complete)
-    );
+    let mut third = Ledger::take_over(now, "third@1".into(), inputs, IDLE);
+    granted += write_and_charge_all(&mut turns, &mut third, now);
+    assert!(granted * TURN <= BUDGET + TURN, "{granted} turns were granted");
 }
 
 #[test]
 fn large_replica_is_complete_after_its_last_update() {
-    let (mut owner, now, _) = owner_in_outage(Instant::now());
+    let mut turns = Turns::default();
+    let Outage { mut owner, now, .. } = Outage::begin(&mut turns);
     for number in 0..2 * UPDATE_ACCOUNTS_MAX {
-        owner.charge(now, &charge(&format!("p{number}"), true));
+        owner.charge(now, &turns.charge(&format!("p{number}")));
     }
     owner.begin_replication(now);
     let mut replica = begin_replica(&mut owner, now);
@@ -157,17 +220,17 @@
 
 #[test]
 fn witness_grants_one_vote_per_replication() {
-    let position = LedgerPosition { writer: "keeper@1".into(), sequence: 9 };
+    let position = LedgerPosition { epoch: 3, sequence: 9 };
     let replication = |generation| {
-        let acknowledged_sequence = 8 + generation;
-        ReplicationId { writer: "keeper@1".into(), generation, acknowledged_sequence }
+        let noted_sequence = 8 + generation;
+        ReplicationId { writer: "keeper@1".into(), epoch: 3, generation, noted_sequence }
     };
     let mut witness = Witness::default();
     assert!(
         !witness.decide_vote(&replication(1), VoteOption::ContinueAlone),
         "the witness has stored no note since it started"
     );
-    witness.on_note_stored(&position);
+    witness.on_note_stored(position);
     assert!(witness.decide_vote(&replication(1), VoteOption::PromoteStandby));
     assert!(witness.decide_vote(&replication(1), VoteOption::PromoteStandby));
     assert!(!witness.decide_vote(&replication(1), VoteOption::ContinueAlone));
@@ -177,10 +240,10 @@
         !witness.decide_vote(&replication(1), VoteOption::PromoteStandby),
         "a later replication was voted on"
     );
-    let other = ReplicationId { writer: "another@1".into(), ..replication(1) };
+    let other = ReplicationId { writer: "another@1".into(), epoch: 4, ..replication(1) };
     assert!(!witness.decide_vote(&other, VoteOption::ContinueAlone));
     let mut restarted = Witness::default();
-    restarted.on_note_stored(&LedgerPosition { sequence: 21, ..position });
+    restarted.on_note_stored(LedgerPosition { sequence: 21, ..position });
     assert!(
         !restarted.decide_vote(&replication(2), VoteOption::ContinueAlone),
         "the witness may have voted before its restart"
@@ -192,33 +255,40 @@
 struct Simulation {
     rng: StdRng,
     now: Instant,
-    note: OutageNote,
+    turns: Turns,
     owner: Option<Ledger>,
     /// Updates to the standby that are delayed in the network.
     delayed: Vec<ReplicaUpdate>,
     replica: Option<LedgerReplica>,
     standby: Option<Ledger>,
     witness: Witness,
-    record: Option<LedgerRecord>,
+    /// The record in the store.
+    record: LedgerRecord,
     granted: u64,
 }
 
 impl Simulation {
     fn new(seed: u64) -> Self {
-        let (mut owner, now, note) = owner_in_outage(Instant::now());
+        let (mut rng, mut turns) = (StdRng::seed_from_u64(seed), Turns::default());
+        let Outage { mut owner, now, position, mut record } = Outage::begin(&mut turns);
+        if rng.random() {
+            // A write that began before the replication, and succeeds although its answer is lost.
+            record = owner.next_record(now, 0).expect("a record");
+            owner.on_write_failed(now, &record, true);
+        }
         owner.begin_replication(now);
         let mut witness = Witness::default();
-        witness.on_note_stored(&note.position);
+        witness.on_note_stored(position);
         Self {
-            rng: StdRng::seed_from_u64(seed),
+            rng,
             now,
-            note,
+            turns,
             owner: Some(owner),
             delayed: Vec::new(),
             replica: None,
             standby: None,
             witness,
-            record: None,
+            record,
             granted: 0,
         }
     }
@@ -267,15 +337,20 @@
         let now = self.now;
         match self.rng.random_range(0..16) {
             0..=5 => {
+                let charge = self.turns.charge("p");
                 let Some(owner) = &mut self.owner else { return };
-                if !matches!(owner.charge(now, &charge("p", true)), ChargeOutcome::Granted { .. }) {
+                if !is_granted(&owner.charge(now, &charge)) {
                     return;
                 }
                 self.send();
-                match &mut self.owner {
-                    Some(owner) if owner.is_replicated("p") => self.granted += 1,
-                    Some(owner) => owner.refund(now, "p", TURN),
-                    None => {}
+                let Some(owner) = &mut self.owner else { return };
+                match owner.is_replicated("p") {
+                    true => self.granted += 1,
+                    false => {
+                        let cancelled =
+                            Settlement { program: "p".into(), turn: charge.turn, used: 0 };
+                        owner.settle(now, &cancelled);
+                    }
                 }
             }
             6..=7 => self.send(),
@@ -298,22 +373,16 @@
             10 => {
                 let Some(held) = self.replica.take_if(|held| held.is_usable(now)) else { return };
                 match self.witness.decide_vote(held.id(), VoteOption::PromoteStandby) {
-                    true => self.standby = Some(Ledger::promote(now, ("standby", 1), held)),
+                    true => self.standby = Some(Ledger::promote(now, "standby@1".into(), held)),
                     false => self.replica = Some(held),
                 }
             }
             11..=13 => {
+                let charge = self.turns.charge("p");
                 let Some(standby) = &mut self.standby else { return };
-                let charged = standby.charge(now, &charge("p", false));
-                self.granted += u64::from(matches!(charged, ChargeOutcome::Granted { .. }));
+                self.granted += u64::from(is_granted(&standby.charge(now, &charge)));
             }
             14 if self.rng.random_range(0..8) == 0 => self.owner = None,
-            15 if self.rng.random_range(0..4) == 0 => {
-                // The owner writes its record, but the answer is lost.
-                if let Some(owner) = &mut self.owner {
-                    self.record = Some(owner.next_record(now, 1000));
-                }
-            }
             _ => {}
         }
     }
@@ -324,37 +393,26 @@
     /// ledger.
     fn recover_store_and_finish(mut self) -> (u64, bool) {
         let now = self.now;
-        let notes = OutageNotes::Taken { since_ms: 0, last: Some(self.note.clone()) };
         // In half of the runs a promoted standby is lost too.
         let standby = self.standby.take().filter(|_| self.rng.random());
         let is_promoted = standby.is_some();
         let mut final_owner = match standby {
             Some(mut standby) => {
-                if let Some(record) = &self.record {
-                    standby.merge(now, record, notes.clone());
-                }
+                standby.claim(self.record.epoch, note_hosts());
                 standby
             }
             None => {
-                let record = self.record.clone().unwrap_or_else(|| LedgerRecord {
-                    writer: self.note.position.writer.clone(),
-                    sequence: 1,
-                    ..LedgerRecord::default()
-                });
                 let inputs = TakeoverInputs {
-                    record: Some(&record),
-                    notes: &[notes],
-                    was_never_owned: false,
+                    record: Some(&self.record),
+                    may_lack_overdraft: true,
+                    note_hosts: note_hosts(),
                 };
-                Ledger::take_over(now, 1500, ("third", 1), inputs, IDLE)
+                Ledger::take_over(now, "third@1".into(), inputs, IDLE)
             }
         };
-        for _ in 0..40 {
-            let record = final_owner.next_record(now, 2000);
-            final_owner.on_write_succeeded(now, &record);
-            self.granted += charge_until_refused(&mut final_owner, now, &charge("p", true));
-        }
-        assert_eq!(final_owner.charge(now, &charge("p", true)), ChargeOutcome::InsufficientBudget);
+        let record = final_owner.next_record(now, 2000).expect("a record");
+        final_owner.on_write_succeeded(now, &record);
+        self.granted += write_and_charge_all(&mut self.turns, &mut final_owner, now);
         (self.granted, is_promoted)
     }
 }
--- a/crates/core/src/budget/tests.rs
+++ b/crates/core/src/budget/tests.rs
@@ -1,625 +1,790 @@
-use {super::*, proptest::prelude::*};
+use super::*;
+
+mod cluster;
 
 const IDLE: Duration = Duration::from_secs(60);
 const TURN: TokenCount = 580;
 
-fn charge(program: &str, budget: TokenCount) -> Charge {
-    Charge {
-        program: program.into(),
-        budget,
-        turn_max: TURN,
-        idle_max: IDLE,
-        is_first_ranked: true,
-        peer_report: PeerReport::StoreUnavailable,
-        outage_position: None,
-        acknowledged_by: Vec::new(),
+fn note_host(number: u64) -> NoteHost {
+    NoteHost { host: format!("host-{number}"), notes_id: number }
+}
+
+fn note_hosts() -> Vec<NoteHost> {
+    (1..=3).map(note_host).collect()
+}
+
+/// Draws charges with new turns.
+#[derive(Default)]
+struct Turns(TurnId);
+
+impl Turns {
+    fn charge(&mut self, program: &str, budget: TokenCount) -> Charge {
+        self.0 += 1;
+        Charge { program: program.into(), turn: self.0, budget, turn_max: TURN, idle_max: IDLE }
+    }
+
+    /// Charges turns until one is not granted; returns the number granted.
+    fn charge_all(&mut self, ledger: &mut Ledger, now: Instant, budget: TokenCount) -> u64 {
+        let charged = std::iter::repeat_with(|| ledger.charge(now, &self.charge("p", budget)));
+        charged.take_while(is_granted).count() as u64
+    }
+
+    /// Charges turns until one is refused, and writes the record whenever a turn waits for it;
+    /// returns the number granted and the refusal.
+    fn charge_until_refused(
+        &mut self,
+        ledger: &mut Ledger,
+        now: Instant,
+        budget: TokenCount,
+    ) -> (u64, ChargeOutcome) {
+        let mut granted = 0;
+        let mut turn = self.charge("p", budget);
+        loop {
+            match ledger.charge(now, &turn) {
+                ChargeOutcome::Granted { .. } => {
+                    granted += 1;
+                    turn = self.charge("p", budget);
+                }
+                ChargeOutcome::WriteRequired => {
+                    write(ledger, now);
+                }
+                refused => return (granted, refused),
+            }
+        }
     }
 }
 
+fn is_granted(outcome: &ChargeOutcome) -> bool {
+    matches!(outcome, ChargeOutcome::Granted { .. })
+}
+
+fn settlement(charge: &Charge, used: TokenCount) -> Settlement {
+    Settlement { program: charge.program.clone(), turn: charge.turn, used }
+}
+
 fn new_ledger(now: Instant) -> Ledger {
-    let inputs = TakeoverInputs { was_never_owned: true, ..TakeoverInputs::default() };
-    Ledger::take_over(now, 0, ("host-1", 1), inputs, IDLE)
+    take_over_with(now, "host-1@1", None, false)
+}
+
+fn take_over(now: Instant, host: &str, record: Option<&LedgerRecord>) -> Ledger {
+    take_over_with(now, host, record, false)
 }
 
-/// Takes over a ledger from a ledger host that stores no notes.
-fn take_over(now: Instant, unix_ms: u64, host: &str, record: Option<&LedgerRecord>) -> Ledger {
-    let inputs = TakeoverInputs { record, notes: &[OutageNotes::NotTaken], was_never_owned: false };
-    Ledger::take_over(now, unix_ms, (host, 1), inputs, IDLE)
+fn take_over_with(
+    now: Instant,
+    host: &str,
+    record: Option<&LedgerRecord>,
+    may_lack_overdraft: bool,
+) -> Ledger {
+    let inputs = TakeoverInputs { record, may_lack_overdraft, note_hosts: note_hosts() };
+    Ledger::take_over(now, host.into(), inputs, IDLE)
 }
 
-/// Fails a write and charges two turns, of which one is granted. Returns the time at which the
-/// peers have reported the store as unavailable.
-fn begin_outage(ledger: &mut Ledger, now: Instant, charge: &Charge) -> Instant {
-    ledger.on_write_failed(now);
-    let later = now + STORE_UNAVAILABLE_AFTER;
-    assert!(is_granted(ledger, later, charge));
-    assert_eq!(ledger.charge(later, charge), ChargeOutcome::WriteRequired);
-    later
+fn build(ledger: &mut Ledger, now: Instant) -> LedgerRecord {
+    ledger.next_record(now, 0).expect("the ledger is not replicated")
 }
 
-/// Returns the charge with an outage note that all ledger hosts have acknowledged.
-fn with_acknowledged_note(ledger: &mut Ledger, charge: Charge) -> Charge {
-    Charge {
-        peer_report: PeerReport::OutageAcknowledged,
-        outage_position: Some(ledger.propose_outage_position()),
-        ..charge
+fn write(ledger: &mut Ledger, now: Instant) -> LedgerRecord {
+    let record = build(ledger, now);
+    ledger.on_write_succeeded(now, &record);
+    record
+}
+
+/// Stores as many records as an owner needs before it reserves tokens for next turns.
+fn stable_ledger(now: Instant) -> Ledger {
+    let mut ledger = new_ledger(now);
+    for _ in 0..WRITES_BEFORE_RESERVATIONS {
+        write(&mut ledger, now);
     }
+    ledger
 }
 
-/// Returns notes that cover the overdrafts of a ledger.
-fn notes_of(ledger: &mut Ledger, noted_at_ms: u64) -> OutageNotes {
-    let note = OutageNote { noted_at_ms, position: ledger.propose_outage_position() };
-    OutageNotes::Taken { since_ms: 0, last: Some(note) }
+/// Fails a write. Returns the time from which the store counts as unavailable.
+fn begin_outage(ledger: &mut Ledger, now: Instant) -> Instant {
+    let record = build(ledger, now);
+    ledger.on_write_failed(now, &record, false);
+    now + STORE_UNAVAILABLE_AFTER
 }
 
-/// Returns notes without an outage, complete since the given time.
-fn empty_notes(since_ms: u64) -> OutageNotes {
-    OutageNotes::Taken { since_ms, last: None }
+/// Has an outage note stored by the given hosts. Returns their replies to a fence.
+fn note(ledger: &mut Ledger, by: &[NoteHost]) -> Vec<FenceReply> {
+    let position = ledger.propose_outage_position().expect("the ledger has note hosts");
+    ledger.on_outage_noted(position, by);
+    by.iter().map(|host| FenceReply { note_host: host.clone(), noted: Some(position) }).collect()
 }
 
-/// Charges turns until one is refused, writing the record after each; returns the number granted.
-fn charge_until_refused(ledger: &mut Ledger, now: Instant, unix_ms: u64, charge: &Charge) -> u64 {
-    let mut granted = 0;
-    while is_granted(ledger, now, charge) {
-        granted += 1;
-        write(ledger, now, unix_ms);
-    }
-    granted
+fn empty_replies(hosts: &[NoteHost]) -> Vec<FenceReply> {
+    hosts.iter().map(|host| FenceReply { note_host: host.clone(), noted: None }).collect()
 }
 
-fn is_granted(ledger: &mut Ledger, now: Instant, charge: &Charge) -> bool {
-    matches!(ledger.charge(now, charge), ChargeOutcome::Granted { .. })
+#[test]
+fn budget_holds_with_settlements() {
+    let (now, mut turns) = (Instant::now(), Turns::default());
+    let mut ledger = new_ledger(now);
+    let first = turns.charge("p", 1160);
+    assert_eq!(ledger.charge(now, &first), ChargeOutcome::WriteRequired);
+    write(&mut ledger, now);
+    assert!(is_granted(&ledger.charge(now, &first)));
+    assert_eq!(
+        turns.charge_until_refused(&mut ledger, now, 1160),
+        (1, ChargeOutcome::InsufficientBudget)
+    );
+    ledger.settle(now, &settlement(&first, 180));
+    let (granted, refused) = turns.charge_until_refused(&mut ledger, now, 1160);
+    assert_eq!((granted, refused), (0, ChargeOutcome::InsufficientBudget), "400 of 580 are free");
+    let (granted, refused) = turns.charge_until_refused(&mut ledger, now, 1360);
+    assert_eq!((granted, refused), (1, ChargeOutcome::InsufficientBudget));
 }
 
-fn write(ledger: &mut Ledger, now: Instant, unix_ms: u64) -> LedgerRecord {
-    let record = ledger.next_record(now, unix_ms);
-    ledger.on_write_succeeded(now, &record);
-    record
+#[test]
+fn first_turn_waits_for_the_record_and_the_next_two_do_not() {
+    let (now, mut turns) = (Instant::now(), Turns::default());
+    let mut ledger = stable_ledger(now);
+    let first = turns.charge("p", 5300);
+    assert_eq!(ledger.charge(now, &first), ChargeOutcome::WriteRequired);
+    assert!(ledger.needs_write());
+    write(&mut ledger, now);
+    assert!(is_granted(&ledger.charge(now, &first)));
+    assert!(ledger.needs_write(), "the next turns are not reserved yet");
+    write(&mut ledger, now);
+    assert!(!ledger.needs_write());
+    for _ in 0..2 {
+        assert!(is_granted(&ledger.charge(now, &turns.charge("p", 5300))));
+    }
+    assert_eq!(ledger.charge(now, &turns.charge("p", 5300)), ChargeOutcome::WriteRequired);
 }
 
 #[test]
-fn budget_holds_with_refunds() {
-    let now = Instant::now();
+fn turns_that_wait_together_are_granted_after_one_write() {
+    let (now, mut turns) = (Instant::now(), Turns::default());
     let mut ledger = new_ledger(now);
-    let turn = charge("p", 1160);
-    assert!(is_granted(&mut ledger, now, &turn));
-    write(&mut ledger, now, 0);
-    assert!(is_granted(&mut ledger, now, &turn));
-    assert_eq!(ledger.charge(now, &turn), ChargeOutcome::InsufficientBudget);
-    ledger.refund(now, "p", 400);
-    assert_eq!(ledger.charge(now, &turn), ChargeOutcome::InsufficientBudget);
-    ledger.refund(now, "p", 400);
-    assert!(is_granted(&mut ledger, now, &turn));
+    let waiting: Vec<Charge> = (0..4).map(|_| turns.charge("p", 5300)).collect();
+    for _ in 0..2 {
+        for charge in &waiting {
+            assert_eq!(ledger.charge(now, charge), ChargeOutcome::WriteRequired);
+        }
+    }
+    write(&mut ledger, now);
+    assert!(waiting.iter().all(|charge| is_granted(&ledger.charge(now, charge))));
 }
 
+/// Guards against a host that tells callers that the budget is spent, while another owner has
+/// settled the turns that it counts.
 #[test]
-fn second_turn_waits_for_the_record_and_the_third_does_not() {
-    let now = Instant::now();
+fn refusal_for_open_turns_waits_until_the_owner_is_confirmed() {
+    let (now, mut turns) = (Instant::now(), Turns::default());
     let mut ledger = new_ledger(now);
-    let turn = charge("p", 5300);
-    assert!(is_granted(&mut ledger, now, &turn));
+    let open = turns.charge("p", TURN);
+    ledger.charge(now, &open);
+    write(&mut ledger, now);
+    assert!(is_granted(&ledger.charge(now, &open)));
+    let next = turns.charge("p", TURN);
+    let record_before = build(&mut ledger, now);
+    assert_eq!(ledger.charge(now, &next), ChargeOutcome::WriteRequired);
+    ledger.on_write_succeeded(now, &record_before);
+    assert_eq!(ledger.charge(now, &next), ChargeOutcome::WriteRequired);
     assert!(ledger.needs_write());
-    assert_eq!(ledger.charge(now, &turn), ChargeOutcome::WriteRequired);
-    write(&mut ledger, now, 0);
-    assert!(is_granted(&mut ledger, now, &turn));
-    assert!(is_granted(&mut ledger, now, &turn));
+    write(&mut ledger, now);
+    assert_eq!(ledger.charge(now, &next), ChargeOutcome::InsufficientBudget);
+    ledger.settle(now, &settlement(&open, 1));
+    let other = turns.charge("p", TURN);
+    assert_eq!(ledger.charge(now, &other), ChargeOutcome::InsufficientBudget, "it has ended");
 }
 
+/// A request is sent again through a relay when its answer is late.
 #[test]
-fn crash_exceeds_the_budget_by_at_most_one_turn() {
-    let now = Instant::now();
+fn repeated_charges_and_settlements_count_once() {
+    let (now, mut turns) = (Instant::now(), Turns::default());
     let mut ledger = new_ledger(now);
-    assert!(is_granted(&mut ledger, now, &charge("p", 2320)));
-    let record = write(&mut ledger, now, 1000);
-    let mut granted = 1;
-    while is_granted(&mut ledger, now, &charge("p", 2320)) {
-        granted += 1;
+    let first = turns.charge("p", 3 * TURN);
+    ledger.charge(now, &first);
+    write(&mut ledger, now);
+    for _ in 0..3 {
+        assert!(is_granted(&ledger.charge(now, &first)));
     }
-    let mut successor = take_over(now, 1500, "host-2", Some(&record));
-    granted += charge_until_refused(&mut successor, now, 1500, &charge("p", 2320));
-    assert!(
-        granted * TURN <= 2320 + TURN,
-        "{granted} turns were granted, more than the budget and one turn"
-    );
+    for _ in 0..3 {
+        ledger.settle(now, &settlement(&first, TURN - 100));
+    }
+    assert_eq!(ledger.charge(now, &first), ChargeOutcome::Cancelled);
+    assert_eq!(turns.charge_until_refused(&mut ledger, now, 3 * TURN).0, 2);
+}
+
+#[test]
+fn turn_that_was_cancelled_before_its_charge_is_not_granted() {
+    let (now, mut turns) = (Instant::now(), Turns::default());
+    let mut ledger = new_ledger(now);
+    let late = turns.charge("p", 3 * TURN);
+    assert_eq!(ledger.charge(now, &late), ChargeOutcome::WriteRequired);
+    ledger.settle(now, &settlement(&late, 0));
+    write(&mut ledger, now);
+    assert_eq!(ledger.charge(now, &late), ChargeOutcome::Cancelled);
+    assert_eq!(turns.charge_until_refused(&mut ledger, now, 3 * TURN).0, 3);
+}
+
+/// Guards against a refund that reaches a successor whose record lacks the charge.
+#[test]
+fn settlement_of_a_turn_that_is_in_no_record_frees_nothing() {
+    let (now, mut turns) = (Instant::now(), Turns::default());
+    let mut ledger = stable_ledger(now);
+    ledger.charge(now, &turns.charge("p", 5 * TURN));
+    let record = write(&mut ledger, now);
+    let unrecorded = turns.charge("p", 5 * TURN);
+    assert!(is_granted(&ledger.charge(now, &unrecorded)));
+    let mut successor = take_over(now, "host-2@1", Some(&record));
+    successor.settle(now, &settlement(&unrecorded, 0));
+    assert!(successor.is_settlement_stored(&settlement(&unrecorded, 0)));
+    let (granted, _) = turns.charge_until_refused(&mut successor, now, 5 * TURN);
+    assert_eq!(1 + granted, 5, "one of the two reserved turns stays uncertain");
+}
+
+#[test]
+fn settlement_is_stored_once_the_record_includes_it() {
+    let (now, mut turns) = (Instant::now(), Turns::default());
+    let mut ledger = new_ledger(now);
+    let turn = turns.charge("p", 3 * TURN);
+    ledger.charge(now, &turn);
+    write(&mut ledger, now);
+    assert!(is_granted(&ledger.charge(now, &turn)));
+    let record_before = build(&mut ledger, now);
+    let end = settlement(&turn, 80);
+    ledger.settle(now, &end);
+    ledger.on_write_succeeded(now, &record_before);
+    assert!(!ledger.is_settlement_stored(&end) && ledger.needs_write());
+    let record = write(&mut ledger, now);
+    assert!(ledger.is_settlement_stored(&end));
+    let mut successor = take_over(now, "host-2@1", Some(&record));
+    assert_eq!(turns.charge_until_refused(&mut successor, now, 2 * TURN + 80).0, 2);
+}
+
+/// Guards against tokens that a superseded owner and its successor both free.
+#[test]
+fn tokens_of_a_recorded_turn_are_free_after_the_next_write() {
+    let (now, mut turns) = (Instant::now(), Turns::default());
+    let budget = 4 * TURN;
+    let mut owner = stable_ledger(now);
+    let turn = turns.charge("p", budget);
+    owner.charge(now, &turn);
+    write(&mut owner, now);
+    assert!(is_granted(&owner.charge(now, &turn)));
+    let record = write(&mut owner, now);
+    let mut successor = take_over(now, "host-2@1", Some(&record));
+    owner.settle(now, &settlement(&turn, 0));
+    successor.settle(now, &settlement(&turn, 0));
+    let mut granted = turns.charge_all(&mut owner, now, budget);
+    assert_eq!(granted, 2, "only the reserved turns");
+    granted += turns.charge_until_refused(&mut successor, now, budget).0;
+    assert!(granted <= 5, "{granted} turns were granted");
+}
+
+#[test]
+fn successor_settles_turns_of_the_former_owner() {
+    let (now, mut turns) = (Instant::now(), Turns::default());
+    let mut ledger = new_ledger(now);
+    let turn = turns.charge("p", 3 * TURN);
+    ledger.charge(now, &turn);
+    write(&mut ledger, now);
+    assert!(is_granted(&ledger.charge(now, &turn)));
+    let record = write(&mut ledger, now);
+    let mut successor = take_over(now, "host-2@1", Some(&record));
+    for _ in 0..2 {
+        successor.settle(now, &settlement(&turn, 0));
+    }
+    assert_eq!(turns.charge_until_refused(&mut successor, now, 3 * TURN).0, 3);
+}
+
+#[test]
+fn loss_of_the_owner_exceeds_the_budget_by_at_most_one_turn() {
+    let (now, mut turns) = (Instant::now(), Turns::default());
+    let mut ledger = stable_ledger(now);
+    ledger.charge(now, &turns.charge("p", 2320));
+    let record = write(&mut ledger, now);
+    let mut granted = turns.charge_all(&mut ledger, now, 2320);
+    let mut successor = take_over(now, "host-2@1", Some(&record));
+    granted += turns.charge_until_refused(&mut successor, now, 2320).0;
+    assert!(granted * TURN <= 2320 + TURN, "{granted} turns were granted");
 }
 
 #[test]
 fn budget_holds_when_owners_are_lost_in_series() {
-    let now = Instant::now();
-    let turn = charge("p", 2320);
-    let mut owner = new_ledger(now);
+    let (now, mut turns) = (Instant::now(), Turns::default());
+    let mut owner = stable_ledger(now);
     let mut granted = 0;
-    for host in ["host-2", "host-3", "host-4", "host-5"] {
-        let record = write(&mut owner, now, 1000);
+    for host in ["host-2@1", "host-3@1", "host-4@1", "host-5@1"] {
+        owner.charge(now, &turns.charge("p", 2320));
+        let record = write(&mut owner, now);
         // Each owner is lost before it writes the record again.
-        while is_granted(&mut owner, now, &turn) {
-            granted += 1;
+        granted += turns.charge_all(&mut owner, now, 2320);
+        owner = take_over(now, host, Some(&record));
+        for _ in 0..WRITES_BEFORE_RESERVATIONS {
+            write(&mut owner, now);
         }
-        owner = take_over(now, 1000, host, Some(&record));
     }
-    granted += charge_until_refused(&mut owner, now, 1000, &turn);
+    granted += turns.charge_until_refused(&mut owner, now, 2320).0;
     assert!(granted * TURN <= 2320 + TURN, "{} tokens were granted", granted * TURN);
 }
 
+/// A write whose outcome is unknown reserves fewer tokens than the record before it, and succeeds
+/// after turns were granted from the larger reservation.
+#[test]
+fn budget_holds_when_a_late_write_lowers_the_reservation() {
+    let (now, mut turns) = (Instant::now(), Turns::default());
+    let mut owner = stable_ledger(now);
+    let waiting: Vec<Charge> = (0..3).map(|_| turns.charge("p", 6 * TURN)).collect();
+    waiting.iter().for_each(|charge| assert!(!is_granted(&owner.charge(now, charge))));
+    write(&mut owner, now);
+    let late_record = build(&mut owner, now);
+    owner.on_write_failed(now, &late_record, true);
+    let mut granted = turns.charge_all(&mut owner, now, 6 * TURN);
+    let mut successor = take_over(now, "host-2@1", Some(&late_record));
+    granted += turns.charge_until_refused(&mut successor, now, 6 * TURN).0;
+    assert!(granted <= 7, "{granted} turns were granted");
+}
+
+/// Guards against an overdraft that each owner grants anew because the store was away at the loss
+/// of the one before.
+#[test]
+fn budget_holds_when_owners_are_lost_in_one_outage_after_another() {
+    let (mut now, mut turns) = (Instant::now(), Turns::default());
+    let budget = 10 * TURN;
+    let mut owner = new_ledger(now);
+    let mut record = write(&mut owner, now);
+    let mut granted = 0;
+    for host in ["host-2@1", "host-3@1", "host-4@1"] {
+        now = begin_outage(&mut owner, now);
+        let replies = note(&mut owner, &note_hosts()[..2]);
+        granted += turns.charge_all(&mut owner, now, budget);
+        let may_lack = may_lack_overdraft(&record, &replies);
+        assert_eq!(may_lack, Some(true));
+        owner = take_over_with(now, host, Some(&record), true);
+        record = write(&mut owner, now);
+    }
+    granted += turns.charge_until_refused(&mut owner, now, budget).0;
+    assert!(granted * TURN <= budget + TURN, "{granted} turns were granted");
+}
+
 #[test]
 fn overdraft_is_half_the_budget_and_is_held_back_by_the_successor() {
-    let now = Instant::now();
+    let (now, mut turns) = (Instant::now(), Turns::default());
     let budget = 10 * TURN;
     let mut ledger = new_ledger(now);
-    let record = write(&mut ledger, now, 1000);
-    let later =
-        begin_outage(&mut ledger, now, &charge("p", budget)) + UNACKNOWLEDGED_OVERDRAFT_AFTER;
-    let mut granted = 1;
-    while is_granted(&mut ledger, later, &charge("p", budget)) {
-        granted += 1;
-    }
-    assert_eq!(granted, 5);
+    let record = write(&mut ledger, now);
+    let later = begin_outage(&mut ledger, now);
+    let replies = note(&mut ledger, &note_hosts()[1..]);
     assert!(ledger.is_store_unavailable(later) && !ledger.is_store_unavailable(now));
-    let mut successor = take_over(later, 9000, "host-2", Some(&record));
-    granted += charge_until_refused(&mut successor, later, 9000, &charge("p", budget));
-    assert!(
-        granted * TURN <= budget + TURN,
-        "{granted} turns were granted, more than the budget and one turn"
-    );
-    assert!(
-        granted >= 10,
-        "only {granted} turns were granted; the presumed charge exceeded the overdraft"
-    );
+    assert_eq!(turns.charge_all(&mut ledger, now, budget), 0, "the store may be slow");
+    let mut granted = turns.charge_all(&mut ledger, later, budget);
+    assert_eq!(granted, 5);
+    assert_eq!(may_lack_overdraft(&record, &replies), Some(true));
+    let mut successor = take_over_with(later, "host-2@1", Some(&record), true);
+    let (rest, refused) = turns.charge_until_refused(&mut successor, later, budget);
+    granted += rest;
+    assert!(granted * TURN <= budget + TURN, "{granted} turns were granted");
+    assert!(granted >= 10, "only {granted} turns were granted");
+    assert_eq!(refused, ChargeOutcome::PossiblySpent, "the overdraft may not have been granted");
 }
 
-/// Guards against a successor that again grants the tokens of an overdraft. The time of the record
-/// is 100 s.
+/// Guards against a successor that again grants the tokens of an overdraft.
 #[test]
-fn acknowledged_overdraft_is_granted_at_once_and_is_held_back_by_the_successor() {
-    let now = Instant::now();
-    let budget = 10 * TURN;
-    for name in ["its notes", "another's notes", "only notes from later on", "no notes"] {
-        let mut ledger = new_ledger(now);
-        let record = write(&mut ledger, now, 100_000);
-        ledger.on_write_failed(now);
-        let turn = with_acknowledged_note(&mut ledger, charge("p", budget));
-        assert!(is_granted(&mut ledger, now, &turn));
-        assert_eq!(
-            ledger.charge(now, &turn),
-            ChargeOutcome::WriteRequired,
-            "the store may be slow"
-        );
-        let later = now + STORE_UNAVAILABLE_AFTER;
-        let mut granted = 1;
-        while is_granted(&mut ledger, later, &turn) {
-            granted += 1;
-        }
-        assert_eq!(granted, 5);
-        let notes = match name {
-            "its notes" => vec![notes_of(&mut ledger, 100_400)],
-            "another's notes" => vec![empty_notes(100_900), notes_of(&mut ledger, 100_400)],
-            "only notes from later on" => vec![empty_notes(100_900)],
-            _ => vec![],
+fn note_of_a_majority_is_found_by_any_two_hosts() {
+    let (now, mut turns) = (Instant::now(), Turns::default());
+    let mut ledger = new_ledger(now);
+    let record = write(&mut ledger, now);
+    let later = begin_outage(&mut ledger, now);
+    note(&mut ledger, &[note_host(1)]);
+    assert_eq!(turns.charge_all(&mut ledger, later, 10 * TURN), 0, "one of three is no majority");
+    let stranger = NoteHost { notes_id: 9, ..note_host(2) };
+    note(&mut ledger, &[note_host(1), stranger]);
+    assert_eq!(turns.charge_all(&mut ledger, later, 10 * TURN), 0, "a host lost its notes");
+    let replies = note(&mut ledger, &note_hosts()[..2]);
+    assert_eq!(turns.charge_all(&mut ledger, later, 10 * TURN), 5);
+    let found = |replies: &[FenceReply]| may_lack_overdraft(&record, replies);
+    let third = &empty_replies(&note_hosts()[2..])[0];
+    assert_eq!(found(&[replies[0].clone(), third.clone()]), Some(true));
+    assert_eq!(found(&[third.clone(), replies[1].clone()]), Some(true));
+    assert_eq!(found(std::slice::from_ref(third)), None);
+    assert_eq!(found(&[]), None);
+}
+
+/// For any number of note hosts, a successor that has asked enough of them meets one that has noted
+/// an outage, and one lost host of two doesn't keep it from knowing.
+#[test]
+fn every_fence_meets_every_note() {
+    let position = LedgerPosition { epoch: 1, sequence: 5 };
+    for count in 1..=5 {
+        let hosts: Vec<NoteHost> = (0..count).map(note_host).collect();
+        let record = LedgerRecord {
+            epoch: 1,
+            sequence: 1,
+            note_hosts: hosts.clone(),
+            ..LedgerRecord::default()
         };
-        let inputs =
-            TakeoverInputs { record: Some(&record), notes: &notes, was_never_owned: false };
-        let mut successor = Ledger::take_over(later, 101_000, ("host-2", 1), inputs, IDLE);
-        granted += charge_until_refused(&mut successor, later, 101_000, &charge("p", budget));
-        assert!(granted * TURN <= budget + TURN, "{granted} turns granted with {name}");
+        for noted_by in 0_u32..1 << count {
+            for asked in 0_u32..1 << count {
+                let is_in = |set: u32, host: &NoteHost| set & 1 << host.notes_id != 0;
+                let replies: Vec<FenceReply> = hosts
+                    .iter()
+                    .filter(|host| is_in(asked, host))
+                    .map(|host| FenceReply {
+                        note_host: host.clone(),
+                        noted: is_in(noted_by, host).then_some(position),
+                    })
+                    .collect();
+                let mut owner = take_over(Instant::now(), "host-0@1", None);
+                owner.begin_epoch(1, hosts.clone());
+                let noted_by_hosts: Vec<NoteHost> =
+                    hosts.iter().filter(|host| is_in(noted_by, host)).cloned().collect();
+                let is_noted = owner.on_outage_noted(position, &noted_by_hosts);
+                let may_lack = may_lack_overdraft(&record, &replies);
+                assert!(!is_noted || may_lack != Some(false), "{noted_by:b} {asked:b} of {count}");
+                if count == 2 && asked != 0 {
+                    assert!(may_lack.is_some());
+                }
+            }
+        }
     }
 }
 
 #[test]
-fn overdraft_stops_at_the_acknowledged_write() {
-    let now = Instant::now();
+fn overdraft_stops_at_the_noted_write() {
+    let (now, mut turns) = (Instant::now(), Turns::default());
     let mut ledger = new_ledger(now);
-    write(&mut ledger, now, 100_000);
-    ledger.on_write_failed(now);
-    let later = now + STORE_UNAVAILABLE_AFTER;
-    let turn = with_acknowledged_note(&mut ledger, charge("p", 10 * TURN));
-    assert!(is_granted(&mut ledger, later, &turn));
-    for attempt in 0..NOTE_LOOKAHEAD_WRITES {
-        ledger.next_record(later, 100_400);
-        let other_charge = charge(&format!("p{attempt}"), 10 * TURN);
-        assert!(
-            is_granted(&mut ledger, later, &other_charge)
-                && is_granted(&mut ledger, later, &other_charge)
-        );
+    write(&mut ledger, now);
+    let later = begin_outage(&mut ledger, now);
+    note(&mut ledger, &note_hosts());
+    for number in 0..NOTE_LOOKAHEAD_WRITES {
+        let program = format!("p{number}");
+        for _ in 0..2 {
+            assert!(is_granted(&ledger.charge(later, &turns.charge(&program, 10 * TURN))));
+        }
+        let record = build(&mut ledger, later);
+        ledger.on_write_failed(later, &record, true);
     }
     // The notes do not cover this write, so a successor would treat its record as complete.
-    ledger.next_record(later, 100_800);
-    assert_eq!(ledger.charge(later, &turn), ChargeOutcome::WriteRequired);
-    let acknowledged_again = with_acknowledged_note(&mut ledger, charge("p", 10 * TURN));
-    assert!(is_granted(&mut ledger, later, &acknowledged_again));
+    let record = build(&mut ledger, later);
+    ledger.on_write_failed(later, &record, true);
+    assert_eq!(turns.charge_all(&mut ledger, later, 10 * TURN), 0);
+    note(&mut ledger, &note_hosts());
+    assert!(turns.charge_all(&mut ledger, later, 10 * TURN) > 0);
 }
 
-/// Guards against turns that wait for a lost ledger host although all ledger hosts have
-/// acknowledged the outage note.
+/// Guards against turns that wait for a lost ledger host although the outage is noted.
 #[test]
-fn overdraft_continues_when_a_ledger_host_is_lost() {
-    let now = Instant::now();
+fn overdraft_continues_when_ledger_hosts_are_lost() {
+    let (now, mut turns) = (Instant::now(), Turns::default());
     let mut ledger = new_ledger(now);
-    write(&mut ledger, now, 100_000);
-    ledger.on_write_failed(now);
-    let later = now + STORE_UNAVAILABLE_AFTER;
-    let turn = with_acknowledged_note(&mut ledger, charge("p", 10 * TURN));
-    assert!(is_granted(&mut ledger, later, &turn));
-    ledger.next_record(later, 100_400);
-    for peer_report in [PeerReport::StoreUnavailable, PeerReport::Unknown] {
-        let turn = Charge { peer_report, ..charge("p", 10 * TURN) };
-        assert!(is_granted(&mut ledger, later, &turn), "{peer_report:?}");
+    write(&mut ledger, now);
+    let later = begin_outage(&mut ledger, now);
+    note(&mut ledger, &note_hosts());
+    assert_eq!(turns.charge_all(&mut ledger, later, 10 * TURN), 5);
+    ledger.on_read_failed(later);
+    assert!(is_granted(&ledger.charge(later, &turns.charge("q", 10 * TURN))));
+}
+
+/// Guards against a former owner that grants overdrafts for as long as it is cut off: its successor
+/// can't hold tokens of new programs back for ever.
+#[test]
+fn fenced_owner_stops_its_overdraft_after_some_attempts_to_reach_the_store() {
+    let (now, mut turns) = (Instant::now(), Turns::default());
+    let mut ledger = new_ledger(now);
+    let record = write(&mut ledger, now);
+    let later = begin_outage(&mut ledger, now);
+    let mut notes = OutageNotes::default();
+    assert!(notes.note(ledger.propose_outage_position().expect("a position")));
+    note(&mut ledger, &note_hosts());
+    notes.fence(record.epoch + 1);
+    for _ in 0..=NOTE_LOOKAHEAD_WRITES {
+        ledger.on_read_failed(later);
     }
-    let lower_ranked = Charge { is_first_ranked: false, ..charge("p", 10 * TURN) };
-    assert!(!is_granted(&mut ledger, later, &lower_ranked));
+    assert_eq!(turns.charge_all(&mut ledger, later, 10 * TURN), 0);
+    assert!(!notes.note(ledger.propose_outage_position().expect("a position")));
 }
 
 #[test]
-fn record_after_an_acknowledged_outage_is_complete() {
-    let now = Instant::now();
-    let budget = 10 * TURN;
+fn record_after_a_noted_outage_is_complete() {
+    let (now, mut turns) = (Instant::now(), Turns::default());
     let mut ledger = new_ledger(now);
-    write(&mut ledger, now, 100_000);
-    ledger.on_write_failed(now);
-    let later = now + STORE_UNAVAILABLE_AFTER;
-    let turn = with_acknowledged_note(&mut ledger, charge("p", budget));
-    assert!(is_granted(&mut ledger, later, &turn) && is_granted(&mut ledger, later, &turn));
-    let notes = [notes_of(&mut ledger, 100_400)];
-    write(&mut ledger, later, 100_500);
-    assert!(ledger.needs_write());
-    let record = write(&mut ledger, later, 100_600);
-    assert!(!ledger.needs_write(), "the second write after the outage is complete");
-    let inputs = TakeoverInputs { record: Some(&record), notes: &notes, was_never_owned: false };
-    let successor = Ledger::take_over(later, 100_700, ("host-2", 1), inputs, IDLE);
-    assert!(!successor.is_possibly_incomplete(later));
+    write(&mut ledger, now);
+    let later = begin_outage(&mut ledger, now);
+    let replies = note(&mut ledger, &note_hosts());
+    assert_eq!(turns.charge_all(&mut ledger, later, 10 * TURN), 5);
+    let first = write(&mut ledger, later);
+    assert_eq!(may_lack_overdraft(&first, &replies), Some(true));
+    assert!(ledger.needs_write() && ledger.should_rewrite_record());
+    let second = write(&mut ledger, later);
+    assert!(!ledger.should_rewrite_record(), "the second write after the outage is complete");
+    assert_eq!(may_lack_overdraft(&second, &replies), Some(false));
 }
 
 #[test]
 fn successor_grants_the_full_budget_if_no_note_applies() {
-    let now = Instant::now();
-    let budget = 10 * TURN;
+    let (now, mut turns) = (Instant::now(), Turns::default());
     let mut ledger = new_ledger(now);
-    let earlier_notes = notes_of(&mut ledger, 90_000);
-    write(&mut ledger, now, 99_000);
-    let record = write(&mut ledger, now, 100_000);
+    write(&mut ledger, now);
+    begin_outage(&mut ledger, now);
+    let earlier_notes = note(&mut ledger, &note_hosts());
+    write(&mut ledger, now);
+    let record = write(&mut ledger, now);
     let cases = [
-        ("all notes", vec![empty_notes(0)]),
-        ("notes since before the record", vec![empty_notes(90_000)]),
-        ("a note of an earlier outage", vec![earlier_notes]),
-        ("a host that takes none", vec![OutageNotes::NotTaken]),
-        ("one that has lost its notes, and another", vec![empty_notes(101_000), empty_notes(0)]),
+        ("all note hosts", empty_replies(&note_hosts())),
+        ("a majority", empty_replies(&note_hosts()[1..])),
+        ("notes of an earlier outage", earlier_notes),
     ];
-    for (name, notes) in cases {
-        let inputs =
-            TakeoverInputs { record: Some(&record), notes: &notes, was_never_owned: false };
-        let mut successor = Ledger::take_over(now, 102_000, ("host-2", 1), inputs, IDLE);
-        let granted = charge_until_refused(&mut successor, now, 102_000, &charge("p", budget));
-        assert_eq!(granted, 10, "{name}");
+    for (name, replies) in cases {
+        assert_eq!(may_lack_overdraft(&record, &replies), Some(false), "{name}");
     }
+    let without_note_hosts = LedgerRecord { note_hosts: Vec::new(), ..record.clone() };
+    assert_eq!(may_lack_overdraft(&without_note_hosts, &[]), Some(false));
+    let mut successor = take_over(now, "host-2@1", Some(&record));
+    let full = (10, ChargeOutcome::InsufficientBudget);
+    assert_eq!(turns.charge_until_refused(&mut successor, now, 10 * TURN), full);
 }
 
-/// Guards against a second owner that grants an overdraft again after it has merged the record of
-/// the first owner.
 #[test]
-fn merged_record_of_an_acknowledged_outage_is_possibly_incomplete() {
-    let now = Instant::now();
+fn fence_prevents_notes_for_earlier_epochs() {
+    let position = |epoch, sequence| LedgerPosition { epoch, sequence };
+    let mut notes = OutageNotes::default();
+    assert!(notes.note(position(2, 7)) && notes.covers(position(2, 7)));
+    assert!(notes.covers(position(2, 6)) && !notes.covers(position(2, 8)));
+    assert_eq!(notes.fence(4), Some(position(2, 7)));
+    assert!(!notes.note(position(2, 8)) && !notes.note(position(3, 1)));
+    assert!(notes.note(position(4, 1)) && notes.note(position(5, 1)));
+    assert!(!notes.note(position(4, 9)), "a later owner has noted");
+    assert_eq!(notes.fence(1), Some(position(5, 1)));
+}
+
+/// Guards against a second owner that grants tokens which the first one still grants by its
+/// reservation and its overdraft.
+#[test]
+fn budget_holds_while_a_superseded_owner_goes_on() {
+    let (now, mut turns) = (Instant::now(), Turns::default());
     let budget = 10 * TURN;
-    let mut successor = new_ledger(now);
-    let mut ledger = new_ledger(now);
-    let record = write(&mut ledger, now, 100_000);
-    ledger.on_write_failed(now);
-    let later = now + STORE_UNAVAILABLE_AFTER;
-    let turn = with_acknowledged_note(&mut ledger, charge("p", budget));
-    let mut granted = 0;
-    while is_granted(&mut ledger, later, &turn) {
-        granted += 1;
-    }
-    let notes = notes_of(&mut ledger, 100_300);
-    successor.merge(later, &record, notes.clone());
-    granted += charge_until_refused(&mut successor, later, 101_000, &charge("p", budget));
-    assert!(
-        granted * TURN <= budget + TURN,
-        "{granted} turns were granted, more than the budget and one turn"
-    );
-    // The accounts of the first-ranked host include its own charges, so nothing is presumed.
-    ledger.merge(later, &record, notes);
-    write(&mut ledger, later, 101_000);
-    assert!(is_granted(&mut ledger, later, &charge("p", budget)));
+    let mut owner = stable_ledger(now);
+    owner.charge(now, &turns.charge("p", budget));
+    let record = write(&mut owner, now);
+    let later = begin_outage(&mut owner, now);
+    note(&mut owner, &note_hosts());
+    let mut successor = take_over_with(later, "host-2@1", Some(&record), true);
+    let mut granted = turns.charge_until_refused(&mut successor, later, budget).0;
+    granted += turns.charge_all(&mut owner, later, budget);
+    assert!(granted * TURN <= budget + TURN, "{granted} turns were granted");
 }
 
 /// A write that timed out in an outage succeeds late, after the owner granted an overdraft.
 #[test]
-fn record_of_a_late_write_is_possibly_incomplete() {
-    let now = Instant::now();
+fn record_of_a_late_write_may_lack_an_overdraft() {
+    let (now, mut turns) = (Instant::now(), Turns::default());
     let budget = 10 * TURN;
     let mut ledger = new_ledger(now);
-    write(&mut ledger, now, 1000);
-    let later =
-        begin_outage(&mut ledger, now, &charge("p", budget)) + UNACKNOWLEDGED_OVERDRAFT_AFTER;
-    let late_record = ledger.next_record(later, 5000);
-    let mut granted = 1;
-    while is_granted(&mut ledger, later, &charge("p", budget)) {
-        granted += 1;
-    }
+    write(&mut ledger, now);
+    let later = begin_outage(&mut ledger, now);
+    let replies = note(&mut ledger, &note_hosts());
+    let late_record = build(&mut ledger, later);
+    ledger.on_write_failed(later, &late_record, true);
+    let mut granted = turns.charge_all(&mut ledger, later, budget);
     assert_eq!(granted, 5);
-    let mut successor = take_over(later, 5100, "host-2", Some(&late_record));
-    granted += charge_until_refused(&mut successor, later, 5100, &charge("p", budget));
-    assert!(
-        granted * TURN <= budget + TURN,
-        "{granted} turns were granted, more than the budget and one turn"
-    );
+    assert_eq!(may_lack_overdraft(&late_record, &replies), Some(true));
+    let mut successor = take_over_with(later, "host-2@1", Some(&late_record), true);
+    granted += turns.charge_until_refused(&mut successor, later, budget).0;
+    assert!(granted * TURN <= budget + TURN, "{granted} turns were granted");
 }
 
-/// A write whose outcome is unknown reserves fewer tokens than the record before it, and succeeds
-/// after turns were granted from the larger reservation.
 #[test]
-fn budget_holds_when_a_late_write_lowers_the_reservation() {
-    let now = Instant::now();
-    let turn = charge("p", 6 * TURN);
-    let mut owner = new_ledger(now);
+fn owners_that_take_turns_grant_the_whole_budget() {
+    let (now, mut turns) = (Instant::now(), Turns::default());
+    let budget = 9 * 880;
+    let mut stored: Option<LedgerRecord> = None;
     let mut granted = 0;
-    for _ in 0..2 {
-        assert!(is_granted(&mut owner, now, &turn));
-        granted += 1;
-        write(&mut owner, now, 1000);
-    }
-    // Both turns end without a token, so the next record reserves less than the stored one.
-    owner.refund(now, "p", 2 * TURN);
-    granted -= 2;
-    let late_record = owner.next_record(now, 1000);
-    while is_granted(&mut owner, now, &turn) {
-        granted += 1;
+    for number in 0..9 {
+        let mut owner = take_over(now, &format!("host-{}@{number}", number % 2), stored.as_ref());
+        let turn = Charge { turn_max: 880, ..turns.charge("p", budget) };
+        assert_eq!(owner.charge(now, &turn), ChargeOutcome::WriteRequired);
+        write(&mut owner, now);
+        granted += u64::from(is_granted(&owner.charge(now, &turn)));
+        // Lost without a release: the successor counts the rest of the reservation as uncertain.
+        owner.settle(now, &settlement(&turn, 480));
+        stored = Some(write(&mut owner, now));
     }
-    let mut successor = take_over(now, 1000, "host-2", Some(&late_record));
-    granted += charge_until_refused(&mut successor, now, 1000, &turn);
-    assert!(granted * TURN <= 7 * TURN, "{granted} turns were granted");
+    assert_eq!(granted, 9);
 }
 
-/// Guards against an overdraft that each owner grants anew because the store was away at the loss
-/// of the one before.
 #[test]
-fn budget_holds_when_owners_are_lost_in_one_outage_after_another() {
-    let (mut now, mut unix_ms) = (Instant::now(), 100_000);
-    let budget = 10 * TURN;
-    let mut owner = new_ledger(now);
-    let mut record = write(&mut owner, now, unix_ms);
+fn released_ledger_leaves_nothing_uncertain() {
+    let (now, mut turns) = (Instant::now(), Turns::default());
+    let mut owner = stable_ledger(now);
     let mut granted = 0;
-    for host in ["host-2", "host-3", "host-4"] {
-        owner.on_write_failed(now);
-        now += STORE_UNAVAILABLE_AFTER;
-        unix_ms += STORE_UNAVAILABLE_AFTER.as_millis() as u64;
-        let turn = with_acknowledged_note(&mut owner, charge("p", budget));
-        while is_granted(&mut owner, now, &turn) {
-            granted += 1;
+    for number in 2..6 {
+        for _ in 0..WRITES_BEFORE_RESERVATIONS {
+            write(&mut owner, now);
         }
-        let notes = [notes_of(&mut owner, unix_ms)];
-        let inputs =
-            TakeoverInputs { record: Some(&record), notes: &notes, was_never_owned: false };
-        owner = Ledger::take_over(now, unix_ms, (host, 1), inputs, IDLE);
-        record = write(&mut owner, now, unix_ms);
+        let turn = turns.charge("p", 9 * TURN);
+        owner.charge(now, &turn);
+        write(&mut owner, now);
+        granted += u64::from(is_granted(&owner.charge(now, &turn)));
+        write(&mut owner, now);
+        assert!(owner.begin_release() && owner.needs_write());
+        let refused = owner.charge(now, &turns.charge("p", 9 * TURN));
+        assert_eq!(refused, ChargeOutcome::WriteRequired);
+        let record = write(&mut owner, now);
+        assert!(owner.is_released_by(&record));
+        assert_eq!(may_lack_overdraft(&record, &[]), Some(false));
+        owner = take_over(now, &format!("host-{number}@1"), Some(&record));
     }
-    granted += charge_until_refused(&mut owner, now, unix_ms, &charge("p", budget));
-    assert!(granted * TURN <= budget + TURN, "{granted} turns were granted");
+    let (rest, refused) = turns.charge_until_refused(&mut owner, now, 9 * TURN);
+    assert_eq!((granted + rest, refused), (9, ChargeOutcome::InsufficientBudget));
 }
 
 #[test]
-fn merge_adds_unrecorded_charges_to_the_other_record() {
-    let now = Instant::now();
-    let mut ledger = new_ledger(now);
-    assert!(is_granted(&mut ledger, now, &charge("p", 2320)));
-    let other = LedgerRecord {
-        writer: "host-2@1".into(),
-        charged: [("p".into(), 1160), ("q".into(), 100)].into(),
-        ..LedgerRecord::default()
-    };
-    assert!(!ledger.is_own(&other));
-    ledger.merge(now, &other, OutageNotes::NotTaken);
-    write(&mut ledger, now, 0);
-    // The account holds 580 tokens charged here and 1160 from the other record.
-    assert!(is_granted(&mut ledger, now, &charge("p", 2320)));
-    assert_eq!(ledger.charge(now, &charge("p", 2320)), ChargeOutcome::InsufficientBudget);
-    assert_eq!(ledger.len(), 2);
+fn release_ends_when_its_write_fails() {
+    let (now, mut turns) = (Instant::now(), Turns::default());
+    let mut owner = stable_ledger(now);
+    assert!(!new_ledger(now).begin_release(), "a new owner has nothing to release");
+    let record_before = build(&mut owner, now);
+    assert!(owner.begin_release());
+    assert!(!owner.is_released_by(&record_before), "it still has reservations");
+    let record = build(&mut owner, now);
+    owner.on_write_failed(now, &record, true);
+    assert!(!owner.is_releasing() && !owner.begin_release(), "the store is unavailable");
+    assert_eq!(owner.propose_outage_position(), None, "its successor would ask for no notes");
+    write(&mut owner, now);
+    assert!(owner.propose_outage_position().is_some());
+    assert_eq!(turns.charge_until_refused(&mut owner, now, 3 * TURN).0, 3);
 }
 
 #[test]
-fn reservations_of_alternating_owners_do_not_use_up_the_budget() {
-    let now = Instant::now();
-    let budget = 9 * 880;
-    let mut one = new_ledger(now);
-    let mut two = new_ledger(now);
-    let mut granted = 0;
-    let mut stored = None;
-    for turn in 0..9 {
-        let owner = if turn % 2 == 0 { &mut one } else { &mut two };
-        if let Some(record) = &stored {
-            owner.merge(now, record, OutageNotes::NotTaken);
-        }
-        if is_granted(owner, now, &charge("p", budget)) {
-            granted += 1;
-            owner.refund(now, "p", 400);
-        }
-        stored = Some(write(owner, now, 0));
-    }
-    assert_eq!(granted, 9);
+fn owner_without_notes_grants_nothing_beyond_its_record() {
+    let (now, mut turns) = (Instant::now(), Turns::default());
+    let mut ledger = stable_ledger(now);
+    ledger.charge(now, &turns.charge("p", 10 * TURN));
+    write(&mut ledger, now);
+    let later = begin_outage(&mut ledger, now);
+    assert_eq!(turns.charge_all(&mut ledger, later, 10 * TURN), 2, "the reserved turns");
+    let much_later = later + Duration::from_secs(30);
+    assert_eq!(turns.charge_all(&mut ledger, much_later, 10 * TURN), 0);
+    let inputs = TakeoverInputs { record: None, may_lack_overdraft: false, note_hosts: Vec::new() };
+    let mut without_hosts = Ledger::take_over(now, "host-1@1".into(), inputs, IDLE);
+    write(&mut without_hosts, now);
+    assert_eq!(without_hosts.propose_outage_position(), None);
 }
 
 #[test]
-fn owner_without_peer_reports_grants_one_unreserved_turn() {
-    let now = Instant::now();
-    let budget = 10 * TURN;
-    let mut ledger = new_ledger(now);
-    write(&mut ledger, now, 1000);
-    let no_peer_report = Charge { peer_report: PeerReport::Unknown, ..charge("p", budget) };
-    let later = begin_outage(&mut ledger, now, &no_peer_report) + UNACKNOWLEDGED_OVERDRAFT_AFTER;
-    assert_eq!(ledger.charge(later, &no_peer_report), ChargeOutcome::WriteRequired);
-    assert_eq!(ledger.charge(later, &no_peer_report), ChargeOutcome::WriteRequired);
-    assert!(is_granted(&mut ledger, later, &charge("p", budget)));
+fn owner_grants_nothing_before_its_first_record_is_stored() {
+    let (now, mut turns) = (Instant::now(), Turns::default());
+    let budget = 2 * TURN;
+    let mut first = stable_ledger(now);
+    first.charge(now, &turns.charge("p", budget));
+    let stored = write(&mut first, now);
+    let mut granted = turns.charge_all(&mut first, now, budget);
+    for host in ["two@1", "three@1", "four@1"] {
+        let mut owner = take_over(now, host, Some(&stored));
+        assert_eq!(turns.charge_all(&mut owner, now, budget), 0);
+        let later = begin_outage(&mut owner, now);
+        assert_eq!(owner.propose_outage_position(), None);
+        assert_eq!(turns.charge_all(&mut owner, later, budget), 0);
+    }
+    let mut owner = take_over(now, "five@1", Some(&stored));
+    granted += turns.charge_until_refused(&mut owner, now, budget).0;
+    assert!(granted * TURN <= budget + TURN, "{granted} turns were granted");
 }
 
 #[test]
-fn lower_ranked_hosts_grant_only_recorded_tokens() {
-    let now = Instant::now();
-    let budget = 2 * TURN;
-    let turn = Charge { is_first_ranked: false, ..charge("p", budget) };
-    let mut granted = 0;
-    let mut first_ranked = new_ledger(now);
-    assert!(is_granted(&mut first_ranked, now, &charge("p", budget)));
-    granted += 1;
-    let stored = write(&mut first_ranked, now, 0);
-    for host in ["two", "three", "four"] {
-        // These hosts took the ledger over before the program began.
-        let inputs = TakeoverInputs { was_never_owned: true, ..TakeoverInputs::default() };
-        let mut owner = Ledger::take_over(now, 0, (host, 1), inputs, IDLE);
-        assert_eq!(owner.charge(now, &turn), ChargeOutcome::WriteRequired);
-        assert!(owner.needs_write());
-        owner.merge(now, &stored, OutageNotes::NotTaken);
-        granted += u64::from(is_granted(&mut owner, now, &turn));
-    }
-    assert!(
-        granted * TURN <= budget + TURN,
-        "{granted} turns were granted, more than the budget and one turn"
-    );
+fn renewed_note_hosts_count_once_their_record_is_stored() {
+    let (now, mut turns) = (Instant::now(), Turns::default());
+    let mut ledger = stable_ledger(now);
+    let replacements = vec![note_host(1), note_host(4), note_host(5)];
+    assert!(ledger.renew(replacements.clone()));
+    assert!(!ledger.renew(note_hosts()), "the outcome of the first write is not known");
+    let later = begin_outage(&mut ledger, now);
+    assert_eq!(ledger.propose_outage_position(), None);
+    let record = write(&mut ledger, later);
+    assert_eq!(record.note_hosts, replacements);
+    let later = begin_outage(&mut ledger, later);
+    assert!(!ledger.renew(note_hosts()), "the store is unavailable");
+    note(&mut ledger, &note_hosts());
+    assert_eq!(turns.charge_all(&mut ledger, later, 10 * TURN), 0);
+    note(&mut ledger, &replacements[1..]);
+    assert!(turns.charge_all(&mut ledger, later, 10 * TURN) > 0);
 }
 
 #[test]
-fn charge_is_the_first_one_until_one_is_not_refunded() {
-    let now = Instant::now();
+fn charge_is_the_first_one_until_one_is_used() {
+    let (now, mut turns) = (Instant::now(), Turns::default());
     let mut ledger = new_ledger(now);
-    let turn = charge("p", 5300);
-    assert_eq!(ledger.charge(now, &turn), ChargeOutcome::Granted { is_new: true });
-    ledger.refund(now, "p", TURN);
-    assert_eq!(ledger.charge(now, &turn), ChargeOutcome::Granted { is_new: true });
-    write(&mut ledger, now, 0);
-    assert_eq!(ledger.charge(now, &turn), ChargeOutcome::Granted { is_new: false });
+    let mut grant = |ledger: &mut Ledger| {
+        let turn = turns.charge("p", 5300);
+        ledger.charge(now, &turn);
+        write(ledger, now);
+        (ledger.charge(now, &turn), turn)
+    };
+    let (first, turn) = grant(&mut ledger);
+    assert_eq!(first, ChargeOutcome::Granted { is_new: true });
+    ledger.settle(now, &settlement(&turn, 0));
+    assert_eq!(grant(&mut ledger).0, ChargeOutcome::Granted { is_new: true });
+    assert_eq!(grant(&mut ledger).0, ChargeOutcome::Granted { is_new: false });
 }
 
 #[test]
 fn extreme_values_do_not_overflow() {
-    let now = Instant::now();
+    let (now, mut turns) = (Instant::now(), Turns::default());
     let mut ledger = new_ledger(now);
-    let charge_with = |budget, turn_max| Charge { turn_max, ..charge("p", budget) };
+    let mut charge_with = |budget, turn_max| Charge { turn_max, ..turns.charge("p", budget) };
     assert_eq!(
         ledger.charge(now, &charge_with(0, TokenCount::MAX)),
         ChargeOutcome::InsufficientBudget
     );
-    assert!(is_granted(&mut ledger, now, &charge_with(TokenCount::MAX, TokenCount::MAX)));
-    let record = write(&mut ledger, now, 0);
-    ledger.merge(now, &record, OutageNotes::NotTaken);
-    assert!(is_granted(&mut ledger, now, &charge_with(TokenCount::MAX, 0)));
+    let largest = charge_with(TokenCount::MAX, TokenCount::MAX);
+    assert_eq!(ledger.charge(now, &largest), ChargeOutcome::WriteRequired);
+    let record = write(&mut ledger, now);
+    assert!(is_granted(&ledger.charge(now, &largest)));
+    assert!(is_granted(&ledger.charge(now, &charge_with(TokenCount::MAX, 0))));
     assert_eq!(ledger.charge(now, &charge_with(10, 20)), ChargeOutcome::InsufficientBudget);
-    ledger.refund(now, "p", TokenCount::MAX);
-    assert!(is_granted(&mut ledger, now, &charge_with(20, 20)));
+    let mut successor = take_over_with(now, "host-2@1", Some(&record), true);
+    let refused = successor.charge(now, &charge_with(TokenCount::MAX - 1, 10));
+    assert_eq!(refused, ChargeOutcome::PossiblySpent);
+    ledger.settle(now, &settlement(&largest, TokenCount::MAX));
+    ledger.settle(now, &settlement(&largest, 0));
+    let next = charge_with(TokenCount::MAX - 1, 1);
+    assert_eq!(ledger.charge(now, &next), ChargeOutcome::InsufficientBudget);
+}
+
+#[test]
+fn open_turns_of_one_program_are_bounded() {
+    let (now, mut turns) = (Instant::now(), Turns::default());
+    let mut ledger = new_ledger(now);
+    let budget = 200 * TURN;
+    for _ in 0..200 {
+        let turn = turns.charge("p", budget);
+        ledger.charge(now, &turn);
+        write(&mut ledger, now);
+        assert!(is_granted(&ledger.charge(now, &turn)));
+    }
+    let record = write(&mut ledger, now);
+    let account = &record.accounts["p"];
+    assert!(account.open.len() <= 64, "{} open turns", account.open.len());
+    assert_eq!(account.settled + account.open.len() as u64 * TURN, budget);
+    let refused = (0, ChargeOutcome::InsufficientBudget);
+    assert_eq!(turns.charge_until_refused(&mut ledger, now, budget), refused);
 }
 
 #[test]
 fn accounts_expire_after_the_idle_time_and_margin() {
-    let now = Instant::now();
+    let (now, mut turns) = (Instant::now(), Turns::default());
     let mut ledger = new_ledger(now);
-    assert!(is_granted(&mut ledger, now, &charge("p", 5300)));
-    assert_eq!(ledger.next_record(now + IDLE, 0).charged.len(), 1);
-    assert!(
-        ledger
-            .next_record(now + IDLE + RETENTION_MARGIN + Duration::from_secs(1), 0)
-            .charged
-            .is_empty()
-    );
+    ledger.charge(now, &turns.charge("p", 5300));
+    assert_eq!(build(&mut ledger, now + IDLE).accounts.len(), 1);
+    let expired = now + IDLE + RETENTION_MARGIN + Duration::from_secs(1);
+    assert!(build(&mut ledger, expired).accounts.is_empty());
 }
 
-#[derive(Clone, Copy, Debug)]
-enum Action {
-    Turn {
-        used: TokenCount,
-        peer_report: PeerReport,
-    },
-    Write,
-    FailedWrite,
-    Wait {
-        wait_ms: u64,
-    },
-    /// The owner crashes. With `recorded_late` the pending write still succeeds; with `loses_notes`
-    /// all notes are lost.
-    Crash {
-        recorded_late: bool,
-        loses_notes: bool,
-    },
-}
-
-fn peer_report() -> impl Strategy<Value = PeerReport> {
-    prop_oneof![
-        1 => Just(PeerReport::Unknown),
-        1 => Just(PeerReport::StoreUnavailable),
-        2 => Just(PeerReport::OutageAcknowledged),
-    ]
-}
-
-fn action() -> impl Strategy<Value = Action> {
-    prop_oneof![
-        6 => (0..=TURN / 29, peer_report())
-            .prop_map(|(events, peer_report)| Action::Turn { used: events * 29, peer_report }),
-        3 => Just(Action::Write),
-        2 => Just(Action::FailedWrite),
-        2 => (1_u64..5000).prop_map(|wait_ms| Action::Wait { wait_ms }),
-        1 => any::<(bool, bool)>()
-            .prop_map(|(recorded_late, loses_notes)| Action::Crash { recorded_late, loses_notes }),
-    ]
-}
-
-proptest! {
-    #![proptest_config(ProptestConfig { cases: 2000, failure_persistence: None, ..ProptestConfig::default() })]
-
-    /// One crash of the owner at any time, after any failed writes, lets a program exceed its
-    /// budget by at most one turn.
-    #[test]
-    fn any_crash_exceeds_the_budget_by_at_most_one_turn(
-        actions in proptest::collection::vec(action(), 1..60),
-        turns in 1_u64..14,
-    ) {
-        let budget = turns * 880;
-        let (mut now, mut unix_ms) = (Instant::now(), 1_000_000);
-        let mut ledger = new_ledger(now);
-        let (mut stored, mut pending) = (None, None);
-        let (mut used_tokens, mut is_crashed, mut last_note) = (0, false, None);
-        for action in actions {
-            match action {
-                Action::Turn { used, peer_report } => {
-                    let outage_position = (peer_report == PeerReport::OutageAcknowledged)
-                        .then(|| ledger.propose_outage_position());
-                    if let Some(position) = &outage_position {
-                        let position = position.clone();
-                        last_note = Some(OutageNote { noted_at_ms: unix_ms, position });
-                    }
-                    let turn = Charge { peer_report, outage_position, ..charge("p", budget) };
-                    if is_granted(&mut ledger, now, &turn) {
-                        used_tokens += used;
-                        ledger.refund(now, "p", TURN - used);
-                    }
-                }
-                Action::Write => {
-                    let record = ledger.next_record(now, unix_ms);
-                    ledger.on_write_succeeded(now, &record);
-                    (stored, pending) = (Some(record), None);
-                }
-                Action::FailedWrite => {
-                    pending = Some(ledger.next_record(now, unix_ms));
-                    ledger.on_write_failed(now);
-                }
-                Action::Wait { wait_ms } => {
-                    now += Duration::from_millis(wait_ms);
-                    unix_ms += wait_ms;
-                }
-                Action::Crash { recorded_late, loses_notes } if !is_crashed => {
-                    is_crashed = true;
-                    if recorded_late && pending.is_some() {
-                        stored = pending.take();
-                    }
-                    let notes = match loses_notes {
-                        true => empty_notes(unix_ms),
-                        false => OutageNotes::Taken { since_ms: 0, last: last_note.clone() },
-                    };
-                    let inputs = TakeoverInputs {
-                        record: stored.as_ref(),
-                        notes: &[notes],
-                        was_never_owned: false,
-                    };
-                    ledger = Ledger::take_over(now, unix_ms, ("host-2", 1), inputs, IDLE);
-                }
-                Action::Crash { .. } => {}
-            }
-            prop_assert!(used_tokens <= budget + TURN, "{used_tokens} of {budget}");
-        }
-    }
+#[test]
+fn record_is_read_back_as_written() {
+    let (now, mut turns) = (Instant::now(), Turns::default());
+    let mut ledger = take_over_with(now, "host-2@1", Some(&LedgerRecord::default()), true);
+    let turn = turns.charge("p", 10 * TURN);
+    ledger.charge(now, &turn);
+    write(&mut ledger, now);
+    assert!(is_granted(&ledger.charge(now, &turn)));
+    let record = write(&mut ledger, now);
+    let text = serde_json::to_string(&record).expect("it has a JSON form");
+    assert_eq!(serde_json::from_str::<LedgerRecord>(&text).expect("a record"), record);
+    assert_eq!((record.epoch, record.lost_overdrafts), (1, 1));
 }
--- a/crates/gateway/src/call/budget.rs
+++ b/crates/gateway/src/call/budget.rs
@@ -1,32 +1,33 @@
-//! Charges turns to their programs' budgets, and refunds unused tokens.
+//! Charges turns to their programs' budgets, and settles them at their ends.
 
 use {
     super::Call,
     crate::{
         gateway::Gateway,
         ledger::{self, LEDGER_HOST_COUNT, RankedHost},
-        peers::{self, ChargeDecision, PeerReply, PeerRequest},
+        peers::{self, ChargeDecision, PeerReply, PeerRequest, SettlementStatus},
         roster,
     },
     serde_json::json,
     smol::Timer,
     std::{
         cell::Cell,
+        collections::BTreeMap,
         net::SocketAddr,
         rc::Rc,
         time::{Duration, Instant},
     },
     trefoilring_core::{
-        budget::{Charge, PeerReport, TokenCount},
+        budget::{Charge, Settlement, TokenCount, TurnId},
         ids::ProgramId,
         verdict::{Reason, Refusal},
     },
     trefoilring_observe::decisions::LineRate,
 };
 
-/// Limit for all attempts to charge a turn at one ledger host. Longer than a ledger write takes
-/// with a slow store, because turns may wait for a write.
-const LEDGER_HOST_TIMEOUT: Duration = Duration::from_millis(600);
+/// Limit for all attempts to charge a turn at one ledger host. Longer than two writes with a slow
+/// store take, because turns wait for the write that covers them and for the one before it.
+const LEDGER_HOST_TIMEOUT: Duration = Duration::from_millis(1200);
 /// Maximum time that a ledger host waits for the ledger's record before it replies `Undecided`.
 /// This time is short, so that a missing answer means that the host is lost, not that the host is
 /// waiting.
@@ -35,26 +36,33 @@
 const SLOW_CHARGE: Duration = Duration::from_millis(50);
 /// Time added to [`RECORD_WAIT_MAX`] for the request and its answer.
 const ROUND_TRIP_MARGIN: Duration = Duration::from_millis(130);
-/// Interval over which refunds are batched into one message.
-const REFUND_INTERVAL: Duration = Duration::from_millis(250);
-/// Timeout of a message with refunds.
-const REFUND_TIMEOUT: Duration = Duration::from_millis(500);
+/// Interval over which settlements are batched into one message.
+const SETTLE_INTERVAL: Duration = Duration::from_millis(250);
+/// Maximum time that a ledger host waits for its record to include settlements.
+const SETTLE_WAIT_MAX: Duration = Duration::from_millis(800);
+/// Pause before settlements that may be lost are sent again.
+const SETTLE_RETRY_PAUSE: Duration = Duration::from_millis(300);
+/// How long settlements are sent again. Longer than takeovers and most outages of the store last.
+const SETTLE_RETRY_MAX: Duration = Duration::from_secs(20);
 /// How long a program may be idle and still resume, if its route sets no time.
 const IDLE_MAX_DEFAULT: Duration = Duration::from_secs(60);
 /// `Retry-After` of calls that are refused because no host can decide on the charge.
 const RETRY_AFTER: Duration = Duration::from_millis(500);
 
-/// Refunds, grouped by the address of their ledger host. `None` stands for this host.
-pub(crate) type Refunds =
-    std::collections::HashMap<Option<SocketAddr>, Vec<(ProgramId, TokenCount)>>;
+/// Settlements that wait to be sent, by partition and by the address of the ledger host that granted
+/// the turns. `None` stands for this host.
+pub(crate) type Settlements = BTreeMap<(usize, Option<SocketAddr>), Vec<Settlement>>;
 
-/// A turn that was charged its maximum tokens. Refunds the unused tokens when dropped.
+/// A turn that was charged its maximum tokens, or may have been. Settled when dropped.
 pub(crate) struct TurnCharge {
     gateway: Rc<Gateway>,
     /// Address of the ledger host that charged the turn. `None` stands for this host.
     ledger_host: Option<SocketAddr>,
     program: ProgramId,
+    turn: TurnId,
     charged: TokenCount,
+    /// Whether a host has charged the turn, or may do so.
+    may_be_charged: bool,
     /// Whether this is the first turn of its program.
     pub(super) opens_program: bool,
     used: Cell<TokenCount>,
@@ -74,26 +82,28 @@
 
 impl Drop for TurnCharge {
     fn drop(&mut self) {
-        let unused = self.charged.saturating_sub(self.used.get());
-        if unused == 0 {
+        if !self.may_be_charged {
             return;
         }
-        let refund = (self.program.clone(), unused);
-        if self.used.get() == 0 {
+        let used = self.used.get();
+        let settlement = Settlement { program: self.program.clone(), turn: self.turn, used };
+        let partition = ledger::partition_of(&self.program);
+        if used == 0 {
             // A turn without tokens was probably refused and will be retried soon. Its charge must
             // not block other turns of the program.
-            self.gateway.spawn(send_refunds_to(
+            self.gateway.spawn(settle(
                 self.gateway.clone(),
+                partition,
                 self.ledger_host,
-                vec![refund],
+                vec![settlement],
             ));
             return;
         }
-        let mut refunds = self.gateway.refunds.borrow_mut();
-        if refunds.is_empty() {
-            self.gateway.spawn(flush_refunds(self.gateway.clone()));
+        let mut settlements = self.gateway.settlements.borrow_mut();
+        if settlements.is_empty() {
+            self.gateway.spawn(flush_settlements(self.gateway.clone()));
         }
-        refunds.entry(self.ledger_host).or_default().push(refund);
+        settlements.entry((partition, self.ledger_host)).or_default().push(settlement);
     }
 }
 
@@ -113,83 +123,58 @@
     let Some(budget) = program.token_budget.filter(|_| call.route.kind.is_stream()) else {
         return Ok(None);
     };
-    let mut charge = Charge {
-        program: program.id.as_str().into(),
-        budget,
-        turn_max: generation.output_tokens_max,
-        idle_max: call.route.program_idle_max.unwrap_or(IDLE_MAX_DEFAULT),
-        is_first_ranked: true,
-        peer_report: PeerReport::Unknown,
-        outage_position: None,
-        acknowledged_by: Vec::new(),
-    };
+    let program: ProgramId = program.id.as_str().into();
     let began = Instant::now();
-    let ledger_hosts = ledger_hosts_by_reachability(gateway, ledger::partition_of(&charge.program));
-    // If all ledger hosts have reported the store as unavailable, the first-ranked host may grant
-    // an overdraft and is queried again in a last attempt.
-    let first_ranked = ledger_hosts.iter().find(|ledger_host| ledger_host.rank == 0).copied();
-    let host_count = ledger_hosts.len();
-    // `peer_report` is the weakest report of the hosts queried so far.
-    let (mut peer_report, mut acknowledged_by) = (PeerReport::OutageAcknowledged, Vec::new());
-    for (host_index, host) in ledger_hosts.into_iter().map(Some).chain([first_ranked]).enumerate() {
-        let Some(RankedHost { address: ledger_host, rank }) = host else { break };
-        if host_index == host_count {
-            if peer_report == PeerReport::Unknown {
-                break;
-            }
-            charge.peer_report = peer_report;
-            if peer_report == PeerReport::OutageAcknowledged {
-                charge.acknowledged_by = std::mem::take(&mut acknowledged_by);
-            }
-        }
-        charge.is_first_ranked = rank == 0;
-        let mut ledger_host = ledger_host;
-        let mut decision = charge_at(gateway, ledger_host, &charge, call.time_left()).await;
-        log_charge(gateway, call, ledger_host, host_index, decision.as_ref(), began.elapsed());
-        let deferred_to = match decision {
-            Some(ChargeDecision::OwnedElsewhere { owner }) => Some(owner),
-            _ => None,
+    let ledger_hosts = ledger_hosts_by_reachability(gateway, ledger::partition_of(&program));
+    for (host_index, RankedHost { address, .. }) in ledger_hosts.into_iter().enumerate() {
+        // Not the turn that was cancelled at another host.
+        let charge = Charge {
+            program: program.clone(),
+            turn: rand::random(),
+            budget,
+            turn_max: generation.output_tokens_max,
+            idle_max: call.route.program_idle_max.unwrap_or(IDLE_MAX_DEFAULT),
+        };
+        let mut turn_charge = TurnCharge {
+            gateway: gateway.clone(),
+            ledger_host: address,
+            program: charge.program.clone(),
+            turn: charge.turn,
+            charged: charge.turn_max,
+            may_be_charged: true,
+            opens_program: false,
+            used: Cell::new(0),
         };
-        if let Some(address) = deferred_to {
-            // The owner may not be ranked first, so it must not grant unreserved turns.
-            ledger_host = (address != roster::own_address(gateway)).then_some(address);
-            let deferred_charge = Charge { is_first_ranked: false, ..charge.clone() };
-            decision = charge_at(gateway, ledger_host, &deferred_charge, call.time_left()).await;
-            log_charge(gateway, call, ledger_host, host_index, decision.as_ref(), began.elapsed());
+        let mut decision = charge_at(gateway, address, &charge, call.time_left()).await;
+        log_charge(gateway, call, address, host_index, decision.as_ref(), began.elapsed());
+        if let Some(ChargeDecision::OwnedElsewhere { owner }) = decision {
+            turn_charge.ledger_host = (owner != roster::own_address(gateway)).then_some(owner);
+            let owner = turn_charge.ledger_host;
+            decision = charge_at(gateway, owner, &charge, call.time_left()).await;
+            log_charge(gateway, call, owner, host_index, decision.as_ref(), began.elapsed());
         }
+        // Unless the host has refused it, it may grant the turn late, and the turn is cancelled.
+        turn_charge.may_be_charged = matches!(
+            decision,
+            None | Some(ChargeDecision::Granted { .. } | ChargeDecision::Undecided)
+        );
         match decision {
             Some(ChargeDecision::Granted { is_new }) => {
-                return Ok(Some(TurnCharge {
-                    gateway: gateway.clone(),
-                    ledger_host,
-                    program: charge.program,
-                    charged: charge.turn_max,
-                    opens_program: is_new,
-                    used: Cell::new(0),
-                }));
+                turn_charge.opens_program = is_new;
+                return Ok(Some(turn_charge));
             }
             Some(ChargeDecision::InsufficientBudget) => {
                 let detail = format!("the program's budget of {budget} tokens is spent");
                 return Err(Refusal::not_run(Reason::BudgetSpent, detail));
             }
-            // A host defers only if the owner can reach the store, so no overdraft is allowed.
-            _ if deferred_to.is_some() => peer_report = PeerReport::Unknown,
-            Some(ChargeDecision::StoreUnavailable { position, .. }) if rank == 0 => {
-                charge.outage_position = position
-            }
-            // The next owner reads outage notes only from the first `LEDGER_HOST_COUNT` ranked
-            // hosts, so acknowledgements of other hosts don't count.
-            Some(ChargeDecision::StoreUnavailable { is_acknowledged: true, .. })
-                if rank < LEDGER_HOST_COUNT =>
-            {
-                acknowledged_by.push(ledger_host.unwrap_or_else(|| roster::own_address(gateway)));
-            }
-            Some(ChargeDecision::StoreUnavailable { .. }) | None => {
-                peer_report = peer_report.min(PeerReport::StoreUnavailable);
-            }
-            Some(ChargeDecision::Undecided | ChargeDecision::OwnedElsewhere { .. }) => {
-                peer_report = PeerReport::Unknown;
+            Some(ChargeDecision::PossiblySpent) => {
+                let detail = "a lost host may have granted the rest of the program's budget";
+                return Err(
+                    Refusal::not_run(Reason::StoreUnavailable, detail).retry_after(RETRY_AFTER)
+                );
             }
+            _ if call.time_left().is_zero() => break,
+            _ => {}
         }
     }
     let detail = "no host can tell what the program has spent";
@@ -266,26 +251,51 @@
     ledger_hosts
 }
 
-async fn flush_refunds(gateway: Rc<Gateway>) {
-    Timer::after(REFUND_INTERVAL).await;
-    let refunds = std::mem::take(&mut *gateway.refunds.borrow_mut());
-    for (ledger_host, refunds) in refunds {
-        send_refunds_to(gateway.clone(), ledger_host, refunds).await;
+async fn flush_settlements(gateway: Rc<Gateway>) {
+    Timer::after(SETTLE_INTERVAL).await;
+    let batches = std::mem::take(&mut *gateway.settlements.borrow_mut());
+    for ((partition, ledger_host), settlements) in batches {
+        gateway.spawn(settle(gateway.clone(), partition, ledger_host, settlements));
     }
 }
 
-async fn send_refunds_to(
+/// Sends settlements of one ledger until its stored record includes them: first to the host that
+/// granted the turns, then to whichever host owns the ledger.
+async fn settle(
     gateway: Rc<Gateway>,
-    ledger_host: Option<SocketAddr>,
-    refunds: Vec<(ProgramId, TokenCount)>,
+    partition: usize,
+    granted_by: Option<SocketAddr>,
+    settlements: Vec<Settlement>,
 ) {
+    let end = Instant::now() + SETTLE_RETRY_MAX;
+    while Instant::now() < end {
+        let ranked = ledger_hosts_by_reachability(&gateway, partition).into_iter();
+        let others = ranked.map(|host| host.address).filter(|address| *address != granted_by);
+        for ledger_host in std::iter::once(granted_by).chain(others.collect::<Vec<_>>()) {
+            match settle_at(&gateway, ledger_host, &settlements).await {
+                Some(SettlementStatus::Stored) => return,
+                Some(SettlementStatus::Pending) => break,
+                Some(SettlementStatus::NotOwner) | None => {}
+            }
+        }
+        Timer::after(SETTLE_RETRY_PAUSE).await;
+    }
+    // The turns stay charged their maximum tokens.
+    gateway.metrics.count("settlements_lost", settlements.len() as i64);
+}
+
+async fn settle_at(
+    gateway: &Rc<Gateway>,
+    ledger_host: Option<SocketAddr>,
+    settlements: &[Settlement],
+) -> Option<SettlementStatus> {
+    let wait = SETTLE_WAIT_MAX;
     let Some(address) = ledger_host else {
-        ledger::refund(&gateway, &refunds);
-        return;
+        return Some(ledger::settle(gateway, settlements, Instant::now() + wait).await);
     };
-    let request = PeerRequest::Refund { refunds };
-    if peers::send_request_or_relay(&gateway, address, request, REFUND_TIMEOUT).await.is_none() {
-        // The unused tokens stay charged to the programs.
-        gateway.metrics.count("refunds_lost", 1);
+    let request = PeerRequest::Settle { settlements: settlements.to_vec(), wait };
+    match peers::send_request_or_relay(gateway, address, request, wait + ROUND_TRIP_MARGIN).await {
+        Some(PeerReply::Settled { status }) => Some(status),
+        _ => None,
     }
 }
--- a/crates/gateway/src/call/mod.rs
+++ b/crates/gateway/src/call/mod.rs
@@ -10,7 +10,7 @@
 
 pub(crate) use {
     body::{AnswerBody, TrackedAnswerBody},
-    budget::Refunds,
+    budget::Settlements,
     buffer::AnswerMemory,
 };
 
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -3,12 +3,12 @@
 use {
     crate::{
         allowance::Borrowings,
-        call::{AnswerMemory, Refunds},
+        call::{AnswerMemory, Settlements},
         callers,
         crashes::{self, CrashWatch},
         dialect::Dialect,
         http::{ActiveConnection, ConnectionPool},
-        ledger::{PARTITION_COUNT, Partition},
+        ledger::{self, PARTITION_COUNT, Partition},
         outage_notes::OutageNoteStore,
         peers, roster,
         settings::GatewaySettings,
@@ -123,7 +123,7 @@
     pub(crate) borrowings: RefCell<Borrowings>,
     pub(crate) ledgers: RefCell<[Partition; PARTITION_COUNT]>,
     pub(crate) outage_notes: OutageNoteStore,
-    pub(crate) refunds: RefCell<Refunds>,
+    pub(crate) settlements: RefCell<Settlements>,
     pub(crate) answer_memory: Rc<AnswerMemory>,
     /// Peer addresses of suspect hosts: they did not answer the last request or ping.
     pub(crate) suspects: RefCell<HashSet<SocketAddr>>,
@@ -193,11 +193,8 @@
             shares: RefCell::default(),
             borrowings: RefCell::default(),
             ledgers: RefCell::default(),
-            outage_notes: OutageNoteStore::open(
-                settings.data_folder.clone(),
-                settings.is_first_start,
-            )?,
-            refunds: RefCell::default(),
+            outage_notes: OutageNoteStore::open(&settings.host, settings.data_folder.clone())?,
+            settlements: RefCell::default(),
             answer_memory: AnswerMemory::new(settings.memory_bytes_max),
             suspects: RefCell::default(),
             lost_until: RefCell::default(),
@@ -296,11 +293,12 @@
         *self.seeds.borrow_mut() = settings.seeds;
     }
 
-    async fn stop(&self) {
+    async fn stop(self: &Rc<Self>) {
         let began = Instant::now();
         let open = self.requests_open.get();
         self.decisions.log(LineRate::Rare, "stop", json!({"requests_open": open}));
         self.stage.set(Stage::LameDuck);
+        ledger::release_all(self);
         Timer::after(LAME_DUCK_DURATION).await;
         self.stage.set(Stage::Closing);
         // Close the listener first. Otherwise a connection that is accepted after the last check is
--- a/crates/gateway/src/ledger/hosts.rs
+++ b/crates/gateway/src/ledger/hosts.rs
@@ -1,22 +1,25 @@
 //! Ranks the hosts that may own a ledger.
 
-use {crate::gateway::Gateway, std::net::SocketAddr, trefoilring_core::rendezvous::rank};
+use {
+    crate::gateway::Gateway,
+    std::net::SocketAddr,
+    trefoilring_core::{ids::HostId, rendezvous::rank},
+};
 
-/// Number of ledger hosts per ledger: the first-ranked host and those that can replace it. All of
-/// them store an outage note before an owner grants an overdraft.
+/// Number of ledger hosts per ledger: the first-ranked host and those that can replace it. A majority
+/// of them stores an outage note before an owner grants an overdraft.
 pub(crate) const LEDGER_HOST_COUNT: usize = 3;
 
 /// A host with its rank as owner of a ledger.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub(crate) struct RankedHost {
+    pub(crate) host: HostId,
     /// Address of the host; `None` for this host.
     pub(crate) address: Option<SocketAddr>,
-    /// Rank among all candidates, from zero, regardless of reachability.
-    pub(crate) rank: usize,
 }
 
 struct Candidate<'a> {
-    host: &'a str,
+    host: &'a HostId,
     serves_callers: bool,
     address: Option<SocketAddr>,
 }
@@ -45,6 +48,9 @@
     let mut ranked = rank(&partition.to_string(), &candidates);
     // The sort is stable, so the order by rank is preserved within both groups.
     ranked.sort_by_key(|candidate| candidate.serves_callers);
-    let addresses = ranked.into_iter().map(|candidate| candidate.address);
-    addresses.enumerate().map(|(rank, address)| RankedHost { address, rank }).collect()
+    let to_ranked_host = |candidate: &Candidate<'_>| RankedHost {
+        host: candidate.host.clone(),
+        address: candidate.address,
+    };
+    ranked.into_iter().map(to_ranked_host).collect()
 }
--- a/crates/gateway/src/ledger/mod.rs
+++ b/crates/gateway/src/ledger/mod.rs
@@ -6,12 +6,16 @@
 //! are in `trefoilring_core::budget`.
 
 mod hosts;
+mod notes;
+mod release;
 mod standby;
 mod takeover;
 mod writing;
 
 pub(crate) use {
     hosts::{LEDGER_HOST_COUNT, RankedHost, ranked_hosts},
+    notes::store_outage_note,
+    release::{release, release_all},
     standby::{apply_update as apply_replica_update, decide_vote, end_replication},
     takeover::ownership,
 };
@@ -19,13 +23,12 @@
 use {
     crate::{
         gateway::Gateway,
-        outage_notes::NoteOutcome,
-        peers::ChargeDecision,
+        peers::{ChargeDecision, SettlementStatus},
         store::{Revision, StoredObject},
         time::within,
     },
     event_listener::Event,
-    serde_json::json,
+    notes::{NoteProgress, note_outage_if_needed},
     standby::ReplicationState,
     std::{
         net::SocketAddr,
@@ -34,14 +37,9 @@
     },
     takeover::{Loaded, load},
     trefoilring_core::{
-        budget::{
-            Charge, ChargeOutcome, Ledger, LedgerPosition, LedgerRecord, PeerReport, ReplicationId,
-            TokenCount,
-        },
-        ids::{Incarnation, ProgramId},
+        budget::{Charge, ChargeOutcome, Ledger, LedgerRecord, ReplicationId, Settlement},
         rendezvous::NameHash,
     },
-    trefoilring_observe::decisions::LineRate,
     writing::start_write_if_needed,
 };
 
@@ -69,6 +67,9 @@
     is_writing: bool,
     /// Number of turns that wait for a write.
     waiting_turns: usize,
+    /// When a charge last asked this host, while it did not own the ledger.
+    wanted_at: Option<Instant>,
+    note_progress: NoteProgress,
     standby: ReplicationState,
     /// Notified when the ledger, its record or its loading state changes.
     changed: Rc<Event>,
@@ -76,8 +77,14 @@
 
 impl Partition {
     /// Returns the writer name for the records of a ledger that this host takes over now.
-    fn writer<'a>(&self, gateway: &'a Gateway) -> (&'a str, Incarnation) {
-        (&gateway.settings.host, gateway.incarnation + self.standby.dropped_count)
+    fn writer(&self, gateway: &Gateway) -> String {
+        let incarnation = gateway.incarnation + self.standby.dropped_count;
+        format!("{}@{incarnation}", gateway.settings.host)
+    }
+
+    /// Returns the writer name of the ledger that this host owns.
+    fn owned_writer(&self) -> Option<String> {
+        self.ledger.as_ref().map(|ledger| ledger.writer().to_string())
     }
 
     /// Gives up ownership. The charges are at another host or are read again from the stored
@@ -101,142 +108,121 @@
     (NameHash::new(program).weight(NameHash::new("")) % PARTITION_COUNT as u64) as usize
 }
 
-/// Charges a turn. Returns `Undecided` if the charge can't be decided by the deadline.
-pub(crate) async fn charge(
-    gateway: &Rc<Gateway>,
-    charge: &Charge,
-    deadline: Instant,
-) -> ChargeDecision {
-    let partition = partition_of(&charge.program);
-    let store_note = async || match &charge.outage_position {
-        Some(position) => store_outage_note(gateway, partition, position).await,
-        None => false,
-    };
-    // The first-ranked host also stores an outage note before it grants an overdraft.
-    let peer_report = match charge.peer_report {
-        PeerReport::OutageAcknowledged if !store_note().await => PeerReport::StoreUnavailable,
-        peer_report => peer_report,
-    };
-    let mut decision =
-        decide_charge(gateway, partition, &Charge { peer_report, ..charge.clone() }, deadline)
-            .await;
-    if let ChargeDecision::StoreUnavailable { is_acknowledged, .. } = &mut decision {
-        *is_acknowledged = store_note().await;
-    }
-    decision
-}
-
-/// Stores an outage note that charges may be missing from records up to the given position. Returns
-/// whether the note is durable.
-async fn store_outage_note(gateway: &Gateway, partition: usize, position: &LedgerPosition) -> bool {
-    let outcome = gateway.outage_notes.store_note(partition, position).await;
-    if outcome == NoteOutcome::Written {
-        gateway.ledgers.borrow_mut()[partition].standby.witness.on_note_stored(position);
-        gateway.decisions.log(
-            LineRate::Rare,
-            "ledger",
-            json!({"ledger": ledger_name(partition), "what": "outage noted", "beyond": position}),
-        );
-    }
-    outcome != NoteOutcome::NotStored
-}
-
 /// Outcome of a charge that is not yet final.
 enum LocalDecision {
     /// The charge takes effect once the standby has it, if the ledger is being replicated.
-    Granted { is_new: bool, replication: Option<ReplicationId> },
-    /// The charge can be decided after the next write of the ledger.
-    WriteRequired(Rc<Event>),
+    Granted {
+        is_new: bool,
+        replication: Option<ReplicationId>,
+    },
+    /// The charge can be decided after the next write of the ledger, or once outage notes are
+    /// stored.
+    Wait(Rc<Event>),
+    Final(ChargeDecision),
 }
 
-async fn decide_charge(
+/// Charges a turn. Returns `Undecided` if the charge can't be decided by the deadline.
+pub(crate) async fn charge(
     gateway: &Rc<Gateway>,
-    partition: usize,
     charge: &Charge,
     deadline: Instant,
 ) -> ChargeDecision {
+    let partition = partition_of(&charge.program);
     match load(gateway, partition, charge.idle_max, deadline).await {
         Loaded::Owned => {}
         Loaded::Pending => return ChargeDecision::Undecided,
         Loaded::OwnedElsewhere { owner } => return ChargeDecision::OwnedElsewhere { owner },
-        Loaded::StoreUnavailable => {
-            return ChargeDecision::StoreUnavailable { is_acknowledged: false, position: None };
-        }
+        Loaded::Unavailable => return ChargeDecision::Unavailable,
     }
     loop {
-        let local_decision = {
-            let mut partitions = gateway.ledgers.borrow_mut();
-            let state = &mut partitions[partition];
-            let Some(ledger) = state.ledger.as_mut() else { return ChargeDecision::Undecided };
-            let now = Instant::now();
-            let outcome = ledger.charge(now, charge);
-            let is_store_unavailable = ledger.is_store_unavailable(now);
-            if !charge.acknowledged_by.is_empty() {
-                state.standby.acknowledged_by.clone_from(&charge.acknowledged_by);
-            }
-            if charge.is_first_ranked {
-                standby::begin_replication(
-                    gateway,
-                    partition,
-                    ledger,
-                    &state.standby.acknowledged_by,
-                );
-            }
-            match outcome {
-                ChargeOutcome::Granted { is_new } => {
-                    LocalDecision::Granted { is_new, replication: ledger.replication().cloned() }
-                }
-                ChargeOutcome::InsufficientBudget => return ChargeDecision::InsufficientBudget,
-                ChargeOutcome::WriteRequired if is_store_unavailable => {
-                    let position = charge.is_first_ranked.then(|| ledger.propose_outage_position());
-                    drop(partitions);
-                    start_write_if_needed(gateway, partition);
-                    return ChargeDecision::StoreUnavailable { is_acknowledged: false, position };
-                }
-                ChargeOutcome::WriteRequired => LocalDecision::WriteRequired(state.changed.clone()),
-            }
-        };
-        let changed = match local_decision {
+        match decide_charge(gateway, partition, charge) {
             LocalDecision::Granted { is_new, replication } => {
                 start_write_if_needed(gateway, partition);
-                let is_unreplicated = match replication {
-                    Some(replication) => {
-                        !standby::wait_replicated(
-                            gateway,
-                            partition,
-                            &replication,
-                            charge,
-                            deadline,
-                        )
-                        .await
-                    }
-                    None => false,
+                let Some(replication) = replication else {
+                    return ChargeDecision::Granted { is_new };
                 };
-                return match is_unreplicated {
-                    true => ChargeDecision::Undecided,
-                    false => ChargeDecision::Granted { is_new },
+                let is_replicated =
+                    standby::wait_replicated(gateway, partition, &replication, charge, deadline);
+                return match is_replicated.await {
+                    true => ChargeDecision::Granted { is_new },
+                    false => ChargeDecision::Undecided,
                 };
             }
-            LocalDecision::WriteRequired(changed) => changed,
-        };
-        let listener = changed.listen();
-        gateway.ledgers.borrow_mut()[partition].waiting_turns += 1;
-        start_write_if_needed(gateway, partition);
-        let woken = within(deadline, listener).await;
-        gateway.ledgers.borrow_mut()[partition].waiting_turns -= 1;
-        if woken.is_none() {
-            return ChargeDecision::Undecided;
+            LocalDecision::Final(decision) => return decision,
+            LocalDecision::Wait(changed) => {
+                let listener = changed.listen();
+                gateway.ledgers.borrow_mut()[partition].waiting_turns += 1;
+                start_write_if_needed(gateway, partition);
+                let woken = within(deadline, listener).await;
+                gateway.ledgers.borrow_mut()[partition].waiting_turns -= 1;
+                if woken.is_none() {
+                    return ChargeDecision::Undecided;
+                }
+            }
         }
     }
 }
 
-/// Refunds the tokens that turns did not use.
-pub(crate) fn refund(gateway: &Gateway, refunds: &[(ProgramId, TokenCount)]) {
-    let now = Instant::now();
+fn decide_charge(gateway: &Rc<Gateway>, partition: usize, charge: &Charge) -> LocalDecision {
     let mut partitions = gateway.ledgers.borrow_mut();
-    for (program, tokens) in refunds {
-        if let Some(ledger) = &mut partitions[partition_of(program)].ledger {
-            ledger.refund(now, program, *tokens);
+    let state = &mut partitions[partition];
+    let Some(ledger) = state.ledger.as_mut() else {
+        return LocalDecision::Final(ChargeDecision::Undecided);
+    };
+    let now = Instant::now();
+    let outcome = ledger.charge(now, charge);
+    standby::begin_replication(gateway, partition, ledger, &state.standby.other_note_hosts);
+    match outcome {
+        ChargeOutcome::Granted { is_new } => {
+            LocalDecision::Granted { is_new, replication: ledger.replication().cloned() }
+        }
+        ChargeOutcome::InsufficientBudget => {
+            LocalDecision::Final(ChargeDecision::InsufficientBudget)
+        }
+        ChargeOutcome::PossiblySpent => LocalDecision::Final(ChargeDecision::PossiblySpent),
+        ChargeOutcome::Cancelled => LocalDecision::Final(ChargeDecision::Undecided),
+        ChargeOutcome::WriteRequired if ledger.is_store_unavailable(now) => {
+            let is_noting = note_outage_if_needed(gateway, partition, state, now);
+            let changed = state.changed.clone();
+            drop(partitions);
+            start_write_if_needed(gateway, partition);
+            match is_noting {
+                true => LocalDecision::Wait(changed),
+                false => LocalDecision::Final(ChargeDecision::Unavailable),
+            }
+        }
+        ChargeOutcome::WriteRequired => LocalDecision::Wait(state.changed.clone()),
+    }
+}
+
+/// Settles turns of one ledger, and waits until the stored record includes that. A repeated
+/// settlement has no effect.
+pub(crate) async fn settle(
+    gateway: &Rc<Gateway>,
+    settlements: &[Settlement],
+    deadline: Instant,
+) -> SettlementStatus {
+    let Some(partition) = settlements.first().map(|first| partition_of(&first.program)) else {
+        return SettlementStatus::Stored;
+    };
+    let mut is_applied = false;
+    loop {
+        let changed = {
+            let mut partitions = gateway.ledgers.borrow_mut();
+            let state = &mut partitions[partition];
+            let Some(ledger) = &mut state.ledger else { return SettlementStatus::NotOwner };
+            if !std::mem::replace(&mut is_applied, true) {
+                let now = Instant::now();
+                settlements.iter().for_each(|settlement| ledger.settle(now, settlement));
+            }
+            if settlements.iter().all(|settlement| ledger.is_settlement_stored(settlement)) {
+                return SettlementStatus::Stored;
+            }
+            state.changed.listen()
+        };
+        start_write_if_needed(gateway, partition);
+        if within(deadline, changed).await.is_none() {
+            return SettlementStatus::Pending;
         }
     }
 }
@@ -250,7 +236,6 @@
     match serde_json::from_value(stored.content.clone()) {
         Ok(record) => Some(record),
         Err(error) => {
-            // Treated as a missing record, so accounts count as possibly incomplete.
             log::error!("{}: failed to decode the ledger record: {error}", stored.name);
             None
         }
