--- /dev/null
+++ b/crates/gateway/src/ledger/notes.rs
@@ -0,0 +1,236 @@
+//! Outage notes: has them stored by a majority of the ledger's hosts before an overdraft is granted,
+//! and fences former epochs before a takeover.
+
+use {
+    super::{
+        LEDGER_HOST_COUNT, Partition, RankedHost, ledger_name, ranked_hosts,
+        standby::begin_replication, takeover::refresh_roster,
+    },
+    crate::{
+        gateway::Gateway,
+        outage_notes::NoteOutcome,
+        peers::{self, PeerReply, PeerRequest},
+        roster,
+        store::Collection,
+        time::within,
+    },
+    serde_json::json,
+    std::{
+        collections::BTreeSet,
+        rc::Rc,
+        time::{Duration, Instant},
+    },
+    trefoilring_core::{
+        budget::{FenceReply, LedgerPosition, NoteHost},
+        ids::{Epoch, HostId},
+    },
+    trefoilring_observe::decisions::LineRate,
+};
+
+/// Timeout of a request to store an outage note. Longer than [`STORE_PROBE_TIMEOUT`] and a write to
+/// disk.
+const NOTE_TIMEOUT: Duration = Duration::from_millis(400);
+/// How long a host that is asked to store a note waits for the store to show that it is available.
+const STORE_PROBE_TIMEOUT: Duration = Duration::from_millis(250);
+/// Timeout of a request to fence an epoch. Takeovers wait for it.
+const FENCE_TIMEOUT: Duration = Duration::from_millis(100);
+/// Pause after the note hosts have not stored a note.
+const RETRY_PAUSE: Duration = Duration::from_millis(500);
+/// Interval at which an owner checks that its note hosts answer and have kept their notes. Until it
+/// has replaced a lost one, the loss of another leaves a successor in doubt.
+const NOTE_HOSTS_CHECK_INTERVAL: Duration = Duration::from_secs(2);
+/// Number of hosts that are asked to find [`LEDGER_HOST_COUNT`] that answer.
+const NOTE_HOST_CANDIDATES: usize = 2 * LEDGER_HOST_COUNT;
+
+/// State of an owner's requests to its note hosts.
+#[derive(Default)]
+pub(super) struct NoteProgress {
+    is_running: bool,
+    failed_at: Option<Instant>,
+    checked_at: Option<Instant>,
+}
+
+/// Asks the note hosts of an owned ledger to store an outage note, if the last write is not covered
+/// by one. Returns whether the answers are awaited.
+pub(super) fn note_outage_if_needed(
+    gateway: &Rc<Gateway>,
+    partition: usize,
+    state: &mut Partition,
+    now: Instant,
+) -> bool {
+    let Some(ledger) = &mut state.ledger else { return false };
+    let progress = &mut state.note_progress;
+    if progress.is_running {
+        return true;
+    }
+    let is_too_soon = progress.failed_at.is_some_and(|at| now < at + RETRY_PAUSE);
+    if ledger.is_outage_noted() || is_too_soon {
+        return false;
+    }
+    let Some(position) = ledger.propose_outage_position() else { return false };
+    progress.is_running = true;
+    gateway.spawn(note_outage(gateway.clone(), partition, position, ledger.note_hosts().to_vec()));
+    true
+}
+
+async fn note_outage(
+    gateway: Rc<Gateway>,
+    partition: usize,
+    position: LedgerPosition,
+    note_hosts: Vec<NoteHost>,
+) {
+    let others = note_hosts.iter().filter(|note_host| *note_host.host != *gateway.settings.host);
+    let requests = others.filter_map(|note_host| {
+        let address = roster::address_of(&gateway, &note_host.host)?;
+        let gateway = gateway.clone();
+        let request = PeerRequest::NoteOutage { partition, position };
+        Some(gateway.clone().executor.spawn(async move {
+            match peers::send_request_or_relay(&gateway, address, request, NOTE_TIMEOUT).await {
+                Some(PeerReply::OutageNoted { by }) => by.map(|by| (by, address)),
+                _ => None,
+            }
+        }))
+    });
+    let requests: Vec<_> = requests.collect();
+    let (mut noted_by, mut addresses) = (Vec::new(), Vec::new());
+    for request in requests {
+        if let Some((by, address)) = request.await {
+            noted_by.push(by);
+            addresses.push(address);
+        }
+    }
+    // Noted last, so that nothing is noted while the others reach the store.
+    if !noted_by.is_empty() || note_hosts.len() == 1 {
+        noted_by.extend(store_outage_note(&gateway, partition, position).await);
+    }
+    let mut partitions = gateway.ledgers.borrow_mut();
+    let state = &mut partitions[partition];
+    state.note_progress.is_running = false;
+    let is_noted =
+        state.ledger.as_mut().is_some_and(|ledger| ledger.on_outage_noted(position, &noted_by));
+    state.note_progress.failed_at = (!is_noted).then(Instant::now);
+    if is_noted && let Some(ledger) = &mut state.ledger {
+        begin_replication(&gateway, partition, ledger, &addresses);
+        state.standby.other_note_hosts = addresses;
+    }
+    state.changed.notify(usize::MAX);
+    gateway.decisions.log(
+        LineRate::Rare,
+        "ledger",
+        json!({"ledger": ledger_name(partition), "what": "outage noted", "beyond": position,
+               "noted_by": noted_by, "is_majority": is_noted}),
+    );
+}
+
+/// Stores an outage note on request of an owner, unless this host reaches the store and could take
+/// the ledger over instead. Returns this host's identity if the note is durable.
+pub(crate) async fn store_outage_note(
+    gateway: &Gateway,
+    partition: usize,
+    position: LedgerPosition,
+) -> Option<NoteHost> {
+    let name = ledger_name(partition);
+    let read = gateway.adapter.store.get(Collection::Ledgers, &name);
+    if let Some(Ok(_)) = within(Instant::now() + STORE_PROBE_TIMEOUT, read).await {
+        return None;
+    }
+    let outcome = gateway.outage_notes.store_note(partition, position).await;
+    if outcome == NoteOutcome::Written
+        && let Some(state) = gateway.ledgers.borrow_mut().get_mut(partition)
+    {
+        state.standby.witness.on_note_stored(position);
+    }
+    gateway.outage_notes.note_host().filter(|_| outcome != NoteOutcome::NotStored)
+}
+
+/// Fences the epochs before `epoch` at hosts. Returns the replies of those that answered in time.
+pub(super) async fn fence(
+    gateway: &Rc<Gateway>,
+    partition: usize,
+    epoch: Epoch,
+    hosts: BTreeSet<HostId>,
+) -> Vec<FenceReply> {
+    let requests = hosts.into_iter().map(|host| {
+        let gateway = gateway.clone();
+        gateway.clone().executor.spawn(async move {
+            if host == gateway.settings.host {
+                return gateway.outage_notes.fence(partition, epoch).await;
+            }
+            let address = roster::address_of(&gateway, &host)?;
+            let request = PeerRequest::FenceLedger { partition, epoch };
+            match peers::send_request_or_relay(&gateway, address, request, FENCE_TIMEOUT).await {
+                Some(PeerReply::LedgerFenced { reply }) => reply,
+                _ => None,
+            }
+        })
+    });
+    let requests: Vec<_> = requests.collect();
+    let mut replies = Vec::new();
+    for request in requests {
+        replies.extend(request.await);
+    }
+    replies
+}
+
+/// Returns the names of the hosts that may store outage notes for a ledger, in order of preference.
+/// Some of the first may be gone and not be removed from the roster yet.
+pub(super) fn candidates(gateway: &Gateway, partition: usize) -> Vec<HostId> {
+    let ranked = ranked_hosts(gateway, partition).into_iter();
+    ranked.take(NOTE_HOST_CANDIDATES).map(|RankedHost { host, .. }| host).collect()
+}
+
+/// Returns the first candidates that have replied, as note hosts.
+pub(super) fn choose_note_hosts(candidates: &[HostId], replies: &[FenceReply]) -> Vec<NoteHost> {
+    let reply_of = |host: &HostId| replies.iter().find(|reply| *reply.note_host.host == **host);
+    let replied = candidates.iter().filter_map(reply_of);
+    replied.take(LEDGER_HOST_COUNT).map(|reply| reply.note_host.clone()).collect()
+}
+
+/// Begins another epoch with other note hosts, if those of an owned ledger were replaced, have lost
+/// their notes or do not answer.
+pub(super) async fn renew_note_hosts(gateway: &Rc<Gateway>, partition: usize) {
+    let (epoch, present) = {
+        let mut partitions = gateway.ledgers.borrow_mut();
+        let state = &mut partitions[partition];
+        let now = Instant::now();
+        let checked_at = state.note_progress.checked_at;
+        if checked_at.is_some_and(|at| now < at + NOTE_HOSTS_CHECK_INTERVAL) {
+            return;
+        }
+        state.note_progress.checked_at = Some(now);
+        let Some(ledger) = state.ledger.as_ref().filter(|ledger| ledger.can_renew()) else {
+            return;
+        };
+        (ledger.epoch(), ledger.note_hosts().to_vec())
+    };
+    let present_names = present.iter().map(|note_host| note_host.host.as_str().into());
+    let replies = fence(gateway, partition, epoch, present_names.collect()).await;
+    let has_replied =
+        |note_host: &NoteHost| replies.iter().any(|reply| reply.note_host == *note_host);
+    if present.len() == LEDGER_HOST_COUNT && present.iter().all(has_replied) {
+        return;
+    }
+    refresh_roster(gateway, partition).await;
+    let candidates = candidates(gateway, partition);
+    let replies = fence(gateway, partition, epoch, candidates.iter().cloned().collect()).await;
+    let mut note_hosts = choose_note_hosts(&candidates, &replies);
+    // A host that does not answer may come back with its notes.
+    let is_known =
+        |note_host: &NoteHost| replies.iter().any(|reply| reply.note_host.host == note_host.host);
+    let missing = present.iter().filter(|note_host| !is_known(note_host)).cloned();
+    note_hosts.extend(missing.take(LEDGER_HOST_COUNT.saturating_sub(note_hosts.len())));
+    let sorted = |note_hosts: &[NoteHost]| note_hosts.iter().cloned().collect::<BTreeSet<_>>();
+    if sorted(&note_hosts) == sorted(&present) {
+        return;
+    }
+    let mut partitions = gateway.ledgers.borrow_mut();
+    let Some(ledger) = &mut partitions[partition].ledger else { return };
+    if ledger.epoch() == epoch && ledger.renew(note_hosts.clone()) {
+        gateway.decisions.log(
+            LineRate::Rare,
+            "ledger",
+            json!({"ledger": ledger_name(partition), "what": "note hosts renewed",
+                   "epoch": ledger.epoch(), "note_hosts": note_hosts}),
+        );
+    }
+}
--- a/crates/gateway/src/ledger/standby.rs
+++ b/crates/gateway/src/ledger/standby.rs
@@ -47,8 +47,8 @@
     /// When the owner of the replica last confirmed that it still owns the ledger.
     owner_confirmed_at: Option<Instant>,
     pub(super) witness: Witness,
-    /// At the owner: addresses of the other ledger hosts that have acknowledged the outage note.
-    pub(super) acknowledged_by: Vec<SocketAddr>,
+    /// At the owner: addresses of the other hosts that have stored the last outage note.
+    pub(super) other_note_hosts: Vec<SocketAddr>,
     /// Number of times that this process has dropped the ledger. Added to the incarnation, so that
     /// no writer name is used twice.
     pub(super) dropped_count: u64,
@@ -84,16 +84,15 @@
     Wait(EventListener),
 }
 
-/// Begins to replicate a ledger of this host. The first of the ledger hosts that have acknowledged
-/// the outage note is the standby, the second one the witness. Without both there is no
-/// replication.
+/// Begins to replicate a ledger of this host. The first of the other hosts that have stored the
+/// outage note is the standby, the second one the witness. Without both there is no replication.
 pub(super) fn begin_replication(
     gateway: &Rc<Gateway>,
     partition: usize,
     ledger: &mut Ledger,
-    acknowledged_by: &[SocketAddr],
+    other_note_hosts: &[SocketAddr],
 ) {
-    let &[standby, witness, ..] = acknowledged_by else { return };
+    let &[standby, witness, ..] = other_note_hosts else { return };
     if peers::is_suspect(gateway, standby) || peers::is_suspect(gateway, witness) {
         return;
     }
@@ -182,8 +181,8 @@
         MessageOutcome::Standby(ReplicaStatus::NotKept) | MessageOutcome::Consent => {
             ledger.end_replication(Instant::now());
         }
-        // Dropping the ledger is safe: a host that takes over from the stored record treats that
-        // record as possibly incomplete.
+        // Dropping the ledger is safe: a host that takes over from the stored record learns of the
+        // overdraft from the outage notes.
         MessageOutcome::None if ending_since.is_some_and(|at| at.elapsed() >= END_TIMEOUT) => {
             own.drop_ledger()
         }
@@ -213,7 +212,8 @@
 }
 
 /// Waits until the standby has received a charge. Returns false if the standby has not acknowledged
-/// it by the deadline, and refunds the charge. Also returns false if this host has lost the ledger.
+/// it by the deadline, or if this host has lost the ledger. The turn stays charged: its caller
+/// repeats the request or cancels the turn.
 pub(super) async fn wait_replicated(
     gateway: &Gateway,
     partition: usize,
@@ -227,8 +227,6 @@
         let changed = {
             let mut partitions = gateway.ledgers.borrow_mut();
             let state = &mut partitions[partition];
-            // The new owner may have this charge although the turn is not started. It is not
-            // refunded.
             let Some(ledger) =
                 state.ledger.as_mut().filter(|ledger| ledger.is_writer(&replication.writer))
             else {
@@ -238,7 +236,6 @@
                 return true;
             }
             if Instant::now() >= deadline {
-                ledger.refund(Instant::now(), &charge.program, charge.turn_max);
                 return false;
             }
             state.changed.listen()
@@ -366,7 +363,7 @@
                    "accounts": ledger.len()}),
         );
         state.ledger = Some(ledger);
-        // Unknown. The first write conflicts and returns the current revision.
+        // Read before the first write.
         state.revision = None;
         state.deferred_to = None;
     }
--- a/crates/gateway/src/ledger/takeover.rs
+++ b/crates/gateway/src/ledger/takeover.rs
@@ -1,12 +1,13 @@
-//! Takes ledgers over from their records and determines whether charges may be missing from them.
+//! Takes ledgers over from their records and determines whether overdrafts may be missing from them.
 
 use {
     super::{
-        LEDGER_HOST_COUNT, Partition, RETRY_PAUSE_MAX, RETRY_PAUSE_MIN, RankedHost, decode_record,
-        ledger_name, ranked_hosts, standby,
+        LEDGER_HOST_COUNT, Partition, RETRY_PAUSE_MAX, RETRY_PAUSE_MIN, decode_record, ledger_name,
+        notes::{candidates, choose_note_hosts, fence},
+        ranked_hosts, standby,
     },
     crate::{
-        gateway::Gateway,
+        gateway::{Gateway, Stage},
         peers::{self, Ownership, PeerReply, PeerRequest},
         roster,
         store::{Collection, StoredObject},
@@ -19,29 +20,39 @@
         rc::Rc,
         time::{Duration, Instant},
     },
-    trefoilring_core::budget::{Ledger, LedgerRecord, OutageNotes, TakeoverInputs},
-    trefoilring_observe::{decisions::LineRate, log::wall_us},
+    trefoilring_core::{
+        budget::{FenceReply, Ledger, LedgerRecord, NoteHost, TakeoverInputs, may_lack_overdraft},
+        ids::HostId,
+    },
+    trefoilring_observe::decisions::LineRate,
 };
 
-/// Timeout of a query for the outage notes of one ledger host.
-const NOTES_TIMEOUT: Duration = Duration::from_millis(300);
+/// Timeout of a query to another ledger host.
+const QUERY_TIMEOUT: Duration = Duration::from_millis(300);
+/// Timeout of a request to release a ledger. A host that has lost power does not answer, and turns
+/// wait for the takeover.
+const RELEASE_TIMEOUT: Duration = Duration::from_millis(250);
 /// Interval between two rounds of queries to other ledger hosts before a takeover.
 const POLL_INTERVAL: Duration = Duration::from_millis(100);
-/// How long a host defers a takeover of a possibly incomplete ledger to the writer of the record,
-/// if the writer is reachable but can't reach the store. This must exceed the time that the writer
+/// How long a host defers a takeover of a record that may lack an overdraft to its writer, if the
+/// writer is reachable but can't reach the store. This must exceed the time that the writer
 /// needs to detect that the store has recovered.
 const OWNER_RECOVERY_MAX: Duration = Duration::from_millis(1500);
-/// How long a host defers to an owner that reaches the store. By then the owner has written records
-/// that are newer than this host's own notes by more than the clock skew. A ledger that is still
-/// possibly incomplete after that was so before the host deferred.
+/// How long a host defers to an owner that reaches the store. By then the owner has written a
+/// complete record.
 const OWNER_DEFER_MAX: Duration = Duration::from_secs(8);
 /// Interval between two reads of a record while this host defers to the owner. Not shorter, because
 /// each read is a request to the store.
 const DEFER_POLL_INTERVAL: Duration = Duration::from_millis(500);
-/// How long a host whose own notes don't go back far enough waits for those of others before it
-/// takes a ledger over as possibly incomplete. Processes that are started together are all up
-/// within a second.
+/// How long a takeover waits for a majority of the note hosts. Processes that are started together
+/// are all up within a second.
 const NOTES_WAIT_MAX: Duration = Duration::from_secs(2);
+/// Interval at which a host that has taken a ledger over without a majority of its note hosts tries
+/// to fence the former epochs.
+const FENCE_RETRY_INTERVAL: Duration = Duration::from_secs(1);
+/// A takeover is given up if no charge has asked for it within this time, which is longer than the
+/// pause after which callers ask again.
+const WANTED_FOR: Duration = Duration::from_millis(500);
 
 /// Result of loading a ledger.
 pub(super) enum Loaded {
@@ -51,8 +62,8 @@
     Pending,
     /// This host defers to another owner.
     OwnedElsewhere { owner: SocketAddr },
-    /// Reads or writes of at least one ledger of this host are failing.
-    StoreUnavailable,
+    /// Reads or writes of at least one ledger of this host are failing, or this host is stopping.
+    Unavailable,
 }
 
 /// Loads a ledger unless this host owns it already: promotes this host if it is a standby, or takes
@@ -71,13 +82,17 @@
             if state.ledger.is_some() {
                 return Loaded::Owned;
             }
+            if gateway.stage.get() != Stage::Serving {
+                return Loaded::Unavailable;
+            }
+            state.wanted_at = Some(Instant::now());
             if !state.is_loading {
                 state.is_loading = true;
                 gateway.spawn(take_over(gateway.clone(), partition, idle_max));
             }
             let changed = state.changed.clone();
             if partitions.iter().any(Partition::is_store_unavailable) {
-                return Loaded::StoreUnavailable;
+                return Loaded::Unavailable;
             }
             if let Some(owner) = partitions[partition].deferred_to {
                 return Loaded::OwnedElsewhere { owner };
@@ -93,66 +108,140 @@
 /// Takes the ledger of a partition over from its record.
 async fn take_over(gateway: Rc<Gateway>, partition: usize, idle_max: Duration) {
     let began = Instant::now();
-    let mut deferred_since = None;
-    let (ledger, revision) = loop {
-        let stored = read_record(&gateway, partition).await;
+    let (mut deferred_since, mut has_asked_for_release) = (None, false);
+    let taken = loop {
+        let Some(stored) = read_record(&gateway, partition).await else { break None };
         let record = stored.as_ref().and_then(decode_record);
         if let Some(record) = &record
-            && !OutageNotes::are_sufficient(&[gateway.outage_notes.notes_of(partition)], record)
-            && defer_to_writer(&gateway, partition, record, &mut deferred_since).await
+            && !std::mem::replace(&mut has_asked_for_release, true)
+            && ask_for_release(&gateway, partition, record).await
         {
             continue;
         }
-        let notes = match &record {
-            Some(record) => collect_notes(&gateway, partition, record).await,
-            None => Vec::new(),
-        };
-        let inputs = TakeoverInputs {
-            record: record.as_ref(),
-            notes: &notes,
-            was_never_owned: stored.is_none() && gateway.settings.is_first_start,
-        };
-        let now = Instant::now();
-        let writer = gateway.ledgers.borrow()[partition].writer(&gateway);
-        let ledger = Ledger::take_over(now, wall_us() / 1000, writer, inputs, idle_max);
+        let evidence = fence_former_epochs(&gateway, partition, record.as_ref()).await;
         if let Some(record) = &record
-            && ledger.is_possibly_incomplete(now)
+            && evidence.may_lack_overdraft
             && defer_to_writer(&gateway, partition, record, &mut deferred_since).await
         {
             continue;
         }
-        let revision = stored.map(|stored| stored.revision);
-        gateway.decisions.log(
-            LineRate::Rare,
-            "ledger",
-            json!({
-                "ledger": ledger_name(partition),
-                "what": "taken over",
-                "from": record.as_ref().map(|record| &record.writer),
-                "written_at_ms": record.as_ref().map(|record| record.written_at_ms),
-                "notes": notes,
-                "is_in_doubt": ledger.is_possibly_incomplete(now),
-                "accounts": ledger.len(),
-                "revision": revision,
-                "took_ms": began.elapsed().as_millis() as u64,
-            }),
-        );
-        break (ledger, revision);
+        break Some((stored, record, evidence));
     };
     let mut partitions = gateway.ledgers.borrow_mut();
     let state = &mut partitions[partition];
-    // This host may have been promoted in the meantime.
-    if state.ledger.is_none() {
-        state.ledger = Some(ledger);
-        state.revision = revision;
-    }
     state.is_loading = false;
     state.deferred_to = None;
     state.changed.notify(usize::MAX);
+    let Some((stored, record, evidence)) = taken else { return };
+    // This host may have been promoted in the meantime.
+    if state.ledger.is_some() {
+        return;
+    }
+    let inputs = TakeoverInputs {
+        record: record.as_ref(),
+        // Whatever wrote a record that can't be decoded may have granted an overdraft.
+        may_lack_overdraft: evidence.may_lack_overdraft || record.is_none() && stored.is_some(),
+        note_hosts: evidence.note_hosts,
+    };
+    let now = Instant::now();
+    let ledger = Ledger::take_over(now, state.writer(&gateway), inputs, idle_max);
+    gateway.decisions.log(
+        LineRate::Rare,
+        "ledger",
+        json!({
+            "ledger": ledger_name(partition),
+            "what": "taken over",
+            "from": record.as_ref().map(|record| &record.writer),
+            "written_at_ms": record.as_ref().map(|record| record.written_at_ms),
+            "epoch": ledger.epoch(),
+            "fenced": evidence.replies,
+            "is_in_doubt": evidence.may_lack_overdraft,
+            "accounts": ledger.len(),
+            "revision": stored.as_ref().map(|stored| stored.revision),
+            "took_ms": began.elapsed().as_millis() as u64,
+        }),
+    );
+    if let Some(record) = record.filter(|_| !evidence.is_fenced) {
+        gateway.spawn(keep_fencing(gateway.clone(), partition, record));
+    }
+    state.ledger = Some(ledger);
+    state.revision = stored.map(|stored| stored.revision);
+}
+
+/// What the note hosts of a record have answered.
+pub(super) struct TakeoverEvidence {
+    /// Whether a majority of the note hosts has fenced the record's epoch.
+    is_fenced: bool,
+    /// Whether the record's writer may have granted an overdraft since.
+    may_lack_overdraft: bool,
+    /// The hosts that store outage notes for the next owner.
+    pub(super) note_hosts: Vec<NoteHost>,
+    replies: Vec<FenceReply>,
+}
+
+/// Fences the epochs of former owners at the note hosts of a record and at those of the next owner.
+/// Retries for [`NOTES_WAIT_MAX`] until a majority has answered.
+pub(super) async fn fence_former_epochs(
+    gateway: &Rc<Gateway>,
+    partition: usize,
+    record: Option<&LedgerRecord>,
+) -> TakeoverEvidence {
+    refresh_roster(gateway, partition).await;
+    let end = Instant::now() + NOTES_WAIT_MAX;
+    loop {
+        let candidates = candidates(gateway, partition);
+        let former_hosts = record.iter().flat_map(|record| &record.note_hosts);
+        let former_hosts = former_hosts.map(|note_host| HostId::from(note_host.host.as_str()));
+        let asked = candidates.iter().cloned().chain(former_hosts).collect();
+        let epoch = record.map_or(0, |record| record.epoch) + 1;
+        let replies = fence(gateway, partition, epoch, asked).await;
+        let lacks = record.map_or(Some(false), |record| may_lack_overdraft(record, &replies));
+        if lacks.is_some() || Instant::now() >= end {
+            return TakeoverEvidence {
+                is_fenced: lacks == Some(false),
+                may_lack_overdraft: lacks.unwrap_or(true),
+                note_hosts: choose_note_hosts(&candidates, &replies),
+                replies,
+            };
+        }
+        Timer::after(POLL_INTERVAL).await;
+    }
+}
+
+/// Fences the epoch of a record whose note hosts did not answer at the takeover. Until a majority of
+/// them has, its writer may still grant overdrafts.
+async fn keep_fencing(gateway: Rc<Gateway>, partition: usize, record: LedgerRecord) {
+    loop {
+        Timer::after(FENCE_RETRY_INTERVAL).await;
+        {
+            let mut partitions = gateway.ledgers.borrow_mut();
+            let Some(ledger) = &mut partitions[partition].ledger else { return };
+            if ledger.epoch() <= record.epoch {
+                return;
+            }
+            ledger.extend_lost_overdrafts(Instant::now());
+        }
+        let hosts = record.note_hosts.iter().map(|note_host| note_host.host.as_str().into());
+        let replies = fence(&gateway, partition, record.epoch + 1, hosts.collect()).await;
+        if may_lack_overdraft(&record, &replies).is_some() {
+            return;
+        }
+    }
+}
+
+/// Asks the writer of a record to release the ledger, so that it leaves no reservations. Returns
+/// whether the record should be read again.
+async fn ask_for_release(gateway: &Rc<Gateway>, partition: usize, record: &LedgerRecord) -> bool {
+    let Some(address) = writer_address(gateway, partition, &record.writer).await else {
+        return false;
+    };
+    let request = PeerRequest::ReleaseLedger { partition, writer: record.writer.clone() };
+    let reply = peers::send_request_or_relay(gateway, address, request, RELEASE_TIMEOUT).await;
+    matches!(reply, Some(PeerReply::Done))
 }
 
-/// Waits for the writer of the record if it still owns the ledger, because it holds the missing
-/// charges and will write them. The wait is limited. Returns whether the record should be read
+/// Waits for the writer of the record if it still owns the ledger, because it knows the overdrafts
+/// and will write them. The wait is limited. Returns whether the record should be read
 /// again. `deferred_since` is when this takeover was first deferred; an outage of the store before
 /// that does not count toward the limit.
 async fn defer_to_writer(
@@ -188,17 +277,22 @@
     is_deferred
 }
 
-/// Reads the record of a partition. Retries until the store answers.
-async fn read_record(gateway: &Gateway, partition: usize) -> Option<StoredObject> {
+/// Reads the record of a partition. Retries until the store answers. Returns `None` if no charge asks
+/// for the ledger any more.
+async fn read_record(gateway: &Gateway, partition: usize) -> Option<Option<StoredObject>> {
     let name = ledger_name(partition);
     let mut pause = RETRY_PAUSE_MIN;
     loop {
         let read = gateway.adapter.store.get(Collection::Ledgers, &name).await;
-        gateway.ledgers.borrow_mut()[partition].is_read_failing = read.is_err();
+        let is_wanted = {
+            let state = &mut gateway.ledgers.borrow_mut()[partition];
+            state.is_read_failing = read.is_err();
+            state.wanted_at.is_some_and(|at| at.elapsed() < WANTED_FOR)
+        };
         match read {
             Ok(stored) => {
                 gateway.store_recovered.notify(usize::MAX);
-                return stored;
+                return is_wanted.then_some(stored);
             }
             Err(error) => log::warn!("{name}: failed to read the ledger record: {error}"),
         }
@@ -247,14 +341,14 @@
     address: SocketAddr,
 ) -> Ownership {
     let question = PeerRequest::LedgerOwnership { partition, writer: writer.into() };
-    match peers::send_request_or_relay(gateway, address, question, NOTES_TIMEOUT).await {
+    match peers::send_request_or_relay(gateway, address, question, QUERY_TIMEOUT).await {
         Some(PeerReply::LedgerOwnership { ownership }) => ownership,
         _ => Ownership::NotOwner,
     }
 }
 
 /// Reads the roster at a host that serves no callers, because such a host does not watch it.
-async fn refresh_roster(gateway: &Gateway, partition: usize) {
+pub(super) async fn refresh_roster(gateway: &Gateway, partition: usize) {
     if gateway.settings.callers_listen.is_none()
         && let Err(error) = roster::refresh_from_store(gateway).await
     {
@@ -280,43 +374,3 @@
         _ => Ownership::NotOwner,
     }
 }
-
-/// Returns the outage notes of this host for a ledger, and those of other ledger hosts until the
-/// notes are sufficient for the record. Retries for [`NOTES_WAIT_MAX`], because a host that lost
-/// its notes in a power loss may restart before it has read the roster or before the other hosts
-/// accept connections.
-async fn collect_notes(
-    gateway: &Rc<Gateway>,
-    partition: usize,
-    record: &LedgerRecord,
-) -> Vec<OutageNotes> {
-    let own_notes = [gateway.outage_notes.notes_of(partition)];
-    if !OutageNotes::are_sufficient(&own_notes, record) {
-        refresh_roster(gateway, partition).await;
-    }
-    let end = Instant::now() + NOTES_WAIT_MAX;
-    loop {
-        let ledger_hosts = ranked_hosts(gateway, partition);
-        let (own_host, peer_hosts): (Vec<&RankedHost>, Vec<&RankedHost>) =
-            ledger_hosts.iter().take(LEDGER_HOST_COUNT).partition(|host| host.address.is_none());
-        let mut notes: Vec<OutageNotes> =
-            own_host.iter().map(|_| gateway.outage_notes.notes_of(partition)).collect();
-        for address in peer_hosts.iter().filter_map(|host| host.address) {
-            if OutageNotes::are_sufficient(&notes, record) {
-                break;
-            }
-            let question = PeerRequest::OutageNotes { partition };
-            match peers::send_request_or_relay(gateway, address, question, NOTES_TIMEOUT).await {
-                Some(PeerReply::OutageNotes { notes: peer_notes }) => notes.push(peer_notes),
-                _ => log::warn!(
-                    "{}: no outage notes received from {address}",
-                    ledger_name(partition)
-                ),
-            }
-        }
-        if OutageNotes::are_sufficient(&notes, record) || Instant::now() >= end {
-            return notes;
-        }
-        Timer::after(POLL_INTERVAL).await;
-    }
-}
--- a/crates/gateway/src/outage_notes.rs
+++ b/crates/gateway/src/outage_notes.rs
@@ -10,18 +10,22 @@
         io::{self, Write},
         path::{Path, PathBuf},
     },
-    trefoilring_core::budget::{LedgerPosition, OutageNote, OutageNotes},
-    trefoilring_observe::log::wall_us,
+    trefoilring_core::{
+        budget::{FenceReply, LedgerPosition, NoteHost, OutageNotes},
+        ids::Epoch,
+    },
 };
 
 const FILE_NAME: &str = "outage-notes.json";
-/// Content of the file. Times are wall clock times in milliseconds since 1970.
+
+/// Content of the file.
 #[derive(Clone, Debug, Default, serde::Deserialize, serde::Serialize)]
 struct NotesFile {
-    /// Time from which the notes are complete; zero if no note was ever lost.
-    since_ms: u64,
-    /// The latest note of each ledger, by ledger name.
-    last: BTreeMap<String, OutageNote>,
+    /// Drawn at random when the file is created, so that notes that were lost are not taken for
+    /// empty ones.
+    notes_id: u64,
+    /// The notes by ledger name.
+    ledgers: BTreeMap<String, OutageNotes>,
 }
 
 /// Outcome of storing a note.
@@ -31,81 +35,97 @@
     Written,
     /// An earlier note already covers the write.
     AlreadyStored,
-    /// No data folder is configured, or the write to disk failed.
+    /// No data folder is configured, the epoch is fenced, or the write to disk failed.
     NotStored,
 }
 
 /// The outage notes of this host. Without a data folder, none are stored.
 pub(crate) struct OutageNoteStore {
+    host: String,
     folder: Option<PathBuf>,
     /// The notes as stored on disk.
-    notes: RefCell<NotesFile>,
+    file: RefCell<NotesFile>,
     write_lock: Mutex<()>,
 }
 
 impl OutageNoteStore {
-    /// Reads the notes from a folder, or creates them. `is_first_start` is true if this host has
-    /// never run, so missing notes were not lost.
+    /// Reads the notes from a folder, or creates them.
     ///
     /// # Errors
     ///
     /// Fails if the folder can't be read or written.
-    pub(crate) fn open(folder: Option<PathBuf>, is_first_start: bool) -> io::Result<Self> {
-        let notes = match &folder {
-            Some(folder) => read_or_create(folder, is_first_start)?,
+    pub(crate) fn open(host: &str, folder: Option<PathBuf>) -> io::Result<Self> {
+        let file = match &folder {
+            Some(folder) => read_or_create(folder)?,
             None => NotesFile::default(),
         };
-        Ok(Self { folder, notes: RefCell::new(notes), write_lock: Mutex::default() })
+        let file = RefCell::new(file);
+        Ok(Self { host: host.into(), folder, file, write_lock: Mutex::default() })
     }
 
-    /// Returns this host's notes for a ledger.
-    pub(crate) fn notes_of(&self, partition: usize) -> OutageNotes {
-        let notes = self.notes.borrow();
-        match self.folder {
-            None => OutageNotes::NotTaken,
-            Some(_) => OutageNotes::Taken {
-                since_ms: notes.since_ms,
-                last: notes.last.get(&ledger::ledger_name(partition)).cloned(),
-            },
-        }
+    /// Returns the identity of this host's notes; `None` if it stores none.
+    pub(crate) fn note_host(&self) -> Option<NoteHost> {
+        self.folder.as_ref()?;
+        Some(NoteHost { host: self.host.clone(), notes_id: self.file.borrow().notes_id })
     }
 
-    /// Stores a durable note that charges may be missing from records up to the given position.
+    /// Stores a durable note that records up to the given position may be incomplete.
     pub(crate) async fn store_note(
         &self,
         partition: usize,
-        position: &LedgerPosition,
+        position: LedgerPosition,
     ) -> NoteOutcome {
-        let Some(folder) = self.folder.clone() else { return NoteOutcome::NotStored };
         let _guard = self.write_lock.lock().await;
-        let covers_position = |last: &OutageNote| {
-            last.position.writer == position.writer && last.position.sequence >= position.sequence
-        };
-        let mut notes = self.notes.borrow().clone();
-        if notes.last.get(&ledger::ledger_name(partition)).is_some_and(covers_position) {
+        let mut notes = self.notes_of(partition);
+        if notes.covers(position) {
             return NoteOutcome::AlreadyStored;
         }
-        let note = OutageNote { noted_at_ms: wall_us() / 1000, position: position.clone() };
-        notes.last.insert(ledger::ledger_name(partition), note);
-        let new_notes = notes.clone();
-        match smol::unblock(move || write(&folder, &new_notes)).await {
+        match notes.note(position) && self.replace(partition, notes).await {
+            true => NoteOutcome::Written,
+            false => NoteOutcome::NotStored,
+        }
+    }
+
+    /// Fences the epochs of a ledger before `epoch`: no notes are stored for them any more. Returns
+    /// `None` if that could not be made durable.
+    pub(crate) async fn fence(&self, partition: usize, epoch: Epoch) -> Option<FenceReply> {
+        let note_host = self.note_host()?;
+        let _guard = self.write_lock.lock().await;
+        let mut notes = self.notes_of(partition);
+        let noted = notes.fence(epoch);
+        let is_durable = notes == self.notes_of(partition) || self.replace(partition, notes).await;
+        is_durable.then_some(FenceReply { note_host, noted })
+    }
+
+    fn notes_of(&self, partition: usize) -> OutageNotes {
+        let file = self.file.borrow();
+        file.ledgers.get(&ledger::ledger_name(partition)).cloned().unwrap_or_default()
+    }
+
+    /// Replaces the notes of a ledger. Returns whether they are durable.
+    async fn replace(&self, partition: usize, notes: OutageNotes) -> bool {
+        let Some(folder) = self.folder.clone() else { return false };
+        let mut file = self.file.borrow().clone();
+        file.ledgers.insert(ledger::ledger_name(partition), notes);
+        let new_file = file.clone();
+        match smol::unblock(move || write(&folder, &new_file)).await {
             Ok(()) => {
-                *self.notes.borrow_mut() = notes;
-                NoteOutcome::Written
+                *self.file.borrow_mut() = file;
+                true
             }
             Err(error) => {
                 log::error!("failed to write {FILE_NAME}: {error}");
-                NoteOutcome::NotStored
+                false
             }
         }
     }
 }
 
-fn read_or_create(folder: &Path, is_first_start: bool) -> io::Result<NotesFile> {
+fn read_or_create(folder: &Path) -> io::Result<NotesFile> {
     let path = folder.join(FILE_NAME);
     match fs::read(&path) {
         Ok(bytes) => match serde_json::from_slice(&bytes) {
-            Ok(notes) => return Ok(notes),
+            Ok(file) => return Ok(file),
             Err(error) => {
                 log::error!(
                     "{}: discarding outage notes that can't be decoded: {error}",
@@ -116,10 +136,9 @@
         Err(error) if error.kind() == io::ErrorKind::NotFound => {}
         Err(error) => return Err(error),
     }
-    let since_ms = if is_first_start { 0 } else { wall_us() / 1000 };
-    let notes = NotesFile { since_ms, ..NotesFile::default() };
-    write(folder, &notes)?;
-    Ok(notes)
+    let file = NotesFile { notes_id: rand::random(), ..NotesFile::default() };
+    write(folder, &file)?;
+    Ok(file)
 }
 
 /// Replaces the file atomically, so that after a power loss it has either the old or the new
--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/peers/message.rs
@@ -5,10 +5,10 @@
     std::{net::SocketAddr, time::Duration},
     trefoilring_core::{
         budget::{
-            Charge, LedgerPosition, OutageNotes, ReplicaUpdate, ReplicationId, TokenCount,
+            Charge, FenceReply, LedgerPosition, NoteHost, ReplicaUpdate, ReplicationId, Settlement,
             VoteOption,
         },
-        ids::{ConfigVersion, ContentHash, HostId, ProgramId, TeamId},
+        ids::{ConfigVersion, ContentHash, Epoch, HostId, TeamId},
         placement::UpstreamRecord,
         roster::HostRecord,
     },
@@ -25,13 +25,26 @@
     Lend { team: TeamId, tokens: f64 },
     /// Charges a turn. The receiver replies within `wait`.
     Charge { charge: Charge, wait: Duration },
-    /// Refunds the tokens that turns did not use.
-    Refund { refunds: Vec<(ProgramId, TokenCount)> },
-    /// Requests the receiver's outage notes for the ledger of a partition. An outage note records
-    /// that charges may be missing from the ledger's stored record.
-    OutageNotes {
+    /// Settles turns of one ledger. The receiver replies within `wait`.
+    Settle { settlements: Vec<Settlement>, wait: Duration },
+    /// Asks the receiver to store the outage note that a ledger's record may be incomplete up to a
+    /// position.
+    NoteOutage {
         #[serde(rename = "part")]
         partition: usize,
+        position: LedgerPosition,
+    },
+    /// Asks the receiver to store no more outage notes for epochs before `epoch`.
+    FenceLedger {
+        #[serde(rename = "part")]
+        partition: usize,
+        epoch: Epoch,
+    },
+    /// Asks the receiver to give up a ledger that it owns as `writer`.
+    ReleaseLedger {
+        #[serde(rename = "part")]
+        partition: usize,
+        writer: String,
     },
     /// Asks whether the receiver owns the ledger and wrote its record under the name `writer`.
     #[serde(rename = "is_ledger_kept")]
@@ -104,8 +117,12 @@
     Lent { tokens: f64 },
     /// Outcome of a charge.
     Charged { decision: ChargeDecision },
-    /// The host's outage notes for the ledger.
-    OutageNotes { notes: OutageNotes },
+    /// What became of the settlements.
+    Settled { status: SettlementStatus },
+    /// The host that has stored the outage note; `None` if it has not.
+    OutageNoted { by: Option<NoteHost> },
+    /// The reply to a fence; `None` if the host stores no notes.
+    LedgerFenced { reply: Option<FenceReply> },
     /// Whether the host owns the ledger.
     #[serde(rename = "ledger_kept")]
     LedgerOwnership {
@@ -178,6 +195,8 @@
     /// The rest of the program's budget is too small for the turn.
     #[serde(rename = "spent")]
     InsufficientBudget,
+    /// The rest of the budget may be too small: it is not known what lost hosts have granted.
+    PossiblySpent,
     /// The ledger must be read or written first, which takes longer than the request may wait.
     Undecided,
     /// Another host owns the ledger, and this host defers to it for now.
@@ -186,16 +205,19 @@
         #[serde(rename = "keeper")]
         owner: SocketAddr,
     },
-    /// The ledger must be read or written first, and the store can't be reached from this host.
+    /// The store can't be reached from this host, or this host is stopping.
     #[serde(rename = "store_away")]
-    StoreUnavailable {
-        /// Whether this host has stored the charge's outage note.
-        #[serde(rename = "is_noted")]
-        is_acknowledged: bool,
-        /// Position up to which this host would grant unreserved charges, that is charges above
-        /// what the stored record reserves. Set if the host owns the ledger as its first-ranked
-        /// host.
-        #[serde(rename = "beyond")]
-        position: Option<LedgerPosition>,
-    },
+    Unavailable,
+}
+
+/// What became of settlements.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
+#[serde(rename_all = "snake_case")]
+pub(crate) enum SettlementStatus {
+    /// The stored record includes them.
+    Stored,
+    /// They are applied, but may be lost with the host.
+    Pending,
+    /// The host does not own the ledger.
+    NotOwner,
 }
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -5,7 +5,7 @@
 
 pub(crate) use {
     client::{is_lost, is_suspect, send_request, send_request_or_relay},
-    message::{ChargeDecision, Ownership, PeerReply, PeerRequest, ReplicaStatus},
+    message::{ChargeDecision, Ownership, PeerReply, PeerRequest, ReplicaStatus, SettlementStatus},
 };
 
 use {
@@ -91,12 +91,19 @@
             let decision = ledger::charge(gateway, &charge, deadline).await;
             PeerReply::Charged { decision }
         }
-        PeerRequest::Refund { refunds } => {
-            ledger::refund(gateway, &refunds);
-            PeerReply::Done
+        PeerRequest::Settle { settlements, wait } => {
+            let deadline = Instant::now() + wait.min(REQUEST_WAIT_MAX);
+            PeerReply::Settled { status: ledger::settle(gateway, &settlements, deadline).await }
         }
-        PeerRequest::OutageNotes { partition } => {
-            PeerReply::OutageNotes { notes: gateway.outage_notes.notes_of(partition) }
+        PeerRequest::NoteOutage { partition, position } => PeerReply::OutageNoted {
+            by: ledger::store_outage_note(gateway, partition, position).await,
+        },
+        PeerRequest::FenceLedger { partition, epoch } => {
+            PeerReply::LedgerFenced { reply: gateway.outage_notes.fence(partition, epoch).await }
+        }
+        PeerRequest::ReleaseLedger { partition, writer } => {
+            ledger::release(gateway, partition, &writer).await;
+            PeerReply::Done
         }
         PeerRequest::LedgerOwnership { partition, writer } => {
             // The sender has just read the ledger's record, so the store is available.
