Lose any ledger hosts and their disks in the soak

The soak lost one ledger host at a time, as budgets did not hold otherwise. Now any of them may be killed, stopped or paused, also together, and lose its disk; the store may reject writes and serve reads.

--- a/crates/cli/tests/soak/faults.rs
+++ b/crates/cli/tests/soak/faults.rs
@@ -20,6 +20,8 @@
 #[derive(Clone, Copy, Debug)]
 enum Fault {
     Kill(usize),
+    /// A ledger host is killed and its disk is lost.
+    KillAndLoseDisk(usize),
     Start(usize),
     Stop(usize),
     Pause(usize),
@@ -30,7 +32,10 @@
     StoreLink(LinkFault),
     StoreLinkReset,
     WorkerKilled(usize),
-    WorkerReleased { worker: usize, gives_notice: bool },
+    WorkerReleased {
+        worker: usize,
+        gives_notice: bool,
+    },
     EndlessWorker(Option<(EndlessPart, Pace)>),
     Worker(usize, WorkerFault),
 }
@@ -50,14 +55,12 @@
 fn draw(site: &Site, random: &mut SmallRng) -> Fault {
     let host = random.random_range(0..HOSTS);
     let worker = random.random_range(0..WORKERS);
-    // The promises hold while one ledger host at most is lost. Of the others any may be.
-    let no_other_is_lost = || (GATEWAYS..HOSTS).all(|other| other == host || !site.is_lost(other));
-    let may_go_down = site.is_up(host) && (host < GATEWAYS || no_other_is_lost());
     match random.random_range(0..16) {
-        0 | 1 if may_go_down => Fault::Kill(host),
-        2 if may_go_down => Fault::Stop(host),
-        3 if may_go_down => Fault::Pause(host),
-        0..=3 if !site.is_up(host) => Fault::Start(host),
+        0 if host >= GATEWAYS && random.random_bool(0.3) => Fault::KillAndLoseDisk(host),
+        0 | 1 if site.is_up(host) => Fault::Kill(host),
+        2 if site.is_up(host) => Fault::Stop(host),
+        3 if site.is_up(host) => Fault::Pause(host),
+        0..=3 => Fault::Start(host),
         4 | 5 => Fault::Resume(host),
         6 => Fault::Reload(host),
         7 => Fault::Store(store_fault(random)),
@@ -84,6 +87,7 @@
         StoreFault::Busy,
         StoreFault::ClosesConnections,
         StoreFault::DropsResponses,
+        StoreFault::RejectsWrites,
     ];
     *faults.choose(random).expect("it is not empty")
 }
@@ -123,6 +127,10 @@
 async fn apply(site: &Rc<Site>, fault: Fault) {
     match fault {
         Fault::Kill(host) => site.kill(host),
+        Fault::KillAndLoseDisk(host) => {
+            site.kill(host);
+            site.delete_data(host);
+        }
         Fault::Start(host) => site.start_host(host),
         Fault::Stop(host) => site.stop_host(host).await,
         Fault::Pause(host) => site.pause(host),
--- a/crates/cli/tests/soak/site.rs
+++ b/crates/cli/tests/soak/site.rs
@@ -32,8 +32,6 @@
 /// Time that healthy workers take for a request.
 pub const WORK: Duration = Duration::from_millis(10);
 pub const HEALTHY: WorkerFault = WorkerFault::CrashesOn(CRASHING, WORK);
-/// Time after which a host that was down or paused no longer counts as lost.
-const CATCH_UP: Duration = Duration::from_secs(4);
 /// Time within which a host must stop after SIGTERM.
 const STOP_GRACE: Duration = Duration::from_secs(8);
 /// Ports of the hosts, below the kernel's range for outgoing connections.
@@ -60,8 +58,6 @@
     /// `None` while the host is down.
     process: Option<Child>,
     is_paused: bool,
-    /// When the host was last started or resumed.
-    back_at: Instant,
 }
 
 impl Drop for Host {
@@ -97,7 +93,6 @@
                 ports: ports.to_vec(),
                 process: None,
                 is_paused: false,
-                back_at: Instant::now(),
             })
             .collect();
         let endless = EndlessStandin::start(None).await.expect("a port");
@@ -153,7 +148,6 @@
         });
         host_state.process = Some(process);
         host_state.is_paused = false;
-        host_state.back_at = Instant::now();
     }
 
     fn write_settings(&self, number: usize, host: &Host, is_first_start: bool) -> PathBuf {
@@ -163,7 +157,7 @@
                 "callers_listen = \"127.0.0.1:{callers}\"\nready_listen = \"127.0.0.1:{ready}\"\n"
             ),
             false => {
-                format!("data_folder = {:?}\n", self.folder.join(format!("{}-data", host.name)))
+                format!("data_folder = {:?}\n", self.data_folder(host))
             }
         };
         let text = format!(
@@ -208,16 +202,9 @@
     pub fn resume(&self, host: usize) {
         if std::mem::take(&mut self.hosts.borrow_mut()[host].is_paused) {
             self.signal(host, "CONT");
-            self.hosts.borrow_mut()[host].back_at = Instant::now();
         }
     }
 
-    /// Returns whether a host is down or paused, or has been so a moment ago.
-    pub fn is_lost(&self, host: usize) -> bool {
-        let host = &self.hosts.borrow()[host];
-        host.process.is_none() || host.is_paused || host.back_at.elapsed() < CATCH_UP
-    }
-
     /// Kills a host, if it runs.
     pub fn kill(&self, host: usize) {
         if let Some(mut process) = self.hosts.borrow_mut()[host].process.take() {
@@ -226,6 +213,18 @@
         }
     }
 
+    /// Deletes the data folder of a ledger host that is down.
+    pub fn delete_data(&self, host: usize) {
+        let folder = self.data_folder(&self.hosts.borrow()[host]);
+        if folder.exists() {
+            fs::remove_dir_all(folder).expect("the folder is writable");
+        }
+    }
+
+    fn data_folder(&self, host: &Host) -> PathBuf {
+        self.folder.join(format!("{}-data", host.name))
+    }
+
     /// Stops a host gracefully, if it runs, and waits for its end.
     pub async fn stop_host(&self, host: usize) {
         self.signal(host, "TERM");
