Reproduce upstreams that get more requests than their limits

An upstream in need names in its answers how many requests a second it takes from all hosts together. Hosts don't read that: with three hosts and a limit of 10 a second, 1,016 requests arrive in 4 s of 65 allowed. The worker's stand-in can name a limit.

--- a/crates/standin/src/fleet/worker.rs
+++ b/crates/standin/src/fleet/worker.rs
@@ -103,6 +103,10 @@
     finished: usize,
     /// Number of requests that were aborted while they ran.
     aborted: usize,
+    /// Requests a second that the worker names as its limit.
+    rate_limit: Option<f64>,
+    /// When each request arrived, whether it was run or not.
+    arrivals: Vec<Instant>,
 }
 
 impl State {
@@ -163,6 +167,17 @@
         self.worker.lock().runs.clone()
     }
 
+    /// Sets the limit that the worker names in its answers, in requests a second. It does not
+    /// enforce the limit.
+    pub fn set_rate_limit(&self, limit_per_s: Option<f64>) {
+        self.worker.lock().rate_limit = limit_per_s;
+    }
+
+    /// Returns when each request arrived, in order.
+    pub fn arrivals(&self) -> Vec<Instant> {
+        self.worker.lock().arrivals.clone()
+    }
+
     /// Returns the number of connections that the worker has accepted.
     pub fn connections_accepted(&self) -> usize {
         self.server.accepted.load(Ordering::SeqCst)
@@ -218,11 +233,15 @@
     }
 
     fn response_builder(&self, request_id: &str, status: StatusCode) -> http::response::Builder {
-        Response::builder()
+        let response = Response::builder()
             .status(status)
             .header("Trefoilring-Request-Id", request_id)
             // Running requests, waiting requests and slots.
-            .header("Trefoilring-Server-Load", "1,0,4")
+            .header("Trefoilring-Server-Load", "1,0,4");
+        match self.lock().rate_limit {
+            Some(limit_per_s) => response.header("Server-Limit", limit_per_s.to_string()),
+            None => response,
+        }
     }
 }
 
@@ -250,6 +269,7 @@
 
 impl Handler for Worker {
     async fn handle(self: Arc<Self>, request: Request<Bytes>) -> Option<Response<Body>> {
+        self.lock().arrivals.push(Instant::now());
         let (head, body) = request.into_parts();
         let id = header(&head.headers, "trefoilring-request-id").unwrap_or_default().to_string();
         let expected = header(&head.headers, "trefoilring-expect-instance");
