Keep to the limits that upstreams name, over all hosts together

What callers saw: an upstream in need that named how many requests a second it takes got many times as many, for as long as it was in need.

Cause: no host read the limit. Placement saw only the reported load, which is low at an upstream that takes little.

Change: the limit is split between the hosts with callers as a team's allowance is, held by few hosts where it is low, and the others borrow single tokens, which expire. Each send takes a token: first sends, retries at another upstream, and streams that go on at the same one. A request goes elsewhere, waits in the service's queue, oldest first, or is refused at once as before. A limit ends with the first answer that names none; hosts that don't send to the upstream learn it from those they borrow from.

Callers come late: what is left of the service is less than they ask for.

--- a/crates/core/src/placement/mod.rs
+++ b/crates/core/src/placement/mod.rs
@@ -10,6 +10,7 @@
 
 mod broken_attempts;
 mod outage;
+mod rate_limit;
 mod upstream;
 mod wait_queue;
 
@@ -19,15 +20,18 @@
 pub use {
     broken_attempts::{BrokenAttempts, RetryDecision},
     outage::{DelistingAction, StoreOutage},
+    rate_limit::LendOutcome,
     upstream::{LoadReport, Outcome, UpstreamRecord},
     wait_queue::{QueueWait, WaitQueues},
 };
 
 use {
     crate::{
-        ids::{DomainId, ServiceId, UpstreamId},
+        ids::{DomainId, HostId, ServiceId, UpstreamId},
         rendezvous::NameHash,
+        shares::AllowanceHosts,
     },
+    rate_limit::RateLimit,
     slotmap::{SlotMap, new_key_type},
     std::{
         collections::HashMap,
@@ -51,6 +55,11 @@
 const SLOW_EVENT_FACTOR: f64 = 4.0;
 /// Weight of one pause in the moving average of a service's typical pause.
 const TYPICAL_PAUSE_WEIGHT: f64 = 0.02;
+/// Additional load, as a fraction of the slots, up to which a limited upstream is preferred. What its
+/// limit allows at this host is lost if it is not used soon.
+const LIMITED_PREFERENCE: f64 = 0.15;
+/// Load of its session's upstream from which on a request leaves it for a limited upstream.
+const LEAVE_FOR_LIMITED_LOAD_MIN: f64 = 0.5;
 /// Maximum number of sessions stored: about one minute of sessions at the load that the system is
 /// designed for.
 const SESSIONS_MAX: usize = 16_384;
@@ -66,6 +75,9 @@
     pub session: Option<&'a str>,
     /// Upstreams that have refused the request.
     pub refused_by: &'a [UpstreamKey],
+    /// Whether an older request waits for the service. Requests that limits allow are then left to
+    /// it.
+    pub is_behind_others: bool,
 }
 
 /// Result of [`Placement::choose`].
@@ -73,7 +85,8 @@
 pub enum Choice {
     /// Send the request to this upstream.
     Use(UpstreamKey),
-    /// All upstreams that accept work have refused the request.
+    /// All upstreams that accept work have refused the request, or name limits that allow no more
+    /// requests at present.
     AllRefused,
     /// The service has no upstream that accepts work.
     NoUpstream,
@@ -97,6 +110,8 @@
     sessions: HashMap<String, Session>,
     /// Moving average of the pause between stream events, by service, in seconds.
     typical_pauses_s: HashMap<ServiceId, f64>,
+    /// The hosts between which the limits of upstreams are split.
+    limit_hosts: AllowanceHosts,
 }
 
 impl Placement {
@@ -109,6 +124,7 @@
             by_service: HashMap::new(),
             sessions: HashMap::new(),
             typical_pauses_s: HashMap::new(),
+            limit_hosts: AllowanceHosts::default(),
         }
     }
 
@@ -179,11 +195,23 @@
         if usable.is_empty() {
             return Choice::NoUpstream;
         }
-        usable.retain(|key| !request.refused_by.contains(key));
+        usable.retain(|&key| {
+            let upstream = &self.upstreams[key];
+            let is_left_to_others = request.is_behind_others && upstream.rate_limit.is_some();
+            !request.refused_by.contains(&key)
+                && !is_left_to_others
+                && upstream.is_within_limit(now)
+        });
         let Some(best) = self.least_loaded(now, &usable, request.session) else {
             return Choice::AllRefused;
         };
-        let chosen = self.session_upstream(now, &usable, request.session).unwrap_or(best);
+        let session_upstream = self.session_upstream(now, &usable, request.session);
+        // What a limit allows is lost if it is not used, and is used while others are busy.
+        let leaves_for_limited = |session_upstream: &UpstreamKey| {
+            self.upstreams[best].rate_limit.is_some()
+                && self.upstreams[*session_upstream].load(now) >= LEAVE_FOR_LIMITED_LOAD_MIN
+        };
+        let chosen = session_upstream.filter(|key| !leaves_for_limited(key)).unwrap_or(best);
         if let Some(session) = request.session {
             self.record_session(now, session, chosen);
         }
@@ -205,7 +233,8 @@
             // Breaks ties by rendezvous hashing, so that all hosts choose the same upstream for a
             // session that is new to them.
             let tie_break = session.map_or(0, |session| u64::MAX - session.weight(point));
-            (upstream.load(now) + upstream.penalty(now) + domain_cost, tie_break)
+            let limit_gain = if upstream.rate_limit.is_some() { LIMITED_PREFERENCE } else { 0.0 };
+            (upstream.load(now) + upstream.penalty(now) + domain_cost - limit_gain, tie_break)
         };
         let by_cost = |a: &UpstreamKey, b: &UpstreamKey| {
             let ((a_cost, a_tie), (b_cost, b_tie)) = (cost(*a), cost(*b));
@@ -239,10 +268,162 @@
         }
     }
 
-    /// Records that a request was sent to an upstream.
-    pub fn record_sent(&mut self, key: UpstreamKey) {
+    /// Records that a request was sent to an upstream. Counts against the upstream's limit.
+    pub fn record_sent(&mut self, now: Instant, key: UpstreamKey) {
         if let Some(upstream) = self.upstreams.get_mut(key) {
             upstream.record_sent();
+            if let Some(limit) = &mut upstream.rate_limit {
+                limit.take(now);
+            }
+        }
+    }
+
+    /// Counts a request that is sent to the same upstream again against its limit. Returns false if
+    /// the limit does not allow it now.
+    pub fn try_send_again(&mut self, now: Instant, key: UpstreamKey) -> bool {
+        let Some(upstream) = self.upstreams.get_mut(key) else { return false };
+        upstream.rate_limit.as_mut().is_none_or(|limit| limit.take(now))
+    }
+
+    /// Records the limit that an answer names, in requests a second from all hosts together, or
+    /// that it names none. `sent_at` is when the request was sent.
+    pub fn record_limit(
+        &mut self,
+        now: Instant,
+        key: UpstreamKey,
+        sent_at: Instant,
+        limit_per_s: Option<f64>,
+    ) {
+        let Some(upstream) = self.upstreams.get_mut(key) else { return };
+        let Some(limit_per_s) = limit_per_s else {
+            upstream.unlimited_at = upstream.unlimited_at.max(Some(sent_at));
+            upstream.rate_limit.take_if(|limit| limit.named_at() <= sent_at);
+            return;
+        };
+        if upstream.unlimited_at > Some(sent_at) {
+            return;
+        }
+        let (id, hosts) = (&upstream.record.id, &self.limit_hosts);
+        match &mut upstream.rate_limit {
+            Some(limit) => limit.on_named(now, sent_at, id, limit_per_s, hosts),
+            None => {
+                upstream.rate_limit = Some(RateLimit::new(now, sent_at, id, limit_per_s, hosts));
+            }
+        }
+    }
+
+    /// Sets the hosts between which the limits of upstreams are split.
+    pub fn set_limit_hosts(&mut self, now: Instant, hosts: AllowanceHosts) {
+        self.limit_hosts = hosts;
+        for upstream in self.upstreams.values_mut() {
+            if let Some(limit) = &mut upstream.rate_limit {
+                let limit_per_s = limit.limit_per_s();
+                limit.set_limit(now, &upstream.record.id, limit_per_s, &self.limit_hosts);
+            }
+        }
+    }
+
+    /// Returns the limit that an upstream names, in requests a second from all hosts together.
+    pub fn limit_per_s(&self, upstream: &str) -> Option<f64> {
+        Some(self.limit_of(upstream)?.limit_per_s())
+    }
+
+    fn limit_of(&self, upstream: &str) -> Option<&RateLimit> {
+        self.upstreams[*self.by_id.get(upstream)?].rate_limit.as_ref()
+    }
+
+    /// Returns the upstreams of a service for which this host should borrow a token: their limits
+    /// allow it no request at present, and they have more capacity left than the others, or it is
+    /// not known whether the limits still apply.
+    pub fn upstreams_to_borrow_for(&self, now: Instant, service: &str) -> Vec<UpstreamId> {
+        let keys = self.by_service.get(service).map_or(&[][..], Vec::as_slice);
+        let accepting =
+            || keys.iter().map(|key| &self.upstreams[*key]).filter(|one| one.accepts_work(now));
+        let limited =
+            accepting().filter_map(|upstream| Some((upstream, upstream.rate_limit.as_ref()?)));
+        let throttled: Vec<_> = limited.filter(|(_, limit)| !limit.has_token(now)).collect();
+        if throttled.is_empty() {
+            return Vec::new();
+        }
+        let cost = |upstream: &Upstream| upstream.load(now) + upstream.penalty(now);
+        let usable_costs = accepting().filter(|one| one.is_within_limit(now)).map(cost);
+        let least_cost = usable_costs.fold(f64::INFINITY, f64::min);
+        let should_borrow = |(upstream, limit): &(&Upstream, &RateLimit)| {
+            cost(upstream) <= least_cost || limit.needs_confirmation(now)
+        };
+        let to_borrow = throttled.into_iter().filter(should_borrow);
+        to_borrow.map(|(upstream, _)| upstream.record.id.clone()).collect()
+    }
+
+    /// Returns when the limits of a service's upstreams next allow a request of this host, if it
+    /// need not borrow for it.
+    pub fn next_within_limits(&self, now: Instant, service: &str) -> Option<Instant> {
+        let keys = self.by_service.get(service).map_or(&[][..], Vec::as_slice);
+        let limits = keys.iter().filter_map(|key| self.upstreams[*key].rate_limit.as_ref());
+        limits.filter_map(|limit| limit.next_token_at(now)).min()
+    }
+
+    /// Returns when an upstream's limit next allows a request of this host, if it need not borrow
+    /// for it.
+    pub fn next_within_limit(&self, now: Instant, key: UpstreamKey) -> Option<Instant> {
+        self.upstreams.get(key)?.rate_limit.as_ref()?.next_token_at(now)
+    }
+
+    /// Returns the service of an upstream.
+    pub fn service_of(&self, upstream: &str) -> Option<ServiceId> {
+        Some(self.upstreams[*self.by_id.get(upstream)?].record.service.clone())
+    }
+
+    /// Returns the other hosts that may lend tokens of an upstream's limit.
+    pub fn limit_lenders(&self, upstream: &str) -> Vec<HostId> {
+        let Some(limit) = self.limit_of(upstream) else { return Vec::new() };
+        let holders = self.limit_hosts.holders_of(upstream, limit.burst_tokens());
+        holders.into_iter().cloned().collect()
+    }
+
+    /// Returns the time since the request was sent whose answer named an upstream's limit last.
+    pub fn limit_age(&self, now: Instant, upstream: &str) -> Option<Duration> {
+        Some(now.saturating_duration_since(self.limit_of(upstream)?.named_at()))
+    }
+
+    /// Takes a token of an upstream's limit for another host, which was told that it is
+    /// `limit_per_s` in the answer to a request that was sent `named_ago`.
+    pub fn lend_limit_token(
+        &mut self,
+        now: Instant,
+        upstream: &str,
+        limit_per_s: f64,
+        named_ago: Duration,
+    ) -> LendOutcome {
+        let Some(&key) = self.by_id.get(upstream) else { return LendOutcome::NoToken };
+        // A host that was not told of the limit keeps to it from now on, as others do.
+        if let Some(named_at) = now.checked_sub(named_ago) {
+            self.record_limit(now, key, named_at, Some(limit_per_s));
+        }
+        let upstream = &mut self.upstreams[key];
+        match (&mut upstream.rate_limit, upstream.unlimited_at) {
+            (Some(limit), _) if limit.has_own_token(now) => {
+                limit.take_own(now);
+                LendOutcome::Lent
+            }
+            (None, Some(sent_at)) => {
+                LendOutcome::NotLimited { sent_ago: now.saturating_duration_since(sent_at) }
+            }
+            _ => LendOutcome::NoToken,
+        }
+    }
+
+    /// Applies the answer of another host that was asked for a token of an upstream's limit.
+    pub fn on_limit_token_answer(&mut self, now: Instant, upstream: &str, outcome: LendOutcome) {
+        let Some(&key) = self.by_id.get(upstream) else { return };
+        match (outcome, &mut self.upstreams[key].rate_limit) {
+            (LendOutcome::Lent, Some(limit)) => limit.receive(now),
+            (LendOutcome::NotLimited { sent_ago }, _) => {
+                if let Some(sent_at) = now.checked_sub(sent_ago) {
+                    self.record_limit(now, key, sent_at, None);
+                }
+            }
+            _ => {}
         }
     }
 
--- a/crates/core/src/placement/tests.rs
+++ b/crates/core/src/placement/tests.rs
@@ -21,7 +21,8 @@
 }
 
 fn choose_id(placement: &mut Placement, now: Instant, session: Option<&str>) -> String {
-    let request = PlacementRequest { service: "llm", session, refused_by: &[] };
+    let request =
+        PlacementRequest { service: "llm", session, refused_by: &[], is_behind_others: false };
     match placement.choose(now, &request) {
         Choice::Use(key) => {
             placement.record(key).expect("chosen upstreams are known").id.to_string()
@@ -40,7 +41,7 @@
     let mut placement = placement(&[record("near", "a"), record("far", "b")]);
     assert_eq!(choose_id(&mut placement, now, None), "near");
     let near = key(&placement, "near");
-    placement.record_sent(near);
+    placement.record_sent(Instant::now(), near);
     assert_eq!(choose_id(&mut placement, now, None), "far");
 }
 
@@ -51,10 +52,10 @@
     let first = choose_id(&mut placement, now, Some("line"));
     let first_key = key(&placement, &first);
     for _ in 0..3 {
-        placement.record_sent(first_key);
+        placement.record_sent(Instant::now(), first_key);
         assert_eq!(choose_id(&mut placement, now, Some("line")), first);
     }
-    placement.record_sent(first_key);
+    placement.record_sent(Instant::now(), first_key);
     assert_ne!(choose_id(&mut placement, now, Some("line")), first);
 }
 
@@ -66,7 +67,7 @@
     placement.record_load(now, one, LoadReport { running: 3, waiting: 0, slots: 4 });
     assert_eq!(choose_id(&mut placement, now, None), "two");
     let two = key(&placement, "two");
-    placement.record_sent(two);
+    placement.record_sent(Instant::now(), two);
     assert_eq!(choose_id(&mut placement, now, None), "two");
     assert_eq!(choose_id(&mut placement, now + Duration::from_secs(2), None), "one");
 }
@@ -88,12 +89,17 @@
     let mut placement = placement(&[record("near", "a"), record("far", "b")]);
     let near = key(&placement, "near");
     for _ in 0..3 {
-        placement.record_sent(near);
+        placement.record_sent(Instant::now(), near);
         placement.record_end(now, near, Outcome::Failed);
     }
     assert_eq!(choose_id(&mut placement, now, None), "far");
     let far = key(&placement, "far");
-    let refused_by_far = PlacementRequest { service: "llm", session: None, refused_by: &[far] };
+    let refused_by_far = PlacementRequest {
+        service: "llm",
+        session: None,
+        refused_by: &[far],
+        is_behind_others: false,
+    };
     assert_eq!(placement.choose(now, &refused_by_far), Choice::AllRefused, "near is ejected");
     let later = now + Duration::from_millis(600);
     assert_eq!(
@@ -116,7 +122,7 @@
     let now = Instant::now();
     let mut placement = placement(&[record("one", "a")]);
     let old = key(&placement, "one");
-    placement.record_sent(old);
+    placement.record_sent(Instant::now(), old);
     assert!(placement.upsert(UpstreamRecord { incarnation: Some(2), ..record("one", "a") }));
     assert!(placement.record(old).is_none());
     assert_eq!(placement.service_load(now, "llm"), (1, 0.0));
@@ -127,7 +133,12 @@
     let now = Instant::now();
     let mut placement = placement(&[record("one", "a")]);
     let one = key(&placement, "one");
-    let request = PlacementRequest { service: "llm", session: None, refused_by: &[one] };
+    let request = PlacementRequest {
+        service: "llm",
+        session: None,
+        refused_by: &[one],
+        is_behind_others: false,
+    };
     assert_eq!(placement.choose(now, &request), Choice::AllRefused);
 }
 
@@ -147,11 +158,16 @@
         while let Some((_, key)) = in_flight.pop_front_if(|(at, _): &mut (Instant, _)| *at <= now) {
             placement.record_end(now, key, Outcome::Done);
         }
-        let request = PlacementRequest { service: "llm", session: None, refused_by: &[] };
+        let request = PlacementRequest {
+            service: "llm",
+            session: None,
+            refused_by: &[],
+            is_behind_others: false,
+        };
         let Choice::Use(key) = placement.choose(now, &request) else {
             panic!("all upstreams accept work")
         };
-        placement.record_sent(key);
+        placement.record_sent(Instant::now(), key);
         if key == placement.by_id["bad"] {
             to_bad += 1;
             if fails(to_bad) {
@@ -190,7 +206,7 @@
     let mut placement = placement(&[record("one", "a"), record("two", "a")]);
     let first = choose_id(&mut placement, now, Some("line"));
     let first_key = key(&placement, &first);
-    placement.record_sent(first_key);
+    placement.record_sent(Instant::now(), first_key);
     placement.record_end(now, first_key, Outcome::Errored);
     assert_ne!(choose_id(&mut placement, now, Some("line")), first);
 }
--- a/crates/core/src/placement/upstream.rs
+++ b/crates/core/src/placement/upstream.rs
@@ -1,6 +1,7 @@
 //! State and load estimate of one upstream at this host.
 
 use {
+    super::rate_limit::RateLimit,
     crate::ids::{DomainId, Incarnation, ServiceId, UpstreamId},
     std::{
         net::SocketAddr,
@@ -107,6 +108,10 @@
     penalty_at: Option<Instant>,
     ejected_until: Option<Instant>,
     next_ejection: Duration,
+    /// The request rate that the upstream names as its limit.
+    pub(super) rate_limit: Option<RateLimit>,
+    /// When the latest request was sent whose answer named no limit.
+    pub(super) unlimited_at: Option<Instant>,
 }
 
 impl Upstream {
@@ -121,9 +126,16 @@
             penalty_at: None,
             ejected_until: None,
             next_ejection: EJECTION_MIN,
+            rate_limit: None,
+            unlimited_at: None,
         }
     }
 
+    /// Returns whether the upstream's limit allows another request now.
+    pub(super) fn is_within_limit(&self, now: Instant) -> bool {
+        self.rate_limit.as_ref().is_none_or(|limit| limit.has_token(now))
+    }
+
     pub(super) fn accepts_work(&self, now: Instant) -> bool {
         !self.record.is_leaving && self.ejected_until.is_none_or(|until| until <= now)
     }
--- a/crates/core/src/placement/wait_queue.rs
+++ b/crates/core/src/placement/wait_queue.rs
@@ -95,6 +95,12 @@
         self.queues.contains_key(service)
     }
 
+    /// Returns whether an older request than the one with this wait is queued for a service.
+    pub fn has_older(&self, service: &str, wait: Option<&QueueWait>) -> bool {
+        let oldest = self.queues.get(service).and_then(|queue| queue.first_key_value());
+        oldest.is_some_and(|(oldest, _)| wait.is_none_or(|wait| *oldest < wait.position))
+    }
+
     /// Returns how long the oldest queued request of a service has waited.
     pub fn oldest_wait(&self, now: Instant, service: &str) -> Duration {
         let oldest = self.queues.get(service).and_then(|queue| queue.first_key_value());
--- a/crates/core/src/shares/holders.rs
+++ b/crates/core/src/shares/holders.rs
@@ -64,8 +64,9 @@
         ranked.into_iter().take(count).map(|(host, _)| host).collect()
     }
 
-    /// Returns the fraction of a team's allowance that this host may use, from 0 to 1.
-    pub(super) fn own_share(&self, team: &str, burst_tokens: f64) -> f64 {
+    /// Returns the fraction of a team's allowance, or of an upstream's limit, that this host may
+    /// use, from 0 to 1.
+    pub(crate) fn own_share(&self, team: &str, burst_tokens: f64) -> f64 {
         if self.usable_fraction == 0.0 {
             return 0.0;
         }
--- a/crates/gateway/src/call/attempts.rs
+++ b/crates/gateway/src/call/attempts.rs
@@ -7,6 +7,7 @@
         gateway::Gateway,
         http::SendError,
         time::within,
+        upstream_limits,
     },
     event_listener::{Event, EventListener},
     rand::RngExt,
@@ -31,6 +32,9 @@
 /// Minimum time left for sending a request. With less time it expires before an upstream answers.
 const TIME_LEFT_MIN: Duration = Duration::from_millis(5);
 
+/// Minimum wait for an upstream's limit to allow another request.
+const TOKEN_WAIT_MIN: Duration = Duration::from_millis(2);
+
 /// An attempt of a request at one upstream. Counts as load of the upstream until it is dropped.
 pub(super) struct Attempt {
     gateway: Rc<Gateway>,
@@ -51,7 +55,7 @@
         let record = placement.record(key)?;
         let (id, service) = (record.id.clone(), record.service.clone());
         let address = record.address;
-        placement.record_sent(key);
+        placement.record_sent(Instant::now(), key);
         let is_suspect = gateway.crash_watch.borrow().is_suspect(call);
         if is_suspect {
             gateway.crash_watch.borrow_mut().record_suspect_sent(key);
@@ -66,6 +70,11 @@
         self.sent_at.set(Instant::now());
     }
 
+    /// Records the limit that the answer names, or that it names none.
+    pub(super) fn record_limit(&self, limit_per_s: Option<f64>) {
+        upstream_limits::record(&self.gateway, &self.id, self.key, self.sent_at.get(), limit_per_s);
+    }
+
     /// Handles the end of the connection before the answer was complete.
     pub(super) async fn on_broken(&self, call: &Call) {
         let broken = BrokenAttempt {
@@ -159,7 +168,19 @@
         match self.broken_attempts.on_break() {
             RetryDecision::SameUpstream => {
                 attempt.record_broken();
-                Ok(Some(attempt))
+                let (gateway, service) = (&attempt.gateway, &attempt.service);
+                let is_allowed = upstream_limits::wait_to_send_again(
+                    gateway,
+                    service,
+                    attempt.key,
+                    call.deadline,
+                )
+                .await;
+                if is_allowed {
+                    return Ok(Some(attempt));
+                }
+                self.end(attempt, Outcome::Failed);
+                Ok(None)
             }
             RetryDecision::OtherUpstream => {
                 self.end(attempt, Outcome::Failed);
@@ -210,7 +231,7 @@
         }
     }
 
-    fn choose(&self, gateway: &Gateway, call: &Call) -> Choice {
+    fn choose(&self, gateway: &Rc<Gateway>, call: &Call) -> Choice {
         let is_new = self.wait.is_none()
             && self.full_upstreams.is_empty()
             && self.failed_upstreams.is_empty();
@@ -218,17 +239,29 @@
             // Waiting requests come first.
             return Choice::AllRefused;
         }
+        upstream_limits::borrow_if_useful(gateway, &call.service);
         let mut excluded = [&self.full_upstreams[..], &self.failed_upstreams[..]].concat();
         if gateway.crash_watch.borrow().is_suspect(call) {
             // Two suspects at one upstream would both be suspected again if it crashed.
             let refused = excluded.len();
             excluded.extend(gateway.crash_watch.borrow().upstreams_with_suspects());
-            if let Choice::Use(key) = choose_upstream(gateway, call, &excluded) {
+            if let Choice::Use(key) = self.choose_upstream(gateway, call, &excluded) {
                 return Choice::Use(key);
             }
             excluded.truncate(refused);
         }
-        choose_upstream(gateway, call, &excluded)
+        self.choose_upstream(gateway, call, &excluded)
+    }
+
+    fn choose_upstream(&self, gateway: &Gateway, call: &Call, excluded: &[UpstreamKey]) -> Choice {
+        let wait_queues = gateway.wait_queues.borrow();
+        let request = PlacementRequest {
+            service: &call.service,
+            session: call.session(),
+            refused_by: excluded,
+            is_behind_others: wait_queues.has_older(&call.service, self.wait.as_ref()),
+        };
+        gateway.placement.borrow_mut().choose(Instant::now(), &request)
     }
 
     /// Waits until the full upstreams may be tried again. Returns whether the request may try them.
@@ -254,10 +287,11 @@
         // A request that has failed at an upstream does not join the queue: new requests would have
         // to wait behind it, although that upstream may have capacity for them.
         let joins_queue = self.failed_upstreams.is_empty();
-        if !joins_queue && self.full_upstreams.is_empty() {
+        let now = Instant::now();
+        let next_within_limits = gateway.placement.borrow().next_within_limits(now, &call.service);
+        if !joins_queue && self.full_upstreams.is_empty() && next_within_limits.is_none() {
             return None;
         }
-        let now = Instant::now();
         let mut wait_queues = gateway.wait_queues.borrow_mut();
         let mut wait = match self.wait {
             Some(wait) => wait,
@@ -270,7 +304,12 @@
                 wait
             }
         };
-        let retry_at = wait.next_attempt(now, rand::rng().random())?;
+        let mut retry_at = wait.next_attempt(now, rand::rng().random())?;
+        if !wait_queues.has_older(&call.service, Some(&wait))
+            && let Some(at) = next_within_limits
+        {
+            retry_at = retry_at.min(at.max(now + TOKEN_WAIT_MIN));
+        }
         self.wait = Some(wait);
         let capacity_event = Rc::new(Event::new());
         let capacity_listener = capacity_event.listen();
@@ -281,12 +320,6 @@
     }
 }
 
-fn choose_upstream(gateway: &Gateway, call: &Call, excluded: &[UpstreamKey]) -> Choice {
-    let request =
-        PlacementRequest { service: &call.service, session: call.session(), refused_by: excluded };
-    gateway.placement.borrow_mut().choose(Instant::now(), &request)
-}
-
 /// Removes the request from its service's queue when dropped, if it is queued.
 struct QueueGuard<'a> {
     gateway: &'a Gateway,
--- a/crates/gateway/src/call/exchange.rs
+++ b/crates/gateway/src/call/exchange.rs
@@ -123,13 +123,22 @@
         Err(error) => return SendOutcome::Unknown(error),
     };
     let (head, body) = response.into_parts();
-    let AnswerMetadata { matches_request, did_not_run, is_misdirected, is_signed, load } =
-        gateway.adapter.dialect.read_answer(&call.metadata.request_id, &head);
+    let AnswerMetadata {
+        matches_request,
+        did_not_run,
+        is_misdirected,
+        is_signed,
+        load,
+        rate_limit_per_s,
+    } = gateway.adapter.dialect.read_answer(&call.metadata.request_id, &head);
     if !matches_request && !did_not_run && !is_misdirected {
         // The answer belongs to an earlier request, so later answers on this connection would be
         // wrong as well.
         return SendOutcome::Unknown(SendError::Broken);
     }
+    if !is_misdirected {
+        attempt.record_limit(rate_limit_per_s);
+    }
     if let Some(load) = load {
         gateway.placement.borrow_mut().record_load(Instant::now(), attempt.key, load);
     }
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -73,7 +73,7 @@
 }
 
 /// Metadata in the head of an upstream's answer.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct AnswerMetadata {
     /// Whether the answer belongs to the request that was sent, and not to an earlier one.
     pub matches_request: bool,
@@ -85,6 +85,8 @@
     pub is_signed: bool,
     /// The load that the upstream reports.
     pub load: Option<LoadReport>,
+    /// Requests a second that the upstream takes from all hosts together, if it names a limit.
+    pub rate_limit_per_s: Option<f64>,
 }
 
 /// Reads and writes the heads of the callers' and upstreams' protocol.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -24,6 +24,7 @@
 mod status;
 pub mod store;
 pub mod time;
+mod upstream_limits;
 mod watch;
 
 pub use {
--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/peers/message.rs
@@ -8,8 +8,8 @@
             Charge, FenceReply, LedgerPosition, NoteHost, ReplicaUpdate, ReplicationId, Settlement,
             VoteOption,
         },
-        ids::{ConfigVersion, ContentHash, Epoch, HostId, TeamId},
-        placement::UpstreamRecord,
+        ids::{ConfigVersion, ContentHash, Epoch, HostId, TeamId, UpstreamId},
+        placement::{LendOutcome, UpstreamRecord},
         roster::HostRecord,
     },
 };
@@ -23,6 +23,10 @@
     Announce { host: HostId, record: HostRecord },
     /// Requests rate-limit tokens of a team's allowance as a loan.
     Lend { team: TeamId, tokens: f64 },
+    /// Requests one token of the limit that an upstream names. The sender was told that the limit is
+    /// `limit_per_s`, in requests a second from all hosts together, in the answer to a request that
+    /// it sent `named_ago`.
+    LendUpstreamToken { upstream: UpstreamId, limit_per_s: f64, named_ago: Duration },
     /// Charges a turn. The receiver replies within `wait`.
     Charge { charge: Charge, wait: Duration },
     /// Settles turns of one ledger. The receiver replies within `wait`.
@@ -115,6 +119,8 @@
     Done,
     /// Number of rate-limit tokens that the host lends.
     Lent { tokens: f64 },
+    /// Whether the host lends a token of an upstream's limit.
+    UpstreamTokenLent { outcome: LendOutcome },
     /// Outcome of a charge.
     Charged { decision: ChargeDecision },
     /// What became of the settlements.
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -9,7 +9,10 @@
 };
 
 use {
-    crate::{allowance, crashes, gateway::Gateway, ledger, listen::listen, roster, watch},
+    crate::{
+        allowance, crashes, gateway::Gateway, ledger, listen::listen, roster, upstream_limits,
+        watch,
+    },
     bytes::Bytes,
     http::{Request, Response, StatusCode},
     http_body_util::{BodyExt, Full, Limited},
@@ -86,6 +89,10 @@
         PeerRequest::Lend { team, tokens } => {
             PeerReply::Lent { tokens: allowance::lend(gateway, &team, tokens) }
         }
+        PeerRequest::LendUpstreamToken { upstream, limit_per_s, named_ago } => {
+            let outcome = upstream_limits::lend(gateway, &upstream, limit_per_s, named_ago);
+            PeerReply::UpstreamTokenLent { outcome }
+        }
         PeerRequest::Charge { charge, wait } => {
             let deadline = Instant::now() + wait.min(REQUEST_WAIT_MAX);
             let decision = ledger::charge(gateway, &charge, deadline).await;
--- a/crates/gateway/src/roster.rs
+++ b/crates/gateway/src/roster.rs
@@ -277,6 +277,7 @@
     let table = gateway.routing_table.borrow();
     let rules = table.as_ref().and_then(|table| table.teams.as_ref());
     let no_rules = std::collections::BTreeMap::new();
+    gateway.placement.borrow_mut().set_limit_hosts(now, allowance_hosts.clone());
     gateway.shares.borrow_mut().set_hosts(now, allowance_hosts, rules.unwrap_or(&no_rules));
 }
 
