Close three gaps of ledger takeovers

A record that can't be decoded counted no overdraft as lost. A takeover that learned of a note did not go on to fence its epoch at enough note hosts, so that a former owner could have further outages noted. Charges of records of the former form were dropped.

--- a/crates/core/src/budget/mod.rs
+++ b/crates/core/src/budget/mod.rs
@@ -31,7 +31,7 @@
 
 pub use {
     account::{AccountReplica, RecordedAccount},
-    notes::{FenceReply, LedgerPosition, NoteHost, OutageNotes, may_lack_overdraft},
+    notes::{FenceReply, LedgerPosition, NoteHost, OutageNotes, is_fenced, may_lack_overdraft},
     standby::{LedgerReplica, ReplicaUpdate, ReplicationId, VoteOption, Witness},
 };
 
@@ -94,7 +94,7 @@
 /// State of a ledger as found by the host that takes it over.
 #[derive(Clone, Debug)]
 pub struct TakeoverInputs<'a> {
-    /// The ledger's stored record, if there is one.
+    /// The ledger's stored record, if there is one that can be decoded.
     pub record: Option<&'a LedgerRecord>,
     /// Whether the record's writer may have granted an overdraft since.
     pub may_lack_overdraft: bool,
@@ -146,6 +146,10 @@
     /// The accounts by program.
     #[serde(default)]
     pub accounts: BTreeMap<ProgramId, RecordedAccount>,
+    /// Charged tokens by program, in records of version 0.1.0 before 2026-12-04. Not written any
+    /// more.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub charged: BTreeMap<ProgramId, TokenCount>,
 }
 
 impl LedgerRecord {
@@ -206,16 +210,25 @@
         let TakeoverInputs { record, may_lack_overdraft, note_hosts } = inputs;
         let new_lost_overdrafts = u64::from(may_lack_overdraft);
         let mut ledger = Self { note_hosts, ..Self::empty(now, writer, idle_max) };
-        let Some(record) = record else { return ledger };
-        ledger.epoch = record.epoch + 1;
+        let (former_epoch, former_lost_overdrafts, former_for_ms) = record
+            .map_or((0, 0, 0), |record| {
+                (record.epoch, record.lost_overdrafts, record.lost_overdrafts_for_ms)
+            });
+        ledger.epoch = former_epoch + 1;
         let lost_for = match may_lack_overdraft {
             true => idle_max + RETENTION_MARGIN,
-            false => Duration::from_millis(record.lost_overdrafts_for_ms),
+            false => Duration::from_millis(former_for_ms),
         };
         if !lost_for.is_zero() {
-            ledger.lost_overdrafts = record.lost_overdrafts + new_lost_overdrafts;
+            ledger.lost_overdrafts = former_lost_overdrafts + new_lost_overdrafts;
             ledger.lost_overdrafts_until = now + lost_for;
         }
+        let Some(record) = record else { return ledger };
+        for (program, &settled) in &record.charged {
+            let recorded = RecordedAccount { settled, ..RecordedAccount::default() };
+            let account = Account::from_record(now, &recorded, idle_max, new_lost_overdrafts);
+            ledger.accounts.insert(program.clone(), account);
+        }
         for (program, recorded) in &record.accounts {
             let account = Account::from_record(now, recorded, idle_max, new_lost_overdrafts);
             ledger.accounts.insert(program.clone(), account);
@@ -436,6 +449,7 @@
             lost_overdrafts: if lost_for.is_zero() { 0 } else { self.lost_overdrafts },
             lost_overdrafts_for_ms: lost_for.as_millis() as u64,
             accounts: accounts.collect(),
+            charged: BTreeMap::new(),
         })
     }
 
--- a/crates/core/src/budget/notes.rs
+++ b/crates/core/src/budget/notes.rs
@@ -96,17 +96,26 @@
     note_hosts.len() + 1 - note_quorum(note_hosts)
 }
 
+fn own_replies<'a>(
+    record: &'a LedgerRecord,
+    replies: &'a [FenceReply],
+) -> impl Iterator<Item = &'a FenceReply> {
+    replies.iter().filter(|reply| record.note_hosts.contains(&reply.note_host))
+}
+
+/// Returns whether so many note hosts of a record have replied to a fence that its writer can't have
+/// another outage noted.
+pub fn is_fenced(record: &LedgerRecord, replies: &[FenceReply]) -> bool {
+    // Without note hosts the owner grants no overdraft.
+    record.note_hosts.is_empty()
+        || own_replies(record, replies).count() >= fence_quorum(&record.note_hosts)
+}
+
 /// Returns whether the owner that wrote a record may have granted an overdraft since. Returns `None`
 /// if too few of its note hosts have answered.
 pub fn may_lack_overdraft(record: &LedgerRecord, replies: &[FenceReply]) -> Option<bool> {
-    // Without note hosts the owner grants no overdraft.
-    if record.note_hosts.is_empty() {
-        return Some(false);
-    }
-    let own_replies =
-        || replies.iter().filter(|reply| record.note_hosts.contains(&reply.note_host));
-    if own_replies().any(|reply| reply.noted >= Some(record.position())) {
+    if own_replies(record, replies).any(|reply| reply.noted >= Some(record.position())) {
         return Some(true);
     }
-    (own_replies().count() >= fence_quorum(&record.note_hosts)).then_some(false)
+    is_fenced(record, replies).then_some(false)
 }
--- a/crates/core/src/budget/tests.rs
+++ b/crates/core/src/budget/tests.rs
@@ -777,6 +777,25 @@
     assert!(build(&mut ledger, expired).accounts.is_empty());
 }
 
+#[test]
+fn charges_of_a_former_record_are_kept() {
+    let (now, mut turns) = (Instant::now(), Turns::default());
+    let text = r#"{"writer": "host-1@1", "sequence": 7, "written_at_ms": 1, "doubtful_ms": 0,
+                   "charged": {"p": 1740}}"#;
+    let record: LedgerRecord = serde_json::from_str(text).expect("a record");
+    let mut successor = take_over(now, "host-2@1", Some(&record));
+    assert_eq!(turns.charge_until_refused(&mut successor, now, 4 * TURN).0, 1);
+}
+
+#[test]
+fn record_that_cannot_be_decoded_counts_as_a_lost_overdraft() {
+    let (now, mut turns) = (Instant::now(), Turns::default());
+    let mut successor = take_over_with(now, "host-2@1", None, true);
+    assert!(successor.has_lost_overdrafts(now));
+    let (granted, refused) = turns.charge_until_refused(&mut successor, now, 10 * TURN);
+    assert_eq!((granted, refused), (6, ChargeOutcome::PossiblySpent));
+}
+
 #[test]
 fn record_is_read_back_as_written() {
     let (now, mut turns) = (Instant::now(), Turns::default());
--- a/crates/gateway/src/ledger/notes.rs
+++ b/crates/gateway/src/ledger/notes.rs
@@ -3,7 +3,7 @@
 
 use {
     super::{
-        LEDGER_HOST_COUNT, Partition, RankedHost, ledger_name, ranked_hosts,
+        LEDGER_HOST_COUNT, PARTITION_COUNT, Partition, RankedHost, ledger_name, ranked_hosts,
         standby::begin_replication, takeover::refresh_roster,
     },
     crate::{
@@ -129,6 +129,9 @@
     partition: usize,
     position: LedgerPosition,
 ) -> Option<NoteHost> {
+    if partition >= PARTITION_COUNT {
+        return None;
+    }
     let name = ledger_name(partition);
     let read = gateway.adapter.store.get(Collection::Ledgers, &name);
     if let Some(Ok(_)) = within(Instant::now() + STORE_PROBE_TIMEOUT, read).await {
@@ -172,6 +175,18 @@
     replies
 }
 
+/// Fences the former epochs of a ledger on request of another host.
+pub(crate) async fn fence_here(
+    gateway: &Gateway,
+    partition: usize,
+    epoch: Epoch,
+) -> Option<FenceReply> {
+    if partition >= PARTITION_COUNT {
+        return None;
+    }
+    gateway.outage_notes.fence(partition, epoch).await
+}
+
 /// Returns the names of the hosts that may store outage notes for a ledger, in order of preference.
 /// Some of the first may be gone and not be removed from the roster yet.
 pub(super) fn candidates(gateway: &Gateway, partition: usize) -> Vec<HostId> {
--- a/crates/gateway/src/ledger/takeover.rs
+++ b/crates/gateway/src/ledger/takeover.rs
@@ -21,7 +21,10 @@
         time::{Duration, Instant},
     },
     trefoilring_core::{
-        budget::{FenceReply, Ledger, LedgerRecord, NoteHost, TakeoverInputs, may_lack_overdraft},
+        budget::{
+            FenceReply, Ledger, LedgerRecord, NoteHost, TakeoverInputs, is_fenced,
+            may_lack_overdraft,
+        },
         ids::HostId,
     },
     trefoilring_observe::decisions::LineRate,
@@ -44,11 +47,11 @@
 /// Interval between two reads of a record while this host defers to the owner. Not shorter, because
 /// each read is a request to the store.
 const DEFER_POLL_INTERVAL: Duration = Duration::from_millis(500);
-/// How long a takeover waits for a majority of the note hosts. Processes that are started together
+/// How long a takeover waits for the note hosts. Processes that are started together
 /// are all up within a second.
 const NOTES_WAIT_MAX: Duration = Duration::from_secs(2);
-/// Interval at which a host that has taken a ledger over without a majority of its note hosts tries
-/// to fence the former epochs.
+/// Interval at which a host that has taken a ledger over without enough of its note hosts tries to
+/// fence the former epochs.
 const FENCE_RETRY_INTERVAL: Duration = Duration::from_secs(1);
 /// A takeover is given up if no charge has asked for it within this time, which is longer than the
 /// pause after which callers ask again.
@@ -170,7 +173,7 @@
 
 /// What the note hosts of a record have answered.
 pub(super) struct TakeoverEvidence {
-    /// Whether a majority of the note hosts has fenced the record's epoch.
+    /// Whether enough of the note hosts have fenced the record's epoch.
     is_fenced: bool,
     /// Whether the record's writer may have granted an overdraft since.
     may_lack_overdraft: bool,
@@ -180,7 +183,7 @@
 }
 
 /// Fences the epochs of former owners at the note hosts of a record and at those of the next owner.
-/// Retries for [`NOTES_WAIT_MAX`] until a majority has answered.
+/// Retries for [`NOTES_WAIT_MAX`] until enough have answered.
 pub(super) async fn fence_former_epochs(
     gateway: &Rc<Gateway>,
     partition: usize,
@@ -198,7 +201,7 @@
         let lacks = record.map_or(Some(false), |record| may_lack_overdraft(record, &replies));
         if lacks.is_some() || Instant::now() >= end {
             return TakeoverEvidence {
-                is_fenced: lacks == Some(false),
+                is_fenced: record.is_none_or(|record| is_fenced(record, &replies)),
                 may_lack_overdraft: lacks.unwrap_or(true),
                 note_hosts: choose_note_hosts(&candidates, &replies),
                 replies,
@@ -208,8 +211,8 @@
     }
 }
 
-/// Fences the epoch of a record whose note hosts did not answer at the takeover. Until a majority of
-/// them has, its writer may still grant overdrafts.
+/// Fences the epoch of a record of whose note hosts too few answered at the takeover. Until enough of
+/// them have, its writer may still grant overdrafts.
 async fn keep_fencing(gateway: Rc<Gateway>, partition: usize, record: LedgerRecord) {
     loop {
         Timer::after(FENCE_RETRY_INTERVAL).await;
@@ -223,7 +226,7 @@
         }
         let hosts = record.note_hosts.iter().map(|note_host| note_host.host.as_str().into());
         let replies = fence(&gateway, partition, record.epoch + 1, hosts.collect()).await;
-        if may_lack_overdraft(&record, &replies).is_some() {
+        if is_fenced(&record, &replies) {
             return;
         }
     }
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -106,7 +106,7 @@
             by: ledger::store_outage_note(gateway, partition, position).await,
         },
         PeerRequest::FenceLedger { partition, epoch } => {
-            PeerReply::LedgerFenced { reply: gateway.outage_notes.fence(partition, epoch).await }
+            PeerReply::LedgerFenced { reply: ledger::fence_here(gateway, partition, epoch).await }
         }
         PeerRequest::ReleaseLedger { partition, writer } => {
             ledger::release(gateway, partition, &writer).await;
