Send settlements again in batches

Callers saw nothing; ledger hosts got several messages a second for each turn that no host had settled, for 20 s, so that an outage of the store multiplied them.

--- a/crates/core/src/budget/mod.rs
+++ b/crates/core/src/budget/mod.rs
@@ -4,8 +4,8 @@
 //! three ledger hosts, in a ranked order. The first-ranked one normally owns the ledger, and the
 //! others replace it if it is lost. The ledger's record is an object in the platform's store and is
 //! only replaced by a conditional write, which fails if another host has replaced it. A turn is
-//! charged its maximum number of tokens before it starts, and the tokens that it did not use are
-//! refunded.
+//! charged its maximum number of tokens before it starts. When it is settled at its end, the tokens
+//! that it did not use are free again.
 //!
 //! The record of an account includes a reservation beyond its charges, so that most turns do not
 //! wait for a write. Every turn is covered by a stored reservation before it starts. A successor
--- a/crates/gateway/src/call/budget.rs
+++ b/crates/gateway/src/call/budget.rs
@@ -40,8 +40,6 @@
 const SETTLE_INTERVAL: Duration = Duration::from_millis(250);
 /// Maximum time that a ledger host waits for its record to include settlements.
 const SETTLE_WAIT_MAX: Duration = Duration::from_millis(800);
-/// Pause before settlements that may be lost are sent again.
-const SETTLE_RETRY_PAUSE: Duration = Duration::from_millis(300);
 /// How long settlements are sent again. Longer than takeovers and most outages of the store last.
 const SETTLE_RETRY_MAX: Duration = Duration::from_secs(20);
 /// How long a program may be idle and still resume, if its route sets no time.
@@ -49,9 +47,18 @@
 /// `Retry-After` of calls that are refused because no host can decide on the charge.
 const RETRY_AFTER: Duration = Duration::from_millis(500);
 
-/// Settlements that wait to be sent, by partition and by the address of the ledger host that granted
-/// the turns. `None` stands for this host.
-pub(crate) type Settlements = BTreeMap<(usize, Option<SocketAddr>), Vec<Settlement>>;
+/// Partition of settlements, and address of the ledger host that granted the turns. `None` stands for
+/// this host.
+type SettlementBatch = (usize, Option<SocketAddr>);
+
+/// Settlements that wait to be sent.
+pub(crate) type Settlements = BTreeMap<SettlementBatch, Vec<PendingSettlement>>;
+
+/// A settlement that is sent until a stored record includes it.
+pub(crate) struct PendingSettlement {
+    settlement: Settlement,
+    expires_at: Instant,
+}
 
 /// A turn that was charged its maximum tokens, or may have been. Settled when dropped.
 pub(crate) struct TurnCharge {
@@ -87,23 +94,15 @@
         }
         let used = self.used.get();
         let settlement = Settlement { program: self.program.clone(), turn: self.turn, used };
-        let partition = ledger::partition_of(&self.program);
-        if used == 0 {
+        let expires_at = Instant::now() + SETTLE_RETRY_MAX;
+        let pending = PendingSettlement { settlement, expires_at };
+        let batch = (ledger::partition_of(&self.program), self.ledger_host);
+        match used {
             // A turn without tokens was probably refused and will be retried soon. Its charge must
             // not block other turns of the program.
-            self.gateway.spawn(settle(
-                self.gateway.clone(),
-                partition,
-                self.ledger_host,
-                vec![settlement],
-            ));
-            return;
+            0 => self.gateway.spawn(settle(self.gateway.clone(), batch, vec![pending])),
+            _ => enqueue(&self.gateway, batch, [pending]),
         }
-        let mut settlements = self.gateway.settlements.borrow_mut();
-        if settlements.is_empty() {
-            self.gateway.spawn(flush_settlements(self.gateway.clone()));
-        }
-        settlements.entry((partition, self.ledger_host)).or_default().push(settlement);
     }
 }
 
@@ -251,37 +250,53 @@
     ledger_hosts
 }
 
+/// Adds settlements to the next batch.
+fn enqueue(
+    gateway: &Rc<Gateway>,
+    batch: SettlementBatch,
+    settlements: impl IntoIterator<Item = PendingSettlement>,
+) {
+    let mut pending = gateway.settlements.borrow_mut();
+    if pending.is_empty() {
+        gateway.spawn(flush_settlements(gateway.clone()));
+    }
+    pending.entry(batch).or_default().extend(settlements);
+}
+
 async fn flush_settlements(gateway: Rc<Gateway>) {
     Timer::after(SETTLE_INTERVAL).await;
     let batches = std::mem::take(&mut *gateway.settlements.borrow_mut());
-    for ((partition, ledger_host), settlements) in batches {
-        gateway.spawn(settle(gateway.clone(), partition, ledger_host, settlements));
+    for (batch, settlements) in batches {
+        gateway.spawn(settle(gateway.clone(), batch, settlements));
     }
 }
 
-/// Sends settlements of one ledger until its stored record includes them: first to the host that
-/// granted the turns, then to whichever host owns the ledger.
-async fn settle(
-    gateway: Rc<Gateway>,
-    partition: usize,
-    granted_by: Option<SocketAddr>,
-    settlements: Vec<Settlement>,
-) {
-    let end = Instant::now() + SETTLE_RETRY_MAX;
-    while Instant::now() < end {
-        let ranked = ledger_hosts_by_reachability(&gateway, partition).into_iter();
-        let others = ranked.map(|host| host.address).filter(|address| *address != granted_by);
-        for ledger_host in std::iter::once(granted_by).chain(others.collect::<Vec<_>>()) {
-            match settle_at(&gateway, ledger_host, &settlements).await {
-                Some(SettlementStatus::Stored) => return,
-                Some(SettlementStatus::Pending) => break,
-                Some(SettlementStatus::NotOwner) | None => {}
-            }
+/// Sends settlements to the host that granted the turns, then to the others that may own the ledger.
+/// Those that the stored record does not include yet join the next batch, so that an outage does not
+/// multiply the messages.
+async fn settle(gateway: Rc<Gateway>, batch: SettlementBatch, settlements: Vec<PendingSettlement>) {
+    let (partition, granted_by) = batch;
+    let sent: Vec<Settlement> =
+        settlements.iter().map(|pending| pending.settlement.clone()).collect();
+    let ranked = ledger_hosts_by_reachability(&gateway, partition).into_iter();
+    let others = ranked.map(|host| host.address).filter(|address| *address != granted_by);
+    for ledger_host in std::iter::once(granted_by).chain(others.collect::<Vec<_>>()) {
+        match settle_at(&gateway, ledger_host, &sent).await {
+            Some(SettlementStatus::Stored) => return,
+            Some(SettlementStatus::Pending) => break,
+            Some(SettlementStatus::NotOwner) | None => {}
         }
-        Timer::after(SETTLE_RETRY_PAUSE).await;
     }
-    // The turns stay charged their maximum tokens.
-    gateway.metrics.count("settlements_lost", settlements.len() as i64);
+    let now = Instant::now();
+    let (kept, lost): (Vec<_>, Vec<_>) =
+        settlements.into_iter().partition(|pending| now < pending.expires_at);
+    if !lost.is_empty() {
+        // The turns stay charged their maximum tokens.
+        gateway.metrics.count("settlements_lost", lost.len() as i64);
+    }
+    if !kept.is_empty() {
+        enqueue(&gateway, batch, kept);
+    }
 }
 
 async fn settle_at(
