Check note hosts beside the writes of a ledger

Turns that waited for a write also waited for the check, up to 0.2 s every two seconds while a ledger host was lost and not replaced, and each check listed the hosts from the store. Seen in review. The check runs beside the writes and its result is applied between two of them; while there is no better host it is repeated after 10 s. A record of the epoch before a renewal no longer counts as the first of the new one.

--- a/crates/core/src/budget/mod.rs
+++ b/crates/core/src/budget/mod.rs
@@ -461,7 +461,8 @@
         self.store_failing_since = None;
         self.next_replication_at = None;
         self.promoted_from = None;
-        self.stored_count += 1;
+        // Another epoch may have begun during the write.
+        self.stored_count += u64::from(record.epoch == self.epoch);
         for program in record.accounts.keys() {
             if let Some(account) = self.accounts.get_mut(program) {
                 account.on_stored(record.sequence);
--- a/crates/core/src/budget/tests.rs
+++ b/crates/core/src/budget/tests.rs
@@ -699,6 +699,12 @@
     assert_eq!(ledger.propose_outage_position(), None);
     let record = write(&mut ledger, later);
     assert_eq!(record.note_hosts, replacements);
+    // A record of the epoch before that is found to be stored during a renewal doesn't count.
+    let in_flight = build(&mut ledger, later);
+    assert!(ledger.renew(replacements.clone()));
+    ledger.on_write_succeeded(later, &in_flight);
+    assert_eq!(ledger.propose_outage_position(), None);
+    write(&mut ledger, later);
     let later = begin_outage(&mut ledger, later);
     assert!(!ledger.renew(note_hosts()), "the store is unavailable");
     note(&mut ledger, &note_hosts());
--- a/crates/gateway/src/ledger/notes.rs
+++ b/crates/gateway/src/ledger/notes.rs
@@ -42,12 +42,17 @@
 /// Number of hosts that are asked to find [`LEDGER_HOST_COUNT`] that answer.
 const NOTE_HOST_CANDIDATES: usize = 2 * LEDGER_HOST_COUNT;
 
+/// Interval between checks while no better note hosts are found.
+const NOTE_HOSTS_RETRY_INTERVAL: Duration = Duration::from_secs(10);
+
 /// State of an owner's requests to its note hosts.
 #[derive(Default)]
 pub(super) struct NoteProgress {
     is_running: bool,
     failed_at: Option<Instant>,
-    checked_at: Option<Instant>,
+    next_check_at: Option<Instant>,
+    /// Better note hosts than those of the epoch, to begin another one with.
+    replacement: Option<(Epoch, Vec<NoteHost>)>,
 }
 
 /// Asks the note hosts of an owned ledger to store an outage note, if the last write is not covered
@@ -201,33 +206,48 @@
     replied.take(LEDGER_HOST_COUNT).map(|reply| reply.note_host.clone()).collect()
 }
 
-/// Begins another epoch with other note hosts, if those of an owned ledger were replaced, have lost
-/// their notes or do not answer.
-pub(super) async fn renew_note_hosts(gateway: &Rc<Gateway>, partition: usize) {
-    let (epoch, present) = {
-        let mut partitions = gateway.ledgers.borrow_mut();
-        let state = &mut partitions[partition];
-        let now = Instant::now();
-        let checked_at = state.note_progress.checked_at;
-        if checked_at.is_some_and(|at| now < at + NOTE_HOSTS_CHECK_INTERVAL) {
-            return;
-        }
-        state.note_progress.checked_at = Some(now);
-        let Some(ledger) = state.ledger.as_ref().filter(|ledger| ledger.can_renew()) else {
-            return;
-        };
-        (ledger.epoch(), ledger.note_hosts().to_vec())
-    };
+/// Begins another epoch if a check has found better note hosts, and starts the next check if it is
+/// due. Called between two writes.
+pub(super) fn renew_note_hosts(gateway: &Rc<Gateway>, partition: usize, state: &mut Partition) {
+    let Some(ledger) = &mut state.ledger else { return };
+    let progress = &mut state.note_progress;
+    if let Some((epoch, note_hosts)) = progress.replacement.take()
+        && ledger.epoch() == epoch
+        && ledger.renew(note_hosts)
+    {
+        gateway.decisions.log(
+            LineRate::Rare,
+            "ledger",
+            json!({"ledger": ledger_name(partition), "what": "note hosts renewed",
+                   "epoch": ledger.epoch(), "note_hosts": ledger.note_hosts()}),
+        );
+    }
+    let now = Instant::now();
+    if ledger.can_renew() && progress.next_check_at.is_none_or(|at| at <= now) {
+        progress.next_check_at = Some(now + NOTE_HOSTS_CHECK_INTERVAL);
+        let (epoch, present) = (ledger.epoch(), ledger.note_hosts().to_vec());
+        gateway.spawn(check_note_hosts(gateway.clone(), partition, epoch, present));
+    }
+}
+
+/// Looks for better note hosts, if those of an owned ledger were replaced, have lost their notes or
+/// do not answer.
+async fn check_note_hosts(
+    gateway: Rc<Gateway>,
+    partition: usize,
+    epoch: Epoch,
+    present: Vec<NoteHost>,
+) {
     let present_names = present.iter().map(|note_host| note_host.host.as_str().into());
-    let replies = fence(gateway, partition, epoch, present_names.collect()).await;
+    let replies = fence(&gateway, partition, epoch, present_names.collect()).await;
     let has_replied =
         |note_host: &NoteHost| replies.iter().any(|reply| reply.note_host == *note_host);
     if present.len() == LEDGER_HOST_COUNT && present.iter().all(has_replied) {
         return;
     }
-    refresh_roster(gateway, partition).await;
-    let candidates = candidates(gateway, partition);
-    let replies = fence(gateway, partition, epoch, candidates.iter().cloned().collect()).await;
+    refresh_roster(&gateway, partition).await;
+    let candidates = candidates(&gateway, partition);
+    let replies = fence(&gateway, partition, epoch, candidates.iter().cloned().collect()).await;
     let mut note_hosts = choose_note_hosts(&candidates, &replies);
     // A host that does not answer may come back with its notes.
     let is_known =
@@ -235,17 +255,9 @@
     let missing = present.iter().filter(|note_host| !is_known(note_host)).cloned();
     note_hosts.extend(missing.take(LEDGER_HOST_COUNT.saturating_sub(note_hosts.len())));
     let sorted = |note_hosts: &[NoteHost]| note_hosts.iter().cloned().collect::<BTreeSet<_>>();
-    if sorted(&note_hosts) == sorted(&present) {
-        return;
-    }
-    let mut partitions = gateway.ledgers.borrow_mut();
-    let Some(ledger) = &mut partitions[partition].ledger else { return };
-    if ledger.epoch() == epoch && ledger.renew(note_hosts.clone()) {
-        gateway.decisions.log(
-            LineRate::Rare,
-            "ledger",
-            json!({"ledger": ledger_name(partition), "what": "note hosts renewed",
-                   "epoch": ledger.epoch(), "note_hosts": note_hosts}),
-        );
+    let progress = &mut gateway.ledgers.borrow_mut()[partition].note_progress;
+    match sorted(&note_hosts) == sorted(&present) {
+        true => progress.next_check_at = Some(Instant::now() + NOTE_HOSTS_RETRY_INTERVAL),
+        false => progress.replacement = Some((epoch, note_hosts)),
     }
 }
--- a/crates/gateway/src/ledger/writing.rs
+++ b/crates/gateway/src/ledger/writing.rs
@@ -47,10 +47,10 @@
         wait_before_next_write(&gateway, partition).await;
     }
     loop {
-        renew_note_hosts(&gateway, partition).await;
         let (record, revision) = {
             let mut partitions = gateway.ledgers.borrow_mut();
             let state = &mut partitions[partition];
+            renew_note_hosts(&gateway, partition, state);
             let Some(ledger) = state.ledger.as_mut().filter(|ledger| ledger.needs_write()) else {
                 state.is_writing = false;
                 return;
