--- a/crates/standin/src/fleet/mod.rs
+++ b/crates/standin/src/fleet/mod.rs
@@ -18,7 +18,7 @@
     pool::{DRAIN_TIME, PoolOptions, WorkerPool},
     proxy::{LinkFault, LinkProxy},
     store::{StoreFault, StoreStandin},
-    worker::{RecordedRequest, SERVICE, WorkerFault, WorkerStandin, entry},
+    worker::{RecordedRequest, SERVICE, WorkerFault, WorkerStandin, entry, event_versions},
 };
 
 use {
--- a/crates/standin/src/fleet/worker.rs
+++ b/crates/standin/src/fleet/worker.rs
@@ -14,6 +14,7 @@
         channel::{Receiver, Sender},
     },
     std::{
+        collections::HashSet,
         io,
         net::SocketAddr,
         sync::{Arc, Mutex, MutexGuard, PoisonError, atomic::Ordering},
@@ -24,6 +25,9 @@
 /// Service of all workers.
 pub const SERVICE: &str = "work";
 
+/// Software version of a worker that is started without one.
+const DEFAULT_VERSION: &str = "v1";
+
 /// Number of events in a complete stream.
 const STREAM_EVENTS: u64 = 6;
 
@@ -53,6 +57,9 @@
     CutsOnceAndReplays(u64),
     /// Resumes streams from the first event.
     ReplaysFromStart,
+    /// Cuts each stream that begins here in the middle of the event that follows the one with this
+    /// id, and refuses to resume it. Streams that began elsewhere are resumed and complete.
+    CutsOwnAfter(u64),
     /// Responds with status 500.
     InternalError,
     /// Takes this long for each request.
@@ -89,6 +96,9 @@
 
 struct Worker {
     id: String,
+    version: String,
+    /// Whether the events of streams name the version.
+    marks_events: bool,
     state: Mutex<State>,
     crash_sender: Sender<()>,
 }
@@ -107,6 +117,8 @@
     rate_limit: Option<f64>,
     /// When each request arrived, whether it was run or not.
     arrivals: Vec<Instant>,
+    /// Ids of the requests whose streams began here and were cut by [`WorkerFault::CutsOwnAfter`].
+    cut_streams: HashSet<String>,
 }
 
 impl State {
@@ -129,20 +141,41 @@
     ///
     /// Fails if no port can be bound.
     pub async fn start(id: &str) -> io::Result<Self> {
+        Self::start_worker(id, DEFAULT_VERSION, false).await
+    }
+
+    /// Starts a worker whose software has a version. The events of its streams name the version, see
+    /// [`event_versions`].
+    ///
+    /// # Errors
+    ///
+    /// Fails if no port can be bound.
+    pub async fn start_version(id: &str, version: &str) -> io::Result<Self> {
+        Self::start_worker(id, version, true).await
+    }
+
+    async fn start_worker(id: &str, version: &str, marks_events: bool) -> io::Result<Self> {
         let (crash_sender, crashes) = smol::channel::bounded(1);
-        let worker = Arc::new(Worker { id: id.into(), state: Mutex::default(), crash_sender });
+        let (id, version, state) = (id.into(), version.into(), Mutex::default());
+        let worker = Arc::new(Worker { id, version, marks_events, state, crash_sender });
         let server = serve(worker.clone()).await?;
         Ok(Self { address: server.address, worker, crashes, server })
     }
 
     /// Returns the entry under which the worker registers in the store.
     pub fn entry(&self) -> Value {
-        entry(self.address, "ready")
+        self.entry_with("ready")
     }
 
     /// Returns the entry of the worker once it is about to stop.
     pub fn draining_entry(&self) -> Value {
-        entry(self.address, "draining")
+        self.entry_with("draining")
+    }
+
+    fn entry_with(&self, state: &str) -> Value {
+        let mut entry = entry(self.address, state);
+        entry["version"] = self.worker.version.as_str().into();
+        entry
     }
 
     /// Waits until a request crashes the worker ([`WorkerFault::CrashesOn`]). The owner must then
@@ -202,7 +235,7 @@
 
 /// Returns the entry of a worker of [`SERVICE`] in the store.
 pub fn entry(address: SocketAddr, state: &str) -> Value {
-    json!({"service": SERVICE, "addr": address, "zone": "a", "version": "v1", "slots": 4,
+    json!({"service": SERVICE, "addr": address, "zone": "a", "version": DEFAULT_VERSION, "slots": 4,
            "state": state, "cold_left_ms": 0, "seq": 1})
 }
 
@@ -223,6 +256,19 @@
     format!("id: {id}\ndata: piece {id}\n\n")
 }
 
+fn marked_event(id: u64, version: &str) -> String {
+    format!("id: {id}\ndata: piece {id} of {version}\n\n")
+}
+
+/// Returns the id of each event of a stream, with the version of the worker that made it.
+pub fn event_versions(stream: &str) -> Vec<(u64, &str)> {
+    let events = stream.split_terminator("\n\n").filter_map(|event| {
+        let (id, data) = event.strip_prefix("id: ")?.split_once('\n')?;
+        Some((id.parse().ok()?, data.rsplit_once(" of ")?.1))
+    });
+    events.collect()
+}
+
 fn header<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
     headers.get(name)?.to_str().ok()
 }
@@ -284,8 +330,15 @@
             let response = self.response_builder(&id, StatusCode::SERVICE_UNAVAILABLE);
             return response.header("Trefoilring-Not-Executed", "1").body(full_body("")).ok();
         }
+        if self.lock().cut_streams.contains(&id)
+            || header(&head.headers, "resumes")
+                .is_some_and(|begun| self.lock().cut_streams.contains(begun))
+        {
+            let response = self.response_builder(&id, StatusCode::SERVICE_UNAVAILABLE);
+            return response.header("Trefoilring-Not-Executed", "1").body(full_body("")).ok();
+        }
         let request_line = format!("{} {}", head.method, head.uri);
-        let last_event_id = header(&head.headers, "last-event-id")
+        let last_event_id: Option<u64> = header(&head.headers, "last-event-id")
             .and_then(|last_event_id| last_event_id.parse().ok());
         // A request with this header, a forecast of its tokens, counts as a turn, whose response is
         // a stream.
@@ -335,33 +388,43 @@
                 self.lock().fault = WorkerFault::ReplaysFromStart;
                 Some(event)
             }
+            WorkerFault::CutsOwnAfter(event) if last_event_id.is_none() => {
+                self.lock().cut_streams.insert(id.clone());
+                Some(event)
+            }
             _ => None,
         };
         let last_event_id = last_event_id.filter(|_| fault != WorkerFault::ReplaysFromStart);
         let response = response.header("Content-Type", "text/event-stream");
-        response.body(events(last_event_id.unwrap_or(0), cut_after)).ok()
+        response.body(self.events(last_event_id.unwrap_or(0), cut_after)).ok()
     }
 }
 
-/// Returns the events after `after`. With `cut_after`, the stream ends with an error in the middle
-/// of the event after that one.
-fn events(after: u64, cut_after: Option<u64>) -> Body {
-    let next = move |id: u64| async move {
-        let frame = match cut_after {
-            Some(cut) if id > cut + 1 => return None,
-            // The first bytes of the event, without its end.
-            Some(cut) if id == cut + 1 => Ok(event(id)[..8].to_string()),
-            _ if id > STREAM_EVENTS => return None,
-            _ => Ok(event(id)),
+impl Worker {
+    /// Returns the events after `after`. With `cut_after`, the stream ends with an error in the
+    /// middle of the event after that one.
+    fn events(&self, after: u64, cut_after: Option<u64>) -> Body {
+        let version = self.marks_events.then(|| self.version.clone());
+        let event = move |id| version.as_ref().map_or_else(|| event(id), |v| marked_event(id, v));
+        let next = move |id: u64| {
+            let event = event(id);
+            async move {
+                let text = match cut_after {
+                    Some(cut) if id > cut + 1 => return None,
+                    // The first bytes of the event, without its end.
+                    Some(cut) if id == cut + 1 => event[..8].to_string(),
+                    _ if id > STREAM_EVENTS => return None,
+                    _ => event,
+                };
+                Some((Ok(Frame::data(Bytes::from(text))), id + 1))
+            }
         };
-        Some((frame.map(|text| Frame::data(Bytes::from(text))), id + 1))
-    };
-    let sent = stream::unfold(after + 1, next);
-    let broken = stream::iter(cut_after).then(|_| async {
-        // Leaves time for the previous frames to be sent.
-        Timer::after(CUT_DELAY).await;
-        Err(io::Error::from(io::ErrorKind::ConnectionReset))
-    });
-    let all = sent.chain(broken);
-    BodyExt::boxed(StreamBody::new(all))
+        let sent = stream::unfold(after + 1, next);
+        let broken = stream::iter(cut_after).then(|_| async {
+            // Leaves time for the previous frames to be sent.
+            Timer::after(CUT_DELAY).await;
+            Err(io::Error::from(io::ErrorKind::ConnectionReset))
+        });
+        BodyExt::boxed(StreamBody::new(sent.chain(broken)))
+    }
 }
