Keep streams at the software version that began them

Cause: hosts ignored the version of upstreams. Within one answer the rest of a stream was requested from any upstream of the service; over the caller's attempts no host knew what another one had begun, and the header that names the beginning was not read.

Change (decision 0022): placement takes the version that a request is bound to.

--- a/crates/core/src/ids.rs
+++ b/crates/core/src/ids.rs
@@ -25,6 +25,8 @@
 pub type ServiceId = Arc<str>;
 /// Identifies an upstream.
 pub type UpstreamId = Arc<str>;
+/// Version of an upstream's software. Empty if the upstream names none.
+pub type SoftwareVersion = Arc<str>;
 /// Identifies a step of a program. Unique within the program.
 pub type StepKey = Arc<str>;
 /// Identifies a request in logs and in the event timeline.
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -24,5 +24,6 @@
 pub mod sched;
 pub mod shares;
 pub mod store_backoff;
+pub mod stream_origins;
 pub mod verdict;
 pub mod wait;
--- a/crates/core/src/placement/mod.rs
+++ b/crates/core/src/placement/mod.rs
@@ -73,6 +73,8 @@
     pub service: &'a str,
     /// Session that the request continues, or the request's program if the caller names no session.
     pub session: Option<&'a str>,
+    /// Software version that the upstream must have, if the request continues a stream.
+    pub version: Option<&'a str>,
     /// Upstreams that have refused the request.
     pub refused_by: &'a [UpstreamKey],
     /// Whether an older request waits for the service. Requests that limits allow are then left to
@@ -184,7 +186,14 @@
 
     /// Selects an upstream for a request, and stores it as the upstream of the request's session.
     pub fn choose(&mut self, now: Instant, request: &PlacementRequest<'_>) -> Choice {
-        let keys = self.by_service.get(request.service).map_or(&[][..], Vec::as_slice);
+        let keys = self.by_service.get(request.service).into_iter().flatten();
+        let keys: Vec<UpstreamKey> = keys
+            .filter(|key| {
+                let version = &self.upstreams[**key].record.version;
+                request.version.is_none_or(|required| **version == *required)
+            })
+            .copied()
+            .collect();
         let accepts_work = |key: &&UpstreamKey| self.upstreams[**key].accepts_work(now);
         let mut usable: Vec<UpstreamKey> = keys.iter().filter(accepts_work).copied().collect();
         if usable.is_empty() {
--- a/crates/core/src/placement/rate_limit/tests.rs
+++ b/crates/core/src/placement/rate_limit/tests.rs
@@ -41,6 +41,7 @@
             service: "llm".into(),
             address: ([127, 0, 0, 1], 9000 + number as u16).into(),
             domain: "a".into(),
+            version: "v1".into(),
             slots: SLOTS,
             is_leaving: false,
             incarnation: None,
@@ -206,6 +207,7 @@
             let request = PlacementRequest {
                 service: "llm",
                 session: None,
+                version: None,
                 refused_by: &[],
                 is_behind_others: false,
             };
@@ -469,8 +471,13 @@
     placement.record_limit(now, key, now, Some(2.0));
     let later = now + Duration::from_secs(1);
     let choose = |placement: &mut Placement, is_behind_others| {
-        let request =
-            PlacementRequest { service: "llm", session: None, refused_by: &[], is_behind_others };
+        let request = PlacementRequest {
+            service: "llm",
+            session: None,
+            version: None,
+            refused_by: &[],
+            is_behind_others,
+        };
         placement.choose(later, &request)
     };
     assert_eq!(choose(&mut placement, true), Choice::AllRefused);
--- a/crates/core/src/placement/tests.rs
+++ b/crates/core/src/placement/tests.rs
@@ -6,6 +6,7 @@
         service: "llm".into(),
         address: ([127, 0, 0, 1], 9000).into(),
         domain: domain.into(),
+        version: "v1".into(),
         slots: 4,
         is_leaving: false,
         incarnation: Some(1),
@@ -21,8 +22,13 @@
 }
 
 fn choose_id(placement: &mut Placement, now: Instant, session: Option<&str>) -> String {
-    let request =
-        PlacementRequest { service: "llm", session, refused_by: &[], is_behind_others: false };
+    let request = PlacementRequest {
+        service: "llm",
+        session,
+        version: None,
+        refused_by: &[],
+        is_behind_others: false,
+    };
     match placement.choose(now, &request) {
         Choice::Use(key) => {
             placement.record(key).expect("chosen upstreams are known").id.to_string()
@@ -97,6 +103,7 @@
     let refused_by_far = PlacementRequest {
         service: "llm",
         session: None,
+        version: None,
         refused_by: &[far],
         is_behind_others: false,
     };
@@ -136,6 +143,7 @@
     let request = PlacementRequest {
         service: "llm",
         session: None,
+        version: None,
         refused_by: &[one],
         is_behind_others: false,
     };
@@ -161,6 +169,7 @@
         let request = PlacementRequest {
             service: "llm",
             session: None,
+            version: None,
             refused_by: &[],
             is_behind_others: false,
         };
--- a/crates/core/src/placement/upstream.rs
+++ b/crates/core/src/placement/upstream.rs
@@ -2,7 +2,7 @@
 
 use {
     super::rate_limit::RateLimit,
-    crate::ids::{DomainId, Incarnation, ServiceId, UpstreamId},
+    crate::ids::{DomainId, Incarnation, ServiceId, SoftwareVersion, UpstreamId},
     std::{
         net::SocketAddr,
         time::{Duration, Instant},
@@ -50,6 +50,9 @@
     pub address: SocketAddr,
     /// Failure domain in which it runs.
     pub domain: DomainId,
+    /// Version of its software.
+    #[serde(default = "unnamed_version")]
+    pub version: SoftwareVersion,
     /// Maximum number of requests that it runs concurrently. Updated from load reports. Invariant:
     /// above zero.
     pub slots: u32,
@@ -65,9 +68,15 @@
         self.service == other.service
             && self.address == other.address
             && self.incarnation == other.incarnation
+            && self.version == other.version
     }
 }
 
+/// Returns the version in records of hosts that do not read it.
+fn unnamed_version() -> SoftwareVersion {
+    "".into()
+}
+
 /// The load that an upstream reports in an answer.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct LoadReport {
--- a/crates/core/src/routing/mod.rs
+++ b/crates/core/src/routing/mod.rs
@@ -11,7 +11,7 @@
 use {
     crate::ids::{ConfigVersion, ServiceId, TeamId},
     std::{
-        collections::{BTreeMap, HashMap},
+        collections::{BTreeMap, BTreeSet, HashMap},
         sync::Arc,
         time::Duration,
     },
@@ -86,6 +86,12 @@
 }
 
 impl Route {
+    /// Returns the services that the route leads to.
+    pub fn services(&self) -> impl Iterator<Item = &ServiceId> {
+        let targets = self.targets.iter().filter(|target| target.weight > 0);
+        targets.map(|target| &target.service)
+    }
+
     /// Selects a target in proportion to the weights. `random` must be uniformly distributed over
     /// all values of `u64`.
     pub fn target(&self, random: u64) -> Option<&ServiceId> {
@@ -219,6 +225,19 @@
         self.teams.as_ref()?.get(self.keys.get(key)?)
     }
 
+    /// Returns whether a route of this table leads to other services than in another table.
+    pub fn has_moved_routes(&self, other: &Self) -> bool {
+        let routes = self.routes.values().flatten();
+        routes.into_iter().any(|route| {
+            let others = other.routes.get(&route.host).into_iter().flatten();
+            let same = others.into_iter().find(|other| other.prefix == route.prefix);
+            same.is_some_and(|other| {
+                let services = |route: &Route| route.services().cloned().collect::<BTreeSet<_>>();
+                services(route) != services(other)
+            })
+        })
+    }
+
     /// Returns the number of routes.
     pub fn route_count(&self) -> usize {
         self.routes.values().map(Vec::len).sum()
--- a/crates/gateway/src/call/attempts.rs
+++ b/crates/gateway/src/call/attempts.rs
@@ -19,11 +19,12 @@
         time::{Duration, Instant},
     },
     trefoilring_core::{
-        ids::{ServiceId, UpstreamId},
+        ids::{ServiceId, SoftwareVersion, UpstreamId},
         placement::{
             BrokenAttempts, Choice, Outcome, PlacementRequest, QueueWait, RetryDecision,
             UpstreamKey,
         },
+        stream_origins::StreamOrigin,
         verdict::{Reason, Refusal, Verdict},
     },
     trefoilring_observe::decisions::LineRate,
@@ -42,6 +43,7 @@
     pub(super) id: UpstreamId,
     pub(super) address: SocketAddr,
     service: ServiceId,
+    version: SoftwareVersion,
     /// When the request was last sent to the upstream.
     sent_at: Cell<Instant>,
     /// Whether the content took part in the crash of an upstream before.
@@ -54,6 +56,7 @@
         let mut placement = gateway.placement.borrow_mut();
         let record = placement.record(key)?;
         let (id, service) = (record.id.clone(), record.service.clone());
+        let version = record.version.clone();
         let address = record.address;
         placement.record_sent(Instant::now(), key);
         let is_suspect = gateway.crash_watch.borrow().is_suspect(call);
@@ -62,7 +65,17 @@
         }
         let (gateway, sent_at) = (gateway.clone(), Cell::new(Instant::now()));
         let outcome = Outcome::Done;
-        Some(Self { gateway, key, id, address, service, sent_at, is_suspect, outcome })
+        Some(Self { gateway, key, id, address, service, version, sent_at, is_suspect, outcome })
+    }
+
+    /// Returns the service and software version of the upstream.
+    pub(super) fn origin(&self) -> StreamOrigin {
+        StreamOrigin { service: self.service.clone(), version: self.version.clone() }
+    }
+
+    /// Returns whether the process to which the attempt was sent is still known.
+    pub(super) fn is_upstream_known(&self) -> bool {
+        self.gateway.placement.borrow().record(self.key).is_some()
     }
 
     /// Records that the request is sent.
@@ -117,6 +130,8 @@
 pub(super) struct UpstreamSelector {
     /// Whether the request belongs to an active program.
     is_active_program: bool,
+    /// Software version that the upstream must have, if the request continues a stream.
+    version: Option<SoftwareVersion>,
     /// Upstreams that rejected an attempt because they were full. Cleared after each wait.
     full_upstreams: Vec<UpstreamKey>,
     /// Upstreams at which an attempt failed.
@@ -127,10 +142,11 @@
 }
 
 impl UpstreamSelector {
-    pub(super) fn new(is_active_program: bool) -> Self {
+    pub(super) fn new(is_active_program: bool, version: Option<SoftwareVersion>) -> Self {
         let broken_attempts = BrokenAttempts::default();
         Self {
             is_active_program,
+            version,
             full_upstreams: Vec::new(),
             failed_upstreams: Vec::new(),
             wait: None,
@@ -232,7 +248,9 @@
     }
 
     fn choose(&self, gateway: &Rc<Gateway>, call: &Call) -> Choice {
-        let is_new = self.wait.is_none()
+        // A stream that goes on does not wait behind new requests, which may use other upstreams.
+        let is_new = self.version.is_none()
+            && self.wait.is_none()
             && self.full_upstreams.is_empty()
             && self.failed_upstreams.is_empty();
         if is_new && gateway.wait_queues.borrow().has_waiting(&call.service) {
@@ -258,6 +276,7 @@
         let request = PlacementRequest {
             service: &call.service,
             session: call.session(),
+            version: self.version.as_deref(),
             refused_by: excluded,
             is_behind_others: wait_queues.has_older(&call.service, self.wait.as_ref()),
         };
@@ -286,7 +305,8 @@
     ) -> Option<(QueueGuard<'a>, EventListener, Instant)> {
         // A request that has failed at an upstream does not join the queue: new requests would have
         // to wait behind it, although that upstream may have capacity for them.
-        let joins_queue = self.failed_upstreams.is_empty();
+        // Nor does one that only some of the upstreams may run.
+        let joins_queue = self.failed_upstreams.is_empty() && self.version.is_none();
         let now = Instant::now();
         let next_within_limits = gateway.placement.borrow().next_within_limits(now, &call.service);
         if !joins_queue && self.full_upstreams.is_empty() && next_within_limits.is_none() {
--- a/crates/gateway/src/call/exchange.rs
+++ b/crates/gateway/src/call/exchange.rs
@@ -49,7 +49,7 @@
 
 /// Delivers a request whose answer is read completely before it is passed on.
 pub(super) async fn deliver(gateway: &Rc<Gateway>, call: &Call) -> Result<Answer, Refusal> {
-    let mut selector = UpstreamSelector::new(call.metadata.program.is_some());
+    let mut selector = UpstreamSelector::new(call.metadata.program.is_some(), None);
     let (mut possible_runs, mut error_answer) = (0, None);
     loop {
         let attempt = match selector.next(gateway, call, possible_runs).await {
--- a/crates/gateway/src/call/mod.rs
+++ b/crates/gateway/src/call/mod.rs
@@ -17,7 +17,7 @@
 use {
     crate::{
         allowance, callers::Answer, crashes, dialect::CallMetadata, gateway::Gateway,
-        http::SendError, time::within,
+        http::SendError, stream_origins, time::within,
     },
     bytes::Bytes,
     http::{HeaderValue, Request, header, request, uri::PathAndQuery},
@@ -35,6 +35,7 @@
         crashes::hash_content,
         ids::{ContentHash, ServiceId},
         routing::{Route, RouteKind, RoutingTable, TeamRules},
+        stream_origins::StreamOrigin,
         verdict::{Reason, Refusal, Verdict},
     },
     trefoilring_observe::decisions::LineRate,
@@ -42,7 +43,7 @@
 
 /// `Retry-After` of refusals without a better estimate. About the time that an upstream takes for
 /// one request.
-const RETRY_AFTER_DEFAULT: Duration = Duration::from_millis(150);
+pub(crate) const RETRY_AFTER_DEFAULT: Duration = Duration::from_millis(150);
 /// `Retry-After` of a host that has no configuration yet.
 const RETRY_AFTER_START: Duration = Duration::from_millis(400);
 
@@ -64,6 +65,8 @@
     pub(crate) caller_disconnected: Cell<bool>,
     /// Number of upstreams that have crashed while they ran the request.
     pub(crate) crash_count: Cell<u32>,
+    /// Where the stream began that the request takes up again. Its `service` is that of the call.
+    pub(crate) origin: Option<StreamOrigin>,
     content: OnceCell<ContentHash>,
 }
 
@@ -106,10 +109,19 @@
         Err(refusal) => return refuse(&gateway, "", arrived, None, &refusal),
     };
     let request_id = metadata.request_id.clone();
-    let call = match admit(&gateway, head, metadata, body, arrived).await {
-        Ok(call) => Rc::new(call),
+    let mut call = match admit(&gateway, head, metadata, body, arrived).await {
+        Ok(call) => call,
         Err(refusal) => return refuse(&gateway, &request_id, arrived, None, &refusal),
     };
+    match stream_origins::origin_to_continue(&gateway, &call).await {
+        Ok(None) => {}
+        Ok(Some(origin)) => {
+            call.service = origin.service.clone();
+            call.origin = Some(origin);
+        }
+        Err(refusal) => return refuse(&gateway, &request_id, arrived, Some(&call), &refusal),
+    }
+    let call = Rc::new(call);
     match deliver(&gateway, &call).await {
         Ok(answer) => answer,
         Err(refusal) => refuse(&gateway, &request_id, arrived, Some(&call), &refusal),
@@ -198,6 +210,7 @@
         send_count,
         caller_disconnected,
         crash_count: Cell::new(0),
+        origin: None,
         content: OnceCell::new(),
     })
 }
--- a/crates/gateway/src/call/streaming.rs
+++ b/crates/gateway/src/call/streaming.rs
@@ -18,10 +18,12 @@
         crashes,
         gateway::Gateway,
         http::{ActiveConnection, SendError},
+        stream_origins,
         time::within,
     },
     bytes::{Bytes, BytesMut},
     futures_lite::stream,
+    http::response,
     http_body_util::BodyExt,
     hyper::body::Incoming,
     serde_json::json,
@@ -29,6 +31,7 @@
     trefoilring_core::{
         budget::TokenCount,
         placement::Outcome,
+        stream_origins::StreamOrigin,
         verdict::{Refusal, Verdict},
     },
     trefoilring_observe::decisions::LineRate,
@@ -50,6 +53,10 @@
     /// Tokens per event, for the charge.
     event_tokens: TokenCount,
     splitter: EventSplitter,
+    /// Where the stream began; `None` until its first event is passed on.
+    origin: Option<StreamOrigin>,
+    /// Head of the answer from which the events are taken, until the first one is passed on.
+    head: Option<response::Parts>,
     /// Id of the last event that was passed on.
     last_event: Option<u64>,
     event_count: u64,
@@ -79,7 +86,8 @@
     charge: Option<TurnCharge>,
 ) -> Result<Answer, Refusal> {
     let is_active_program = charge.as_ref().is_some_and(|charge| !charge.opens_program);
-    let mut selector = UpstreamSelector::new(is_active_program);
+    let version = call.origin.as_ref().map(|origin| origin.version.clone());
+    let mut selector = UpstreamSelector::new(is_active_program, version);
     let (mut possible_runs, mut retry_attempt) = (0, None);
     loop {
         let attempt = match retry_attempt.take() {
@@ -138,6 +146,7 @@
     charge: Option<TurnCharge>,
 ) -> Result<Answer, Refusal> {
     let ReceivedAnswer { head, body, connection } = received;
+    let status = head.status.as_u16();
     let configured_event_tokens = gateway.routing_table.borrow().as_ref().and_then(|table| {
         table.services.get(&call.service)?.engine.as_ref().map(|engine| engine.event_tokens)
     });
@@ -149,10 +158,12 @@
         charge,
         event_tokens: configured_event_tokens.unwrap_or(EVENT_TOKENS_DEFAULT),
         splitter: EventSplitter::default(),
+        origin: call.origin.clone(),
+        head: Some(head),
         last_event: call.metadata.last_event,
         event_count: 0,
         resumes: 0,
-        status: head.status.as_u16(),
+        status,
         is_too_long: false,
         has_ended: false,
     };
@@ -164,6 +175,7 @@
         }
         Some(Err(AnswerTruncated)) => return Err(failure_refusal(SendError::Broken)),
     };
+    let Some(head) = forwarder.head.take() else { return Err(failure_refusal(SendError::Broken)) };
     let rest = stream::unfold(forwarder, |mut forwarder| async move {
         let next = forwarder.next().await?;
         Some((next, forwarder))
@@ -221,6 +233,9 @@
                 self.is_too_long = true;
                 break;
             }
+            if self.event_count == 0 {
+                self.record_origin();
+            }
             self.last_event = event.id.or(self.last_event);
             self.event_count += 1;
             if let Some(charge) = &self.charge {
@@ -234,6 +249,13 @@
         taken.freeze()
     }
 
+    /// Records the upstream that makes the first event as the stream's origin.
+    fn record_origin(&mut self) {
+        let Some(attempt) = &self.attempt else { return };
+        let origin = self.origin.get_or_insert_with(|| attempt.origin());
+        stream_origins::record_begun(&self.gateway, &self.call, origin);
+    }
+
     async fn read(&mut self) -> Result<(), StreamEnd> {
         let Some(source) = &mut self.source else { return Err(StreamEnd::Broken) };
         source.connection.limit_received(2 * EVENT_BYTES_MAX);
@@ -286,17 +308,24 @@
     /// Requests the rest of the stream from the upstreams in turn until one answers. Returns `None`
     /// if none does.
     async fn request_rest(&mut self, broken: Attempt) -> Option<()> {
-        let mut selector = UpstreamSelector::new(true);
+        let version = self.origin.as_ref().map(|origin| origin.version.clone());
+        let mut selector = UpstreamSelector::new(true, version);
         let mut retry_attempt = selector.on_broken(&self.call, broken).await.ok()?;
         loop {
             let attempt = match retry_attempt.take() {
-                Some(attempt) => attempt,
+                Some(attempt) if attempt.is_upstream_known() => attempt,
+                Some(attempt) => {
+                    // Another process with this id may have another version.
+                    selector.end(attempt, Outcome::Failed);
+                    continue;
+                }
                 None => selector.next(&self.gateway, &self.call, 1).await.ok()?,
             };
             self.log_resume(&attempt);
             match send(&self.gateway, &self.call, &attempt, self.last_event).await {
                 SendOutcome::Answered(received) if received.head.status.is_success() => {
-                    let ReceivedAnswer { body, connection, .. } = *received;
+                    let ReceivedAnswer { head, body, connection } = *received;
+                    self.head = self.head.take().map(|_| head);
                     self.source = Some(Source { body, connection });
                     self.attempt = Some(attempt);
                     return Some(());
@@ -328,6 +357,8 @@
             json!({
                 "request": self.call.metadata.request_id,
                 "upstream": attempt.id,
+                "version": attempt.origin().version,
+                "begun_at": self.origin.as_ref().map(|origin| &origin.version),
                 "after_event": self.last_event,
                 "resumes": self.resumes,
                 "time_left_ms": self.call.time_left().as_millis() as u64,
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -24,6 +24,8 @@
     pub generation: Option<GenerationMetadata>,
     /// Id of the last event that the caller has received, if it resumes a stream.
     pub last_event: Option<u64>,
+    /// Id of the request that brought the first event of the stream, if the caller takes it up again.
+    pub resumed_request: Option<String>,
 }
 
 /// Program metadata in the head of a request.
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -14,6 +14,7 @@
         settings::GatewaySettings,
         status,
         store::{ObjectParser, Store, StoredObject},
+        stream_origins::OriginNotes,
         time::within,
         upstream_limits::LimitBorrowings,
         watch,
@@ -127,6 +128,7 @@
     pub(crate) outage_notes: OutageNoteStore,
     pub(crate) settlements: RefCell<Settlements>,
     pub(crate) answer_memory: Rc<AnswerMemory>,
+    pub(crate) origin_notes: RefCell<OriginNotes>,
     /// Peer addresses of suspect hosts: they did not answer the last request or ping.
     pub(crate) suspects: RefCell<HashSet<SocketAddr>>,
     /// Peer addresses of lost hosts: a relay could not reach them either. The value is the time
@@ -199,6 +201,7 @@
             outage_notes: OutageNoteStore::open(&settings.host, settings.data_folder.clone())?,
             settlements: RefCell::default(),
             answer_memory: AnswerMemory::new(settings.memory_bytes_max),
+            origin_notes: RefCell::default(),
             suspects: RefCell::default(),
             lost_until: RefCell::default(),
             configuration: RefCell::default(),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod settings;
 mod status;
 pub mod store;
+mod stream_origins;
 pub mod time;
 mod upstream_limits;
 mod watch;
--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/peers/message.rs
@@ -8,9 +8,12 @@
             Charge, FenceReply, LedgerPosition, NoteHost, ReplicaUpdate, ReplicationId, Settlement,
             VoteOption,
         },
-        ids::{ConfigVersion, ContentHash, Epoch, HostId, TeamId, UpstreamId},
+        ids::{
+            ConfigVersion, ContentHash, Epoch, HostId, RequestId, ServiceId, TeamId, UpstreamId,
+        },
         placement::{LendOutcome, UpstreamRecord},
         roster::HostRecord,
+        stream_origins::{OriginReport, StreamOrigin},
     },
 };
 
@@ -96,6 +99,12 @@
     ClearContents { contents: Vec<ContentHash> },
     /// Requests the contents that the receiver blames for crashes.
     BlamedContents,
+    /// Notes the origins of streams that began at the sender.
+    NoteStreams { streams: Vec<(RequestId, StreamOrigin)> },
+    /// Asks for the origin of the stream that began as `request`, and for the versions of a service.
+    StreamOrigin { request: Option<RequestId>, service: ServiceId },
+    /// Requests the versions of all services that the receiver knows.
+    Versions,
     /// Requests the receiver's list of upstreams.
     Upstreams,
     /// Requests the receiver's roster.
@@ -152,6 +161,10 @@
     /// The contents that the host blames for crashes, each with the time that is left. In reply to
     /// a report only those of the report.
     Blamed { contents: Vec<(ContentHash, Duration)> },
+    /// What the host knows of a stream.
+    StreamOrigin { report: OriginReport },
+    /// The versions of all services that the host knows.
+    Versions { versions: Vec<StreamOrigin> },
     /// The host's list of upstreams.
     Upstreams { records: Vec<UpstreamRecord> },
     /// All hosts in the host's roster, including itself.
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -10,8 +10,8 @@
 
 use {
     crate::{
-        allowance, crashes, gateway::Gateway, ledger, listen::listen, roster, upstream_limits,
-        watch,
+        allowance, crashes, gateway::Gateway, ledger, listen::listen, roster, stream_origins,
+        upstream_limits, watch,
     },
     bytes::Bytes,
     http::{Request, Response, StatusCode},
@@ -163,6 +163,16 @@
             };
             PeerReply::Relayed { reply: reply.map(Box::new) }
         }
+        PeerRequest::NoteStreams { streams } => {
+            stream_origins::on_noted(gateway, &streams);
+            PeerReply::Done
+        }
+        PeerRequest::StreamOrigin { request, service } => PeerReply::StreamOrigin {
+            report: stream_origins::report(gateway, request.as_deref(), &service),
+        },
+        PeerRequest::Versions => PeerReply::Versions {
+            versions: gateway.origin_notes.borrow().origins.all_versions(Instant::now()),
+        },
         PeerRequest::Upstreams => PeerReply::Upstreams {
             records: gateway.placement.borrow().records().cloned().collect(),
         },
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -7,6 +7,7 @@
         peers::{self, PeerReply, PeerRequest},
         roster,
         store::{Change, Collection, Listing, Revision, StoreError, StoredObject},
+        stream_origins,
     },
     rand::{RngExt, seq::IndexedRandom},
     serde_json::json,
@@ -81,6 +82,9 @@
                     Some(&error),
                 );
                 revision = None;
+                if collection == Collection::Upstreams {
+                    stream_origins::restart_watch(&gateway);
+                }
                 // Spreads the requests, because the history expires for all hosts at the same time.
                 Timer::after(RELIST_PAUSE_MAX.mul_f64(rand::rng().random_range(0.0..1.0))).await;
             }
@@ -180,7 +184,7 @@
 }
 
 /// Applies a configuration if it is newer than the one in force.
-fn apply_configuration(gateway: &Gateway, object: &StoredObject) {
+fn apply_configuration(gateway: &Rc<Gateway>, object: &StoredObject) {
     let table = match gateway.adapter.object_parser.parse_routing(&object.content) {
         Ok(table) => table,
         Err(error) => {
@@ -207,8 +211,13 @@
             "teams": table.teams.as_ref().map(std::collections::BTreeMap::len),
         }),
     );
+    let former = gateway.routing_table.borrow().clone();
+    let has_moved_routes = former.is_some_and(|former| table.has_moved_routes(&former));
     *gateway.routing_table.borrow_mut() = Some(Rc::new(table));
     *gateway.configuration.borrow_mut() = Some(object.clone());
+    if has_moved_routes {
+        stream_origins::restart_watch(gateway);
+    }
     allowance::apply_rules(gateway);
 }
 
@@ -245,24 +254,32 @@
             if let Some(PeerReply::Upstreams { records }) = reply
                 && !records.is_empty()
             {
-                let mut placement = gateway.placement.borrow_mut();
                 for record in records {
-                    placement.upsert(record);
+                    gateway.placement.borrow_mut().upsert(record);
                 }
+                stream_origins::refresh_versions(gateway);
                 gateway.has_received_upstreams.set(true);
             }
         }
+        Collection::Upstreams => {
+            // Another host may see versions that are new in the store.
+            let reply =
+                peers::send_request(gateway, address, &PeerRequest::Versions, deadline).await;
+            if let Some(PeerReply::Versions { versions }) = reply {
+                stream_origins::on_versions(gateway, &versions);
+            }
+        }
         Collection::Hosts => {
             let reply = peers::send_request(gateway, address, &PeerRequest::Hosts, deadline).await;
             if let Some(PeerReply::Hosts { hosts }) = reply {
                 roster::on_peer_hosts(gateway, hosts);
             }
         }
-        Collection::Upstreams | Collection::Ledgers => {}
+        Collection::Ledgers => {}
     }
 }
 
-fn upsert_upstream(gateway: &Gateway, object: &StoredObject) {
+fn upsert_upstream(gateway: &Rc<Gateway>, object: &StoredObject) {
     match gateway.adapter.object_parser.parse_upstream(&object.name, &object.content) {
         Ok(record) => {
             let (is_leaving, service) = (record.is_leaving, record.service.clone());
@@ -273,13 +290,17 @@
                 crash_watch.record_arrival(&record.id);
             }
             drop(crash_watch);
-            if gateway.placement.borrow_mut().upsert(record) {
+            let version = record.version.clone();
+            let has_changed = gateway.placement.borrow_mut().upsert(record);
+            if has_changed {
+                stream_origins::refresh_versions(gateway);
                 gateway.decisions.log(
                     LineRate::Failure,
                     "upstream",
                     json!({
                         "upstream": object.name,
                         "service": service,
+                        "version": version,
                         "what": if is_leaving { "leaving" } else { "listed" },
                         "revision": object.revision,
                     }),
@@ -298,8 +319,10 @@
     }
 }
 
-fn remove_upstream(gateway: &Gateway, name: &str, reason: &str) {
-    if gateway.placement.borrow_mut().remove(name) {
+fn remove_upstream(gateway: &Rc<Gateway>, name: &str, reason: &str) {
+    let is_removed = gateway.placement.borrow_mut().remove(name);
+    if is_removed {
+        stream_origins::refresh_versions(gateway);
         gateway.crash_watch.borrow_mut().record_departure(Instant::now(), &name.into());
         gateway.decisions.log(
             LineRate::Failure,
