--- a/crates/core/src/ids.rs
+++ b/crates/core/src/ids.rs
@@ -25,7 +25,7 @@
 pub type ServiceId = Arc<str>;
 /// Identifies an upstream.
 pub type UpstreamId = Arc<str>;
-/// Version of an upstream's software. Empty if the upstream names none.
+/// Version of an upstream's software. Empty if it is not known.
 pub type SoftwareVersion = Arc<str>;
 /// Identifies a step of a program. Unique within the program.
 pub type StepKey = Arc<str>;
