--- a/crates/standin/src/fleet/proxy.rs
+++ b/crates/standin/src/fleet/proxy.rs
@@ -7,6 +7,7 @@
         Task, Timer,
         net::{TcpListener, TcpStream},
     },
+    socket2::{Domain, Protocol, Socket},
     std::{
         io,
         net::{Ipv4Addr, SocketAddr},
@@ -15,6 +16,8 @@
     },
 };
 
+/// Number of connections that fill the queue of a listener without a backlog.
+const QUEUE_FILLERS: usize = 4;
 /// Size of one read.
 const BLOCK_BYTES: usize = 16 * 1024;
 
@@ -32,6 +35,10 @@
     RequestsOnly,
     /// New connections are closed at once.
     Refused,
+    /// No process listens, so that new connections are refused. Open connections live on.
+    NoListener,
+    /// New connections get no answer, and no bytes pass on open ones.
+    Unreachable,
 }
 
 /// A proxy before one server.
@@ -72,7 +79,7 @@
             changed: Event::new(),
             reset: Event::new(),
         });
-        let task = smol::spawn(accept(link.clone(), listener));
+        let task = smol::spawn(run(link.clone(), address, listener));
         Ok(Self { address, link, _task: task })
     }
 
@@ -88,8 +95,47 @@
     }
 }
 
-async fn accept(link: Arc<Link>, listener: TcpListener) {
+/// Listens while the fault allows it.
+async fn run(link: Arc<Link>, address: SocketAddr, first: TcpListener) {
     let mut connections = Vec::new();
+    let mut listener = Some(first);
+    loop {
+        let changed = link.changed.listen();
+        match link.fault() {
+            LinkFault::NoListener => {
+                listener = None;
+                changed.await;
+            }
+            LinkFault::Unreachable => {
+                listener = None;
+                match FullListener::start(address) {
+                    Ok(full) => {
+                        changed.await;
+                        drop(full);
+                    }
+                    Err(error) => log::error!("failed to listen at {address}: {error}"),
+                }
+            }
+            _ => {
+                let open = match listener.take() {
+                    Some(open) => open,
+                    None => match trefoilring_net::listen(address) {
+                        Ok(open) => open,
+                        Err(error) => {
+                            log::error!("failed to listen at {address}: {error}");
+                            return;
+                        }
+                    },
+                };
+                let accepting = accept(&link, &open, &mut connections);
+                smol::future::or(accepting, changed).await;
+                listener = Some(open);
+            }
+        }
+    }
+}
+
+async fn accept(link: &Arc<Link>, listener: &TcpListener, connections: &mut Vec<Task<()>>) {
     while let Ok((stream, _)) = listener.accept().await {
         if link.fault() == LinkFault::Refused {
             continue;
@@ -100,6 +146,34 @@
     }
 }
 
+/// A listener whose queue of new connections is full. The kernel drops further ones, as if the
+/// address could not be reached.
+struct FullListener {
+    _listener: Socket,
+    _queued: Vec<Socket>,
+}
+
+impl FullListener {
+    fn start(address: SocketAddr) -> io::Result<Self> {
+        let new_socket = || {
+            Socket::new(Domain::for_address(address), socket2::Type::STREAM, Some(Protocol::TCP))
+        };
+        let listener = new_socket()?;
+        listener.set_reuse_address(true)?;
+        listener.bind(&address.into())?;
+        listener.listen(0)?;
+        let mut queued = Vec::new();
+        for _ in 0..QUEUE_FILLERS {
+            let socket = new_socket()?;
+            socket.set_nonblocking(true)?;
+            // Connects in the background.
+            let _ = socket.connect(&address.into());
+            queued.push(socket);
+        }
+        Ok(Self { _listener: listener, _queued: queued })
+    }
+}
+
 impl Link {
     fn fault(&self) -> LinkFault {
         *self.fault.lock().unwrap_or_else(PoisonError::into_inner)
@@ -139,13 +213,15 @@
         loop {
             let changed = self.changed.listen();
             match self.fault() {
-                LinkFault::None | LinkFault::Refused => return,
+                LinkFault::None | LinkFault::Refused | LinkFault::NoListener => return,
                 LinkFault::RequestsOnly if direction == Direction::Request => return,
                 LinkFault::Delayed(delay) => {
                     Timer::after(delay).await;
                     return;
                 }
-                LinkFault::Silent | LinkFault::RequestsOnly => changed.await,
+                LinkFault::Silent | LinkFault::RequestsOnly | LinkFault::Unreachable => {
+                    changed.await;
+                }
             }
         }
     }
--- a/crates/standin/src/fleet/store.rs
+++ b/crates/standin/src/fleet/store.rs
@@ -49,6 +49,8 @@
 struct Endpoint {
     store: Arc<Store>,
     fault: Mutex<StoreFault>,
+    /// Addresses of workers, and those that are returned in their place.
+    replaced_addresses: Vec<(SocketAddr, SocketAddr)>,
 }
 
 struct Store {
@@ -74,7 +76,7 @@
     ///
     /// Fails if no port can be bound.
     pub async fn start() -> io::Result<Self> {
-        Self::open(Arc::new(Store { state: Mutex::default() })).await
+        Self::open(Arc::new(Store { state: Mutex::default() }), Vec::new()).await
     }
 
     /// Opens another listening address for the same store, with its own fault.
@@ -83,11 +85,27 @@
     ///
     /// Fails if no port can be bound.
     pub async fn open_address(&self) -> io::Result<Self> {
-        Self::open(self.endpoint.store.clone()).await
+        self.open_view(Vec::new()).await
     }
 
-    async fn open(store: Arc<Store>) -> io::Result<Self> {
-        let endpoint = Arc::new(Endpoint { store, fault: Mutex::default() });
+    /// Opens another listening address like [`Self::open_address`], for a host that reaches workers
+    /// through proxies. The first address of each pair is returned as the second one.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no port can be bound.
+    pub async fn open_view(
+        &self,
+        replaced_addresses: Vec<(SocketAddr, SocketAddr)>,
+    ) -> io::Result<Self> {
+        Self::open(self.endpoint.store.clone(), replaced_addresses).await
+    }
+
+    async fn open(
+        store: Arc<Store>,
+        replaced_addresses: Vec<(SocketAddr, SocketAddr)>,
+    ) -> io::Result<Self> {
+        let endpoint = Arc::new(Endpoint { store, fault: Mutex::default(), replaced_addresses });
         let server = serve(endpoint.clone()).await?;
         Ok(Self { address: server.address, endpoint, _server: server })
     }
@@ -216,7 +234,29 @@
         if fault == StoreFault::DropsResponses && is_write {
             return None;
         }
-        Some(respond(status, &body))
+        Some(respond(status, &self.replace_addresses(body)))
+    }
+}
+
+impl Endpoint {
+    fn replace_addresses(&self, mut body: Value) -> Value {
+        if self.replaced_addresses.is_empty() {
+            return body;
+        }
+        let listed = body["items"].as_array_mut().into_iter().flatten();
+        listed.for_each(|object| self.replace_address(object));
+        let changed = body["events"].as_array_mut().into_iter().flatten();
+        changed.for_each(|event| self.replace_address(&mut event["object"]));
+        body
+    }
+
+    fn replace_address(&self, object: &mut Value) {
+        let Some(spec) = object["spec"].as_object_mut() else { return };
+        let Some(Value::String(address)) = spec.get_mut("addr") else { return };
+        let pair = self.replaced_addresses.iter().find(|(from, _)| from.to_string() == *address);
+        if let Some((_, to)) = pair {
+            *address = to.to_string();
+        }
     }
 }
 
