Play several versions and hosts without paths in the soak

Workers of three versions serve side by side, a released one is replaced by the next version, and events name the version. Callers lose three of ten streams and take them up at any host; two of three gateways reach workers through proxies that hang, refuse or reset.

--- a/crates/cli/tests/soak/faults.rs
+++ b/crates/cli/tests/soak/faults.rs
@@ -31,6 +31,9 @@
     StoreHistoryLost,
     StoreLink(LinkFault),
     StoreLinkReset,
+    /// The paths of some hosts to all workers.
+    WorkerLinks(LinkFault),
+    WorkerLinksReset,
     WorkerKilled(usize),
     WorkerReleased {
         worker: usize,
@@ -55,7 +58,7 @@
 fn draw(site: &Site, random: &mut SmallRng) -> Fault {
     let host = random.random_range(0..HOSTS);
     let worker = random.random_range(0..WORKERS);
-    match random.random_range(0..16) {
+    match random.random_range(0..18) {
         0 if host >= GATEWAYS && random.random_bool(0.3) => Fault::KillAndLoseDisk(host),
         0 | 1 if site.is_up(host) => Fault::Kill(host),
         2 if site.is_up(host) => Fault::Stop(host),
@@ -70,6 +73,8 @@
         11 => Fault::WorkerKilled(worker),
         12 => Fault::WorkerReleased { worker, gives_notice: random.random() },
         13 => Fault::EndlessWorker(endless(random)),
+        14 => Fault::WorkerLinks(cut(random)),
+        15 => Fault::WorkerLinksReset,
         _ => Fault::Worker(worker, worker_fault(random)),
     }
 }
@@ -104,6 +109,11 @@
     *faults.choose(random).expect("it is not empty")
 }
 
+fn cut(random: &mut SmallRng) -> LinkFault {
+    let faults = [LinkFault::None, LinkFault::None, LinkFault::NoListener, LinkFault::Unreachable];
+    *faults.choose(random).expect("it is not empty")
+}
+
 fn worker_fault(random: &mut SmallRng) -> WorkerFault {
     let event = random.random_range(0..6);
     let faults = [
@@ -136,10 +146,12 @@
         Fault::Pause(host) => site.pause(host),
         Fault::Resume(host) => site.resume(host),
         Fault::Reload(host) => site.signal(host, "HUP"),
-        Fault::Store(fault) => site.store.set_fault(fault),
+        Fault::Store(fault) => site.set_store_fault(fault),
         Fault::StoreHistoryLost => site.store.compact(),
-        Fault::StoreLink(fault) => site.store_link.set_fault(fault),
-        Fault::StoreLinkReset => site.store_link.reset(),
+        Fault::StoreLink(fault) => site.set_store_link_fault(fault),
+        Fault::StoreLinkReset => site.reset_store_links(),
+        Fault::WorkerLinks(fault) => site.pool.set_link_fault(fault),
+        Fault::WorkerLinksReset => site.pool.reset_links(),
         Fault::WorkerKilled(worker) => site.pool.kill(worker),
         Fault::WorkerReleased { worker, gives_notice } => site.pool.release(worker, gives_notice),
         Fault::EndlessWorker(trouble) => site.set_endless(trouble),
--- a/crates/cli/tests/soak/losses.rs
+++ b/crates/cli/tests/soak/losses.rs
@@ -33,7 +33,7 @@
         for program in 0..PROGRAMS {
             caller.send_turn(0, &format!("before-{program}"), TOKEN_BUDGET).await;
         }
-        site.store.set_fault(StoreFault::RejectsWrites);
+        site.set_store_fault(StoreFault::RejectsWrites);
         let mut tokens: HashMap<String, u64> = HashMap::new();
         for loss in 0..=LOSSES {
             let end = Instant::now() + ROUND;
@@ -45,9 +45,9 @@
             for host in GATEWAYS..HOSTS {
                 site.kill(host);
             }
-            site.store.set_fault(StoreFault::None);
+            site.set_store_fault(StoreFault::None);
             Timer::after(Duration::from_millis(50)).await;
-            site.store.set_fault(StoreFault::RejectsWrites);
+            site.set_store_fault(StoreFault::RejectsWrites);
             (GATEWAYS..HOSTS).for_each(|host| site.start_host(host));
         }
         site.end_faults().await;
--- a/crates/cli/tests/soak/main.rs
+++ b/crates/cli/tests/soak/main.rs
@@ -145,6 +145,9 @@
     }
     let served = records.iter().filter(|record| record.is_success()).count();
     println!("{served} of {} requests served, {} runs", records.len(), runs.len());
+    let take_ups = records.iter().filter(|record| record.is_take_up()).count();
+    let went_on = records.iter().filter(|one| one.is_take_up() && one.is_success()).count();
+    println!("{went_on} of {take_ups} streams went on that callers took up again");
     assert!(served > 0);
 }
 
--- a/crates/cli/tests/soak/site.rs
+++ b/crates/cli/tests/soak/site.rs
@@ -23,6 +23,10 @@
 const TREFOILRING_BINARY: &str = env!("CARGO_BIN_EXE_trefoilring");
 /// Hosts that serve callers.
 pub const GATEWAYS: usize = 3;
+/// Hosts that reach workers through proxies, and can be cut off from all of them.
+const PROXIED_GATEWAYS: usize = 2;
+/// Software versions of the workers. Two of each serve at the start.
+pub const VERSIONS: [&str; 3] = ["v1", "v2", "v3"];
 /// Hosts with a data folder that serve no callers.
 const LEDGER_HOSTS: usize = 3;
 pub const HOSTS: usize = GATEWAYS + LEDGER_HOSTS;
@@ -43,8 +47,10 @@
 
 pub struct Site {
     pub store: StoreStandin,
-    /// Between the hosts and the store.
-    pub store_link: LinkProxy,
+    /// The store as the first hosts see it, which reach workers through proxies.
+    proxied_store: StoreStandin,
+    /// Between the hosts and the store, first for the hosts behind proxies.
+    store_links: [LinkProxy; 2],
     pub pool: WorkerPool,
     /// A worker whose answers have no end. Registered only while that fault is in force.
     endless: EndlessStandin,
@@ -77,13 +83,18 @@
         println!("logs in {}", folder.display());
         let store = StoreStandin::start().await.expect("a port");
         store.put("config", "main", client::configuration(KEY));
-        let store_link = LinkProxy::start(store.address).await.expect("a port");
         let options = PoolOptions {
             size: WORKERS,
             fault: HEALTHY,
             restart_delay: Duration::from_millis(500),
+            versions: &VERSIONS,
         };
         let pool = WorkerPool::start(&store, options).await.expect("ports");
+        let proxied_store = store.open_view(pool.proxied_addresses()).await.expect("a port");
+        let store_links = [
+            LinkProxy::start(proxied_store.address).await.expect("a port"),
+            LinkProxy::start(store.address).await.expect("a port"),
+        ];
         let ports = free_ports(HOSTS * PORTS_PER_HOST);
         let hosts = ports
             .chunks(PORTS_PER_HOST)
@@ -97,7 +108,7 @@
             .collect();
         let endless = EndlessStandin::start(None).await.expect("a port");
         let hosts = RefCell::new(hosts);
-        let site = Self { store, store_link, pool, endless, hosts, folder };
+        let site = Self { store, proxied_store, store_links, pool, endless, hosts, folder };
         (0..HOSTS).for_each(|host| site.start_host(host));
         site.wait_until_ready().await;
         site.wait_until_acquainted().await;
@@ -166,7 +177,7 @@
              is_first_start = {is_first_start}\nstop_grace_s = {}\nmemory_mb = 110\n",
             host.name,
             ["a", "b", "c"][number % 3],
-            self.store_link.address,
+            self.store_links[usize::from(number >= PROXIED_GATEWAYS)].address,
             STOP_GRACE.as_secs(),
         );
         let path = self.folder.join(format!("{}.toml", host.name));
@@ -264,10 +275,27 @@
         }
     }
 
+    /// Sets the fault of the store for all hosts.
+    pub fn set_store_fault(&self, fault: StoreFault) {
+        self.store.set_fault(fault);
+        self.proxied_store.set_fault(fault);
+    }
+
+    /// Sets the fault of the links between the hosts and the store.
+    pub fn set_store_link_fault(&self, fault: LinkFault) {
+        self.store_links.iter().for_each(|link| link.set_fault(fault));
+    }
+
+    /// Closes all connections between the hosts and the store.
+    pub fn reset_store_links(&self) {
+        self.store_links.iter().for_each(LinkProxy::reset);
+    }
+
     /// Ends all faults and starts the hosts that are down.
     pub async fn end_faults(&self) {
-        self.store.set_fault(StoreFault::None);
-        self.store_link.set_fault(LinkFault::None);
+        self.set_store_fault(StoreFault::None);
+        self.set_store_link_fault(LinkFault::None);
+        self.pool.set_link_fault(LinkFault::None);
         (0..WORKERS).for_each(|worker| self.pool.set_fault(worker, HEALTHY));
         self.set_endless(None);
         for host in 0..HOSTS {
--- a/crates/standin/src/fleet/mod.rs
+++ b/crates/standin/src/fleet/mod.rs
@@ -17,7 +17,7 @@
     endless::{ENDLESS_PARTS, EndlessPart, EndlessStandin, Pace},
     pool::{DRAIN_TIME, PoolOptions, WorkerPool},
     proxy::{LinkFault, LinkProxy},
-    store::{StoreFault, StoreStandin},
+    store::{ReplacedAddresses, StoreFault, StoreStandin},
     worker::{RecordedRequest, SERVICE, WorkerFault, WorkerStandin, entry, event_versions},
 };
 
--- a/crates/standin/src/fleet/pool.rs
+++ b/crates/standin/src/fleet/pool.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{
-        StoreStandin,
+        LinkFault, LinkProxy, ReplacedAddresses, StoreStandin,
         worker::{RecordedRequest, RunLog, WorkerFault, WorkerStandin},
     },
     smol::{
@@ -32,6 +32,9 @@
     /// Time between the crash of a worker and the start of its successor. The crashed worker's
     /// entry stays in the store for as long.
     pub restart_delay: Duration,
+    /// Software versions of the workers, by their place in the pool. A released worker is replaced by
+    /// one of the next version. If there are none, the events of streams name no version.
+    pub versions: &'static [&'static str],
 }
 
 /// Workers that register in a store, and restart when they crash or are killed.
@@ -55,6 +58,8 @@
     options: PoolOptions,
     next_id: AtomicU64,
     state: Mutex<State>,
+    /// Leads hosts that use this view of the store through [`State::proxies`].
+    proxied: ReplacedAddresses,
 }
 
 #[derive(Default)]
@@ -67,6 +72,11 @@
     faults: Vec<WorkerFault>,
     /// The last worker that was started in each place.
     last_started: Vec<Option<RunLog>>,
+    /// Number of releases by the worker's place in the pool.
+    releases: Vec<usize>,
+    /// The proxy before the last worker that was started in each place.
+    proxies: Vec<Option<LinkProxy>>,
+    link_fault: LinkFault,
 }
 
 impl WorkerPool {
@@ -78,10 +88,13 @@
     pub async fn start(store: &StoreStandin, options: PoolOptions) -> io::Result<Self> {
         let store = store.open_address().await?;
         let (next_id, state) = (AtomicU64::new(1), Mutex::default());
-        let pool = Arc::new(Pool { store, options, next_id, state });
+        let proxied = ReplacedAddresses::default();
+        let pool = Arc::new(Pool { store, options, next_id, state, proxied });
         let (mut end_senders, mut supervisors) = (Vec::new(), Vec::new());
         pool.lock().faults = vec![options.fault; options.size];
         pool.lock().last_started.resize_with(options.size, || None);
+        pool.lock().proxies.resize_with(options.size, || None);
+        pool.lock().releases.resize(options.size, 0);
         for index in 0..options.size {
             let (end_sender, ends) = smol::channel::bounded(1);
             let first = pool.start_worker(index).await?;
@@ -107,6 +120,23 @@
         let _ = self.end_senders[index].try_send(end);
     }
 
+    /// Returns the addresses of proxies before the workers, for a view of the store.
+    pub fn proxied_addresses(&self) -> ReplacedAddresses {
+        self.pool.proxied.clone()
+    }
+
+    /// Sets the fault of all proxies before workers.
+    pub fn set_link_fault(&self, fault: LinkFault) {
+        let mut state = self.pool.lock();
+        state.link_fault = fault;
+        state.proxies.iter().flatten().for_each(|proxy| proxy.set_fault(fault));
+    }
+
+    /// Closes all connections through proxies.
+    pub fn reset_links(&self) {
+        self.pool.lock().proxies.iter().flatten().for_each(LinkProxy::reset);
+    }
+
     /// Sets the fault of a worker and its successors.
     pub fn set_fault(&self, index: usize, fault: WorkerFault) {
         let mut state = self.pool.lock();
@@ -141,12 +171,28 @@
 
     async fn start_worker(&self, index: usize) -> io::Result<(String, WorkerStandin)> {
         let id = format!("w-{}", self.next_id.fetch_add(1, Ordering::Relaxed));
-        let worker = WorkerStandin::start(&id).await?;
+        let versions = self.options.versions;
+        let worker = match versions.len() {
+            0 => WorkerStandin::start(&id).await?,
+            count => {
+                let version = versions[(index + self.lock().releases[index]) % count];
+                WorkerStandin::start_version(&id, version).await?
+            }
+        };
+        let proxy = LinkProxy::start(worker.address).await?;
+        proxy.set_fault(self.lock().link_fault);
+        {
+            let mut proxied = self.proxied.lock().unwrap_or_else(PoisonError::into_inner);
+            // The addresses of earlier workers may be used again.
+            proxied.retain(|(from, _)| *from != worker.address);
+            proxied.push((worker.address, proxy.address));
+        }
         worker.set_fault(self.lock().faults[index]);
         self.store.put("servers", &id, worker.entry());
         let mut state = self.lock();
         state.logs.push(worker.run_log());
         state.last_started[index] = Some(worker.run_log());
+        state.proxies[index] = Some(proxy);
         state.running += 1;
         Ok((id, worker))
     }
@@ -182,6 +228,7 @@
                     false => self.store.remove("servers", &id),
                 }
                 Timer::after(DRAIN_TIME).await;
+                self.lock().releases[index] += 1;
             }
             drop(worker);
             self.record_end(end);
--- a/crates/standin/src/fleet/store.rs
+++ b/crates/standin/src/fleet/store.rs
@@ -45,12 +45,14 @@
     _server: Server,
 }
 
+/// Addresses of workers, and those that are returned in their place. May change at any time.
+pub type ReplacedAddresses = Arc<Mutex<Vec<(SocketAddr, SocketAddr)>>>;
+
 /// One listening address of a store. Each has its own fault.
 struct Endpoint {
     store: Arc<Store>,
     fault: Mutex<StoreFault>,
-    /// Addresses of workers, and those that are returned in their place.
-    replaced_addresses: Vec<(SocketAddr, SocketAddr)>,
+    replaced_addresses: ReplacedAddresses,
 }
 
 struct Store {
@@ -76,7 +78,7 @@
     ///
     /// Fails if no port can be bound.
     pub async fn start() -> io::Result<Self> {
-        Self::open(Arc::new(Store { state: Mutex::default() }), Vec::new()).await
+        Self::open(Arc::new(Store { state: Mutex::default() }), ReplacedAddresses::default()).await
     }
 
     /// Opens another listening address for the same store, with its own fault.
@@ -85,26 +87,20 @@
     ///
     /// Fails if no port can be bound.
     pub async fn open_address(&self) -> io::Result<Self> {
-        self.open_view(Vec::new()).await
+        self.open_view(ReplacedAddresses::default()).await
     }
 
     /// Opens another listening address like [`Self::open_address`], for a host that reaches workers
-    /// through proxies. The first address of each pair is returned as the second one.
+    /// through proxies.
     ///
     /// # Errors
     ///
     /// Fails if no port can be bound.
-    pub async fn open_view(
-        &self,
-        replaced_addresses: Vec<(SocketAddr, SocketAddr)>,
-    ) -> io::Result<Self> {
+    pub async fn open_view(&self, replaced_addresses: ReplacedAddresses) -> io::Result<Self> {
         Self::open(self.endpoint.store.clone(), replaced_addresses).await
     }
 
-    async fn open(
-        store: Arc<Store>,
-        replaced_addresses: Vec<(SocketAddr, SocketAddr)>,
-    ) -> io::Result<Self> {
+    async fn open(store: Arc<Store>, replaced_addresses: ReplacedAddresses) -> io::Result<Self> {
         let endpoint = Arc::new(Endpoint { store, fault: Mutex::default(), replaced_addresses });
         let server = serve(endpoint.clone()).await?;
         Ok(Self { address: server.address, endpoint, _server: server })
@@ -240,23 +236,23 @@
 
 impl Endpoint {
     fn replace_addresses(&self, mut body: Value) -> Value {
-        if self.replaced_addresses.is_empty() {
+        let replaced = self.replaced_addresses.lock().unwrap_or_else(PoisonError::into_inner);
+        if replaced.is_empty() {
             return body;
         }
         let listed = body["items"].as_array_mut().into_iter().flatten();
-        listed.for_each(|object| self.replace_address(object));
+        listed.for_each(|object| replace_address(object, &replaced));
         let changed = body["events"].as_array_mut().into_iter().flatten();
-        changed.for_each(|event| self.replace_address(&mut event["object"]));
+        changed.for_each(|event| replace_address(&mut event["object"], &replaced));
         body
     }
+}
 
-    fn replace_address(&self, object: &mut Value) {
-        let Some(spec) = object["spec"].as_object_mut() else { return };
-        let Some(Value::String(address)) = spec.get_mut("addr") else { return };
-        let pair = self.replaced_addresses.iter().find(|(from, _)| from.to_string() == *address);
-        if let Some((_, to)) = pair {
-            *address = to.to_string();
-        }
+fn replace_address(object: &mut Value, replaced: &[(SocketAddr, SocketAddr)]) {
+    let Some(spec) = object["spec"].as_object_mut() else { return };
+    let Some(Value::String(address)) = spec.get_mut("addr") else { return };
+    if let Some((_, to)) = replaced.iter().find(|(from, _)| from.to_string() == *address) {
+        *address = to.to_string();
     }
 }
 
--- a/crates/standin/src/fleet/worker.rs
+++ b/crates/standin/src/fleet/worker.rs
@@ -31,6 +31,9 @@
 /// Number of events in a complete stream.
 const STREAM_EVENTS: u64 = 6;
 
+/// Pause between the events of a worker that has a version, so that faults can strike in between.
+const EVENT_INTERVAL: Duration = Duration::from_millis(8);
+
 /// Time between a stream's last bytes and the connection reset.
 const CUT_DELAY: Duration = Duration::from_millis(30);
 
@@ -404,11 +407,16 @@
     /// Returns the events after `after`. With `cut_after`, the stream ends with an error in the
     /// middle of the event after that one.
     fn events(&self, after: u64, cut_after: Option<u64>) -> Body {
+        let is_paced = self.marks_events;
         let version = self.marks_events.then(|| self.version.clone());
         let event = move |id| version.as_ref().map_or_else(|| event(id), |v| marked_event(id, v));
         let next = move |id: u64| {
             let event = event(id);
+            let pause = (is_paced && id > after + 1).then_some(EVENT_INTERVAL);
             async move {
+                if let Some(pause) = pause {
+                    Timer::after(pause).await;
+                }
                 let text = match cut_after {
                     Some(cut) if id > cut + 1 => return None,
                     // The first bytes of the event, without its end.
