Do not take crashed upstreams for a lost path

What callers would see: a host before three upstreams that crashed within two seconds believed that it reached none, and stopped reporting crashes. Content that crashes the upstreams that run it then reached eight of them instead of six.

Cause: three failures were enough, while connections kept open showed that other upstreams were alive.

Change: three failures only cause connections to three others at once; six must fail, or all if there are fewer.

--- a/crates/core/src/placement/mod.rs
+++ b/crates/core/src/placement/mod.rs
@@ -24,7 +24,7 @@
     helpers::Helpers,
     outage::{DelistingAction, StoreOutage},
     rate_limit::LendOutcome,
-    reach::UpstreamReach,
+    reach::{ReachChange, UpstreamReach},
     upstream::{LoadReport, Outcome, UpstreamRecord},
     wait_queue::{QueueWait, WaitQueues},
 };
--- a/crates/core/src/placement/reach.rs
+++ b/crates/core/src/placement/reach.rs
@@ -13,13 +13,26 @@
     time::{Duration, Instant},
 };
 
-/// Number of upstreams to which connections must fail. Two upstreams that crash together are more
-/// frequent than a cut.
-const FAILED_UPSTREAMS_MIN: usize = 3;
+/// Number of upstreams to which connections must fail until others are tried. Two upstreams that
+/// crash together are more frequent than a cut.
+const SUSPECT_FAILURES_MIN: usize = 3;
+/// Number of upstreams to which connections must fail, with those that were tried.
+const STRANDED_FAILURES_MIN: usize = 6;
 /// Time within which connections to these upstreams must fail, with none that succeeds. Exceeds the
 /// time after which a connection attempt is given up.
 const FAILURE_WINDOW: Duration = Duration::from_secs(2);
 
+/// What follows from a connection that could not be opened.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ReachChange {
+    /// Nothing is new.
+    None,
+    /// This host may be stranded: connections to other upstreams should be tried.
+    Suspect,
+    /// This host is stranded from now on.
+    Stranded,
+}
+
 /// What the connections to upstreams show of the paths to them.
 #[derive(Debug, Default)]
 pub struct UpstreamReach {
@@ -42,23 +55,30 @@
     }
 
     /// Records that no connection to an upstream could be opened. `upstream_count` is the number of
-    /// known upstreams. Returns whether this host is stranded from now on.
+    /// known upstreams.
     pub fn record_failed(
         &mut self,
         now: Instant,
         upstream: SocketAddr,
         upstream_count: usize,
-    ) -> bool {
+    ) -> ReachChange {
         let is_recent = |at: &Instant| now.saturating_duration_since(*at) < FAILURE_WINDOW;
         self.failed_at.retain(|_, at| is_recent(at));
         self.failed_at.insert(upstream, now);
-        if self.stranded_since.is_some()
-            || self.failed_at.len() < FAILED_UPSTREAMS_MIN.min(upstream_count)
-        {
-            return false;
+        let failed = self.failed_at.len();
+        if self.stranded_since.is_some() || failed < SUSPECT_FAILURES_MIN.min(upstream_count) {
+            return ReachChange::None;
+        }
+        if failed < STRANDED_FAILURES_MIN.min(upstream_count) {
+            return ReachChange::Suspect;
         }
         self.stranded_since = Some(now);
-        true
+        ReachChange::Stranded
+    }
+
+    /// Returns whether a connection to an upstream has failed since the last one to any succeeded.
+    pub fn has_failed(&self, upstream: SocketAddr) -> bool {
+        self.failed_at.contains_key(&upstream)
     }
 }
 
--- a/crates/gateway/src/relay/mod.rs
+++ b/crates/gateway/src/relay/mod.rs
@@ -33,7 +33,7 @@
     },
     trefoilring_core::{
         ids::HostId,
-        placement::{Helpers, UpstreamReach},
+        placement::{Helpers, ReachChange, UpstreamReach},
     },
     trefoilring_observe::decisions::LineRate,
 };
@@ -97,6 +97,8 @@
     alive_at: Cell<Option<Instant>>,
     /// Number of requests that wait for a sign of life.
     waiting: Cell<usize>,
+    /// Notified when connections to upstreams should be tried.
+    suspected: Event,
     passed_on_open: Cell<usize>,
 }
 
@@ -156,17 +158,21 @@
 /// one after the other while this host is stranded.
 async fn watch(gateway: Rc<Gateway>) {
     loop {
-        Timer::after(PROBE_INTERVAL).await;
+        let suspected = gateway.relay.suspected.listen();
+        let is_suspect = within(Instant::now() + PROBE_INTERVAL, suspected).await.is_some();
         let relay = &gateway.relay;
         let is_silent = relay.waiting.get() > 0
             && relay.alive_at.get().is_some_and(|at| at.elapsed() >= SILENCE_MAX);
         let probes = match relay.is_stranded() {
             true => 1,
-            false if is_silent => PROBES,
+            false if is_silent || is_suspect => PROBES,
             false => continue,
         };
-        let addresses: Vec<SocketAddr> =
+        let mut addresses: Vec<SocketAddr> =
             gateway.placement.borrow().records().map(|record| record.address).collect();
+        if !relay.is_stranded() {
+            addresses.retain(|address| !relay.reach.borrow().has_failed(*address));
+        }
         let chosen = addresses.sample(&mut rand::rng(), probes);
         let deadline = Instant::now() + PROBE_TIMEOUT;
         let probes =
@@ -195,8 +201,15 @@
             if let Some(duration) = stranded {
                 log_reach(gateway, "regained", Some(duration));
             }
-        } else if relay.reach.borrow_mut().record_failed(now, address, count) {
-            on_stranded(gateway);
+            continue;
+        }
+        let change = relay.reach.borrow_mut().record_failed(now, address, count);
+        match change {
+            ReachChange::None => {}
+            ReachChange::Suspect => {
+                relay.suspected.notify(1);
+            }
+            ReachChange::Stranded => on_stranded(gateway),
         }
     }
 }
