Begin no stream at a version that other hosts may not know

Cause: a host cut off from the others had just seen a new version, began a stream there whose notes were lost, and the stream was taken up within 100 ms at hosts that had not seen the version.

Change: for a second after a version is first seen, streams begin at others where there are any.

--- a/crates/core/src/placement/mod.rs
+++ b/crates/core/src/placement/mod.rs
@@ -31,7 +31,7 @@
 
 use {
     crate::{
-        ids::{DomainId, HostId, ServiceId, UpstreamId},
+        ids::{DomainId, HostId, ServiceId, SoftwareVersion, UpstreamId},
         rendezvous::NameHash,
         shares::AllowanceHosts,
     },
@@ -79,6 +79,8 @@
     pub session: Option<&'a str>,
     /// Software version that the upstream must have, if the request continues a stream.
     pub version: Option<&'a str>,
+    /// Software versions that are used only if no upstream of another version accepts work.
+    pub avoided_versions: &'a [SoftwareVersion],
     /// Upstreams that have refused the request.
     pub refused_by: &'a [UpstreamKey],
     /// Whether an older request waits for the service. Requests that limits allow are then left to
@@ -214,6 +216,14 @@
         if usable.is_empty() {
             return Choice::NoUpstream;
         }
+        if !request.avoided_versions.is_empty() {
+            let is_avoided = |key: &UpstreamKey| {
+                request.avoided_versions.contains(&self.upstreams[*key].record.version)
+            };
+            if usable.iter().any(|key| !is_avoided(key)) {
+                usable.retain(|key| !is_avoided(key));
+            }
+        }
         usable.retain(|&key| {
             let upstream = &self.upstreams[key];
             let is_left_to_others = request.is_behind_others && upstream.rate_limit.is_some();
--- a/crates/core/src/placement/rate_limit/tests.rs
+++ b/crates/core/src/placement/rate_limit/tests.rs
@@ -208,6 +208,7 @@
                 service: "llm",
                 session: None,
                 version: None,
+                avoided_versions: &[],
                 refused_by: &[],
                 is_behind_others: false,
             };
@@ -475,6 +476,7 @@
             service: "llm",
             session: None,
             version: None,
+            avoided_versions: &[],
             refused_by: &[],
             is_behind_others,
         };
--- a/crates/core/src/placement/tests.rs
+++ b/crates/core/src/placement/tests.rs
@@ -26,6 +26,7 @@
         service: "llm",
         session,
         version: None,
+        avoided_versions: &[],
         refused_by: &[],
         is_behind_others: false,
     };
@@ -104,6 +105,7 @@
         service: "llm",
         session: None,
         version: None,
+        avoided_versions: &[],
         refused_by: &[far],
         is_behind_others: false,
     };
@@ -144,6 +146,7 @@
         service: "llm",
         session: None,
         version: None,
+        avoided_versions: &[],
         refused_by: &[one],
         is_behind_others: false,
     };
@@ -170,6 +173,7 @@
             service: "llm",
             session: None,
             version: None,
+            avoided_versions: &[],
             refused_by: &[],
             is_behind_others: false,
         };
--- a/crates/core/src/stream_origins/mod.rs
+++ b/crates/core/src/stream_origins/mod.rs
@@ -32,6 +32,9 @@
 /// How long a version counts as in use after its last upstream was delisted. A host that can't reach
 /// the store may still use the upstream for as long as it serves.
 const DELISTED_VERSION_TTL: Duration = Duration::from_secs(60);
+/// How long a version is known before new streams begin at it, if there is another one. The other
+/// hosts see it meanwhile, and ask for notes.
+const NEW_VERSION_DELAY: Duration = Duration::from_secs(1);
 /// How long the origin of a stream is kept.
 const STREAM_TTL: Duration = Duration::from_secs(30);
 /// Maximum number of streams kept: twice those of [`STREAM_TTL`] at the load that the system is
@@ -79,11 +82,29 @@
     recorded_at: Instant,
 }
 
+/// When a version is in use, as far as this host knows.
+#[derive(Debug)]
+struct VersionUse {
+    known_since: Instant,
+    /// When it was listed or named last; `None` while it is listed.
+    last_listed: Option<Instant>,
+}
+
+impl VersionUse {
+    fn is_in_use(&self, now: Instant) -> bool {
+        let is_recent = |at| now.saturating_duration_since(at) < DELISTED_VERSION_TTL;
+        self.last_listed.is_none_or(is_recent)
+    }
+
+    fn is_new(&self, now: Instant) -> bool {
+        now.saturating_duration_since(self.known_since) < NEW_VERSION_DELAY
+    }
+}
+
 /// The versions and streams that a host knows.
 #[derive(Debug, Default)]
 pub struct StreamOrigins {
-    /// When each version was listed last; `None` while it is listed.
-    versions: HashMap<ServiceId, BTreeMap<SoftwareVersion, Option<Instant>>>,
+    versions: HashMap<ServiceId, BTreeMap<SoftwareVersion, VersionUse>>,
     /// Since when the host has seen all changes of the upstreams. `None` until it has their list.
     watched_since: Option<Instant>,
     streams: HashMap<RequestId, Stream>,
@@ -105,16 +126,21 @@
         self.watched_since.get_or_insert(now);
         self.remove_expired_versions(now);
         for (service, versions) in &mut self.versions {
-            for (version, last_listed) in versions {
-                if last_listed.is_none() && !listed.contains(&(service.clone(), version.clone())) {
-                    *last_listed = Some(now);
+            for (version, version_use) in versions {
+                let is_listed = listed.contains(&(service.clone(), version.clone()));
+                if version_use.last_listed.is_none() && !is_listed {
+                    version_use.last_listed = Some(now);
                 }
             }
         }
         let mut has_new = false;
         for (service, version) in listed {
             let versions = self.versions.entry(service.clone()).or_default();
-            has_new |= versions.insert(version.clone(), None).is_none();
+            let version_use = versions.entry(version.clone()).or_insert_with(|| {
+                has_new = true;
+                VersionUse { known_since: now, last_listed: None }
+            });
+            version_use.last_listed = None;
         }
         has_new
     }
@@ -122,15 +148,18 @@
     /// Records a version that another host has named. Returns whether it is new to the service.
     pub fn record_version(&mut self, now: Instant, origin: &StreamOrigin) -> bool {
         let versions = self.versions.entry(origin.service.clone()).or_default();
-        let is_new = !versions.contains_key(&origin.version);
-        let last_listed = versions.entry(origin.version.clone()).or_insert(Some(now));
-        *last_listed = last_listed.and(Some(now));
+        let mut is_new = false;
+        let version_use = versions.entry(origin.version.clone()).or_insert_with(|| {
+            is_new = true;
+            VersionUse { known_since: now, last_listed: Some(now) }
+        });
+        version_use.last_listed = version_use.last_listed.and(Some(now));
         is_new
     }
 
     fn remove_expired_versions(&mut self, now: Instant) {
         self.versions.retain(|_, versions| {
-            versions.retain(|_, last_listed| is_in_use(now, *last_listed));
+            versions.retain(|_, version_use| version_use.is_in_use(now));
             !versions.is_empty()
         });
     }
@@ -138,10 +167,22 @@
     /// Returns the versions of a service that may be in use.
     pub fn versions(&self, now: Instant, service: &str) -> BTreeSet<SoftwareVersion> {
         let versions = self.versions.get(service).into_iter().flatten();
-        let in_use = versions.filter(|(_, last_listed)| is_in_use(now, **last_listed));
+        let in_use = versions.filter(|(_, version_use)| version_use.is_in_use(now));
         in_use.map(|(version, _)| version.clone()).collect()
     }
 
+    /// Returns the versions of a service at which no stream should begin yet, because other hosts may
+    /// not know them. Empty if all versions are as new.
+    pub fn new_versions(&self, now: Instant, service: &str) -> Vec<SoftwareVersion> {
+        let versions = self.versions.get(service).into_iter().flatten();
+        let (new, known): (Vec<_>, Vec<_>) =
+            versions.partition(|(_, version_use)| version_use.is_new(now));
+        match known.is_empty() {
+            true => Vec::new(),
+            false => new.into_iter().map(|(version, _)| version.clone()).collect(),
+        }
+    }
+
     /// Returns the versions of all services that may be in use.
     pub fn all_versions(&self, now: Instant) -> Vec<StreamOrigin> {
         let of_service = |service: &ServiceId| {
@@ -242,10 +283,6 @@
     }
 }
 
-fn is_in_use(now: Instant, last_listed: Option<Instant>) -> bool {
-    last_listed.is_none_or(|at| now.saturating_duration_since(at) < DELISTED_VERSION_TTL)
-}
-
 fn is_kept(now: Instant, stream: &Stream) -> bool {
     now.saturating_duration_since(stream.recorded_at) < STREAM_TTL
 }
--- a/crates/gateway/src/call/attempts.rs
+++ b/crates/gateway/src/call/attempts.rs
@@ -273,14 +273,20 @@
 
     fn choose_upstream(&self, gateway: &Gateway, call: &Call, excluded: &[UpstreamKey]) -> Choice {
         let wait_queues = gateway.wait_queues.borrow();
+        let now = Instant::now();
+        let new_versions = match call.route.kind.is_stream() {
+            true => gateway.origin_notes.borrow().origins.new_versions(now, &call.service),
+            false => Vec::new(),
+        };
         let request = PlacementRequest {
             service: &call.service,
             session: call.session(),
             version: self.version.as_deref(),
+            avoided_versions: &new_versions,
             refused_by: excluded,
             is_behind_others: wait_queues.has_older(&call.service, self.wait.as_ref()),
         };
-        gateway.placement.borrow_mut().choose(Instant::now(), &request)
+        gateway.placement.borrow_mut().choose(now, &request)
     }
 
     /// Waits until the full upstreams may be tried again. Returns whether the request may try them.
