Reproduce work for upstreams that say that they leave

What callers see while the store is away: requests go to upstreams that have said in their answers that they leave.

--- a/crates/standin/src/fleet/worker.rs
+++ b/crates/standin/src/fleet/worker.rs
@@ -118,6 +118,8 @@
     aborted: usize,
     /// Requests a second that the worker names as its limit.
     rate_limit: Option<f64>,
+    /// Value of the header in which the worker says that it leaves, if it does.
+    leaving: Option<&'static str>,
     /// When each request arrived, whether it was run or not.
     arrivals: Vec<Instant>,
     /// Ids of the requests whose streams began here and were cut by [`WorkerFault::CutsOwnAfter`].
@@ -209,6 +211,12 @@
         self.worker.lock().rate_limit = limit_per_s;
     }
 
+    /// Lets the worker say in all its answers that it leaves, with this value of the header. It goes on
+    /// serving.
+    pub fn set_leaving(&self, value: Option<&'static str>) {
+        self.worker.lock().leaving = value;
+    }
+
     /// Returns when each request arrived, in order.
     pub fn arrivals(&self) -> Vec<Instant> {
         self.worker.lock().arrivals.clone()
@@ -287,9 +295,14 @@
             .header("Trefoilring-Request-Id", request_id)
             // Running requests, waiting requests and slots.
             .header("Trefoilring-Server-Load", "1,0,4");
-        match self.lock().rate_limit {
+        let state = self.lock();
+        let response = match state.rate_limit {
             Some(limit_per_s) => response.header("Server-Limit", limit_per_s.to_string()),
             None => response,
+        };
+        match state.leaving {
+            Some(value) => response.header("Server-Leaving", value),
+            None => response,
         }
     }
 }
