Send no new work to upstreams that say that they leave

What callers saw: while the store is away, requests go to upstreams that have said in their answers that they leave.

Cause: no host read the header; only the store's entries counted.

The host that is told tells the others, which are told once for each start. The messages to all hosts share one function with those about crashes.

--- a/crates/core/src/placement/mod.rs
+++ b/crates/core/src/placement/mod.rs
@@ -196,6 +196,29 @@
         Some((key, &self.upstreams.get(key)?.record))
     }
 
+    /// Records that an upstream has said in an answer that it is about to stop. This holds until it
+    /// starts again, which gives it another key. Returns whether it is new.
+    pub fn record_leaving(&mut self, key: UpstreamKey) -> bool {
+        let Some(upstream) = self.upstreams.get_mut(key) else { return false };
+        !std::mem::replace(&mut upstream.says_leaving, true)
+    }
+
+    /// Returns whether an upstream is about to stop, or is no longer known.
+    pub fn is_leaving(&self, key: UpstreamKey) -> bool {
+        self.upstreams.get(key).is_none_or(Upstream::is_leaving)
+    }
+
+    /// Returns whether an upstream has said in an answer that it is about to stop, or is no longer
+    /// known.
+    pub fn has_said_leaving(&self, key: UpstreamKey) -> bool {
+        self.upstreams.get(key).is_none_or(|upstream| upstream.says_leaving)
+    }
+
+    /// Returns the number of upstreams that have said in an answer that they are about to stop.
+    pub fn leaving_count(&self) -> usize {
+        self.upstreams.values().filter(|upstream| upstream.says_leaving).count()
+    }
+
     /// Selects an upstream for a request, and stores it as the upstream of the request's session.
     pub fn choose(&mut self, now: Instant, request: &PlacementRequest<'_>) -> Choice {
         let keys = self.by_service.get(request.service).into_iter().flatten();
@@ -210,7 +233,7 @@
         let mut usable: Vec<UpstreamKey> = keys.iter().filter(accepts_work).copied().collect();
         if usable.is_empty() {
             // If all upstreams are ejected, use them anyway.
-            let is_not_leaving = |key: &&UpstreamKey| !self.upstreams[**key].record.is_leaving;
+            let is_not_leaving = |key: &&UpstreamKey| !self.upstreams[**key].is_leaving();
             usable = keys.iter().filter(is_not_leaving).copied().collect();
         }
         if usable.is_empty() {
--- a/crates/core/src/placement/tests.rs
+++ b/crates/core/src/placement/tests.rs
@@ -261,3 +261,26 @@
     assert_eq!(choose_id(&mut placement, end, None), "one");
     assert_eq!(placement.service_load(end, "llm"), (2, 0.0));
 }
+
+#[test]
+fn upstream_that_says_it_leaves_gets_no_work_until_it_starts_again() {
+    let now = Instant::now();
+    let mut placement = placement(&[record("near", "a"), record("far", "b")]);
+    let near = key(&placement, "near");
+    assert_eq!(choose_id(&mut placement, now, Some("session")), "near");
+    assert!(placement.record_leaving(near));
+    assert!(!placement.record_leaving(near), "it is known");
+    assert_eq!(choose_id(&mut placement, now, Some("session")), "far", "the session moves");
+    // Its entry does not say so, now or later.
+    placement.upsert(UpstreamRecord { slots: 5, ..record("near", "a") });
+    assert!(placement.is_leaving(near));
+    let far = key(&placement, "far");
+    placement.record_leaving(far);
+    assert_eq!(choose_id(&mut placement, now, None), "NoUpstream");
+    placement.upsert(UpstreamRecord { incarnation: Some(2), ..record("near", "a") });
+    assert_eq!(choose_id(&mut placement, now, None), "near");
+    // An answer of the former process comes late.
+    assert!(!placement.record_leaving(near));
+    assert_eq!(choose_id(&mut placement, now, None), "near");
+    assert_eq!(placement.leaving_count(), 1);
+}
--- a/crates/core/src/placement/upstream.rs
+++ b/crates/core/src/placement/upstream.rs
@@ -117,6 +117,8 @@
     penalty_at: Option<Instant>,
     ejected_until: Option<Instant>,
     next_ejection: Duration,
+    /// Whether the process has said in an answer that it is about to stop.
+    pub(super) says_leaving: bool,
     /// The request rate that the upstream names as its limit.
     pub(super) rate_limit: Option<RateLimit>,
     /// When the latest request was sent whose answer named no limit.
@@ -135,6 +137,7 @@
             penalty_at: None,
             ejected_until: None,
             next_ejection: EJECTION_MIN,
+            says_leaving: false,
             rate_limit: None,
             unlimited_at: None,
         }
@@ -145,8 +148,13 @@
         self.rate_limit.as_ref().is_none_or(|limit| limit.has_token(now))
     }
 
+    /// Returns whether the upstream is about to stop, by its record or its answers.
+    pub(super) fn is_leaving(&self) -> bool {
+        self.record.is_leaving || self.says_leaving
+    }
+
     pub(super) fn accepts_work(&self, now: Instant) -> bool {
-        !self.record.is_leaving && self.ejected_until.is_none_or(|until| until <= now)
+        !self.is_leaving() && self.ejected_until.is_none_or(|until| until <= now)
     }
 
     /// Returns the estimated number of requests running or waiting, as a fraction of the slots.
--- a/crates/gateway/src/call/attempts.rs
+++ b/crates/gateway/src/call/attempts.rs
@@ -6,6 +6,7 @@
         crashes::{self, BrokenAttempt},
         gateway::Gateway,
         http::SendError,
+        leaving,
         time::within,
         upstream_limits,
     },
@@ -83,6 +84,16 @@
         self.sent_at.set(Instant::now());
     }
 
+    /// Records that the upstream says in its answer that it is about to stop.
+    pub(super) fn record_leaving(&self) {
+        leaving::on_answer(&self.gateway, self.key);
+    }
+
+    /// Returns whether the upstream has said that it is about to stop, or has started again.
+    fn has_upstream_left(&self) -> bool {
+        self.gateway.placement.borrow().has_said_leaving(self.key)
+    }
+
     /// Records the limit that the answer names, or that it names none.
     pub(super) fn record_limit(&self, limit_per_s: Option<f64>) {
         upstream_limits::record(&self.gateway, &self.id, self.key, self.sent_at.get(), limit_per_s);
@@ -192,7 +203,7 @@
                     call.deadline,
                 )
                 .await;
-                if is_allowed {
+                if is_allowed && !attempt.has_upstream_left() {
                     return Ok(Some(attempt));
                 }
                 self.end(attempt, Outcome::Failed);
--- a/crates/gateway/src/call/exchange.rs
+++ b/crates/gateway/src/call/exchange.rs
@@ -133,6 +133,7 @@
         is_misdirected,
         is_signed,
         load,
+        is_leaving,
         rate_limit_per_s,
     } = gateway.adapter.dialect.read_answer(&call.metadata.request_id, &head);
     if !matches_request && !did_not_run && !is_misdirected {
@@ -142,6 +143,9 @@
     }
     if !is_misdirected {
         attempt.record_limit(rate_limit_per_s);
+        if is_leaving {
+            attempt.record_leaving();
+        }
     }
     if let Some(load) = load {
         gateway.placement.borrow_mut().record_load(Instant::now(), attempt.key, load);
--- a/crates/gateway/src/crashes/reports.rs
+++ b/crates/gateway/src/crashes/reports.rs
@@ -37,12 +37,8 @@
 const REPLY_WAIT_MAX: Duration = Duration::from_millis(50);
 /// Maximum number of attempts in one report.
 const ATTEMPTS_MAX: usize = 64;
-/// Timeout of an announcement to one host.
-const ANNOUNCEMENT_TIMEOUT: Duration = Duration::from_millis(500);
 /// Minimum time between two announcements.
 const ANNOUNCEMENT_INTERVAL: Duration = Duration::from_millis(100);
-/// Number of hosts to which an announcement is sent at the same time.
-const CONCURRENT_ANNOUNCEMENTS: usize = 16;
 /// Mean interval at which a host asks another one for its blamed contents.
 const SYNC_INTERVAL: Duration = Duration::from_secs(10);
 /// First pause of a host that knows no other host yet. Doubles up to [`SYNC_INTERVAL`].
@@ -272,14 +268,7 @@
     }
     let request = PeerRequest::ClearContents { contents: vec![content] };
     for address in collectors(gateway, service).into_iter().flatten() {
-        gateway.spawn(send_announcement(gateway.clone(), address, request.clone()));
-    }
-}
-
-async fn send_announcement(gateway: Rc<Gateway>, address: SocketAddr, request: PeerRequest) {
-    let deadline = Instant::now() + ANNOUNCEMENT_TIMEOUT;
-    if peers::send_request(&gateway, address, &request, deadline).await.is_none() {
-        gateway.metrics.count("announcements_lost", 1);
+        gateway.spawn(peers::send_announcement(gateway.clone(), address, request.clone()));
     }
 }
 
@@ -303,29 +292,11 @@
         if requests.is_empty() {
             return;
         }
-        let addresses: Vec<SocketAddr> =
-            gateway.roster.borrow().peers().map(|(_, record)| record.address).collect();
-        let remaining = Rc::new(RefCell::new(addresses));
-        for _ in 0..CONCURRENT_ANNOUNCEMENTS {
-            gateway.spawn(send_to_each(gateway.clone(), remaining.clone(), requests.clone()));
-        }
+        peers::announce(&gateway, requests);
         Timer::after(ANNOUNCEMENT_INTERVAL).await;
     }
 }
 
-async fn send_to_each(
-    gateway: Rc<Gateway>,
-    remaining: Rc<RefCell<Vec<SocketAddr>>>,
-    requests: Vec<PeerRequest>,
-) {
-    loop {
-        let Some(address) = remaining.borrow_mut().pop() else { return };
-        for request in &requests {
-            send_announcement(gateway.clone(), address, request.clone()).await;
-        }
-    }
-}
-
 /// Asks other hosts for their blamed contents, all kinds of hosts at the start and a random one
 /// from then on.
 async fn sync(gateway: Rc<Gateway>) {
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -87,6 +87,8 @@
     pub is_signed: bool,
     /// The load that the upstream reports.
     pub load: Option<LoadReport>,
+    /// Whether the upstream says that it is about to stop.
+    pub is_leaving: bool,
     /// Requests a second that the upstream takes from all hosts together, if it names a limit.
     pub rate_limit_per_s: Option<f64>,
 }
--- /dev/null
+++ b/crates/gateway/src/leaving.rs
@@ -0,0 +1,58 @@
+//! Upstreams that say in their answers that they are about to stop. The first host that is told tells
+//! the others, which may not see the store.
+
+use {
+    crate::{
+        gateway::Gateway,
+        peers::{self, PeerRequest},
+    },
+    serde_json::json,
+    std::{rc::Rc, time::Instant},
+    trefoilring_core::{
+        ids::{Incarnation, UpstreamId},
+        placement::UpstreamKey,
+    },
+    trefoilring_observe::decisions::LineRate,
+};
+
+/// Records an answer in which an upstream says that it is about to stop.
+pub(crate) fn on_answer(gateway: &Rc<Gateway>, key: UpstreamKey) {
+    let Some((upstream, incarnation)) = record(gateway, key, "answer") else { return };
+    peers::announce(gateway, vec![PeerRequest::UpstreamLeaving { upstream, incarnation }]);
+}
+
+/// Records that an upstream told another host that it is about to stop. Ignored if this host knows
+/// another start of the upstream.
+pub(crate) fn on_told(gateway: &Rc<Gateway>, upstream: &str, incarnation: Option<Incarnation>) {
+    let key = {
+        let placement = gateway.placement.borrow();
+        let found = placement.find(upstream);
+        found.filter(|(_, record)| record.incarnation == incarnation).map(|(key, _)| key)
+    };
+    if let Some(key) = key {
+        record(gateway, key, "peer");
+    }
+}
+
+/// Records that an upstream is about to stop. Returns its id and incarnation if it is new.
+fn record(
+    gateway: &Gateway,
+    key: UpstreamKey,
+    told_by: &str,
+) -> Option<(UpstreamId, Option<Incarnation>)> {
+    let (id, incarnation) = {
+        let mut placement = gateway.placement.borrow_mut();
+        if !placement.record_leaving(key) {
+            return None;
+        }
+        let record = placement.record(key)?;
+        (record.id.clone(), record.incarnation)
+    };
+    gateway.crash_watch.borrow_mut().record_departure(Instant::now(), &id);
+    gateway.decisions.log(
+        LineRate::Failure,
+        "upstream",
+        json!({"upstream": id, "what": "says leaving", "told_by": told_by}),
+    );
+    Some((id, incarnation))
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod dialect;
 mod gateway;
 pub mod http;
+mod leaving;
 mod ledger;
 mod listen;
 mod outage_notes;
--- a/crates/gateway/src/peers/client.rs
+++ b/crates/gateway/src/peers/client.rs
@@ -9,6 +9,7 @@
     rand::seq::IndexedRandom,
     serde_json::json,
     std::{
+        cell::RefCell,
         net::SocketAddr,
         rc::Rc,
         time::{Duration, Instant},
@@ -27,6 +28,10 @@
 const RELAY_MARGIN: Duration = Duration::from_millis(50);
 /// How long a host is marked as lost after both this host and a relay have failed to reach it.
 const LOST_DURATION: Duration = Duration::from_secs(2);
+/// Timeout of an announcement to one host.
+const ANNOUNCEMENT_TIMEOUT: Duration = Duration::from_millis(500);
+/// Number of hosts to which an announcement is sent at the same time.
+const CONCURRENT_ANNOUNCEMENTS: usize = 16;
 /// Timeout of a ping.
 const PING_TIMEOUT: Duration = Duration::from_millis(250);
 
@@ -129,6 +134,41 @@
     None
 }
 
+/// Sends messages to all other hosts, without waiting for them.
+pub(crate) fn announce(gateway: &Rc<Gateway>, requests: Vec<PeerRequest>) {
+    let addresses: Vec<SocketAddr> =
+        gateway.roster.borrow().peers().map(|(_, record)| record.address).collect();
+    let remaining = Rc::new(RefCell::new(addresses));
+    for _ in 0..CONCURRENT_ANNOUNCEMENTS {
+        gateway.spawn(send_to_each(gateway.clone(), remaining.clone(), requests.clone()));
+    }
+}
+
+async fn send_to_each(
+    gateway: Rc<Gateway>,
+    remaining: Rc<RefCell<Vec<SocketAddr>>>,
+    requests: Vec<PeerRequest>,
+) {
+    loop {
+        let Some(address) = remaining.borrow_mut().pop() else { return };
+        for request in &requests {
+            send_announcement(gateway.clone(), address, request.clone()).await;
+        }
+    }
+}
+
+/// Sends a message to another host and counts it if it is lost.
+pub(crate) async fn send_announcement(
+    gateway: Rc<Gateway>,
+    address: SocketAddr,
+    request: PeerRequest,
+) {
+    let deadline = Instant::now() + ANNOUNCEMENT_TIMEOUT;
+    if send_request(&gateway, address, &request, deadline).await.is_none() {
+        gateway.metrics.count("announcements_lost", 1);
+    }
+}
+
 /// Returns whether a host is lost: it is suspect, and a relay failed to reach it within the last
 /// [`LOST_DURATION`].
 pub(crate) fn is_lost(gateway: &Gateway, address: SocketAddr) -> bool {
--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/peers/message.rs
@@ -9,7 +9,8 @@
             VoteOption,
         },
         ids::{
-            ConfigVersion, ContentHash, Epoch, HostId, RequestId, ServiceId, TeamId, UpstreamId,
+            ConfigVersion, ContentHash, Epoch, HostId, Incarnation, RequestId, ServiceId, TeamId,
+            UpstreamId,
         },
         placement::{LendOutcome, UpstreamRecord},
         roster::HostRecord,
@@ -99,6 +100,8 @@
     ClearContents { contents: Vec<ContentHash> },
     /// Requests the contents that the receiver blames for crashes.
     BlamedContents,
+    /// Tells that an upstream has said that this start of it is about to stop.
+    UpstreamLeaving { upstream: UpstreamId, incarnation: Option<Incarnation> },
     /// Notes the origins of streams that began at the sender.
     NoteStreams { streams: Vec<(RequestId, StreamOrigin)> },
     /// Asks for the origin of the stream that began as `request`, and for the versions of a service.
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -4,14 +4,17 @@
 mod message;
 
 pub(crate) use {
-    client::{is_lost, is_suspect, mark_suspect, send_request, send_request_or_relay},
+    client::{
+        announce, is_lost, is_suspect, mark_suspect, send_announcement, send_request,
+        send_request_or_relay,
+    },
     message::{ChargeDecision, Ownership, PeerReply, PeerRequest, ReplicaStatus, SettlementStatus},
 };
 
 use {
     crate::{
-        allowance, call::AnswerBody, crashes, gateway::Gateway, ledger, listen::listen, relay,
-        roster, stream_origins, upstream_limits, watch,
+        allowance, call::AnswerBody, crashes, gateway::Gateway, leaving, ledger, listen::listen,
+        relay, roster, stream_origins, upstream_limits, watch,
     },
     bytes::Bytes,
     http::{Request, Response, StatusCode},
@@ -166,6 +169,10 @@
             };
             PeerReply::Relayed { reply: reply.map(Box::new) }
         }
+        PeerRequest::UpstreamLeaving { upstream, incarnation } => {
+            leaving::on_told(gateway, &upstream, incarnation);
+            PeerReply::Done
+        }
         PeerRequest::NoteStreams { streams } => {
             stream_origins::on_noted(gateway, &streams);
             PeerReply::Done
--- a/crates/gateway/src/relay/helper.rs
+++ b/crates/gateway/src/relay/helper.rs
@@ -6,6 +6,7 @@
         call::{ANSWER_BYTES_MAX, AnswerBody, AnswerTruncated, remove_connection_headers},
         gateway::{Gateway, Stage},
         http::{ActiveConnection, SendError, UnreadAnswer},
+        leaving,
         time::within,
     },
     bytes::Bytes,
@@ -128,6 +129,9 @@
     if let Ok(metadata) = metadata {
         // The limit and the load also hold for this host.
         let answer = gateway.adapter.dialect.read_answer(&metadata.request_id, &head);
+        if answer.is_leaving && !answer.is_misdirected {
+            leaving::on_answer(gateway, destination.key);
+        }
         let mut placement = gateway.placement.borrow_mut();
         if let Some(limit_per_s) = answer.rate_limit_per_s {
             let (now, key) = (Instant::now(), destination.key);
@@ -162,7 +166,7 @@
     let placement = gateway.placement.borrow();
     let (key, record) = placement.find(&relayed.upstream)?;
     let (service, address) = (record.service.clone(), record.address);
-    (!record.is_leaving).then_some(Destination { key, service, address })
+    (!placement.is_leaving(key)).then_some(Destination { key, service, address })
 }
 
 /// Counts a request as passed on until its answer has ended.
--- a/crates/gateway/src/status.rs
+++ b/crates/gateway/src/status.rs
@@ -60,6 +60,7 @@
         ("decision_lines_dropped", gateway.decisions.dropped()),
         ("hosts", gateway.roster.borrow().peers().count() as u64 + 1),
         ("stranded", u64::from(gateway.relay.is_stranded())),
+        ("upstreams_leaving", gateway.placement.borrow().leaving_count() as u64),
         ("upstreams", gateway.placement.borrow().ids().count() as u64),
         ("answer_bytes", gateway.answer_memory.used_bytes() as u64),
         ("store_calls", gateway.adapter.store.request_count()),
