--- a/crates/gateway/src/call/attempts.rs
+++ b/crates/gateway/src/call/attempts.rs
@@ -74,11 +74,6 @@
         StreamOrigin { service: self.service.clone(), version: self.version.clone() }
     }
 
-    /// Returns whether the process to which the attempt was sent is still known.
-    pub(super) fn is_upstream_known(&self) -> bool {
-        self.gateway.placement.borrow().record(self.key).is_some()
-    }
-
     /// Records that the request is sent.
     pub(super) fn record_sent(&self) {
         self.sent_at.set(Instant::now());
@@ -89,7 +84,8 @@
         leaving::on_answer(&self.gateway, self.key);
     }
 
-    /// Returns whether the upstream has said that it is about to stop, or has started again.
+    /// Returns whether the upstream has said that it is about to stop, or has started again, perhaps
+    /// with another software version.
     fn has_upstream_left(&self) -> bool {
         self.gateway.placement.borrow().has_said_leaving(self.key)
     }
--- a/crates/gateway/src/call/streaming.rs
+++ b/crates/gateway/src/call/streaming.rs
@@ -323,12 +323,7 @@
         let mut retry_attempt = selector.on_broken(&self.call, broken).await.ok()?;
         loop {
             let attempt = match retry_attempt.take() {
-                Some(attempt) if attempt.is_upstream_known() => attempt,
-                Some(attempt) => {
-                    // Another process with this id may have another version.
-                    selector.end(attempt, Outcome::Failed);
-                    continue;
-                }
+                Some(attempt) => attempt,
                 None => selector.next(&self.gateway, &self.call, 1).await.ok()?,
             };
             self.log_resume(&attempt);
