--- a/crates/cli/tests/soak/faults.rs
+++ b/crates/cli/tests/soak/faults.rs
@@ -41,6 +41,8 @@
     },
     EndlessWorker(Option<(EndlessPart, Pace)>),
     Worker(usize, WorkerFault),
+    /// The worker names a limit, in requests a second.
+    WorkerLimit(usize, Option<f64>),
 }
 
 /// Injects faults until `end`.
@@ -58,7 +60,7 @@
 fn draw(site: &Site, random: &mut SmallRng) -> Fault {
     let host = random.random_range(0..HOSTS);
     let worker = random.random_range(0..WORKERS);
-    match random.random_range(0..18) {
+    match random.random_range(0..19) {
         0 if host >= GATEWAYS && random.random_bool(0.3) => Fault::KillAndLoseDisk(host),
         0 | 1 if site.is_up(host) => Fault::Kill(host),
         2 if site.is_up(host) => Fault::Stop(host),
@@ -75,6 +77,10 @@
         13 => Fault::EndlessWorker(endless(random)),
         14 => Fault::WorkerLinks(cut(random)),
         15 => Fault::WorkerLinksReset,
+        16 => {
+            let limit_per_s = random.random_range(3.0..30.0);
+            Fault::WorkerLimit(worker, random.random_bool(0.5).then_some(limit_per_s))
+        }
         _ => Fault::Worker(worker, worker_fault(random)),
     }
 }
@@ -156,5 +162,6 @@
         Fault::WorkerReleased { worker, gives_notice } => site.pool.release(worker, gives_notice),
         Fault::EndlessWorker(trouble) => site.set_endless(trouble),
         Fault::Worker(worker, fault) => site.pool.set_fault(worker, fault),
+        Fault::WorkerLimit(worker, limit_per_s) => site.pool.set_rate_limit(worker, limit_per_s),
     }
 }
--- a/crates/cli/tests/soak/site.rs
+++ b/crates/cli/tests/soak/site.rs
@@ -297,6 +297,7 @@
         self.set_store_link_fault(LinkFault::None);
         self.pool.set_link_fault(LinkFault::None);
         (0..WORKERS).for_each(|worker| self.pool.set_fault(worker, HEALTHY));
+        (0..WORKERS).for_each(|worker| self.pool.set_rate_limit(worker, None));
         self.set_endless(None);
         for host in 0..HOSTS {
             self.resume(host);
--- a/crates/standin/src/fleet/pool.rs
+++ b/crates/standin/src/fleet/pool.rs
@@ -109,8 +109,8 @@
         self.end(index, End::Kill);
     }
 
-    /// Lets a worker leave as planned, if it runs: it marks its entry as draining, or removes it
-    /// without notice, serves for [`DRAIN_TIME`] and ends. Then it is replaced.
+    /// Lets a worker leave as planned, if it runs: it says so in its answers, marks its entry as
+    /// draining, or removes it without notice, serves for [`DRAIN_TIME`] and ends. Then it is replaced.
     pub fn release(&self, index: usize, gives_notice: bool) {
         self.end(index, End::Release { gives_notice });
     }
@@ -137,6 +137,13 @@
         self.pool.lock().proxies.iter().flatten().for_each(LinkProxy::reset);
     }
 
+    /// Sets the limit that a worker names in its answers, in requests a second.
+    pub fn set_rate_limit(&self, index: usize, limit_per_s: Option<f64>) {
+        if let Some(worker) = &self.pool.lock().last_started[index] {
+            worker.set_rate_limit(limit_per_s);
+        }
+    }
+
     /// Sets the fault of a worker and its successors.
     pub fn set_fault(&self, index: usize, fault: WorkerFault) {
         let mut state = self.pool.lock();
@@ -223,6 +230,7 @@
             };
             let end = smol::future::or(crashed, ended).await;
             if let End::Release { gives_notice } = end {
+                worker.set_leaving(Some("1"));
                 match gives_notice {
                     true => self.store.put("servers", &id, worker.draining_entry()),
                     false => self.store.remove("servers", &id),
--- a/crates/standin/src/fleet/worker.rs
+++ b/crates/standin/src/fleet/worker.rs
@@ -261,6 +261,10 @@
     pub(super) fn set_fault(&self, fault: WorkerFault) {
         self.0.lock().fault = fault;
     }
+
+    pub(super) fn set_rate_limit(&self, limit_per_s: Option<f64>) {
+        self.0.lock().rate_limit = limit_per_s;
+    }
 }
 
 fn event(id: u64) -> String {
