Report no crash of an upstream while this host reaches no other

Cause: a cut that resets connections and refuses new ones looks like the end of the upstream's process, and was reported as a crash until six upstreams had failed.

Change: the check whether a process has ended also connects to another upstream, and counts only if one answers.

--- a/crates/gateway/src/crashes/mod.rs
+++ b/crates/gateway/src/crashes/mod.rs
@@ -234,7 +234,7 @@
     let listener = gateway.connections.probe_listener(address, deadline, idle_max).await;
     relay::record_connects(gateway);
     // A host that reaches no upstream can't tell whether one of them has ended.
-    listener == ListenerState::Absent && !gateway.relay.is_stranded()
+    listener == ListenerState::Absent && relay::reaches_another(gateway, address, deadline).await
 }
 
 fn notify_first_result(gateway: &Gateway, key: UpstreamKey) {
--- a/crates/gateway/src/relay/mod.rs
+++ b/crates/gateway/src/relay/mod.rs
@@ -12,7 +12,7 @@
 use {
     crate::{
         gateway::Gateway,
-        http::{ActiveConnection, SendError, UnreadAnswer},
+        http::{ActiveConnection, ListenerState, SendError, UnreadAnswer},
         peers,
         time::within,
     },
@@ -182,6 +182,30 @@
     }
 }
 
+/// Returns whether this host can connect to an upstream other than the one at `address`, or knows no
+/// other.
+pub(crate) async fn reaches_another(
+    gateway: &Rc<Gateway>,
+    address: SocketAddr,
+    deadline: Instant,
+) -> bool {
+    let addresses: Vec<SocketAddr> = gateway
+        .placement
+        .borrow()
+        .records()
+        .map(|record| record.address)
+        .filter(|other| *other != address)
+        .collect();
+    if addresses.is_empty() {
+        return true;
+    }
+    let chosen = addresses.sample(&mut rand::rng(), PROBES);
+    let probes = chosen.map(|other| gateway.connections.probe_listener(*other, deadline, 1));
+    let states = join_all(probes).await;
+    record_connects(gateway);
+    states.contains(&ListenerState::Present)
+}
+
 /// Records the connections that were opened to upstreams, and those that failed, since the last call.
 pub(crate) fn record_connects(gateway: &Rc<Gateway>) {
     let now = Instant::now();
