End the grace of delisted upstreams with the time after an outage

An upstream that left without notice got requests for 2.15 s after its entry was removed.

Cause: hosts that the store had turned away waited 2.5 s from the delisting instead of 2.5 s from the end of their outage, 2.4 s earlier. Entries that lapsed are back within about two seconds of the store's return.

Change: what is left of that time is waited.

Result: the new test failed before (2.5 s instead of 0.1 s).

--- a/crates/core/src/placement/outage.rs
+++ b/crates/core/src/placement/outage.rs
@@ -7,7 +7,7 @@
 
 use std::time::{Duration, Instant};
 
-/// Time within which delisted upstreams may register again after an outage.
+/// Time after the end of an outage within which upstreams may register again.
 const RETURN_GRACE: Duration = Duration::from_millis(2500);
 /// Time within which upstreams may register again if many are delisted together and this host has
 /// seen no outage. Shorter than the 2 s after which an upstream that leaves must receive no work.
@@ -66,9 +66,13 @@
     ) -> DelistingAction {
         let is_long =
             self.failing_since.is_some_and(|since| now.duration_since(since) >= EXPIRY_OUTAGE_MIN);
-        let is_recent = |ended: Instant| now.duration_since(ended) < RETURN_GRACE;
-        if is_long || self.last_long_outage_ended_at.is_some_and(is_recent) {
+        let grace_left =
+            |ended: Instant| RETURN_GRACE.saturating_sub(now.saturating_duration_since(ended));
+        let grace_left = self.last_long_outage_ended_at.map_or(Duration::ZERO, grace_left);
+        if is_long {
             DelistingAction::Wait(RETURN_GRACE)
+        } else if !grace_left.is_zero() {
+            DelistingAction::Wait(grace_left)
         } else if delisted_count > 1 && delisted_count * 3 > known_count {
             DelistingAction::Wait(MASS_DELISTING_GRACE)
         } else {
--- a/crates/core/src/placement/outage/tests.rs
+++ b/crates/core/src/placement/outage/tests.rs
@@ -44,3 +44,13 @@
     assert_eq!(outage.classify_delisted(Instant::now(), 4, 12), DelistingAction::Remove);
     assert!(MASS_DELISTING_GRACE < Duration::from_secs(2));
 }
+
+#[test]
+fn upstream_delisted_at_the_end_of_the_grace_period_is_removed_at_its_end() {
+    let (outage, ended) = after_outage(Duration::from_secs(9));
+    let late = RETURN_GRACE - Duration::from_millis(100);
+    assert_eq!(
+        outage.classify_delisted(ended + late, 1, 12),
+        DelistingAction::Wait(Duration::from_millis(100))
+    );
+}
