--- a/crates/core/src/stream_origins/mod.rs
+++ b/crates/core/src/stream_origins/mod.rs
@@ -37,8 +37,8 @@
 const NEW_VERSION_DELAY: Duration = Duration::from_secs(1);
 /// How long the origin of a stream is kept.
 const STREAM_TTL: Duration = Duration::from_secs(30);
-/// Maximum number of streams kept: twice those of [`STREAM_TTL`] at the load that the system is
-/// designed for, with their notes.
+/// Maximum number of streams kept, to bound the memory. About ten times those of [`STREAM_TTL`], with
+/// notes, at the load that the system is designed for.
 const STREAMS_MAX: usize = 16_384;
 
 /// The service and software version whose upstream made the first event of a stream.
