Create a request for each attempt instead of copying it

Each request to an upstream was copied with its headers, in case that it would be sent through another host. A relayed request after a failed connection then names the time that is left at that moment, not before it.

--- a/crates/gateway/src/call/exchange.rs
+++ b/crates/gateway/src/call/exchange.rs
@@ -116,7 +116,7 @@
 ) -> SendOutcome {
     call.send_count.set(call.send_count.get() + 1);
     attempt.record_sent();
-    let request = upstream_request(gateway, call, &attempt.id, last_event);
+    let request = || upstream_request(gateway, call, &attempt.id, last_event);
     let is_repeatable = call.route.kind.is_repeatable();
     let sent =
         relay::send(gateway, &attempt.id, attempt.address, request, call.deadline, is_repeatable)
--- a/crates/gateway/src/relay/mod.rs
+++ b/crates/gateway/src/relay/mod.rs
@@ -287,7 +287,8 @@
     smol::future::or(waited, lost).await
 }
 
-/// Sends a request to an upstream, through another host if this one is stranded.
+/// Sends a request to an upstream, through another host if this one is stranded. `request` creates it
+/// for each attempt, with the time that is left then.
 ///
 /// # Errors
 ///
@@ -297,12 +298,12 @@
     gateway: &Rc<Gateway>,
     upstream: &str,
     address: SocketAddr,
-    request: Request<Full<Bytes>>,
+    request: impl Fn() -> Request<Full<Bytes>>,
     deadline: Instant,
     is_repeatable: bool,
 ) -> Result<UnreadAnswer, SendError> {
     if !gateway.relay.is_stranded() {
-        let sending = gateway.connections.send(address, request.clone(), deadline);
+        let sending = gateway.connections.send(address, request(), deadline);
         let sent = wait_for_upstream(gateway, deadline, is_repeatable, sending).await;
         record_connects(gateway);
         let sent = sent.and_then(|sent| sent.unwrap_or(Err(SendError::TimedOut)));
@@ -320,20 +321,21 @@
 async fn send_through_helper(
     gateway: &Rc<Gateway>,
     upstream: &str,
-    mut request: Request<Full<Bytes>>,
+    request: impl Fn() -> Request<Full<Bytes>>,
     deadline: Instant,
 ) -> Result<UnreadAnswer, SendError> {
     let Ok(upstream_value) = HeaderValue::from_str(upstream) else {
         log::warn!("can't relay a request: the upstream id {upstream:?} is no header value");
         return Err(SendError::NotConnected);
     };
-    request.headers_mut().insert(UPSTREAM, upstream_value);
     for _ in 0..HELPERS_MAX {
         let Some((host, address)) = choose_helper(gateway) else { break };
         let time_left_ms = deadline.saturating_duration_since(Instant::now()).as_millis() as u64;
+        let mut request = request();
+        request.headers_mut().insert(UPSTREAM, upstream_value.clone());
         request.headers_mut().insert(TIME_LEFT_MS, HeaderValue::from(time_left_ms));
         let through = HelperGuard::new(gateway, host);
-        let sent = gateway.relay_connections.send(address, request.clone(), deadline).await;
+        let sent = gateway.relay_connections.send(address, request, deadline).await;
         let failure = match sent {
             Ok(mut answer) => match answer.response.headers_mut().remove(FAILURE) {
                 None => {
