--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -25,5 +25,6 @@
 pub mod shares;
 pub mod store_backoff;
 pub mod stream_origins;
+pub mod turns;
 pub mod verdict;
 pub mod wait;
