Answer peer requests of unknown kinds as such, and keep their senders in reach

What callers saw: during a release, hosts of the former build answered new messages with 400, and the sender counted them as out of reach for 0.4 s each time: charges, loans and relays went elsewhere, or were refused.

Cause: an unknown kind and malformed bytes had the same answer, and any answer other than a reply counted as silence.

Now a request with exactly one kind that this build can't read is answered with Unsupported; 400 from a former build shows that the host is in reach. Unknown fields were ignored already, and are now tested to be.

--- a/crates/gateway/src/peers/client.rs
+++ b/crates/gateway/src/peers/client.rs
@@ -81,6 +81,13 @@
             Ok(reply) => return Some(reply),
             Err(error) => log::warn!("failed to parse the reply of peer {address}: {error}"),
         },
+        // Builds before `PeerReply::Unsupported` answer kinds that they don't know with 400. The host
+        // is in reach.
+        Ok((StatusCode::BAD_REQUEST, _)) => {
+            gateway.metrics.count("peer_unsupported", 1);
+            log::warn!("peer {address} does not read the request: status 400");
+            return Some(PeerReply::Unsupported { kind: String::new() });
+        }
         Ok((status, _)) => log::warn!("peer {address} rejected the request: status {status}"),
         Err(error) => log::debug!("request to peer {address} failed: {error}"),
     }
--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/peers/message.rs
@@ -1,7 +1,17 @@
 //! Messages between hosts. Each partition of the programs has one ledger.
+//!
+//! Hosts of two builds run side by side during a release. Fields that a build does not know are
+//! ignored, fields that were added later have defaults, and a request of an unknown kind is answered
+//! with [`PeerReply::Unsupported`]. A request that hosts of the former build can't do without is
+//! sent only to hosts that announce in their records that they read it.
+
+#[cfg(test)]
+mod tests;
 
 use {
     crate::{crashes::CrashReport, store::StoredObject},
+    derive_more::Display,
+    serde_json::Value,
     std::{net::SocketAddr, time::Duration},
     trefoilring_core::{
         budget::{
@@ -174,6 +184,45 @@
     Hosts { hosts: Vec<(HostId, HostRecord)> },
     /// The other host's reply to a relayed request. `None` if the relay got none.
     Relayed { reply: Option<Box<PeerReply>> },
+    /// The host's build does not read requests of this kind.
+    Unsupported { kind: String },
+}
+
+/// Why a request can't be read.
+#[derive(Debug, Display)]
+pub(crate) enum DecodeError {
+    /// The request has a form that another build may send.
+    #[display("request of unknown kind {kind}: {error}")]
+    Unsupported {
+        /// The request's kind.
+        kind: String,
+        /// What this build can't read.
+        error: serde_json::Error,
+    },
+    /// The bytes are not a request of any build.
+    #[display("{_0}")]
+    Malformed(serde_json::Error),
+}
+
+/// Decodes a request.
+///
+/// # Errors
+///
+/// Returns a [`DecodeError`], which distinguishes requests of other builds from malformed bytes.
+pub(crate) fn decode_request(body: &[u8]) -> Result<PeerRequest, DecodeError> {
+    serde_json::from_slice(body).map_err(|error| match kind_of(body) {
+        Some(kind) => DecodeError::Unsupported { kind, error },
+        None => DecodeError::Malformed(error),
+    })
+}
+
+/// Returns the kind of a message: a text, or the only field of an object.
+fn kind_of(body: &[u8]) -> Option<String> {
+    match serde_json::from_slice(body).ok()? {
+        Value::String(kind) => Some(kind),
+        Value::Object(fields) if fields.len() == 1 => fields.into_iter().next().map(|field| field.0),
+        _ => None,
+    }
 }
 
 /// Whether a host owns a ledger.
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -12,6 +12,7 @@
 };
 
 use {
+    self::message::DecodeError,
     crate::{
         allowance, call::AnswerBody, crashes, gateway::Gateway, leaving, ledger, listen::listen,
         relay, roster, stream_origins, upstream_limits, watch,
@@ -69,14 +70,19 @@
     let Ok(body) = Limited::new(request.into_body(), MESSAGE_BYTES_MAX).collect().await else {
         return error_response(StatusCode::PAYLOAD_TOO_LARGE);
     };
-    let peer_request: PeerRequest = match serde_json::from_slice(&body.to_bytes()) {
-        Ok(peer_request) => peer_request,
-        Err(error) => {
+    let reply = match message::decode_request(&body.to_bytes()) {
+        Ok(peer_request) => reply_to(gateway, peer_request).await,
+        Err(DecodeError::Unsupported { kind, error }) => {
+            // The peer runs another build. It does without, or asks another host.
+            gateway.metrics.count("peer_unsupported", 1);
+            log::warn!("this build does not read peer requests of kind {kind}: {error}");
+            PeerReply::Unsupported { kind }
+        }
+        Err(DecodeError::Malformed(error)) => {
             log::warn!("failed to parse a peer request; answering 400: {error}");
             return error_response(StatusCode::BAD_REQUEST);
         }
     };
-    let reply = reply_to(gateway, peer_request).await;
     match serde_json::to_vec(&reply) {
         Ok(bytes) => Response::new(AnswerBody::from(Bytes::from(bytes))),
         Err(error) => {
