Keep turns whose callers send only their new input

A turn is now written to the disks of one store host more than may be lost at once before its answer ends, and its chain is put before the next input, at any host. 404 is said only after all store hosts that the platform's store lists have replied that they hold no such turn and have lost none; any doubt is 503 (decision 0024). Store hosts fetch from each other what they should hold after each change, and can be emptied (retirements). The record of a store host out of reach is marked instead of removed, and a complete list of hosts removes the others.

--- a/crates/core/src/roster/mod.rs
+++ b/crates/core/src/roster/mod.rs
@@ -15,6 +15,7 @@
     crate::{
         ids::{DomainId, HostId, Incarnation},
         shares::AllowanceHosts,
+        turns::DiskId,
     },
     std::{
         collections::{BTreeMap, BTreeSet},
@@ -42,6 +43,31 @@
     pub serves_callers: bool,
     /// Whether the host has completed a join. If set, it makes no announcements after a restart.
     pub has_joined: bool,
+    /// The host's store of turns, if it has one. Hosts of builds that have none write no such field.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub turn_store: Option<TurnStoreRecord>,
+    /// Set by another host once this one has been out of reach for long. It is not used until it
+    /// registers again, but its disk may still hold turns.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub away: Option<AwayRecord>,
+}
+
+/// What a host announces of its store of turns.
+#[derive(Clone, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
+pub struct TurnStoreRecord {
+    /// Contents of the host's disk.
+    pub disk: DiskId,
+    /// Whether the host is about to be removed.
+    #[serde(default)]
+    pub is_leaving: bool,
+}
+
+/// That a host has been out of reach for long.
+#[derive(Clone, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
+pub struct AwayRecord {
+    /// Time of day from which nothing on the host's disk is needed any more, in milliseconds since
+    /// 1970.
+    pub needless_from_ms: u64,
 }
 
 /// This host's view of all hosts.
@@ -85,12 +111,19 @@
     ///
     /// A list that contains this host also contains all peers to which it must announce itself,
     /// because a host that registers later announces itself to this one.
-    pub fn upsert(&mut self, host: &HostId, record: HostRecord) -> bool {
+    pub fn upsert(&mut self, host: &HostId, mut record: HostRecord) -> bool {
         if *host == self.host {
             self.is_listed = true;
             self.has_joined |= record.has_joined;
             return false;
         }
+        if let Some(existing) = self.peers.get(host)
+            && existing.incarnation == record.incarnation
+            && record.turn_store.is_none()
+        {
+            // The record came through a host whose build does not know the field.
+            record.turn_store.clone_from(&existing.turn_store);
+        }
         match self.peers.get(host) {
             Some(existing) if existing.incarnation > record.incarnation => false,
             Some(existing) if *existing == record => false,
@@ -164,6 +197,12 @@
         lenders.map(|(host, record)| (host, record.address))
     }
 
+    /// Returns the peers that store turns.
+    pub fn turn_stores(&self) -> impl Iterator<Item = (&HostId, &HostRecord, &TurnStoreRecord)> {
+        let stores = self.peers.iter();
+        stores.filter_map(|(host, record)| Some((host, record, record.turn_store.as_ref()?)))
+    }
+
     /// Returns all hosts other than this one.
     pub fn peers(&self) -> impl Iterator<Item = (&HostId, &HostRecord)> {
         self.peers.iter()
--- a/crates/core/src/roster/tests.rs
+++ b/crates/core/src/roster/tests.rs
@@ -7,9 +7,35 @@
         incarnation,
         serves_callers: true,
         has_joined: true,
+        turn_store: None,
+        away: None,
     }
 }
 
+#[test]
+fn record_through_a_host_of_the_former_build_keeps_the_turn_store() {
+    let mut roster = Roster::new(Instant::now(), "me".into(), true);
+    let turn_store = Some(TurnStoreRecord { disk: 7, is_leaving: false });
+    roster.upsert(&"one".into(), HostRecord { turn_store, ..record(1) });
+    roster.upsert(&"one".into(), record(1));
+    assert_eq!(roster.turn_stores().count(), 1);
+    roster.upsert(&"one".into(), record(2));
+    assert_eq!(roster.turn_stores().count(), 0, "it was started again with the former build");
+}
+
+#[test]
+fn records_of_former_and_later_builds_are_read() {
+    let former = r#"{"address":"10.1.0.11:7781","domain":"suva","incarnation":7,
+                     "serves_callers":true,"has_joined":false}"#;
+    let former: HostRecord = serde_json::from_str(former).expect("the former form");
+    assert_eq!((former.turn_store, former.away), (None, None));
+    let later = r#"{"address":"10.1.0.11:7781","domain":"suva","incarnation":7,
+                    "serves_callers":true,"has_joined":false,"later":{"field":1},
+                    "turn_store":{"disk":3,"is_leaving":true,"later":2}}"#;
+    let later: HostRecord = serde_json::from_str(later).expect("a form with more fields");
+    assert_eq!(later.turn_store, Some(TurnStoreRecord { disk: 3, is_leaving: true }));
+}
+
 /// Returns this host's fraction of an allowance that is split over all hosts.
 fn share(roster: &Roster, now: Instant) -> f64 {
     let allowance_hosts = roster.allowance_hosts(now);
--- a/crates/core/src/routing/mod.rs
+++ b/crates/core/src/routing/mod.rs
@@ -17,6 +17,9 @@
     },
 };
 
+/// How long a program may be idle and still resume, if its route sets no time.
+pub const PROGRAM_IDLE_MAX_DEFAULT: Duration = Duration::from_secs(60);
+
 /// Identifies a route.
 pub type RouteId = Arc<str>;
 
@@ -83,9 +86,16 @@
     pub is_open: bool,
     /// Maximum time between two requests of a program; `None` uses a default.
     pub program_idle_max: Option<Duration>,
+    /// Whether requests carry only their new input, and the hosts keep the turns before it.
+    pub retains_turns: bool,
 }
 
 impl Route {
+    /// Returns how long a turn is kept after the last one that continues it.
+    pub fn retention(&self) -> Duration {
+        self.program_idle_max.unwrap_or(PROGRAM_IDLE_MAX_DEFAULT)
+    }
+
     /// Returns the services that the route leads to.
     pub fn services(&self) -> impl Iterator<Item = &ServiceId> {
         let targets = self.targets.iter().filter(|target| target.weight > 0);
@@ -238,6 +248,12 @@
         })
     }
 
+    /// Returns the longest time for which a route keeps turns, if one does.
+    pub fn longest_retention(&self) -> Option<Duration> {
+        let retaining = self.routes.values().flatten().filter(|route| route.retains_turns);
+        retaining.map(|route| route.retention()).max()
+    }
+
     /// Returns the number of routes.
     pub fn route_count(&self) -> usize {
         self.routes.values().map(Vec::len).sum()
--- a/crates/core/src/routing/tests.rs
+++ b/crates/core/src/routing/tests.rs
@@ -14,6 +14,7 @@
         upstreams_max: None,
         is_open: false,
         program_idle_max: None,
+        retains_turns: false,
     }
 }
 
--- a/crates/core/src/turns/tests/cluster.rs
+++ b/crates/core/src/turns/tests/cluster.rs
@@ -329,7 +329,7 @@
         let own = self.hosts[host].id.clone();
         let is_held = |turn: &RequestId| {
             let others = self.hosts.iter().filter(|other| other.id != own && other.is_up);
-            others.filter(|other| other.index.contains(turn)).count() >= self.losses_max + 1
+            others.filter(|other| other.index.contains(turn)).count() > self.losses_max
         };
         let index = &self.hosts[host].index;
         let is_done = self.mutation == Mutation::RetiresAtOnce
--- a/crates/gateway/src/call/budget.rs
+++ b/crates/gateway/src/call/budget.rs
@@ -42,8 +42,6 @@
 const SETTLE_WAIT_MAX: Duration = Duration::from_millis(800);
 /// How long settlements are sent again. Longer than takeovers and most outages of the store last.
 const SETTLE_RETRY_MAX: Duration = Duration::from_secs(20);
-/// How long a program may be idle and still resume, if its route sets no time.
-const IDLE_MAX_DEFAULT: Duration = Duration::from_secs(60);
 /// `Retry-After` of calls that are refused because no host can decide on the charge.
 const RETRY_AFTER: Duration = Duration::from_millis(500);
 
@@ -132,7 +130,7 @@
             turn: rand::random(),
             budget,
             turn_max: generation.output_tokens_max,
-            idle_max: call.route.program_idle_max.unwrap_or(IDLE_MAX_DEFAULT),
+            idle_max: call.route.retention(),
         };
         let mut turn_charge = TurnCharge {
             gateway: gateway.clone(),
--- a/crates/gateway/src/call/mod.rs
+++ b/crates/gateway/src/call/mod.rs
@@ -6,6 +6,7 @@
 mod buffer;
 mod events;
 mod exchange;
+mod retained;
 mod streaming;
 
 pub(crate) use {
@@ -55,7 +56,10 @@
     pub(crate) route: Arc<Route>,
     pub(crate) team: Option<Arc<TeamRules>>,
     pub(crate) service: ServiceId,
+    /// What upstreams get: the caller's body, after the turns before it if the route keeps them.
     pub(crate) body: Bytes,
+    /// What is needed to keep the turn; `None` if the route keeps no turns.
+    pub(crate) retained: Option<retained::RetainedCall>,
     pub(crate) arrived: Instant,
     /// End of the caller's timeout or the route's, whichever is first.
     pub(crate) deadline: Instant,
@@ -114,6 +118,9 @@
         Ok(call) => call,
         Err(refusal) => return refuse(&gateway, &request_id, arrived, None, &refusal),
     };
+    if let Err(refusal) = retained::prepare(&gateway, &mut call).await {
+        return refuse(&gateway, &request_id, arrived, Some(&call), &refusal);
+    }
     match stream_origins::origin_to_continue(&gateway, &call).await {
         Ok(None) => {}
         Ok(Some(origin)) => {
@@ -206,6 +213,7 @@
         team,
         service,
         body,
+        retained: None,
         arrived,
         deadline,
         send_count,
--- a/crates/gateway/src/call/streaming.rs
+++ b/crates/gateway/src/call/streaming.rs
@@ -11,7 +11,7 @@
         exchange::{
             ReceivedAnswer, SendOutcome, caller_answer, is_upstream_error, read_to_end, send,
         },
-        failure_refusal, log_answer, timeout_refusal,
+        failure_refusal, log_answer, retained, timeout_refusal,
     },
     crate::{
         callers::Answer,
@@ -19,6 +19,7 @@
         gateway::Gateway,
         http::{ActiveConnection, SendError},
         relay, stream_origins,
+        turns::NotRetained,
     },
     bytes::{Bytes, BytesMut},
     futures_lite::stream,
@@ -29,6 +30,7 @@
     std::{rc::Rc, time::Instant},
     trefoilring_core::{
         budget::TokenCount,
+        ids::UpstreamId,
         placement::Outcome,
         stream_origins::StreamOrigin,
         verdict::{Refusal, Verdict},
@@ -59,6 +61,10 @@
     /// Id of the last event that was passed on.
     last_event: Option<u64>,
     event_count: u64,
+    /// Data of the events that were passed on, if the turn is kept.
+    output: BytesMut,
+    /// The upstream that completed the stream.
+    completed_by: Option<UpstreamId>,
     resumes: u32,
     status: u16,
     /// Whether the upstream has sent more events than the turn's charge covers.
@@ -161,6 +167,8 @@
         head: Some(head),
         last_event: call.metadata.last_event,
         event_count: 0,
+        output: BytesMut::new(),
+        completed_by: None,
         resumes: 0,
         status,
         is_too_long: false,
@@ -201,8 +209,17 @@
             match self.read().await {
                 Ok(()) => {}
                 Err(StreamEnd::Complete) => {
-                    self.finish("whole");
-                    return None;
+                    return match self.keep_turn().await {
+                        Ok(()) => {
+                            self.finish("whole");
+                            None
+                        }
+                        Err(error) => {
+                            log::debug!("turn {}: {error}", self.call.metadata.request_id);
+                            self.finish("not_kept");
+                            Some(Err(AnswerTruncated))
+                        }
+                    };
                 }
                 Err(StreamEnd::TimedOut) => {
                     self.finish("timed_out");
@@ -237,6 +254,9 @@
             }
             self.last_event = event.id.or(self.last_event);
             self.event_count += 1;
+            if self.call.retained.is_some() {
+                retained::append_output(&event.bytes, &mut self.output);
+            }
             if let Some(charge) = &self.charge {
                 charge.add_used_tokens(self.event_tokens);
             }
@@ -248,6 +268,17 @@
         taken.freeze()
     }
 
+    /// Keeps the turn of a complete stream, if its route keeps turns. The caller must not see the end
+    /// of its answer before: it may then continue the turn at any host, whatever is lost.
+    async fn keep_turn(&mut self) -> Result<(), NotRetained> {
+        let call = self.call.clone();
+        let Some(retained) = &call.retained else { return Ok(()) };
+        // The upstream is done, and must not count as loaded meanwhile.
+        self.completed_by = self.attempt.take().map(|attempt| attempt.id.clone());
+        let output = std::mem::take(&mut self.output).freeze();
+        retained::keep(&self.gateway, &call, retained, output).await
+    }
+
     /// Records the upstream that makes the first event as the stream's origin.
     fn record_origin(&mut self) {
         let Some(attempt) = &self.attempt else { return };
@@ -382,6 +413,7 @@
             }
             id
         });
+        let upstream = upstream.or_else(|| self.completed_by.take());
         let upstream = upstream.as_deref().unwrap_or_default();
         if end == "whole" {
             crashes::on_answered(&self.gateway, &self.call);
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -22,6 +22,9 @@
     pub program: Option<ProgramMetadata>,
     /// Parameters of a turn; `None` if the request is not for a model.
     pub generation: Option<GenerationMetadata>,
+    /// Id of the request whose turn this one continues, if the hosts keep the turns. Names no turn
+    /// that exists if it is empty.
+    pub previous_turn: Option<String>,
     /// Id of the last event that the caller has received, if it resumes a stream.
     pub last_event: Option<u64>,
     /// Id of the request that brought the first event of the stream, if the caller takes it up again.
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -18,6 +18,7 @@
         store::{ObjectParser, Store, StoredObject},
         stream_origins::OriginNotes,
         time::within,
+        turns::{self, Turns},
         upstream_limits::LimitBorrowings,
         watch,
     },
@@ -131,6 +132,7 @@
     pub(crate) limit_borrowings: RefCell<LimitBorrowings>,
     pub(crate) ledgers: RefCell<[Partition; PARTITION_COUNT]>,
     pub(crate) outage_notes: OutageNoteStore,
+    pub(crate) turns: Turns,
     pub(crate) settlements: RefCell<Settlements>,
     pub(crate) answer_memory: Rc<AnswerMemory>,
     pub(crate) origin_notes: RefCell<OriginNotes>,
@@ -206,6 +208,7 @@
             limit_borrowings: RefCell::default(),
             ledgers: RefCell::default(),
             outage_notes: OutageNoteStore::open(&settings.host, settings.data_folder.clone())?,
+            turns: Turns::open(&settings)?,
             settlements: RefCell::default(),
             answer_memory: AnswerMemory::new(settings.memory_bytes_max),
             origin_notes: RefCell::default(),
@@ -253,6 +256,7 @@
         watch::start(self);
         crashes::start(self);
         relay::start(self);
+        turns::start(self);
         self.spawn(self.clone().close_stale_connections());
         self.decisions.log(
             LineRate::Rare,
--- a/crates/gateway/src/ledger/takeover.rs
+++ b/crates/gateway/src/ledger/takeover.rs
@@ -306,7 +306,11 @@
 }
 
 /// Returns the address of a record's writer, if it is another host that is listed in the roster.
-async fn writer_address(gateway: &Gateway, partition: usize, writer: &str) -> Option<SocketAddr> {
+async fn writer_address(
+    gateway: &Rc<Gateway>,
+    partition: usize,
+    writer: &str,
+) -> Option<SocketAddr> {
     let (host, _) = writer.rsplit_once('@')?;
     if roster::address_of(gateway, host).is_none() {
         refresh_roster(gateway, partition).await;
@@ -351,7 +355,7 @@
 }
 
 /// Reads the roster at a host that serves no callers, because such a host does not watch it.
-pub(super) async fn refresh_roster(gateway: &Gateway, partition: usize) {
+pub(super) async fn refresh_roster(gateway: &Rc<Gateway>, partition: usize) {
     if gateway.settings.callers_listen.is_none()
         && let Err(error) = roster::refresh_from_store(gateway).await
     {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -13,6 +13,7 @@
 mod callers;
 mod crashes;
 pub mod dialect;
+mod files;
 mod gateway;
 pub mod http;
 mod leaving;
@@ -27,6 +28,7 @@
 pub mod store;
 mod stream_origins;
 pub mod time;
+mod turns;
 mod upstream_limits;
 mod watch;
 
--- a/crates/gateway/src/outage_notes.rs
+++ b/crates/gateway/src/outage_notes.rs
@@ -1,13 +1,12 @@
 //! Stores this host's outage notes on its disk. See `trefoilring_core::budget` for their purpose.
 
 use {
-    crate::ledger,
+    crate::{files, ledger},
     smol::lock::Mutex,
     std::{
         cell::RefCell,
         collections::BTreeMap,
-        fs::{self, File},
-        io::{self, Write},
+        fs, io,
         path::{Path, PathBuf},
     },
     trefoilring_core::{
@@ -141,16 +140,8 @@
     Ok(file)
 }
 
-/// Replaces the file atomically, so that after a power loss it has either the old or the new
-/// content.
 fn write(folder: &Path, notes: &NotesFile) -> io::Result<()> {
-    fs::create_dir_all(folder)?;
-    let new_path = folder.join(format!("{FILE_NAME}.new"));
-    let mut file = File::create(&new_path)?;
-    file.write_all(&serde_json::to_vec(notes)?)?;
-    file.sync_all()?;
-    fs::rename(&new_path, folder.join(FILE_NAME))?;
-    File::open(folder)?.sync_all()
+    files::replace(folder, FILE_NAME, &serde_json::to_vec(notes)?)
 }
 
 #[cfg(test)]
--- a/crates/gateway/src/peers/client.rs
+++ b/crates/gateway/src/peers/client.rs
@@ -57,7 +57,8 @@
     request: &PeerRequest,
     deadline: Instant,
 ) -> Option<PeerReply> {
-    let body = match serde_json::to_vec(request) {
+    let format = request.format();
+    let body = match format.encode(request) {
         Ok(body) => body,
         Err(error) => {
             log::error!("failed to serialize a peer request: {error}");
@@ -66,6 +67,7 @@
     };
     let mut http_request = Request::new(Full::new(Bytes::from(body)));
     *http_request.method_mut() = Method::POST;
+    http_request.headers_mut().insert(header::CONTENT_TYPE, format.content_type());
     if let Ok(host) = header::HeaderValue::from_str(&address.to_string()) {
         http_request.headers_mut().insert(header::HOST, host);
     }
@@ -77,7 +79,7 @@
     );
     let outcome = within(deadline, call).await.unwrap_or(Err(SendError::TimedOut));
     match outcome {
-        Ok((StatusCode::OK, body)) => match serde_json::from_slice(&body) {
+        Ok((StatusCode::OK, body)) => match format.decode(&body) {
             Ok(reply) => return Some(reply),
             Err(error) => log::warn!("failed to parse the reply of peer {address}: {error}"),
         },
--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/peers/message.rs
@@ -9,10 +9,18 @@
 mod tests;
 
 use {
-    crate::{crashes::CrashReport, store::StoredObject},
+    crate::{
+        crashes::CrashReport,
+        store::StoredObject,
+        turns::{RetainedTurn, TurnLookup, TurnWriteOutcome},
+    },
     derive_more::Display,
-    serde_json::Value,
-    std::{net::SocketAddr, time::Duration},
+    http::HeaderValue,
+    serde::{
+        Serialize,
+        de::{DeserializeOwned, IgnoredAny},
+    },
+    std::{collections::BTreeMap, net::SocketAddr, time::Duration},
     trefoilring_core::{
         budget::{
             Charge, FenceReply, LedgerPosition, NoteHost, ReplicaUpdate, ReplicationId, Settlement,
@@ -25,6 +33,7 @@
         placement::{LendOutcome, UpstreamRecord},
         roster::HostRecord,
         stream_origins::{OriginReport, StreamOrigin},
+        turns::TreeId,
     },
 };
 
@@ -116,6 +125,15 @@
     NoteStreams { streams: Vec<(RequestId, StreamOrigin)> },
     /// Asks for the origin of the stream that began as `request`, and for the versions of a service.
     StreamOrigin { request: Option<RequestId>, service: ServiceId },
+    /// Stores turns, each after the one that it continues. Sent only to hosts that announce a store
+    /// of turns, as are the other requests about turns.
+    StoreTurns { turns: Vec<RetainedTurn> },
+    /// Requests a turn of a team and those before it.
+    FindTurn { id: RequestId, team: TeamId },
+    /// Requests turns that the receiver holds.
+    FetchTurns { ids: Vec<RequestId> },
+    /// Requests which turns the receiver holds, by tree, of the trees after this one.
+    HeldTurns { after: Option<TreeId> },
     /// Requests the versions of all services that the receiver knows.
     Versions,
     /// Requests the receiver's list of upstreams.
@@ -174,6 +192,19 @@
     /// The contents that the host blames for crashes, each with the time that is left. In reply to
     /// a report only those of the report.
     Blamed { contents: Vec<(ContentHash, Duration)> },
+    /// What became of the turns to store.
+    TurnsStored { outcome: TurnWriteOutcome },
+    /// The turn that was asked for.
+    TurnLookup { lookup: TurnLookup },
+    /// The first of the turns that were asked for, as many as fit, without those that the host does
+    /// not hold. `tried` of them were looked up.
+    Turns { turns: Vec<RetainedTurn>, tried: usize },
+    /// The turns that the host holds, each after the one that it continues. Ordered by tree.
+    HeldTurns {
+        trees: Vec<(TreeId, Vec<RequestId>)>,
+        /// Whether there are more trees after the last one.
+        has_more: bool,
+    },
     /// What the host knows of a stream.
     StreamOrigin { report: OriginReport },
     /// The versions of all services that the host knows.
@@ -188,6 +219,86 @@
     Unsupported { kind: String },
 }
 
+impl PeerRequest {
+    /// Returns the format in which the request is sent and answered. Requests about turns carry
+    /// bytes, which take several times their size in JSON.
+    pub(crate) fn format(&self) -> MessageFormat {
+        match self {
+            Self::StoreTurns { .. }
+            | Self::FindTurn { .. }
+            | Self::FetchTurns { .. }
+            | Self::HeldTurns { .. } => MessageFormat::MessagePack,
+            _ => MessageFormat::Json,
+        }
+    }
+}
+
+/// Serialization of a message.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum MessageFormat {
+    Json,
+    MessagePack,
+}
+
+impl MessageFormat {
+    /// Returns the value of the header `Content-Type`.
+    pub(crate) fn content_type(self) -> HeaderValue {
+        HeaderValue::from_static(match self {
+            Self::Json => "application/json",
+            Self::MessagePack => "application/msgpack",
+        })
+    }
+
+    /// Returns the format that a header `Content-Type` names; JSON if there is none.
+    pub(crate) fn from_content_type(value: Option<&HeaderValue>) -> Self {
+        match value {
+            Some(value) if *value == Self::MessagePack.content_type() => Self::MessagePack,
+            _ => Self::Json,
+        }
+    }
+
+    /// Serializes a message.
+    ///
+    /// # Errors
+    ///
+    /// Returns a message for the log.
+    pub(crate) fn encode<T: Serialize>(self, message: &T) -> Result<Vec<u8>, String> {
+        match self {
+            Self::Json => serde_json::to_vec(message).map_err(|error| error.to_string()),
+            Self::MessagePack => {
+                rmp_serde::to_vec_named(message).map_err(|error| error.to_string())
+            }
+        }
+    }
+
+    /// Deserializes a message.
+    ///
+    /// # Errors
+    ///
+    /// Returns a message for the log.
+    pub(crate) fn decode<T: DeserializeOwned>(self, body: &[u8]) -> Result<T, String> {
+        match self {
+            Self::Json => serde_json::from_slice(body).map_err(|error| error.to_string()),
+            Self::MessagePack => rmp_serde::from_slice(body).map_err(|error| error.to_string()),
+        }
+    }
+
+    /// Returns the kind of a message: a text, or the only field of a map.
+    fn kind_of(self, body: &[u8]) -> Option<String> {
+        #[derive(serde::Deserialize)]
+        #[serde(untagged)]
+        enum Message {
+            Unit(String),
+            WithFields(BTreeMap<String, IgnoredAny>),
+        }
+        match self.decode(body).ok()? {
+            Message::Unit(kind) => Some(kind),
+            Message::WithFields(fields) if fields.len() == 1 => fields.into_keys().next(),
+            Message::WithFields(_) => None,
+        }
+    }
+}
+
 /// Why a request can't be read.
 #[derive(Debug, Display)]
 pub(crate) enum DecodeError {
@@ -197,11 +308,11 @@
         /// The request's kind.
         kind: String,
         /// What this build can't read.
-        error: serde_json::Error,
+        error: String,
     },
     /// The bytes are not a request of any build.
     #[display("{_0}")]
-    Malformed(serde_json::Error),
+    Malformed(String),
 }
 
 /// Decodes a request.
@@ -209,22 +320,16 @@
 /// # Errors
 ///
 /// Returns a [`DecodeError`], which distinguishes requests of other builds from malformed bytes.
-pub(crate) fn decode_request(body: &[u8]) -> Result<PeerRequest, DecodeError> {
-    serde_json::from_slice(body).map_err(|error| match kind_of(body) {
+pub(crate) fn decode_request(
+    format: MessageFormat,
+    body: &[u8],
+) -> Result<PeerRequest, DecodeError> {
+    format.decode(body).map_err(|error| match format.kind_of(body) {
         Some(kind) => DecodeError::Unsupported { kind, error },
         None => DecodeError::Malformed(error),
     })
 }
 
-/// Returns the kind of a message: a text, or the only field of an object.
-fn kind_of(body: &[u8]) -> Option<String> {
-    match serde_json::from_slice(body).ok()? {
-        Value::String(kind) => Some(kind),
-        Value::Object(fields) if fields.len() == 1 => fields.into_iter().next().map(|field| field.0),
-        _ => None,
-    }
-}
-
 /// Whether a host owns a ledger.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
 #[serde(rename_all = "snake_case")]
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -12,13 +12,13 @@
 };
 
 use {
-    self::message::DecodeError,
+    self::message::{DecodeError, MessageFormat},
     crate::{
         allowance, call::AnswerBody, crashes, gateway::Gateway, leaving, ledger, listen::listen,
-        relay, roster, stream_origins, upstream_limits, watch,
+        relay, roster, stream_origins, turns, upstream_limits, watch,
     },
     bytes::Bytes,
-    http::{Request, Response, StatusCode},
+    http::{Request, Response, StatusCode, header},
     http_body_util::{BodyExt, Limited},
     hyper::{body::Incoming, server::conn::http1, service::service_fn},
     smol::net::TcpStream,
@@ -32,8 +32,9 @@
     },
 };
 
-/// Maximum size of a message. A configuration has at most one megabyte.
-const MESSAGE_BYTES_MAX: usize = 2 * 1024 * 1024;
+/// Maximum size of a message. A configuration has at most one megabyte; a turn has the input of a
+/// request and an answer.
+const MESSAGE_BYTES_MAX: usize = 16 * 1024 * 1024;
 
 /// Maximum time for processing another host's request. The callers that wait for the result time
 /// out earlier.
@@ -67,10 +68,12 @@
         *response.status_mut() = status;
         response
     };
+    let format = MessageFormat::from_content_type(request.headers().get(header::CONTENT_TYPE));
     let Ok(body) = Limited::new(request.into_body(), MESSAGE_BYTES_MAX).collect().await else {
         return error_response(StatusCode::PAYLOAD_TOO_LARGE);
     };
-    let reply = match message::decode_request(&body.to_bytes()) {
+    let body = body.to_bytes();
+    let reply = match message::decode_request(format, &body) {
         Ok(peer_request) => reply_to(gateway, peer_request).await,
         Err(DecodeError::Unsupported { kind, error }) => {
             // The peer runs another build. It does without, or asks another host.
@@ -83,7 +86,7 @@
             return error_response(StatusCode::BAD_REQUEST);
         }
     };
-    match serde_json::to_vec(&reply) {
+    match format.encode(&reply) {
         Ok(bytes) => Response::new(AnswerBody::from(Bytes::from(bytes))),
         Err(error) => {
             log::error!("failed to serialize the reply to a peer; answering 500: {error}");
@@ -186,6 +189,20 @@
         PeerRequest::StreamOrigin { request, service } => PeerReply::StreamOrigin {
             report: stream_origins::report(gateway, request.as_deref(), &service),
         },
+        PeerRequest::StoreTurns { turns } => {
+            PeerReply::TurnsStored { outcome: turns::store_here(gateway, turns).await }
+        }
+        PeerRequest::FindTurn { id, team } => {
+            PeerReply::TurnLookup { lookup: turns::find_here(gateway, &id, &team).await }
+        }
+        PeerRequest::FetchTurns { ids } => {
+            let (turns, tried) = turns::fetch_here(gateway, &ids).await;
+            PeerReply::Turns { turns, tried }
+        }
+        PeerRequest::HeldTurns { after } => {
+            let (trees, has_more) = turns::held_here(gateway, after.as_deref());
+            PeerReply::HeldTurns { trees, has_more }
+        }
         PeerRequest::Versions => PeerReply::Versions {
             versions: gateway.origin_notes.borrow().origins.all_versions(Instant::now()),
         },
--- a/crates/gateway/src/roster.rs
+++ b/crates/gateway/src/roster.rs
@@ -6,6 +6,7 @@
         gateway::Gateway,
         peers::{self, PeerReply, PeerRequest},
         store::{Collection, Revision, StoreError, StoredObject},
+        turns,
     },
     rand::RngExt,
     serde_json::json,
@@ -16,8 +17,11 @@
         rc::Rc,
         time::{Duration, Instant},
     },
-    trefoilring_core::{ids::HostId, roster::HostRecord},
-    trefoilring_observe::decisions::LineRate,
+    trefoilring_core::{
+        ids::HostId,
+        roster::{AwayRecord, HostRecord},
+    },
+    trefoilring_observe::{decisions::LineRate, log::wall_us},
 };
 
 /// Pause between two attempts to register or to announce this host to the others.
@@ -29,6 +33,8 @@
 /// How long a host without callers is unreachable before it is removed. The delay is longer than
 /// restarts and most network interruptions.
 const REMOVAL_DELAY: Duration = Duration::from_secs(15);
+/// Margin for clocks that differ between hosts.
+const RETENTION_MARGIN: Duration = Duration::from_secs(60);
 /// Timeout of an announcement.
 const ANNOUNCEMENT_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -67,6 +73,11 @@
         Timer::after(REGISTRATION_CHECK_INTERVAL).await;
         let host = &gateway.settings.host;
         match gateway.adapter.store.get(Collection::Hosts, host).await {
+            Ok(Some(stored))
+                if parse_record(&stored).is_none_or(|record| record.away.is_some()) =>
+            {
+                register(gateway, Some(stored.revision)).await;
+            }
             Ok(Some(_)) => {}
             Ok(None) => {
                 register(gateway, None).await;
@@ -112,10 +123,20 @@
     without_callers.map(|(host, _)| host.clone()).collect()
 }
 
+/// Removes a host's record, or marks it if the host's disk may hold turns that exist nowhere else.
 async fn remove(gateway: &Gateway, host: &HostId) {
     let store = &gateway.adapter.store;
     let outcome = match store.get(Collection::Hosts, host).await {
-        Ok(Some(stored)) => store.remove(Collection::Hosts, host, stored.revision).await,
+        Ok(Some(stored)) => match parse_record(&stored) {
+            Some(record) if record.turn_store.is_some() => {
+                let needless_from_ms = wall_us() / 1000 + longest_retention_ms(gateway);
+                let away = Some(AwayRecord { needless_from_ms });
+                let content = json!(HostRecord { away, ..record });
+                let put = store.put(Collection::Hosts, host, Some(stored.revision), content).await;
+                put.map(|_| ())
+            }
+            _ => store.remove(Collection::Hosts, host, stored.revision).await,
+        },
         Ok(None) => Ok(()),
         Err(error) => Err(error),
     };
@@ -127,6 +148,31 @@
     }
 }
 
+/// Returns how long a turn may be kept after the last change of it, with a margin for clocks that
+/// differ.
+fn longest_retention_ms(gateway: &Gateway) -> u64 {
+    let table = gateway.routing_table.borrow();
+    let longest = table.as_ref().and_then(|table| table.longest_retention());
+    (longest.unwrap_or_default() + RETENTION_MARGIN).as_millis() as u64
+}
+
+/// Removes the record of a host whose disk holds nothing any more that is needed.
+pub(crate) fn remove_needless(gateway: &Rc<Gateway>, stored: &StoredObject) {
+    let (name, revision) = (stored.name.clone(), stored.revision);
+    let task = gateway.clone();
+    gateway.spawn(async move {
+        let removed = task.adapter.store.remove(Collection::Hosts, &name, revision).await;
+        if let Err(error) = removed {
+            log::warn!("failed to remove host {name} from the store; retrying later: {error}");
+        }
+    });
+}
+
+/// Writes this host's record again after it has changed.
+pub(crate) async fn register_again(gateway: &Gateway) {
+    register(gateway, None).await;
+}
+
 /// Returns the address at which other hosts reach this one.
 pub(crate) fn own_address(gateway: &Gateway) -> SocketAddr {
     gateway.bound.get().map_or(gateway.settings.peers_listen, |bound| bound.peers)
@@ -139,6 +185,8 @@
         incarnation: gateway.incarnation,
         serves_callers: gateway.settings.callers_listen.is_some(),
         has_joined: gateway.roster.borrow().has_joined(),
+        turn_store: turns::own_record(gateway),
+        away: None,
     }
 }
 
@@ -207,14 +255,26 @@
 }
 
 /// Applies a host's record from the store.
-pub(crate) fn apply_host_record(gateway: &Gateway, object: &StoredObject) {
+pub(crate) fn apply_host_record(gateway: &Rc<Gateway>, object: &StoredObject) {
+    let host = HostId::from(object.name.as_str());
     match parse_record(object) {
-        Some(record) => upsert(gateway, &HostId::from(object.name.as_str()), record, "store"),
+        Some(record) if record.away.is_some() && host == gateway.settings.host => {
+            log::warn!("another host has marked this one as out of reach; registering again");
+            let task = gateway.clone();
+            gateway.spawn(async move { register_again(&task).await });
+        }
+        Some(record) => {
+            turns::record_away(gateway, &host, &record);
+            match record.away {
+                Some(_) => drop_from_roster(gateway, &host),
+                None => upsert(gateway, &host, record, "store"),
+            }
+        }
         None => log::warn!("failed to parse the record of host {}; ignoring it", object.name),
     }
 }
 
-fn parse_record(object: &StoredObject) -> Option<HostRecord> {
+pub(crate) fn parse_record(object: &StoredObject) -> Option<HostRecord> {
     serde_json::from_value(object.content.clone()).ok()
 }
 
@@ -232,6 +292,11 @@
 
 /// Removes a host from the roster after its record was removed from the store.
 pub(crate) fn on_removed(gateway: &Gateway, host: &str) {
+    turns::record_removed(gateway, host);
+    drop_from_roster(gateway, host);
+}
+
+fn drop_from_roster(gateway: &Gateway, host: &str) {
     gateway.roster.borrow_mut().remove(host);
     gateway.decisions.log(LineRate::Rare, "host", json!({"peer": host, "what": "removed"}));
     refresh_allowance_hosts(gateway);
@@ -244,18 +309,24 @@
 }
 
 /// Reads the list of hosts from the store. Used by hosts that do not watch that collection.
-pub(crate) async fn refresh_from_store(gateway: &Gateway) -> Result<(), StoreError> {
+pub(crate) async fn refresh_from_store(gateway: &Rc<Gateway>) -> Result<(), StoreError> {
     let objects = gateway.adapter.store.list(Collection::Hosts).await?.objects;
+    apply_host_list(gateway, &objects);
+    Ok(())
+}
+
+/// Applies the records of all hosts. Hosts without a record were removed.
+pub(crate) fn apply_host_list(gateway: &Rc<Gateway>, objects: &[StoredObject]) {
     objects.iter().for_each(|object| apply_host_record(gateway, object));
     let is_missing = |host: &HostId| objects.iter().all(|object| *object.name != **host);
     let others: Vec<HostId> =
         gateway.roster.borrow().peers().map(|(host, _)| host.clone()).collect();
     others.into_iter().filter(is_missing).for_each(|host| on_removed(gateway, &host));
-    Ok(())
 }
 
 /// Records that the store has answered with the current state of the hosts.
 pub(crate) fn record_store_contact(gateway: &Gateway) {
+    turns::refresh_peers(gateway);
     gateway.roster.borrow_mut().record_store_contact(Instant::now());
 }
 
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -35,4 +35,8 @@
     pub stop_grace: Duration,
     /// Maximum memory of the process in bytes.
     pub memory_bytes_max: u64,
+    /// Size of the disk of the data folder in bytes.
+    pub disk_bytes_max: u64,
+    /// Number of hosts with disks that may be lost at once, with their disks.
+    pub losses_max: usize,
 }
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -91,6 +91,20 @@
     /// Ledgers with the spent tokens of programs, one object per partition.
     #[display("ledgers")]
     Ledgers,
+    /// Operators' requests to empty hosts with disks, named after the hosts.
+    #[display("retirements")]
+    Retirements,
+}
+
+/// How far a host with a disk has been emptied.
+#[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
+pub enum RetirementState {
+    /// Other hosts take over what the disk holds.
+    #[display("running")]
+    Running,
+    /// The host may be removed together with its disk.
+    #[display("done")]
+    Done,
 }
 
 /// Client of the platform's store.
@@ -123,6 +137,13 @@
         content: Value,
     ) -> LocalFuture<'a, Result<Revision, StoreError>>;
 
+    /// Writes how far a host has been emptied, in the operators' request to do so.
+    fn report_retirement<'a>(
+        &'a self,
+        host: &'a str,
+        state: RetirementState,
+    ) -> LocalFuture<'a, Result<(), StoreError>>;
+
     /// Removes an object if its revision is `if_revision`.
     fn remove<'a>(
         &'a self,
--- /dev/null
+++ b/crates/gateway/src/turns/pull.rs
@@ -0,0 +1,162 @@
+//! Fetches the turns that this host should hold from the other store hosts.
+
+use {
+    super::{TurnWriteOutcome, copies, ranked_holders},
+    crate::{
+        gateway::Gateway,
+        peers::{self, PeerReply, PeerRequest},
+        roster,
+        time::within,
+    },
+    futures_util::future::join_all,
+    serde_json::json,
+    std::{
+        collections::BTreeMap,
+        net::SocketAddr,
+        rc::Rc,
+        time::{Duration, Instant},
+    },
+    trefoilring_core::{
+        ids::{HostId, RequestId},
+        turns::{PullPeer, TreeId},
+    },
+    trefoilring_observe::decisions::LineRate,
+};
+
+/// Pause before hosts that did not reply are asked again.
+const RETRY_PAUSE: Duration = Duration::from_millis(300);
+/// Timeout of a request. A full reply takes a slow host some hundred milliseconds.
+const REQUEST_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Starts to fetch turns after each change of the other hosts.
+pub(super) fn start(gateway: &Rc<Gateway>) {
+    gateway.spawn(run(gateway.clone()));
+}
+
+/// Applies the list of the other hosts, after the store has returned all of them or their changes.
+pub(crate) fn refresh_peers(gateway: &Gateway) {
+    let Some(store) = &gateway.turns.store else { return };
+    let mut peers: BTreeMap<HostId, PullPeer> = BTreeMap::new();
+    for (host, record, turn_store) in gateway.roster.borrow().turn_stores() {
+        let peer = PullPeer {
+            incarnation: record.incarnation,
+            disk: turn_store.disk,
+            is_replaced: turn_store.is_leaving,
+        };
+        peers.insert(host.clone(), peer);
+    }
+    for (host, record) in gateway.turns.away.borrow().iter() {
+        let Some(turn_store) = &record.turn_store else { continue };
+        let (incarnation, disk) = (record.incarnation, turn_store.disk);
+        peers.insert(host.clone(), PullPeer { incarnation, disk, is_replaced: true });
+    }
+    peers.remove(&gateway.settings.host);
+    store.pull.borrow_mut().set_peers(peers);
+    store.must_pull.notify(usize::MAX);
+}
+
+async fn run(gateway: Rc<Gateway>) {
+    let Some(store) = &gateway.turns.store else { return };
+    loop {
+        let must_pull = store.must_pull.listen();
+        let unasked: Vec<(HostId, PullPeer)> = {
+            let pull = store.pull.borrow();
+            let peers = pull.unasked().filter_map(|host| Some((host, pull.peer(host)?)));
+            peers.map(|(host, peer)| (host.clone(), peer.clone())).collect()
+        };
+        if unasked.is_empty() {
+            must_pull.await;
+            continue;
+        }
+        join_all(unasked.iter().map(|(host, peer)| pull_from(&gateway, host, peer))).await;
+        if !store.pull.borrow().is_settled() {
+            within(Instant::now() + RETRY_PAUSE, must_pull).await;
+        }
+    }
+}
+
+async fn pull_from(gateway: &Rc<Gateway>, host: &HostId, asked: &PullPeer) {
+    let Some(store) = &gateway.turns.store else { return };
+    let began = Instant::now();
+    let Some(address) = roster::address_of(gateway, host) else { return };
+    let outcome = pull_trees(gateway, address).await;
+    let has_just_recovered = outcome.is_ok() && store.pull.borrow_mut().on_pulled(host, asked);
+    gateway.decisions.log(
+        LineRate::Rare,
+        "turns_pulled",
+        json!({
+            "peer": host,
+            "fetched": outcome.as_ref().ok(),
+            "error": outcome.as_ref().err(),
+            "held": store.turn_count(),
+            "has_recovered": store.pull.borrow().has_recovered(),
+            "took_ms": began.elapsed().as_millis() as u64,
+        }),
+    );
+    if has_just_recovered {
+        store.record_recovered().await;
+    }
+}
+
+/// Fetches the turns of a host that this one should hold. Returns their number.
+async fn pull_trees(gateway: &Rc<Gateway>, address: SocketAddr) -> Result<usize, &'static str> {
+    let (mut after, mut fetched) = (None, 0);
+    loop {
+        let request = PeerRequest::HeldTurns { after: after.clone() };
+        let reply = send(gateway, address, &request).await;
+        let Some(PeerReply::HeldTurns { trees, has_more }) = reply else {
+            return Err("the host did not list its turns");
+        };
+        after = trees.last().map(|(tree, _)| tree.clone());
+        fetched += fetch(gateway, address, missing(gateway, &trees)).await?;
+        if !has_more || after.is_none() {
+            return Ok(fetched);
+        }
+    }
+}
+
+/// Returns the turns that this host should hold but does not, each after the one that it continues.
+fn missing(gateway: &Gateway, trees: &[(TreeId, Vec<RequestId>)]) -> Vec<RequestId> {
+    let Some(store) = &gateway.turns.store else { return Vec::new() };
+    let is_holder = |tree: &TreeId| {
+        let holders = ranked_holders(gateway, tree);
+        holders.iter().take(copies(gateway)).any(|holder| holder.address.is_none())
+    };
+    let held_here = trees.iter().filter(|(tree, _)| is_holder(tree));
+    let turns = held_here.flat_map(|(_, turns)| turns);
+    turns.filter(|turn| !store.contains(turn)).cloned().collect()
+}
+
+async fn fetch(
+    gateway: &Rc<Gateway>,
+    address: SocketAddr,
+    mut ids: Vec<RequestId>,
+) -> Result<usize, &'static str> {
+    let Some(store) = &gateway.turns.store else { return Ok(0) };
+    let mut fetched = 0;
+    while !ids.is_empty() {
+        let request = PeerRequest::FetchTurns { ids: ids.clone() };
+        let reply = send(gateway, address, &request).await;
+        let Some(PeerReply::Turns { turns, tried }) = reply else {
+            return Err("the host did not send its turns");
+        };
+        if tried == 0 {
+            return Err("the host can't read a turn");
+        }
+        fetched += turns.len();
+        let outcome = store.write(turns).await;
+        if outcome != TurnWriteOutcome::Stored {
+            return Err("this host's disk did not store the turns");
+        }
+        ids.drain(..tried.min(ids.len()));
+    }
+    Ok(fetched)
+}
+
+async fn send(
+    gateway: &Rc<Gateway>,
+    address: SocketAddr,
+    request: &PeerRequest,
+) -> Option<PeerReply> {
+    peers::send_request(gateway, address, request, Instant::now() + REQUEST_TIMEOUT).await
+}
--- /dev/null
+++ b/crates/gateway/src/turns/retire.rs
@@ -0,0 +1,116 @@
+//! Empties this host before operators remove it.
+
+use {
+    super::{activate, copies, register_again},
+    crate::{
+        gateway::Gateway,
+        ledger,
+        peers::{self, PeerReply, PeerRequest},
+        store::RetirementState,
+    },
+    futures_util::future::join_all,
+    serde_json::json,
+    smol::Timer,
+    std::{
+        collections::HashMap,
+        net::SocketAddr,
+        rc::Rc,
+        time::{Duration, Instant},
+    },
+    trefoilring_core::ids::RequestId,
+    trefoilring_observe::decisions::LineRate,
+};
+
+/// Interval at which the other hosts are asked whether they hold this host's turns.
+const CHECK_INTERVAL: Duration = Duration::from_millis(400);
+/// Timeout of a question to another host.
+const LIST_TIMEOUT: Duration = Duration::from_secs(1);
+/// Pause before a report to the store is tried again.
+const REPORT_RETRY_PAUSE: Duration = Duration::from_millis(300);
+
+/// Starts to empty this host.
+pub(super) fn begin(gateway: &Rc<Gateway>) {
+    let Some(store) = &gateway.turns.store else { return };
+    if store.is_leaving.replace(true) {
+        return;
+    }
+    gateway.decisions.log(
+        LineRate::Rare,
+        "retirement",
+        json!({"what": "begun", "turns": store.turn_count()}),
+    );
+    // The other hosts see the new record and fetch what they should hold without this host.
+    activate(gateway);
+    register_again(gateway);
+    ledger::release_all(gateway);
+    gateway.spawn(run(gateway.clone()));
+}
+
+async fn run(gateway: Rc<Gateway>) {
+    let Some(store) = &gateway.turns.store else { return };
+    report(&gateway, RetirementState::Running).await;
+    loop {
+        Timer::after(CHECK_INTERVAL).await;
+        let unheld = unheld_turns(&gateway).await;
+        if unheld > 0 {
+            continue;
+        }
+        if store.is_accepting.replace(false) || store.has_pending() {
+            // Turns that were written meanwhile are checked in the next round.
+            continue;
+        }
+        break;
+    }
+    report(&gateway, RetirementState::Done).await;
+    gateway.decisions.log(
+        LineRate::Rare,
+        "retirement",
+        json!({"what": "done", "turns": store.turn_count()}),
+    );
+}
+
+/// Returns how many of this host's turns are at too few other hosts.
+async fn unheld_turns(gateway: &Rc<Gateway>) -> usize {
+    let Some(store) = &gateway.turns.store else { return 0 };
+    let own = store.turn_ids();
+    let others: Vec<SocketAddr> = {
+        let roster = gateway.roster.borrow();
+        roster.turn_stores().map(|(_, record, _)| record.address).collect()
+    };
+    let lists = join_all(others.iter().map(|address| held_at(gateway, *address))).await;
+    let mut copies_of: HashMap<RequestId, usize> = HashMap::new();
+    for turn in lists.into_iter().flatten() {
+        *copies_of.entry(turn).or_default() += 1;
+    }
+    let needed = copies(gateway);
+    own.iter().filter(|turn| copies_of.get(*turn).is_none_or(|held| *held < needed)).count()
+}
+
+/// Returns the turns that another host holds; none if it can't be asked.
+async fn held_at(gateway: &Rc<Gateway>, address: SocketAddr) -> Vec<RequestId> {
+    let (mut held, mut after) = (Vec::new(), None);
+    loop {
+        let request = PeerRequest::HeldTurns { after: after.clone() };
+        let deadline = Instant::now() + LIST_TIMEOUT;
+        let reply = peers::send_request(gateway, address, &request, deadline).await;
+        let Some(PeerReply::HeldTurns { trees, has_more }) = reply else { return Vec::new() };
+        after = trees.last().map(|(tree, _)| tree.clone());
+        held.extend(trees.into_iter().flat_map(|(_, turns)| turns));
+        if !has_more || after.is_none() {
+            return held;
+        }
+    }
+}
+
+async fn report(gateway: &Gateway, state: RetirementState) {
+    loop {
+        let host = &gateway.settings.host;
+        match gateway.adapter.store.report_retirement(host, state).await {
+            Ok(()) => return,
+            Err(error) => {
+                log::warn!("failed to report that the retirement is {state}; retrying: {error}");
+                Timer::after(REPORT_RETRY_PAUSE).await;
+            }
+        }
+    }
+}
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -7,7 +7,7 @@
         peers::{self, PeerReply, PeerRequest},
         roster,
         store::{Change, Collection, Listing, Revision, StoreError, StoredObject},
-        stream_origins,
+        stream_origins, turns,
     },
     rand::{RngExt, seq::IndexedRandom},
     serde_json::json,
@@ -46,10 +46,15 @@
         return;
     }
     for collection in [Collection::Configuration, Collection::Upstreams, Collection::Hosts] {
-        gateway.spawn(watch_collection(gateway.clone(), collection));
+        start_collection(gateway, collection);
     }
 }
 
+/// Starts watching one collection.
+pub(crate) fn start_collection(gateway: &Rc<Gateway>, collection: Collection) {
+    gateway.spawn(watch_collection(gateway.clone(), collection));
+}
+
 async fn watch_collection(gateway: Rc<Gateway>, collection: Collection) {
     let mut revision: Option<Revision> = None;
     let mut backoff = Backoff::default();
@@ -57,7 +62,9 @@
     let mut delay = match collection {
         Collection::Hosts => WatchDelay::for_hosts(),
         Collection::Upstreams => WatchDelay::for_upstreams(),
-        Collection::Configuration | Collection::Ledgers => WatchDelay::disabled(),
+        Collection::Configuration | Collection::Ledgers | Collection::Retirements => {
+            WatchDelay::disabled()
+        }
     };
     loop {
         let outcome = match revision {
@@ -132,9 +139,12 @@
             replace_upstreams(gateway, &objects, outage);
         }
         Collection::Hosts => {
-            objects.iter().for_each(|object| roster::apply_host_record(gateway, object));
+            roster::apply_host_list(gateway, &objects);
             roster::record_store_contact(gateway);
         }
+        Collection::Retirements => {
+            objects.iter().for_each(|object| turns::on_retirement(gateway, object));
+        }
         Collection::Ledgers => {}
     }
     Ok(revision)
@@ -170,7 +180,10 @@
             (Collection::Configuration, Change::Removed(name)) => {
                 log::warn!("configuration {name} was removed; keeping the current configuration");
             }
-            (Collection::Ledgers, _) => {}
+            (Collection::Retirements, Change::Put(object)) => {
+                turns::on_retirement(gateway, &object)
+            }
+            (Collection::Ledgers, _) | (Collection::Retirements, Change::Removed(_)) => {}
         }
     }
     on_delisted(gateway, delisted, outage);
@@ -275,7 +288,7 @@
                 roster::on_peer_hosts(gateway, hosts);
             }
         }
-        Collection::Ledgers => {}
+        Collection::Ledgers | Collection::Retirements => {}
     }
 }
 
--- a/crates/standin/src/fleet/store.rs
+++ b/crates/standin/src/fleet/store.rs
@@ -139,6 +139,13 @@
         state.objects.get(&(kind.into(), name.into())).map(|object| object["spec"].clone())
     }
 
+    /// Returns an object's `status`, if it has one.
+    pub fn status(&self, kind: &str, name: &str) -> Option<Value> {
+        let state = self.endpoint.store.lock();
+        let object = state.objects.get(&(kind.into(), name.into()))?;
+        Some(object["status"].clone()).filter(|status| !status.is_null())
+    }
+
     /// Returns the number of calls so far, over all addresses.
     pub fn calls(&self) -> u64 {
         self.endpoint.store.lock().calls
@@ -168,6 +175,20 @@
         object
     }
 
+    /// Replaces an object's `status` alone.
+    fn change_status(&mut self, kind: &str, name: &str, status: Value) -> StatusAndBody {
+        let revision = self.revision + 1;
+        let Some(object) = self.objects.get_mut(&(kind.into(), name.into())) else {
+            return (StatusCode::NOT_FOUND, Value::Null);
+        };
+        object["status"] = status;
+        object["meta"]["rev"] = revision.into();
+        let object = object.clone();
+        self.revision = revision;
+        self.history.push((revision, kind.into(), false, object.clone()));
+        (StatusCode::OK, object)
+    }
+
     fn list(&self, kind: &str) -> Value {
         let of_kind = self.objects.iter().filter(|((object_kind, _), _)| object_kind == kind);
         let items: Vec<&Value> = of_kind.map(|(_, object)| object).collect();
@@ -280,6 +301,9 @@
             if let Some(revision) = query("rev") {
                 body["meta"]["rev"] = revision.into();
             }
+            if let Some(name) = name.as_deref().and_then(|name| name.strip_suffix("/status")) {
+                return self.lock().change_status(kind, name, body["status"].clone());
+            }
             return self.lock().write(request.method(), kind, name.as_deref(), &body);
         }
         match (name, query("watch")) {
