Bound the idle timeout that an upstream announces

What callers saw: an answer with 'Keep-Alive: timeout=' ended the whole process, and with it all requests of the host.

Cause: the timeout was added to the present time, which overflowed.

A timeout of more than an hour now counts as an hour.

--- a/crates/gateway/src/http.rs
+++ b/crates/gateway/src/http.rs
@@ -39,6 +39,8 @@
 const KEEPALIVE_PROBES_MAX: u32 = 2;
 /// How long an idle connection is kept if the peer does not announce a timeout.
 const IDLE_TIMEOUT_DEFAULT: Duration = Duration::from_secs(4);
+/// Longest time for which an idle connection is kept, whatever the peer announces.
+const IDLE_TIMEOUT_MAX: Duration = Duration::from_secs(60 * 60);
 /// Subtracted from the peer's announced idle timeout, so that this end closes first.
 const IDLE_MARGIN: Duration = Duration::from_millis(700);
 /// Maximum number of idle connections to one address.
@@ -405,7 +407,9 @@
     let closes = response.headers().get(header::CONNECTION).is_some_and(|value| value == "close");
     match timeout_s {
         _ if closes => Duration::ZERO,
-        Some(seconds) => Duration::from_secs(seconds).saturating_sub(IDLE_MARGIN),
+        Some(seconds) => {
+            Duration::from_secs(seconds).min(IDLE_TIMEOUT_MAX).saturating_sub(IDLE_MARGIN)
+        }
         None => IDLE_TIMEOUT_DEFAULT,
     }
 }
