Refuse durations and limits of other hosts that can't be meant

A message of another host with a duration of 2^64 s ended the process: adding it to a time overflowed (charges, replicas of ledgers, loans of limits, turns). Messages in MessagePack that nest 1,000 levels overflowed the stack of a thread. A limit of -1 requests/s in a loan took its upstream out of use.

Shown by path::malformed, red before each change: 30 hostile messages and noise in both formats, sent to a host with and without callers. Durations over 30 days are refused where they are decoded, MessagePack nests 64 levels at most, and a limit that is negative or not finite is ignored with a log line.

--- a/crates/core/src/budget/mod.rs
+++ b/crates/core/src/budget/mod.rs
@@ -36,7 +36,10 @@
 };
 
 use {
-    crate::ids::{Epoch, ProgramId},
+    crate::{
+        durations,
+        ids::{Epoch, ProgramId},
+    },
     account::{Account, Reserving},
     standby::Replication,
     std::{
@@ -77,6 +80,7 @@
     /// Maximum tokens of this turn.
     pub turn_max: TokenCount,
     /// How long the program may be idle and still resume.
+    #[serde(deserialize_with = "durations::bounded")]
     pub idle_max: Duration,
 }
 
--- a/crates/core/src/budget/standby.rs
+++ b/crates/core/src/budget/standby.rs
@@ -13,7 +13,10 @@
 
 use {
     super::{Account, AccountReplica, Ledger, LedgerPosition, NoteHost},
-    crate::ids::{Epoch, ProgramId},
+    crate::{
+        durations,
+        ids::{Epoch, ProgramId},
+    },
     std::{
         collections::{BTreeMap, BTreeSet, HashMap},
         time::{Duration, Instant},
@@ -62,6 +65,7 @@
     /// Whether the standby has all accounts once it has applied this update.
     pub is_complete: bool,
     /// How long the owner's writes to the store have failed.
+    #[serde(deserialize_with = "durations::bounded")]
     pub failing_for: Duration,
     /// Sequence of the last record that the owner has built.
     pub sequence: u64,
@@ -70,8 +74,10 @@
     /// Number of former owners that may have granted an overdraft to programs without an account.
     pub lost_overdrafts: u64,
     /// How long that applies.
+    #[serde(deserialize_with = "durations::bounded")]
     pub lost_overdrafts_for: Duration,
     /// Idle time used for accounts that are read from a record.
+    #[serde(deserialize_with = "durations::bounded")]
     pub idle_max: Duration,
     /// Current state of the changed accounts.
     pub accounts: Vec<(ProgramId, AccountReplica)>,
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod catalog;
 pub mod config_distribution;
 pub mod crashes;
+pub mod durations;
 pub mod event;
 pub mod hlc;
 pub mod ids;
--- a/crates/core/src/turns/mod.rs
+++ b/crates/core/src/turns/mod.rs
@@ -28,7 +28,10 @@
 };
 
 use {
-    crate::ids::{RequestId, TeamId},
+    crate::{
+        durations,
+        ids::{RequestId, TeamId},
+    },
     std::{sync::Arc, time::Duration},
 };
 
@@ -49,5 +52,6 @@
     /// The tree of the turn. Invariant: the same as that of `previous`.
     pub tree: TreeId,
     /// How long the turn is kept after its answer, and after that of each turn that continues it.
+    #[serde(deserialize_with = "durations::bounded")]
     pub retention: Duration,
 }
--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/peers/message.rs
@@ -26,6 +26,7 @@
             Charge, FenceReply, LedgerPosition, NoteHost, ReplicaUpdate, ReplicationId, Settlement,
             VoteOption,
         },
+        durations,
         ids::{
             ConfigVersion, ContentHash, Epoch, HostId, Incarnation, RequestId, ServiceId, TeamId,
             UpstreamId,
@@ -49,7 +50,12 @@
     /// Requests one token of the limit that an upstream names. The sender was told that the limit is
     /// `limit_per_s`, in requests a second from all hosts together, in the answer to a request that
     /// it sent `named_ago`.
-    LendUpstreamToken { upstream: UpstreamId, limit_per_s: f64, named_ago: Duration },
+    LendUpstreamToken {
+        upstream: UpstreamId,
+        limit_per_s: f64,
+        #[serde(deserialize_with = "durations::bounded")]
+        named_ago: Duration,
+    },
     /// Charges a turn. The receiver replies within `wait`.
     Charge { charge: Charge, wait: Duration },
     /// Settles turns of one ledger. The receiver replies within `wait`.
@@ -233,6 +239,10 @@
     }
 }
 
+/// Maximum depth of a message in MessagePack. The library's own limit is beyond the stack of a
+/// thread.
+const DEPTH_MAX: usize = 64;
+
 /// Serialization of a message.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum MessageFormat {
@@ -279,7 +289,11 @@
     pub(crate) fn decode<T: DeserializeOwned>(self, body: &[u8]) -> Result<T, String> {
         match self {
             Self::Json => serde_json::from_slice(body).map_err(|error| error.to_string()),
-            Self::MessagePack => rmp_serde::from_slice(body).map_err(|error| error.to_string()),
+            Self::MessagePack => {
+                let mut deserializer = rmp_serde::Deserializer::from_read_ref(body);
+                deserializer.set_max_depth(DEPTH_MAX);
+                T::deserialize(&mut deserializer).map_err(|error| error.to_string())
+            }
         }
     }
 
--- a/crates/gateway/src/upstream_limits.rs
+++ b/crates/gateway/src/upstream_limits.rs
@@ -150,6 +150,10 @@
     limit_per_s: f64,
     named_ago: Duration,
 ) -> LendOutcome {
+    if !limit_per_s.is_finite() || limit_per_s < 0.0 {
+        log::warn!("another host names a limit of {limit_per_s} requests/s; ignoring it");
+        return LendOutcome::NoToken;
+    }
     let mut placement = gateway.placement.borrow_mut();
     let Some(service) = placement.service_of(upstream) else { return LendOutcome::NoToken };
     if gateway.wait_queues.borrow().has_waiting(&service) {
