Do not take a late copy of an answer for the next one

What callers saw: a call that must not be repeated ran four times, with a worker that sent a second copy of its rejection when the next request had arrived on the connection.

Cause: an answer with the sign of not having run was accepted whatever request it named. And where the same request was sent again on the same connection, a second copy of the first rejection named it rightly.

An answer that names another request is now never accepted, and a request is not sent again on the connection that it was sent on last.

--- a/crates/gateway/src/call/exchange.rs
+++ b/crates/gateway/src/call/exchange.rs
@@ -13,7 +13,7 @@
         crashes,
         dialect::{AnswerMetadata, Forwarding},
         gateway::Gateway,
-        http::{self as http_client, ActiveConnection, SendError},
+        http::{self as http_client, ActiveConnection, RequestName, SendError},
         relay,
         time::within,
     },
@@ -129,6 +129,7 @@
     let (head, body) = response.into_parts();
     let AnswerMetadata {
         matches_request,
+        names_other_request,
         did_not_run,
         is_misdirected,
         is_signed,
@@ -136,7 +137,8 @@
         is_leaving,
         rate_limit_per_s,
     } = gateway.adapter.dialect.read_answer(&call.metadata.request_id, &head);
-    if !matches_request && !did_not_run && !is_misdirected {
+    let is_rejection = did_not_run || is_misdirected;
+    if names_other_request || !(matches_request || is_rejection) {
         // The answer belongs to an earlier request, so later answers on this connection would be
         // wrong as well.
         return SendOutcome::Unknown(SendError::Broken);
@@ -232,6 +234,8 @@
     *request.method_mut() = call.head.method.clone();
     *request.uri_mut() = call.head.uri.clone();
     *request.headers_mut() = headers;
+    let name = RequestName(call.metadata.request_id.as_str().into());
+    request.extensions_mut().insert(name);
     request
 }
 
--- a/crates/gateway/src/call/mod.rs
+++ b/crates/gateway/src/call/mod.rs
@@ -14,6 +14,7 @@
     budget::Settlements,
     buffer::{ANSWER_BYTES_MAX, AnswerMemory},
     exchange::remove_connection_headers,
+    retained::PROMPT_BYTES_MAX,
 };
 
 use {
--- a/crates/gateway/src/call/retained.rs
+++ b/crates/gateway/src/call/retained.rs
@@ -17,7 +17,7 @@
 };
 
 /// Maximum size of a prompt with all turns before it.
-const PROMPT_BYTES_MAX: usize = 32 * 1024 * 1024;
+pub(crate) const PROMPT_BYTES_MAX: usize = 32 * 1024 * 1024;
 
 /// A turn that is kept once its answer is complete.
 pub(crate) struct RetainedCall {
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -80,8 +80,10 @@
 /// Metadata in the head of an upstream's answer.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct AnswerMetadata {
-    /// Whether the answer belongs to the request that was sent, and not to an earlier one.
+    /// Whether the answer names the request that was sent.
     pub matches_request: bool,
+    /// Whether the answer names another request: it is a late answer to an earlier one.
+    pub names_other_request: bool,
     /// Whether the upstream reports that the request did not run and will not.
     pub did_not_run: bool,
     /// Whether a process other than the intended upstream has answered.
--- a/crates/gateway/src/http.rs
+++ b/crates/gateway/src/http.rs
@@ -26,6 +26,7 @@
         io,
         net::SocketAddr,
         rc::Rc,
+        sync::Arc,
         time::{Duration, Instant},
     },
 };
@@ -96,8 +97,16 @@
 struct Connection {
     sender: SendRequest<Full<Bytes>>,
     limit: ReceiveLimit,
+    /// The request that was sent last, if it has a name.
+    last_request: Option<RequestName>,
 }
 
+/// Extension of a request: the id that the peer names in its answers. A request is not sent again on
+/// the connection that it was sent on last, where a second copy of the first answer could not be told
+/// from the next one.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(crate) struct RequestName(pub(crate) Arc<str>);
+
 struct IdleConnection {
     connection: Connection,
     /// Time after which the connection is not reused, because the peer may close it.
@@ -186,13 +195,15 @@
         deadline: Instant,
     ) -> Result<UnreadAnswer, SendError> {
         loop {
-            let (mut connection, is_reused) = match self.take_idle(address) {
+            let name = request.extensions().get::<RequestName>().cloned();
+            let (mut connection, is_reused) = match self.take_idle(address, name.as_ref()) {
                 Some(connection) => (connection, true),
                 None => {
                     let connected = self.connect(address, deadline).await;
                     (connected.map_err(|_| SendError::NotConnected)?, false)
                 }
             };
+            connection.last_request = name;
             connection.limit.set(BYTES_BEFORE_BODY_MAX);
             let sent = connection.sender.try_send_request(request);
             match within(deadline, sent).await {
@@ -214,17 +225,16 @@
         }
     }
 
-    fn take_idle(&self, address: SocketAddr) -> Option<Connection> {
+    fn take_idle(&self, address: SocketAddr, name: Option<&RequestName>) -> Option<Connection> {
         let now = Instant::now();
         let mut idle = self.idle.borrow_mut();
         let connections = idle.get_mut(&address)?;
-        while let Some(idle) = connections.pop() {
-            if idle.is_usable(now) {
-                self.counts.borrow_mut().reused += 1;
-                return Some(idle.connection);
-            }
-        }
-        None
+        connections.retain(|idle| idle.is_usable(now));
+        let is_other =
+            |idle: &IdleConnection| name.is_none() || idle.connection.last_request.as_ref() != name;
+        let index = connections.iter().rposition(is_other)?;
+        self.counts.borrow_mut().reused += 1;
+        Some(connections.remove(index).connection)
     }
 
     /// Returns whether an idle connection to an address is open.
@@ -292,7 +302,7 @@
             }
         };
         self.executor.spawn(run).detach();
-        Ok(Connection { sender, limit })
+        Ok(Connection { sender, limit, last_request: None })
     }
 
     fn record_connect(&self, address: SocketAddr, is_connected: bool) {
--- a/crates/gateway/src/relay/helper.rs
+++ b/crates/gateway/src/relay/helper.rs
@@ -3,9 +3,12 @@
 use {
     super::{FAILURE, Failure, TIME_LEFT_MS, UPSTREAM, record_connects},
     crate::{
-        call::{ANSWER_BYTES_MAX, AnswerBody, AnswerTruncated, remove_connection_headers},
+        call::{
+            ANSWER_BYTES_MAX, AnswerBody, AnswerTruncated, PROMPT_BYTES_MAX,
+            remove_connection_headers,
+        },
         gateway::{Gateway, Stage},
-        http::{ActiveConnection, SendError, UnreadAnswer},
+        http::{ActiveConnection, RequestName, SendError, UnreadAnswer},
         leaving,
         time::within,
     },
@@ -110,13 +113,14 @@
             return Err(Failure::Rejected);
         }
     };
-    let limits =
-        gateway.routing_table.borrow().as_ref().map(|table| table.limits).unwrap_or_default();
-    let body = within(relayed.deadline, Limited::new(body, limits.body_bytes_max).collect()).await;
+    let body = within(relayed.deadline, Limited::new(body, PROMPT_BYTES_MAX).collect()).await;
     let body = body.and_then(Result::ok).ok_or(Failure::Rejected)?.to_bytes();
     let metadata = gateway.adapter.dialect.read_call(&relayed.head);
     let sent_at = Instant::now();
-    let request = Request::from_parts(relayed.head, Full::new(body));
+    let mut request = Request::from_parts(relayed.head, Full::new(body));
+    if let Ok(metadata) = &metadata {
+        request.extensions_mut().insert(RequestName(metadata.request_id.as_str().into()));
+    }
     let sent = gateway.connections.send(destination.address, request, relayed.deadline).await;
     record_connects(gateway);
     let UnreadAnswer { response, connection } = sent.map_err(|error| match error {
