--- a/crates/core/src/placement/helpers.rs
+++ b/crates/core/src/placement/helpers.rs
@@ -25,17 +25,22 @@
 
 impl Helpers {
     /// Chooses the host with the fewest open requests of this host, a random one among several.
-    /// `candidates` are the reachable hosts. Returns `None` if all have rejected a request lately.
+    /// `candidates` are the other hosts, with whether each counts as out of reach. One that does is
+    /// chosen only if there is no other: one slow connection is enough to count as out of reach, and
+    /// the alternative is to refuse the request. Returns `None` if all have rejected a request lately.
     pub fn choose<'a>(
         &self,
         now: Instant,
-        candidates: impl IntoIterator<Item = &'a HostId>,
+        candidates: impl IntoIterator<Item = (&'a HostId, bool)>,
         mut random: impl FnMut() -> u64,
     ) -> Option<&'a HostId> {
         let is_avoided =
             |host: &HostId| self.avoided_until.get(host).is_some_and(|until| now < *until);
-        let usable = candidates.into_iter().filter(|host| !is_avoided(host));
-        usable.min_by_key(|host| (self.requests_open.get(*host).copied().unwrap_or(0), random()))
+        let open = |host: &HostId| self.requests_open.get(host).copied().unwrap_or(0);
+        let usable = candidates.into_iter().filter(|(host, _)| !is_avoided(host));
+        let chosen =
+            usable.min_by_key(|(host, is_out_of_reach)| (*is_out_of_reach, open(host), random()));
+        chosen.map(|(host, _)| host)
     }
 
     /// Records that a request is sent through a host.
--- a/crates/core/src/placement/helpers/tests.rs
+++ b/crates/core/src/placement/helpers/tests.rs
@@ -7,6 +7,26 @@
     (0..count).map(|number| format!("host-{number}").into()).collect()
 }
 
+fn in_reach(hosts: &[HostId]) -> impl Iterator<Item = (&HostId, bool)> {
+    hosts.iter().map(|host| (host, false))
+}
+
+#[test]
+fn host_out_of_reach_is_asked_if_there_is_no_other() {
+    let now = Instant::now();
+    let hosts = hosts(2);
+    let mut helpers = Helpers::default();
+    let one_out_of_reach = || [(&hosts[0], true), (&hosts[1], false)];
+    for _ in 0..10 {
+        assert_eq!(helpers.choose(now, one_out_of_reach(), || 0), Some(&hosts[1]));
+        helpers.record_sent(&hosts[1]);
+    }
+    helpers.record_rejected(now, &hosts[1]);
+    assert_eq!(helpers.choose(now, one_out_of_reach(), || 0), Some(&hosts[0]));
+    helpers.record_rejected(now, &hosts[0]);
+    assert_eq!(helpers.choose(now, one_out_of_reach(), || 0), None, "both failed lately");
+}
+
 #[test]
 fn host_that_rejected_a_request_is_avoided_for_a_while() {
     let now = Instant::now();
@@ -14,13 +34,17 @@
     let mut helpers = Helpers::default();
     helpers.record_rejected(now, &hosts[0]);
     for _ in 0..10 {
-        assert_eq!(helpers.choose(now, &hosts, || 0), Some(&hosts[1]));
+        assert_eq!(helpers.choose(now, in_reach(&hosts), || 0), Some(&hosts[1]));
         helpers.record_sent(&hosts[1]);
     }
     helpers.record_rejected(now, &hosts[1]);
-    assert_eq!(helpers.choose(now, &hosts, || 0), None);
+    assert_eq!(helpers.choose(now, in_reach(&hosts), || 0), None);
     let later = now + AVOIDED_DURATION;
-    assert_eq!(helpers.choose(later, &hosts, || 0), Some(&hosts[0]), "it has no open requests");
+    assert_eq!(
+        helpers.choose(later, in_reach(&hosts), || 0),
+        Some(&hosts[0]),
+        "it has no open requests"
+    );
 }
 
 /// Returns the most requests that one helper has open at the same time, if `stranded` hosts send
@@ -33,7 +57,8 @@
     for _ in 0..stranded {
         let mut helpers = Helpers::default();
         for _ in 0..open_each {
-            let chosen = helpers.choose(now, &hosts, || random.random()).expect("a helper");
+            let chosen =
+                helpers.choose(now, in_reach(&hosts), || random.random()).expect("a helper");
             helpers.record_sent(chosen);
             open[hosts.iter().position(|host| host == chosen).expect("a host")] += 1;
         }
--- a/crates/gateway/src/relay/mod.rs
+++ b/crates/gateway/src/relay/mod.rs
@@ -376,12 +376,11 @@
 
 fn choose_helper(gateway: &Gateway) -> Option<(HostId, SocketAddr)> {
     let roster = gateway.roster.borrow();
-    let reachable: Vec<(&HostId, SocketAddr)> =
-        roster.lenders().filter(|(_, address)| !peers::is_suspect(gateway, *address)).collect();
+    let others: Vec<(&HostId, SocketAddr)> = roster.lenders().collect();
     let helpers = gateway.relay.helpers.borrow();
-    let hosts = reachable.iter().map(|(host, _)| *host);
+    let hosts = others.iter().map(|(host, at)| (*host, peers::is_suspect(gateway, *at)));
     let chosen = helpers.choose(Instant::now(), hosts, || rand::rng().random())?;
-    reachable.iter().find(|(host, _)| *host == chosen).map(|(host, at)| ((*host).clone(), *at))
+    others.iter().find(|(host, _)| *host == chosen).map(|(host, at)| ((*host).clone(), *at))
 }
 
 /// Counts a request as open at its helper.
