--- a/crates/core/src/roster/mod.rs
+++ b/crates/core/src/roster/mod.rs
@@ -24,8 +24,9 @@
     },
 };
 
-/// How long a host relies on its view of its peers without an answer from the store.
-pub const VIEW_VALIDITY: Duration = Duration::from_secs(45);
+/// How long a host relies on its view of its peers without an answer from the store. The answers may
+/// be some seconds old.
+pub const VIEW_VALIDITY: Duration = Duration::from_secs(40);
 /// Maximum time that a new host waits for unreachable peers. This must exceed [`VIEW_VALIDITY`] by
 /// a margin, so that the views of those peers have expired.
 const JOIN_WAIT_MAX: Duration = Duration::from_secs(50);
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -107,6 +107,15 @@
     Done,
 }
 
+/// How old the state may be that a watch returns.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Freshness {
+    /// The current state.
+    Current,
+    /// A state of some seconds ago. The store bills a fraction for such a call.
+    Stale,
+}
+
 /// Client of the platform's store.
 pub trait Store {
     /// Reads the current state of a collection.
@@ -118,6 +127,7 @@
         collection: Collection,
         after: Revision,
         wait: Duration,
+        freshness: Freshness,
     ) -> LocalFuture<'_, Result<WatchResult, StoreError>>;
 
     /// Reads one object. Returns `None` if it does not exist.
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -6,7 +6,7 @@
         gateway::Gateway,
         peers::{self, PeerReply, PeerRequest},
         roster,
-        store::{Change, Collection, Listing, Revision, StoreError, StoredObject},
+        store::{Change, Collection, Freshness, Listing, Revision, StoreError, StoredObject},
         stream_origins, turns,
     },
     rand::{RngExt, seq::IndexedRandom},
@@ -163,7 +163,8 @@
         true => PROBE_WATCH_WAIT,
         false => gateway.settings.store_history.mul_f64(WATCH_WAIT_FRACTION).min(WATCH_WAIT_MAX),
     };
-    let result = gateway.adapter.store.watch(collection, after, wait).await?;
+    let freshness = freshness(gateway, collection, outage);
+    let result = gateway.adapter.store.watch(collection, after, wait, freshness).await?;
     let has_changes = !result.changes.is_empty();
     let mut delisted = Vec::new();
     for change in result.changes {
@@ -196,6 +197,18 @@
     Ok(result.revision)
 }
 
+/// Returns how old the changes of a collection may be. A host with callers needs no early news of
+/// other hosts: they announce themselves to it before they use their shares of the allowances. After
+/// a failure only a current answer shows that the store is available again.
+fn freshness(gateway: &Gateway, collection: Collection, outage: &StoreOutage) -> Freshness {
+    let serves_callers = gateway.settings.callers_listen.is_some();
+    match collection {
+        Collection::Hosts if serves_callers && !outage.is_ongoing() => Freshness::Stale,
+        Collection::Retirements if !outage.is_ongoing() => Freshness::Stale,
+        _ => Freshness::Current,
+    }
+}
+
 /// Applies a configuration if it is newer than the one in force.
 fn apply_configuration(gateway: &Rc<Gateway>, object: &StoredObject) {
     let table = match gateway.adapter.object_parser.parse_routing(&object.content) {
