Leave a ledger to its owner when charges come to other hosts

Each host that is asked for a charge took the ledger over from its living owner: 2,300 changes of owners in 15 s, during which charges stayed undecided.

A host now leaves a ledger to an owner that is alive, reaches the store and ranks before it, and names the owner. A host that can't reach that owner charges through the host that has named it. Takeovers from owners that are lost, or that rank behind, are as before.

--- a/crates/gateway/src/call/budget.rs
+++ b/crates/gateway/src/call/budget.rs
@@ -148,6 +148,11 @@
             turn_charge.ledger_host = (owner != roster::own_address(gateway)).then_some(owner);
             let owner = turn_charge.ledger_host;
             decision = charge_at(gateway, owner, &charge, call.time_left()).await;
+            if decision.is_none()
+                && let (Some(through), Some(owner)) = (address, owner)
+            {
+                decision = charge_through(gateway, through, owner, &charge).await;
+            }
             log_charge(gateway, call, owner, host_index, decision.as_ref(), began.elapsed());
         }
         // Unless the host has refused it, it may grant the turn late, and the turn is cancelled.
@@ -236,6 +241,26 @@
     Some(ChargeDecision::Undecided)
 }
 
+/// Charges a turn at its owner through the host that has named it, and so has just reached it.
+async fn charge_through(
+    gateway: &Rc<Gateway>,
+    through: SocketAddr,
+    owner: SocketAddr,
+    charge: &Charge,
+) -> Option<ChargeDecision> {
+    let request = PeerRequest::Charge { charge: charge.clone(), wait: RECORD_WAIT_MAX };
+    let wait = RECORD_WAIT_MAX + ROUND_TRIP_MARGIN;
+    let relay = PeerRequest::Relay { to: owner, request: Box::new(request), wait };
+    let deadline = Instant::now() + wait + ROUND_TRIP_MARGIN;
+    match peers::send_request(gateway, through, &relay, deadline).await {
+        Some(PeerReply::Relayed { reply: Some(reply) }) => match *reply {
+            PeerReply::Charged { decision } => Some(decision),
+            _ => None,
+        },
+        _ => None,
+    }
+}
+
 /// Returns the [`LEDGER_HOST_COUNT`] hosts at which to charge, in order of rank. Lost hosts come
 /// last, so hosts with a lower rank may replace them.
 fn ledger_hosts_by_reachability(gateway: &Gateway, partition: usize) -> Vec<RankedHost> {
--- a/crates/gateway/src/ledger/takeover.rs
+++ b/crates/gateway/src/ledger/takeover.rs
@@ -47,6 +47,10 @@
 /// Interval between two reads of a record while this host defers to the owner. Not shorter, because
 /// each read is a request to the store.
 const DEFER_POLL_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Interval at which a host that leaves a ledger to its owner checks that the owner is still there. Each
+/// check reads the record, which the store bills.
+const LEAVE_POLL_INTERVAL: Duration = Duration::from_millis(300);
 /// How long a takeover waits for the note hosts. Processes that are started together
 /// are all up within a second.
 const NOTES_WAIT_MAX: Duration = Duration::from_secs(2);
@@ -115,6 +119,11 @@
     let taken = loop {
         let Some(stored) = read_record(&gateway, partition).await else { break None };
         let record = stored.as_ref().and_then(decode_record);
+        if let Some(record) = &record
+            && leave_to_preferred_owner(&gateway, partition, record).await
+        {
+            continue;
+        }
         if let Some(record) = &record
             && !std::mem::replace(&mut has_asked_for_release, true)
             && ask_for_release(&gateway, partition, record).await
@@ -243,6 +252,51 @@
     matches!(reply, Some(PeerReply::Done))
 }
 
+/// Leaves a ledger to its owner if that is alive, reaches the store, and ranks before this host.
+/// Charges come here as well while some hosts can't reach the owner, and a ledger that follows them
+/// would change its owner with each charge. Returns whether the record should be read again.
+async fn leave_to_preferred_owner(
+    gateway: &Rc<Gateway>,
+    partition: usize,
+    record: &LedgerRecord,
+) -> bool {
+    let (owner, ownership) = match ranks_before(gateway, partition, &record.writer) {
+        true => find_owner(gateway, partition, &record.writer).await,
+        false => (None, Ownership::NotOwner),
+    };
+    let is_left = owner.is_some() && ownership == Ownership::StoreAvailable;
+    defer_to(gateway, partition, owner.filter(|_| is_left), &record.writer);
+    if is_left {
+        Timer::after(LEAVE_POLL_INTERVAL).await;
+    }
+    is_left
+}
+
+/// Returns whether the host of a record's writer ranks before this one.
+fn ranks_before(gateway: &Gateway, partition: usize, writer: &str) -> bool {
+    let Some((writer, _)) = writer.rsplit_once('@') else { return false };
+    let ranked = ranked_hosts(gateway, partition);
+    let first = ranked.iter().find(|ranked| *ranked.host == *writer || ranked.address.is_none());
+    first.is_some_and(|first| *first.host == *writer && first.address.is_some())
+}
+
+/// Sets the owner to which this host defers, if any, and wakes the charges that wait for the ledger.
+fn defer_to(gateway: &Gateway, partition: usize, owner: Option<SocketAddr>, writer: &str) {
+    let deferred_before = {
+        let state = &mut gateway.ledgers.borrow_mut()[partition];
+        state.changed.notify(usize::MAX);
+        std::mem::replace(&mut state.deferred_to, owner)
+    };
+    if owner.is_some() && deferred_before.is_none() {
+        gateway.decisions.log(
+            LineRate::Rare,
+            "ledger",
+            json!({"ledger": ledger_name(partition), "what": "left to its keeper",
+                   "keeper": writer}),
+        );
+    }
+}
+
 /// Waits for the writer of the record if it still owns the ledger, because it knows the overdrafts
 /// and will write them. The wait is limited. Returns whether the record should be read
 /// again. `deferred_since` is when this takeover was first deferred; an outage of the store before
@@ -261,19 +315,7 @@
     };
     let is_deferred = deferred_since.get_or_insert_with(Instant::now).elapsed() < defer_max;
     let deferred_to = address.filter(|_| is_deferred && ownership == Ownership::StoreAvailable);
-    let deferred_before = {
-        let state = &mut gateway.ledgers.borrow_mut()[partition];
-        state.changed.notify(usize::MAX);
-        std::mem::replace(&mut state.deferred_to, deferred_to)
-    };
-    if deferred_to.is_some() && deferred_before.is_none() {
-        gateway.decisions.log(
-            LineRate::Rare,
-            "ledger",
-            json!({"ledger": ledger_name(partition), "what": "left to its keeper",
-                   "keeper": record.writer}),
-        );
-    }
+    defer_to(gateway, partition, deferred_to, &record.writer);
     if is_deferred {
         Timer::after(pause).await;
     }
