--- a/crates/gateway/src/turns/store.rs
+++ b/crates/gateway/src/turns/store.rs
@@ -445,13 +445,13 @@
         let located = ids.iter().map(|id| index.get(id).map(|(_, at)| (id.clone(), at)));
         located.take_while(Option::is_some).flatten().collect()
     };
-    let (held_count, first_is_missing) = (held.len(), held.is_empty());
-    if first_is_missing {
+    if held.is_empty() {
+        // The first one is not held any more.
         return (Vec::new(), ids.len().min(1));
     }
     match store.read(held).await {
         Ok(turns) => {
-            let tried = turns.len().min(held_count);
+            let tried = turns.len();
             (turns, tried)
         }
         Err(()) => (Vec::new(), 0),
