Check on a ledger's owner without reading its record

A host that leaves a ledger to its owner asked the owner each 300 ms, and read the record as well, which the store bills. It now reads the record again only once the owner no longer answers that it owns the ledger, or no charge has come for half a second.

--- a/crates/gateway/src/ledger/takeover.rs
+++ b/crates/gateway/src/ledger/takeover.rs
@@ -48,8 +48,7 @@
 /// each read is a request to the store.
 const DEFER_POLL_INTERVAL: Duration = Duration::from_millis(500);
 
-/// Interval at which a host that leaves a ledger to its owner checks that the owner is still there. Each
-/// check reads the record, which the store bills.
+/// Interval at which a host that leaves a ledger to its owner checks that the owner is still there.
 const LEAVE_POLL_INTERVAL: Duration = Duration::from_millis(300);
 /// How long a takeover waits for the note hosts. Processes that are started together
 /// are all up within a second.
@@ -61,6 +60,13 @@
 /// pause after which callers ask again.
 const WANTED_FOR: Duration = Duration::from_millis(500);
 
+impl Partition {
+    /// Returns whether a charge has asked for the ledger lately.
+    fn is_wanted(&self) -> bool {
+        self.wanted_at.is_some_and(|at| at.elapsed() < WANTED_FOR)
+    }
+}
+
 /// Result of loading a ledger.
 pub(super) enum Loaded {
     /// This host owns the ledger.
@@ -252,7 +258,7 @@
     matches!(reply, Some(PeerReply::Done))
 }
 
-/// Leaves a ledger to its owner if that is alive, reaches the store, and ranks before this host.
+/// Leaves a ledger to its owner while that is alive, reaches the store, and ranks before this host.
 /// Charges come here as well while some hosts can't reach the owner, and a ledger that follows them
 /// would change its owner with each charge. Returns whether the record should be read again.
 async fn leave_to_preferred_owner(
@@ -264,12 +270,19 @@
         true => find_owner(gateway, partition, &record.writer).await,
         false => (None, Ownership::NotOwner),
     };
-    let is_left = owner.is_some() && ownership == Ownership::StoreAvailable;
-    defer_to(gateway, partition, owner.filter(|_| is_left), &record.writer);
-    if is_left {
+    let owner = owner.filter(|_| ownership == Ownership::StoreAvailable);
+    defer_to(gateway, partition, owner, &record.writer);
+    let Some(owner) = owner else { return false };
+    loop {
         Timer::after(LEAVE_POLL_INTERVAL).await;
+        let is_wanted = gateway.ledgers.borrow()[partition].is_wanted();
+        if !is_wanted
+            || query_ownership(gateway, partition, &record.writer, owner).await
+                != Ownership::StoreAvailable
+        {
+            return true;
+        }
     }
-    is_left
 }
 
 /// Returns whether the host of a record's writer ranks before this one.
@@ -332,7 +345,7 @@
         let is_wanted = {
             let state = &mut gateway.ledgers.borrow_mut()[partition];
             state.is_read_failing = read.is_err();
-            state.wanted_at.is_some_and(|at| at.elapsed() < WANTED_FOR)
+            state.is_wanted()
         };
         match read {
             Ok(stored) => {
