--- a/crates/gateway/src/turns/pull.rs
+++ b/crates/gateway/src/turns/pull.rs
@@ -100,17 +100,27 @@
 
 /// Fetches the turns of a host that this one should hold. Returns their number.
 async fn pull_trees(gateway: &Rc<Gateway>, address: SocketAddr) -> Result<usize, &'static str> {
-    let (mut after, mut fetched) = (None, 0);
+    let held = list_held(gateway, address).await.ok_or("the host did not list its turns")?;
+    fetch(gateway, address, missing(gateway, &held)).await
+}
+
+/// Returns the turns that a host holds, by tree. Returns `None` if it does not list all of them.
+pub(super) async fn list_held(
+    gateway: &Rc<Gateway>,
+    address: SocketAddr,
+) -> Option<Vec<(TreeId, Vec<RequestId>)>> {
+    let mut held: Vec<(TreeId, Vec<RequestId>)> = Vec::new();
     loop {
-        let request = PeerRequest::HeldTurns { after: after.clone() };
-        let reply = send(gateway, address, &request).await;
-        let Some(PeerReply::HeldTurns { trees, has_more }) = reply else {
-            return Err("the host did not list its turns");
+        let after = held.last().map(|(tree, _)| tree.clone());
+        let request = PeerRequest::HeldTurns { after };
+        let Some(PeerReply::HeldTurns { trees, has_more }) = send(gateway, address, &request).await
+        else {
+            return None;
         };
-        after = trees.last().map(|(tree, _)| tree.clone());
-        fetched += fetch(gateway, address, missing(gateway, &trees)).await?;
-        if !has_more || after.is_none() {
-            return Ok(fetched);
+        let is_last = !has_more || trees.is_empty();
+        held.extend(trees);
+        if is_last {
+            return Some(held);
         }
     }
 }
--- a/crates/gateway/src/turns/retain.rs
+++ b/crates/gateway/src/turns/retain.rs
@@ -15,6 +15,7 @@
     serde_json::json,
     std::{
         collections::HashMap,
+        net::SocketAddr,
         rc::Rc,
         time::{Duration, Instant},
     },
@@ -161,7 +162,7 @@
 /// Records on drop that a host was slow, also if the write is no longer waited for.
 struct SlowGuard<'a> {
     gateway: &'a Gateway,
-    address: std::net::SocketAddr,
+    address: SocketAddr,
     began: Instant,
 }
 
--- a/crates/gateway/src/turns/retire.rs
+++ b/crates/gateway/src/turns/retire.rs
@@ -1,30 +1,18 @@
 //! Empties this host before operators remove it.
 
 use {
-    super::{activate, copies, register_again},
-    crate::{
-        gateway::Gateway,
-        ledger,
-        peers::{self, PeerReply, PeerRequest},
-        store::RetirementState,
-    },
+    super::{activate, copies, pull::list_held, register_again},
+    crate::{gateway::Gateway, ledger, store::RetirementState},
     futures_util::future::join_all,
     serde_json::json,
     smol::Timer,
-    std::{
-        collections::HashMap,
-        net::SocketAddr,
-        rc::Rc,
-        time::{Duration, Instant},
-    },
+    std::{collections::HashMap, net::SocketAddr, rc::Rc, time::Duration},
     trefoilring_core::ids::RequestId,
     trefoilring_observe::decisions::LineRate,
 };
 
 /// Interval at which the other hosts are asked whether they hold this host's turns.
 const CHECK_INTERVAL: Duration = Duration::from_millis(400);
-/// Timeout of a question to another host.
-const LIST_TIMEOUT: Duration = Duration::from_secs(1);
 /// Pause before a report to the store is tried again.
 const REPORT_RETRY_PAUSE: Duration = Duration::from_millis(300);
 
@@ -77,31 +65,17 @@
         let roster = gateway.roster.borrow();
         roster.turn_stores().map(|(_, record, _)| record.address).collect()
     };
-    let lists = join_all(others.iter().map(|address| held_at(gateway, *address))).await;
+    // A host that does not list its turns holds none of them for certain.
+    let lists = join_all(others.iter().map(|address| list_held(gateway, *address))).await;
+    let held = lists.into_iter().flatten().flatten().flat_map(|(_, turns)| turns);
     let mut copies_of: HashMap<RequestId, usize> = HashMap::new();
-    for turn in lists.into_iter().flatten() {
+    for turn in held {
         *copies_of.entry(turn).or_default() += 1;
     }
     let needed = copies(gateway);
     own.iter().filter(|turn| copies_of.get(*turn).is_none_or(|held| *held < needed)).count()
 }
 
-/// Returns the turns that another host holds; none if it can't be asked.
-async fn held_at(gateway: &Rc<Gateway>, address: SocketAddr) -> Vec<RequestId> {
-    let (mut held, mut after) = (Vec::new(), None);
-    loop {
-        let request = PeerRequest::HeldTurns { after: after.clone() };
-        let deadline = Instant::now() + LIST_TIMEOUT;
-        let reply = peers::send_request(gateway, address, &request, deadline).await;
-        let Some(PeerReply::HeldTurns { trees, has_more }) = reply else { return Vec::new() };
-        after = trees.last().map(|(tree, _)| tree.clone());
-        held.extend(trees.into_iter().flat_map(|(_, turns)| turns));
-        if !has_more || after.is_none() {
-            return held;
-        }
-    }
-}
-
 async fn report(gateway: &Gateway, state: RetirementState) {
     loop {
         let host = &gateway.settings.host;
