Write and forget turns in one task

Found by reading, not reproduced: forgetting old turns asked the index which segments of the log are needed. A batch that was synced but not yet indexed was not in it, so a segment that had just become full with that batch, and held no other turn that was needed, could be removed.

One task now does both, one after the other, instead of two tasks.

--- a/crates/gateway/src/turns/store.rs
+++ b/crates/gateway/src/turns/store.rs
@@ -2,10 +2,10 @@
 
 use {
     super::{RetainedTurn, TurnLookup, TurnWriteOutcome, activate},
-    crate::{files, gateway::Gateway, settings::GatewaySettings},
+    crate::{files, gateway::Gateway, settings::GatewaySettings, time::within},
     event_listener::Event,
     serde_json::json,
-    smol::{Timer, channel::Sender},
+    smol::channel::Sender,
     std::{
         cell::{Cell, RefCell},
         collections::{HashMap, HashSet},
@@ -362,26 +362,24 @@
 
 /// Starts to write and to forget turns.
 pub(super) fn start(gateway: &Rc<Gateway>) {
-    gateway.spawn(write_turns(gateway.clone()));
-    gateway.spawn(expire_turns(gateway.clone()));
+    gateway.spawn(maintain_log(gateway.clone()));
 }
 
-async fn write_turns(gateway: Rc<Gateway>) {
+/// Writes and forgets turns. Never both at once: a segment counts as needed only once the index has
+/// its turns, which is after they are written.
+async fn maintain_log(gateway: Rc<Gateway>) {
     let Some(store) = &gateway.turns.store else { return };
+    let mut expire_at = Instant::now() + EXPIRY_INTERVAL;
     loop {
         let has_pending = store.has_pending.listen();
         if store.pending.borrow().is_empty() {
-            has_pending.await;
+            within(expire_at, has_pending).await;
         }
         store.write_pending().await;
-    }
-}
-
-async fn expire_turns(gateway: Rc<Gateway>) {
-    let Some(store) = &gateway.turns.store else { return };
-    loop {
-        Timer::after(EXPIRY_INTERVAL).await;
-        store.expire().await;
+        if Instant::now() >= expire_at {
+            store.expire().await;
+            expire_at = Instant::now() + EXPIRY_INTERVAL;
+        }
     }
 }
 
