Rank store hosts once, and ask one place whether a turn is ruled out

No behaviour changes. Each kept turn ranked all store hosts by hash to count those in reach, and a host that fetches turns built the list of hosts anew for each tree. The check of a complete reply, the refusal of a turn that does not exist and the sign of a rejection each stood twice. Taking an idle connection checked all of an address; it stops at the one that it takes.

--- a/crates/core/src/routing/mod.rs
+++ b/crates/core/src/routing/mod.rs
@@ -18,7 +18,7 @@
 };
 
 /// How long a program may be idle and still resume, if its route sets no time.
-pub const PROGRAM_IDLE_MAX_DEFAULT: Duration = Duration::from_secs(60);
+const PROGRAM_IDLE_MAX_DEFAULT: Duration = Duration::from_secs(60);
 
 /// Identifies a route.
 pub type RouteId = Arc<str>;
--- a/crates/gateway/src/call/exchange.rs
+++ b/crates/gateway/src/call/exchange.rs
@@ -152,7 +152,7 @@
     if let Some(load) = load {
         gateway.placement.borrow_mut().record_load(Instant::now(), attempt.key, load);
     }
-    if did_not_run || is_misdirected {
+    if is_rejection {
         let (service, deadline) = (call.service.clone(), call.deadline);
         gateway.spawn(drain(gateway.clone(), service, body, connection, deadline));
         return SendOutcome::NotRun(if is_misdirected {
--- a/crates/gateway/src/call/retained.rs
+++ b/crates/gateway/src/call/retained.rs
@@ -46,7 +46,7 @@
     let program = call.metadata.program.as_ref();
     let tree: TreeId =
         program.map_or(call.metadata.request_id.as_str(), |program| &program.id).into();
-    if !turns::has_enough_stores(gateway, &tree) {
+    if !turns::has_enough_stores(gateway) {
         let detail = "too few hosts that could keep the turn are in reach";
         return Err(
             Refusal::not_run(Reason::StoreUnavailable, detail).retry_after(RETRY_AFTER_DEFAULT)
@@ -54,7 +54,7 @@
     }
     let previous = match call.metadata.previous_turn.as_deref() {
         None => None,
-        Some("") => return Err(Refusal::not_run(Reason::NotFound, "no such turn exists")),
+        Some("") => return Err(turns::not_found()),
         Some(id) => Some(turns::find(gateway, id, team_of(call), &tree, call.deadline).await?),
     };
     let input = call.body.clone();
--- a/crates/gateway/src/http.rs
+++ b/crates/gateway/src/http.rs
@@ -229,10 +229,11 @@
         let now = Instant::now();
         let mut idle = self.idle.borrow_mut();
         let connections = idle.get_mut(&address)?;
-        connections.retain(|idle| idle.is_usable(now));
-        let is_other =
-            |idle: &IdleConnection| name.is_none() || idle.connection.last_request.as_ref() != name;
-        let index = connections.iter().rposition(is_other)?;
+        let may_take = |idle: &IdleConnection| {
+            let is_same_request = name.is_some() && idle.connection.last_request.as_ref() == name;
+            idle.is_usable(now) && !is_same_request
+        };
+        let index = connections.iter().rposition(may_take)?;
         self.counts.borrow_mut().reused += 1;
         Some(connections.remove(index).connection)
     }
--- a/crates/gateway/src/turns/find.rs
+++ b/crates/gateway/src/turns/find.rs
@@ -43,11 +43,11 @@
 const RETRY_AFTER: Duration = Duration::from_millis(300);
 
 /// Returns whether enough store hosts are in reach to keep a turn.
-pub(crate) fn has_enough_stores(gateway: &Gateway, tree: &str) -> bool {
-    let in_reach = holders_by_reachability(gateway, tree)
-        .into_iter()
-        .filter(|holder| holder.address.is_none_or(|address| !peers::is_suspect(gateway, address)));
-    in_reach.count() >= copies(gateway)
+pub(crate) fn has_enough_stores(gateway: &Gateway) -> bool {
+    let roster = gateway.roster.borrow();
+    let in_reach =
+        roster.turn_stores().filter(|(_, record, _)| !peers::is_suspect(gateway, record.address));
+    in_reach.count() + usize::from(own_record(gateway).is_some()) >= copies(gateway)
 }
 
 /// What became of a search.
@@ -60,10 +60,6 @@
     Unknown,
 }
 
-fn is_complete(reply: &HolderReply) -> bool {
-    matches!(reply, HolderReply::Absent { is_complete: true })
-}
-
 /// Finds a turn of a team and those before it. `tree` is where it is probably stored.
 ///
 /// # Errors
@@ -91,7 +87,7 @@
     if found.is_none() {
         found = ask_all(gateway, others, id, team, deadline, &mut replies).await;
     }
-    let is_in_doubt = replies.values().any(|reply| !is_complete(reply));
+    let is_in_doubt = !replies.values().all(HolderReply::rules_turn_out);
     let search = match found {
         Some(turns) => Search::Found(turns),
         // A host that holds the turn may be among those that have not replied.
--- a/crates/gateway/src/turns/mod.rs
+++ b/crates/gateway/src/turns/mod.rs
@@ -15,7 +15,7 @@
 
 pub(crate) use {
     cache::CachedTurn,
-    find::{find, has_enough_stores},
+    find::{find, has_enough_stores, not_found},
     pull::refresh_peers,
     retain::{NotRetained, retain},
     store::{TurnStore, fetch_here, find_here, held_here, store_here},
@@ -222,36 +222,34 @@
     address: Option<SocketAddr>,
 }
 
-/// Returns the store hosts by preference as holders of a tree.
-fn ranked_holders(gateway: &Gateway, tree: &str) -> Vec<Holder> {
+/// Returns all store hosts, this one included if it is one.
+fn store_hosts(gateway: &Gateway) -> Vec<StoreHost> {
     let roster = gateway.roster.borrow();
-    let mut addresses = HashMap::new();
-    let mut hosts = Vec::new();
-    for (host, record, turn_store) in roster.turn_stores() {
-        addresses.insert(host.clone(), record.address);
-        hosts.push(StoreHost {
-            host: host.clone(),
-            domain: record.domain.clone(),
-            is_leaving: turn_store.is_leaving,
-        });
-    }
-    if let Some(own) = own_record(gateway) {
-        hosts.push(StoreHost {
-            host: gateway.settings.host.clone(),
-            domain: gateway.settings.domain.clone(),
-            is_leaving: own.is_leaving,
-        });
-    }
+    let peers = roster.turn_stores().map(|(host, record, turn_store)| StoreHost {
+        host: host.clone(),
+        domain: record.domain.clone(),
+        is_leaving: turn_store.is_leaving,
+    });
+    let own = own_record(gateway).map(|own| StoreHost {
+        host: gateway.settings.host.clone(),
+        domain: gateway.settings.domain.clone(),
+        is_leaving: own.is_leaving,
+    });
+    peers.chain(own).collect()
+}
+
+/// Returns the store hosts by preference as holders of a tree, those last that were slow or out of
+/// reach lately.
+fn holders_by_reachability(gateway: &Gateway, tree: &str) -> Vec<Holder> {
+    let hosts = store_hosts(gateway);
+    let roster = gateway.roster.borrow();
+    let addresses: HashMap<&HostId, SocketAddr> =
+        roster.turn_stores().map(|(host, record, _)| (host, record.address)).collect();
     let to_holder = |store_host: &StoreHost| Holder {
         host: store_host.host.clone(),
         address: addresses.get(&store_host.host).copied(),
     };
-    rank_holders(tree, &hosts).into_iter().map(to_holder).collect()
-}
-
-/// Like [`ranked_holders`], with those last that were slow or out of reach lately.
-fn holders_by_reachability(gateway: &Gateway, tree: &str) -> Vec<Holder> {
-    let mut holders = ranked_holders(gateway, tree);
+    let mut holders: Vec<Holder> = rank_holders(tree, &hosts).into_iter().map(to_holder).collect();
     holders.sort_by_key(|holder| {
         holder.address.is_some_and(|address| {
             peers::is_suspect(gateway, address) || gateway.turns.is_slow(address)
--- a/crates/gateway/src/turns/pull.rs
+++ b/crates/gateway/src/turns/pull.rs
@@ -1,7 +1,7 @@
 //! Fetches the turns that this host should hold from the other store hosts.
 
 use {
-    super::{TurnWriteOutcome, copies, ranked_holders},
+    super::{TurnWriteOutcome, copies, store_hosts},
     crate::{
         gateway::Gateway,
         peers::{self, PeerReply, PeerRequest},
@@ -18,7 +18,7 @@
     },
     trefoilring_core::{
         ids::{HostId, RequestId},
-        turns::{PullPeer, TreeId},
+        turns::{PullPeer, TreeId, rank_holders},
     },
     trefoilring_observe::decisions::LineRate,
 };
@@ -128,9 +128,10 @@
 /// Returns the turns that this host should hold but does not, each after the one that it continues.
 fn missing(gateway: &Gateway, trees: &[(TreeId, Vec<RequestId>)]) -> Vec<RequestId> {
     let Some(store) = &gateway.turns.store else { return Vec::new() };
+    let hosts = store_hosts(gateway);
     let is_holder = |tree: &TreeId| {
-        let holders = ranked_holders(gateway, tree);
-        holders.iter().take(copies(gateway)).any(|holder| holder.address.is_none())
+        let holders = rank_holders(tree, &hosts).into_iter().take(copies(gateway));
+        holders.into_iter().any(|holder| holder.host == gateway.settings.host)
     };
     let held_here = trees.iter().filter(|(tree, _)| is_holder(tree));
     let turns = held_here.flat_map(|(_, turns)| turns);
