Keep and find turns through other hosts where no store host is reached

Callers of gateways that are cut off from the store hosts, while others reach them, got 503 for all turns on routes with retained: "too few hosts that could keep the turn are in reach".

Cause: turns were sent to store hosts only directly, unlike charges of budgets. Now a host that does not reach a store host asks two others, at each ping, whether they do, and sends its turns and lookups through one that does. A host that nobody reaches still counts as out of reach, so turns that could not be kept are refused at once as before. Relayed requests name the host, since the relay may know another address of it. Relays of turns are MessagePack like the turns; hosts of a former build answer them with 400, and another relay is tried.

--- a/crates/gateway/src/call/budget.rs
+++ b/crates/gateway/src/call/budget.rs
@@ -250,7 +250,7 @@
 ) -> Option<ChargeDecision> {
     let request = PeerRequest::Charge { charge: charge.clone(), wait: RECORD_WAIT_MAX };
     let wait = RECORD_WAIT_MAX + ROUND_TRIP_MARGIN;
-    let relay = PeerRequest::Relay { to: owner, request: Box::new(request), wait };
+    let relay = PeerRequest::Relay { to: owner, host: None, request: Box::new(request), wait };
     let deadline = Instant::now() + wait + ROUND_TRIP_MARGIN;
     match peers::send_request(gateway, through, &relay, deadline).await {
         Some(PeerReply::Relayed { reply: Some(reply) }) => match *reply {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -138,6 +138,8 @@
     pub(crate) origin_notes: RefCell<OriginNotes>,
     /// Peer addresses of suspect hosts: they did not answer the last request or ping.
     pub(crate) suspects: RefCell<HashSet<SocketAddr>>,
+    /// Peer addresses of suspect store hosts that another host reaches, with that host's.
+    pub(crate) relays: RefCell<HashMap<SocketAddr, SocketAddr>>,
     /// Peer addresses of lost hosts: a relay could not reach them either. The value is the time
     /// from which relays are tried again.
     pub(crate) lost_until: RefCell<HashMap<SocketAddr, Instant>>,
@@ -213,6 +215,7 @@
             answer_memory: AnswerMemory::new(settings.memory_bytes_max),
             origin_notes: RefCell::default(),
             suspects: RefCell::default(),
+            relays: RefCell::default(),
             lost_until: RefCell::default(),
             configuration: RefCell::default(),
             seeds: RefCell::new(settings.seeds.clone()),
--- a/crates/gateway/src/peers/client.rs
+++ b/crates/gateway/src/peers/client.rs
@@ -24,6 +24,8 @@
 const PING_INTERVAL_MAX: Duration = Duration::from_millis(3200);
 /// Maximum number of relays that are tried for an unreachable host.
 const RELAYS_MAX: usize = 3;
+/// Number of hosts that are asked at each ping whether they reach a suspect store host.
+const RELAY_PROBES: usize = 2;
 /// Time added to the destination's timeout for the additional hop through a relay.
 const RELAY_MARGIN: Duration = Duration::from_millis(50);
 /// How long a host is marked as lost after both this host and a relay have failed to reach it.
@@ -121,20 +123,10 @@
         .collect();
     let mut unreachable_count = 0;
     for relay in relays.sample(&mut rand::rng(), RELAYS_MAX) {
-        let relayed_request =
-            PeerRequest::Relay { to: address, request: Box::new(request.clone()), wait: timeout };
-        match send_request(
-            gateway,
-            *relay,
-            &relayed_request,
-            Instant::now() + timeout + RELAY_MARGIN,
-        )
-        .await
-        {
-            Some(PeerReply::Relayed { reply: Some(reply) }) => return Some(*reply),
-            // The relay can't reach the destination either.
-            Some(PeerReply::Relayed { reply: None }) => unreachable_count += 1,
-            _ => {}
+        match send_through(gateway, *relay, address, request.clone(), timeout).await {
+            RelayOutcome::Replied(reply) => return Some(reply),
+            RelayOutcome::Unreachable => unreachable_count += 1,
+            RelayOutcome::NoRelay => {}
         }
     }
     if unreachable_count > 0 {
@@ -143,6 +135,98 @@
     None
 }
 
+/// What became of a request that was sent through another host.
+enum RelayOutcome {
+    /// The destination has replied.
+    Replied(PeerReply),
+    /// The relay can't reach the destination either.
+    Unreachable,
+    /// The relay has not answered, or its build has no relays for such requests.
+    NoRelay,
+}
+
+async fn send_through(
+    gateway: &Rc<Gateway>,
+    relay: SocketAddr,
+    to: SocketAddr,
+    request: PeerRequest,
+    timeout: Duration,
+) -> RelayOutcome {
+    let host = roster::host_at(gateway, to);
+    let relayed = PeerRequest::Relay { to, host, request: Box::new(request), wait: timeout };
+    let deadline = Instant::now() + timeout + RELAY_MARGIN;
+    match send_request(gateway, relay, &relayed, deadline).await {
+        Some(PeerReply::Relayed { reply: Some(reply) }) => RelayOutcome::Replied(*reply),
+        Some(PeerReply::Relayed { reply: None }) => RelayOutcome::Unreachable,
+        _ => RelayOutcome::NoRelay,
+    }
+}
+
+/// Sends a request to a store host directly, or through the relay that reached it at the last ping
+/// if this host does not. Unlike [`send_request_or_relay`] it looks for no relay, so that callers
+/// learn at once that a host is out of reach.
+pub(crate) async fn send_directly_or_relay(
+    gateway: &Rc<Gateway>,
+    address: SocketAddr,
+    request: PeerRequest,
+    timeout: Duration,
+) -> Option<PeerReply> {
+    let relay = gateway.relays.borrow().get(&address).copied();
+    let Some(relay) = relay.filter(|_| is_suspect(gateway, address)) else {
+        return send_request(gateway, address, &request, Instant::now() + timeout).await;
+    };
+    match send_through(gateway, relay, address, request, timeout).await {
+        RelayOutcome::Replied(reply) => {
+            gateway.metrics.count("peer_requests_relayed", 1);
+            Some(reply)
+        }
+        RelayOutcome::Unreachable | RelayOutcome::NoRelay => {
+            gateway.relays.borrow_mut().remove(&address);
+            None
+        }
+    }
+}
+
+/// Returns whether requests to a store host get there, directly or through a relay.
+pub(crate) fn is_in_reach(gateway: &Gateway, address: SocketAddr) -> bool {
+    !is_suspect(gateway, address) || gateway.relays.borrow().contains_key(&address)
+}
+
+/// Finds a host that reaches a store host that this one does not reach.
+async fn find_relay(gateway: &Rc<Gateway>, address: SocketAddr) {
+    let known = gateway.relays.borrow().get(&address).copied();
+    let others: Vec<SocketAddr> = {
+        let roster = gateway.roster.borrow();
+        if !roster.turn_stores().any(|(_, record, _)| record.address == address) {
+            return;
+        }
+        let others = roster.lenders().map(|(_, relay)| relay);
+        others.filter(|relay| Some(*relay) != known && !is_suspect(gateway, *relay)).collect()
+    };
+    let candidates = known.into_iter();
+    for relay in candidates.chain(others.sample(&mut rand::rng(), RELAY_PROBES).copied()) {
+        let ping = PeerRequest::Ping;
+        let outcome = send_through(gateway, relay, address, ping, PING_TIMEOUT).await;
+        if matches!(outcome, RelayOutcome::Replied(_)) {
+            if gateway.relays.borrow_mut().insert(address, relay).is_none() {
+                gateway.decisions.log(
+                    LineRate::Failure,
+                    "peer",
+                    json!({"address": address, "what": "in reach through another", "relay": relay}),
+                );
+            }
+            return;
+        }
+    }
+    if gateway.relays.borrow_mut().remove(&address).is_some() {
+        gateway.decisions.log(
+            LineRate::Failure,
+            "peer",
+            json!({"address": address, "what": "out of reach of all relays"}),
+        );
+    }
+}
+
 /// Sends messages to all other hosts, without waiting for them.
 pub(crate) fn announce(gateway: &Rc<Gateway>, requests: Vec<PeerRequest>) {
     let addresses: Vec<SocketAddr> =
@@ -202,15 +286,18 @@
 async fn ping_until_answered(gateway: Rc<Gateway>, address: SocketAddr) {
     let mut pause = PING_INTERVAL;
     while gateway.suspects.borrow().contains(&address) {
+        find_relay(&gateway, address).await;
         smol::Timer::after(pause).await;
         pause = (pause * 2).min(PING_INTERVAL_MAX);
         if !roster::has_host_at(&gateway, address) {
             gateway.suspects.borrow_mut().remove(&address);
+            gateway.relays.borrow_mut().remove(&address);
             return;
         }
         let deadline = Instant::now() + PING_TIMEOUT;
         if try_send_request(&gateway, address, &PeerRequest::Ping, deadline).await.is_some() {
             gateway.suspects.borrow_mut().remove(&address);
+            gateway.relays.borrow_mut().remove(&address);
             gateway.decisions.log(
                 LineRate::Failure,
                 "peer",
--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/peers/message.rs
@@ -149,6 +149,9 @@
     /// Forwards a request to a host that the sender can't reach.
     Relay {
         to: SocketAddr,
+        /// The host at that address. The receiver uses the address that it knows of it.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        host: Option<HostId>,
         #[serde(rename = "question")]
         request: Box<PeerRequest>,
         wait: Duration,
@@ -234,6 +237,7 @@
             | Self::FindTurn { .. }
             | Self::FetchTurns { .. }
             | Self::HeldTurns { .. } => MessageFormat::MessagePack,
+            Self::Relay { request, .. } => request.format(),
             _ => MessageFormat::Json,
         }
     }
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -5,8 +5,8 @@
 
 pub(crate) use {
     client::{
-        announce, is_lost, is_suspect, mark_suspect, send_announcement, send_request,
-        send_request_or_relay,
+        announce, is_in_reach, is_lost, is_suspect, mark_suspect, send_announcement,
+        send_directly_or_relay, send_request, send_request_or_relay,
     },
     message::{ChargeDecision, Ownership, PeerReply, PeerRequest, ReplicaStatus, SettlementStatus},
 };
@@ -166,7 +166,8 @@
         }
         PeerRequest::Hosts => PeerReply::Hosts { hosts: roster::all_hosts(gateway) },
         PeerRequest::Ping => PeerReply::Done,
-        PeerRequest::Relay { to, request, wait } => {
+        PeerRequest::Relay { to, host, request, wait } => {
+            let to = host.and_then(|host| roster::address_of(gateway, &host)).unwrap_or(to);
             let reply = match *request {
                 // At most one relay, because longer paths could form loops.
                 PeerRequest::Relay { .. } => None,
--- a/crates/gateway/src/roster.rs
+++ b/crates/gateway/src/roster.rs
@@ -354,7 +354,13 @@
 
 /// Returns whether the roster has another host with this address.
 pub(crate) fn has_host_at(gateway: &Gateway, address: SocketAddr) -> bool {
-    gateway.roster.borrow().peers().any(|(_, record)| record.address == address)
+    host_at(gateway, address).is_some()
+}
+
+/// Returns the other host with this address.
+pub(crate) fn host_at(gateway: &Gateway, address: SocketAddr) -> Option<HostId> {
+    let roster = gateway.roster.borrow();
+    roster.peers().find(|(_, record)| record.address == address).map(|(host, _)| host.clone())
 }
 
 /// Returns the peer addresses of the other hosts, or the seeds while the roster has none.
--- a/crates/gateway/src/status.rs
+++ b/crates/gateway/src/status.rs
@@ -59,6 +59,7 @@
         ("caller_connections_open", gateway.callers.borrow().len() as u64),
         ("decision_lines_dropped", gateway.decisions.dropped()),
         ("hosts", gateway.roster.borrow().peers().count() as u64 + 1),
+        ("peers_out_of_reach", gateway.suspects.borrow().len() as u64),
         ("turns_stored", gateway.turns.stored_count() as u64),
         ("turns_recovered", u64::from(gateway.turns.has_recovered())),
         ("stranded", u64::from(gateway.relay.is_stranded())),
--- a/crates/gateway/src/turns/find.rs
+++ b/crates/gateway/src/turns/find.rs
@@ -46,7 +46,7 @@
 pub(crate) fn has_enough_stores(gateway: &Gateway) -> bool {
     let roster = gateway.roster.borrow();
     let in_reach =
-        roster.turn_stores().filter(|(_, record, _)| !peers::is_suspect(gateway, record.address));
+        roster.turn_stores().filter(|(_, record, _)| peers::is_in_reach(gateway, record.address));
     in_reach.count() + usize::from(own_record(gateway).is_some()) >= copies(gateway)
 }
 
@@ -231,12 +231,12 @@
     deadline: Instant,
 ) -> Option<TurnLookup> {
     let Some(address) = address else { return Some(find_here(gateway, id, team).await) };
-    if peers::is_suspect(gateway, address) && peers::is_lost(gateway, address) {
+    if !peers::is_in_reach(gateway, address) && peers::is_lost(gateway, address) {
         return None;
     }
     let request = PeerRequest::FindTurn { id: id.clone(), team: team.into() };
-    let deadline = deadline.min(Instant::now() + FIND_TIMEOUT);
-    match peers::send_request(gateway, address, &request, deadline).await {
+    let timeout = FIND_TIMEOUT.min(deadline.saturating_duration_since(Instant::now()));
+    match peers::send_directly_or_relay(gateway, address, request, timeout).await {
         Some(PeerReply::TurnLookup { lookup }) => Some(lookup),
         _ => None,
     }
--- a/crates/gateway/src/turns/mod.rs
+++ b/crates/gateway/src/turns/mod.rs
@@ -238,8 +238,8 @@
     peers.chain(own).collect()
 }
 
-/// Returns the store hosts by preference as holders of a tree, those last that were slow or out of
-/// reach lately.
+/// Returns the store hosts by preference as holders of a tree: first those that this host reaches,
+/// then those that were slow lately or are reached through another host, then the others.
 fn holders_by_reachability(gateway: &Gateway, tree: &str) -> Vec<Holder> {
     let hosts = store_hosts(gateway);
     let roster = gateway.roster.borrow();
@@ -250,10 +250,12 @@
         address: addresses.get(&store_host.host).copied(),
     };
     let mut holders: Vec<Holder> = rank_holders(tree, &hosts).into_iter().map(to_holder).collect();
-    holders.sort_by_key(|holder| {
-        holder.address.is_some_and(|address| {
-            peers::is_suspect(gateway, address) || gateway.turns.is_slow(address)
-        })
+    holders.sort_by_key(|holder| match holder.address {
+        Some(address) if !peers::is_in_reach(gateway, address) => 2,
+        Some(address) => {
+            u8::from(peers::is_suspect(gateway, address) || gateway.turns.is_slow(address))
+        }
+        None => 0,
     });
     holders
 }
--- a/crates/gateway/src/turns/retain.rs
+++ b/crates/gateway/src/turns/retain.rs
@@ -147,11 +147,11 @@
 ) -> Option<TurnWriteOutcome> {
     let Some(address) = holder.address else { return Some(store_here(gateway, turns).await) };
     let began = Instant::now();
-    let deadline = deadline.min(began + WRITE_TIMEOUT);
+    let timeout = WRITE_TIMEOUT.min(deadline.saturating_duration_since(began));
     let request = PeerRequest::StoreTurns { turns };
     // A host whose disk stalls is in reach, so only its turns go elsewhere for a while.
     let slow_guard = SlowGuard { gateway, address, began };
-    let reply = peers::send_request(gateway, address, &request, deadline).await;
+    let reply = peers::send_directly_or_relay(gateway, address, request, timeout).await;
     drop(slow_guard);
     match reply {
         Some(PeerReply::TurnsStored { outcome }) => Some(outcome),
--- a/crates/standin/src/fleet/store.rs
+++ b/crates/standin/src/fleet/store.rs
@@ -45,7 +45,8 @@
     _server: Server,
 }
 
-/// Addresses of workers, and those that are returned in their place. May change at any time.
+/// Addresses of workers and hosts, and those that are returned in their place. May change at any
+/// time.
 pub type ReplacedAddresses = Arc<Mutex<Vec<(SocketAddr, SocketAddr)>>>;
 
 /// One listening address of a store. Each has its own fault.
@@ -90,8 +91,8 @@
         self.open_view(ReplacedAddresses::default()).await
     }
 
-    /// Opens another listening address like [`Self::open_address`], for a host that reaches workers
-    /// through proxies.
+    /// Opens another listening address like [`Self::open_address`], for a host that reaches workers or
+    /// other hosts through proxies.
     ///
     /// # Errors
     ///
@@ -271,9 +272,12 @@
 
 fn replace_address(object: &mut Value, replaced: &[(SocketAddr, SocketAddr)]) {
     let Some(spec) = object["spec"].as_object_mut() else { return };
-    let Some(Value::String(address)) = spec.get_mut("addr") else { return };
-    if let Some((_, to)) = replaced.iter().find(|(from, _)| from.to_string() == *address) {
-        *address = to.to_string();
+    // The former stands in the entries of workers, the latter in those of hosts.
+    for field in ["addr", "address"] {
+        let Some(Value::String(address)) = spec.get_mut(field) else { continue };
+        if let Some((_, to)) = replaced.iter().find(|(from, _)| from.to_string() == *address) {
+            *address = to.to_string();
+        }
     }
 }
 
