Use an upstream that left and registered again between two reads

Callers got 503 for a service whose upstream was removed from the store and registered again under its id within the pause between two reads of the store, 0.2 to 0.8 s: the host had no upstream until the entry changed the next time, which may be never.

Cause: a read's removals were applied after all of its other changes, so the removal took out the newer entry. A later entry now cancels the removal of its id within the same read. Found by reading.

upstream_that_is_removed_and_registered_again_between_two_reads_is_used was red before ("upstreams does not become 3") and is green now.

--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -172,7 +172,11 @@
             (Collection::Configuration, Change::Put(object)) => {
                 apply_configuration(gateway, &object)
             }
-            (Collection::Upstreams, Change::Put(object)) => upsert_upstream(gateway, &object),
+            (Collection::Upstreams, Change::Put(object)) => {
+                // It may have been removed and have registered again since the last read.
+                delisted.retain(|id: &UpstreamId| **id != *object.name);
+                upsert_upstream(gateway, &object);
+            }
             (Collection::Upstreams, Change::Removed(name)) => {
                 delisted.push(UpstreamId::from(name));
             }
