Wait for new homes as long as a restart of all hosts takes

Traced: until a new delegate has settled and the journals have homes again, 3.6 s pass at a lease of 400 ms (8 of 8 runs, 3.62 s without load, 3.65 to 3.75 s beside ten busy processes on 6 cores). The entry waited six leases and then as long as its last attempt took, which ends at about the same time.

The wait is twelve leases now.

--- a/crates/host/src/backend.rs
+++ b/crates/host/src/backend.rs
@@ -27,10 +27,10 @@
 const PEER_TIMEOUT: Duration = Duration::from_secs(5);
 /// Pause before looking up a home again.
 const LOOKUP_PAUSE: Duration = Duration::from_millis(100);
-/// Maximum wait of a request for a new home, as a multiple of the lease duration. Covers the expiry
-/// of the old lease with its margin, the change of delegate, the takeover of the journal, and
-/// retries.
-const TAKEOVER_LEASES: u32 = 6;
+/// Maximum wait of a request for a new home, as a multiple of the lease duration. Covers a restart
+/// of all hosts at once, after which it takes nine leases until a new delegate has settled and the
+/// journals have homes again.
+const TAKEOVER_LEASES: u32 = 12;
 /// Chunks buffered for a slow caller before backpressure reaches the home's stream.
 const ANSWER_CHUNKS: usize = 256;
 /// Maximum number of consecutive failed polls for chunks that are retried. After one more, the home
