Let one host of each failure domain read the store for the others

Each host with callers watched the configuration, the upstreams and the hosts itself, and the store bills each call.

Now the hosts of a failure domain ask one of them, the reader, for what has changed since the revision that they have: first a host without callers, chosen by rendezvous hashing. Every follower can go on from the store at any time, since both speak of the same revisions. A reader answers only while the store has answered it within a second; a follower without an answer in 0.75 s reads the store itself and asks again after 1 to 16 s. Large configurations are read by each host, so that they do not occupy the reader's link. Domains with fewer than four hosts with callers are as before, as are hosts of a former build: requests go only to hosts that announce in their records that they read for others.

Decisions are in core::watch_sharing, with a model of one domain in virtual time: calls do not grow with its hosts; a change is known at most a second late when the reader is cut off from the store, frozen or lost; a loss costs each follower at most six calls. Path tests with six hosts play the same with processes' hosts and an outage of the store.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -29,3 +29,4 @@
 pub mod turns;
 pub mod verdict;
 pub mod wait;
+pub mod watch_sharing;
--- a/crates/core/src/roster/mod.rs
+++ b/crates/core/src/roster/mod.rs
@@ -51,6 +51,9 @@
     /// registers again, but its disk may still hold turns.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub away: Option<AwayRecord>,
+    /// Whether the host reads the store for others that ask it to.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub shares_watches: bool,
 }
 
 /// What a host announces of its store of turns.
@@ -104,7 +107,7 @@
 
     /// Records that the store has answered with the hosts or their changes.
     pub fn record_store_contact(&mut self, now: Instant) {
-        self.store_contact_at = now;
+        self.store_contact_at = self.store_contact_at.max(now);
     }
 
     /// Applies the record of a host, either a peer or this host. Returns true only if the host is a
@@ -120,10 +123,12 @@
         }
         if let Some(existing) = self.peers.get(host)
             && existing.incarnation == record.incarnation
-            && record.turn_store.is_none()
         {
-            // The record came through a host whose build does not know the field.
-            record.turn_store.clone_from(&existing.turn_store);
+            // The record may have come through a host whose build does not know these fields.
+            record.shares_watches |= existing.shares_watches;
+            if record.turn_store.is_none() {
+                record.turn_store.clone_from(&existing.turn_store);
+            }
         }
         match self.peers.get(host) {
             Some(existing) if existing.incarnation > record.incarnation => false,
--- a/crates/core/src/roster/tests.rs
+++ b/crates/core/src/roster/tests.rs
@@ -9,6 +9,7 @@
         has_joined: true,
         turn_store: None,
         away: None,
+        shares_watches: false,
     }
 }
 
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -20,7 +20,7 @@
         time::within,
         turns::{self, Turns},
         upstream_limits::LimitBorrowings,
-        watch,
+        watch::{self, Watches},
     },
     event_listener::Event,
     serde_json::json,
@@ -155,6 +155,7 @@
     pub(crate) decisions: Decisions,
     /// Addresses that this gateway listens on; `None` until all are bound.
     pub(crate) bound: Cell<Option<BoundAddresses>>,
+    pub(crate) watches: Watches,
     /// Whether the list of upstreams has been received at least once.
     pub(crate) has_received_upstreams: Cell<bool>,
     /// Whether this host has asked others for the contents that they blame for crashes, or has
@@ -227,6 +228,7 @@
             store_recovered: Event::new(),
             is_accepting: Cell::new(false),
             bound: Cell::new(None),
+            watches: Watches::default(),
             has_received_upstreams: Cell::new(false),
             has_synced_blame: Cell::new(false),
             stage: Cell::new(Stage::Serving),
--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/peers/message.rs
@@ -11,7 +11,7 @@
 use {
     crate::{
         crashes::CrashReport,
-        store::StoredObject,
+        store::{Change, Collection, Revision, StoredObject},
         turns::{RetainedTurn, TurnLookup, TurnWriteOutcome},
     },
     derive_more::Display,
@@ -158,6 +158,33 @@
     },
     /// Checks whether the receiver can be reached.
     Ping,
+    /// Requests the changes of collections of the store, each after the revision that the sender has.
+    /// The receiver reads the store for the sender, and replies once there are changes or `wait` has
+    /// passed. Sent only to hosts that announce that they do so.
+    FollowStore {
+        after: Vec<(Collection, Option<Revision>)>,
+        #[serde(deserialize_with = "durations::bounded")]
+        wait: Duration,
+    },
+}
+
+/// What has changed in a collection of the store after a revision.
+#[derive(Clone, Debug, serde::Deserialize, serde::Serialize)]
+#[serde(rename_all = "snake_case")]
+pub(crate) enum CollectionNews {
+    /// The changes, oldest first, and the revision up to which they are complete.
+    Changes { changes: Vec<Change>, revision: Revision },
+    /// All objects at a revision.
+    State { objects: Vec<StoredObject>, revision: Revision },
+    /// The host does not pass on what has changed.
+    ReadStore,
+}
+
+impl CollectionNews {
+    /// Returns whether there is more to tell than that nothing has changed.
+    pub(crate) fn is_worth_a_reply(&self) -> bool {
+        !matches!(self, Self::Changes { changes, .. } if changes.is_empty())
+    }
 }
 
 /// The reply to a [`PeerRequest`].
@@ -224,6 +251,14 @@
     Hosts { hosts: Vec<(HostId, HostRecord)> },
     /// The other host's reply to a relayed request. `None` if the relay got none.
     Relayed { reply: Option<Box<PeerReply>> },
+    /// Changes of the store, which has answered the host this long ago.
+    StoreChanges {
+        collections: Vec<(Collection, CollectionNews)>,
+        #[serde(deserialize_with = "durations::bounded")]
+        contact_age: Duration,
+    },
+    /// The host does not read the store at present, or gets no answers from it.
+    NotReading,
     /// The host's build does not read requests of this kind.
     Unsupported { kind: String },
 }
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -8,7 +8,10 @@
         announce, is_in_reach, is_lost, is_suspect, mark_suspect, send_announcement,
         send_directly_or_relay, send_request, send_request_or_relay,
     },
-    message::{ChargeDecision, Ownership, PeerReply, PeerRequest, ReplicaStatus, SettlementStatus},
+    message::{
+        ChargeDecision, CollectionNews, Ownership, PeerReply, PeerRequest, ReplicaStatus,
+        SettlementStatus,
+    },
 };
 
 use {
@@ -166,6 +169,9 @@
         }
         PeerRequest::Hosts => PeerReply::Hosts { hosts: roster::all_hosts(gateway) },
         PeerRequest::Ping => PeerReply::Done,
+        PeerRequest::FollowStore { after, wait } => {
+            watch::news_for_follower(gateway, after, wait).await
+        }
         PeerRequest::Relay { to, host, request, wait } => {
             let to = host.and_then(|host| roster::address_of(gateway, &host)).unwrap_or(to);
             let reply = match *request {
--- a/crates/gateway/src/roster.rs
+++ b/crates/gateway/src/roster.rs
@@ -187,6 +187,7 @@
         has_joined: gateway.roster.borrow().has_joined(),
         turn_store: turns::own_record(gateway),
         away: None,
+        shares_watches: true,
     }
 }
 
@@ -327,7 +328,12 @@
 /// Records that the store has answered with the current state of the hosts.
 pub(crate) fn record_store_contact(gateway: &Gateway) {
     turns::refresh_peers(gateway);
-    gateway.roster.borrow_mut().record_store_contact(Instant::now());
+    record_contact_at(gateway, Instant::now());
+}
+
+/// Records that this host knew the current state of the hosts at a time.
+pub(crate) fn record_contact_at(gateway: &Gateway, at: Instant) {
+    gateway.roster.borrow_mut().record_store_contact(at);
 }
 
 /// Updates this host's shares of the allowances after a change of the roster.
--- a/crates/gateway/src/status.rs
+++ b/crates/gateway/src/status.rs
@@ -51,6 +51,7 @@
 
 fn metrics(gateway: &Gateway) -> String {
     let counts = gateway.connections.counts();
+    let store_calls = gateway.adapter.store.request_counts();
     let gauges = [
         ("upstream_connections_opened", counts.opened),
         ("upstream_connections_failed", counts.failed),
@@ -65,8 +66,10 @@
         ("stranded", u64::from(gateway.relay.is_stranded())),
         ("upstreams_leaving", gateway.placement.borrow().leaving_count() as u64),
         ("upstreams", gateway.placement.borrow().ids().count() as u64),
+        ("has_store_reader", u64::from(gateway.watches.has_reader())),
+        ("is_store_reader", u64::from(gateway.watches.is_followed())),
         ("answer_bytes", gateway.answer_memory.used_bytes() as u64),
-        ("store_calls", gateway.adapter.store.request_count()),
+        ("store_calls", store_calls.values().sum()),
         (
             "configuration_version",
             gateway.routing_table.borrow().as_ref().map_or(0, |table| table.version),
@@ -75,5 +78,8 @@
     for (name, value) in gauges {
         gateway.metrics.gauge(name, value);
     }
+    for (operation, value) in store_calls {
+        gateway.metrics.gauge(&format!("store_calls.{operation}"), value);
+    }
     gateway.metrics.text()
 }
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -4,7 +4,7 @@
     crate::http::SendError,
     derive_more::Display,
     serde_json::Value,
-    std::{future::Future, pin::Pin, time::Duration},
+    std::{collections::BTreeMap, future::Future, pin::Pin, time::Duration},
     trefoilring_core::{placement::UpstreamRecord, routing::RoutingTable},
 };
 
@@ -38,7 +38,8 @@
 }
 
 /// A change reported by a watch.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, serde::Deserialize, serde::Serialize)]
+#[serde(rename_all = "snake_case")]
 pub enum Change {
     /// The object was created or changed.
     Put(StoredObject),
@@ -77,7 +78,10 @@
 }
 
 /// Collections of the store that the gateway uses.
-#[derive(Clone, Copy, Debug, Display, Eq, Hash, PartialEq)]
+#[derive(
+    Clone, Copy, Debug, Display, Eq, Hash, PartialEq, serde::Deserialize, serde::Serialize,
+)]
+#[serde(rename_all = "snake_case")]
 pub enum Collection {
     /// The operators' configuration.
     #[display("configuration")]
@@ -162,8 +166,9 @@
         if_revision: Revision,
     ) -> LocalFuture<'a, Result<(), StoreError>>;
 
-    /// Returns the number of requests sent so far. The store counts and bills each.
-    fn request_count(&self) -> u64;
+    /// Returns the number of requests sent so far by operation and collection, such as
+    /// `watch_upstreams`. The store counts and bills each.
+    fn request_counts(&self) -> BTreeMap<String, u64>;
 }
 
 /// Parses objects that other processes write to the store.
--- a/crates/gateway/src/turns/mod.rs
+++ b/crates/gateway/src/turns/mod.rs
@@ -167,7 +167,7 @@
 pub(crate) fn start(gateway: &Rc<Gateway>) {
     let Some(store) = &gateway.turns.store else { return };
     store::start(gateway);
-    watch::start_collection(gateway, Collection::Retirements);
+    watch::start_own_collection(gateway, Collection::Retirements);
     if store.needs_peers() {
         activate(gateway);
     }
@@ -181,7 +181,7 @@
         return;
     }
     if gateway.settings.callers_listen.is_none() {
-        watch::start_collection(gateway, Collection::Hosts);
+        watch::start_own_collection(gateway, Collection::Hosts);
     }
     pull::start(gateway);
 }
--- a/crates/gateway/src/watch/mod.rs
+++ b/crates/gateway/src/watch/mod.rs
@@ -1,5 +1,9 @@
 //! Watches the store for changes of the configuration, the upstreams and the hosts.
 
+mod sharing;
+
+pub(crate) use sharing::{Watches, news_for_follower};
+
 use {
     crate::{
         allowance,
@@ -22,6 +26,7 @@
         ids::{ConfigVersion, UpstreamId},
         placement::{DelistingAction, StoreOutage},
         store_backoff::{Backoff, WatchDelay},
+        watch_sharing::READER_WATCH_WAIT,
     },
     trefoilring_observe::decisions::LineRate,
 };
@@ -32,7 +37,8 @@
 /// Maximum wait of a watch as a fraction of the store's history. After a longer wait the history
 /// may have expired, and the collection would have to be listed again.
 const WATCH_WAIT_FRACTION: f64 = 0.9;
-/// Wait of a watch that tests whether the store is available again after a failure.
+/// Wait of a watch whose answer is needed even if nothing has changed, such as one that tests whether
+/// the store is available again after a failure.
 const PROBE_WATCH_WAIT: Duration = Duration::from_millis(20);
 /// Maximum pause before a collection is listed again because its history has expired.
 const RELIST_PAUSE_MAX: Duration = Duration::from_millis(100);
@@ -45,20 +51,26 @@
     if gateway.settings.callers_listen.is_none() {
         return;
     }
-    for collection in [Collection::Configuration, Collection::Upstreams, Collection::Hosts] {
-        start_collection(gateway, collection);
-    }
+    sharing::start(gateway);
 }
 
-/// Starts watching one collection.
-pub(crate) fn start_collection(gateway: &Rc<Gateway>, collection: Collection) {
-    gateway.spawn(watch_collection(gateway.clone(), collection));
+/// Starts watching a collection that this host needs for itself.
+pub(crate) fn start_own_collection(gateway: &Rc<Gateway>, collection: Collection) {
+    gateway.watches.set_own(collection);
+    start_collection(gateway, collection);
+}
+
+/// Starts watching a collection, if that has not been done.
+fn start_collection(gateway: &Rc<Gateway>, collection: Collection) {
+    if !gateway.watches.of(collection).is_started.replace(true) {
+        gateway.spawn(watch_collection(gateway.clone(), collection));
+    }
 }
 
 async fn watch_collection(gateway: Rc<Gateway>, collection: Collection) {
-    let mut revision: Option<Revision> = None;
+    let watches = &gateway.watches;
+    let watched = watches.of(collection);
     let mut backoff = Backoff::default();
-    let mut outage = StoreOutage::default();
     let mut delay = match collection {
         Collection::Hosts => WatchDelay::for_hosts(),
         Collection::Upstreams => WatchDelay::for_upstreams(),
@@ -67,17 +79,18 @@
         }
     };
     loop {
-        let outcome = match revision {
-            None => list(&gateway, collection, &outage).await,
-            Some(after) => watch(&gateway, collection, after, &outage, &mut delay).await,
+        watches.until_reading(collection).await;
+        let outcome = match watched.revision.get() {
+            None => watches.unless_interrupted(collection, list(&gateway, collection)).await,
+            Some(after) => {
+                let watch = watch(&gateway, collection, after, &mut delay);
+                watches.unless_interrupted(collection, watch).await
+            }
         };
+        let Some(outcome) = outcome else { continue };
         match outcome {
-            Ok(new_revision) => {
-                if let Some(outage_duration) = outage.record_success(Instant::now()) {
-                    log_store_event(&gateway, collection, "regained", &outage_duration, None);
-                    gateway.store_recovered.notify(usize::MAX);
-                }
-                revision = Some(new_revision);
+            Ok(()) => {
+                on_store_answer(&gateway, collection);
                 backoff = Backoff::default();
             }
             Err(error) if error == StoreError::HistoryExpired => {
@@ -88,7 +101,7 @@
                     &Duration::ZERO,
                     Some(&error),
                 );
-                revision = None;
+                watched.revision.set(None);
                 if collection == Collection::Upstreams {
                     stream_origins::restart_watch(&gateway);
                 }
@@ -96,7 +109,11 @@
                 Timer::after(RELIST_PAUSE_MAX.mul_f64(rand::rng().random_range(0.0..1.0))).await;
             }
             Err(error) => {
-                if outage.record_failure(Instant::now()) {
+                let mut outage = watched.outage.get();
+                let is_first = outage.record_failure(Instant::now());
+                watched.outage.set(outage);
+                watches.on_store_failure();
+                if is_first {
                     log_store_event(&gateway, collection, "lost", &Duration::ZERO, Some(&error));
                 }
                 query_peer(&gateway, collection).await;
@@ -106,6 +123,18 @@
     }
 }
 
+/// Records that the store has answered, this host or its reader.
+fn on_store_answer(gateway: &Gateway, collection: Collection) {
+    let watched = gateway.watches.of(collection);
+    let mut outage = watched.outage.get();
+    let ended = outage.record_success(Instant::now());
+    watched.outage.set(outage);
+    if let Some(outage_duration) = ended {
+        log_store_event(gateway, collection, "regained", &outage_duration, None);
+        gateway.store_recovered.notify(usize::MAX);
+    }
+}
+
 fn log_store_event(
     gateway: &Gateway,
     collection: Collection,
@@ -125,21 +154,31 @@
     );
 }
 
-async fn list(
+async fn list(gateway: &Rc<Gateway>, collection: Collection) -> Result<(), StoreError> {
+    let Listing { objects, revision } = gateway.adapter.store.list(collection).await?;
+    let outage = gateway.watches.of(collection).outage.get();
+    apply_listing(gateway, collection, &objects, &outage);
+    gateway.watches.on_listed(collection, objects, revision);
+    Ok(())
+}
+
+/// Applies all objects of a collection.
+fn apply_listing(
     gateway: &Rc<Gateway>,
     collection: Collection,
+    objects: &[StoredObject],
     outage: &StoreOutage,
-) -> Result<Revision, StoreError> {
-    let Listing { objects, revision } = gateway.adapter.store.list(collection).await?;
+) {
     match collection {
+        // Read for others.
+        Collection::Configuration | Collection::Upstreams
+            if !gateway.watches.of(collection).is_own() => {}
         Collection::Configuration => {
             objects.iter().for_each(|object| apply_configuration(gateway, object))
         }
-        Collection::Upstreams => {
-            replace_upstreams(gateway, &objects, outage);
-        }
+        Collection::Upstreams => replace_upstreams(gateway, objects, outage),
         Collection::Hosts => {
-            roster::apply_host_list(gateway, &objects);
+            roster::apply_host_list(gateway, objects);
             roster::record_store_contact(gateway);
         }
         Collection::Retirements => {
@@ -147,27 +186,55 @@
         }
         Collection::Ledgers => {}
     }
-    Ok(revision)
 }
 
 async fn watch(
     gateway: &Rc<Gateway>,
     collection: Collection,
     after: Revision,
-    outage: &StoreOutage,
     delay: &mut WatchDelay,
-) -> Result<Revision, StoreError> {
-    // A long watch without changes does not show whether the store is available. After a failure a
-    // short one shows whether the store is available again.
+) -> Result<(), StoreError> {
+    let watches = &gateway.watches;
+    let outage = watches.of(collection).outage.get();
+    let longest = gateway.settings.store_history.mul_f64(WATCH_WAIT_FRACTION).min(WATCH_WAIT_MAX);
     let wait = match outage.is_ongoing() {
+        // A long watch without changes does not show whether the store is available. After a failure
+        // a short one shows whether the store is available again.
         true => PROBE_WATCH_WAIT,
-        false => gateway.settings.store_history.mul_f64(WATCH_WAIT_FRACTION).min(WATCH_WAIT_MAX),
+        false if watches.of(collection).is_behind_reader() => PROBE_WATCH_WAIT,
+        false if collection == Collection::Configuration && watches.is_followed() => {
+            READER_WATCH_WAIT
+        }
+        false => longest,
     };
-    let freshness = freshness(gateway, collection, outage);
+    let freshness = freshness(gateway, collection, &outage);
     let result = gateway.adapter.store.watch(collection, after, wait, freshness).await?;
     let has_changes = !result.changes.is_empty();
+    apply_changes(gateway, collection, result.changes.clone(), &outage);
+    watches.on_changes(collection, result.changes, result.revision);
+    if collection == Collection::Hosts {
+        roster::record_store_contact(gateway);
+    }
+    if has_changes {
+        Timer::after(delay.after_changes(Instant::now())).await;
+    }
+    Ok(())
+}
+
+/// Applies changes in the order in which they were made.
+fn apply_changes(
+    gateway: &Rc<Gateway>,
+    collection: Collection,
+    changes: Vec<Change>,
+    outage: &StoreOutage,
+) {
+    let is_own = gateway.watches.of(collection).is_own();
+    if !is_own && collection != Collection::Hosts {
+        // Read for others.
+        return;
+    }
     let mut delisted = Vec::new();
-    for change in result.changes {
+    for change in changes {
         match (collection, change) {
             (Collection::Configuration, Change::Put(object)) => {
                 apply_configuration(gateway, &object)
@@ -192,13 +259,6 @@
         }
     }
     on_delisted(gateway, delisted, outage);
-    if collection == Collection::Hosts {
-        roster::record_store_contact(gateway);
-    }
-    if has_changes {
-        Timer::after(delay.after_changes(Instant::now())).await;
-    }
-    Ok(result.revision)
 }
 
 /// Returns how old the changes of a collection may be. A host with callers needs no early news of
@@ -206,8 +266,11 @@
 /// a failure only a current answer shows that the store is available again.
 fn freshness(gateway: &Gateway, collection: Collection, outage: &StoreOutage) -> Freshness {
     let serves_callers = gateway.settings.callers_listen.is_some();
+    let is_behind_reader = gateway.watches.of(collection).is_behind_reader();
     match collection {
-        Collection::Hosts if serves_callers && !outage.is_ongoing() => Freshness::Stale,
+        Collection::Hosts if serves_callers && !outage.is_ongoing() && !is_behind_reader => {
+            Freshness::Stale
+        }
         Collection::Retirements if !outage.is_ongoing() => Freshness::Stale,
         _ => Freshness::Current,
     }
