Send requests on the same object to the same upstream

Callers name the object of a request in the cookie Trefoilring-Affinity-Key; on routes with sticky an upstream is faster with an object that it handled lately. The cookie was not read, and such requests went anywhere.

All hosts choose alike without messages; an upstream that is full, in trouble or leaving loses its objects to all others, and gets them back afterwards. Turns stay with their session.

--- a/crates/core/src/placement/mod.rs
+++ b/crates/core/src/placement/mod.rs
@@ -77,6 +77,8 @@
     pub service: &'a str,
     /// Session that the request continues, or the request's program if the caller names no session.
     pub session: Option<&'a str>,
+    /// Object that the request concerns, if its upstream matters. Preferred to the session.
+    pub object: Option<&'a str>,
     /// Software version that the upstream must have, if the request continues a stream.
     pub version: Option<&'a str>,
     /// Software versions that are used only if no upstream of another version accepts work.
@@ -257,14 +259,17 @@
         let Some(best) = self.least_loaded(now, &usable, request.session) else {
             return Choice::AllRefused;
         };
-        let session_upstream = self.session_upstream(now, &usable, request.session);
+        let preferred = match request.object {
+            Some(object) => self.object_upstream(now, &usable, object),
+            None => self.session_upstream(now, &usable, request.session),
+        };
         // What a limit allows is lost if it is not used, and is used while others are busy.
         let leaves_for_limited = |session_upstream: &UpstreamKey| {
             self.upstreams[best].rate_limit.is_some()
                 && self.upstreams[*session_upstream].load(now) >= LEAVE_FOR_LIMITED_LOAD_MIN
         };
-        let chosen = session_upstream.filter(|key| !leaves_for_limited(key)).unwrap_or(best);
-        if let Some(session) = request.session {
+        let chosen = preferred.filter(|key| !leaves_for_limited(key)).unwrap_or(best);
+        if let Some(session) = request.session.filter(|_| request.object.is_none()) {
             self.record_session(now, session, chosen);
         }
         Choice::Use(chosen)
@@ -295,6 +300,24 @@
         usable.iter().copied().min_by(by_cost)
     }
 
+    /// Returns the upstream that ranks first for an object among those that have capacity left. All
+    /// hosts rank alike, so requests on an object meet at one upstream; an upstream that is full or in
+    /// trouble loses its objects to those that rank next, each to another one.
+    fn object_upstream(
+        &self,
+        now: Instant,
+        usable: &[UpstreamKey],
+        object: &str,
+    ) -> Option<UpstreamKey> {
+        let object = NameHash::new(object);
+        let with_capacity = usable.iter().copied().filter(|key| {
+            let upstream = &self.upstreams[*key];
+            upstream.keeps_affinity(now)
+        });
+        with_capacity
+            .max_by_key(|key| object.weight(NameHash::new(&self.upstreams[*key].record.id)))
+    }
+
     fn session_upstream(
         &self,
         now: Instant,
--- a/crates/core/src/placement/rate_limit/tests.rs
+++ b/crates/core/src/placement/rate_limit/tests.rs
@@ -207,6 +207,7 @@
             let request = PlacementRequest {
                 service: "llm",
                 session: None,
+                object: None,
                 version: None,
                 avoided_versions: &[],
                 refused_by: &[],
@@ -475,6 +476,7 @@
         let request = PlacementRequest {
             service: "llm",
             session: None,
+            object: None,
             version: None,
             avoided_versions: &[],
             refused_by: &[],
--- a/crates/core/src/placement/tests.rs
+++ b/crates/core/src/placement/tests.rs
@@ -1,4 +1,7 @@
-use super::*;
+use {
+    super::*,
+    std::collections::{BTreeMap, BTreeSet},
+};
 
 fn record(id: &str, domain: &str) -> UpstreamRecord {
     UpstreamRecord {
@@ -25,6 +28,7 @@
     let request = PlacementRequest {
         service: "llm",
         session,
+        object: None,
         version: None,
         avoided_versions: &[],
         refused_by: &[],
@@ -104,6 +108,7 @@
     let refused_by_far = PlacementRequest {
         service: "llm",
         session: None,
+        object: None,
         version: None,
         avoided_versions: &[],
         refused_by: &[far],
@@ -145,6 +150,7 @@
     let request = PlacementRequest {
         service: "llm",
         session: None,
+        object: None,
         version: None,
         avoided_versions: &[],
         refused_by: &[one],
@@ -172,6 +178,7 @@
         let request = PlacementRequest {
             service: "llm",
             session: None,
+            object: None,
             version: None,
             avoided_versions: &[],
             refused_by: &[],
@@ -284,3 +291,76 @@
     assert_eq!(choose_id(&mut placement, now, None), "near");
     assert_eq!(placement.leaving_count(), 1);
 }
+
+/// Chooses an upstream for a request on an object, which has none of `refused_by`.
+fn choose_for_object(placement: &mut Placement, now: Instant, object: &str) -> UpstreamKey {
+    let request = PlacementRequest {
+        service: "llm",
+        session: None,
+        object: Some(object),
+        version: None,
+        avoided_versions: &[],
+        refused_by: &[],
+        is_behind_others: false,
+    };
+    let Choice::Use(key) = placement.choose(now, &request) else { panic!("no upstream") };
+    key
+}
+
+#[test]
+fn requests_on_an_object_meet_at_one_upstream_from_all_hosts() {
+    let now = Instant::now();
+    let ids = ["i-1", "i-2", "i-3", "i-4"];
+    let records = ids.map(|id| record(id, "a"));
+    let mut hosts: Vec<Placement> = (0..5).map(|_| placement(&records)).collect();
+    // Hosts have different loads in mind.
+    for (host, id) in hosts.iter_mut().zip(ids) {
+        host.record_sent(now, key(host, id));
+        host.record_sent(now, key(host, id));
+    }
+    let mut objects_of: BTreeMap<String, usize> = BTreeMap::new();
+    for number in 0..400 {
+        let object = format!("object-{number}");
+        let chosen: BTreeSet<String> = hosts
+            .iter_mut()
+            .map(|host| {
+                let key = choose_for_object(host, now, &object);
+                host.record(key).expect("a known upstream").id.to_string()
+            })
+            .collect();
+        assert_eq!(chosen.len(), 1, "{object}: {chosen:?}");
+        *objects_of.entry(chosen.into_iter().next().expect("one")).or_default() += 1;
+    }
+    assert!(objects_of.values().all(|objects| (70..=130).contains(objects)), "{objects_of:?}");
+}
+
+#[test]
+fn full_or_leaving_upstream_loses_its_objects_and_keeps_them_afterwards() {
+    let now = Instant::now();
+    let slots = record("i-1", "a").slots;
+    let mut placement = placement(&["i-1", "i-2", "i-3"].map(|id| record(id, "a")));
+    let objects: Vec<String> = (0..60).map(|number| format!("object-{number}")).collect();
+    let choose_all = |placement: &mut Placement| -> Vec<UpstreamKey> {
+        objects.iter().map(|object| choose_for_object(placement, now, object)).collect()
+    };
+    let before = choose_all(&mut placement);
+    let full = before[0];
+    for _ in 0..slots {
+        placement.record_sent(now, full);
+    }
+    let meanwhile = choose_all(&mut placement);
+    for (before, meanwhile) in before.iter().zip(&meanwhile) {
+        assert!(if *before == full { *meanwhile != full } else { meanwhile == before });
+    }
+    let moved: BTreeSet<UpstreamKey> = before
+        .iter()
+        .zip(&meanwhile)
+        .filter(|(old, _)| **old == full)
+        .map(|(_, new)| *new)
+        .collect();
+    assert_eq!(moved.len(), 2, "the objects of a full upstream go to all others");
+    for _ in 0..slots {
+        placement.record_end(now, full, Outcome::Done);
+    }
+    assert_eq!(choose_all(&mut placement), before);
+}
--- a/crates/core/src/routing/mod.rs
+++ b/crates/core/src/routing/mod.rs
@@ -88,6 +88,8 @@
     pub program_idle_max: Option<Duration>,
     /// Whether requests carry only their new input, and the hosts keep the turns before it.
     pub retains_turns: bool,
+    /// Whether upstreams are faster with requests on an object that they handled lately.
+    pub has_affinity: bool,
 }
 
 impl Route {
--- a/crates/core/src/routing/tests.rs
+++ b/crates/core/src/routing/tests.rs
@@ -15,6 +15,7 @@
         is_open: false,
         program_idle_max: None,
         retains_turns: false,
+        has_affinity: false,
     }
 }
 
--- a/crates/gateway/src/call/attempts.rs
+++ b/crates/gateway/src/call/attempts.rs
@@ -288,6 +288,7 @@
         let request = PlacementRequest {
             service: &call.service,
             session: call.session(),
+            object: call.object(),
             version: self.version.as_deref(),
             avoided_versions: &new_versions,
             refused_by: excluded,
--- a/crates/gateway/src/call/mod.rs
+++ b/crates/gateway/src/call/mod.rs
@@ -85,6 +85,13 @@
         Some(program.session.as_deref().unwrap_or(&program.id))
     }
 
+    /// Returns the object that the request concerns, if it makes a difference to upstreams. Turns stay
+    /// with their session.
+    pub(crate) fn object(&self) -> Option<&str> {
+        let object = self.metadata.object.as_deref();
+        object.filter(|_| self.route.has_affinity && self.metadata.generation.is_none())
+    }
+
     /// Returns the hash of what stays the same when the caller repeats the request under a new id.
     pub(crate) fn content(&self) -> ContentHash {
         *self.content.get_or_init(|| {
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -27,6 +27,9 @@
     pub previous_turn: Option<String>,
     /// Id of the last event that the caller has received, if it resumes a stream.
     pub last_event: Option<u64>,
+    /// The object that the request concerns. Requests on the same object are faster at an upstream that
+    /// handled it lately.
+    pub object: Option<String>,
     /// Id of the request that brought the first event of the stream, if the caller takes it up again.
     pub resumed_request: Option<String>,
 }
