Bound what a question for changes of the store may ask for

A message that names a collection many times made a reader copy its state as often: 16 MB of such a message name it half a million times, which ends the process. Found by reading; the hostile messages of path::malformed have such questions, with extreme revisions, unknown and empty collections.

--- a/crates/gateway/src/watch/sharing.rs
+++ b/crates/gateway/src/watch/sharing.rs
@@ -386,6 +386,11 @@
     after: Vec<(Collection, Option<Revision>)>,
     wait: Duration,
 ) -> PeerReply {
+    if after.len() > SHARED.len() {
+        // The state of each would be copied.
+        log::warn!("a host asks for the changes of {} collections; ignoring it", after.len());
+        return PeerReply::NotReading;
+    }
     let watches = &gateway.watches;
     let deadline = Instant::now() + wait.min(FOLLOW_WAIT);
     // A host that has not been asked before lists the collections first.
