Hold questions of all followers while a reader begins

When the hosts of a failure domain ask a host that has not read the store for others so far, only the first of them waited until it had listed the collections; the others were told that it does not read, and each listed them from the store. All questions wait now, for as long as any question may.

Hosts without callers that read for others no longer apply what other hosts tell them of configurations and upstreams in an outage.

--- a/crates/gateway/src/watch/mod.rs
+++ b/crates/gateway/src/watch/mod.rs
@@ -116,7 +116,9 @@
                 if is_first {
                     log_store_event(&gateway, collection, "lost", &Duration::ZERO, Some(&error));
                 }
-                query_peer(&gateway, collection).await;
+                if watched.is_own() || !sharing::SHARED.contains(&collection) {
+                    query_peer(&gateway, collection).await;
+                }
                 Timer::after(backoff.after_failure(rand::rng().random())).await;
             }
         }
--- a/crates/gateway/src/watch/sharing.rs
+++ b/crates/gateway/src/watch/sharing.rs
@@ -67,6 +67,8 @@
     last_answer: Cell<Option<Instant>>,
     /// Last time that another host asked this one for changes.
     followed_at: Cell<Option<Instant>>,
+    /// When this host became a reader the last time.
+    followed_since: Cell<Option<Instant>>,
     /// Notified when the store has answered, or has failed to.
     answered: Event,
     /// Whether this host has looked for a reader since its start. Before that it reads only the list
@@ -187,6 +189,7 @@
         if was_followed {
             return;
         }
+        self.followed_since.set(self.followed_at.get());
         for collection in SHARED {
             // Followers need the state too, so the collection is listed again.
             let watched = self.of(collection);
@@ -197,6 +200,11 @@
         self.resumed.notify(usize::MAX);
     }
 
+    /// Returns whether this host has just become a reader, and may be listing the collections.
+    fn is_beginning(&self) -> bool {
+        self.followed_since.get().is_some_and(|since| since.elapsed() < FOLLOW_WAIT)
+    }
+
     /// Returns whether a collection must be read from the store now.
     fn reads_store(&self, collection: Collection) -> bool {
         let is_own = self.of(collection).is_own.get();
@@ -393,8 +401,6 @@
     }
     let watches = &gateway.watches;
     let deadline = Instant::now() + wait.min(FOLLOW_WAIT);
-    // A host that has not been asked before lists the collections first.
-    let is_new = !watches.is_followed();
     watches.on_follower();
     SHARED.into_iter().for_each(|collection| start_collection(gateway, collection));
     loop {
@@ -410,7 +416,7 @@
                     return PeerReply::StoreChanges { collections, contact_age };
                 }
             }
-            _ if is_new && now < deadline => {}
+            _ if watches.is_beginning() && now < deadline => {}
             _ => return PeerReply::NotReading,
         }
         within(deadline, answered).await;
