List the hosts at once when the system starts

Hosts waited 1.5 s at the first start of the system before they read anything, so that they would find a reader. The pause is gone; at the first start most hosts read all collections once themselves and have a reader a second later.

--- a/crates/gateway/src/watch/sharing.rs
+++ b/crates/gateway/src/watch/sharing.rs
@@ -39,9 +39,6 @@
 const CONFIGURATION_BYTES_MAX: usize = 64 * 1024;
 /// Maximum size of what a reader keeps and passes on of another collection.
 const COLLECTION_BYTES_MAX: usize = 512 * 1024;
-/// Pause before a host looks for a reader when the whole system starts. Hosts with little processor
-/// time take up to a second to register.
-const FIRST_START_PAUSE: Duration = Duration::from_millis(1500);
 /// Maximum time for which a host that starts waits for the list of hosts, to find a reader.
 const START_WAIT_MAX: Duration = Duration::from_secs(1);
 /// Interval at which a host that reads the store itself looks for a reader.
@@ -265,9 +262,6 @@
 
 async fn follow(gateway: Rc<Gateway>) {
     let watches = &gateway.watches;
-    if gateway.settings.is_first_start {
-        Timer::after(FIRST_START_PAUSE).await;
-    }
     SHARED.into_iter().for_each(|collection| start_own_collection(&gateway, collection));
     let deadline = Instant::now() + START_WAIT_MAX;
     let hosts = &watches.hosts;
