Log upstreams that get time to return, and how old a host's view is

The lines of a host did not tell whether it had put a removal off, for how long, or had not heard of it: an upstream had a line when it was removed at last and none before, and a listing that failed at the end of the grace left no line at all. Nor did any figure say when the store last answered about the upstreams or the configuration.

New: lines `upstream` with `missing` and `still used`, `upstreams_age_ms` in `answer` and `refusal`, gauges `age_ms.upstreams` and `age_ms.configuration`, counter `upstreams_missed`. No decision changes.

--- a/crates/gateway/src/call/mod.rs
+++ b/crates/gateway/src/call/mod.rs
@@ -20,7 +20,7 @@
 use {
     crate::{
         allowance, callers::Answer, crashes, dialect::CallMetadata, gateway::Gateway,
-        http::SendError, stream_origins, time::within,
+        http::SendError, store::Collection, stream_origins, time::within,
     },
     bytes::Bytes,
     http::{HeaderValue, Request, header, request, uri::PathAndQuery},
@@ -294,6 +294,7 @@
             "sends": call.map(|call| call.send_count.get()),
             "upstreams": usable,
             "service_load": load,
+            "upstreams_age_ms": upstreams_age_ms(gateway),
             "took_ms": arrived.elapsed().as_millis() as u64,
         }),
     );
@@ -328,11 +329,18 @@
             "status": status,
             "events": events,
             "sends": call.send_count.get(),
+            "upstreams_age_ms": upstreams_age_ms(gateway),
             "took_ms": call.arrived.elapsed().as_millis() as u64,
         }),
     );
 }
 
+/// Returns how old the store's answer is on which this host's list of upstreams rests.
+fn upstreams_age_ms(gateway: &Gateway) -> Option<u64> {
+    let age = gateway.watches.of(Collection::Upstreams).age()?;
+    Some(age.as_millis() as u64)
+}
+
 /// Returns the refusal of a request whose deadline has passed.
 pub(crate) fn timeout_refusal(verdict: Verdict) -> Refusal {
     let detail = match verdict {
--- a/crates/gateway/src/status.rs
+++ b/crates/gateway/src/status.rs
@@ -1,7 +1,7 @@
 //! Serves readiness checks for the platform and metrics for operators.
 
 use {
-    crate::{gateway::Gateway, listen::listen},
+    crate::{gateway::Gateway, listen::listen, store::Collection},
     bytes::Bytes,
     http::{Request, Response, StatusCode},
     http_body_util::Full,
@@ -78,6 +78,11 @@
     for (name, value) in gauges {
         gateway.metrics.gauge(name, value);
     }
+    for collection in [Collection::Configuration, Collection::Upstreams] {
+        if let Some(age) = gateway.watches.of(collection).age() {
+            gateway.metrics.gauge(&format!("age_ms.{collection}"), age.as_millis() as u64);
+        }
+    }
     for (operation, value) in store_calls {
         gateway.metrics.gauge(&format!("store_calls.{operation}"), value);
     }
--- a/crates/gateway/src/watch/mod.rs
+++ b/crates/gateway/src/watch/mod.rs
@@ -449,6 +449,19 @@
             delisted.iter().for_each(|id| remove_upstream(gateway, id, "delisted"))
         }
         DelistingAction::Wait(grace) => {
+            for id in &delisted {
+                gateway.decisions.log(
+                    LineRate::Failure,
+                    "upstream",
+                    json!({
+                        "upstream": id,
+                        "what": "missing",
+                        "grace_ms": grace.as_millis() as u64,
+                        "is_outage_ongoing": outage.is_ongoing(),
+                    }),
+                );
+            }
+            gateway.metrics.count("upstreams_missed", delisted.len() as i64);
             gateway.spawn(remove_after_grace(gateway.clone(), delisted, grace));
         }
     }
@@ -456,11 +469,24 @@
 
 async fn remove_after_grace(gateway: Rc<Gateway>, missing: Vec<UpstreamId>, grace: Duration) {
     Timer::after(grace).await;
-    let Ok(Listing { objects, .. }) = gateway.adapter.store.list(Collection::Upstreams).await
-    else {
-        // The store is unavailable again. The next listing removes the upstreams if they are still
-        // missing.
-        return;
+    let objects = match gateway.adapter.store.list(Collection::Upstreams).await {
+        Ok(Listing { objects, .. }) => objects,
+        Err(error) => {
+            // The store is unavailable again. The next listing removes the upstreams if they are
+            // still missing.
+            for id in &missing {
+                gateway.decisions.log(
+                    LineRate::Failure,
+                    "upstream",
+                    json!({
+                        "upstream": id,
+                        "what": "still used",
+                        "error": error.to_string(),
+                    }),
+                );
+            }
+            return;
+        }
     };
     let listed: HashSet<&str> = objects.iter().map(|object| object.name.as_str()).collect();
     for id in missing.iter().filter(|id| !listed.contains(&***id)) {
--- a/crates/gateway/src/watch/sharing.rs
+++ b/crates/gateway/src/watch/sharing.rs
@@ -75,11 +75,13 @@
 
 /// The state of one collection's watch.
 #[derive(Default)]
-pub(super) struct Watched {
+pub(crate) struct Watched {
     /// The revision up to which this host has applied the changes. `None` before the collection was
     /// listed.
     pub(super) revision: Cell<Option<Revision>>,
     pub(super) outage: Cell<StoreOutage>,
+    /// When the store last answered with the current state, here or at this host's reader.
+    current_at: Cell<Option<Instant>>,
     /// The state and the latest changes, while this host has followers.
     log: RefCell<Option<ChangeLog<Change>>>,
     /// Whether the reader has changes that it does not pass on. The next watch must return at once,
@@ -98,10 +100,15 @@
     pub(super) fn is_own(&self) -> bool {
         self.is_own.get()
     }
+
+    /// Returns the time since the store last answered with the current state.
+    pub(crate) fn age(&self) -> Option<Duration> {
+        Some(self.current_at.get()?.elapsed())
+    }
 }
 
 impl Watches {
-    pub(super) fn of(&self, collection: Collection) -> &Watched {
+    pub(crate) fn of(&self, collection: Collection) -> &Watched {
         match collection {
             Collection::Configuration => &self.configuration,
             Collection::Upstreams => &self.upstreams,
@@ -162,6 +169,7 @@
         let watched = self.of(collection);
         watched.revision.set(Some(revision));
         watched.is_behind_reader.set(false);
+        watched.current_at.set(Some(Instant::now()));
         self.on_answer(collection);
         self.answered.notify(usize::MAX);
     }
@@ -375,6 +383,7 @@
                 continue;
             }
         }
+        watched.current_at.set(now.checked_sub(contact_age));
         super::on_store_answer(gateway, collection);
     }
     if let Some(contact_at) = now.checked_sub(contact_age) {
