Add a failing test of upstreams that are removed in an outage

An upstream whose entry is gone after an outage gets 2.5 s to return, counted from when the host notices that the store is back. Its retries are up to a second apart, so it uses the upstream for up to 3.5 s after the outage; from 3 s on it must act on what the store says.

--- a/crates/core/src/placement/outage/tests.rs
+++ b/crates/core/src/placement/outage/tests.rs
@@ -1,6 +1,12 @@
-use super::*;
+use {
+    super::*,
+    crate::store_backoff::Backoff,
+    rand::{RngExt, SeedableRng, rngs::StdRng},
+};
 
 const MILLISECOND: Duration = Duration::from_millis(1);
+/// Time after an outage of the store from which a host must act on all that the store says.
+const IN_TOUCH_AFTER: Duration = Duration::from_secs(3);
 
 fn after_outage(length: Duration) -> (StoreOutage, Instant) {
     let start = Instant::now();
@@ -54,3 +60,24 @@
         DelistingAction::Wait(Duration::from_millis(100))
     );
 }
+
+#[test]
+fn upstream_removed_in_an_outage_is_not_used_by_a_host_in_touch() {
+    for seed in 0..200 {
+        let rng = &mut StdRng::seed_from_u64(seed);
+        let start = Instant::now();
+        let end = start + Duration::from_millis(rng.random_range(1000..20_000));
+        let (mut outage, mut backoff, mut now) = (StoreOutage::default(), Backoff::default(), start);
+        while now < end {
+            outage.record_failure(now);
+            now += backoff.after_failure(rng.random());
+        }
+        outage.record_success(now);
+        let grace = match outage.classify_delisted(now, 1, 9) {
+            DelistingAction::Remove => Duration::ZERO,
+            DelistingAction::Wait(grace) => grace,
+        };
+        let used_for = (now + grace).duration_since(end);
+        assert!(used_for < IN_TOUCH_AFTER, "seed {seed}: used for {used_for:?} after the outage");
+    }
+}
