Keep in one place which upstreams may be used, and until when

What callers saw: two requests reached an upstream 12 s after its notice, from one of nine hosts.

Cause: the store was away for this host for nine seconds. An upstream whose entry is gone after an outage gets time to return, 2.5 s from when the host noticed the end, which is up to a second late; the host must act on the store's word 3 s after the end. The same knowledge lay in two more places that lost it: the task that waited for the grace listed the store again and gave up if that failed (the upstream stayed for ever), and the latest entry won, so that a heartbeat that the store accepted late, or an entry written again after a removal, undid a notice.

Change: core::registrations holds, for each upstream and start of its process, its latest heartbeat, whether it leaves, and until when it may return. Leaving is final for a process. The removal needs no call of the store. The time to return ends 2.2 s after the host has noticed the end and 2.8 s after its last failed call was sent, whichever is first. One outage is tracked for the host, whatever collection notices it, and the other watches are begun again then. A mass delisting without an outage counts the age of the change: with a pause between watches it was used for up to 2.3 s.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod message;
 pub mod placement;
 pub mod program;
+pub mod registrations;
 pub mod rendezvous;
 pub mod roster;
 pub mod routing;
--- a/crates/core/src/placement/mod.rs
+++ b/crates/core/src/placement/mod.rs
@@ -10,7 +10,6 @@
 
 mod broken_attempts;
 mod helpers;
-mod outage;
 mod rate_limit;
 mod reach;
 mod upstream;
@@ -22,7 +21,6 @@
 pub use {
     broken_attempts::{BrokenAttempts, RetryDecision},
     helpers::Helpers,
-    outage::{DelistingAction, StoreOutage},
     rate_limit::LendOutcome,
     reach::{ReachChange, UpstreamReach},
     upstream::{LoadReport, Outcome, UpstreamRecord},
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -10,7 +10,7 @@
         http::{ActiveConnection, ConnectionPool},
         ledger::{self, PARTITION_COUNT, Partition},
         outage_notes::OutageNoteStore,
-        peers,
+        peers, registrations,
         relay::{self, Relay},
         roster,
         settings::GatewaySettings,
@@ -37,6 +37,7 @@
     trefoilring_core::{
         ids::Incarnation,
         placement::{Placement, WaitQueues},
+        registrations::Registrations,
         roster::Roster,
         routing::RoutingTable,
         shares::Shares,
@@ -122,6 +123,9 @@
     pub(crate) relay: Relay,
     pub(crate) routing_table: RefCell<Option<Rc<RoutingTable>>>,
     pub(crate) placement: RefCell<Placement>,
+    pub(crate) registrations: RefCell<Registrations>,
+    /// Notified when upstreams are missing, or may be removed again.
+    pub(crate) registrations_changed: Event,
     /// Requests that wait for capacity, by service. A service has a queue while all its upstreams
     /// are full.
     pub(crate) wait_queues: RefCell<WaitQueues<Rc<Event>>>,
@@ -199,6 +203,8 @@
             relay: Relay::default(),
             routing_table: RefCell::default(),
             placement: RefCell::new(Placement::new(settings.domain.clone())),
+            registrations: RefCell::default(),
+            registrations_changed: Event::new(),
             wait_queues: RefCell::default(),
             crash_watch: RefCell::default(),
             roster: RefCell::new(Roster::new(
@@ -258,6 +264,7 @@
         self.bound.set(Some(bound));
         on_bound(bound);
         roster::start(self);
+        registrations::start(self);
         watch::start(self);
         crashes::start(self);
         relay::start(self);
--- a/crates/gateway/src/leaving.rs
+++ b/crates/gateway/src/leaving.rs
@@ -21,16 +21,27 @@
     peers::announce(gateway, vec![PeerRequest::UpstreamLeaving { upstream, incarnation }]);
 }
 
-/// Records that an upstream told another host that it is about to stop. Ignored if this host knows
-/// another start of the upstream.
-pub(crate) fn on_told(gateway: &Rc<Gateway>, upstream: &str, incarnation: Option<Incarnation>) {
+/// Records that an upstream told another host that it is about to stop. Has no effect if this host
+/// knows a later start of the upstream.
+pub(crate) fn on_told(
+    gateway: &Rc<Gateway>,
+    upstream: UpstreamId,
+    incarnation: Option<Incarnation>,
+) {
     let key = {
         let placement = gateway.placement.borrow();
-        let found = placement.find(upstream);
+        let found = placement.find(&upstream);
         found.filter(|(_, record)| record.incarnation == incarnation).map(|(key, _)| key)
     };
-    if let Some(key) = key {
-        record(gateway, key, "peer");
+    match key {
+        Some(key) => {
+            record(gateway, key, "peer");
+        }
+        // The notice may have come before the entry.
+        None => {
+            let now = Instant::now();
+            gateway.registrations.borrow_mut().on_leaving(now, &upstream, incarnation);
+        }
     }
 }
 
@@ -48,7 +59,9 @@
         let record = placement.record(key)?;
         (record.id.clone(), record.incarnation)
     };
-    gateway.crash_watch.borrow_mut().record_departure(Instant::now(), &id);
+    let now = Instant::now();
+    gateway.registrations.borrow_mut().on_leaving(now, &id, incarnation);
+    gateway.crash_watch.borrow_mut().record_departure(now, &id);
     gateway.decisions.log(
         LineRate::Failure,
         "upstream",
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -21,6 +21,7 @@
 mod listen;
 mod outage_notes;
 mod peers;
+mod registrations;
 mod relay;
 mod roster;
 pub mod settings;
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -186,7 +186,7 @@
             PeerReply::Relayed { reply: reply.map(Box::new) }
         }
         PeerRequest::UpstreamLeaving { upstream, incarnation } => {
-            leaving::on_told(gateway, &upstream, incarnation);
+            leaving::on_told(gateway, upstream, incarnation);
             PeerReply::Done
         }
         PeerRequest::NoteStreams { streams } => {
--- /dev/null
+++ b/crates/gateway/src/registrations.rs
@@ -0,0 +1,153 @@
+//! Applies the registrations of upstreams: entries of the store, removals, and the time in which
+//! upstreams may return. `trefoilring_core::registrations` decides.
+
+use {
+    crate::{gateway::Gateway, store::StoredObject, stream_origins, time::within},
+    serde_json::{Value, json},
+    std::{
+        collections::HashSet,
+        rc::Rc,
+        time::{Duration, Instant},
+    },
+    trefoilring_core::{
+        ids::UpstreamId,
+        registrations::{Delisting, EntryDecision, UpstreamEntry},
+    },
+    trefoilring_observe::decisions::LineRate,
+};
+
+/// Starts the removal of upstreams that do not return.
+pub(crate) fn start(gateway: &Rc<Gateway>) {
+    gateway.spawn(remove_overdue(gateway.clone()));
+}
+
+async fn remove_overdue(gateway: Rc<Gateway>) {
+    loop {
+        let changed = gateway.registrations_changed.listen();
+        let next = gateway.registrations.borrow().next_removal(Instant::now());
+        match next {
+            Some(at) => {
+                within(at, changed).await;
+            }
+            None => changed.await,
+        }
+        let overdue = gateway.registrations.borrow_mut().take_overdue(Instant::now());
+        overdue.iter().for_each(|id| remove(&gateway, id, json!({"what": "did not return"})));
+    }
+}
+
+/// Records that a call of the store failed which was sent at `sent_at`. Returns whether it is the first
+/// failure of an outage.
+pub(crate) fn on_store_failure(gateway: &Gateway, sent_at: Instant) -> bool {
+    gateway.registrations.borrow_mut().record_store_failure(Instant::now(), sent_at)
+}
+
+/// Records that the store has answered.
+pub(crate) fn on_store_success(gateway: &Gateway) {
+    gateway.registrations.borrow_mut().record_store_success(Instant::now());
+    gateway.registrations_changed.notify(usize::MAX);
+}
+
+/// Applies an upstream's object in the store.
+pub(crate) fn on_object(gateway: &Rc<Gateway>, object: &StoredObject) {
+    match gateway.adapter.object_parser.parse_upstream(&object.name, &object.content) {
+        Ok(entry) => on_entry(gateway, entry, json!(object.revision)),
+        Err(error) => {
+            // An upstream without a valid entry can't be used.
+            log::warn!(
+                "failed to parse the entry of upstream {}; not using the upstream: {error}",
+                object.name
+            );
+            gateway.metrics.count("upstream_unreadable", 1);
+            gateway.registrations.borrow_mut().on_unreadable(Instant::now(), &object.name);
+            remove(gateway, &object.name, json!({"what": "unreadable"}));
+        }
+    }
+}
+
+/// Applies an upstream's entry. `source` is its revision in the store, or where else it comes from.
+pub(crate) fn on_entry(gateway: &Rc<Gateway>, entry: UpstreamEntry, source: Value) {
+    let (id, heartbeat) = (entry.record.id.clone(), entry.heartbeat);
+    let decision = gateway.registrations.borrow_mut().on_entry(Instant::now(), entry);
+    let record = match decision {
+        EntryDecision::Apply(record) => record,
+        EntryDecision::Outdated => {
+            gateway.metrics.count("upstream_entries_outdated", 1);
+            gateway.decisions.log(
+                LineRate::Failure,
+                "upstream",
+                json!({
+                    "upstream": id,
+                    "what": "outdated",
+                    "heartbeat": heartbeat,
+                    "revision": source,
+                }),
+            );
+            return;
+        }
+    };
+    let mut crash_watch = gateway.crash_watch.borrow_mut();
+    match record.is_leaving {
+        true => crash_watch.record_departure(Instant::now(), &record.id),
+        false => crash_watch.record_arrival(&record.id),
+    }
+    drop(crash_watch);
+    let line = json!({
+        "upstream": id,
+        "service": record.service,
+        "version": record.version,
+        "what": if record.is_leaving { "leaving" } else { "listed" },
+        "heartbeat": heartbeat,
+        "revision": source,
+    });
+    if gateway.placement.borrow_mut().upsert(record) {
+        stream_origins::refresh_versions(gateway);
+        gateway.decisions.log(LineRate::Failure, "upstream", line);
+    }
+}
+
+/// Applies a complete listing.
+pub(crate) fn on_listing(gateway: &Rc<Gateway>, objects: &[StoredObject], change_age: Duration) {
+    let listed: HashSet<&str> = objects.iter().map(|object| object.name.as_str()).collect();
+    let unlisted = gateway.registrations.borrow().unlisted(&listed);
+    objects.iter().for_each(|object| on_object(gateway, object));
+    gateway.has_received_upstreams.set(true);
+    on_delisted(gateway, &unlisted, change_age);
+}
+
+/// Applies removals from the store, since which at most `change_age` has passed.
+pub(crate) fn on_delisted(gateway: &Rc<Gateway>, ids: &[UpstreamId], change_age: Duration) {
+    if ids.is_empty() {
+        return;
+    }
+    let now = Instant::now();
+    let delisting = gateway.registrations.borrow_mut().on_delisted(now, ids, change_age);
+    let Delisting { removed, missing } = delisting;
+    removed.iter().for_each(|id| remove(gateway, id, json!({"what": "delisted"})));
+    for (id, until) in &missing {
+        gateway.decisions.log(
+            LineRate::Failure,
+            "upstream",
+            json!({
+                "upstream": id,
+                "what": "missing",
+                "grace_ms": until.saturating_duration_since(now).as_millis() as u64,
+                "change_age_ms": change_age.as_millis() as u64,
+            }),
+        );
+    }
+    if !missing.is_empty() {
+        gateway.metrics.count("upstreams_missed", missing.len() as i64);
+        gateway.registrations_changed.notify(usize::MAX);
+    }
+}
+
+fn remove(gateway: &Rc<Gateway>, id: &str, mut line: Value) {
+    if !gateway.placement.borrow_mut().remove(id) {
+        return;
+    }
+    stream_origins::refresh_versions(gateway);
+    gateway.crash_watch.borrow_mut().record_departure(Instant::now(), &id.into());
+    line["upstream"] = id.into();
+    gateway.decisions.log(LineRate::Failure, "upstream", line);
+}
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -5,7 +5,7 @@
     derive_more::Display,
     serde_json::Value,
     std::{collections::BTreeMap, future::Future, pin::Pin, time::Duration},
-    trefoilring_core::{placement::UpstreamRecord, routing::RoutingTable},
+    trefoilring_core::{registrations::UpstreamEntry, routing::RoutingTable},
 };
 
 /// Revision of the store. Increases with each change of any object.
@@ -185,5 +185,5 @@
     /// # Errors
     ///
     /// Returns a message that describes the invalid part. The upstream can't be used then.
-    fn parse_upstream(&self, name: &str, content: &Value) -> Result<UpstreamRecord, String>;
+    fn parse_upstream(&self, name: &str, content: &Value) -> Result<UpstreamEntry, String>;
 }
--- a/crates/gateway/src/watch/mod.rs
+++ b/crates/gateway/src/watch/mod.rs
@@ -9,7 +9,7 @@
         allowance,
         gateway::Gateway,
         peers::{self, PeerReply, PeerRequest},
-        roster,
+        registrations, roster,
         store::{Change, Collection, Freshness, Listing, Revision, StoreError, StoredObject},
         stream_origins, turns,
     },
@@ -17,22 +17,21 @@
     serde_json::json,
     smol::Timer,
     std::{
-        collections::HashSet,
         net::SocketAddr,
         rc::Rc,
         time::{Duration, Instant},
     },
     trefoilring_core::{
         ids::{ConfigVersion, UpstreamId},
-        placement::{DelistingAction, StoreOutage},
+        registrations::{StoreOutage, UpstreamEntry},
         store_backoff::{Backoff, WatchDelay},
         watch_sharing::READER_WATCH_WAIT,
     },
     trefoilring_observe::decisions::LineRate,
 };
 
-/// Maximum wait of one watch request. Long, because the store counts each request. Keep-alive
-/// probes detect a dead connection in the meantime.
+/// Maximum wait of one watch request for collections whose changes may be learned late. Long, because
+/// the store counts each request. Keep-alive probes detect a dead connection in the meantime.
 const WATCH_WAIT_MAX: Duration = Duration::from_secs(25);
 /// Maximum wait of a watch as a fraction of the store's history. After a longer wait the history
 /// may have expired, and the collection would have to be listed again.
@@ -40,6 +39,8 @@
 /// Wait of a watch whose answer is needed even if nothing has changed, such as one that tests whether
 /// the store is available again after a failure.
 const PROBE_WATCH_WAIT: Duration = Duration::from_millis(20);
+/// Time from which on a watch counts as pending: its answer is a change that was made meanwhile.
+const PENDING_WATCH_MIN: Duration = Duration::from_millis(400);
 /// Maximum pause before a collection is listed again because its history has expired.
 const RELIST_PAUSE_MAX: Duration = Duration::from_millis(100);
 /// Timeout of a request to another host.
@@ -80,6 +81,7 @@
     };
     loop {
         watches.until_reading(collection).await;
+        let sent_at = Instant::now();
         let outcome = match watched.revision.get() {
             None => watches.unless_interrupted(collection, list(&gateway, collection)).await,
             Some(after) => {
@@ -110,8 +112,12 @@
             }
             Err(error) => {
                 let mut outage = watched.outage.get();
-                let is_first = outage.record_failure(Instant::now());
+                let is_first = outage.record_failure(Instant::now(), sent_at);
                 watched.outage.set(outage);
+                if registrations::on_store_failure(&gateway, sent_at) {
+                    // The store may have lost the other watches too.
+                    watches.interrupt();
+                }
                 watches.on_store_failure();
                 if is_first {
                     log_store_event(&gateway, collection, "lost", &Duration::ZERO, Some(&error));
@@ -158,8 +164,9 @@
 
 async fn list(gateway: &Rc<Gateway>, collection: Collection) -> Result<(), StoreError> {
     let Listing { objects, revision } = gateway.adapter.store.list(collection).await?;
-    let outage = gateway.watches.of(collection).outage.get();
-    apply_listing(gateway, collection, &objects, &outage);
+    registrations::on_store_success(gateway);
+    let change_age = gateway.watches.of(collection).age().unwrap_or_default();
+    apply_listing(gateway, collection, &objects, change_age);
     gateway.watches.on_listed(collection, objects, revision);
     Ok(())
 }
@@ -169,7 +176,7 @@
     gateway: &Rc<Gateway>,
     collection: Collection,
     objects: &[StoredObject],
-    outage: &StoreOutage,
+    change_age: Duration,
 ) {
     match collection {
         // Read for others.
@@ -178,7 +185,7 @@
         Collection::Configuration => {
             objects.iter().for_each(|object| apply_configuration(gateway, object))
         }
-        Collection::Upstreams => replace_upstreams(gateway, objects, outage),
+        Collection::Upstreams => registrations::on_listing(gateway, objects, change_age),
         Collection::Hosts => {
             roster::apply_host_list(gateway, objects);
             roster::record_store_contact(gateway);
@@ -199,7 +206,8 @@
     let watches = &gateway.watches;
     let outage = watches.of(collection).outage.get();
     let longest = gateway.settings.store_history.mul_f64(WATCH_WAIT_FRACTION).min(WATCH_WAIT_MAX);
-    let wait = match outage.is_ongoing() {
+    let is_failing = outage.is_ongoing() || gateway.registrations.borrow().is_store_failing();
+    let wait = match is_failing {
         // A long watch without changes does not show whether the store is available. After a failure
         // a short one shows whether the store is available again.
         true => PROBE_WATCH_WAIT,
@@ -210,9 +218,17 @@
         false => longest,
     };
     let freshness = freshness(gateway, collection, &outage);
+    let (sent_at, age_before) = (Instant::now(), watches.of(collection).age());
     let result = gateway.adapter.store.watch(collection, after, wait, freshness).await?;
+    registrations::on_store_success(gateway);
     let has_changes = !result.changes.is_empty();
-    apply_changes(gateway, collection, result.changes.clone(), &outage);
+    // The store answers a pending watch as soon as there is a change. Changes that were there before
+    // it was sent may be as old as the answer before.
+    let change_age = match sent_at.elapsed() < PENDING_WATCH_MIN {
+        true => age_before.unwrap_or_default() + sent_at.elapsed(),
+        false => Duration::ZERO,
+    };
+    apply_changes(gateway, collection, result.changes.clone(), change_age);
     watches.on_changes(collection, result.changes, result.revision);
     if collection == Collection::Hosts {
         roster::record_store_contact(gateway);
@@ -228,7 +244,7 @@
     gateway: &Rc<Gateway>,
     collection: Collection,
     changes: Vec<Change>,
-    outage: &StoreOutage,
+    change_age: Duration,
 ) {
     let is_own = gateway.watches.of(collection).is_own();
     if !is_own && collection != Collection::Hosts {
@@ -244,7 +260,7 @@
             (Collection::Upstreams, Change::Put(object)) => {
                 // It may have been removed and have registered again since the last read.
                 delisted.retain(|id: &UpstreamId| **id != *object.name);
-                upsert_upstream(gateway, &object);
+                registrations::on_object(gateway, &object);
             }
             (Collection::Upstreams, Change::Removed(name)) => {
                 delisted.push(UpstreamId::from(name));
@@ -260,7 +276,7 @@
             (Collection::Ledgers, _) | (Collection::Retirements, Change::Removed(_)) => {}
         }
     }
-    on_delisted(gateway, delisted, outage);
+    registrations::on_delisted(gateway, &delisted, change_age);
 }
 
 /// Returns how old the changes of a collection may be. A host with callers needs no early news of
@@ -350,9 +366,9 @@
                 && !records.is_empty()
             {
                 for record in records {
-                    gateway.placement.borrow_mut().upsert(record);
+                    let entry = UpstreamEntry { record, heartbeat: None };
+                    registrations::on_entry(gateway, entry, json!("peer"));
                 }
-                stream_origins::refresh_versions(gateway);
                 gateway.has_received_upstreams.set(true);
             }
         }
@@ -373,123 +389,3 @@
         Collection::Ledgers | Collection::Retirements => {}
     }
 }
-
-fn upsert_upstream(gateway: &Rc<Gateway>, object: &StoredObject) {
-    match gateway.adapter.object_parser.parse_upstream(&object.name, &object.content) {
-        Ok(record) => {
-            let (is_leaving, service) = (record.is_leaving, record.service.clone());
-            let mut crash_watch = gateway.crash_watch.borrow_mut();
-            if is_leaving {
-                crash_watch.record_departure(Instant::now(), &record.id);
-            } else {
-                crash_watch.record_arrival(&record.id);
-            }
-            drop(crash_watch);
-            let version = record.version.clone();
-            let has_changed = gateway.placement.borrow_mut().upsert(record);
-            if has_changed {
-                stream_origins::refresh_versions(gateway);
-                gateway.decisions.log(
-                    LineRate::Failure,
-                    "upstream",
-                    json!({
-                        "upstream": object.name,
-                        "service": service,
-                        "version": version,
-                        "what": if is_leaving { "leaving" } else { "listed" },
-                        "revision": object.revision,
-                    }),
-                );
-            }
-        }
-        Err(error) => {
-            // An upstream without a valid record can't be used.
-            log::warn!(
-                "failed to parse the record of upstream {}; removing the upstream: {error}",
-                object.name
-            );
-            gateway.metrics.count("upstream_unreadable", 1);
-            remove_upstream(gateway, &object.name, "unreadable");
-        }
-    }
-}
-
-fn remove_upstream(gateway: &Rc<Gateway>, name: &str, reason: &str) {
-    let is_removed = gateway.placement.borrow_mut().remove(name);
-    if is_removed {
-        stream_origins::refresh_versions(gateway);
-        gateway.crash_watch.borrow_mut().record_departure(Instant::now(), &name.into());
-        gateway.decisions.log(
-            LineRate::Failure,
-            "upstream",
-            json!({"upstream": name, "what": reason}),
-        );
-    }
-}
-
-/// Replaces the known upstreams with a complete listing.
-fn replace_upstreams(gateway: &Rc<Gateway>, objects: &[StoredObject], outage: &StoreOutage) {
-    let listed: HashSet<&str> = objects.iter().map(|object| object.name.as_str()).collect();
-    let known: Vec<UpstreamId> = gateway.placement.borrow().ids().cloned().collect();
-    let missing = known.into_iter().filter(|id| !listed.contains(&**id)).collect();
-    objects.iter().for_each(|object| upsert_upstream(gateway, object));
-    gateway.has_received_upstreams.set(true);
-    on_delisted(gateway, missing, outage);
-}
-
-/// Removes upstreams that are no longer listed. After a long outage of the store or a mass
-/// delisting, waits first, because the upstreams may register again.
-fn on_delisted(gateway: &Rc<Gateway>, delisted: Vec<UpstreamId>, outage: &StoreOutage) {
-    if delisted.is_empty() {
-        return;
-    }
-    let known = gateway.placement.borrow().ids().count();
-    match outage.classify_delisted(Instant::now(), delisted.len(), known) {
-        DelistingAction::Remove => {
-            delisted.iter().for_each(|id| remove_upstream(gateway, id, "delisted"))
-        }
-        DelistingAction::Wait(grace) => {
-            for id in &delisted {
-                gateway.decisions.log(
-                    LineRate::Failure,
-                    "upstream",
-                    json!({
-                        "upstream": id,
-                        "what": "missing",
-                        "grace_ms": grace.as_millis() as u64,
-                        "is_outage_ongoing": outage.is_ongoing(),
-                    }),
-                );
-            }
-            gateway.metrics.count("upstreams_missed", delisted.len() as i64);
-            gateway.spawn(remove_after_grace(gateway.clone(), delisted, grace));
-        }
-    }
-}
-
-async fn remove_after_grace(gateway: Rc<Gateway>, missing: Vec<UpstreamId>, grace: Duration) {
-    Timer::after(grace).await;
-    let objects = match gateway.adapter.store.list(Collection::Upstreams).await {
-        Ok(Listing { objects, .. }) => objects,
-        Err(error) => {
-            // The store is unavailable again. The next listing removes the upstreams if they are
-            // still missing.
-            for id in &missing {
-                gateway.decisions.log(
-                    LineRate::Failure,
-                    "upstream",
-                    json!({
-                        "upstream": id,
-                        "what": "still used",
-                        "error": error.to_string(),
-                    }),
-                );
-            }
-            return;
-        }
-    };
-    let listed: HashSet<&str> = objects.iter().map(|object| object.name.as_str()).collect();
-    for id in missing.iter().filter(|id| !listed.contains(&***id)) {
-        remove_upstream(&gateway, id, "did not return");
-    }
-}
--- a/crates/gateway/src/watch/sharing.rs
+++ b/crates/gateway/src/watch/sharing.rs
@@ -22,7 +22,7 @@
     },
     trefoilring_core::{
         ids::HostId,
-        placement::StoreOutage,
+        registrations::StoreOutage,
         watch_sharing::{
             ChangeLog, ChangesAfter, FOLLOW_MARGIN, FOLLOW_WAIT, FOLLOWED_FOR, Following,
             ObjectChange, ReaderCandidate, Source, is_in_contact, rank_readers,
@@ -41,6 +41,8 @@
 const COLLECTION_BYTES_MAX: usize = 512 * 1024;
 /// Maximum time for which a host that starts waits for the list of hosts, to find a reader.
 const START_WAIT_MAX: Duration = Duration::from_secs(1);
+/// Maximum time for which a reader leaves changes of the upstreams unread, to read several at once.
+const READER_DELAY_MAX: Duration = Duration::from_millis(800);
 /// Interval at which a host that reads the store itself looks for a reader.
 const RECHECK_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -160,6 +162,11 @@
         }
     }
 
+    /// Has the pending watches begun again.
+    pub(super) fn interrupt(&self) {
+        self.interrupted.notify(usize::MAX);
+    }
+
     /// Records that the store has not answered.
     pub(super) fn on_store_failure(&self) {
         self.answered.notify(usize::MAX);
@@ -365,15 +372,15 @@
         let watched = watches.of(collection);
         let is_newer =
             |revision: Revision| watched.revision.get().is_none_or(|known| revision > known);
-        let outage = watched.outage.get();
+        let change_age = watched.age().unwrap_or_default() + READER_DELAY_MAX;
         match news {
             _ if !SHARED.contains(&collection) => continue,
             CollectionNews::Changes { changes, revision } if is_newer(revision) => {
-                apply_changes(gateway, collection, changes, &outage);
+                apply_changes(gateway, collection, changes, change_age);
                 watched.revision.set(Some(revision));
             }
             CollectionNews::State { objects, revision } if is_newer(revision) => {
-                apply_listing(gateway, collection, &objects, &outage);
+                apply_listing(gateway, collection, &objects, change_age);
                 watched.revision.set(Some(revision));
             }
             CollectionNews::Changes { .. } | CollectionNews::State { .. } => {}
