Ask for the upstreams and the configuration again every two seconds

What callers could see: the store is silent for a host, without closing its connection, and forgets the watch that it got meanwhile. The host waits for it for up to 18.7 s, and acts on no notice and no configuration.

Change: a watch of these two collections waits 1.8 s at most, so with its time-out it is given up within 2.5 s. Keep-alive probes can't replace this: they only test the connection.

--- a/crates/gateway/src/watch/mod.rs
+++ b/crates/gateway/src/watch/mod.rs
@@ -33,6 +33,9 @@
 /// Maximum wait of one watch request for collections whose changes may be learned late. Long, because
 /// the store counts each request. Keep-alive probes detect a dead connection in the meantime.
 const WATCH_WAIT_MAX: Duration = Duration::from_secs(25);
+/// Maximum wait of a watch of the configuration or of the upstreams. The store may lose a watch
+/// without closing its connection, and a host must act on all that the store says 3 s after that.
+const CURRENT_WATCH_WAIT_MAX: Duration = Duration::from_millis(1800);
 /// Maximum wait of a watch as a fraction of the store's history. After a longer wait the history
 /// may have expired, and the collection would have to be listed again.
 const WATCH_WAIT_FRACTION: f64 = 0.9;
@@ -205,7 +208,11 @@
 ) -> Result<(), StoreError> {
     let watches = &gateway.watches;
     let outage = watches.of(collection).outage.get();
-    let longest = gateway.settings.store_history.mul_f64(WATCH_WAIT_FRACTION).min(WATCH_WAIT_MAX);
+    let longest = match collection {
+        Collection::Configuration | Collection::Upstreams => CURRENT_WATCH_WAIT_MAX,
+        Collection::Hosts | Collection::Ledgers | Collection::Retirements => WATCH_WAIT_MAX,
+    };
+    let longest = longest.min(gateway.settings.store_history.mul_f64(WATCH_WAIT_FRACTION));
     let is_failing = outage.is_ongoing() || gateway.registrations.borrow().is_store_failing();
     let wait = match is_failing {
         // A long watch without changes does not show whether the store is available. After a failure
--- a/crates/standin/src/fleet/store.rs
+++ b/crates/standin/src/fleet/store.rs
@@ -70,6 +70,8 @@
     /// A watch that starts at an earlier revision gets 410.
     history_start: u64,
     calls: u64,
+    /// The longest wait that a watch of each kind has asked for, in milliseconds.
+    longest_waits_ms: BTreeMap<String, u64>,
 }
 
 impl StoreStandin {
@@ -147,6 +149,12 @@
         Some(object["status"].clone()).filter(|status| !status.is_null())
     }
 
+    /// Returns the longest wait that a watch of a kind has asked for.
+    pub fn longest_wait(&self, kind: &str) -> Duration {
+        let state = self.endpoint.store.lock();
+        Duration::from_millis(state.longest_waits_ms.get(kind).copied().unwrap_or_default())
+    }
+
     /// Returns the number of calls so far, over all addresses.
     pub fn calls(&self) -> u64 {
         self.endpoint.store.lock().calls
@@ -318,8 +326,13 @@
             }
             (None, None) => (StatusCode::OK, self.lock().list(kind)),
             (None, Some(after)) => {
-                let wait = Duration::from_millis(query("wait_ms").unwrap_or_default());
-                self.watch(kind, after, Instant::now() + wait).await
+                let wait_ms = query("wait_ms").unwrap_or_default();
+                {
+                    let mut state = self.lock();
+                    let longest = state.longest_waits_ms.entry(kind.to_string()).or_default();
+                    *longest = wait_ms.max(*longest);
+                }
+                self.watch(kind, after, Instant::now() + Duration::from_millis(wait_ms)).await
             }
         }
     }
