--- a/crates/standin/src/fleet/store.rs
+++ b/crates/standin/src/fleet/store.rs
@@ -72,6 +72,8 @@
     calls: u64,
     /// The longest wait that a watch of each kind has asked for, in milliseconds.
     longest_waits_ms: BTreeMap<String, u64>,
+    /// Contents that are not JSON values: what stands for them, in quotes, and their texts.
+    raw_contents: Vec<(String, String)>,
 }
 
 impl StoreStandin {
@@ -124,6 +126,14 @@
         self.endpoint.store.lock().change(kind, name, Some(spec));
     }
 
+    /// Creates or replaces an object whose content is this text, which need not be valid JSON.
+    pub fn put_raw(&self, kind: &str, name: &str, text: &str) {
+        let mut state = self.endpoint.store.lock();
+        let placeholder = format!("raw-content-{}", state.raw_contents.len());
+        state.raw_contents.push((format!("\"{placeholder}\""), text.to_string()));
+        state.change(kind, name, Some(placeholder.into()));
+    }
+
     /// Removes an object.
     pub fn remove(&self, kind: &str, name: &str) {
         self.endpoint.store.lock().change(kind, name, None);
@@ -260,7 +270,11 @@
         if fault == StoreFault::DropsResponses && is_write {
             return None;
         }
-        Some(respond(status, &self.replace_addresses(body)))
+        let mut text = self.replace_addresses(body).to_string();
+        for (placeholder, content) in &self.store.lock().raw_contents {
+            text = text.replace(placeholder, content);
+        }
+        Some(respond_with_text(status, text))
     }
 }
 
@@ -357,7 +371,11 @@
 }
 
 fn respond(status: StatusCode, body: &Value) -> Response<Body> {
-    let mut response = Response::new(full_body(body.to_string()));
+    respond_with_text(status, body.to_string())
+}
+
+fn respond_with_text(status: StatusCode, text: String) -> Response<Body> {
+    let mut response = Response::new(full_body(text));
     *response.status_mut() = status;
     response
 }
