Do not take a copy of an earlier rejection for an answer

What callers could see: a faulty worker writes an earlier rejection once more on a kept connection. A call that must not be repeated ran twice, or its caller was told that it has not run.

Cause: a request was kept off the connection that had carried it last, but not off one that had carried another request since; and a rejection that names no request was taken for the one under way on any connection.

Change: a connection remembers the last 64 requests that it has carried and gets none of them again. A rejection without a request's id counts only on a connection that was opened for the request, here and at hosts that pass requests on; on a kept one the outcome is unknown.

--- a/crates/gateway/src/call/exchange.rs
+++ b/crates/gateway/src/call/exchange.rs
@@ -138,8 +138,11 @@
         rate_limit_per_s,
     } = gateway.adapter.dialect.read_answer(&call.metadata.request_id, &head);
     let is_rejection = did_not_run || is_misdirected;
-    if names_other_request || !(matches_request || is_rejection) {
-        // The answer belongs to an earlier request, so later answers on this connection would be
+    // A rejection that names no request may be a copy of one to an earlier request. Helpers have
+    // checked what they pass on.
+    let is_certain = matches_request || connection.is_new() || connection.is_relayed();
+    if names_other_request || !(matches_request || is_rejection && is_certain) {
+        // The answer may belong to an earlier request, so later answers on this connection would be
         // wrong as well.
         return SendOutcome::Unknown(SendError::Broken);
     }
--- a/crates/gateway/src/http.rs
+++ b/crates/gateway/src/http.rs
@@ -48,6 +48,9 @@
 const IDLE_CONNECTIONS_MAX: usize = 16;
 /// Maximum number of connection attempts whose outcomes are kept until they are taken.
 const CONNECTS_MAX: usize = 64;
+/// Maximum number of requests whose names are kept for a connection. Requests are sent again within
+/// seconds, before that many others use the connection.
+const REQUEST_NAMES_MAX: usize = 64;
 /// Maximum size of an answer's head.
 const ANSWER_HEAD_BYTES_MAX: usize = 64 * 1024;
 /// Maximum size of what comes before an answer's body: interim heads, the head, and what is read
@@ -97,12 +100,14 @@
 struct Connection {
     sender: SendRequest<Full<Bytes>>,
     limit: ReceiveLimit,
-    /// The request that was sent last, if it has a name.
-    last_request: Option<RequestName>,
+    /// Names of the latest requests that were sent on it, oldest first.
+    requests: VecDeque<RequestName>,
+    /// Number of requests that were sent on it.
+    request_count: u64,
 }
 
 /// Extension of a request: the id that the peer names in its answers. A request is not sent again on
-/// the connection that it was sent on last, where a second copy of the first answer could not be told
+/// a connection that it was sent on before, where a second copy of the first answer could not be told
 /// from the next one.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub(crate) struct RequestName(pub(crate) Arc<str>);
@@ -140,7 +145,23 @@
     attached: Option<Box<dyn Any>>,
 }
 
+impl Connection {
+    fn record_request(&mut self, name: Option<RequestName>) {
+        self.request_count += 1;
+        if self.requests.len() >= REQUEST_NAMES_MAX {
+            self.requests.pop_front();
+        }
+        self.requests.extend(name);
+    }
+}
+
 impl ActiveConnection {
+    /// Returns whether the connection was opened for this request. An answer that names no request
+    /// can then not be a copy of an earlier one.
+    pub(crate) fn is_new(&self) -> bool {
+        self.connection.request_count == 1
+    }
+
     /// Attaches a value that is dropped when the connection is no longer in use.
     pub(crate) fn keep_with(&mut self, attached: Box<dyn Any>) {
         self.attached = Some(attached);
@@ -203,7 +224,7 @@
                     (connected.map_err(|_| SendError::NotConnected)?, false)
                 }
             };
-            connection.last_request = name;
+            connection.record_request(name);
             connection.limit.set(BYTES_BEFORE_BODY_MAX);
             let sent = connection.sender.try_send_request(request);
             match within(deadline, sent).await {
@@ -230,8 +251,8 @@
         let mut idle = self.idle.borrow_mut();
         let connections = idle.get_mut(&address)?;
         let may_take = |idle: &IdleConnection| {
-            let is_same_request = name.is_some() && idle.connection.last_request.as_ref() == name;
-            idle.is_usable(now) && !is_same_request
+            let has_carried = name.is_some_and(|name| idle.connection.requests.contains(name));
+            idle.is_usable(now) && !has_carried
         };
         let index = connections.iter().rposition(may_take)?;
         self.counts.borrow_mut().reused += 1;
@@ -303,7 +324,7 @@
             }
         };
         self.executor.spawn(run).detach();
-        Ok(Connection { sender, limit, last_request: None })
+        Ok(Connection { sender, limit, requests: VecDeque::new(), request_count: 0 })
     }
 
     fn record_connect(&self, address: SocketAddr, is_connected: bool) {
--- a/crates/gateway/src/relay/helper.rs
+++ b/crates/gateway/src/relay/helper.rs
@@ -133,6 +133,10 @@
     if let Ok(metadata) = metadata {
         // The limit and the load also hold for this host.
         let answer = gateway.adapter.dialect.read_answer(&metadata.request_id, &head);
+        if answer.names_other_request || !(answer.matches_request || connection.is_new()) {
+            // It may be a copy of the answer to an earlier request.
+            return Err(Failure::Broken);
+        }
         if answer.is_leaving && !answer.is_misdirected {
             leaving::on_answer(gateway, destination.key);
         }
