Break off a stream into which another answer's head is written

What callers could see: an upstream's stream has neither a length nor chunks, and ends with its connection. After its last event the upstream writes an error with its head. The caller got the whole head as an event in the middle of its stream.

Cause: the head ends with an empty line, as events do, and nothing else marks the end of such a stream.

Change: a block of lines one of which begins like the first line of an answer is no event. The stream has broken off there and goes on elsewhere, where it may.

Evidence: path::unframed, seven tests with scripted upstreams: answers that end with their connection, are reset, end inside an event, or are followed by an error of the next upstream or a second answer. head_of_another_answer_is_not_part_of_a_stream failed before with the head in the caller's stream; the other six passed before and after.

--- a/crates/gateway/src/call/events.rs
+++ b/crates/gateway/src/call/events.rs
@@ -14,6 +14,8 @@
     bytes: BytesMut,
     /// Number of bytes at the start that were searched for the end of an event.
     searched: usize,
+    /// Whether the head of another answer has followed the events.
+    is_foreign: bool,
 }
 
 /// One event as received.
@@ -51,6 +53,11 @@
         };
         self.searched = 0;
         let bytes = self.bytes.split_to(from + end).freeze();
+        if is_answer_head(&bytes) {
+            self.bytes.clear();
+            self.is_foreign = true;
+            return None;
+        }
         let id = event_id(&bytes);
         Some(Event { bytes, id })
     }
@@ -60,10 +67,15 @@
         !self.bytes.is_empty()
     }
 
-    /// Discards an incomplete event.
+    /// Returns whether the events were followed by the head of another answer. A stream without a
+    /// length has no other mark of its end, so it has broken off.
+    pub(crate) fn is_foreign(&self) -> bool {
+        self.is_foreign
+    }
+
+    /// Discards an incomplete event, to begin with another stream.
     pub(crate) fn clear(&mut self) {
-        self.bytes.clear();
-        self.searched = 0;
+        *self = Self::default();
     }
 }
 
@@ -75,6 +87,12 @@
     memmem::find(bytes, b"\r\n\r\n").map(|at| at + 4)
 }
 
+/// Returns whether what looks like an event is, or ends with, the head of an answer. No field of an
+/// event begins like its first line.
+fn is_answer_head(bytes: &[u8]) -> bool {
+    bytes.split(|&byte| byte == b'\n').any(|line| line.starts_with(b"HTTP/1."))
+}
+
 fn event_id(event: &[u8]) -> Option<u64> {
     event.split(|&byte| byte == b'\n').find_map(|line| {
         let value = line.strip_prefix(b"id:")?;
--- a/crates/gateway/src/call/streaming.rs
+++ b/crates/gateway/src/call/streaming.rs
@@ -287,7 +287,9 @@
     }
 
     async fn read(&mut self) -> Result<(), StreamEnd> {
-        let Some(source) = &mut self.source else { return Err(StreamEnd::Broken) };
+        let Some(source) = self.source.as_mut().filter(|_| !self.splitter.is_foreign()) else {
+            return Err(StreamEnd::Broken);
+        };
         source.connection.limit_received(2 * EVENT_BYTES_MAX);
         // Measures only the upstream's pauses. A caller that reads slowly delays the next call of
         // this function, and that delay is not counted.
