Refuse programs at their first turn while services are full

Cause: upstreams accept requests into long queues, and nothing on the platform's path held programs back. The tools, which are reached at a program's second step, fill up first.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -4,6 +4,7 @@
 //! Sockets, files, timers and clocks belong to the callers. Each decision can therefore be tested
 //! in virtual time with a fixed seed, and the daemon runs the same code.
 
+pub mod admission;
 pub mod budget;
 pub mod call;
 pub mod catalog;
--- a/crates/core/src/placement/mod.rs
+++ b/crates/core/src/placement/mod.rs
@@ -538,6 +538,18 @@
         *typical_pause_s += (pause_s.min(slow_pause_s) - *typical_pause_s) * TYPICAL_PAUSE_WEIGHT;
     }
 
+    /// Returns the mean load that the upstreams of a service that accept work have reported lately, as
+    /// a fraction of their slots. `None` if fewer than half of them have.
+    pub fn reported_load(&self, now: Instant, service: &str) -> Option<f64> {
+        let keys = self.by_service.get(service).map_or(&[][..], Vec::as_slice);
+        let usable = keys.iter().filter(|key| self.upstreams[**key].accepts_work(now));
+        let reported: Vec<Option<f64>> =
+            usable.map(|key| self.upstreams[*key].reported_load(now)).collect();
+        let known: Vec<f64> = reported.iter().copied().flatten().collect();
+        let is_known = !known.is_empty() && known.len() * 2 >= reported.len();
+        is_known.then(|| known.iter().sum::<f64>() / known.len() as f64)
+    }
+
     /// Returns the number of upstreams of a service that accept work, and the estimated mean
     /// fraction of their slots in use.
     pub fn service_load(&self, now: Instant, service: &str) -> (usize, f64) {
--- a/crates/core/src/placement/upstream.rs
+++ b/crates/core/src/placement/upstream.rs
@@ -36,6 +36,12 @@
 const PENALTY_HALF_LIFE_S: f64 = 2.0;
 /// Penalty at which sessions leave an upstream: a few slow events, or part of an error's penalty.
 const AFFINITY_PENALTY_MAX: f64 = 0.2;
+/// Weight of one report in the moving average of an upstream's load.
+const REPORT_WEIGHT: f64 = 0.7;
+/// Time for which the average counts after the last report.
+const REPORTED_LOAD_TTL: Duration = Duration::from_millis(1500);
+/// Load of an upstream whose queue is full, as a fraction of its slots, if it reports none.
+const FULL_LOAD: f64 = 2.0;
 /// Half-life of the reported load that other hosts cause.
 const REPORT_HALF_LIFE_S: f64 = 0.4;
 
@@ -111,6 +117,8 @@
     /// Requests of other hosts at the upstream, as of the last report.
     remote_requests: f64,
     reported_at: Option<Instant>,
+    /// Moving average of the requests running or waiting, as a fraction of the slots, as reported.
+    reported_load: Option<f64>,
     consecutive_failures: u32,
     /// Sum of the penalties for errors and slow events, as of `penalty_at`.
     penalty: f64,
@@ -132,6 +140,7 @@
             local_requests: 0,
             remote_requests: 0.0,
             reported_at: None,
+            reported_load: None,
             consecutive_failures: 0,
             penalty: 0.0,
             penalty_at: None,
@@ -204,6 +213,7 @@
                 self.remote_requests =
                     self.remote_requests.max(slots - f64::from(self.local_requests));
                 self.reported_at = Some(now);
+                self.average_load(FULL_LOAD);
             }
             Outcome::Failed => self.record_failure(now),
             Outcome::Misdirected => self.eject(now),
@@ -233,5 +243,17 @@
         if load.slots > 0 {
             self.record.slots = load.slots;
         }
+        self.average_load(f64::from(total) / f64::from(self.record.slots));
+    }
+
+    fn average_load(&mut self, load: f64) {
+        let before = self.reported_load.unwrap_or(load);
+        self.reported_load = Some(before + (load - before) * REPORT_WEIGHT);
+    }
+
+    /// Returns the average of the load that was reported lately.
+    pub(super) fn reported_load(&self, now: Instant) -> Option<f64> {
+        let is_fresh = |at: Instant| now.saturating_duration_since(at) < REPORTED_LOAD_TTL;
+        self.reported_load.filter(|_| self.reported_at.is_some_and(is_fresh))
     }
 }
--- a/crates/gateway/src/call/mod.rs
+++ b/crates/gateway/src/call/mod.rs
@@ -35,6 +35,7 @@
         time::{Duration, Instant},
     },
     trefoilring_core::{
+        admission::{NewProgram, ProgramRefusal},
         crashes::hash_content,
         ids::{ContentHash, ServiceId},
         routing::{Route, RouteKind, RoutingTable, TeamRules},
@@ -150,6 +151,7 @@
         allowance::check(gateway, &team.id, call.deadline)?;
     }
     let charge = budget::charge(gateway, call).await?;
+    admit_program(gateway, call, charge.as_ref())?;
     if let Some(team) = &call.team {
         let opens_program = charge.as_ref().is_some_and(|charge| charge.opens_program);
         allowance::take(gateway, &team.id, opens_program, call.deadline).await?;
@@ -167,6 +169,29 @@
     answered
 }
 
+/// Refuses the first turn of a program while the services that programs use are full.
+fn admit_program(
+    gateway: &Gateway,
+    call: &Call,
+    charge: Option<&budget::TurnCharge>,
+) -> Result<(), Refusal> {
+    let now = Instant::now();
+    let Some(program) = &call.metadata.program else { return Ok(()) };
+    let mut admission = gateway.admission.borrow_mut();
+    let load_of = |service: &ServiceId| gateway.placement.borrow().reported_load(now, service);
+    admission.observe(now, &call.service, load_of);
+    if charge.is_none_or(|charge| !charge.opens_program) {
+        return Ok(());
+    }
+    let priority = call.team.as_ref().and_then(|team| team.priority);
+    let program = NewProgram { id: &program.id, priority: priority.unwrap_or(call.route.priority) };
+    let admitted = admission.check(now, &program, load_of, rand::rng().random());
+    admitted.map_err(|ProgramRefusal { service, load, retry_after }| {
+        let detail = format!("no new program begins: {service} is at {load:.2} of its slots");
+        Refusal::not_run(Reason::Overloaded, detail).retry_after(retry_after)
+    })
+}
+
 /// Delivers a request in a task of its own, which continues if the caller disconnects. Cancelling a
 /// non-idempotent request has no benefit and could leave its effect incomplete.
 async fn deliver_detached(gateway: &Rc<Gateway>, call: &Rc<Call>) -> Result<Answer, Refusal> {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -35,6 +35,7 @@
         time::{Duration, Instant},
     },
     trefoilring_core::{
+        admission::Admission,
         ids::Incarnation,
         placement::{Placement, WaitQueues},
         registrations::Registrations,
@@ -129,6 +130,7 @@
     /// Requests that wait for capacity, by service. A service has a queue while all its upstreams
     /// are full.
     pub(crate) wait_queues: RefCell<WaitQueues<Rc<Event>>>,
+    pub(crate) admission: RefCell<Admission>,
     pub(crate) crash_watch: RefCell<CrashWatch>,
     pub(crate) roster: RefCell<Roster>,
     pub(crate) shares: RefCell<Shares>,
@@ -206,6 +208,7 @@
             registrations: RefCell::default(),
             registrations_changed: Event::new(),
             wait_queues: RefCell::default(),
+            admission: RefCell::default(),
             crash_watch: RefCell::default(),
             roster: RefCell::new(Roster::new(
                 Instant::now(),
