End a follower's outage of the store when its reader answers

A host that read the store itself while that failed, and then got a reader again, never recorded a success: its outage counted as going on, and upstreams that were missing stayed in use for ever. Found by reading the change; it concerns failure domains with four or more hosts. Built; no test yet, and the checks have not been run on it.

--- a/crates/gateway/src/watch/sharing.rs
+++ b/crates/gateway/src/watch/sharing.rs
@@ -6,7 +6,7 @@
     crate::{
         gateway::{Gateway, Stage},
         peers::{self, CollectionNews, PeerReply, PeerRequest},
-        roster,
+        registrations, roster,
         store::{Change, Collection, Revision, StoredObject},
         time::within,
     },
@@ -368,6 +368,8 @@
     };
     gateway.metrics.count("store_followed", 1);
     watches.following.borrow_mut().on_answer();
+    // The store has answered the reader, so this host's own outage has ended as well.
+    registrations::on_store_success(gateway);
     for (collection, news) in collections {
         let watched = watches.of(collection);
         let is_newer =
