review: two owners of a ledger grant after a freeze across two outages

What breaks: BUDGET. A program gets 840 tokens where 660 are allowed (a budget of 600 and one turn of 60). An owner of a ledger freezes in an outage of the store, its standby is promoted and claims the ledger when the store is back, and the owner wakes in the next outage. Both grant turns.

Code at fault: apply_update and end_replication in crates/gateway/src/ledger/standby.rs answer NotKept once the promoted owner has stored a record, because Ledger::on_write_succeeded (crates/core/src/budget/mod.rs) clears promoted_from. The former owner takes that as the end of the replication and continues alone, without the vote of the witness.

--- /dev/null
+++ b/review/harness/src/main.rs
@@ -0,0 +1,36 @@
+//! The scripts of the cases: `review-harness CASE RECORD`. Exits with 1 if the rule was broken and
+//! with 0 if it held. With `TROUBLE=0` in the environment the disruption is left out.
+
+mod budget;
+mod site;
+
+use {site::Record, std::process::ExitCode};
+
+/// Whether the rule held.
+pub enum Verdict {
+    Held,
+    Broken,
+}
+
+fn main() -> ExitCode {
+    let mut arguments = std::env::args().skip(1);
+    let (Some(case), Some(path)) = (arguments.next(), arguments.next()) else {
+        eprintln!("usage: review-harness CASE RECORD");
+        return ExitCode::from(2);
+    };
+    let has_trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
+    let record = Record::create(&path);
+    // A panic means that the case could not run.
+    let verdict = std::panic::catch_unwind(std::panic::AssertUnwindSafe(|| {
+        let record = &record;
+        match case.as_str() {
+            "budget" => Some(site::run(async |executor| budget::run(executor, record, has_trouble).await)),
+            _ => None,
+        }
+    }));
+    match verdict {
+        Ok(Some(Verdict::Held)) => ExitCode::SUCCESS,
+        Ok(Some(Verdict::Broken)) => ExitCode::from(1),
+        Ok(None) | Err(_) => ExitCode::from(2),
+    }
+}
