--- a/review/harness/src/budget.rs
+++ b/review/harness/src/budget.rs
@@ -149,7 +149,9 @@
     // The owner of most programs' ledgers, by the records in the store.
     let mut owned: BTreeMap<String, usize> = BTreeMap::new();
     for ledger in 0..LEDGERS {
-        let Some(spec) = store.spec("trefoil-ledgers", &format!("ledger-{ledger}")) else { continue };
+        let Some(spec) = store.spec("trefoil-ledgers", &format!("ledger-{ledger}")) else {
+            continue;
+        };
         let accounts = spec["accounts"].as_object().map_or(0, |accounts| accounts.len());
         let writer = spec["writer"].as_str().unwrap_or_default();
         let host = writer.split('@').next().unwrap_or_default();
--- a/review/harness/src/main.rs
+++ b/review/harness/src/main.rs
@@ -2,7 +2,9 @@
 //! with 0 if it held. With `TROUBLE=0` in the environment the disruption is left out.
 
 mod budget;
+mod crashing;
 mod site;
+mod workers;
 
 use {site::Record, std::process::ExitCode};
 
@@ -24,7 +26,12 @@
     let verdict = std::panic::catch_unwind(std::panic::AssertUnwindSafe(|| {
         let record = &record;
         match case.as_str() {
-            "budget" => Some(site::run(async |executor| budget::run(executor, record, has_trouble).await)),
+            "budget" => {
+                Some(site::run(async |executor| budget::run(executor, record, has_trouble).await))
+            }
+            "crashing" => {
+                Some(site::run(async |executor| crashing::run(executor, record, has_trouble).await))
+            }
             _ => None,
         }
     }));
