review: calls are sent to workers after their clients have gone

What breaks: GONE. Nine calls that must not be repeated reach a worker 0.67 s after their clients have closed their connections, because their first worker is dark and the attempts to connect to it take 0.8 s.

Code at fault: deliver_detached in crates/gateway/src/call/mod.rs goes on without the caller although nothing was sent, and the loop of exchange::deliver looks at Call::caller_disconnected only after a wait for capacity (crates/gateway/src/call/attempts.rs).

--- a/review/harness/src/crashing.rs
+++ b/review/harness/src/crashing.rs
@@ -100,8 +100,8 @@
     pool.set_link_fault(LinkFault::None);
     site.check_processes();
 
-    let mut runs: Vec<Instant> = pool
-        .runs_of_crashed()
+    let runs: Vec<Instant> = pool
+        .runs()
         .into_iter()
         .filter(|run| String::from_utf8_lossy(&run.body).contains(CRASHING))
         .map(|run| {
@@ -110,7 +110,6 @@
             run.started_at
         })
         .collect();
-    runs.sort();
     for at in pool.crashed_at() {
         record.line(&format!("a worker crashed at {:.3}", record.at(at)));
     }
--- a/review/harness/src/main.rs
+++ b/review/harness/src/main.rs
@@ -3,6 +3,7 @@
 
 mod budget;
 mod crashing;
+mod gone;
 mod site;
 mod workers;
 
@@ -32,6 +33,9 @@
             "crashing" => {
                 Some(site::run(async |executor| crashing::run(executor, record, has_trouble).await))
             }
+            "gone" => {
+                Some(site::run(async |executor| gone::run(executor, record, has_trouble).await))
+            }
             _ => None,
         }
     }));
--- a/review/harness/src/workers.rs
+++ b/review/harness/src/workers.rs
@@ -15,7 +15,7 @@
 };
 
 struct Place {
-    worker: Option<WorkerStandin>,
+    worker: Option<Rc<WorkerStandin>>,
     proxy: LinkProxy,
 }
 
@@ -72,13 +72,14 @@
             proxied.push((worker.address, proxy.address));
         }
         self.store.put("servers", &id, worker.entry());
-        (id, Place { worker: Some(worker), proxy })
+        (id, Place { worker: Some(Rc::new(worker)), proxy })
     }
 
     async fn supervise(self: Rc<Self>, index: usize, mut id: String) {
         loop {
-            let worker = self.places.borrow_mut()[index].worker.take().expect("it runs");
+            let worker = self.places.borrow()[index].worker.clone().expect("it runs");
             worker.crashed().await;
+            self.places.borrow_mut()[index].worker = None;
             {
                 let places = self.places.borrow();
                 places[index].proxy.set_fault(LinkFault::NoListener);
@@ -101,14 +102,24 @@
         self.places.borrow().iter().for_each(|place| place.proxy.set_fault(fault));
     }
 
+    /// Sets the fault of the links between the proxied hosts and one worker.
+    pub fn set_link_fault_of(&self, index: usize, fault: LinkFault) {
+        self.places.borrow()[index].proxy.set_fault(fault);
+    }
+
     /// Closes all connections through proxies.
     pub fn reset_links(&self) {
         self.places.borrow().iter().for_each(|place| place.proxy.reset());
     }
 
-    /// Returns the requests that the workers ran which have crashed.
-    pub fn runs_of_crashed(&self) -> Vec<RecordedRequest> {
-        self.past_runs.borrow().clone()
+    /// Returns the requests that workers ran.
+    pub fn runs(&self) -> Vec<RecordedRequest> {
+        let mut runs = self.past_runs.borrow().clone();
+        for place in self.places.borrow().iter() {
+            runs.extend(place.worker.iter().flat_map(|worker| worker.runs()));
+        }
+        runs.sort_by_key(|run| run.started_at);
+        runs
     }
 
     pub fn crashed_at(&self) -> Vec<Instant> {
