review: two outages of the store with its machines killed stop all programs

Twice the store is down for 3 s and the processes on the store machines are killed meanwhile; from then on nearly all turns are refused for over a minute.

Code at fault: Ledger::take_over in crates/core/src/budget/mod.rs adds up the overdrafts that lost owners may have granted, and Account::charge (account.rs) counts half of each program's budget for each of them, also for programs that begin later.

--- a/review/harness/src/main.rs
+++ b/review/harness/src/main.rs
@@ -3,7 +3,9 @@
 
 mod budget;
 mod crashing;
+mod fuzz;
 mod gone;
+mod probe;
 mod site;
 mod workers;
 
@@ -36,6 +38,8 @@
             "gone" => {
                 Some(site::run(async |executor| gone::run(executor, record, has_trouble).await))
             }
+            "fuzz" => Some(site::run(async |executor| fuzz::run(executor, record, has_trouble).await)),
+            "probe" => Some(site::run(async |executor| probe::run(executor, record, has_trouble).await)),
             _ => None,
         }
     }));
--- a/review/harness/src/site.rs
+++ b/review/harness/src/site.rs
@@ -193,6 +193,23 @@
         }
     }
 
+    /// Kills a host.
+    pub fn kill(&self, number: usize) {
+        if let Some(mut process) = self.hosts.borrow_mut()[number].process.take() {
+            process.kill().expect("the process can be killed");
+            process.wait().expect("the process has ended");
+        }
+    }
+
+    /// Starts a host again that was killed, with an empty disk if it has lost it.
+    pub fn restart(&self, number: usize, has_lost_disk: bool) {
+        if has_lost_disk {
+            let folder = self.folder.join(format!("host-{number}-data"));
+            let _ = fs::remove_dir_all(folder);
+        }
+        self.start_host(number);
+    }
+
     /// Checks that no host has ended by itself.
     pub fn check_processes(&self) {
         for host in self.hosts.borrow_mut().iter_mut() {
