--- a/review/harness/src/main.rs
+++ b/review/harness/src/main.rs
@@ -5,7 +5,7 @@
 mod crashing;
 mod fuzz;
 mod gone;
-mod probe;
+mod quota;
 mod site;
 mod workers;
 
@@ -38,8 +38,12 @@
             "gone" => {
                 Some(site::run(async |executor| gone::run(executor, record, has_trouble).await))
             }
-            "fuzz" => Some(site::run(async |executor| fuzz::run(executor, record, has_trouble).await)),
-            "probe" => Some(site::run(async |executor| probe::run(executor, record, has_trouble).await)),
+            "fuzz" => {
+                Some(site::run(async |executor| fuzz::run(executor, record, has_trouble).await))
+            }
+            "quota" => {
+                Some(site::run(async |executor| quota::run(executor, record, has_trouble).await))
+            }
             _ => None,
         }
     }));
--- a/review/harness/src/site.rs
+++ b/review/harness/src/site.rs
@@ -70,6 +70,8 @@
 struct Host {
     name: String,
     ports: Vec<u16>,
+    /// Keep the ports free until the host starts.
+    reserved: Vec<TcpListener>,
     options: HostOptions,
     process: Option<Child>,
 }
@@ -105,15 +107,19 @@
             println!("logs in {}", folder.display());
         }
         let count = options.len();
-        let ports = free_ports(count * PORTS_PER_HOST);
-        let hosts = options.into_iter().zip(ports.chunks(PORTS_PER_HOST)).enumerate();
-        let hosts = hosts.map(|(number, (options, ports))| Host {
-            name: format!("host-{number}"),
-            ports: ports.to_vec(),
-            options,
-            process: None,
-        });
-        let site = Self { hosts: RefCell::new(hosts.collect()), folder };
+        let mut hosts = Vec::new();
+        for (number, options) in options.into_iter().enumerate() {
+            let reserved = reserve_ports(PORTS_PER_HOST);
+            let port = |listener: &TcpListener| listener.local_addr().expect("it is bound").port();
+            hosts.push(Host {
+                name: format!("host-{number}"),
+                ports: reserved.iter().map(port).collect(),
+                reserved,
+                options,
+                process: None,
+            });
+        }
+        let site = Self { hosts: RefCell::new(hosts), folder };
         (0..count).for_each(|number| site.start_host(number));
         let line = format!("trefoilring.hosts {count}");
         let deadline = Instant::now() + START_TIMEOUT;
@@ -142,6 +148,7 @@
     fn start_host(&self, number: usize) {
         let mut hosts = self.hosts.borrow_mut();
         let host = &mut hosts[number];
+        host.reserved.clear();
         let [callers, ready, peers, metrics] = host.ports[..] else { unreachable!("four ports") };
         let listen = match host.options.serves_callers {
             true => format!(
@@ -316,14 +323,12 @@
     }
 }
 
-fn free_ports(count: usize) -> Vec<u16> {
+fn reserve_ports(count: usize) -> Vec<TcpListener> {
     let mut random = rand::rng();
-    let mut ports = Vec::new();
-    while ports.len() < count {
+    let mut reserved = Vec::new();
+    while reserved.len() < count {
         let port = random.random_range(HOST_PORTS);
-        if !ports.contains(&port) && TcpListener::bind(("127.0.0.1", port)).is_ok() {
-            ports.push(port);
-        }
+        reserved.extend(TcpListener::bind(("127.0.0.1", port)));
     }
-    ports
+    reserved
 }
--- a/review/harness/src/workers.rs
+++ b/review/harness/src/workers.rs
@@ -122,10 +122,6 @@
         runs
     }
 
-    pub fn counts(&self) -> (usize, usize) {
-        self.places.borrow().iter().flat_map(|place| place.worker.as_ref().map(|w| w.finished_and_aborted())).fold((0, 0), |a, b| (a.0 + b.0, a.1 + b.1))
-    }
-
     pub fn crashed_at(&self) -> Vec<Instant> {
         self.crashed_at.borrow().clone()
     }
