--- a/review/harness/src/main.rs
+++ b/review/harness/src/main.rs
@@ -1,5 +1,9 @@
 //! The scripts of the cases: `review-harness CASE RECORD`. Exits with 1 if the rule was broken and
 //! with 0 if it held. With `TROUBLE=0` in the environment the disruption is left out.
+//!
+//! `fuzz` and `quota` are no cases: they play random faults with the seed in `SEED`, for `LENGTH`
+//! seconds, and check the budgets of programs and the quota of a team. `fuzz` freezes, kills and wipes
+//! store machines with `FREEZE=1`, `KILL=1` and `WIPE=1`; `quota` takes `RATE` and `BURST`.
 
 mod budget;
 mod crashing;
--- a/review/harness/src/site.rs
+++ b/review/harness/src/site.rs
@@ -195,7 +195,9 @@
     pub fn signal(&self, number: usize, signal: &str) {
         if let Some(process) = &self.hosts.borrow()[number].process {
             let pid = process.id().to_string();
-            let status = Command::new("kill").args([&format!("-{signal}"), &pid]).status();
+            // The shell has the command, which not every machine has as a program.
+            let command = format!("kill -{signal} {pid}");
+            let status = Command::new("bash").args(["-c", &command]).status();
             assert!(status.is_ok_and(|status| status.success()), "kill -{signal} {pid}");
         }
     }
