--- a/review/harness/src/fuzz.rs
+++ b/review/harness/src/fuzz.rs
@@ -28,6 +28,7 @@
     let seed = env("SEED", 1);
     let (freeze, kill, wipe, nodes, lost) =
         (env("FREEZE", 1), env("KILL", 1), env("WIPE", 0), env("NODES", 1), env("LOST", 1));
+    let (herd, gateways) = (env("HERD", 0), env("GATEWAYS", 0));
     let length = Duration::from_secs(env("LENGTH", 60));
     let store = StoreStandin::start().await.expect("a port");
     store.put("config", "main", client::configuration(KEY));
@@ -124,7 +125,7 @@
         while Instant::now() < end {
             Timer::after(Duration::from_millis(random.random_range(300..3500))).await;
             let host = G + random.random_range(0..S);
-            match random.random_range(0..2) {
+            match random.random_range(0..4) {
                 0 if freeze == 1 => {
                     record.line(&format!("freeze {host}"));
                     site.signal(host, "STOP");
@@ -143,6 +144,21 @@
                         Timer::after(Duration::from_secs(4)).await;
                     }
                 }
+                2 if herd == 1 => {
+                    record.line("kill all store machines");
+                    (G..G + S).for_each(|host| site.kill(host));
+                    Timer::after(Duration::from_millis(random.random_range(300..5000))).await;
+                    record.line("start all store machines");
+                    (G..G + S).for_each(|host| site.restart(host, false));
+                }
+                3 if gateways == 1 => {
+                    let host = random.random_range(0..G);
+                    record.line(&format!("freeze {host}"));
+                    site.signal(host, "STOP");
+                    Timer::after(Duration::from_millis(random.random_range(300..3200))).await;
+                    record.line(&format!("wake {host}"));
+                    site.signal(host, "CONT");
+                }
                 _ => {}
             }
         }
--- a/review/harness/src/main.rs
+++ b/review/harness/src/main.rs
@@ -3,7 +3,8 @@
 //!
 //! `fuzz` and `quota` are no cases: they play random faults with the seed in `SEED`, for `LENGTH`
 //! seconds, and check the budgets of programs and the quota of a team. `fuzz` freezes, kills and wipes
-//! store machines with `FREEZE=1`, `KILL=1` and `WIPE=1`; `quota` takes `RATE` and `BURST`.
+//! store machines with `FREEZE=1`, `KILL=1` and `WIPE=1`, kills all of them with `HERD=1`, and freezes
+//! gateways with `GATEWAYS=1`; `quota` takes `RATE` and `BURST`.
 
 mod budget;
 mod crashing;
