--- a/crates/gateway/src/crashes/mod.rs
+++ b/crates/gateway/src/crashes/mod.rs
@@ -162,6 +162,7 @@
             "content": format!("{content:016x}"),
             "upstream": broken.upstream,
             "in_flight_ms": now.duration_since(broken.sent_at).as_millis() as u64,
+            "stranded": gateway.relay.is_stranded(),
         }),
     );
     if gateway.crash_watch.borrow().stops_as_planned(now, &broken.upstream)
@@ -234,7 +235,14 @@
     let listener = gateway.connections.probe_listener(address, deadline, idle_max).await;
     relay::record_connects(gateway);
     // A host that reaches no upstream can't tell whether one of them has ended.
-    listener == ListenerState::Absent && relay::reaches_another(gateway, address, deadline).await
+    let has_ended = listener == ListenerState::Absent
+        && relay::reaches_another(gateway, address, deadline).await;
+    gateway.decisions.log(
+        LineRate::Failure,
+        "listener_check",
+        json!({"address": address, "listener": format!("{listener:?}"), "has_ended": has_ended}),
+    );
+    has_ended
 }
 
 fn notify_first_result(gateway: &Gateway, key: UpstreamKey) {
--- a/crates/gateway/src/relay/helper.rs
+++ b/crates/gateway/src/relay/helper.rs
@@ -123,10 +123,22 @@
     }
     let sent = gateway.connections.send(destination.address, request, relayed.deadline).await;
     record_connects(gateway);
-    let UnreadAnswer { response, connection } = sent.map_err(|error| match error {
-        SendError::NotConnected => Failure::NotConnected,
-        SendError::Broken => Failure::Broken,
-        SendError::TimedOut => Failure::TimedOut,
+    let UnreadAnswer { response, connection } = sent.map_err(|error| {
+        gateway.decisions.log(
+            LineRate::Failure,
+            "pass_on_failed",
+            json!({
+                "request": metadata.as_ref().map(|metadata| &metadata.request_id).ok(),
+                "upstream": relayed.upstream,
+                "error": error.to_string(),
+                "in_flight_ms": sent_at.elapsed().as_millis() as u64,
+            }),
+        );
+        match error {
+            SendError::NotConnected => Failure::NotConnected,
+            SendError::Broken => Failure::Broken,
+            SendError::TimedOut => Failure::TimedOut,
+        }
     })?;
     gateway.relay.record_alive();
     let (mut head, body) = response.into_parts();
