Count the crashes of upstreams that only other hosts can see

Each crash took an upstream's other requests with it.

Cause: a host whose connection breaks checks whether the upstream still listens. Nobody counted the crash.

Now a host that can't tell asks those through which it sends. They check as for themselves, and a host that is stranded as well says so, so the next one is asked. The report, the count of crashes in a call and the blame are the same as for its own connections. Requests that a cut breaks off are not blamed: the other host finds the upstream alive. A build that does not know the question answers as unsupported, and nothing is counted, as before.

--- a/crates/gateway/src/crashes/mod.rs
+++ b/crates/gateway/src/crashes/mod.rs
@@ -165,9 +165,7 @@
             "stranded": gateway.relay.is_stranded(),
         }),
     );
-    if gateway.crash_watch.borrow().stops_as_planned(now, &broken.upstream)
-        || gateway.relay.is_stranded()
-    {
+    if gateway.crash_watch.borrow().stops_as_planned(now, &broken.upstream) {
         return;
     }
     let attempt = CrashedAttempt { content, sent_at: broken.sent_at, broke_at: now };
@@ -200,7 +198,9 @@
         if !delay.is_zero() {
             Timer::after(delay).await;
         }
-        if has_ended(&gateway, &service, address, delay.is_zero()).await {
+        let is_first_check = delay.is_zero();
+        let target = CheckedUpstream { service: &service, upstream: &upstream, address };
+        if has_ended(&gateway, target, is_first_check).await {
             let attempts = match gateway.crash_watch.borrow_mut().checks.get_mut(&key) {
                 Some(check) => {
                     check.has_crashed.set(true);
@@ -219,32 +219,82 @@
     gateway.crash_watch.borrow_mut().checks.remove(&key);
 }
 
-/// Returns whether no process listens at an address. An open connection shows that one does, except
-/// in the first check, when the connection's end may not have been seen.
+/// An upstream that may have ended.
+#[derive(Clone, Copy)]
+struct CheckedUpstream<'a> {
+    service: &'a str,
+    upstream: &'a UpstreamId,
+    address: SocketAddr,
+}
+
+/// Returns whether an upstream has ended. An open connection shows that it runs, except in the first
+/// check, when the connection's end may not have been seen. A host that reaches no upstream can't tell
+/// and asks others.
 async fn has_ended(
     gateway: &Rc<Gateway>,
-    service: &str,
-    address: SocketAddr,
+    target: CheckedUpstream<'_>,
     is_first_check: bool,
 ) -> bool {
-    if !is_first_check && gateway.connections.has_idle(address) {
+    let CheckedUpstream { service, upstream, address } = target;
+    let is_stranded = gateway.relay.is_stranded();
+    if !is_stranded && !is_first_check && gateway.connections.has_idle(address) {
         return false;
     }
-    let deadline = Instant::now() + CHECK_TIMEOUT;
     let idle_max = gateway.idle_connections_max(service);
-    let listener = gateway.connections.probe_listener(address, deadline, idle_max).await;
-    relay::record_connects(gateway);
-    // A host that reaches no upstream can't tell whether one of them has ended.
-    let has_ended = listener == ListenerState::Absent
-        && relay::reaches_another(gateway, address, deadline).await;
+    let own = match is_stranded {
+        true => ListenerState::Unknown,
+        false => check_listener(gateway, address, idle_max).await,
+    };
+    let (listener, is_asked) = match own {
+        ListenerState::Unknown => (relay::ask_for_listener(gateway, upstream).await, true),
+        known => (known, false),
+    };
+    let has_ended = listener == ListenerState::Absent;
     gateway.decisions.log(
         LineRate::Failure,
         "listener_check",
-        json!({"address": address, "listener": format!("{listener:?}"), "has_ended": has_ended}),
+        json!({
+            "upstream": upstream,
+            "address": address,
+            "listener": listener,
+            "by": if is_asked { "peer" } else { "this host" },
+            "has_ended": has_ended,
+        }),
     );
     has_ended
 }
 
+/// Returns whether a process listens at the address of an upstream, as far as this host can tell.
+/// `Absent` means that this host reaches other upstreams.
+async fn check_listener(
+    gateway: &Rc<Gateway>,
+    address: SocketAddr,
+    idle_max: usize,
+) -> ListenerState {
+    let deadline = Instant::now() + CHECK_TIMEOUT;
+    let listener = gateway.connections.probe_listener(address, deadline, idle_max).await;
+    relay::record_connects(gateway);
+    match listener {
+        ListenerState::Absent if !relay::reaches_another(gateway, address, deadline).await => {
+            ListenerState::Unknown
+        }
+        listener => listener,
+    }
+}
+
+/// Checks an upstream for another host. Returns `Unknown` if this host does not know the upstream or
+/// can't tell either.
+pub(crate) async fn check_for_peer(gateway: &Rc<Gateway>, upstream: &UpstreamId) -> ListenerState {
+    let known = {
+        let placement = gateway.placement.borrow();
+        placement.find(upstream).map(|(_, record)| (record.address, record.service.clone()))
+    };
+    let Some((address, service)) = known.filter(|_| !gateway.relay.is_stranded()) else {
+        return ListenerState::Unknown;
+    };
+    check_listener(gateway, address, gateway.idle_connections_max(&service)).await
+}
+
 fn notify_first_result(gateway: &Gateway, key: UpstreamKey) {
     if let Some(check) = gateway.crash_watch.borrow_mut().checks.get_mut(&key) {
         check.has_first_result = true;
--- a/crates/gateway/src/http.rs
+++ b/crates/gateway/src/http.rs
@@ -75,7 +75,8 @@
 }
 
 /// Whether a process accepts connections at an address.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
+#[serde(rename_all = "snake_case")]
 pub enum ListenerState {
     /// A connection was established.
     Present,
--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/peers/message.rs
@@ -11,6 +11,7 @@
 use {
     crate::{
         crashes::CrashReport,
+        http::ListenerState,
         store::{Change, Collection, Revision, StoredObject},
         turns::{RetainedTurn, TurnLookup, TurnWriteOutcome},
     },
@@ -127,6 +128,8 @@
     BlamedContents,
     /// Tells that an upstream has said that this start of it is about to stop.
     UpstreamLeaving { upstream: UpstreamId, incarnation: Option<Incarnation> },
+    /// Asks whether a process listens at an upstream's address. The sender reaches no upstream.
+    UpstreamListener { upstream: UpstreamId },
     /// Notes the origins of streams that began at the sender.
     NoteStreams { streams: Vec<(RequestId, StreamOrigin)> },
     /// Asks for the origin of the stream that began as `request`, and for the versions of a service.
@@ -201,6 +204,8 @@
     Charged { decision: ChargeDecision },
     /// What became of the settlements.
     Settled { status: SettlementStatus },
+    /// Whether a process listens at an upstream's address, as far as the host can tell.
+    UpstreamListener { state: ListenerState },
     /// The host that has stored the outage note; `None` if it has not.
     OutageNoted { by: Option<NoteHost> },
     /// The reply to a fence; `None` if the host stores no notes.
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -189,6 +189,9 @@
             leaving::on_told(gateway, upstream, incarnation);
             PeerReply::Done
         }
+        PeerRequest::UpstreamListener { upstream } => {
+            PeerReply::UpstreamListener { state: crashes::check_for_peer(gateway, &upstream).await }
+        }
         PeerRequest::NoteStreams { streams } => {
             stream_origins::on_noted(gateway, &streams);
             PeerReply::Done
--- a/crates/gateway/src/relay/mod.rs
+++ b/crates/gateway/src/relay/mod.rs
@@ -13,7 +13,7 @@
     crate::{
         gateway::Gateway,
         http::{ActiveConnection, ListenerState, SendError, UnreadAnswer},
-        peers,
+        peers::{self, PeerReply, PeerRequest},
         time::within,
     },
     bytes::Bytes,
@@ -32,7 +32,7 @@
         time::{Duration, Instant},
     },
     trefoilring_core::{
-        ids::HostId,
+        ids::{HostId, UpstreamId},
         placement::{Helpers, ReachChange, UpstreamReach},
     },
     trefoilring_observe::decisions::LineRate,
@@ -59,6 +59,8 @@
 const LAST_WAIT: Duration = Duration::from_millis(500);
 /// Maximum number of hosts that are tried for one request.
 const HELPERS_MAX: usize = 3;
+/// Timeout of a question to another host about an upstream. Longer than its check of a connection.
+const LISTENER_TIMEOUT: Duration = Duration::from_millis(150);
 
 /// Why a helper has no answer of the upstream.
 #[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
@@ -365,6 +367,31 @@
     Err(SendError::NotConnected)
 }
 
+/// Asks other hosts whether a process listens at an upstream, while this host can't tell. Returns
+/// `Unknown` if none of those that were asked can.
+pub(crate) async fn ask_for_listener(
+    gateway: &Rc<Gateway>,
+    upstream: &UpstreamId,
+) -> ListenerState {
+    for _ in 0..HELPERS_MAX {
+        let Some((host, address)) = choose_helper(gateway) else { break };
+        let through = HelperGuard::new(gateway, host);
+        let request = PeerRequest::UpstreamListener { upstream: upstream.clone() };
+        let deadline = Instant::now() + LISTENER_TIMEOUT;
+        match peers::send_request(gateway, address, &request, deadline).await {
+            Some(PeerReply::UpstreamListener { state: ListenerState::Unknown }) | None => {
+                through.record_rejected();
+            }
+            Some(PeerReply::UpstreamListener { state }) => return state,
+            Some(reply) => {
+                // Its build does not check upstreams for others, but it may pass requests on.
+                log::debug!("{address} did not say whether {upstream} listens: {reply:?}");
+            }
+        }
+    }
+    ListenerState::Unknown
+}
+
 /// Reads the empty body of a helper's failure, so that its connection can be used again.
 async fn drain(gateway: &Gateway, answer: UnreadAnswer, deadline: Instant) {
     let UnreadAnswer { response, connection } = answer;
