Log what a standby answers to the owner of a ledger

The lines showed two owners, but not by which message the former one came to go on alone: its line says `Standby(NotKept)`, which a standby answers for four reasons.

A standby now writes `replica_reply` with the replication, its answer, and what it owned, held and had ended. No logic is changed.

--- a/crates/gateway/src/ledger/standby.rs
+++ b/crates/gateway/src/ledger/standby.rs
@@ -252,6 +252,43 @@
     update: ReplicaUpdate,
     owner: SocketAddr,
     witness: SocketAddr,
+) -> Option<ReplicaStatus> {
+    let (id, number) = (update.replication_id.clone(), update.number);
+    let status = try_apply_update(gateway, partition, update, owner, witness);
+    if status != Some(ReplicaStatus::Kept) {
+        log_reply(gateway, partition, &id, Some(number), status);
+    }
+    status
+}
+
+/// Writes a line about a message of a replication whose owner has to act on the reply.
+fn log_reply(
+    gateway: &Gateway,
+    partition: usize,
+    id: &ReplicationId,
+    update_number: Option<u64>,
+    status: Option<ReplicaStatus>,
+) {
+    let partitions = gateway.ledgers.borrow();
+    let Some(state) = partitions.get(partition) else { return };
+    let ledger = state.ledger.as_ref();
+    let held = state.standby.replica.as_ref().map(|held| held.replica.id());
+    gateway.decisions.log(
+        LineRate::Failure,
+        "replica_reply",
+        json!({"ledger": ledger_name(partition), "copy": id, "update": update_number,
+               "answer": status, "writer": ledger.map(Ledger::writer),
+               "epoch": ledger.map(Ledger::epoch), "held": held,
+               "last_ended": state.standby.last_ended}),
+    );
+}
+
+fn try_apply_update(
+    gateway: &Gateway,
+    partition: usize,
+    update: ReplicaUpdate,
+    owner: SocketAddr,
+    witness: SocketAddr,
 ) -> Option<ReplicaStatus> {
     let mut partitions = gateway.ledgers.borrow_mut();
     let state = partitions.get_mut(partition)?;
@@ -291,6 +328,16 @@
     gateway: &Gateway,
     partition: usize,
     replication: ReplicationId,
+) -> Option<ReplicaStatus> {
+    let status = try_end_replication(gateway, partition, replication.clone());
+    log_reply(gateway, partition, &replication, None, status);
+    status
+}
+
+fn try_end_replication(
+    gateway: &Gateway,
+    partition: usize,
+    replication: ReplicationId,
 ) -> Option<ReplicaStatus> {
     let mut partitions = gateway.ledgers.borrow_mut();
     let state = partitions.get_mut(partition)?;
