Let a former owner of a ledger go on only where its standby was not promoted

Cause: an owner that replicates its ledger goes on alone when its standby answers that it holds no replica. The standby also said so when it had been promoted from that replica, and had since stored a record of its own, restarted, or lost the ledger again: only what it owned at the moment was looked at. The witness, which had voted for the promotion, was not asked.

Now a standby remembers from which writers it was promoted, and says so for as long as its process lives. It ends a replication only if it had the replica until then. In all other cases it does not answer, and the owner asks the witness, which votes for one side only. Owners take `NotKept` of a build before this one for no answer. No message is added to a turn; one is added when the standby has lost its memory.

--- a/crates/core/src/budget/standby.rs
+++ b/crates/core/src/budget/standby.rs
@@ -8,7 +8,9 @@
 //! replicates its accounts to one of them, the standby. It then grants a turn only after the
 //! standby has received the charge. A third ledger host, the witness, votes either for the
 //! promotion of the standby or for the owner to continue alone, whichever is requested first, and
-//! never for both. So only one host grants at any time. Owner and standby stay within the overdraft
+//! never for both. So only one host grants at any time. An owner that was suspended goes on with the
+//! replication where it stopped, however many outages and owners there were meanwhile, and learns from
+//! its standby or the witness that it was replaced. Owner and standby stay within the overdraft
 //! limit, so losing both is no worse than losing the owner without replication.
 
 use {
@@ -18,7 +20,7 @@
         ids::{Epoch, ProgramId},
     },
     std::{
-        collections::{BTreeMap, BTreeSet, HashMap},
+        collections::{BTreeMap, BTreeSet, HashMap, VecDeque},
         time::{Duration, Instant},
     },
 };
@@ -327,18 +329,37 @@
 pub enum ReplicaStatus {
     /// The standby has applied the update.
     Kept,
-    /// The standby has no replica, so it will not be promoted.
+    /// The standby has dropped the replica without being promoted, and won't be promoted from it.
     NotKept,
-    /// The standby was promoted and owns the ledger.
+    /// The standby was promoted from a replica of this writer's ledger, so the writer no longer owns it.
     StandsIn,
 }
 
+/// Number of promotions that a host remembers.
+const PROMOTIONS_MAX: usize = 64;
+
 /// State of a host as the standby of one ledger.
+///
+/// An owner that is told that its replication has ended may grant turns alone. So this host says so only
+/// if it knows that it was not promoted from the replication. In all other cases it gives no answer, and
+/// the owner has to ask the witness, which votes either for the promotion or for the owner. A host
+/// that has lost its memory knows nothing of its promotions, and one that was promoted and has stored a
+/// record is an ordinary owner, so neither can be told from what the host owns.
 #[derive(Debug, Default)]
 pub struct Standby {
     replica: Option<LedgerReplica>,
-    /// The last replication that ended at this host.
-    last_ended: Option<ReplicationId>,
+    last_ended: Option<EndedReplication>,
+    /// Writers from whose replicas this host was promoted, oldest first. Invariant: at most
+    /// [`PROMOTIONS_MAX`].
+    promoted_from: VecDeque<String>,
+}
+
+/// A replication that has ended at its standby.
+#[derive(Clone, Debug, PartialEq, serde::Serialize)]
+pub struct EndedReplication {
+    id: ReplicationId,
+    /// Whether the standby had the replica until then, so that it was not promoted from it.
+    had_replica: bool,
 }
 
 impl Standby {
@@ -348,65 +369,74 @@
     }
 
     /// Returns the last replication that ended at this host.
-    pub fn last_ended(&self) -> Option<&ReplicationId> {
+    pub fn last_ended(&self) -> Option<&EndedReplication> {
         self.last_ended.as_ref()
     }
 
-    /// Applies an update of an owner. `owned` is the ledger, if this host owns it. Returns `None` if
-    /// the update is outdated.
+    /// Applies an update of an owner. `is_owner` is whether this host owns the ledger. Returns `None` if
+    /// the update is outdated, or if this host can't tell whether it was promoted.
     pub fn apply(
         &mut self,
         now: Instant,
-        owned: Option<&Ledger>,
+        is_owner: bool,
         update: ReplicaUpdate,
     ) -> Option<ReplicaStatus> {
-        if let Some(ledger) = owned {
-            let is_promoted = ledger.is_promoted_from(&update.replication_id.writer);
-            return Some(if is_promoted {
-                ReplicaStatus::StandsIn
-            } else {
-                ReplicaStatus::NotKept
-            });
+        let id = &update.replication_id;
+        if self.was_promoted_from(&id.writer) {
+            return Some(ReplicaStatus::StandsIn);
+        }
+        if is_owner {
+            return None;
         }
-        if self.last_ended.as_ref().is_some_and(|ended| !update.replication_id.supersedes(ended)) {
-            return Some(ReplicaStatus::NotKept);
+        if let Some(ended) = &self.last_ended
+            && !id.supersedes(&ended.id)
+        {
+            let has_dropped = ended.id == *id && ended.had_replica;
+            return has_dropped.then_some(ReplicaStatus::NotKept);
         }
         match &mut self.replica {
-            Some(replica) if *replica.id() == update.replication_id => {
+            Some(replica) if replica.id() == id => {
                 return replica.apply(now, update).then_some(ReplicaStatus::Kept);
             }
-            Some(replica) if !update.replication_id.supersedes(replica.id()) => return None,
+            Some(replica) if !id.supersedes(replica.id()) => return None,
             _ => {}
         }
-        let id = update.replication_id.clone();
-        match LedgerReplica::begin(now, update) {
-            Some(replica) => {
-                self.replica = Some(replica);
-                Some(ReplicaStatus::Kept)
-            }
-            None => {
-                // Marks this replication as ended, so that its first update is refused if that update
-                // arrives later: the owner continues without this standby.
-                self.last_ended = Some(id);
-                Some(ReplicaStatus::NotKept)
-            }
-        }
+        let id = id.clone();
+        let Some(replica) = LedgerReplica::begin(now, update) else {
+            // The first update must not begin a replica if it arrives later: the owner may have
+            // ended the replication by then.
+            self.last_ended = Some(EndedReplication { id, had_replica: false });
+            return None;
+        };
+        self.replica = Some(replica);
+        Some(ReplicaStatus::Kept)
     }
 
-    /// Ends a replication on request of its owner. `owned` is the ledger, if this host owns it.
-    pub fn end(&mut self, owned: Option<&Ledger>, id: ReplicationId) -> Option<ReplicaStatus> {
-        if owned.is_some_and(|ledger| ledger.is_promoted_from(&id.writer)) {
+    /// Ends a replication on request of its owner. Returns `None` if this host can't tell whether it was
+    /// promoted.
+    pub fn end(&mut self, id: ReplicationId) -> Option<ReplicaStatus> {
+        if self.was_promoted_from(&id.writer) {
             return Some(ReplicaStatus::StandsIn);
         }
-        self.replica.take_if(|replica| *replica.id() == id);
-        self.last_ended = Some(id);
-        Some(ReplicaStatus::NotKept)
+        let has_ended_before = self.last_ended.as_ref().filter(|ended| ended.id == id);
+        let had_replica = has_ended_before.is_some_and(|ended| ended.had_replica)
+            || self.replica.take_if(|replica| *replica.id() == id).is_some();
+        self.last_ended = Some(EndedReplication { id, had_replica });
+        had_replica.then_some(ReplicaStatus::NotKept)
+    }
+
+    fn was_promoted_from(&self, writer: &str) -> bool {
+        self.promoted_from.iter().any(|former| former == writer)
     }
 
     /// Creates the ledger of this host when the witness has voted for its promotion. Returns `None` if
     /// it does not hold the replica any more.
     pub fn promote(&mut self, now: Instant, id: &ReplicationId, writer: String) -> Option<Ledger> {
         let replica = self.replica.take_if(|replica| replica.id() == id)?;
+        if self.promoted_from.len() >= PROMOTIONS_MAX {
+            self.promoted_from.pop_front();
+        }
+        self.promoted_from.push_back(id.writer.clone());
         Some(Ledger::promote(now, writer, replica))
     }
 }
--- a/crates/core/src/budget/standby/tests.rs
+++ b/crates/core/src/budget/standby/tests.rs
@@ -251,6 +251,77 @@
     assert!(restarted.decide_vote(&replication(13), VoteOption::ContinueAlone));
 }
 
+/// A standby with a replica of the owner's ledger.
+fn standby_of(owner: &mut Ledger, now: Instant) -> (Standby, ReplicationId) {
+    assert!(owner.begin_replication(now));
+    let update = owner.next_update(now).expect("there are accounts to replicate");
+    let id = update.replication_id.clone();
+    let mut standby = Standby::default();
+    assert_eq!(standby.apply(now, false, update), Some(ReplicaStatus::Kept));
+    owner.on_update_acknowledged();
+    (standby, id)
+}
+
+/// Returns the next update of an owner that charges a turn.
+fn update_after_charge(owner: &mut Ledger, now: Instant, turns: &mut Turns) -> ReplicaUpdate {
+    assert!(is_granted(&owner.charge(now, &turns.charge("p"))));
+    owner.next_update(now).expect("an account has changed")
+}
+
+/// Guards against a former owner that was suspended in one outage, wakes in the next one, and is told
+/// that there is no replica, because its standby has claimed the ledger meanwhile.
+#[test]
+fn promoted_standby_says_so_after_it_has_claimed_and_lost_the_ledger() {
+    let mut turns = Turns::default();
+    let Outage { mut owner, now, record, .. } = Outage::begin(&mut turns);
+    let (mut standby, id) = standby_of(&mut owner, now);
+    let mut promoted = standby.promote(now, &id, "standby@1".into()).expect("it has a replica");
+    promoted.claim(record.epoch, note_hosts());
+    let claimed = promoted.next_record(now, 1000).expect("a record");
+    promoted.on_write_succeeded(now, &claimed);
+    for owns_ledger in [true, false] {
+        let update = update_after_charge(&mut owner, now, &mut turns);
+        let status = standby.apply(now, owns_ledger, update);
+        assert_eq!(status, Some(ReplicaStatus::StandsIn), "{owns_ledger}");
+        owner.on_update_unacknowledged();
+    }
+    assert_eq!(standby.end(id), Some(ReplicaStatus::StandsIn));
+}
+
+/// Guards against a standby that was promoted, and restarts before the former owner wakes.
+#[test]
+fn standby_that_has_lost_its_memory_does_not_end_a_replication() {
+    let mut turns = Turns::default();
+    let Outage { mut owner, now, position, .. } = Outage::begin(&mut turns);
+    let (mut standby, id) = standby_of(&mut owner, now);
+    let mut witness = Witness::default();
+    witness.on_note_stored(position);
+    assert!(witness.decide_vote(&id, VoteOption::PromoteStandby));
+    assert!(standby.promote(now, &id, "standby@1".into()).is_some());
+    let mut restarted = Standby::default();
+    let update = update_after_charge(&mut owner, now, &mut turns);
+    for owns_ledger in [true, false] {
+        assert_eq!(restarted.apply(now, owns_ledger, update.clone()), None, "{owns_ledger}");
+    }
+    // Repeated, as the owner does until it has an answer.
+    assert_eq!(restarted.end(id.clone()), None);
+    assert_eq!(restarted.end(id.clone()), None);
+    assert_eq!(restarted.apply(now, false, update), None);
+    assert!(!witness.decide_vote(&id, VoteOption::ContinueAlone));
+}
+
+#[test]
+fn standby_that_drops_its_replica_unpromoted_ends_the_replication() {
+    let mut turns = Turns::default();
+    let Outage { mut owner, now, .. } = Outage::begin(&mut turns);
+    let (mut standby, id) = standby_of(&mut owner, now);
+    let late = update_after_charge(&mut owner, now, &mut turns);
+    assert_eq!(standby.end(id.clone()), Some(ReplicaStatus::NotKept));
+    assert!(standby.promote(now, &id, "standby@1".into()).is_none());
+    assert_eq!(standby.end(id.clone()), Some(ReplicaStatus::NotKept), "the answer was lost");
+    assert_eq!(standby.apply(now, false, late), Some(ReplicaStatus::NotKept));
+}
+
 /// Simulates one outage with a lossy network between the owner, its standby and the witness.
 struct Simulation {
     rng: StdRng,
--- a/crates/core/src/budget/tests/cluster.rs
+++ b/crates/core/src/budget/tests/cluster.rs
@@ -94,6 +94,8 @@
     /// Messages to standbys that arrive late, without a reply.
     late_messages: Vec<(usize, StandbyMessage)>,
     budget: TokenCount,
+    /// Whether each turn uses all tokens that it may use.
+    uses_all_tokens: bool,
     turns: Vec<Turn>,
     next_turn: TurnId,
     counts: Counts,
@@ -120,6 +122,7 @@
             late_writes: Vec::new(),
             late_messages: Vec::new(),
             budget,
+            uses_all_tokens: false,
             turns: Vec::new(),
             next_turn: 1,
             counts: Counts::default(),
@@ -182,7 +185,10 @@
             ChargeOutcome::Granted { .. } => {
                 self.counts.overdrafts += u64::from(is_unavailable);
                 let is_started = self.replicate(host);
-                let used = self.rng.random_range(0..=TURN / 29) * 29;
+                let used = match self.uses_all_tokens {
+                    true => TURN,
+                    false => self.rng.random_range(0..=TURN / 29) * 29,
+                };
                 match is_started {
                     true => self.push_turn(charge, TurnState::Running, used),
                     false => self.push_turn(charge, TurnState::Cancelled, 0),
@@ -264,10 +270,9 @@
     fn deliver(&mut self, standby: usize, message: StandbyMessage) -> Option<ReplicaStatus> {
         let now = self.now;
         let Host { standby, owned, .. } = &mut self.hosts[standby];
-        let owned = owned.as_ref().map(|(ledger, _)| ledger);
         match message {
-            StandbyMessage::Update(update) => standby.apply(now, owned, update),
-            StandbyMessage::End(id) => standby.end(owned, id),
+            StandbyMessage::Update(update) => standby.apply(now, owned.is_some(), update),
+            StandbyMessage::End(id) => standby.end(id),
         }
     }
 
@@ -645,6 +650,23 @@
         }
     }
 
+    /// Lets each host that takes itself for the owner charge turns in another outage and after it.
+    fn charge_at_all_owners(&mut self) {
+        for reaches_store in [false, true] {
+            self.hosts.iter_mut().for_each(|host| host.reaches_store = reaches_store);
+            for host in self.awake_hosts() {
+                self.write(host);
+            }
+            self.now += STORE_UNAVAILABLE_AFTER;
+            for host in self.awake_hosts() {
+                for _ in 0..14 {
+                    self.charge(host);
+                    self.write(host);
+                }
+            }
+        }
+    }
+
     fn wake(&mut self, host: usize) {
         self.hosts[host].is_suspended = false;
         self.counts.wakeups += 1;
@@ -710,6 +732,33 @@
         }
         cluster.counts
     }
+
+    /// Lets one host own the ledger and store its record.
+    fn begin_in_calm(&mut self) {
+        let host = self.random_host();
+        self.take_over(host);
+        for _ in 0..3 {
+            self.charge(host);
+            self.write(host);
+        }
+    }
+}
+
+/// A former owner that was suspended wakes in a later outage, when its standby has been promoted, has
+/// stored a record, and perhaps was lost as well.
+#[test]
+fn budget_holds_when_suspended_owners_wake_in_later_outages() {
+    let mut promotions = 0;
+    for seed in SEED..SEED + RUNS {
+        let counts = Cluster::run(seed, |cluster| {
+            cluster.uses_all_tokens = true;
+            cluster.begin_in_calm();
+            cluster.outages_in_series();
+            cluster.charge_at_all_owners();
+        });
+        promotions += counts.promotions;
+    }
+    assert!(promotions > RUNS / 10, "{promotions} promotions");
 }
 
 /// Losses of any host's memory or disk, freezes, cuts, outages, late writes and late messages, in
--- a/crates/gateway/src/ledger/standby.rs
+++ b/crates/gateway/src/ledger/standby.rs
@@ -133,7 +133,11 @@
         };
         let outcome =
             match peers::send_request_or_relay(&gateway, standby, question, UPDATE_TIMEOUT).await {
-                Some(PeerReply::ReplicaStatus { status }) => MessageOutcome::Standby(status),
+                Some(PeerReply::ReplicaStatus { status, is_certain })
+                    if is_certain || status != ReplicaStatus::NotKept =>
+                {
+                    MessageOutcome::Standby(status)
+                }
                 _ if request_vote(&gateway, witness, partition, &id, VoteOption::ContinueAlone)
                     .await =>
                 {
@@ -292,7 +296,7 @@
 ) -> Option<ReplicaStatus> {
     let mut partitions = gateway.ledgers.borrow_mut();
     let state = partitions.get_mut(partition)?;
-    let status = state.standby.standby.apply(Instant::now(), state.ledger.as_ref(), update);
+    let status = state.standby.standby.apply(Instant::now(), state.ledger.is_some(), update);
     if status == Some(ReplicaStatus::Kept) {
         state.standby.participants = Some(Participants { owner, witness });
     }
@@ -317,7 +321,7 @@
 ) -> Option<ReplicaStatus> {
     let mut partitions = gateway.ledgers.borrow_mut();
     let state = partitions.get_mut(partition)?;
-    state.standby.standby.end(state.ledger.as_ref(), replication)
+    state.standby.standby.end(replication)
 }
 
 /// Decides on a request for this host's vote as the witness.
--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/peers/message.rs
@@ -221,6 +221,10 @@
     ReplicaStatus {
         #[serde(rename = "copied")]
         status: ReplicaStatus,
+        /// Whether `NotKept` also means that the standby was never promoted from the replication. A
+        /// standby of a build before this field may have been.
+        #[serde(default)]
+        is_certain: bool,
     },
     /// Whether the witness grants its vote.
     #[serde(rename = "consented")]
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -136,13 +136,13 @@
         }
         PeerRequest::ReplicateLedger { partition, update, owner, witness } => {
             match ledger::apply_replica_update(gateway, partition, update, owner, witness) {
-                Some(status) => PeerReply::ReplicaStatus { status },
+                Some(status) => PeerReply::ReplicaStatus { status, is_certain: true },
                 None => PeerReply::Done,
             }
         }
         PeerRequest::EndReplication { partition, replication } => {
             match ledger::end_replication(gateway, partition, replication) {
-                Some(status) => PeerReply::ReplicaStatus { status },
+                Some(status) => PeerReply::ReplicaStatus { status, is_certain: true },
                 None => PeerReply::Done,
             }
         }
