Take only requests that end before a planned stop, and answer those that don't

Callers saw (an operators' report, and a trial on one host): requests that came in the first 2.5 s of a planned stop were passed on, and those that took longer than the rest of the grace period were cut off with the process, without an answer; among them requests that may not run twice.

Cause: a stopping host took every request as before, and at the end of the grace period the process ended with the connections that were still open. With a grace period below 2.5 s it would not have closed any.

Now a stopping host takes a request only if it is given up before the stop (by its own deadline or its route's timeout), or if its route usually takes at most half of the time that is left; others are refused at once as not run, for another host. What has not ended at the stop gets a final answer: 502 if it was sent, 503 if not. The time in which a host that is not ready goes on to serve is at most half of the grace period.

Tests: calls with a timeout of 12 s at a host with a grace period of 8 s.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod membership;
 pub mod message;
 pub mod placement;
+pub mod planned_stop;
 pub mod program;
 pub mod registrations;
 pub mod rendezvous;
--- a/crates/gateway/src/call/mod.rs
+++ b/crates/gateway/src/call/mod.rs
@@ -48,6 +48,8 @@
 /// `Retry-After` of refusals without a better estimate. About the time that an upstream takes for
 /// one request.
 pub(crate) const RETRY_AFTER_DEFAULT: Duration = Duration::from_millis(150);
+/// `Retry-After` of a host that stops. Other hosts take the request at once.
+const RETRY_AFTER_STOP: Duration = Duration::from_millis(10);
 /// `Retry-After` of a host that has no configuration yet.
 const RETRY_AFTER_START: Duration = Duration::from_millis(400);
 
@@ -139,12 +141,36 @@
         Err(refusal) => return refuse(&gateway, &request_id, arrived, Some(&call), &refusal),
     }
     let call = Rc::new(call);
-    match deliver(&gateway, &call).await {
+    let stopped = async {
+        gateway.wait_until_stop().await;
+        Err(stop_refusal(&call))
+    };
+    match smol::future::or(deliver(&gateway, &call), stopped).await {
         Ok(answer) => answer,
         Err(refusal) => refuse(&gateway, &request_id, arrived, Some(&call), &refusal),
     }
 }
 
+/// Returns the final answer to a request that has not ended when its host stops.
+fn stop_refusal(call: &Call) -> Refusal {
+    match call.send_count.get() {
+        // A detached request that was not sent is given up as well, because its caller is gone.
+        0 => Refusal::not_run(Reason::Draining, "this host stops").retry_after(RETRY_AFTER_STOP),
+        _ => Refusal::may_have_run(Reason::Draining, "this host stops before the answer has come"),
+    }
+}
+
+/// Checks that a request ends before this host does, if it stops as planned.
+fn check_stop(gateway: &Gateway, route: &Route, deadline: Instant) -> Result<(), Refusal> {
+    let Some(stop_at) = gateway.stop_at.get() else { return Ok(()) };
+    let durations = gateway.usual_durations.borrow();
+    if durations.ends_before(Instant::now(), stop_at, &route.id, deadline) {
+        return Ok(());
+    }
+    let detail = "this host stops, and the request may not end before";
+    Err(Refusal::not_run(Reason::Draining, detail).retry_after(RETRY_AFTER_STOP))
+}
+
 async fn deliver(gateway: &Rc<Gateway>, call: &Rc<Call>) -> Result<Answer, Refusal> {
     crashes::check(gateway, call, Verdict::NotRun)?;
     if let Some(team) = &call.team {
@@ -233,6 +259,7 @@
     let (route, team) = route_and_team(&table, &head, &metadata)?;
     let timeout = metadata.timeout.unwrap_or(route.timeout);
     let deadline = arrived + timeout.min(route.timeout);
+    check_stop(gateway, &route, deadline)?;
     let random = rand::rng().random();
     let service = route.target(random).cloned().ok_or_else(|| {
         Refusal::not_run(Reason::NoUpstream, "the route has no service at present")
@@ -337,6 +364,7 @@
     events: Option<u64>,
 ) {
     gateway.metrics.count("answered", 1);
+    gateway.usual_durations.borrow_mut().record(&call.route.id, call.arrived.elapsed());
     gateway.decisions.log(
         LineRate::Routine,
         "answer",
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -38,6 +38,7 @@
         admission::Admission,
         ids::Incarnation,
         placement::{Placement, WaitQueues},
+        planned_stop::UsualDurations,
         registrations::Registrations,
         roster::Roster,
         routing::RoutingTable,
@@ -56,6 +57,9 @@
 const LAME_DUCK_DURATION: Duration = Duration::from_millis(2500);
 /// Time reserved at the end of a graceful stop, before the platform kills the process.
 const STOP_MARGIN: Duration = Duration::from_millis(700);
+/// How long a stopping host waits until the final answers of the requests that have not ended are
+/// sent. Part of [`STOP_MARGIN`].
+const FINAL_ANSWERS_MAX: Duration = Duration::from_millis(300);
 /// Timeout for connecting to an upstream or the store. Shorter than 1 s, after which callers
 /// abandon a connection attempt.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(800);
@@ -170,6 +174,11 @@
     /// Notified when the store answers again after a failure; wakes the tasks that wait to retry.
     pub(crate) store_recovered: Event,
     pub(crate) stage: Cell<Stage>,
+    /// When requests that have not ended get their final answers; `None` unless this host stops.
+    pub(crate) stop_at: Cell<Option<Instant>>,
+    /// Notified at that time.
+    pub(crate) stop_reached: Event,
+    pub(crate) usual_durations: RefCell<UsualDurations>,
     /// Notified when the listener for callers must stop accepting connections.
     pub(crate) stop_accepting: Event,
     /// Whether the listener for callers accepts connections.
@@ -241,6 +250,9 @@
             has_received_upstreams: Cell::new(false),
             has_synced_blame: Cell::new(false),
             stage: Cell::new(Stage::Serving),
+            stop_at: Cell::new(None),
+            stop_reached: Event::new(),
+            usual_durations: RefCell::default(),
             requests_open: Cell::new(0),
             settings,
             executor: executor.clone(),
@@ -330,9 +342,12 @@
         let began = Instant::now();
         let open = self.requests_open.get();
         self.decisions.log(LineRate::Rare, "stop", json!({"requests_open": open}));
+        let grace = self.settings.stop_grace.saturating_sub(STOP_MARGIN);
+        let stop_at = began + grace;
+        self.stop_at.set(Some(stop_at));
         self.stage.set(Stage::LameDuck);
         ledger::release_all(self);
-        Timer::after(LAME_DUCK_DURATION).await;
+        Timer::after(LAME_DUCK_DURATION.min(grace / 2)).await;
         self.stage.set(Stage::Closing);
         // Close the listener first. Otherwise a connection that is accepted after the last check is
         // dropped with its request when the process exits.
@@ -341,10 +356,9 @@
             Timer::after(Duration::from_millis(1)).await;
         }
         self.close_idle_callers();
-        let deadline = began + self.settings.stop_grace.saturating_sub(STOP_MARGIN);
-        while Instant::now() < deadline && !self.callers.borrow().is_empty() {
-            Timer::after(Duration::from_millis(50)).await;
-        }
+        self.wait_for_callers(stop_at).await;
+        self.stop_reached.notify(usize::MAX);
+        self.wait_for_callers(stop_at + FINAL_ANSWERS_MAX).await;
         let remaining = self.callers.borrow().len();
         self.decisions.log(LineRate::Rare, "stopped", json!({"connections_cut": remaining}));
         self.decisions.close();
@@ -352,6 +366,24 @@
         Timer::after(Duration::from_millis(20)).await;
     }
 
+    /// Waits until all connections of callers are closed, at most until a deadline.
+    async fn wait_for_callers(&self, deadline: Instant) {
+        while Instant::now() < deadline && !self.callers.borrow().is_empty() {
+            Timer::after(Duration::from_millis(20)).await;
+        }
+    }
+
+    /// Waits until this host, if it stops, gives requests that have not ended their final answers.
+    pub(crate) async fn wait_until_stop(&self) {
+        loop {
+            let stop_reached = self.stop_reached.listen();
+            if self.stop_at.get().is_some_and(|stop_at| stop_at <= Instant::now()) {
+                return;
+            }
+            stop_reached.await;
+        }
+    }
+
     fn close_idle_callers(&self) {
         for (_, connection) in self.callers.borrow().iter() {
             connection.close();
