Send nothing for a caller that has disconnected

Whether the caller is still there was looked at after a wait for capacity only, and not when a connection had failed.

Now it is looked at before each attempt, and once more when the connection is there, directly before the request is written. What was sent goes on. The refusal is counted as `caller_gone`.

Not covered: a call that a host cut off from all upstreams has handed to another host goes on from there.

--- a/crates/core/src/placement/upstream.rs
+++ b/crates/core/src/placement/upstream.rs
@@ -97,7 +97,7 @@
 /// How a request at an upstream ended.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Outcome {
-    /// The upstream answered, or the caller cancelled the request.
+    /// The upstream answered, or the caller cancelled the request or has gone.
     Done,
     /// The upstream answered with an error status.
     Errored,
--- a/crates/core/src/verdict.rs
+++ b/crates/core/src/verdict.rs
@@ -88,6 +88,9 @@
     /// The host is shutting down.
     #[display("draining")]
     Draining,
+    /// The caller has disconnected before the request was sent.
+    #[display("caller_gone")]
+    CallerGone,
     /// The body exceeds the configured limit.
     #[display("too_large")]
     TooLarge,
--- a/crates/edge/src/problem.rs
+++ b/crates/edge/src/problem.rs
@@ -145,6 +145,7 @@
         | Reason::HomeUnavailable
         | Reason::StoreUnavailable
         | Reason::Draining
+        | Reason::CallerGone
         | Reason::TooMany => StatusCode::ServiceUnavailable,
     }
 }
@@ -167,6 +168,7 @@
         Reason::HomeUnavailable => "The program's home is unavailable",
         Reason::StoreUnavailable => "The store is unavailable",
         Reason::Draining => "The host is stopping",
+        Reason::CallerGone => "The caller has disconnected",
         Reason::TooLarge => "The request is too large",
         Reason::SlowRequest => "The request came too slowly",
         Reason::TooMany => "Too many connections or requests",
--- a/crates/edge/tests/edge/bad_input.rs
+++ b/crates/edge/tests/edge/bad_input.rs
@@ -263,6 +263,7 @@
         Reason::HomeUnavailable,
         Reason::StoreUnavailable,
         Reason::Draining,
+        Reason::CallerGone,
         Reason::TooLarge,
         Reason::SlowRequest,
         Reason::TooMany,
@@ -313,6 +314,8 @@
             : 503 store_unavailable may_have_run | d retry=false
             : 503 draining not_run | d retry=true
             : 503 draining may_have_run | d retry=false
+            : 503 caller_gone not_run | d retry=false
+            : 503 caller_gone may_have_run | d retry=false
             : 413 too_large not_run | d retry=false
             : 413 too_large may_have_run | d retry=false
             : 408 slow_request not_run | d retry=true
--- a/crates/gateway/src/call/attempts.rs
+++ b/crates/gateway/src/call/attempts.rs
@@ -238,6 +238,9 @@
         let verdict = if possible_runs == 0 { Verdict::NotRun } else { Verdict::MayHaveRun };
         loop {
             crashes::check(gateway, call, verdict)?;
+            if call.is_abandoned() {
+                return Err(abandoned_refusal(verdict));
+            }
             if call.time_left() < TIME_LEFT_MIN {
                 return Err(timeout_refusal(verdict));
             }
@@ -304,7 +307,7 @@
         gateway.placement.borrow_mut().choose(now, &request)
     }
 
-    /// Waits until the full upstreams may be tried again. Returns whether the request may try them.
+    /// Waits until the full upstreams may be tried again. Returns whether the request may wait.
     async fn wait_for_capacity(&mut self, gateway: &Gateway, call: &Call) -> bool {
         let Some((queue_guard, capacity_listener, retry_at)) = self.start_wait(gateway, call)
         else {
@@ -313,8 +316,7 @@
         within(retry_at, capacity_listener).await;
         drop(queue_guard);
         self.full_upstreams.clear();
-        // A detached request continues without its caller once it is sent, but not while it waits.
-        !call.caller_disconnected.get()
+        true
     }
 
     /// Starts or resumes the request's wait, if it may wait. Returns the queue guard, a listener
@@ -361,6 +363,12 @@
     }
 }
 
+/// Returns the refusal of a request that is not sent because its caller has gone. Nobody gets it.
+fn abandoned_refusal(verdict: Verdict) -> Refusal {
+    let detail = "the caller has disconnected";
+    Refusal { verdict, reason: Reason::CallerGone, detail: detail.into(), retry_after: None }
+}
+
 /// Removes the request from its service's queue when dropped, if it is queued.
 struct QueueGuard<'a> {
     gateway: &'a Gateway,
--- a/crates/gateway/src/call/exchange.rs
+++ b/crates/gateway/src/call/exchange.rs
@@ -124,6 +124,7 @@
     let http_client::UnreadAnswer { response, connection } = match sent {
         Ok(answer) => answer,
         Err(SendError::NotConnected) => return SendOutcome::NotRun(Outcome::Failed),
+        Err(SendError::CallerGone) => return SendOutcome::NotRun(Outcome::Done),
         Err(error) => return SendOutcome::Unknown(error),
     };
     let (head, body) = response.into_parts();
@@ -239,6 +240,7 @@
     *request.headers_mut() = headers;
     let name = RequestName(call.metadata.request_id.as_str().into());
     request.extensions_mut().insert(name);
+    request.extensions_mut().insert(call.caller_gone());
     request
 }
 
--- a/crates/gateway/src/call/mod.rs
+++ b/crates/gateway/src/call/mod.rs
@@ -19,8 +19,15 @@
 
 use {
     crate::{
-        allowance, callers::Answer, crashes, dialect::CallMetadata, gateway::Gateway,
-        http::SendError, store::Collection, stream_origins, time::within,
+        allowance,
+        callers::Answer,
+        crashes,
+        dialect::CallMetadata,
+        gateway::Gateway,
+        http::{CallerGone, SendError},
+        store::Collection,
+        stream_origins,
+        time::within,
     },
     bytes::Bytes,
     http::{HeaderValue, Request, header, request, uri::PathAndQuery},
@@ -70,8 +77,9 @@
     /// Number of times that the request was sent to an upstream, including those that the upstream
     /// rejected.
     pub(crate) send_count: Cell<u32>,
-    /// Whether the caller has disconnected. Set only for detached requests.
-    pub(crate) caller_disconnected: Cell<bool>,
+    /// Whether the caller of a detached request has disconnected. A detached request goes on without
+    /// its caller once it is sent, but is not sent for a caller that has gone.
+    caller_gone: CallerGone,
     /// Number of upstreams that have crashed while they ran the request.
     pub(crate) crash_count: Cell<u32>,
     /// Where the stream began that the request takes up again. Its `service` is that of the call.
@@ -111,6 +119,16 @@
         })
     }
 
+    /// Returns whether nobody waits for the answer, so that the request must not be sent.
+    pub(crate) fn is_abandoned(&self) -> bool {
+        self.caller_gone.is_set()
+    }
+
+    /// Returns the flag that is set when the caller disconnects.
+    pub(crate) fn caller_gone(&self) -> CallerGone {
+        self.caller_gone.clone()
+    }
+
     pub(crate) fn time_left(&self) -> Duration {
         self.deadline.saturating_duration_since(Instant::now())
     }
@@ -240,7 +258,7 @@
 
 impl Drop for CallerGuard<'_> {
     fn drop(&mut self) {
-        self.0.caller_disconnected.set(true);
+        self.0.caller_gone.set();
     }
 }
 
@@ -266,7 +284,6 @@
             .retry_after(RETRY_AFTER_DEFAULT)
     })?;
     let body = read_body(body, table.limits.body_bytes_max, deadline).await?;
-    let (send_count, caller_disconnected) = (Cell::new(0), Cell::new(false));
     Ok(Call {
         head,
         metadata,
@@ -277,8 +294,8 @@
         retained: None,
         arrived,
         deadline,
-        send_count,
-        caller_disconnected,
+        send_count: Cell::new(0),
+        caller_gone: CallerGone::default(),
         crash_count: Cell::new(0),
         origin: None,
         content: OnceCell::new(),
@@ -404,12 +421,12 @@
     Refusal { verdict, reason: Reason::Timeout, detail: detail.into(), retry_after: None }
 }
 
-/// Returns the refusal of a request whose outcome is unknown. [`SendError::NotConnected`] does not
-/// reach this function, because `exchange::send` reports it as not run.
+/// Returns the refusal of a request whose outcome is unknown. Errors before anything was sent do not
+/// reach this function, because `exchange::send` reports them as not run.
 pub(super) fn failure_refusal(error: SendError) -> Refusal {
     match error {
         SendError::TimedOut => timeout_refusal(Verdict::MayHaveRun),
-        SendError::Broken | SendError::NotConnected => {
+        SendError::Broken | SendError::NotConnected | SendError::CallerGone => {
             Refusal::may_have_run(Reason::UpstreamFailed, "the upstream's answer broke off")
         }
     }
--- a/crates/gateway/src/http.rs
+++ b/crates/gateway/src/http.rs
@@ -26,7 +26,10 @@
         io,
         net::SocketAddr,
         rc::Rc,
-        sync::Arc,
+        sync::{
+            Arc,
+            atomic::{AtomicBool, Ordering},
+        },
         time::{Duration, Instant},
     },
 };
@@ -65,6 +68,9 @@
     /// The connection could not be established: nothing was sent.
     #[display("could not connect")]
     NotConnected,
+    /// The caller has gone before the connection could be used: nothing was sent.
+    #[display("the caller has disconnected")]
+    CallerGone,
     /// The request was sent at least in part, but no valid answer was received: the connection
     /// failed, or the answer was rejected. The outcome is unknown.
     #[display("connection closed before the answer was complete")]
@@ -113,6 +119,21 @@
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub(crate) struct RequestName(pub(crate) Arc<str>);
 
+/// Extension of a request: whether its caller has gone. It is looked at once the connection is there,
+/// directly before the request is sent.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct CallerGone(Arc<AtomicBool>);
+
+impl CallerGone {
+    pub(crate) fn set(&self) {
+        self.0.store(true, Ordering::Relaxed);
+    }
+
+    pub(crate) fn is_set(&self) -> bool {
+        self.0.load(Ordering::Relaxed)
+    }
+}
+
 struct IdleConnection {
     connection: Connection,
     /// Time after which the connection is not reused, because the peer may close it.
@@ -225,6 +246,9 @@
                     (connected.map_err(|_| SendError::NotConnected)?, false)
                 }
             };
+            if request.extensions().get().is_some_and(CallerGone::is_set) {
+                return Err(SendError::CallerGone);
+            }
             connection.record_request(name);
             connection.limit.set(BYTES_BEFORE_BODY_MAX);
             let sent = connection.sender.try_send_request(request);
--- a/crates/gateway/src/relay/helper.rs
+++ b/crates/gateway/src/relay/helper.rs
@@ -135,7 +135,7 @@
             }),
         );
         match error {
-            SendError::NotConnected => Failure::NotConnected,
+            SendError::NotConnected | SendError::CallerGone => Failure::NotConnected,
             SendError::Broken => Failure::Broken,
             SendError::TimedOut => Failure::TimedOut,
         }
