Notice a cut when all upstreams of one service are out of reach

Cause: a host tries connections to other upstreams once those to three have failed. Callers who need a service with one or two upstreams never make it fail at a third.

Now it also tries others when connections to all upstreams of one service have failed since the last one that succeeded. A service whose only upstream has crashed costs up to three connections for each failed one.

Test: one upstream in use of four, a cut of 5 s.

--- a/crates/gateway/src/relay/mod.rs
+++ b/crates/gateway/src/relay/mod.rs
@@ -231,8 +231,9 @@
         }
         let change = relay.reach.borrow_mut().record_failed(now, address, count);
         match change {
-            ReachChange::None => {}
-            ReachChange::Suspect => {
+            ReachChange::None
+                if relay.is_stranded() || !is_service_out_of_reach(gateway, address) => {}
+            ReachChange::None | ReachChange::Suspect => {
                 relay.suspected.notify(1);
             }
             ReachChange::Stranded => on_stranded(gateway),
@@ -240,6 +241,18 @@
     }
 }
 
+/// Returns whether connections to all upstreams of the service at an address have failed. Traffic may
+/// need only this service, so that connections to the others are not tried otherwise.
+fn is_service_out_of_reach(gateway: &Gateway, address: SocketAddr) -> bool {
+    let placement = gateway.placement.borrow();
+    let reach = gateway.relay.reach.borrow();
+    let Some(failed) = placement.records().find(|record| record.address == address) else {
+        return false;
+    };
+    let mut same_service = placement.records().filter(|record| record.service == failed.service);
+    same_service.all(|record| reach.has_failed(record.address))
+}
+
 fn on_stranded(gateway: &Rc<Gateway>) {
     gateway.metrics.count("stranded_count", 1);
     log_reach(gateway, "lost", None);
