Count promotions and waiting turns with guards

Found by the review, by reading: a promotion, or a turn that waits for a write, runs inside another host's request. If that connection closes meanwhile the task is dropped, and the flag or count that it has set stays: the host would not be promoted for that ledger again, or write its record every 40 ms instead of 400.

Both are counts with guards now. No failure was seen with processes.

--- a/crates/gateway/src/ledger/mod.rs
+++ b/crates/gateway/src/ledger/mod.rs
@@ -25,6 +25,7 @@
         gateway::Gateway,
         peers::{ChargeDecision, SettlementStatus},
         store::{Revision, StoredObject},
+        task_count::TaskCount,
         time::within,
     },
     event_listener::Event,
@@ -65,8 +66,8 @@
     /// Whether the last attempt to read the record failed.
     is_read_failing: bool,
     is_writing: bool,
-    /// Number of turns that wait for a write.
-    waiting_turns: usize,
+    /// Turns that wait for a write.
+    waiting_turns: TaskCount,
     /// When a charge last asked this host, while it did not own the ledger.
     wanted_at: Option<Instant>,
     note_progress: NoteProgress,
@@ -151,11 +152,9 @@
             LocalDecision::Final(decision) => return decision,
             LocalDecision::Wait(changed) => {
                 let listener = changed.listen();
-                gateway.ledgers.borrow_mut()[partition].waiting_turns += 1;
+                let _waiting = gateway.ledgers.borrow()[partition].waiting_turns.enter();
                 start_write_if_needed(gateway, partition);
-                let woken = within(deadline, listener).await;
-                gateway.ledgers.borrow_mut()[partition].waiting_turns -= 1;
-                if woken.is_none() {
+                if within(deadline, listener).await.is_none() {
                     return ChargeDecision::Undecided;
                 }
             }
--- a/crates/gateway/src/ledger/standby.rs
+++ b/crates/gateway/src/ledger/standby.rs
@@ -7,6 +7,7 @@
         gateway::Gateway,
         peers::{self, Ownership, PeerReply, PeerRequest},
         roster,
+        task_count::TaskCount,
         time::within,
     },
     event_listener::EventListener,
@@ -43,7 +44,8 @@
     standby: Standby,
     /// Hosts that take part in the replication whose last update was applied.
     participants: Option<Participants>,
-    is_promoting: bool,
+    /// Promotions that are in progress.
+    promotions: TaskCount,
     /// When the owner of the replica last confirmed that it still owns the ledger.
     owner_confirmed_at: Option<Instant>,
     pub(super) witness: Witness,
@@ -65,7 +67,8 @@
     fn promotable_replica(&self) -> Option<(&LedgerReplica, Participants)> {
         let is_owner_alive =
             self.owner_confirmed_at.is_some_and(|at| at.elapsed() < OWNER_CONFIRMATION_VALID_FOR);
-        let replica = self.standby.replica().filter(|_| !self.is_promoting && !is_owner_alive)?;
+        let replica =
+            self.standby.replica().filter(|_| self.promotions.is_zero() && !is_owner_alive)?;
         replica.is_usable(Instant::now()).then_some((replica, self.participants?))
     }
 }
@@ -353,12 +356,10 @@
 /// Promotes this host to owner, if it holds a usable replica, the owner is lost and the witness
 /// grants its vote.
 pub(super) async fn try_promote(gateway: Rc<Gateway>, partition: usize) {
-    let (id, Participants { owner, witness }) = {
-        let own = &mut gateway.ledgers.borrow_mut()[partition].standby;
+    let (id, Participants { owner, witness }, promotion) = {
+        let own = &gateway.ledgers.borrow()[partition].standby;
         let Some((replica, participants)) = own.promotable_replica() else { return };
-        let id = replica.id().clone();
-        own.is_promoting = true;
-        (id, participants)
+        (replica.id().clone(), participants, own.promotions.enter())
     };
     let question = PeerRequest::LedgerOwnership { partition, writer: id.writer.clone() };
     let is_owner_alive =
@@ -370,7 +371,7 @@
         && request_vote(&gateway, witness, partition, &id, VoteOption::PromoteStandby).await;
     let mut partitions = gateway.ledgers.borrow_mut();
     let state = &mut partitions[partition];
-    state.standby.is_promoting = false;
+    drop(promotion);
     state.standby.owner_confirmed_at = is_owner_alive.then(Instant::now);
     let writer = state.writer(&gateway);
     let promoted = match state.ledger {
--- a/crates/gateway/src/ledger/writing.rs
+++ b/crates/gateway/src/ledger/writing.rs
@@ -235,7 +235,7 @@
     let partitions = gateway.ledgers.borrow();
     let state = &partitions[partition];
     let is_urgent = |ledger: &Ledger| ledger.should_rewrite_record() || ledger.is_releasing();
-    state.waiting_turns > 0 || state.ledger.as_ref().is_some_and(is_urgent)
+    !state.waiting_turns.is_zero() || state.ledger.as_ref().is_some_and(is_urgent)
 }
 
 /// Waits for charges to accumulate before the next write, for a shorter time if it is urgent.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -28,6 +28,7 @@
 mod status;
 pub mod store;
 mod stream_origins;
+mod task_count;
 pub mod time;
 mod turns;
 mod upstream_limits;
