Ask other hosts before an upstream that refuses connections counts as crashed

Callers saw a request refused for its content after cuts of links between hosts and upstreams, although no upstream had crashed: a host that found one upstream refusing and others accepting took it for an ended process. A cut of one link, and links that come back one after the other, look the same to it.

The host now asks two other hosts at once whether they reach the upstream, and counts no crash if one of them does. Where no other host answers within 150 ms its own view decides, as before. A host that can't tell whether an upstream listens is asked no more for this check, but not avoided for requests: it was avoided for half a second, for both.

--- a/crates/gateway/src/crashes/mod.rs
+++ b/crates/gateway/src/crashes/mod.rs
@@ -229,7 +229,7 @@
 
 /// Returns whether an upstream has ended. An open connection shows that it runs, except in the first
 /// check, when the connection's end may not have been seen. A host that reaches no upstream can't tell
-/// and asks others.
+/// and asks others. One that does asks whether others reach this upstream before it takes it for ended.
 async fn has_ended(
     gateway: &Rc<Gateway>,
     target: CheckedUpstream<'_>,
@@ -246,8 +246,13 @@
         false => check_listener(gateway, address, idle_max).await,
     };
     let (listener, is_asked) = match own {
+        ListenerState::Present => (own, false),
         ListenerState::Unknown => (relay::ask_for_listener(gateway, upstream).await, true),
-        known => (known, false),
+        // A cut of the link to this upstream alone, or one that ends link by link, looks the same.
+        ListenerState::Absent => match relay::is_seen_by_others(gateway, upstream).await {
+            true => (ListenerState::Present, true),
+            false => (own, false),
+        },
     };
     let has_ended = listener == ListenerState::Absent;
     gateway.decisions.log(
--- a/crates/gateway/src/relay/mod.rs
+++ b/crates/gateway/src/relay/mod.rs
@@ -59,6 +59,9 @@
 const LAST_WAIT: Duration = Duration::from_millis(500);
 /// Maximum number of hosts that are tried for one request.
 const HELPERS_MAX: usize = 3;
+/// Number of hosts that are asked whether they reach an upstream that refuses connections of this one.
+/// With two, the restart of one or a cut that hits it as well leaves the other.
+const WITNESSES: usize = 2;
 /// Timeout of a question to another host about an upstream. Longer than its check of a connection.
 const LISTENER_TIMEOUT: Duration = Duration::from_millis(150);
 
@@ -344,7 +347,7 @@
         return Err(SendError::NotConnected);
     };
     for _ in 0..HELPERS_MAX {
-        let Some((host, address)) = choose_helper(gateway) else { break };
+        let Some((host, address)) = choose_helper(gateway, &[]) else { break };
         let time_left_ms = deadline.saturating_duration_since(Instant::now()).as_millis() as u64;
         let mut request = request();
         request.headers_mut().insert(UPSTREAM, upstream_value.clone());
@@ -380,31 +383,57 @@
     Err(SendError::NotConnected)
 }
 
-/// Asks other hosts whether a process listens at an upstream, while this host can't tell. Returns
-/// `Unknown` if none of those that were asked can.
+/// Asks other hosts, one after the other, whether a process listens at an upstream, while this host
+/// can't tell. Returns `Unknown` if none of those that were asked can. A host that can't tell may pass
+/// requests on nevertheless: one check of a connection that took too long is enough.
 pub(crate) async fn ask_for_listener(
     gateway: &Rc<Gateway>,
     upstream: &UpstreamId,
 ) -> ListenerState {
-    for _ in 0..HELPERS_MAX {
-        let Some((host, address)) = choose_helper(gateway) else { break };
-        let through = HelperGuard::new(gateway, host);
-        let request = PeerRequest::UpstreamListener { upstream: upstream.clone() };
-        let deadline = Instant::now() + LISTENER_TIMEOUT;
-        match peers::send_request(gateway, address, &request, deadline).await {
-            Some(PeerReply::UpstreamListener { state: ListenerState::Unknown }) | None => {
-                through.record_rejected();
-            }
-            Some(PeerReply::UpstreamListener { state }) => return state,
-            Some(reply) => {
-                // Its build does not check upstreams for others, but it may pass requests on.
-                log::debug!("{address} did not say whether {upstream} listens: {reply:?}");
-            }
+    let mut asked = Vec::new();
+    while asked.len() < HELPERS_MAX {
+        let Some((host, address)) = choose_helper(gateway, &asked) else { break };
+        asked.push(host.clone());
+        let state = ask_host_for_listener(gateway, host, address, upstream).await;
+        if state != ListenerState::Unknown {
+            return state;
         }
     }
     ListenerState::Unknown
 }
 
+/// Asks a few other hosts at once whether a process listens at an upstream that refuses connections
+/// of this host. Returns whether one of them says so.
+pub(crate) async fn is_seen_by_others(gateway: &Rc<Gateway>, upstream: &UpstreamId) -> bool {
+    let mut asked = Vec::new();
+    let mut questions = Vec::new();
+    while asked.len() < WITNESSES {
+        let Some((host, address)) = choose_helper(gateway, &asked) else { break };
+        asked.push(host.clone());
+        questions.push(ask_host_for_listener(gateway, host, address, upstream));
+    }
+    join_all(questions).await.contains(&ListenerState::Present)
+}
+
+async fn ask_host_for_listener(
+    gateway: &Rc<Gateway>,
+    host: HostId,
+    address: SocketAddr,
+    upstream: &UpstreamId,
+) -> ListenerState {
+    let _open = HelperGuard::new(gateway, host);
+    let request = PeerRequest::UpstreamListener { upstream: upstream.clone() };
+    let deadline = Instant::now() + LISTENER_TIMEOUT;
+    match peers::send_request(gateway, address, &request, deadline).await {
+        Some(PeerReply::UpstreamListener { state }) => state,
+        reply => {
+            // A build that does not check upstreams for others may pass requests on.
+            log::debug!("{address} did not say whether {upstream} listens: {reply:?}");
+            ListenerState::Unknown
+        }
+    }
+}
+
 /// Reads the empty body of a helper's failure, so that its connection can be used again.
 async fn drain(gateway: &Gateway, answer: UnreadAnswer, deadline: Instant) {
     let UnreadAnswer { response, connection } = answer;
@@ -414,9 +443,11 @@
     }
 }
 
-fn choose_helper(gateway: &Gateway) -> Option<(HostId, SocketAddr)> {
+/// Chooses a host that may help, other than those in `excluded`.
+fn choose_helper(gateway: &Gateway, excluded: &[HostId]) -> Option<(HostId, SocketAddr)> {
     let roster = gateway.roster.borrow();
-    let others: Vec<(&HostId, SocketAddr)> = roster.lenders().collect();
+    let others: Vec<(&HostId, SocketAddr)> =
+        roster.lenders().filter(|(host, _)| !excluded.contains(host)).collect();
     let helpers = gateway.relay.helpers.borrow();
     let hosts = others.iter().map(|(host, at)| (*host, peers::is_suspect(gateway, *at)));
     let chosen = helpers.choose(Instant::now(), hosts, || rand::rng().random())?;
