--- a/crates/core/src/placement/helpers/tests.rs
+++ b/crates/core/src/placement/helpers/tests.rs
@@ -47,6 +47,29 @@
     );
 }
 
+/// Guards against a host that does not find the only helper, because it asks the hosts that have
+/// rejected a request again as soon as they may be asked.
+#[test]
+fn host_that_has_helped_comes_before_those_that_have_rejected_a_request() {
+    let now = Instant::now();
+    let hosts = hosts(7);
+    let mut random = StdRng::seed_from_u64(1);
+    let mut helpers = Helpers::default();
+    hosts[1..].iter().for_each(|host| helpers.record_rejected(now, host));
+    let later = now + AVOIDED_DURATION;
+    for _ in 0..20 {
+        let chosen = helpers.choose(later, in_reach(&hosts), || random.random());
+        assert_eq!(chosen, Some(&hosts[0]));
+        helpers.record_sent(&hosts[0]);
+    }
+    helpers.record_helped(&hosts[1]);
+    let chosen = helpers.choose(later, in_reach(&hosts), || random.random());
+    assert_eq!(chosen, Some(&hosts[1]), "it has helped and has no open requests");
+    helpers.record_rejected(later, &hosts[0]);
+    helpers.record_rejected(later, &hosts[1]);
+    assert!(helpers.choose(later, in_reach(&hosts), || random.random()).is_some());
+}
+
 /// Returns the most requests that one helper has open at the same time, if `stranded` hosts send
 /// through `helper_count` others, each with this many requests open.
 fn most_open(seed: u64, stranded: usize, helper_count: usize, open_each: usize) -> usize {
--- a/crates/gateway/src/relay/mod.rs
+++ b/crates/gateway/src/relay/mod.rs
@@ -51,6 +51,8 @@
 const PROBE_TIMEOUT: Duration = Duration::from_millis(400);
 /// Number of upstreams that are tried at the same time when none of them answers.
 const PROBES: usize = 3;
+/// Number of times that as many others are tried to tell an upstream that has ended from a lost path.
+const PROBE_ROUNDS: usize = 2;
 /// How long no upstream must give a sign of life, while requests wait, until connections are tried.
 /// The silence itself proves nothing: an upstream may pause for a second or more.
 const SILENCE_MAX: Duration = Duration::from_millis(700);
@@ -204,11 +206,19 @@
     if addresses.is_empty() {
         return true;
     }
-    let chosen = addresses.sample(&mut rand::rng(), PROBES);
-    let probes = chosen.map(|other| gateway.connections.probe_listener(*other, deadline, 1));
-    let states = join_all(probes).await;
-    record_connects(gateway);
-    states.contains(&ListenerState::Present)
+    // Upstreams that crash one after the other may all be among the first.
+    let chosen: Vec<SocketAddr> =
+        addresses.sample(&mut rand::rng(), PROBES * PROBE_ROUNDS).copied().collect();
+    for round in chosen.chunks(PROBES) {
+        let probes =
+            round.iter().map(|other| gateway.connections.probe_listener(*other, deadline, 1));
+        let states = join_all(probes).await;
+        record_connects(gateway);
+        if states.contains(&ListenerState::Present) {
+            return true;
+        }
+    }
+    false
 }
 
 /// Records the connections that were opened to upstreams, and those that failed, since the last call.
@@ -358,6 +368,7 @@
             Ok(mut answer) => match answer.response.headers_mut().remove(FAILURE) {
                 None => {
                     gateway.metrics.count("relayed", 1);
+                    gateway.relay.helpers.borrow_mut().record_helped(&through.host);
                     answer.connection.keep_with(Box::new(through));
                     return Ok(answer);
                 }
