--- a/crates/gateway/src/relay/mod.rs
+++ b/crates/gateway/src/relay/mod.rs
@@ -51,6 +51,8 @@
 const PROBE_TIMEOUT: Duration = Duration::from_millis(400);
 /// Number of upstreams that are tried at the same time when none of them answers.
 const PROBES: usize = 3;
+/// Number of times that as many others are tried to tell an upstream that has ended from a lost path.
+const PROBE_ROUNDS: usize = 2;
 /// How long no upstream must give a sign of life, while requests wait, until connections are tried.
 /// The silence itself proves nothing: an upstream may pause for a second or more.
 const SILENCE_MAX: Duration = Duration::from_millis(700);
@@ -59,6 +61,9 @@
 const LAST_WAIT: Duration = Duration::from_millis(500);
 /// Maximum number of hosts that are tried for one request.
 const HELPERS_MAX: usize = 3;
+/// Number of hosts that are asked whether they reach an upstream that refuses connections of this one.
+/// With two, the restart of one or a cut that hits it as well leaves the other.
+const WITNESSES: usize = 2;
 /// Timeout of a question to another host about an upstream. Longer than its check of a connection.
 const LISTENER_TIMEOUT: Duration = Duration::from_millis(150);
 
@@ -201,11 +206,19 @@
     if addresses.is_empty() {
         return true;
     }
-    let chosen = addresses.sample(&mut rand::rng(), PROBES);
-    let probes = chosen.map(|other| gateway.connections.probe_listener(*other, deadline, 1));
-    let states = join_all(probes).await;
-    record_connects(gateway);
-    states.contains(&ListenerState::Present)
+    // Upstreams that crash one after the other may all be among the first.
+    let chosen: Vec<SocketAddr> =
+        addresses.sample(&mut rand::rng(), PROBES * PROBE_ROUNDS).copied().collect();
+    for round in chosen.chunks(PROBES) {
+        let probes =
+            round.iter().map(|other| gateway.connections.probe_listener(*other, deadline, 1));
+        let states = join_all(probes).await;
+        record_connects(gateway);
+        if states.contains(&ListenerState::Present) {
+            return true;
+        }
+    }
+    false
 }
 
 /// Records the connections that were opened to upstreams, and those that failed, since the last call.
@@ -344,7 +357,7 @@
         return Err(SendError::NotConnected);
     };
     for _ in 0..HELPERS_MAX {
-        let Some((host, address)) = choose_helper(gateway) else { break };
+        let Some((host, address)) = choose_helper(gateway, &[]) else { break };
         let time_left_ms = deadline.saturating_duration_since(Instant::now()).as_millis() as u64;
         let mut request = request();
         request.headers_mut().insert(UPSTREAM, upstream_value.clone());
@@ -355,6 +368,7 @@
             Ok(mut answer) => match answer.response.headers_mut().remove(FAILURE) {
                 None => {
                     gateway.metrics.count("relayed", 1);
+                    gateway.relay.helpers.borrow_mut().record_helped(&through.host);
                     answer.connection.keep_with(Box::new(through));
                     return Ok(answer);
                 }
@@ -380,31 +394,57 @@
     Err(SendError::NotConnected)
 }
 
-/// Asks other hosts whether a process listens at an upstream, while this host can't tell. Returns
-/// `Unknown` if none of those that were asked can.
+/// Asks other hosts, one after the other, whether a process listens at an upstream, while this host
+/// can't tell. Returns `Unknown` if none of those that were asked can. A host that can't tell may pass
+/// requests on nevertheless: one check of a connection that took too long is enough.
 pub(crate) async fn ask_for_listener(
     gateway: &Rc<Gateway>,
     upstream: &UpstreamId,
 ) -> ListenerState {
-    for _ in 0..HELPERS_MAX {
-        let Some((host, address)) = choose_helper(gateway) else { break };
-        let through = HelperGuard::new(gateway, host);
-        let request = PeerRequest::UpstreamListener { upstream: upstream.clone() };
-        let deadline = Instant::now() + LISTENER_TIMEOUT;
-        match peers::send_request(gateway, address, &request, deadline).await {
-            Some(PeerReply::UpstreamListener { state: ListenerState::Unknown }) | None => {
-                through.record_rejected();
-            }
-            Some(PeerReply::UpstreamListener { state }) => return state,
-            Some(reply) => {
-                // Its build does not check upstreams for others, but it may pass requests on.
-                log::debug!("{address} did not say whether {upstream} listens: {reply:?}");
-            }
+    let mut asked = Vec::new();
+    while asked.len() < HELPERS_MAX {
+        let Some((host, address)) = choose_helper(gateway, &asked) else { break };
+        asked.push(host.clone());
+        let state = ask_host_for_listener(gateway, host, address, upstream).await;
+        if state != ListenerState::Unknown {
+            return state;
         }
     }
     ListenerState::Unknown
 }
 
+/// Asks a few other hosts at once whether a process listens at an upstream that refuses connections
+/// of this host. Returns whether one of them says so.
+pub(crate) async fn is_seen_by_others(gateway: &Rc<Gateway>, upstream: &UpstreamId) -> bool {
+    let mut asked = Vec::new();
+    let mut questions = Vec::new();
+    while asked.len() < WITNESSES {
+        let Some((host, address)) = choose_helper(gateway, &asked) else { break };
+        asked.push(host.clone());
+        questions.push(ask_host_for_listener(gateway, host, address, upstream));
+    }
+    join_all(questions).await.contains(&ListenerState::Present)
+}
+
+async fn ask_host_for_listener(
+    gateway: &Rc<Gateway>,
+    host: HostId,
+    address: SocketAddr,
+    upstream: &UpstreamId,
+) -> ListenerState {
+    let _open = HelperGuard::new(gateway, host);
+    let request = PeerRequest::UpstreamListener { upstream: upstream.clone() };
+    let deadline = Instant::now() + LISTENER_TIMEOUT;
+    match peers::send_request(gateway, address, &request, deadline).await {
+        Some(PeerReply::UpstreamListener { state }) => state,
+        reply => {
+            // A build that does not check upstreams for others may pass requests on.
+            log::debug!("{address} did not say whether {upstream} listens: {reply:?}");
+            ListenerState::Unknown
+        }
+    }
+}
+
 /// Reads the empty body of a helper's failure, so that its connection can be used again.
 async fn drain(gateway: &Gateway, answer: UnreadAnswer, deadline: Instant) {
     let UnreadAnswer { response, connection } = answer;
@@ -414,9 +454,11 @@
     }
 }
 
-fn choose_helper(gateway: &Gateway) -> Option<(HostId, SocketAddr)> {
+/// Chooses a host that may help, other than those in `excluded`.
+fn choose_helper(gateway: &Gateway, excluded: &[HostId]) -> Option<(HostId, SocketAddr)> {
     let roster = gateway.roster.borrow();
-    let others: Vec<(&HostId, SocketAddr)> = roster.lenders().collect();
+    let others: Vec<(&HostId, SocketAddr)> =
+        roster.lenders().filter(|(host, _)| !excluded.contains(host)).collect();
     let helpers = gateway.relay.helpers.borrow();
     let hosts = others.iter().map(|(host, at)| (*host, peers::is_suspect(gateway, *at)));
     let chosen = helpers.choose(Instant::now(), hosts, || rand::rng().random())?;
