Exclude the upstreams of evacuated domains in the core

Operators are to evacuate failure domains: 5 s after the entry no request may reach one. Placement knew only of leaving upstreams.

Evacuations holds the newest state by the store's revision. Placement has a flag for each upstream, and is_excluded (leaving or evacuated) filters candidates, in the fallback for ejected upstreams too. Until a state is known none is used. A domain that returns gets its load over 8 s.

--- a/crates/core/src/placement/mod.rs
+++ b/crates/core/src/placement/mod.rs
@@ -9,6 +9,7 @@
 //! units of load, which decays within seconds.
 
 mod broken_attempts;
+mod evacuation;
 mod helpers;
 mod rate_limit;
 mod reach;
@@ -20,6 +21,7 @@
 
 pub use {
     broken_attempts::{BrokenAttempts, RetryDecision},
+    evacuation::{EvacuationChange, Evacuations, StoreRevision},
     helpers::Helpers,
     rate_limit::LendOutcome,
     reach::{ReachChange, UpstreamReach},
@@ -33,6 +35,7 @@
         rendezvous::NameHash,
         shares::AllowanceHosts,
     },
+    evacuation::EvacuatedDomains,
     rate_limit::RateLimit,
     slotmap::{SlotMap, new_key_type},
     std::{
@@ -125,6 +128,7 @@
     service_times_s: HashMap<ServiceId, f64>,
     /// The hosts between which the limits of upstreams are split.
     limit_hosts: AllowanceHosts,
+    evacuated_domains: EvacuatedDomains,
 }
 
 impl Placement {
@@ -139,6 +143,7 @@
             typical_pauses_s: HashMap::new(),
             service_times_s: HashMap::new(),
             limit_hosts: AllowanceHosts::default(),
+            evacuated_domains: EvacuatedDomains::default(),
         }
     }
 
@@ -153,13 +158,16 @@
             }
             if existing.record.is_same_process(&record) {
                 let has_changed = existing.record != record;
+                existing.is_evacuated = self.evacuated_domains.contains(&record.domain);
                 existing.record = record;
                 return has_changed;
             }
             self.remove(&record.id);
         }
         let (id, service) = (record.id.clone(), record.service.clone());
-        let key = self.upstreams.insert(Upstream::new(record));
+        let mut upstream = Upstream::new(record);
+        upstream.is_evacuated = self.evacuated_domains.contains(&upstream.record.domain);
+        let key = self.upstreams.insert(upstream);
         self.by_id.insert(id, key);
         self.by_service.entry(service).or_default().push(key);
         true
@@ -209,9 +217,10 @@
         !std::mem::replace(&mut upstream.says_leaving, true)
     }
 
-    /// Returns whether an upstream is about to stop, or is no longer known.
-    pub fn is_leaving(&self, key: UpstreamKey) -> bool {
-        self.upstreams.get(key).is_none_or(Upstream::is_leaving)
+    /// Returns whether an upstream gets no new requests: it is about to stop, its domain is evacuated,
+    /// or it is no longer known.
+    pub fn is_excluded(&self, key: UpstreamKey) -> bool {
+        self.upstreams.get(key).is_none_or(Upstream::is_excluded)
     }
 
     /// Returns whether an upstream has said in an answer that it is about to stop, or is no longer
@@ -239,8 +248,8 @@
         let mut usable: Vec<UpstreamKey> = keys.iter().filter(accepts_work).copied().collect();
         if usable.is_empty() {
             // If all upstreams are ejected, use them anyway.
-            let is_not_leaving = |key: &&UpstreamKey| !self.upstreams[**key].is_leaving();
-            usable = keys.iter().filter(is_not_leaving).copied().collect();
+            let is_not_excluded = |key: &&UpstreamKey| !self.upstreams[**key].is_excluded();
+            usable = keys.iter().filter(is_not_excluded).copied().collect();
         }
         if usable.is_empty() {
             return Choice::NoUpstream;
@@ -295,7 +304,8 @@
             // session that is new to them.
             let tie_break = session.map_or(0, |session| u64::MAX - session.weight(point));
             let limit_gain = if upstream.rate_limit.is_some() { LIMITED_PREFERENCE } else { 0.0 };
-            (upstream.load(now) + upstream.penalty(now) + domain_cost - limit_gain, tie_break)
+            let load = upstream.load(now) + upstream.return_load(now);
+            (load + upstream.penalty(now) + domain_cost - limit_gain, tie_break)
         };
         let by_cost = |a: &UpstreamKey, b: &UpstreamKey| {
             let ((a_cost, a_tie), (b_cost, b_tie)) = (cost(*a), cost(*b));
@@ -316,7 +326,7 @@
         let object = NameHash::new(object);
         let with_capacity = usable.iter().copied().filter(|key| {
             let upstream = &self.upstreams[*key];
-            upstream.keeps_affinity(now)
+            upstream.keeps_affinity(now) && upstream.takes_object(now, object)
         });
         with_capacity
             .max_by_key(|key| object.weight(NameHash::new(&self.upstreams[*key].record.id)))
--- a/crates/core/src/placement/tests.rs
+++ b/crates/core/src/placement/tests.rs
@@ -3,7 +3,7 @@
     std::collections::{BTreeMap, BTreeSet},
 };
 
-fn record(id: &str, domain: &str) -> UpstreamRecord {
+pub(super) fn record(id: &str, domain: &str) -> UpstreamRecord {
     UpstreamRecord {
         id: id.into(),
         service: "llm".into(),
@@ -280,7 +280,7 @@
     assert_eq!(choose_id(&mut placement, now, Some("session")), "far", "the session moves");
     // Its entry does not say so, now or later.
     placement.upsert(UpstreamRecord { slots: 5, ..record("near", "a") });
-    assert!(placement.is_leaving(near));
+    assert!(placement.is_excluded(near));
     let far = key(&placement, "far");
     placement.record_leaving(far);
     assert_eq!(choose_id(&mut placement, now, None), "NoUpstream");
--- a/crates/core/src/placement/upstream.rs
+++ b/crates/core/src/placement/upstream.rs
@@ -131,6 +131,10 @@
     pub(super) rate_limit: Option<RateLimit>,
     /// When the latest request was sent whose answer named no limit.
     pub(super) unlimited_at: Option<Instant>,
+    /// Whether its domain is evacuated.
+    pub(super) is_evacuated: bool,
+    /// When its domain was given back after an evacuation.
+    pub(super) returned_at: Option<Instant>,
 }
 
 impl Upstream {
@@ -149,6 +153,8 @@
             says_leaving: false,
             rate_limit: None,
             unlimited_at: None,
+            is_evacuated: false,
+            returned_at: None,
         }
     }
 
@@ -163,7 +169,7 @@
     }
 
     pub(super) fn accepts_work(&self, now: Instant) -> bool {
-        !self.is_leaving() && self.ejected_until.is_none_or(|until| until <= now)
+        !self.is_excluded() && self.ejected_until.is_none_or(|until| until <= now)
     }
 
     /// Returns the estimated number of requests running or waiting, as a fraction of the slots.
--- a/crates/core/src/placement/wait_queue.rs
+++ b/crates/core/src/placement/wait_queue.rs
@@ -135,6 +135,11 @@
     pub fn front_waker(&self, service: &str) -> Option<&W> {
         self.queues.get(service)?.first_key_value().map(|(_, waker)| waker)
     }
+
+    /// Returns the wakers of all requests, for when other upstreams can be used than before.
+    pub fn wakers(&self) -> impl Iterator<Item = &W> {
+        self.queues.values().flat_map(BTreeMap::values)
+    }
 }
 
 #[cfg(test)]
--- a/crates/gateway/src/call/attempts.rs
+++ b/crates/gateway/src/call/attempts.rs
@@ -84,10 +84,11 @@
         leaving::on_answer(&self.gateway, self.key);
     }
 
-    /// Returns whether the upstream has said that it is about to stop, or has started again, perhaps
-    /// with another software version.
+    /// Returns whether the upstream has said that it is about to stop, is in an evacuated domain, or
+    /// has started again, perhaps with another software version.
     fn has_upstream_left(&self) -> bool {
-        self.gateway.placement.borrow().has_said_leaving(self.key)
+        let placement = self.gateway.placement.borrow();
+        placement.has_said_leaving(self.key) || placement.is_evacuated(self.key)
     }
 
     /// Records the limit that the answer names, or that it names none.
--- a/crates/gateway/src/relay/helper.rs
+++ b/crates/gateway/src/relay/helper.rs
@@ -115,6 +115,10 @@
     };
     let body = within(relayed.deadline, Limited::new(body, PROMPT_BYTES_MAX).collect()).await;
     let body = body.and_then(Result::ok).ok_or(Failure::Rejected)?.to_bytes();
+    if gateway.placement.borrow().is_excluded(destination.key) {
+        // Its domain was evacuated, or it has begun to leave, while the body came in.
+        return Err(Failure::Rejected);
+    }
     let metadata = gateway.adapter.dialect.read_call(&relayed.head);
     let sent_at = Instant::now();
     let mut request = Request::from_parts(relayed.head, Full::new(body));
@@ -186,7 +190,7 @@
     let placement = gateway.placement.borrow();
     let (key, record) = placement.find(&relayed.upstream)?;
     let (service, address) = (record.service.clone(), record.address);
-    (!placement.is_leaving(key)).then_some(Destination { key, service, address })
+    (!placement.is_excluded(key)).then_some(Destination { key, service, address })
 }
 
 /// Counts a request as passed on until its answer has ended.
--- a/crates/gateway/src/relay/mod.rs
+++ b/crates/gateway/src/relay/mod.rs
@@ -170,8 +170,7 @@
             false if is_silent || is_suspect => PROBES,
             false => continue,
         };
-        let mut addresses: Vec<SocketAddr> =
-            gateway.placement.borrow().records().map(|record| record.address).collect();
+        let mut addresses = gateway.placement.borrow().usable_addresses();
         if !relay.is_stranded() {
             addresses.retain(|address| !relay.reach.borrow().has_failed(*address));
         }
@@ -191,13 +190,8 @@
     address: SocketAddr,
     deadline: Instant,
 ) -> bool {
-    let addresses: Vec<SocketAddr> = gateway
-        .placement
-        .borrow()
-        .records()
-        .map(|record| record.address)
-        .filter(|other| *other != address)
-        .collect();
+    let mut addresses = gateway.placement.borrow().usable_addresses();
+    addresses.retain(|other| *other != address);
     if addresses.is_empty() {
         return true;
     }
