Read the evacuations, and pass them on between hosts

Hosts did not read the operators' entries, so requests went on to evacuated domains.

A request to a reader names only the collections that the follower needs.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -7,6 +7,7 @@
         callers,
         crashes::{self, CrashWatch},
         dialect::Dialect,
+        evacuations::{self, EvacuationWatch},
         http::{ActiveConnection, ConnectionPool},
         ledger::{self, PARTITION_COUNT, Partition},
         outage_notes::OutageNoteStore,
@@ -166,6 +167,7 @@
     /// Addresses that this gateway listens on; `None` until all are bound.
     pub(crate) bound: Cell<Option<BoundAddresses>>,
     pub(crate) watches: Watches,
+    pub(crate) evacuations: EvacuationWatch,
     /// Whether the list of upstreams has been received at least once.
     pub(crate) has_received_upstreams: Cell<bool>,
     /// Whether this host has asked others for the contents that they blame for crashes, or has
@@ -247,6 +249,7 @@
             is_accepting: Cell::new(false),
             bound: Cell::new(None),
             watches: Watches::default(),
+            evacuations: EvacuationWatch::new(settings.evacuation_time_max.is_some()),
             has_received_upstreams: Cell::new(false),
             has_synced_blame: Cell::new(false),
             stage: Cell::new(Stage::Serving),
@@ -280,6 +283,7 @@
         on_bound(bound);
         roster::start(self);
         registrations::start(self);
+        evacuations::start(self);
         watch::start(self);
         crashes::start(self);
         relay::start(self);
@@ -434,6 +438,7 @@
         self.stage.get() == Stage::Serving
             && self.has_received_upstreams.get()
             && self.has_synced_blame.get()
+            && self.evacuations.is_known()
             && self.routing_table.borrow().is_some()
     }
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -13,6 +13,7 @@
 mod callers;
 mod crashes;
 pub mod dialect;
+mod evacuations;
 mod files;
 mod gateway;
 pub mod http;
--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/peers/message.rs
@@ -29,8 +29,8 @@
         },
         durations,
         ids::{
-            ConfigVersion, ContentHash, Epoch, HostId, Incarnation, RequestId, ServiceId, TeamId,
-            UpstreamId,
+            ConfigVersion, ContentHash, DomainId, Epoch, HostId, Incarnation, RequestId, ServiceId,
+            TeamId, UpstreamId,
         },
         placement::{LendOutcome, UpstreamRecord},
         roster::HostRecord,
@@ -147,6 +147,8 @@
     Versions,
     /// Requests the receiver's list of upstreams.
     Upstreams,
+    /// Requests the evacuated failure domains that the receiver knows.
+    Evacuations,
     /// Requests the receiver's roster.
     Hosts,
     /// Forwards a request to a host that the sender can't reach.
@@ -256,6 +258,9 @@
     Versions { versions: Vec<StreamOrigin> },
     /// The host's list of upstreams.
     Upstreams { records: Vec<UpstreamRecord> },
+    /// The evacuated failure domains at a revision of the store; `None` if the host knows none of its
+    /// states.
+    Evacuations { known: Option<(Revision, Vec<DomainId>)> },
     /// All hosts in the host's roster, including itself.
     Hosts { hosts: Vec<(HostId, HostRecord)> },
     /// The other host's reply to a relayed request. `None` if the relay got none.
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -167,6 +167,9 @@
             PeerReply::Blamed { contents: crashes::blamed_contents(gateway) }
         }
         PeerRequest::Hosts => PeerReply::Hosts { hosts: roster::all_hosts(gateway) },
+        PeerRequest::Evacuations => {
+            PeerReply::Evacuations { known: gateway.evacuations.known_domains() }
+        }
         PeerRequest::Ping => PeerReply::Done,
         PeerRequest::FollowStore { after, wait } => {
             watch::news_for_follower(gateway, after, wait).await
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -39,4 +39,7 @@
     pub disk_bytes_max: u64,
     /// Number of hosts with disks that may be lost at once, with their disks.
     pub losses_max: usize,
+    /// Time from the acknowledgement of an evacuation until no request may reach the domain; `None`
+    /// where there are no evacuations.
+    pub evacuation_time_max: Option<Duration>,
 }
--- a/crates/gateway/src/status.rs
+++ b/crates/gateway/src/status.rs
@@ -65,6 +65,8 @@
         ("turns_recovered", u64::from(gateway.turns.has_recovered())),
         ("stranded", u64::from(gateway.relay.is_stranded())),
         ("upstreams_leaving", gateway.placement.borrow().leaving_count() as u64),
+        ("upstreams_evacuated", gateway.placement.borrow().evacuated_count() as u64),
+        ("domains_evacuated", gateway.evacuations.domain_count() as u64),
         ("upstreams", gateway.placement.borrow().ids().count() as u64),
         ("has_store_reader", u64::from(gateway.watches.has_reader())),
         ("is_store_reader", u64::from(gateway.watches.is_followed())),
@@ -78,7 +80,7 @@
     for (name, value) in gauges {
         gateway.metrics.gauge(name, value);
     }
-    for collection in [Collection::Configuration, Collection::Upstreams] {
+    for collection in [Collection::Configuration, Collection::Upstreams, Collection::Evacuations] {
         if let Some(age) = gateway.watches.of(collection).age() {
             gateway.metrics.gauge(&format!("age_ms.{collection}"), age.as_millis() as u64);
         }
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -98,6 +98,9 @@
     /// Operators' requests to empty hosts with disks, named after the hosts.
     #[display("retirements")]
     Retirements,
+    /// Operators' requests to evacuate failure domains, named after the domains.
+    #[display("evacuations")]
+    Evacuations,
 }
 
 /// How far a host with a disk has been emptied.
--- a/crates/gateway/src/watch/mod.rs
+++ b/crates/gateway/src/watch/mod.rs
@@ -6,7 +6,7 @@
 
 use {
     crate::{
-        allowance,
+        allowance, evacuations,
         gateway::Gateway,
         peers::{self, PeerReply, PeerRequest},
         registrations, roster,
@@ -78,9 +78,10 @@
     let mut delay = match collection {
         Collection::Hosts => WatchDelay::for_hosts(),
         Collection::Upstreams => WatchDelay::for_upstreams(),
-        Collection::Configuration | Collection::Ledgers | Collection::Retirements => {
-            WatchDelay::disabled()
-        }
+        Collection::Configuration
+        | Collection::Ledgers
+        | Collection::Retirements
+        | Collection::Evacuations => WatchDelay::disabled(),
     };
     loop {
         watches.until_reading(collection).await;
@@ -169,7 +170,7 @@
     let Listing { objects, revision } = gateway.adapter.store.list(collection).await?;
     registrations::on_store_success(gateway);
     let change_age = gateway.watches.of(collection).age().unwrap_or_default();
-    apply_listing(gateway, collection, &objects, change_age);
+    apply_listing(gateway, collection, &objects, revision, change_age);
     gateway.watches.on_listed(collection, objects, revision);
     Ok(())
 }
@@ -179,11 +180,12 @@
     gateway: &Rc<Gateway>,
     collection: Collection,
     objects: &[StoredObject],
+    revision: Revision,
     change_age: Duration,
 ) {
     match collection {
         // Read for others.
-        Collection::Configuration | Collection::Upstreams
+        Collection::Configuration | Collection::Upstreams | Collection::Evacuations
             if !gateway.watches.of(collection).is_own() => {}
         Collection::Configuration => {
             objects.iter().for_each(|object| apply_configuration(gateway, object))
@@ -196,6 +198,7 @@
         Collection::Retirements => {
             objects.iter().for_each(|object| turns::on_retirement(gateway, object));
         }
+        Collection::Evacuations => evacuations::on_listing(gateway, revision, objects),
         Collection::Ledgers => {}
     }
 }
@@ -209,7 +212,9 @@
     let watches = &gateway.watches;
     let outage = watches.of(collection).outage.get();
     let longest = match collection {
-        Collection::Configuration | Collection::Upstreams => CURRENT_WATCH_WAIT_MAX,
+        Collection::Configuration | Collection::Upstreams | Collection::Evacuations => {
+            CURRENT_WATCH_WAIT_MAX
+        }
         Collection::Hosts | Collection::Ledgers | Collection::Retirements => WATCH_WAIT_MAX,
     };
     let longest = longest.min(gateway.settings.store_history.mul_f64(WATCH_WAIT_FRACTION));
@@ -235,7 +240,7 @@
         true => age_before.unwrap_or_default() + sent_at.elapsed(),
         false => Duration::ZERO,
     };
-    apply_changes(gateway, collection, result.changes.clone(), change_age);
+    apply_changes(gateway, collection, result.changes.clone(), result.revision, change_age);
     watches.on_changes(collection, result.changes, result.revision);
     if collection == Collection::Hosts {
         roster::record_store_contact(gateway);
@@ -251,6 +256,7 @@
     gateway: &Rc<Gateway>,
     collection: Collection,
     changes: Vec<Change>,
+    revision: Revision,
     change_age: Duration,
 ) {
     let is_own = gateway.watches.of(collection).is_own();
@@ -258,6 +264,10 @@
         // Read for others.
         return;
     }
+    if collection == Collection::Evacuations {
+        evacuations::on_changes(gateway, revision, &changes);
+        return;
+    }
     let mut delisted = Vec::new();
     for change in changes {
         match (collection, change) {
@@ -280,7 +290,8 @@
             (Collection::Retirements, Change::Put(object)) => {
                 turns::on_retirement(gateway, &object)
             }
-            (Collection::Ledgers, _) | (Collection::Retirements, Change::Removed(_)) => {}
+            (Collection::Ledgers | Collection::Evacuations, _)
+            | (Collection::Retirements, Change::Removed(_)) => {}
         }
     }
     registrations::on_delisted(gateway, &delisted, change_age);
@@ -393,6 +404,7 @@
                 roster::on_peer_hosts(gateway, hosts);
             }
         }
-        Collection::Ledgers | Collection::Retirements => {}
+        // `evacuations` asks several hosts on its own schedule.
+        Collection::Ledgers | Collection::Retirements | Collection::Evacuations => {}
     }
 }
--- a/crates/gateway/src/watch/sharing.rs
+++ b/crates/gateway/src/watch/sharing.rs
@@ -32,8 +32,8 @@
 };
 
 /// Collections whose changes a reader passes on.
-pub(super) const SHARED: [Collection; 3] =
-    [Collection::Configuration, Collection::Upstreams, Collection::Hosts];
+pub(super) const SHARED: [Collection; 4] =
+    [Collection::Configuration, Collection::Upstreams, Collection::Hosts, Collection::Evacuations];
 /// Maximum size of a configuration that a reader passes on. A larger one is read from the store by
 /// each host: it would occupy the reader's link for as long as it has followers.
 const CONFIGURATION_BYTES_MAX: usize = 64 * 1024;
@@ -54,6 +54,7 @@
     hosts: Watched,
     retirements: Watched,
     ledgers: Watched,
+    evacuations: Watched,
     following: RefCell<Following>,
     /// The host that this one asks for changes. While it is set, the store is not watched.
     reader: RefCell<Option<HostId>>,
@@ -99,6 +100,11 @@
         self.is_behind_reader.get()
     }
 
+    /// Returns whether the last call for the collection failed.
+    pub(crate) fn is_failing(&self) -> bool {
+        self.outage.get().is_ongoing()
+    }
+
     pub(super) fn is_own(&self) -> bool {
         self.is_own.get()
     }
@@ -117,6 +123,7 @@
             Collection::Hosts => &self.hosts,
             Collection::Retirements => &self.retirements,
             Collection::Ledgers => &self.ledgers,
+            Collection::Evacuations => &self.evacuations,
         }
     }
 
@@ -275,9 +282,15 @@
     gateway.spawn(follow(gateway.clone()));
 }
 
+/// Returns the shared collections that this host needs.
+fn shared(gateway: &Gateway) -> impl Iterator<Item = Collection> {
+    let has_evacuations = gateway.evacuations.is_enabled();
+    SHARED.into_iter().filter(move |one| *one != Collection::Evacuations || has_evacuations)
+}
+
 async fn follow(gateway: Rc<Gateway>) {
     let watches = &gateway.watches;
-    SHARED.into_iter().for_each(|collection| start_own_collection(&gateway, collection));
+    shared(&gateway).for_each(|collection| start_own_collection(&gateway, collection));
     let deadline = Instant::now() + START_WAIT_MAX;
     let hosts = &watches.hosts;
     while hosts.revision.get().is_none()
@@ -351,7 +364,8 @@
 /// Asks a reader for the changes since the last ones, and applies them.
 async fn ask_reader(gateway: &Rc<Gateway>, reader: &HostId) {
     let watches = &gateway.watches;
-    let after = SHARED.map(|collection| (collection, watches.of(collection).revision.get())).into();
+    let revision_of = |collection| (collection, watches.of(collection).revision.get());
+    let after = shared(gateway).map(revision_of).collect();
     let request = PeerRequest::FollowStore { after, wait: FOLLOW_WAIT };
     let reply = match roster::address_of(gateway, reader) {
         Some(address) => {
@@ -378,11 +392,11 @@
         match news {
             _ if !SHARED.contains(&collection) => continue,
             CollectionNews::Changes { changes, revision } if is_newer(revision) => {
-                apply_changes(gateway, collection, changes, change_age);
+                apply_changes(gateway, collection, changes, revision, change_age);
                 watched.revision.set(Some(revision));
             }
             CollectionNews::State { objects, revision } if is_newer(revision) => {
-                apply_listing(gateway, collection, &objects, change_age);
+                apply_listing(gateway, collection, &objects, revision, change_age);
                 watched.revision.set(Some(revision));
             }
             CollectionNews::Changes { .. } | CollectionNews::State { .. } => {}
@@ -414,7 +428,10 @@
     let watches = &gateway.watches;
     let deadline = Instant::now() + wait.min(FOLLOW_WAIT);
     watches.on_follower();
-    SHARED.into_iter().for_each(|collection| start_collection(gateway, collection));
+    let asked = after.iter().map(|(collection, _)| *collection);
+    asked
+        .filter(|collection| SHARED.contains(collection))
+        .for_each(|collection| start_collection(gateway, collection));
     loop {
         let answered = watches.answered.listen();
         if gateway.stage.get() != Stage::Serving || watches.has_reader() {
