Keep to the rate of cold upstreams, over all hosts together

Upstreams that have just started, or whose domain is given back, crash when they get more than a fixed rate. Each host sent to them as if it were alone, and they look idle to all.

An upstream is cold by its entry (cold_left_ms); for cold_start_s when it registers while the host runs or its domain is given back, until a later entry. Its rate is a second RateLimit, split and lent as the limits that upstreams name. Borrowers tell lenders that an upstream is cold (LendColdToken).

--- a/crates/core/src/placement/evacuation.rs
+++ b/crates/core/src/placement/evacuation.rs
@@ -118,8 +118,14 @@
         self.upstreams.values_mut().for_each(|upstream| upstream.is_evacuated = true);
     }
 
-    /// Sets the evacuated domains. Their upstreams get no requests, those in flight excepted.
-    pub fn set_evacuated_domains(&mut self, now: Instant, domains: &BTreeSet<DomainId>) {
+    /// Sets the evacuated domains at a revision of the store. Their upstreams get no new requests.
+    /// Those of domains that are given back count as cold.
+    pub fn set_evacuated_domains(
+        &mut self,
+        now: Instant,
+        revision: StoreRevision,
+        domains: &BTreeSet<DomainId>,
+    ) {
         let were_unknown = self.evacuated_domains == EvacuatedDomains::Unknown;
         self.evacuated_domains = EvacuatedDomains::Known(domains.clone());
         for upstream in self.upstreams.values_mut() {
@@ -130,6 +136,7 @@
             }
             if !were_unknown {
                 upstream.returned_at = Some(now);
+                self.cold_services.on_return(now, upstream, revision, &self.limit_hosts);
             }
         }
     }
--- a/crates/core/src/placement/evacuation/tests.rs
+++ b/crates/core/src/placement/evacuation/tests.rs
@@ -51,7 +51,7 @@
                     placement.upsert(UpstreamRecord { slots: SLOTS, ..record(&id, domain) });
                 }
             }
-            placement.set_evacuated_domains(now, &BTreeSet::new());
+            placement.set_evacuated_domains(now, 1, &BTreeSet::new());
             placement
         });
         Self {
@@ -82,7 +82,7 @@
             self.now += STEP;
             let now = self.now;
             for (_, host, evacuated) in self.news.extract_if(.., |(at, ..)| *at <= now) {
-                self.hosts[host].set_evacuated_domains(now, &evacuated);
+                self.hosts[host].set_evacuated_domains(now, 1, &evacuated);
             }
             while self.running.front().is_some_and(|(at, ..)| *at <= now) {
                 self.end_request();
@@ -192,7 +192,7 @@
     let key = placement.by_id["one"];
     assert!(placement.is_excluded(key));
     assert_eq!(placement.usable_addresses(), vec![]);
-    placement.set_evacuated_domains(now, &domains(&["b", "nowhere"]));
+    placement.set_evacuated_domains(now, 1, &domains(&["b", "nowhere"]));
     assert!(!placement.is_excluded(key));
     assert_eq!(placement.upstreams[key].return_load(now), 0.0, "it was not evacuated");
     // An upstream that registers during the evacuation of its domain, or moves there.
@@ -208,7 +208,7 @@
     let mut placement = Placement::new("a".into());
     placement.upsert(record("one", "a"));
     placement.upsert(record("two", "b"));
-    placement.set_evacuated_domains(now, &domains(&["a"]));
+    placement.set_evacuated_domains(now, 1, &domains(&["a"]));
     let two = placement.by_id["two"];
     placement.record_end(now, two, Outcome::Misdirected);
     let request = PlacementRequest {
@@ -221,7 +221,7 @@
         is_behind_others: false,
     };
     assert_eq!(placement.choose(now, &request), Choice::Use(two));
-    placement.set_evacuated_domains(now, &domains(&["a", "b"]));
+    placement.set_evacuated_domains(now, 1, &domains(&["a", "b"]));
     assert_eq!(placement.choose(now, &request), Choice::NoUpstream);
     assert_eq!(placement.service_load(now, "llm").0, 0);
 }
--- a/crates/core/src/placement/mod.rs
+++ b/crates/core/src/placement/mod.rs
@@ -9,6 +9,7 @@
 //! units of load, which decays within seconds.
 
 mod broken_attempts;
+mod cold;
 mod evacuation;
 mod helpers;
 mod rate_limit;
@@ -21,6 +22,7 @@
 
 pub use {
     broken_attempts::{BrokenAttempts, RetryDecision},
+    cold::ColdEntry,
     evacuation::{EvacuationChange, Evacuations, StoreRevision},
     helpers::Helpers,
     rate_limit::LendOutcome,
@@ -35,8 +37,9 @@
         rendezvous::NameHash,
         shares::AllowanceHosts,
     },
+    cold::ColdServices,
     evacuation::EvacuatedDomains,
-    rate_limit::RateLimit,
+    rate_limit::{RateLimit, Saving},
     slotmap::{SlotMap, new_key_type},
     std::{
         collections::HashMap,
@@ -129,6 +132,7 @@
     /// The hosts between which the limits of upstreams are split.
     limit_hosts: AllowanceHosts,
     evacuated_domains: EvacuatedDomains,
+    cold_services: ColdServices,
 }
 
 impl Placement {
@@ -144,6 +148,7 @@
             service_times_s: HashMap::new(),
             limit_hosts: AllowanceHosts::default(),
             evacuated_domains: EvacuatedDomains::default(),
+            cold_services: ColdServices::default(),
         }
     }
 
@@ -157,7 +162,7 @@
                 return false;
             }
             if existing.record.is_same_process(&record) {
-                let has_changed = existing.record != record;
+                let has_changed = existing.record.differs_from(&record);
                 existing.is_evacuated = self.evacuated_domains.contains(&record.domain);
                 existing.record = record;
                 return has_changed;
@@ -264,7 +269,8 @@
         }
         usable.retain(|&key| {
             let upstream = &self.upstreams[key];
-            let is_left_to_others = request.is_behind_others && upstream.rate_limit.is_some();
+            let is_limited = upstream.rate_limit.is_some() || upstream.cold.limit(now).is_some();
+            let is_left_to_others = request.is_behind_others && is_limited;
             !request.refused_by.contains(&key)
                 && !is_left_to_others
                 && upstream.is_within_limit(now)
@@ -364,6 +370,7 @@
             if let Some(limit) = &mut upstream.rate_limit {
                 limit.take(now);
             }
+            upstream.cold.take(now);
         }
     }
 
@@ -371,7 +378,9 @@
     /// the limit does not allow it now.
     pub fn try_send_again(&mut self, now: Instant, key: UpstreamKey) -> bool {
         let Some(upstream) = self.upstreams.get_mut(key) else { return false };
-        upstream.rate_limit.as_mut().is_none_or(|limit| limit.take(now))
+        upstream.cold.limit(now).is_none_or(|limit| limit.has_token(now))
+            && upstream.rate_limit.as_mut().is_none_or(|limit| limit.take(now))
+            && upstream.cold.take(now)
     }
 
     /// Records the limit that an answer names, in requests a second from all hosts together, or
@@ -396,7 +405,8 @@
         match &mut upstream.rate_limit {
             Some(limit) => limit.on_named(now, sent_at, id, limit_per_s, hosts),
             None => {
-                upstream.rate_limit = Some(RateLimit::new(now, sent_at, id, limit_per_s, hosts));
+                upstream.rate_limit =
+                    Some(RateLimit::new(now, sent_at, id, limit_per_s, hosts, Saving::NAMED_LIMIT));
             }
         }
     }
@@ -409,6 +419,7 @@
                 let limit_per_s = limit.limit_per_s();
                 limit.set_limit(now, &upstream.record.id, limit_per_s, &self.limit_hosts);
             }
+            upstream.cold.set_hosts(now, &upstream.record.id, &self.limit_hosts);
         }
     }
 
@@ -448,14 +459,13 @@
     /// need not borrow for it.
     pub fn next_within_limits(&self, now: Instant, service: &str) -> Option<Instant> {
         let keys = self.by_service.get(service).map_or(&[][..], Vec::as_slice);
-        let limits = keys.iter().filter_map(|key| self.upstreams[*key].rate_limit.as_ref());
-        limits.filter_map(|limit| limit.next_token_at(now)).min()
+        keys.iter().filter_map(|key| self.upstreams[*key].next_within_limit(now)).min()
     }
 
     /// Returns when an upstream's limit next allows a request of this host, if it need not borrow
     /// for it.
     pub fn next_within_limit(&self, now: Instant, key: UpstreamKey) -> Option<Instant> {
-        self.upstreams.get(key)?.rate_limit.as_ref()?.next_token_at(now)
+        self.upstreams.get(key)?.next_within_limit(now)
     }
 
     /// Returns the service of an upstream.
--- a/crates/core/src/placement/rate_limit.rs
+++ b/crates/core/src/placement/rate_limit.rs
@@ -14,18 +14,29 @@
     },
 };
 
-/// Time over which the hosts may save up the limit together. More requests than the limit allows
-/// for any span exceed it by at most this.
-const BURST_TIME: Duration = Duration::from_secs(1);
+/// What the hosts may save up of a limit.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Saving {
+    /// Time over which the hosts may save up the limit together. More requests than the limit allows
+    /// for any span exceed it by at most this.
+    pub(super) time: Duration,
+    /// How long a borrowed token may be used. Together with `time` it bounds the burst that saved
+    /// tokens allow.
+    pub(super) borrowed_ttl: Duration,
+}
+
+impl Saving {
+    /// For the limits that upstreams name.
+    pub(super) const NAMED_LIMIT: Self =
+        Self { time: Duration::from_secs(1), borrowed_ttl: Duration::from_secs(1) };
+}
+
 /// Minimum tokens that a host with a share may save up. With less, a low limit is lost while its
 /// token waits for a request.
 const CAPACITY_MIN: f64 = 2.0;
 /// Rate below which a limit is not kept. Without any request hosts would not learn that a limit has
 /// ended.
 const LIMIT_MIN_PER_S: f64 = 0.25;
-/// How long a borrowed token may be used. Together with [`BURST_TIME`] it bounds the burst that
-/// saved tokens allow.
-const BORROWED_TOKEN_TTL: Duration = Duration::from_secs(1);
 /// Time after which a host that was told of a limit asks for a token to learn whether it still
 /// applies.
 const CONFIRM_AFTER: Duration = Duration::from_secs(1);
@@ -50,6 +61,7 @@
 pub(super) struct RateLimit {
     /// Requests a second from all hosts together.
     limit_per_s: f64,
+    saving: Saving,
     /// When the request was sent whose answer named the limit last.
     named_at: Instant,
     /// Part of the limit that this host may use, from 0 to 1.
@@ -67,9 +79,11 @@
         upstream: &str,
         limit_per_s: f64,
         hosts: &AllowanceHosts,
+        saving: Saving,
     ) -> Self {
         let mut limit = Self {
             limit_per_s,
+            saving,
             named_at,
             share: 0.0,
             tokens: 0.0,
@@ -125,7 +139,7 @@
 
     /// Returns the tokens that all hosts together may save up.
     pub(super) fn burst_tokens(&self) -> f64 {
-        self.limit_per_s * BURST_TIME.as_secs_f64()
+        self.limit_per_s * self.saving.time.as_secs_f64()
     }
 
     fn capacity(&self) -> f64 {
@@ -193,7 +207,7 @@
 
     /// Adds a token that another host has lent.
     pub(super) fn receive(&mut self, now: Instant) {
-        self.borrowed_until.push_back(now + BORROWED_TOKEN_TTL);
+        self.borrowed_until.push_back(now + self.saving.borrowed_ttl);
     }
 
     /// Returns whether the limit was not named for so long that it may have ended.
--- a/crates/core/src/placement/rate_limit/tests.rs
+++ b/crates/core/src/placement/rate_limit/tests.rs
@@ -44,6 +44,7 @@
             version: "v1".into(),
             slots: SLOTS,
             is_leaving: false,
+            cold_left: None,
             incarnation: None,
         });
     }
@@ -501,7 +502,7 @@
     placement.record_limit(now, key, now, Some(2.0));
     assert_eq!(placement.next_within_limit(now + Duration::from_secs(9), key), None);
     placement.on_limit_token_answer(now, upstream, LendOutcome::Lent);
-    assert!(!placement.try_send_again(now + BORROWED_TOKEN_TTL, key));
+    assert!(!placement.try_send_again(now + Saving::NAMED_LIMIT.borrowed_ttl, key));
     placement.on_limit_token_answer(now, upstream, LendOutcome::Lent);
     assert!(placement.try_send_again(now, key) && !placement.try_send_again(now, key));
 }
--- a/crates/core/src/placement/tests.rs
+++ b/crates/core/src/placement/tests.rs
@@ -12,6 +12,7 @@
         version: "v1".into(),
         slots: 4,
         is_leaving: false,
+        cold_left: None,
         incarnation: Some(1),
     }
 }
--- a/crates/core/src/placement/upstream.rs
+++ b/crates/core/src/placement/upstream.rs
@@ -1,7 +1,7 @@
 //! State and load estimate of one upstream at this host.
 
 use {
-    super::rate_limit::RateLimit,
+    super::{cold::ColdState, rate_limit::RateLimit},
     crate::ids::{DomainId, Incarnation, ServiceId, SoftwareVersion, UpstreamId},
     std::{
         net::SocketAddr,
@@ -66,9 +66,18 @@
     pub is_leaving: bool,
     /// Incarnation, for upstreams that keep their id across restarts.
     pub incarnation: Option<Incarnation>,
+    /// How much longer it is cold, if it is. Cold upstreams take few requests.
+    #[serde(default)]
+    pub cold_left: Option<Duration>,
 }
 
 impl UpstreamRecord {
+    /// Returns whether a later record of the same process says something new. The time that an
+    /// upstream is cold changes with each record.
+    pub(super) fn differs_from(&self, later: &Self) -> bool {
+        *self != Self { cold_left: self.cold_left, ..later.clone() }
+    }
+
     /// Returns whether two records describe the same process.
     pub(super) fn is_same_process(&self, other: &Self) -> bool {
         self.service == other.service
@@ -135,6 +144,7 @@
     pub(super) is_evacuated: bool,
     /// When its domain was given back after an evacuation.
     pub(super) returned_at: Option<Instant>,
+    pub(super) cold: ColdState,
 }
 
 impl Upstream {
@@ -155,12 +165,27 @@
             unlimited_at: None,
             is_evacuated: false,
             returned_at: None,
+            cold: ColdState::default(),
         }
     }
 
-    /// Returns whether the upstream's limit allows another request now.
+    /// Returns whether the upstream's limit, and the rate of a cold upstream, allow another request
+    /// now.
     pub(super) fn is_within_limit(&self, now: Instant) -> bool {
-        self.rate_limit.as_ref().is_none_or(|limit| limit.has_token(now))
+        let is_allowed = |limit: &RateLimit| limit.has_token(now);
+        self.rate_limit.as_ref().is_none_or(is_allowed)
+            && self.cold.limit(now).is_none_or(is_allowed)
+    }
+
+    /// Returns when the upstream's limits next allow a request, if it has any and the host need not
+    /// borrow for them.
+    pub(super) fn next_within_limit(&self, now: Instant) -> Option<Instant> {
+        let named = self.rate_limit.as_ref().map(|limit| limit.next_token_at(now));
+        let cold = self.cold.limit(now).map(|_| self.cold.next_token_at(now));
+        match (named, cold) {
+            (Some(named), Some(cold)) => Some(named?.max(cold?)),
+            (named, cold) => named.or(cold).flatten(),
+        }
     }
 
     /// Returns whether the upstream is about to stop, by its record or its answers.
--- a/crates/core/src/registrations/tests.rs
+++ b/crates/core/src/registrations/tests.rs
@@ -21,6 +21,7 @@
         version: "v1".into(),
         slots: 4,
         is_leaving,
+        cold_left: None,
         incarnation: Some(incarnation),
     };
     UpstreamEntry { record, heartbeat: Some(heartbeat) }
--- a/crates/core/src/routing/mod.rs
+++ b/crates/core/src/routing/mod.rs
@@ -165,6 +165,11 @@
     pub connections_max: Option<u32>,
     /// Rules of the model engines; `None` for services that run no models.
     pub engine: Option<EngineRules>,
+    /// How long an upstream is cold after its start.
+    pub cold_start: Duration,
+    /// Requests a second that a cold upstream takes from all hosts together. Zero if it is as fast as a
+    /// warm one.
+    pub cold_per_s: f64,
 }
 
 /// Properties of the model engines of a service.
--- a/crates/core/tests/admission_overload.rs
+++ b/crates/core/tests/admission_overload.rs
@@ -103,6 +103,7 @@
                     version: "v1".into(),
                     slots: service.slots as u32,
                     is_leaving: false,
+                    cold_left: None,
                     incarnation: Some(1),
                 });
                 let queue = VecDeque::new();
--- a/crates/gateway/src/call/exchange.rs
+++ b/crates/gateway/src/call/exchange.rs
@@ -137,6 +137,7 @@
         load,
         is_leaving,
         rate_limit_per_s,
+        cold_left,
     } = gateway.adapter.dialect.read_answer(&call.metadata.request_id, &head);
     let is_rejection = did_not_run || is_misdirected;
     // A rejection that names no request may be a copy of one to an earlier request. Helpers have
@@ -152,6 +153,10 @@
         if is_leaving {
             attempt.record_leaving();
         }
+        if let Some(left) = cold_left {
+            let mut placement = gateway.placement.borrow_mut();
+            placement.record_cold_answer(Instant::now(), attempt.key, left);
+        }
     }
     if let Some(load) = load {
         gateway.placement.borrow_mut().record_load(Instant::now(), attempt.key, load);
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -99,6 +99,8 @@
     pub is_leaving: bool,
     /// Requests a second that the upstream takes from all hosts together, if it names a limit.
     pub rate_limit_per_s: Option<f64>,
+    /// How much longer the upstream is cold, if it says that it is.
+    pub cold_left: Option<Duration>,
 }
 
 /// Reads and writes the heads of the callers' and upstreams' protocol.
--- a/crates/gateway/src/evacuations.rs
+++ b/crates/gateway/src/evacuations.rs
@@ -96,7 +96,7 @@
             return;
         }
         let Some((revision, domains)) = evacuations.known() else { return };
-        affected.placement.borrow_mut().set_evacuated_domains(Instant::now(), domains);
+        affected.placement.borrow_mut().set_evacuated_domains(Instant::now(), revision, domains);
         affected.decisions.log(
             LineRate::Rare,
             "evacuations",
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -11,6 +11,7 @@
 mod allowance;
 mod call;
 mod callers;
+mod cold;
 mod crashes;
 pub mod dialect;
 mod evacuations;
--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/peers/message.rs
@@ -57,6 +57,14 @@
         #[serde(deserialize_with = "durations::bounded")]
         named_ago: Duration,
     },
+    /// Requests one token of the rate of a cold upstream. To the sender it is cold for `left`, by entries
+    /// up to `revision`.
+    LendColdToken {
+        upstream: UpstreamId,
+        #[serde(deserialize_with = "durations::bounded")]
+        left: Duration,
+        revision: Revision,
+    },
     /// Charges a turn. The receiver replies within `wait`.
     Charge { charge: Charge, wait: Duration },
     /// Settles turns of one ledger. The receiver replies within `wait`.
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -16,8 +16,8 @@
 use {
     self::message::{DecodeError, MessageFormat},
     crate::{
-        allowance, call::AnswerBody, crashes, gateway::Gateway, leaving, ledger, listen::listen,
-        relay, roster, stream_origins, turns, upstream_limits, watch,
+        allowance, call::AnswerBody, cold, crashes, gateway::Gateway, leaving, ledger,
+        listen::listen, relay, roster, stream_origins, turns, upstream_limits, watch,
     },
     bytes::Bytes,
     http::{Request, Response, StatusCode, header},
@@ -110,6 +110,10 @@
             let outcome = upstream_limits::lend(gateway, &upstream, limit_per_s, named_ago);
             PeerReply::UpstreamTokenLent { outcome }
         }
+        PeerRequest::LendColdToken { upstream, left, revision } => {
+            let outcome = cold::lend(gateway, &upstream, left, revision);
+            PeerReply::UpstreamTokenLent { outcome }
+        }
         PeerRequest::Charge { charge, wait } => {
             let deadline = Instant::now() + wait.min(REQUEST_WAIT_MAX);
             let decision = ledger::charge(gateway, &charge, deadline).await;
@@ -218,8 +222,6 @@
         PeerRequest::Versions => PeerReply::Versions {
             versions: gateway.origin_notes.borrow().origins.all_versions(Instant::now()),
         },
-        PeerRequest::Upstreams => PeerReply::Upstreams {
-            records: gateway.placement.borrow().records().cloned().collect(),
-        },
+        PeerRequest::Upstreams => PeerReply::Upstreams { records: cold::records(gateway) },
     }
 }
--- a/crates/gateway/src/registrations.rs
+++ b/crates/gateway/src/registrations.rs
@@ -2,7 +2,7 @@
 //! upstreams may return. `trefoilring_core::registrations` decides.
 
 use {
-    crate::{gateway::Gateway, store::StoredObject, stream_origins, time::within},
+    crate::{cold, gateway::Gateway, store::StoredObject, stream_origins, time::within},
     serde_json::{Value, json},
     std::{
         collections::HashSet,
@@ -11,6 +11,7 @@
     },
     trefoilring_core::{
         ids::UpstreamId,
+        placement::ColdEntry,
         registrations::{Delisting, EntryDecision, UpstreamEntry},
     },
     trefoilring_observe::decisions::LineRate,
@@ -98,9 +99,16 @@
         "version": record.version,
         "what": if record.is_leaving { "leaving" } else { "listed" },
         "heartbeat": heartbeat,
-        "revision": source,
+        "revision": source.clone(),
     });
-    if gateway.placement.borrow_mut().upsert(record) {
+    let cold_entry = ColdEntry {
+        left: record.cold_left.unwrap_or_default(),
+        revision: source.as_u64(),
+        is_news: gateway.has_received_upstreams.get(),
+    };
+    let is_changed = gateway.placement.borrow_mut().upsert(record);
+    cold::on_entry(gateway, &id, cold_entry);
+    if is_changed {
         stream_origins::refresh_versions(gateway);
         gateway.decisions.log(LineRate::Failure, "upstream", line);
     }
--- a/crates/gateway/src/status.rs
+++ b/crates/gateway/src/status.rs
@@ -8,7 +8,7 @@
     hyper::{body::Incoming, server::conn::http1, service::service_fn},
     smol::net::TcpStream,
     smol_hyper::rt::FuturesIo,
-    std::{convert::Infallible, io, net::SocketAddr, rc::Rc},
+    std::{convert::Infallible, io, net::SocketAddr, rc::Rc, time::Instant},
 };
 
 const METRICS_PATH: &str = "/metrics";
@@ -65,6 +65,7 @@
         ("turns_recovered", u64::from(gateway.turns.has_recovered())),
         ("stranded", u64::from(gateway.relay.is_stranded())),
         ("upstreams_leaving", gateway.placement.borrow().leaving_count() as u64),
+        ("upstreams_cold", gateway.placement.borrow().cold_count(Instant::now()) as u64),
         ("upstreams_evacuated", gateway.placement.borrow().evacuated_count() as u64),
         ("domains_evacuated", gateway.evacuations.domain_count() as u64),
         ("upstreams", gateway.placement.borrow().ids().count() as u64),
--- a/crates/gateway/src/upstream_limits.rs
+++ b/crates/gateway/src/upstream_limits.rs
@@ -35,8 +35,17 @@
 /// Pause after a token was borrowed. Borrowing is cheaper than a request, but not free.
 const BORROWED_PAUSE: Duration = Duration::from_millis(20);
 
+/// What bounds the requests to an upstream.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub(crate) enum LimitKind {
+    /// The limit that it names in its answers.
+    Named,
+    /// The rate of a cold upstream.
+    Cold,
+}
+
 /// State of borrowing by upstream.
-pub(crate) type LimitBorrowings = HashMap<UpstreamId, Borrowing>;
+pub(crate) type LimitBorrowings = HashMap<(LimitKind, UpstreamId), Borrowing>;
 
 /// State of borrowing for one upstream.
 pub(crate) struct Borrowing {
@@ -70,31 +79,53 @@
 /// Starts to borrow tokens for limited upstreams of a service, where that is useful.
 pub(crate) fn borrow_if_useful(gateway: &Rc<Gateway>, service: &ServiceId) {
     let now = Instant::now();
-    let mut upstreams = gateway.placement.borrow().upstreams_to_borrow_for(now, service);
-    if upstreams.is_empty() {
-        return;
-    }
-    upstreams.shuffle(&mut rand::rng());
-    let mut borrowings = gateway.limit_borrowings.borrow_mut();
-    let is_known =
-        |upstream: &UpstreamId| gateway.placement.borrow().limit_per_s(upstream).is_some();
-    borrowings.retain(|upstream, borrowing| borrowing.is_in_progress || is_known(upstream));
-    for upstream in upstreams.into_iter().take(BORROWINGS_MAX) {
-        let borrowing = borrowings.entry(upstream.clone()).or_insert(Borrowing {
-            is_in_progress: false,
-            paused_until: now,
-            pause: Duration::ZERO,
+    for kind in [LimitKind::Named, LimitKind::Cold] {
+        let mut upstreams = {
+            let placement = gateway.placement.borrow();
+            match kind {
+                LimitKind::Named => placement.upstreams_to_borrow_for(now, service),
+                LimitKind::Cold => placement.cold_upstreams_to_borrow_for(now, service),
+            }
+        };
+        if upstreams.is_empty() {
+            continue;
+        }
+        upstreams.shuffle(&mut rand::rng());
+        let mut borrowings = gateway.limit_borrowings.borrow_mut();
+        borrowings.retain(|(kind, upstream), borrowing| {
+            borrowing.is_in_progress || is_limited(gateway, now, *kind, upstream)
         });
-        if !borrowing.is_in_progress && borrowing.paused_until <= now {
-            borrowing.is_in_progress = true;
-            gateway.spawn(borrow(gateway.clone(), service.clone(), upstream));
+        for upstream in upstreams.into_iter().take(BORROWINGS_MAX) {
+            let borrowing = borrowings.entry((kind, upstream.clone())).or_insert(Borrowing {
+                is_in_progress: false,
+                paused_until: now,
+                pause: Duration::ZERO,
+            });
+            if !borrowing.is_in_progress && borrowing.paused_until <= now {
+                borrowing.is_in_progress = true;
+                gateway.spawn(borrow(gateway.clone(), service.clone(), kind, upstream));
+            }
         }
     }
 }
 
+fn is_limited(gateway: &Gateway, now: Instant, kind: LimitKind, upstream: &UpstreamId) -> bool {
+    let placement = gateway.placement.borrow();
+    match kind {
+        LimitKind::Named => placement.limit_per_s(upstream).is_some(),
+        LimitKind::Cold => !placement.cold_left(now, upstream).is_zero(),
+    }
+}
+
 /// Requests a token from the other hosts in turn until one lends it.
-async fn borrow(gateway: Rc<Gateway>, service: ServiceId, upstream: UpstreamId) {
-    let mut lenders = gateway.placement.borrow().limit_lenders(&upstream);
+async fn borrow(gateway: Rc<Gateway>, service: ServiceId, kind: LimitKind, upstream: UpstreamId) {
+    let mut lenders = {
+        let placement = gateway.placement.borrow();
+        match kind {
+            LimitKind::Named => placement.limit_lenders(&upstream),
+            LimitKind::Cold => placement.cold_lenders(Instant::now(), &upstream),
+        }
+    };
     lenders.shuffle(&mut rand::rng());
     let addresses: Vec<_> = lenders
         .iter()
@@ -104,13 +135,21 @@
         .collect();
     let mut is_lent = false;
     for address in addresses {
-        let Some(request) = lend_request(&gateway, &upstream) else { break };
+        let Some(request) = lend_request(&gateway, kind, &upstream) else { break };
         let deadline = Instant::now() + LEND_TIMEOUT;
         let reply = peers::send_request(&gateway, address, &request, deadline).await;
         let Some(PeerReply::UpstreamTokenLent { outcome }) = reply else { continue };
         let mut placement = gateway.placement.borrow_mut();
-        placement.on_limit_token_answer(Instant::now(), &upstream, outcome);
         is_lent = outcome == LendOutcome::Lent;
+        match kind {
+            LimitKind::Named => {
+                placement.on_limit_token_answer(Instant::now(), &upstream, outcome);
+            }
+            LimitKind::Cold if is_lent => {
+                placement.receive_cold_token(Instant::now(), &upstream);
+            }
+            LimitKind::Cold => {}
+        }
         if is_lent {
             break;
         }
@@ -122,7 +161,7 @@
             waker.notify(1);
         }
     }
-    if let Some(borrowing) = gateway.limit_borrowings.borrow_mut().get_mut(&upstream) {
+    if let Some(borrowing) = gateway.limit_borrowings.borrow_mut().get_mut(&(kind, upstream)) {
         borrowing.is_in_progress = false;
         borrowing.pause = match is_lent {
             true => Duration::ZERO,
@@ -132,9 +171,15 @@
     }
 }
 
-/// Returns the request for a token of an upstream's limit, or `None` if it names none any more.
-fn lend_request(gateway: &Gateway, upstream: &UpstreamId) -> Option<PeerRequest> {
+/// Returns the request for a token of an upstream's limit, or `None` if it has none any more.
+fn lend_request(gateway: &Gateway, kind: LimitKind, upstream: &UpstreamId) -> Option<PeerRequest> {
     let placement = gateway.placement.borrow();
+    if kind == LimitKind::Cold {
+        let left = placement.cold_left(Instant::now(), upstream);
+        let revision = placement.cold_revision(upstream).unwrap_or_default();
+        let request = PeerRequest::LendColdToken { upstream: upstream.clone(), left, revision };
+        return Some(request).filter(|_| !left.is_zero());
+    }
     Some(PeerRequest::LendUpstreamToken {
         upstream: upstream.clone(),
         limit_per_s: placement.limit_per_s(upstream)?,
--- a/crates/gateway/src/watch/mod.rs
+++ b/crates/gateway/src/watch/mod.rs
@@ -342,6 +342,7 @@
     );
     let former = gateway.routing_table.borrow().clone();
     let has_moved_routes = former.is_some_and(|former| table.has_moved_routes(&former));
+    gateway.placement.borrow_mut().set_cold_rules(Instant::now(), &table.services);
     *gateway.routing_table.borrow_mut() = Some(Rc::new(table));
     *gateway.configuration.borrow_mut() = Some(object.clone());
     if has_moved_routes {
