Count the work of evacuated domains at the others at once

Admission goes by the load that upstreams report. After an evacuation the remaining ones report the work that moves to them only once it is there, so programs were admitted for about the time of a request without capacity.

queue_delay adds the load of the evacuated upstreams, spread over the slots of those that remain, and lets it fall with the service's usual time.

--- a/crates/core/src/placement/evacuation.rs
+++ b/crates/core/src/placement/evacuation.rs
@@ -11,9 +11,12 @@
 
 use {
     super::{Placement, UpstreamKey, upstream::Upstream},
-    crate::{ids::DomainId, rendezvous::NameHash},
+    crate::{
+        ids::{DomainId, ServiceId},
+        rendezvous::NameHash,
+    },
     std::{
-        collections::BTreeSet,
+        collections::{BTreeSet, HashMap},
         net::SocketAddr,
         time::{Duration, Instant},
     },
@@ -26,6 +29,14 @@
 /// full upstream.
 const RETURN_LOAD: f64 = 1.0;
 
+/// Work that moves to the other upstreams of a service when domains are evacuated.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct MovedLoad {
+    /// Load of the evacuated upstreams, as a fraction of the slots of those that remain.
+    load: f64,
+    at: Instant,
+}
+
 /// Revision of the store. Increases with each change of any object.
 pub type StoreRevision = u64;
 
@@ -128,17 +139,42 @@
     ) {
         let were_unknown = self.evacuated_domains == EvacuatedDomains::Unknown;
         self.evacuated_domains = EvacuatedDomains::Known(domains.clone());
+        let mut moved_requests: HashMap<ServiceId, f64> = HashMap::new();
         for upstream in self.upstreams.values_mut() {
             let is_evacuated = domains.contains(&upstream.record.domain);
             let was_evacuated = std::mem::replace(&mut upstream.is_evacuated, is_evacuated);
-            if is_evacuated || !was_evacuated {
-                continue;
+            if is_evacuated && !was_evacuated {
+                let load = upstream.reported_load(now).unwrap_or_else(|| upstream.load(now));
+                let service = upstream.record.service.clone();
+                *moved_requests.entry(service).or_default() +=
+                    load * f64::from(upstream.record.slots);
             }
-            if !were_unknown {
+            if was_evacuated && !is_evacuated && !were_unknown {
                 upstream.returned_at = Some(now);
                 self.cold_services.on_return(now, upstream, revision, &self.limit_hosts);
             }
         }
+        for (service, requests) in moved_requests {
+            let keys = self.by_service.get(&service).map_or(&[][..], Vec::as_slice);
+            let remaining = keys.iter().map(|key| &self.upstreams[*key]);
+            let slots: u32 = remaining
+                .filter(|upstream| upstream.accepts_work(now))
+                .map(|upstream| upstream.record.slots)
+                .sum();
+            let load = requests / f64::from(slots.max(1));
+            self.moved_loads.insert(service, MovedLoad { load, at: now });
+        }
+    }
+
+    /// Returns the load that the upstreams of a service will have on top of what they report, because
+    /// work moves to them from evacuated domains. What runs there ends within about the time of a
+    /// request, and what follows it shows in the reports from then on.
+    pub(super) fn moved_load(&self, now: Instant, service: &str) -> f64 {
+        let time_s = self.service_times_s.get(service).copied().unwrap_or_default();
+        self.moved_loads.get(service).map_or(0.0, |moved| {
+            let age_s = now.saturating_duration_since(moved.at).as_secs_f64();
+            moved.load * (-age_s / time_s.max(f64::MIN_POSITIVE)).exp()
+        })
     }
 
     /// Returns whether an upstream is in an evacuated domain, or is no longer known.
--- a/crates/core/src/placement/evacuation/tests.rs
+++ b/crates/core/src/placement/evacuation/tests.rs
@@ -242,3 +242,27 @@
     assert!(evacuations.on_changes(22, [begun("b"), ended("a")]));
     assert_eq!(evacuations.known(), Some((22, &domains(&["b"]))));
 }
+
+/// Guards against programs that are admitted in the time until the remaining upstreams report the work
+/// of the evacuated ones.
+#[test]
+fn queue_delay_counts_the_work_of_evacuated_domains_at_once() {
+    let now = Instant::now();
+    let mut placement = Placement::new("a".into());
+    for domain in DOMAINS {
+        placement.upsert(record(domain, domain));
+        let key = placement.by_id[domain];
+        placement.record_sent(now, key);
+        placement.record_load(now, key, LoadReport { running: 4, waiting: 0, slots: 4 });
+        placement.record_duration(now, key, SECOND);
+    }
+    assert_eq!(placement.queue_delay(now, "llm"), Some(Duration::ZERO));
+    placement.set_evacuated_domains(now, 1, &domains(&["a"]));
+    // The work of three full upstreams at two: half of a queue each.
+    assert_eq!(placement.queue_delay(now, "llm"), Some(SECOND / 2));
+    let later = now + Duration::from_millis(1400);
+    let delay = placement.queue_delay(later, "llm").expect("the reports are fresh");
+    assert!(delay < SECOND / 4, "the reports tell by then: {delay:?}");
+    placement.set_evacuated_domains(now, 2, &domains(&["a", "b", "c"]));
+    assert_eq!(placement.queue_delay(now, "llm"), None);
+}
--- a/crates/core/src/placement/mod.rs
+++ b/crates/core/src/placement/mod.rs
@@ -38,7 +38,7 @@
         shares::AllowanceHosts,
     },
     cold::ColdServices,
-    evacuation::EvacuatedDomains,
+    evacuation::{EvacuatedDomains, MovedLoad},
     rate_limit::{RateLimit, Saving},
     slotmap::{SlotMap, new_key_type},
     std::{
@@ -132,6 +132,8 @@
     /// The hosts between which the limits of upstreams are split.
     limit_hosts: AllowanceHosts,
     evacuated_domains: EvacuatedDomains,
+    /// Work that moves because of evacuations, by service.
+    moved_loads: HashMap<ServiceId, MovedLoad>,
     cold_services: ColdServices,
 }
 
@@ -148,6 +150,7 @@
             service_times_s: HashMap::new(),
             limit_hosts: AllowanceHosts::default(),
             evacuated_domains: EvacuatedDomains::default(),
+            moved_loads: HashMap::new(),
             cold_services: ColdServices::default(),
         }
     }
@@ -593,7 +596,7 @@
     /// Returns the time that requests wait in the queues of a service's upstreams at present, by the
     /// load that these report. `None` if it is not known.
     pub fn queue_delay(&self, now: Instant, service: &str) -> Option<Duration> {
-        let load = self.reported_load(now, service)?;
+        let load = self.reported_load(now, service)? + self.moved_load(now, service);
         let time_s = self.service_times_s.get(service)?;
         Some(Duration::from_secs_f64((load - 1.0).max(0.0) * time_s))
     }
