--- a/crates/core/src/placement/mod.rs
+++ b/crates/core/src/placement/mod.rs
@@ -9,6 +9,8 @@
 //! units of load, which decays within seconds.
 
 mod broken_attempts;
+mod cold;
+mod evacuation;
 mod helpers;
 mod rate_limit;
 mod reach;
@@ -20,6 +22,8 @@
 
 pub use {
     broken_attempts::{BrokenAttempts, RetryDecision},
+    cold::ColdEntry,
+    evacuation::{EvacuationChange, Evacuations, StoreRevision},
     helpers::Helpers,
     rate_limit::LendOutcome,
     reach::{ReachChange, UpstreamReach},
@@ -33,7 +37,9 @@
         rendezvous::NameHash,
         shares::AllowanceHosts,
     },
-    rate_limit::RateLimit,
+    cold::ColdServices,
+    evacuation::{EvacuatedDomains, MovedLoad},
+    rate_limit::{RateLimit, Saving},
     slotmap::{SlotMap, new_key_type},
     std::{
         collections::HashMap,
@@ -125,6 +131,10 @@
     service_times_s: HashMap<ServiceId, f64>,
     /// The hosts between which the limits of upstreams are split.
     limit_hosts: AllowanceHosts,
+    evacuated_domains: EvacuatedDomains,
+    /// Work that moves because of evacuations, by service.
+    moved_loads: HashMap<ServiceId, MovedLoad>,
+    cold_services: ColdServices,
 }
 
 impl Placement {
@@ -139,6 +149,9 @@
             typical_pauses_s: HashMap::new(),
             service_times_s: HashMap::new(),
             limit_hosts: AllowanceHosts::default(),
+            evacuated_domains: EvacuatedDomains::default(),
+            moved_loads: HashMap::new(),
+            cold_services: ColdServices::default(),
         }
     }
 
@@ -152,14 +165,17 @@
                 return false;
             }
             if existing.record.is_same_process(&record) {
-                let has_changed = existing.record != record;
+                let has_changed = existing.record.differs_from(&record);
+                existing.is_evacuated = self.evacuated_domains.contains(&record.domain);
                 existing.record = record;
                 return has_changed;
             }
             self.remove(&record.id);
         }
         let (id, service) = (record.id.clone(), record.service.clone());
-        let key = self.upstreams.insert(Upstream::new(record));
+        let mut upstream = Upstream::new(record);
+        upstream.is_evacuated = self.evacuated_domains.contains(&upstream.record.domain);
+        let key = self.upstreams.insert(upstream);
         self.by_id.insert(id, key);
         self.by_service.entry(service).or_default().push(key);
         true
@@ -209,9 +225,10 @@
         !std::mem::replace(&mut upstream.says_leaving, true)
     }
 
-    /// Returns whether an upstream is about to stop, or is no longer known.
-    pub fn is_leaving(&self, key: UpstreamKey) -> bool {
-        self.upstreams.get(key).is_none_or(Upstream::is_leaving)
+    /// Returns whether an upstream gets no new requests: it is about to stop, its domain is evacuated,
+    /// or it is no longer known.
+    pub fn is_excluded(&self, key: UpstreamKey) -> bool {
+        self.upstreams.get(key).is_none_or(Upstream::is_excluded)
     }
 
     /// Returns whether an upstream has said in an answer that it is about to stop, or is no longer
@@ -239,8 +256,8 @@
         let mut usable: Vec<UpstreamKey> = keys.iter().filter(accepts_work).copied().collect();
         if usable.is_empty() {
             // If all upstreams are ejected, use them anyway.
-            let is_not_leaving = |key: &&UpstreamKey| !self.upstreams[**key].is_leaving();
-            usable = keys.iter().filter(is_not_leaving).copied().collect();
+            let is_not_excluded = |key: &&UpstreamKey| !self.upstreams[**key].is_excluded();
+            usable = keys.iter().filter(is_not_excluded).copied().collect();
         }
         if usable.is_empty() {
             return Choice::NoUpstream;
@@ -255,7 +272,8 @@
         }
         usable.retain(|&key| {
             let upstream = &self.upstreams[key];
-            let is_left_to_others = request.is_behind_others && upstream.rate_limit.is_some();
+            let is_limited = upstream.rate_limit.is_some() || upstream.cold.limit(now).is_some();
+            let is_left_to_others = request.is_behind_others && is_limited;
             !request.refused_by.contains(&key)
                 && !is_left_to_others
                 && upstream.is_within_limit(now)
@@ -295,7 +313,8 @@
             // session that is new to them.
             let tie_break = session.map_or(0, |session| u64::MAX - session.weight(point));
             let limit_gain = if upstream.rate_limit.is_some() { LIMITED_PREFERENCE } else { 0.0 };
-            (upstream.load(now) + upstream.penalty(now) + domain_cost - limit_gain, tie_break)
+            let load = upstream.load(now) + upstream.return_load(now);
+            (load + upstream.penalty(now) + domain_cost - limit_gain, tie_break)
         };
         let by_cost = |a: &UpstreamKey, b: &UpstreamKey| {
             let ((a_cost, a_tie), (b_cost, b_tie)) = (cost(*a), cost(*b));
@@ -316,7 +335,7 @@
         let object = NameHash::new(object);
         let with_capacity = usable.iter().copied().filter(|key| {
             let upstream = &self.upstreams[*key];
-            upstream.keeps_affinity(now)
+            upstream.keeps_affinity(now) && upstream.takes_object(now, object)
         });
         with_capacity
             .max_by_key(|key| object.weight(NameHash::new(&self.upstreams[*key].record.id)))
@@ -354,6 +373,7 @@
             if let Some(limit) = &mut upstream.rate_limit {
                 limit.take(now);
             }
+            upstream.cold.take(now);
         }
     }
 
@@ -361,7 +381,9 @@
     /// the limit does not allow it now.
     pub fn try_send_again(&mut self, now: Instant, key: UpstreamKey) -> bool {
         let Some(upstream) = self.upstreams.get_mut(key) else { return false };
-        upstream.rate_limit.as_mut().is_none_or(|limit| limit.take(now))
+        upstream.cold.limit(now).is_none_or(|limit| limit.has_token(now))
+            && upstream.rate_limit.as_mut().is_none_or(|limit| limit.take(now))
+            && upstream.cold.take(now)
     }
 
     /// Records the limit that an answer names, in requests a second from all hosts together, or
@@ -386,7 +408,8 @@
         match &mut upstream.rate_limit {
             Some(limit) => limit.on_named(now, sent_at, id, limit_per_s, hosts),
             None => {
-                upstream.rate_limit = Some(RateLimit::new(now, sent_at, id, limit_per_s, hosts));
+                upstream.rate_limit =
+                    Some(RateLimit::new(now, sent_at, id, limit_per_s, hosts, Saving::NAMED_LIMIT));
             }
         }
     }
@@ -399,6 +422,7 @@
                 let limit_per_s = limit.limit_per_s();
                 limit.set_limit(now, &upstream.record.id, limit_per_s, &self.limit_hosts);
             }
+            upstream.cold.set_hosts(now, &upstream.record.id, &self.limit_hosts);
         }
     }
 
@@ -438,14 +462,13 @@
     /// need not borrow for it.
     pub fn next_within_limits(&self, now: Instant, service: &str) -> Option<Instant> {
         let keys = self.by_service.get(service).map_or(&[][..], Vec::as_slice);
-        let limits = keys.iter().filter_map(|key| self.upstreams[*key].rate_limit.as_ref());
-        limits.filter_map(|limit| limit.next_token_at(now)).min()
+        keys.iter().filter_map(|key| self.upstreams[*key].next_within_limit(now)).min()
     }
 
     /// Returns when an upstream's limit next allows a request of this host, if it need not borrow
     /// for it.
     pub fn next_within_limit(&self, now: Instant, key: UpstreamKey) -> Option<Instant> {
-        self.upstreams.get(key)?.rate_limit.as_ref()?.next_token_at(now)
+        self.upstreams.get(key)?.next_within_limit(now)
     }
 
     /// Returns the service of an upstream.
@@ -573,7 +596,7 @@
     /// Returns the time that requests wait in the queues of a service's upstreams at present, by the
     /// load that these report. `None` if it is not known.
     pub fn queue_delay(&self, now: Instant, service: &str) -> Option<Duration> {
-        let load = self.reported_load(now, service)?;
+        let load = self.reported_load(now, service)? + self.moved_load(now, service);
         let time_s = self.service_times_s.get(service)?;
         Some(Duration::from_secs_f64((load - 1.0).max(0.0) * time_s))
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -11,8 +11,10 @@
 mod allowance;
 mod call;
 mod callers;
+mod cold;
 mod crashes;
 pub mod dialect;
+mod evacuations;
 mod files;
 mod gateway;
 pub mod http;
--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/peers/message.rs
@@ -29,8 +29,8 @@
         },
         durations,
         ids::{
-            ConfigVersion, ContentHash, Epoch, HostId, Incarnation, RequestId, ServiceId, TeamId,
-            UpstreamId,
+            ConfigVersion, ContentHash, DomainId, Epoch, HostId, Incarnation, RequestId, ServiceId,
+            TeamId, UpstreamId,
         },
         placement::{LendOutcome, UpstreamRecord},
         roster::HostRecord,
@@ -57,6 +57,14 @@
         #[serde(deserialize_with = "durations::bounded")]
         named_ago: Duration,
     },
+    /// Requests one token of the rate of a cold upstream. To the sender it is cold for `left`, by entries
+    /// up to `revision`.
+    LendColdToken {
+        upstream: UpstreamId,
+        #[serde(deserialize_with = "durations::bounded")]
+        left: Duration,
+        revision: Revision,
+    },
     /// Charges a turn. The receiver replies within `wait`.
     Charge { charge: Charge, wait: Duration },
     /// Settles turns of one ledger. The receiver replies within `wait`.
@@ -147,6 +155,8 @@
     Versions,
     /// Requests the receiver's list of upstreams.
     Upstreams,
+    /// Requests the evacuated failure domains that the receiver knows.
+    Evacuations,
     /// Requests the receiver's roster.
     Hosts,
     /// Forwards a request to a host that the sender can't reach.
@@ -256,6 +266,9 @@
     Versions { versions: Vec<StreamOrigin> },
     /// The host's list of upstreams.
     Upstreams { records: Vec<UpstreamRecord> },
+    /// The evacuated failure domains at a revision of the store; `None` if the host knows none of its
+    /// states.
+    Evacuations { known: Option<(Revision, Vec<DomainId>)> },
     /// All hosts in the host's roster, including itself.
     Hosts { hosts: Vec<(HostId, HostRecord)> },
     /// The other host's reply to a relayed request. `None` if the relay got none.
