Keep sessions at their upstream when a later turn comes to another host

Cause: the engine of a session is known only to the host that chose it.

On routes with `retained` the stored turn's head now names the upstream that completed it, and placement takes this upstream as the session's, under the conditions that apply to a session that the host remembers itself. The field has a default, and heads that differ only in it describe the same turn, so records and messages of the previous build are read as before.

On other routes a host that does not remember a session chooses the upstream that ranks first for it by rendezvous hashing among those that are at most 0.1 of the slots busier than the mean. Within a failure domain hosts choose alike as far as their loads allow; an upstream of another domain is still chosen only while it is less busy.

--- a/crates/core/src/placement/mod.rs
+++ b/crates/core/src/placement/mod.rs
@@ -64,6 +64,10 @@
 const LIMITED_PREFERENCE: f64 = 0.15;
 /// Load of its session's upstream from which on a request leaves it for a limited upstream.
 const LEAVE_FOR_LIMITED_LOAD_MIN: f64 = 0.5;
+/// Load above the mean of the service, as a fraction of the slots, up to which an upstream takes the
+/// sessions for which it ranks first. Below [`DOMAIN_PREFERENCE`], so that an upstream of another
+/// domain takes them only if it is less busy than the mean.
+const RANKED_LOAD_MARGIN: f64 = 0.1;
 /// Maximum number of sessions stored: about one minute of sessions at the load that the system is
 /// designed for.
 const SESSIONS_MAX: usize = 16_384;
@@ -71,12 +75,17 @@
 const SESSION_TTL: Duration = Duration::from_secs(60);
 
 /// A request for which [`Placement::choose`] selects an upstream.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Default)]
 pub struct PlacementRequest<'a> {
     /// Service whose upstreams are candidates.
     pub service: &'a str,
     /// Session that the request continues, or the request's program if the caller names no session.
     pub session: Option<&'a str>,
+    /// Upstream that ran the turn before this one, if the stored turn names it. Preferred to what
+    /// this host remembers of the session, which may have continued at other hosts since.
+    pub previous_upstream: Option<&'a str>,
+    /// Whether the session's next turn names the upstream of this one, at whichever host it arrives.
+    pub is_retained: bool,
     /// Object that the request concerns, if its upstream matters. Preferred to the session.
     pub object: Option<&'a str>,
     /// Software version that the upstream must have, if the request continues a stream.
@@ -265,7 +274,7 @@
         };
         let preferred = match request.object {
             Some(object) => self.object_upstream(now, &usable, object),
-            None => self.session_upstream(now, &usable, request.session),
+            None => self.session_upstream(now, &usable, request),
         };
         // What a limit allows is lost if it is not used, and is used while others are busy.
         let leaves_for_limited = |session_upstream: &UpstreamKey| {
@@ -322,16 +331,48 @@
             .max_by_key(|key| object.weight(NameHash::new(&self.upstreams[*key].record.id)))
     }
 
+    /// Returns the upstream that has the session's prompt in cache, or probably has, if it has
+    /// capacity left.
     fn session_upstream(
         &self,
         now: Instant,
         usable: &[UpstreamKey],
-        session: Option<&str>,
+        request: &PlacementRequest<'_>,
     ) -> Option<UpstreamKey> {
-        let upstream = self.sessions.get(session?)?.upstream;
-        let has_affinity =
-            usable.contains(&upstream) && self.upstreams[upstream].keeps_affinity(now);
-        has_affinity.then_some(upstream)
+        let session = request.session?;
+        let named = request.previous_upstream.and_then(|id| self.by_id.get(id).copied());
+        let known = named.or_else(|| Some(self.sessions.get(session)?.upstream));
+        match known {
+            Some(upstream) => {
+                let has_affinity =
+                    usable.contains(&upstream) && self.upstreams[upstream].keeps_affinity(now);
+                has_affinity.then_some(upstream)
+            }
+            None if request.is_retained => None,
+            None => self.ranked_upstream(now, usable, session),
+        }
+    }
+
+    /// Returns the upstream that ranks first for a session among those that are not much busier than
+    /// the mean. Hosts rank alike, so the turns of a session that come to several hosts meet at one
+    /// upstream as far as the hosts see similar loads.
+    fn ranked_upstream(
+        &self,
+        now: Instant,
+        usable: &[UpstreamKey],
+        session: &str,
+    ) -> Option<UpstreamKey> {
+        let session = NameHash::new(session);
+        let load_sum: f64 = usable.iter().map(|key| self.upstreams[*key].load(now)).sum();
+        let load_max = load_sum / usable.len() as f64 + RANKED_LOAD_MARGIN;
+        let is_eligible = |key: &UpstreamKey| {
+            let upstream = &self.upstreams[*key];
+            let domain_cost =
+                if upstream.record.domain == self.domain { 0.0 } else { DOMAIN_PREFERENCE };
+            upstream.load(now) + upstream.penalty(now) + domain_cost <= load_max
+        };
+        let eligible = usable.iter().copied().filter(is_eligible);
+        eligible.max_by_key(|key| session.weight(NameHash::new(&self.upstreams[*key].record.id)))
     }
 
     fn record_session(&mut self, now: Instant, session: &str, upstream: UpstreamKey) {
--- a/crates/core/src/placement/rate_limit/tests.rs
+++ b/crates/core/src/placement/rate_limit/tests.rs
@@ -212,6 +212,7 @@
                 avoided_versions: &[],
                 refused_by: &[],
                 is_behind_others: false,
+                ..PlacementRequest::default()
             };
             match placement.choose(now, &request) {
                 Choice::Use(key) => {
@@ -481,6 +482,7 @@
             avoided_versions: &[],
             refused_by: &[],
             is_behind_others,
+            ..PlacementRequest::default()
         };
         placement.choose(later, &request)
     };
--- a/crates/core/src/placement/tests.rs
+++ b/crates/core/src/placement/tests.rs
@@ -33,6 +33,7 @@
         avoided_versions: &[],
         refused_by: &[],
         is_behind_others: false,
+        ..PlacementRequest::default()
     };
     match placement.choose(now, &request) {
         Choice::Use(key) => {
@@ -113,6 +114,7 @@
         avoided_versions: &[],
         refused_by: &[far],
         is_behind_others: false,
+        ..PlacementRequest::default()
     };
     assert_eq!(placement.choose(now, &refused_by_far), Choice::AllRefused, "near is ejected");
     let later = now + Duration::from_millis(600);
@@ -155,6 +157,7 @@
         avoided_versions: &[],
         refused_by: &[one],
         is_behind_others: false,
+        ..PlacementRequest::default()
     };
     assert_eq!(placement.choose(now, &request), Choice::AllRefused);
 }
@@ -183,6 +186,7 @@
             avoided_versions: &[],
             refused_by: &[],
             is_behind_others: false,
+            ..PlacementRequest::default()
         };
         let Choice::Use(key) = placement.choose(now, &request) else {
             panic!("all upstreams accept work")
@@ -302,6 +306,7 @@
         avoided_versions: &[],
         refused_by: &[],
         is_behind_others: false,
+        ..PlacementRequest::default()
     };
     let Choice::Use(key) = placement.choose(now, &request) else { panic!("no upstream") };
     key
@@ -364,3 +369,66 @@
     }
     assert_eq!(choose_all(&mut placement), before);
 }
+
+/// Chooses for a turn that continues a stored one, which the upstream `previous` ran.
+fn choose_after(placement: &mut Placement, now: Instant, previous: &str) -> String {
+    let request = PlacementRequest {
+        service: "llm",
+        session: Some("line"),
+        previous_upstream: Some(previous),
+        is_retained: true,
+        ..PlacementRequest::default()
+    };
+    let Choice::Use(key) = placement.choose(now, &request) else { panic!("no upstream") };
+    placement.record(key).expect("a known upstream").id.to_string()
+}
+
+/// Guards against turns that come to another host than the one before and read their whole prompt
+/// again at another upstream.
+#[test]
+fn turn_goes_to_the_upstream_that_ran_the_one_before_at_another_host() {
+    let now = Instant::now();
+    let mut host = placement(&["one", "two", "three"].map(|id| record(id, "a")));
+    for id in ["one", "two", "three", "one"] {
+        assert_eq!(choose_after(&mut host, now, id), id, "whatever the host remembers");
+    }
+    let one = key(&host, "one");
+    for _ in 0..4 {
+        host.record_sent(now, one);
+    }
+    assert_ne!(choose_after(&mut host, now, "one"), "one", "it is full");
+    let two = key(&host, "two");
+    host.record_broken_attempt(now, two);
+    assert_eq!(choose_after(&mut host, now, "two"), "three", "it failed, and the other is full");
+    assert_eq!(choose_after(&mut host, now, "gone"), "three", "it is not known");
+}
+
+/// Guards against hosts that each choose another upstream for one session, on routes whose turns do
+/// not name the upstream of the turn before.
+#[test]
+fn hosts_with_different_loads_in_mind_mostly_choose_alike_for_a_session() {
+    const SESSIONS: usize = 400;
+    let now = Instant::now();
+    let ids: Vec<String> = (0..12).map(|number| format!("i-{number}")).collect();
+    let records: Vec<_> =
+        ids.iter().map(|id| UpstreamRecord { slots: 12, ..record(id, "a") }).collect();
+    let mut hosts = [placement(&records), placement(&records)];
+    for (number, id) in ids.iter().enumerate() {
+        for (host, shift) in hosts.iter_mut().zip([0, 5]) {
+            // Each host is wrong by up to one request.
+            let running = 6 + ((number + shift) % 3) as u32;
+            let key = key(host, id);
+            host.record_load(now, key, LoadReport { running, waiting: 0, slots: 12 });
+        }
+    }
+    let chosen = hosts.each_mut().map(|host| -> Vec<String> {
+        let sessions = (0..SESSIONS).map(|number| format!("session-{number}"));
+        sessions.map(|session| choose_id(host, now, Some(&session))).collect()
+    });
+    let alike = chosen[0].iter().zip(&chosen[1]).filter(|(one, other)| one == other).count();
+    assert!(alike >= SESSIONS * 9 / 10, "{alike} of {SESSIONS}");
+    for id in &ids {
+        let count = chosen[0].iter().filter(|chosen| *chosen == id).count();
+        assert!((20..=50).contains(&count), "{id} is chosen for {count}, expected about 33");
+    }
+}
--- a/crates/core/src/turns/index.rs
+++ b/crates/core/src/turns/index.rs
@@ -53,7 +53,11 @@
     /// Returns an [`InsertError`] if it can't.
     pub fn check(&self, head: &TurnHead) -> Result<bool, InsertError> {
         if let Some(stored) = self.turns.get(&head.id) {
-            return if stored.head == *head { Ok(false) } else { Err(InsertError::Conflict) };
+            return if stored.head.is_same_turn(head) {
+                Ok(false)
+            } else {
+                Err(InsertError::Conflict)
+            };
         }
         match &head.previous {
             Some(previous) if !self.contains(previous) => Err(InsertError::MissingPrevious),
--- a/crates/core/src/turns/mod.rs
+++ b/crates/core/src/turns/mod.rs
@@ -30,7 +30,7 @@
 use {
     crate::{
         durations,
-        ids::{RequestId, TeamId},
+        ids::{RequestId, TeamId, UpstreamId},
     },
     std::{sync::Arc, time::Duration},
 };
@@ -54,4 +54,21 @@
     /// How long the turn is kept after its answer, and after that of each turn that continues it.
     #[serde(deserialize_with = "durations::bounded")]
     pub retention: Duration,
+    /// Upstream that completed the answer, which has the prompt in its cache. `None` in turns of hosts
+    /// that do not record it.
+    #[serde(default)]
+    pub upstream: Option<UpstreamId>,
+}
+
+impl TurnHead {
+    /// Returns whether two heads describe the same turn. `upstream` may differ: hosts of a build
+    /// that does not know it drop it when they pass a turn on.
+    pub fn is_same_turn(&self, other: &Self) -> bool {
+        let Self { id, team, previous, tree, retention, upstream: _ } = self;
+        *id == other.id
+            && *team == other.team
+            && *previous == other.previous
+            && *tree == other.tree
+            && *retention == other.retention
+    }
 }
--- a/crates/core/src/turns/tests/cluster.rs
+++ b/crates/core/src/turns/tests/cluster.rs
@@ -204,6 +204,7 @@
             previous: previous.as_ref().map(|turn| turn.id.clone()),
             tree: tree.clone(),
             retention: MINUTE,
+            upstream: None,
         };
         let mut chain = previous.map(|turn| self.chains[&turn.id].clone()).unwrap_or_default();
         chain.push(turn.clone());
--- a/crates/core/src/turns/tests/mod.rs
+++ b/crates/core/src/turns/tests/mod.rs
@@ -26,6 +26,7 @@
         previous: previous.map(Into::into),
         tree: tree.into(),
         retention: MINUTE,
+        upstream: None,
     }
 }
 
@@ -137,6 +138,23 @@
     assert_eq!(index.check(&other), Err(InsertError::Conflict));
 }
 
+/// Guards against hosts of several builds taking a turn for a conflicting one, and against records
+/// of the previous build that can't be read.
+#[test]
+fn head_without_its_upstream_is_that_of_the_same_turn() {
+    let named = TurnHead { upstream: Some("i-1".into()), ..head("t1", None, "p") };
+    let mut record = serde_json::to_value(&named).expect("serializable");
+    record.as_object_mut().expect("an object").remove("upstream");
+    let unnamed: TurnHead = serde_json::from_value(record).expect("a record of the previous build");
+    assert_eq!(unnamed, head("t1", None, "p"));
+    let now = Instant::now();
+    for (first, second) in [(&named, &unnamed), (&unnamed, &named)] {
+        let mut index = TurnIndex::default();
+        index.insert(now, first.clone(), 0).expect("a first turn");
+        assert_eq!(index.check(second), Ok(false), "the same turn");
+    }
+}
+
 #[test]
 fn tree_is_forgotten_whole_after_its_last_turn() {
     let (mut index, now) = (TurnIndex::default(), Instant::now());
--- a/crates/core/tests/admission_overload.rs
+++ b/crates/core/tests/admission_overload.rs
@@ -183,6 +183,7 @@
             avoided_versions: &[],
             refused_by: &[],
             is_behind_others: false,
+            ..PlacementRequest::default()
         };
         let Choice::Use(key) = placement.choose(now, &request) else { panic!("no upstream") };
         placement.record_sent(now, key);
--- a/crates/gateway/src/call/attempts.rs
+++ b/crates/gateway/src/call/attempts.rs
@@ -1,7 +1,7 @@
 //! Selects the upstreams for a request in turn, and queues the request while all are full.
 
 use {
-    super::{Call, RETRY_AFTER_DEFAULT, failure_refusal, timeout_refusal},
+    super::{Call, RETRY_AFTER_DEFAULT, failure_refusal, retained::RetainedCall, timeout_refusal},
     crate::{
         crashes::{self, BrokenAttempt},
         gateway::Gateway,
@@ -295,9 +295,12 @@
             true => gateway.origin_notes.borrow().origins.new_versions(now, &call.service),
             false => Vec::new(),
         };
+        let previous_upstream = call.retained.as_ref().and_then(RetainedCall::previous_upstream);
         let request = PlacementRequest {
             service: &call.service,
             session: call.session(),
+            previous_upstream: previous_upstream.map(|upstream| &**upstream),
+            is_retained: call.retained.is_some(),
             object: call.object(),
             version: self.version.as_deref(),
             avoided_versions: &new_versions,
--- a/crates/gateway/src/call/retained.rs
+++ b/crates/gateway/src/call/retained.rs
@@ -11,6 +11,7 @@
     memchr::memchr,
     std::rc::Rc,
     trefoilring_core::{
+        ids::UpstreamId,
         turns::{TreeId, TurnHead},
         verdict::{Reason, Refusal},
     },
@@ -28,6 +29,13 @@
     input: Bytes,
 }
 
+impl RetainedCall {
+    /// Returns the upstream that ran the turn that this one continues, if its head names one.
+    pub(super) fn previous_upstream(&self) -> Option<&UpstreamId> {
+        self.previous.as_ref()?.turn.head.upstream.as_ref()
+    }
+}
+
 /// Puts the prompt of a request together, if its route keeps turns.
 ///
 /// # Errors
@@ -66,7 +74,7 @@
     Ok(())
 }
 
-/// Keeps the turn of a call whose answer is complete.
+/// Keeps the turn of a call whose answer `upstream` has completed.
 ///
 /// # Errors
 ///
@@ -76,6 +84,7 @@
     call: &Call,
     retained: &RetainedCall,
     output: Bytes,
+    upstream: Option<UpstreamId>,
 ) -> Result<(), NotRetained> {
     let head = TurnHead {
         id: call.metadata.request_id.as_str().into(),
@@ -83,6 +92,7 @@
         previous: retained.previous.as_ref().map(|previous| previous.turn.head.id.clone()),
         tree: retained.tree.clone(),
         retention: call.route.retention(),
+        upstream,
     };
     let turn = RetainedTurn { head, input: retained.input.clone(), output };
     turns::retain(gateway, turn, retained.previous.clone(), call.deadline).await
--- a/crates/gateway/src/call/retained/tests.rs
+++ b/crates/gateway/src/call/retained/tests.rs
@@ -18,6 +18,7 @@
         previous: previous.as_ref().map(|turn| turn.turn.head.id.clone()),
         tree: "p".into(),
         retention: Duration::from_secs(60),
+        upstream: None,
     };
     let turn = RetainedTurn {
         head,
--- a/crates/gateway/src/call/streaming.rs
+++ b/crates/gateway/src/call/streaming.rs
@@ -276,7 +276,8 @@
         // The upstream is done, and must not count as loaded meanwhile.
         self.completed_by = self.attempt.take().map(|attempt| attempt.id.clone());
         let output = std::mem::take(&mut self.output).freeze();
-        retained::keep(&self.gateway, &call, retained, output).await
+        let upstream = self.completed_by.clone();
+        retained::keep(&self.gateway, &call, retained, output, upstream).await
     }
 
     /// Records the upstream that makes the first event as the stream's origin.
--- a/crates/gateway/src/peers/message/tests.rs
+++ b/crates/gateway/src/peers/message/tests.rs
@@ -26,6 +26,7 @@
                 previous: None,
                 tree: "p".into(),
                 retention: Duration::from_secs(60),
+                upstream: None,
             },
             input: vec![0xff; 10_000].into(),
             output: vec![0; 1000].into(),
--- a/crates/gateway/src/turns/store.rs
+++ b/crates/gateway/src/turns/store.rs
@@ -304,7 +304,7 @@
 
     fn add(&mut self, index: &TurnIndex<Location>, turn: &RetainedTurn) -> Result<(), InsertError> {
         if let Some(position) = self.positions.get(&turn.head.id) {
-            let is_same = self.heads[*position] == turn.head;
+            let is_same = self.heads[*position].is_same_turn(&turn.head);
             return if is_same { Ok(()) } else { Err(InsertError::Conflict) };
         }
         let follows_batch =
