--- a/crates/standin/src/fleet/store.rs
+++ b/crates/standin/src/fleet/store.rs
@@ -35,6 +35,8 @@
     DropsResponses,
     /// Writes are answered with 429 and have no effect, as beyond the store's rate. Reads succeed.
     RejectsWrites,
+    /// Requests about objects of this kind are answered with 503 and have no effect.
+    RejectsKind(&'static str),
 }
 
 /// An object store on loopback.
@@ -264,7 +266,13 @@
             StoreFault::RejectsWrites if is_write => {
                 return Some(respond(StatusCode::TOO_MANY_REQUESTS, &Value::Null));
             }
-            StoreFault::None | StoreFault::DropsResponses | StoreFault::RejectsWrites => {}
+            StoreFault::RejectsKind(kind) if is_about(request.uri().path(), kind) => {
+                return Some(respond(StatusCode::SERVICE_UNAVAILABLE, &Value::Null));
+            }
+            StoreFault::None
+            | StoreFault::DropsResponses
+            | StoreFault::RejectsWrites
+            | StoreFault::RejectsKind(_) => {}
         }
         let (status, body) = self.store.handle(&request).await;
         if fault == StoreFault::DropsResponses && is_write {
@@ -278,6 +286,11 @@
     }
 }
 
+/// Returns whether a path names a kind or an object of it.
+fn is_about(path: &str, kind: &str) -> bool {
+    path.strip_prefix(OBJECTS).is_some_and(|rest| rest.split('/').next() == Some(kind))
+}
+
 impl Endpoint {
     fn replace_addresses(&self, mut body: Value) -> Value {
         let replaced = self.replaced_addresses.lock().unwrap_or_else(PoisonError::into_inner);
