Have suspended hosts read the evacuations anew before they send

A host that was suspended over an entry could process waiting requests before the answer of its watch, after the bound of 5 s.

A process whose ticks are more than 2 s apart counts as suspended: its requests wait until the evacuations were read by a call that was sent since, for at most 1.5 s, after which the last known ones stay in force.

Not shown with a suspended process yet.

--- a/crates/core/src/placement/evacuation.rs
+++ b/crates/core/src/placement/evacuation.rs
@@ -9,6 +9,13 @@
 //! caches, which all hosts would choose at the same time. Its upstreams therefore begin with the load
 //! of a full upstream added to theirs, which falls to zero within [`RETURN_RAMP`].
 
+mod pause;
+
+#[cfg(test)]
+mod tests;
+
+pub use pause::PauseGuard;
+
 use {
     super::{Placement, UpstreamKey, upstream::Upstream},
     crate::{
@@ -224,6 +231,3 @@
         f64::from(point) <= self.return_progress(now) * f64::from(u32::MAX)
     }
 }
-
-#[cfg(test)]
-mod tests;
--- a/crates/core/src/placement/evacuation/tests.rs
+++ b/crates/core/src/placement/evacuation/tests.rs
@@ -266,3 +266,24 @@
     placement.set_evacuated_domains(now, 2, &domains(&["a", "b", "c"]));
     assert_eq!(placement.queue_delay(now, "llm"), None);
 }
+
+/// Guards against requests that a host sends after it was suspended over an evacuation.
+#[test]
+fn suspended_host_waits_until_the_evacuations_were_read_anew() {
+    let began = Instant::now();
+    let at = |ms: u64| began + Duration::from_millis(ms);
+    let mut guard = PauseGuard::default();
+    assert_eq!(guard.tick(at(0)), (None, false));
+    assert_eq!(guard.tick(at(1900)), (None, false), "a busy process");
+    let until = Some(at(6500));
+    assert_eq!(guard.tick(at(5000)), (until, true));
+    assert_eq!(guard.tick(at(5100)), (until, false));
+    assert!(!guard.on_read(at(1900)), "the call is from before the suspension");
+    assert_eq!(guard.tick(at(5200)), (until, false));
+    assert!(guard.on_read(at(5100)));
+    assert_eq!(guard.tick(at(5300)), (None, false));
+    // The store is away: the last known evacuations are in force.
+    assert_eq!(guard.tick(at(9000)), (Some(at(10_500)), true));
+    assert_eq!(guard.tick(at(10_500)), (None, false));
+    assert!(!guard.is_unconfirmed() && !guard.on_read(at(10_600)));
+}
--- a/crates/core/src/placement/mod.rs
+++ b/crates/core/src/placement/mod.rs
@@ -23,7 +23,7 @@
 pub use {
     broken_attempts::{BrokenAttempts, RetryDecision},
     cold::ColdEntry,
-    evacuation::{EvacuationChange, Evacuations, StoreRevision},
+    evacuation::{EvacuationChange, Evacuations, PauseGuard, StoreRevision},
     helpers::Helpers,
     rate_limit::LendOutcome,
     reach::{ReachChange, UpstreamReach},
--- a/crates/gateway/src/call/attempts.rs
+++ b/crates/gateway/src/call/attempts.rs
@@ -4,6 +4,7 @@
     super::{Call, RETRY_AFTER_DEFAULT, failure_refusal, timeout_refusal},
     crate::{
         crashes::{self, BrokenAttempt},
+        evacuations,
         gateway::Gateway,
         http::SendError,
         leaving,
@@ -238,6 +239,7 @@
     ) -> Result<Attempt, Refusal> {
         let verdict = if possible_runs == 0 { Verdict::NotRun } else { Verdict::MayHaveRun };
         loop {
+            evacuations::until_confirmed(gateway).await;
             crashes::check(gateway, call, verdict)?;
             if call.is_abandoned() {
                 return Err(abandoned_refusal(verdict));
--- a/crates/gateway/src/evacuations.rs
+++ b/crates/gateway/src/evacuations.rs
@@ -7,6 +7,7 @@
         peers::{self, PeerReply, PeerRequest},
         roster,
         store::{Change, Collection, Revision, StoredObject},
+        time::within,
     },
     event_listener::Event,
     futures_util::future::join_all,
@@ -22,7 +23,7 @@
     },
     trefoilring_core::{
         ids::DomainId,
-        placement::{EvacuationChange, Evacuations, Placement, WaitQueues},
+        placement::{EvacuationChange, Evacuations, PauseGuard, Placement, WaitQueues},
     },
     trefoilring_observe::decisions::{Decisions, LineRate},
 };
@@ -40,6 +41,9 @@
 pub(crate) struct EvacuationWatch {
     is_enabled: bool,
     known: RefCell<Evacuations>,
+    pause: RefCell<PauseGuard>,
+    /// Notified when the evacuations were read anew after a suspension of the process.
+    confirmed: Event,
 }
 
 /// What a change of the evacuated domains affects.
@@ -59,7 +63,12 @@
 impl EvacuationWatch {
     /// Creates a watch. It is enabled in deployments that have evacuations.
     pub(crate) fn new(is_enabled: bool) -> Self {
-        Self { is_enabled, known: RefCell::default() }
+        Self {
+            is_enabled,
+            known: RefCell::default(),
+            pause: RefCell::default(),
+            confirmed: Event::new(),
+        }
     }
 
     pub(crate) fn is_enabled(&self) -> bool {
@@ -83,6 +92,18 @@
         self.known.borrow().known().map_or(0, |(_, domains)| domains.len())
     }
 
+    /// Returns whether the process was suspended and the evacuations must be read anew.
+    pub(crate) fn is_unconfirmed(&self) -> bool {
+        self.pause.borrow().is_unconfirmed()
+    }
+
+    /// Records that the evacuations were read, by a call that was sent at `asked_at`.
+    pub(crate) fn on_read(&self, asked_at: Instant) {
+        if self.pause.borrow_mut().on_read(asked_at) {
+            self.confirmed.notify(usize::MAX);
+        }
+    }
+
     fn update(
         &self,
         affected: &Affected<'_>,
@@ -126,12 +147,42 @@
     gateway.spawn(ask_other_hosts(gateway.clone()));
 }
 
+/// Returns until when requests must wait for the evacuations to be read anew, if they must, and has
+/// them read.
+fn check_pause(gateway: &Gateway) -> Option<Instant> {
+    if !gateway.evacuations.is_enabled {
+        return None;
+    }
+    let (until, is_new) = gateway.evacuations.pause.borrow_mut().tick(Instant::now());
+    if is_new {
+        gateway.decisions.log(LineRate::Rare, "evacuations", json!({"what": "suspended"}));
+        gateway.watches.interrupt();
+    }
+    until
+}
+
+/// Returns whether requests must wait because this process was suspended.
+pub(crate) fn must_wait(gateway: &Gateway) -> bool {
+    check_pause(gateway).is_some()
+}
+
+/// Waits until requests may be sent. Does not wait unless this process was suspended.
+pub(crate) async fn until_confirmed(gateway: &Gateway) {
+    loop {
+        let confirmed = gateway.evacuations.confirmed.listen();
+        let Some(until) = check_pause(gateway) else { return };
+        within(until, confirmed).await;
+    }
+}
+
 async fn ask_other_hosts(gateway: Rc<Gateway>) {
     loop {
         Timer::after(ASK_INTERVAL.mul_f64(rand::rng().random_range(0.5..1.5))).await;
+        check_pause(&gateway);
         if !gateway.watches.of(Collection::Evacuations).is_failing() {
             continue;
         }
+        let asked_at = Instant::now();
         let in_reach: Vec<SocketAddr> = roster::peers_or_seeds(&gateway)
             .into_iter()
             .filter(|address| !peers::is_suspect(&gateway, *address))
@@ -148,6 +199,7 @@
                 gateway.evacuations.update(&(&*gateway).into(), "peer", None, |evacuations| {
                     evacuations.on_state(revision, domains)
                 });
+                gateway.evacuations.on_read(asked_at);
             }
         }
     }
--- a/crates/gateway/src/relay/helper.rs
+++ b/crates/gateway/src/relay/helper.rs
@@ -7,6 +7,7 @@
             ANSWER_BYTES_MAX, AnswerBody, AnswerTruncated, PROMPT_BYTES_MAX,
             remove_connection_headers,
         },
+        evacuations,
         gateway::{Gateway, Stage},
         http::{ActiveConnection, RequestName, SendError, UnreadAnswer},
         leaving,
@@ -115,8 +116,9 @@
     };
     let body = within(relayed.deadline, Limited::new(body, PROMPT_BYTES_MAX).collect()).await;
     let body = body.and_then(Result::ok).ok_or(Failure::Rejected)?.to_bytes();
-    if gateway.placement.borrow().is_excluded(destination.key) {
-        // Its domain was evacuated, or it has begun to leave, while the body came in.
+    if gateway.placement.borrow().is_excluded(destination.key) || evacuations::must_wait(gateway) {
+        // Its domain was evacuated, or it has begun to leave, while the body came in; or this process
+        // was suspended and may not know.
         return Err(Failure::Rejected);
     }
     let metadata = gateway.adapter.dialect.read_call(&relayed.head);
--- a/crates/gateway/src/watch/mod.rs
+++ b/crates/gateway/src/watch/mod.rs
@@ -97,6 +97,9 @@
         match outcome {
             Ok(()) => {
                 on_store_answer(&gateway, collection);
+                if collection == Collection::Evacuations {
+                    gateway.evacuations.on_read(sent_at);
+                }
                 backoff = Backoff::default();
             }
             Err(error) if error == StoreError::HistoryExpired => {
@@ -224,6 +227,9 @@
         // a short one shows whether the store is available again.
         true => PROBE_WATCH_WAIT,
         false if watches.of(collection).is_behind_reader() => PROBE_WATCH_WAIT,
+        false if collection == Collection::Evacuations && gateway.evacuations.is_unconfirmed() => {
+            PROBE_WATCH_WAIT
+        }
         false if collection == Collection::Configuration && watches.is_followed() => {
             READER_WATCH_WAIT
         }
--- a/crates/gateway/src/watch/sharing.rs
+++ b/crates/gateway/src/watch/sharing.rs
@@ -170,7 +170,7 @@
     }
 
     /// Has the pending watches begun again.
-    pub(super) fn interrupt(&self) {
+    pub(crate) fn interrupt(&self) {
         self.interrupted.notify(usize::MAX);
     }
 
@@ -367,6 +367,7 @@
     let revision_of = |collection| (collection, watches.of(collection).revision.get());
     let after = shared(gateway).map(revision_of).collect();
     let request = PeerRequest::FollowStore { after, wait: FOLLOW_WAIT };
+    let asked_at = Instant::now();
     let reply = match roster::address_of(gateway, reader) {
         Some(address) => {
             let deadline = Instant::now() + FOLLOW_WAIT + FOLLOW_MARGIN;
@@ -407,6 +408,9 @@
             }
         }
         watched.current_at.set(now.checked_sub(contact_age));
+        if collection == Collection::Evacuations {
+            gateway.evacuations.on_read(asked_at);
+        }
         super::on_store_answer(gateway, collection);
     }
     if let Some(contact_at) = now.checked_sub(contact_age) {
