Test the four planted faults of registrations that no test detected

A leaving upstream that is delisted got time to return, a missing one got its time anew with each listing, the greatest heartbeat of a process was forgotten, and of too many absent upstreams the latest were forgotten: all tests of core::registrations passed with each of these.

--- a/crates/core/src/registrations/tests.rs
+++ b/crates/core/src/registrations/tests.rs
@@ -173,6 +173,70 @@
     assert!(registrations.upstreams.contains_key(&*last), "the latest are kept");
 }
 
+/// Guards against work for an upstream that leaves, in the time in which others may return.
+#[test]
+fn leaving_upstream_that_is_delisted_after_an_outage_gets_no_time_to_return() {
+    let (mut registrations, end) = after_outage();
+    let id = UpstreamId::from(UPSTREAM);
+    assert!(registrations.on_leaving(end, &id, Some(1)));
+    let ids = std::slice::from_ref(&id);
+    let delisting = registrations.on_delisted(end, ids, Duration::ZERO);
+    assert_eq!(delisting, Delisting { removed: ids.to_vec(), missing: Vec::new() });
+    assert_eq!(registrations.next_removal(end), None);
+}
+
+/// Guards against a time to return that each listing sets anew: it ends early where the others of a mass
+/// delisting have returned, and late where they are listed again and again.
+#[test]
+fn time_to_return_is_not_changed_by_later_listings() {
+    let (now, mut registrations) = (Instant::now(), Registrations::default());
+    let ids: Vec<UpstreamId> = (1..=3).map(|number| format!("i-{number}").into()).collect();
+    for id in &ids {
+        registrations.on_entry(now, entry_of(id, 1, 1, false));
+    }
+    let delisting = registrations.on_delisted(now, &ids, Duration::ZERO);
+    let until = delisting.missing[0].1;
+    assert!(until > now && delisting.missing.len() == 3);
+    let later = now + (until - now) / 2;
+    registrations.on_entry(later, entry_of(&ids[1], 1, 2, false));
+    registrations.on_entry(later, entry_of(&ids[2], 1, 2, false));
+    let alone = registrations.on_delisted(later, &ids[..1], Duration::ZERO);
+    assert_eq!(alone, Delisting::default(), "it may return until the time that it was given");
+    assert_eq!(registrations.next_removal(later), Some(until));
+    // All are delisted together once more, when the time of the first is over.
+    let together = registrations.on_delisted(until, &ids, Duration::ZERO);
+    assert_eq!(together.removed, ids[..1]);
+    assert_eq!(together.missing.len(), 2);
+}
+
+/// Guards against a late heartbeat that takes effect since an entry without a number came between.
+#[test]
+fn greatest_heartbeat_is_remembered_over_entries_without_one() {
+    let (now, mut registrations) = (Instant::now(), Registrations::default());
+    registrations.on_entry(now, entry(1, 41, false));
+    let unnumbered = UpstreamEntry { heartbeat: None, ..entry(1, 0, false) };
+    assert!(is_used(&registrations.on_entry(now, unnumbered)));
+    assert_eq!(registrations.on_entry(now, entry(1, 39, false)), EntryDecision::Outdated);
+    assert!(is_used(&registrations.on_entry(now, entry(1, 42, false))));
+}
+
+/// Guards against the return of an upstream that has left a moment ago, because many others are absent.
+#[test]
+fn upstreams_that_have_been_absent_for_longest_are_forgotten_first() {
+    let (now, mut registrations) = (Instant::now(), Registrations::default());
+    let id = |number: u64| UpstreamId::from(format!("i-{number}"));
+    for number in 0..=ABSENT_MAX as u64 {
+        let at = now + MILLISECOND * number as u32;
+        assert!(registrations.on_leaving(at, &id(number), Some(1)));
+    }
+    let end = now + MILLISECOND * (ABSENT_MAX as u32 + 1);
+    assert!(registrations.upstreams.len() <= ABSENT_MAX);
+    let mut returns =
+        |number| is_used(&registrations.on_entry(end, entry_of(&id(number), 1, 1, false)));
+    assert!(!returns(ABSENT_MAX as u64) && !returns(ABSENT_MAX as u64 - 100));
+    assert!(returns(0), "the oldest is forgotten");
+}
+
 /// An upstream of the model, as the store and the upstream itself know it.
 #[derive(Clone, Default)]
 struct ModelUpstream {
