Test hosts with crowds of callers that make them hold much

What callers send that nobody controls fills a host's memory: bodies that stop a byte short of their end, tiny chunks, bodies far over the limit, connections without a byte, and heads that do not end. There was no test of that.

Checked are that the process lives, that the peak of its resident memory stays below memory_mb, that at most 2,000 descriptors are open, and that an ordinary request is answered afterwards.

--- /dev/null
+++ b/crates/cli/tests/crowds/site.rs
@@ -0,0 +1,263 @@
+//! One gateway process before stand-ins that run in the test process.
+
+use {
+    crate::process::{free_ports, get, is_ready},
+    http::StatusCode,
+    serde_json::Value,
+    smol::{
+        Task, Timer,
+        io::{AsyncReadExt, AsyncWriteExt},
+        net::{TcpListener, TcpStream},
+    },
+    std::{
+        fs::{self, File},
+        io::{Read, Write},
+        net::{Ipv4Addr, SocketAddr},
+        path::PathBuf,
+        process::{Child, Command, Stdio},
+        sync::{Mutex, MutexGuard, PoisonError},
+        time::{Duration, Instant},
+    },
+    trefoilring_standin::fleet::{
+        EndlessPart, EndlessStandin, Pace, StoreStandin, WorkerFault, WorkerStandin, client, entry,
+    },
+};
+
+const TREFOILRING_BINARY: &str = env!("CARGO_BIN_EXE_trefoilring");
+/// Memory of the host, which its resident memory must stay below.
+pub const MEMORY_MB: u64 = 64;
+/// Descriptor limit of the process.
+const DESCRIPTOR_LIMIT: usize = 2200;
+/// Descriptors that the process may have open. The rest is for connections to upstreams, other hosts
+/// and the store.
+pub const DESCRIPTORS_MAX: usize = 2000;
+/// Largest body that callers may send.
+pub const BODY_BYTES_MAX: usize = 2 * 1024 * 1024;
+/// Size of the answers under `/large/`.
+const LARGE_ANSWER_BYTES: usize = 2 * 1024 * 1024;
+/// Time that the crowd's requests have, in milliseconds. Above the duration of a crowd.
+pub const DEADLINE_MS: u64 = 30_000;
+/// Time that the worker takes for a request. The bodies of the requests are held meanwhile.
+const WORK: Duration = Duration::from_secs(1);
+/// Timeout of all waits. Far above any expected wait.
+const TIMEOUT: Duration = Duration::from_secs(60);
+const KEY: &str = "key-of-the-crowd";
+
+/// The tests of this target run one at a time, because they load the machine.
+static LOCK: Mutex<()> = Mutex::new(());
+
+pub struct Site {
+    store: StoreStandin,
+    _worker: WorkerStandin,
+    _large: Task<()>,
+    _endless: EndlessStandin,
+    process: Child,
+    ports: Vec<u16>,
+    folder: PathBuf,
+    _lock: MutexGuard<'static, ()>,
+}
+
+/// What `/proc` says of the process.
+#[derive(Clone, Copy, Debug)]
+pub struct Usage {
+    pub peak_mb: u64,
+    pub resident_mb: u64,
+    pub descriptors: usize,
+}
+
+impl Drop for Site {
+    fn drop(&mut self) {
+        // Fails if the process has ended.
+        let _ = self.process.kill();
+        let _ = self.process.wait();
+        // What is left in the temporary folder does no harm.
+        let _ = fs::remove_dir_all(&self.folder);
+    }
+}
+
+impl Site {
+    pub async fn start(has_disk: bool) -> Self {
+        let lock = LOCK.lock().unwrap_or_else(PoisonError::into_inner);
+        let store = StoreStandin::start().await.expect("a port");
+        let worker = WorkerStandin::start("i-1").await.expect("a port");
+        worker.set_fault(WorkerFault::Slow(WORK));
+        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.expect("a port");
+        let large = listener.local_addr().expect("it is bound");
+        let endless = EndlessStandin::start(None).await.expect("a port");
+        endless.set_trouble(Some((EndlessPart::Events, Pace::Fast)));
+        store.put("config", "main", configuration());
+        store.put("servers", "i-1", worker.entry());
+        for (service, address) in [("large", large), ("endless", endless.address)] {
+            let mut record = entry(address, "ready");
+            record["service"] = service.into();
+            store.put("servers", service, record);
+        }
+        let ports = free_ports(4);
+        let folder =
+            std::env::temp_dir().join(format!("crowd-{}-{}", std::process::id(), ports[0]));
+        fs::create_dir_all(&folder).expect("the temporary folder is writable");
+        let process = start_process(&folder, &ports, store.address, has_disk);
+        let site = Self {
+            store,
+            _worker: worker,
+            _large: smol::spawn(answer_at_length(listener)),
+            _endless: endless,
+            process,
+            ports,
+            folder,
+            _lock: lock,
+        };
+        site.wait_until_ready().await;
+        site
+    }
+
+    pub fn callers(&self) -> SocketAddr {
+        (Ipv4Addr::LOCALHOST, self.ports[0]).into()
+    }
+
+    pub fn ready(&self) -> SocketAddr {
+        (Ipv4Addr::LOCALHOST, self.ports[1]).into()
+    }
+
+    pub fn peers(&self) -> SocketAddr {
+        (Ipv4Addr::LOCALHOST, self.ports[2]).into()
+    }
+
+    pub fn metrics(&self) -> SocketAddr {
+        (Ipv4Addr::LOCALHOST, self.ports[3]).into()
+    }
+
+    async fn wait_until_ready(&self) {
+        let (port, deadline) = (self.ports[1], Instant::now() + TIMEOUT);
+        while !smol::unblock(move || is_ready(port)).await {
+            assert!(Instant::now() < deadline, "the host is not ready");
+            Timer::after(Duration::from_millis(50)).await;
+        }
+    }
+
+    /// Reads the use of memory and descriptors. Fails if the process has ended.
+    pub fn usage(&mut self) -> Usage {
+        assert_eq!(self.process.try_wait().expect("a child process"), None, "the host has ended");
+        let id = self.process.id();
+        let status = fs::read_to_string(format!("/proc/{id}/status")).expect("the process runs");
+        let field_mb = |name: &str| {
+            let line = status.lines().find_map(|line| line.strip_prefix(name)).expect("the field");
+            let kb: u64 = line.trim().trim_end_matches(" kB").parse().expect("a number");
+            kb / 1024
+        };
+        let descriptors = fs::read_dir(format!("/proc/{id}/fd")).expect("the process runs").count();
+        Usage { peak_mb: field_mb("VmHWM:"), resident_mb: field_mb("VmRSS:"), descriptors }
+    }
+
+    /// Waits until one ordinary request is answered, and readiness and metrics are.
+    pub async fn wait_until_served(&self) {
+        let (address, ports) = (self.callers(), self.ports.clone());
+        let deadline = Instant::now() + TIMEOUT;
+        let is_served = move || {
+            send_ordinary(address)
+                && is_ready(ports[1])
+                && get(ports[3], "/metrics").starts_with("HTTP/1.1 200")
+        };
+        while !smol::unblock(is_served.clone()).await {
+            assert!(Instant::now() < deadline, "no ordinary request is answered");
+            Timer::after(Duration::from_millis(100)).await;
+        }
+        assert!(self.store.calls() > 0);
+    }
+}
+
+/// Returns the head of a request to a service, without its framing headers and its last empty line.
+pub fn request_head(path: &str, number: usize) -> String {
+    format!(
+        "POST {path} HTTP/1.1\r\nHost: soak.example\r\nTrefoilring-Request-Id: crowd-{number}\r\n\
+         Trefoilring-Deadline-Ms: {DEADLINE_MS}\r\nAuthorization: Token {KEY}\r\n"
+    )
+}
+
+fn send_ordinary(address: SocketAddr) -> bool {
+    let exchange = || -> std::io::Result<Vec<u8>> {
+        let mut stream = std::net::TcpStream::connect(address)?;
+        stream.set_read_timeout(Some(TIMEOUT))?;
+        let head = request_head("/look/x", usize::MAX);
+        write!(stream, "{head}Connection: close\r\nContent-Length: 5\r\n\r\nhello")?;
+        let mut answer = Vec::new();
+        stream.read_to_end(&mut answer)?;
+        Ok(answer)
+    };
+    let status = StatusCode::OK.as_u16();
+    exchange().is_ok_and(|answer| answer.starts_with(format!("HTTP/1.1 {status}").as_bytes()))
+}
+
+fn configuration() -> Value {
+    let mut configuration = client::configuration(KEY);
+    configuration["limits"]["max_body_bytes"] = BODY_BYTES_MAX.into();
+    let routes = configuration["routes"].as_array_mut().expect("a list");
+    for (like, service) in [(1, "large"), (0, "endless")] {
+        let mut route = routes[like].clone();
+        route["name"] = service.into();
+        route["prefix"] = format!("/{service}/").into();
+        route["service"] = service.into();
+        routes.push(route);
+    }
+    for route in routes {
+        route["timeout_ms"] = DEADLINE_MS.into();
+    }
+    let services = configuration["services"].as_array_mut().expect("a list");
+    for name in ["large", "endless"] {
+        let mut service = services[0].clone();
+        service["name"] = name.into();
+        services.push(service);
+    }
+    configuration
+}
+
+fn start_process(folder: &PathBuf, ports: &[u16], store: SocketAddr, has_disk: bool) -> Child {
+    let [callers, ready, peers, metrics] = ports[..] else { unreachable!("four ports") };
+    let disk = match has_disk {
+        true => format!("data_folder = {:?}\n", folder.join("data")),
+        false => String::new(),
+    };
+    let text = format!(
+        "host = \"host-1\"\ndomain = \"a\"\nip = \"127.0.0.1\"\n\
+         callers_listen = \"127.0.0.1:{callers}\"\nready_listen = \"127.0.0.1:{ready}\"\n\
+         metrics_port = {metrics}\npeers_port = {peers}\nstore_address = \"{store}\"\n\
+         store_history_s = 20\nseeds = []\nis_first_start = true\nstop_grace_s = 8\n\
+         memory_mb = {MEMORY_MB}\n{disk}",
+    );
+    let settings = folder.join("host.toml");
+    fs::write(&settings, text).expect("the folder is writable");
+    let log = |name: &str| File::create(folder.join(name)).expect("the folder is writable");
+    Command::new("sh")
+        .args(["-c", &format!("ulimit -n {DESCRIPTOR_LIMIT} && exec \"$@\""), "sh"])
+        .args([TREFOILRING_BINARY, "serve", "--platform"])
+        .arg(settings)
+        .stdout(Stdio::from(log("host.jsonl")))
+        .stderr(Stdio::from(log("host.log")))
+        .spawn()
+        .expect("the program starts")
+}
+
+/// Answers each connection's request with [`LARGE_ANSWER_BYTES`].
+async fn answer_at_length(listener: TcpListener) {
+    while let Ok((stream, _)) = listener.accept().await {
+        // The host may close the connection at any time.
+        smol::spawn(async move { drop(answer_once_at_length(stream).await) }).detach();
+    }
+}
+
+async fn answer_once_at_length(mut stream: TcpStream) -> std::io::Result<()> {
+    let (mut head, mut byte) = (Vec::new(), [0]);
+    while !head.ends_with(b"\r\n\r\n") {
+        stream.read_exact(&mut byte).await?;
+        head.push(byte[0]);
+    }
+    let head = String::from_utf8_lossy(&head).to_ascii_lowercase();
+    let id = head.lines().find_map(|line| line.strip_prefix("trefoilring-request-id:"));
+    let answer = format!(
+        "HTTP/1.1 200 OK\r\nTrefoilring-Request-Id:{}\r\nTrefoilring-Server-Stamp: stamp-large\r\n\
+         Connection: close\r\nContent-Length: {LARGE_ANSWER_BYTES}\r\n\r\n{}",
+        id.unwrap_or_default(),
+        "x".repeat(LARGE_ANSWER_BYTES),
+    );
+    stream.write_all(answer.as_bytes()).await
+}
--- a/crates/cli/tests/soak/main.rs
+++ b/crates/cli/tests/soak/main.rs
@@ -8,6 +8,8 @@
 mod callers;
 mod faults;
 mod losses;
+#[path = "../support/process.rs"]
+mod process;
 mod site;
 
 use {
--- a/crates/cli/tests/soak/site.rs
+++ b/crates/cli/tests/soak/site.rs
@@ -1,14 +1,16 @@
 //! A site of gateway processes before stand-ins that run in the test process.
 
 use {
-    super::TIMEOUT,
-    rand::RngExt,
+    super::{
+        TIMEOUT,
+        process::{free_ports, get, is_ready},
+    },
     smol::Timer,
     std::{
         cell::RefCell,
         fs::{self, File},
         io::{BufRead, BufReader},
-        net::{SocketAddr, TcpStream},
+        net::SocketAddr,
         path::PathBuf,
         process::{Child, Command, Stdio},
         thread,
@@ -38,8 +40,6 @@
 pub const HEALTHY: WorkerFault = WorkerFault::CrashesOn(CRASHING, WORK);
 /// Time within which a host must stop after SIGTERM.
 const STOP_GRACE: Duration = Duration::from_secs(8);
-/// Ports of the hosts, below the kernel's range for outgoing connections.
-const HOST_PORTS: std::ops::Range<u16> = 12_000..32_000;
 /// Ports of a host: for callers, readiness, other hosts and metrics.
 const PORTS_PER_HOST: usize = 4;
 /// Key of the only team.
@@ -346,37 +346,3 @@
         let _ = fs::remove_dir_all(&self.folder);
     }
 }
-
-fn is_ready(port: u16) -> bool {
-    get(port, client::READY_PATH).starts_with("HTTP/1.1 200")
-}
-
-/// Returns the answer to a request, or an empty text if none comes.
-fn get(port: u16, path: &str) -> String {
-    use std::io::{Read, Write};
-    let mut answer = String::new();
-    let Ok(mut stream) = TcpStream::connect(("127.0.0.1", port)) else { return answer };
-    let timeout = Some(Duration::from_secs(1));
-    stream.set_read_timeout(timeout).expect("a timeout above zero");
-    let request = format!("GET {path} HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
-    let asked = stream.write_all(request.as_bytes());
-    // An answer that breaks off says nothing.
-    match asked.and_then(|()| stream.read_to_string(&mut answer)) {
-        Ok(_) => answer,
-        Err(_) => String::new(),
-    }
-}
-
-/// Returns ports that are free now, outside the range from which the kernel assigns ports: a host
-/// keeps its ports over its restarts, and nothing may take them meanwhile.
-fn free_ports(count: usize) -> Vec<u16> {
-    let mut random = rand::rng();
-    let mut ports = Vec::new();
-    while ports.len() < count {
-        let port = random.random_range(HOST_PORTS);
-        if !ports.contains(&port) && std::net::TcpListener::bind(("127.0.0.1", port)).is_ok() {
-            ports.push(port);
-        }
-    }
-    ports
-}
--- /dev/null
+++ b/crates/cli/tests/support/process.rs
@@ -0,0 +1,49 @@
+//! Helpers for tests that start `trefoilring serve --platform` processes.
+
+use {
+    rand::RngExt,
+    std::{
+        io::{Read, Write},
+        net::TcpStream,
+        ops::Range,
+        time::Duration,
+    },
+    trefoilring_standin::fleet::client,
+};
+
+/// Ports of the hosts, below the kernel's range for outgoing connections.
+const HOST_PORTS: Range<u16> = 12_000..32_000;
+
+/// Returns whether the host whose readiness port this is reports that it is ready.
+pub fn is_ready(port: u16) -> bool {
+    get(port, client::READY_PATH).starts_with("HTTP/1.1 200")
+}
+
+/// Returns the answer to a request, or an empty text if none comes.
+pub fn get(port: u16, path: &str) -> String {
+    let mut answer = String::new();
+    let Ok(mut stream) = TcpStream::connect(("127.0.0.1", port)) else { return answer };
+    let timeout = Some(Duration::from_secs(1));
+    stream.set_read_timeout(timeout).expect("a timeout above zero");
+    let request = format!("GET {path} HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+    let asked = stream.write_all(request.as_bytes());
+    // An answer that breaks off says nothing.
+    match asked.and_then(|()| stream.read_to_string(&mut answer)) {
+        Ok(_) => answer,
+        Err(_) => String::new(),
+    }
+}
+
+/// Returns ports that are free now, outside the range from which the kernel assigns ports: a host
+/// keeps its ports over its restarts, and nothing may take them meanwhile.
+pub fn free_ports(count: usize) -> Vec<u16> {
+    let mut random = rand::rng();
+    let mut ports = Vec::new();
+    while ports.len() < count {
+        let port = random.random_range(HOST_PORTS);
+        if !ports.contains(&port) && std::net::TcpListener::bind(("127.0.0.1", port)).is_ok() {
+            ports.push(port);
+        }
+    }
+    ports
+}
