--- a/crates/cli/tests/crowds/main.rs
+++ b/crates/cli/tests/crowds/main.rs
@@ -102,6 +102,7 @@
 }
 
 fn check_at(has_disk: bool, crowds: impl FnOnce(&Site) -> Vec<Crowd>) {
+    let _lock = site::lock();
     smol::block_on(async {
         let mut site = Site::start(has_disk).await;
         let before = site.usage();
--- a/crates/cli/tests/crowds/site.rs
+++ b/crates/cli/tests/crowds/site.rs
@@ -13,7 +13,7 @@
         fs::{self, File},
         io::{Read, Write},
         net::{Ipv4Addr, SocketAddr},
-        path::PathBuf,
+        path::{Path, PathBuf},
         process::{Child, Command, Stdio},
         sync::{Mutex, MutexGuard, PoisonError},
         time::{Duration, Instant},
@@ -46,6 +46,11 @@
 /// The tests of this target run one at a time, because they load the machine.
 static LOCK: Mutex<()> = Mutex::new(());
 
+/// Waits until no other test of this target runs.
+pub fn lock() -> MutexGuard<'static, ()> {
+    LOCK.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
 pub struct Site {
     store: StoreStandin,
     _worker: WorkerStandin,
@@ -54,7 +59,6 @@
     process: Child,
     ports: Vec<u16>,
     folder: PathBuf,
-    _lock: MutexGuard<'static, ()>,
 }
 
 /// What `/proc` says of the process.
@@ -77,7 +81,6 @@
 
 impl Site {
     pub async fn start(has_disk: bool) -> Self {
-        let lock = LOCK.lock().unwrap_or_else(PoisonError::into_inner);
         let store = StoreStandin::start().await.expect("a port");
         let worker = WorkerStandin::start("i-1").await.expect("a port");
         worker.set_fault(WorkerFault::Slow(WORK));
@@ -105,7 +108,6 @@
             process,
             ports,
             folder,
-            _lock: lock,
         };
         site.wait_until_ready().await;
         site
@@ -211,7 +213,7 @@
     configuration
 }
 
-fn start_process(folder: &PathBuf, ports: &[u16], store: SocketAddr, has_disk: bool) -> Child {
+fn start_process(folder: &Path, ports: &[u16], store: SocketAddr, has_disk: bool) -> Child {
     let [callers, ready, peers, metrics] = ports[..] else { unreachable!("four ports") };
     let disk = match has_disk {
         true => format!("data_folder = {:?}\n", folder.join("data")),
