Add the decisions of the memory account

Nothing accounted for what callers make a host hold: each request body, and each connection, was kept whatever the others held.

core::memory decides who may reserve memory and who is dropped first: levels by class and size, a part of its own for connections, a bound for each team, and holders that stall are dropped only where that makes room for others. It is not used yet.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod journal;
 pub mod limit;
 pub mod membership;
+pub mod memory;
 pub mod message;
 pub mod placement;
 pub mod planned_stop;
