Write bodies to upstreams without a copy

hyper copies a body into the connection's own buffer unless the stream says that it takes vectored writes, and the buffer keeps that size while the connection is idle. So a host held each large request twice.

LimitedStream takes vectored writes.

--- a/crates/gateway/src/http/received.rs
+++ b/crates/gateway/src/http/received.rs
@@ -11,7 +11,7 @@
     },
     std::{
         cell::Cell,
-        io,
+        io::{self, IoSlice},
         pin::Pin,
         rc::Rc,
         task::{Context, Poll, ready},
@@ -87,4 +87,17 @@
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         Pin::new(&mut self.stream).poll_close(cx)
     }
+
+    // Without vectored writes, hyper copies each body into its own buffer, which it keeps.
+    fn is_write_vectored(&self) -> bool {
+        true
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buffers: &[IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write_vectored(cx, buffers)
+    }
 }
