Keep what others make a host hold within its memory

Callers who sent many large bodies, tiny chunks, bodies far over the limit or connections without a byte made a host's resident memory grow without bound: each body was collected as it came, and each connection held the buffers and the whole state of a request.

One memory account replaces AnswerMemory. Bodies of callers, of other hosts and of requests that are passed on are reserved before they are read, prompts before they are put together, answers before they are kept. Those that stall make room for others (408).

--- a/crates/core/src/memory/mod.rs
+++ b/crates/core/src/memory/mod.rs
@@ -8,11 +8,13 @@
 //! One [`Account`] covers all of them. A holder reserves bytes before it reads or keeps them. Each
 //! class may fill the account up to a level of its own, higher for what is smaller or further on: new
 //! large bodies stop first, answers of requests that have run come after them, and small requests
-//! always find room. Connections have a part of their own. Where a reservation does not fit, those that
+//! always find room. Connections have a part of their own, and use the rest of the memory only where
+//! all of them are being answered. Where a reservation does not fit, those that
 //! hold much and make little progress are dropped, as long as that makes room. Without overload nobody
 //! is dropped here, however slow; the timeouts of the configuration apply.
 
 use {
+    crate::ids::TeamId,
     slotmap::{SlotMap, new_key_type},
     std::{
         collections::HashMap,
@@ -25,9 +27,6 @@
     pub struct HolderKey;
 }
 
-/// Whose a reservation is: a hash of the team. Reservations without an owner count for nobody.
-pub type Owner = u64;
-
 /// Part of the account for connections: their buffers and tasks.
 const CONNECTION_FRACTION: usize = 4;
 /// Size up to which a reservation may fill the account completely. Most requests are smaller, and a
@@ -39,6 +38,9 @@
 const LARGE_BODY_EIGHTHS: usize = 5;
 /// Level, in eighths, up to which medium bodies and all answers may fill the account.
 const MEDIUM_EIGHTHS: usize = 7;
+/// Part of the memory, in eighths, that answers may hold, so that callers who don't read theirs keep no
+/// request out.
+const ANSWER_EIGHTHS: usize = 4;
 /// Part of the level of large bodies, in quarters, that one owner may hold.
 const OWNER_QUARTERS: usize = 3;
 /// Time without progress after which a holder may be dropped in favor of others. Longer than the
@@ -94,7 +96,8 @@
 #[derive(Debug)]
 struct Holder {
     class: Class,
-    owner: Option<Owner>,
+    /// `None` if the bytes count for no team.
+    owner: Option<TeamId>,
     bytes: usize,
     phase: Phase,
     /// Whether the holder was chosen to be dropped.
@@ -119,17 +122,19 @@
     connection_bytes: usize,
     connections: usize,
     bytes: usize,
+    /// Part of `bytes` that answers hold.
+    answer_bytes: usize,
     /// Part of `bytes` in reservations above [`MEDIUM_BYTES`].
     large_bytes: usize,
     /// The same by owner.
-    by_owner: HashMap<Owner, usize>,
+    by_owner: HashMap<TeamId, usize>,
     holders: SlotMap<HolderKey, Holder>,
     /// Mean duration of the reservations that were released.
     hold: Duration,
 }
 
 impl Holder {
-    fn new(now: Instant, class: Class, owner: Option<Owner>, bytes: usize) -> Self {
+    fn new(now: Instant, class: Class, owner: Option<TeamId>, bytes: usize) -> Self {
         Self {
             class,
             owner,
@@ -170,6 +175,7 @@
             connection_bytes: 0,
             connections: 0,
             bytes: 0,
+            answer_bytes: 0,
             large_bytes: 0,
             by_owner: HashMap::new(),
             holders: SlotMap::with_key(),
@@ -187,6 +193,11 @@
         self.bytes
     }
 
+    /// Returns the bytes that answers hold.
+    pub fn answer_bytes(&self) -> usize {
+        self.answer_bytes
+    }
+
     /// Reserves memory.
     ///
     /// # Errors
@@ -196,11 +207,11 @@
         &mut self,
         now: Instant,
         class: Class,
-        owner: Option<Owner>,
+        owner: Option<TeamId>,
         bytes: usize,
     ) -> Result<HolderKey, Denied> {
-        self.check(now, class, owner, 0, bytes)?;
-        self.move_sums(class, owner, 0, bytes);
+        self.check(now, class, owner.as_ref(), 0, bytes)?;
+        self.move_sums(class, owner.as_ref(), 0, bytes);
         if class == Class::Connection {
             self.connections += 1;
         }
@@ -214,11 +225,11 @@
     /// Fails if the class has no room. The reservation stays as it was.
     pub fn resize(&mut self, now: Instant, key: HolderKey, bytes: usize) -> Result<(), Denied> {
         let Some(holder) = self.holders.get(key) else { return Ok(()) };
-        let (class, owner, before) = (holder.class, holder.owner, holder.bytes);
+        let (class, owner, before) = (holder.class, holder.owner.clone(), holder.bytes);
         if bytes > before {
-            self.check(now, class, owner, before, bytes)?;
+            self.check(now, class, owner.as_ref(), before, bytes)?;
         }
-        self.move_sums(class, owner, before, bytes);
+        self.move_sums(class, owner.as_ref(), before, bytes);
         self.holders[key].bytes = bytes;
         Ok(())
     }
@@ -226,7 +237,7 @@
     /// Ends a reservation.
     pub fn release(&mut self, now: Instant, key: HolderKey) {
         let Some(holder) = self.holders.remove(key) else { return };
-        self.move_sums(holder.class, holder.owner, holder.bytes, 0);
+        self.move_sums(holder.class, holder.owner.as_ref(), holder.bytes, 0);
         if holder.class == Class::Connection {
             self.connections -= 1;
         } else if holder.bytes > MEDIUM_BYTES {
@@ -257,7 +268,7 @@
         &self,
         now: Instant,
         class: Class,
-        owner: Option<Owner>,
+        owner: Option<&TeamId>,
         before: usize,
         bytes: usize,
     ) -> Result<(), Denied> {
@@ -269,6 +280,12 @@
         }
         let owner = owner.filter(|_| is_owners);
         let victims = self.victims(now, class, owner, missing.max(1));
+        if class == Class::Connection && !has_too_many && victims.is_empty() {
+            // All connections are being answered: they may use what bodies leave.
+            if self.bytes + missing <= self.bytes_max / 8 * MEDIUM_EIGHTHS {
+                return Ok(());
+            }
+        }
         Err(Denied { victims, retry_after: self.hold.clamp(RETRY_AFTER_MIN, RETRY_AFTER_MAX) })
     }
 
@@ -276,7 +293,7 @@
     fn missing(
         &self,
         class: Class,
-        owner: Option<Owner>,
+        owner: Option<&TeamId>,
         before: usize,
         bytes: usize,
     ) -> (usize, bool) {
@@ -290,36 +307,46 @@
             _ => MEDIUM_EIGHTHS,
         };
         let level = self.bytes_max / 8 * eighths;
-        let used = self.bytes - before + bytes;
-        if class != Class::Body || bytes <= MEDIUM_BYTES {
-            return (used.saturating_sub(level), false);
+        let used = self.bytes + self.connection_overflow() - before + bytes;
+        let over_level = used.saturating_sub(level);
+        if class == Class::Answer {
+            let answers = self.answer_bytes - before + bytes;
+            let over_answers = answers.saturating_sub(self.bytes_max / 8 * ANSWER_EIGHTHS);
+            return (over_level.max(over_answers), false);
+        }
+        if bytes <= MEDIUM_BYTES {
+            return (over_level, false);
         }
         // A large body that is alone may have all of the memory.
         let own_large = if before > MEDIUM_BYTES { before } else { 0 };
         if self.large_bytes == own_large {
             return (used.saturating_sub(self.bytes_max), false);
         }
-        let over_level = used.saturating_sub(level);
-        let owned = owner.and_then(|owner| self.by_owner.get(&owner)).copied().unwrap_or(0);
+        let owned = owner.and_then(|owner| self.by_owner.get(owner)).copied().unwrap_or(0);
         let owner_level = level / 4 * OWNER_QUARTERS;
         let over_owner =
             owner.map_or(0, |_| (owned - own_large + bytes).saturating_sub(owner_level));
         (over_level.max(over_owner), over_owner > over_level)
     }
 
+    /// Returns the bytes that connections hold beyond their part.
+    fn connection_overflow(&self) -> usize {
+        self.connection_bytes.saturating_sub(self.connection_bytes_max)
+    }
+
     /// Returns the holders whose end releases enough bytes, worst first. Returns none if all that may be
     /// dropped hold too little.
     fn victims(
         &self,
         now: Instant,
         class: Class,
-        owner: Option<Owner>,
+        owner: Option<&TeamId>,
         bytes: usize,
     ) -> Vec<HolderKey> {
         let is_connection = class == Class::Connection;
         let candidates = self.holders.iter().filter(|(_, holder)| {
             (holder.class == Class::Connection) == is_connection
-                && (owner.is_none() || holder.owner == owner)
+                && (owner.is_none() || holder.owner.as_ref() == owner)
         });
         let mut stalled: Vec<_> = candidates
             .filter_map(|(key, holder)| {
@@ -327,6 +354,10 @@
                 Some((weight, holder.bytes, key))
             })
             .collect();
+        let worst = stalled.iter().max_by(|(one, ..), (other, ..)| one.total_cmp(other));
+        if let Some((.., key)) = worst.filter(|(_, holds, _)| *holds >= bytes) {
+            return vec![*key];
+        }
         stalled.sort_by(|(one, ..), (other, ..)| other.total_cmp(one));
         let mut released = 0;
         let is_needed = |(_, holds, key): (f64, usize, HolderKey)| {
@@ -346,19 +377,22 @@
         }
     }
 
-    fn move_sums(&mut self, class: Class, owner: Option<Owner>, before: usize, after: usize) {
+    fn move_sums(&mut self, class: Class, owner: Option<&TeamId>, before: usize, after: usize) {
         if class == Class::Connection {
             self.connection_bytes = self.connection_bytes - before + after;
             return;
         }
         let large = |bytes: usize| if bytes > MEDIUM_BYTES { bytes } else { 0 };
         self.bytes = self.bytes - before + after;
+        if class == Class::Answer {
+            self.answer_bytes = self.answer_bytes - before + after;
+        }
         self.large_bytes = self.large_bytes - large(before) + large(after);
         let Some(owner) = owner else { return };
-        let owned = self.by_owner.entry(owner).or_default();
+        let owned = self.by_owner.entry(owner.clone()).or_default();
         *owned = *owned + large(after) - large(before);
         if *owned == 0 {
-            self.by_owner.remove(&owner);
+            self.by_owner.remove(owner);
         }
     }
 }
--- a/crates/core/src/memory/tests.rs
+++ b/crates/core/src/memory/tests.rs
@@ -47,8 +47,8 @@
 fn small_requests_answers_and_other_teams_find_room() {
     let now = Instant::now();
     let mut account = account(now);
-    while account.reserve(now, Class::Body, Some(1), MB).is_ok() {}
-    account.reserve(now, Class::Body, Some(2), MB).expect("the other team has a share");
+    while account.reserve(now, Class::Body, Some("one".into()), MB).is_ok() {}
+    account.reserve(now, Class::Body, Some("two".into()), MB).expect("the other team has a share");
     while account.reserve(now, Class::Body, None, MB).is_ok() {}
     account.reserve(now, Class::Answer, None, MB).expect("answers have a higher level");
     while account.reserve(now, Class::Answer, None, MB).is_ok() {}
@@ -61,7 +61,7 @@
 fn large_body_that_is_alone_fits() {
     let now = Instant::now();
     let mut account = account(now);
-    let key = account.reserve(now, Class::Body, Some(1), 23 * MB).expect("it is alone");
+    let key = account.reserve(now, Class::Body, Some("one".into()), 23 * MB).expect("it is alone");
     let denied = account.reserve(now, Class::Body, None, MB).expect_err("it is full");
     assert!(denied.victims.is_empty() && denied.retry_after >= RETRY_AFTER_MIN);
     account.release(now, key);
@@ -76,7 +76,7 @@
     let busy = account.reserve(start, Class::Connection, None, 4096).expect("it is empty");
     account.set_phase(start, busy, Phase::Working);
     let first = account.reserve(start, Class::Connection, None, 4096).expect("there is room");
-    let mut now = start;
+    let mut now = start + Duration::from_millis(10);
     while account.reserve(now, Class::Connection, None, 4096).is_ok() {
         now += Duration::from_millis(10);
     }
@@ -85,6 +85,22 @@
     assert_eq!(denied.victims, [first]);
 }
 
+/// Guards against a burst of ordinary requests whose connections are closed although there is memory.
+#[test]
+fn connections_that_are_answered_use_what_bodies_leave() {
+    let now = Instant::now();
+    let mut account = Account::new(32 * MB, 10_000);
+    let mut count = 0;
+    while let Ok(key) = account.reserve(now, Class::Connection, None, 32 * 1024) {
+        account.set_phase(now, key, Phase::Working);
+        count += 1;
+    }
+    assert_eq!(count, (8 + 21) * 32);
+    account.reserve(now, Class::Body, None, SMALL_BYTES).expect("small requests find room");
+    account.reserve(now, Class::Body, None, MB).expect("so does a large one that is alone");
+    account.reserve(now, Class::Body, None, MB).expect_err("others do not");
+}
+
 /// Guards against sums that drift from the holders over any order of operations.
 #[test]
 fn released_account_is_empty() {
@@ -95,14 +111,16 @@
     for _ in 0..20_000 {
         now += Duration::from_millis(random.random_range(0..200));
         let class = [Class::Connection, Class::Body, Class::Answer][random.random_range(0..3)];
-        let owner = random.random_bool(0.5).then(|| random.random_range(0..3));
+        let owner =
+            random.random_bool(0.5).then(|| ["one", "two"][random.random_range(0..2)].into());
         let bytes = 1 << random.random_range(8..23);
         match account.reserve(now, class, owner, bytes) {
             Ok(key) => keys.push(key),
             Err(denied) => denied.victims.into_iter().for_each(|key| account.release(now, key)),
         }
-        assert!(account.bytes <= account.bytes_max);
-        assert!(account.connection_bytes <= account.connection_bytes_max);
+        let used = account.bytes + account.connection_overflow();
+        assert!(used <= account.bytes_max);
+        assert!(account.answer_bytes <= account.bytes_max / 2);
         let key = keys[random.random_range(0..keys.len())];
         match random.random_range(0..4) {
             0 => account.release(now, key),
--- a/crates/gateway/src/call/body.rs
+++ b/crates/gateway/src/call/body.rs
@@ -1,8 +1,7 @@
 //! Bodies of the answers to callers.
 
 use {
-    super::buffer::Reservation,
-    crate::callers::OpenRequest,
+    crate::{callers::OpenRequest, memory::Reservation},
     bytes::Bytes,
     derive_more::{Display, Error},
     futures_lite::stream::Stream,
@@ -11,6 +10,7 @@
         pin::Pin,
         task::{Context, Poll},
     },
+    trefoilring_core::memory::Phase,
 };
 
 /// Maximum size of a frame. What a slow caller has not read stays in the body, whose memory is
@@ -30,7 +30,7 @@
         /// What the connection has not taken yet.
         bytes: Bytes,
         /// Memory of the body.
-        _reservation: Option<Reservation>,
+        reservation: Option<Reservation>,
     },
     /// A stream of events, relayed as they arrive.
     Events(Pin<Box<dyn Stream<Item = Result<Bytes, AnswerTruncated>>>>),
@@ -44,6 +44,11 @@
 
 impl TrackedAnswerBody {
     pub(crate) fn new(body: AnswerBody, open: OpenRequest) -> Self {
+        if let AnswerBody::Complete { reservation: Some(reservation), .. } = &body {
+            // From now on the answer is held for the caller, who may be slow.
+            reservation.set_signal(open.connection.signal());
+            reservation.set_phase(Phase::Moving);
+        }
         Self { body, _open: open }
     }
 }
@@ -70,7 +75,7 @@
 
 impl From<Bytes> for AnswerBody {
     fn from(bytes: Bytes) -> Self {
-        Self::Complete { bytes, _reservation: None }
+        Self::Complete { bytes, reservation: None }
     }
 }
 
@@ -84,8 +89,11 @@
     ) -> Poll<Option<Result<Frame<Bytes>, AnswerTruncated>>> {
         match &mut *self {
             Self::Complete { bytes, .. } if bytes.is_empty() => Poll::Ready(None),
-            Self::Complete { bytes, .. } => {
+            Self::Complete { bytes, reservation } => {
                 let size = bytes.len().min(FRAME_BYTES_MAX);
+                if let Some(reservation) = reservation {
+                    reservation.record_progress(size);
+                }
                 Poll::Ready(Some(Ok(Frame::data(bytes.split_to(size)))))
             }
             Self::Events(events) => {
--- a/crates/gateway/src/call/buffer.rs
+++ b/crates/gateway/src/call/buffer.rs
@@ -1,59 +1,99 @@
-//! Buffers whole answers within the memory of the host.
+//! Reads bodies and answers within the memory of the host.
 
 use {
+    crate::memory::{DropSignal, HostMemory, Reservation},
     bytes::{Bytes, BytesMut},
     derive_more::{Display, Error},
     http_body_util::BodyExt,
-    hyper::body::Incoming,
-    std::{cell::Cell, rc::Rc},
+    hyper::body::{Body, Incoming},
+    std::{rc::Rc, time::Duration},
+    trefoilring_core::{
+        ids::TeamId,
+        memory::{Class, Phase},
+    },
 };
 
 /// Maximum size of an answer.
 pub(crate) const ANSWER_BYTES_MAX: usize = 8 * 1024 * 1024;
-/// Part of the host's memory for large answers.
-const MEMORY_FRACTION: u64 = 4;
 /// Size up to which an answer is not counted. Most answers are smaller.
 const UNCOUNTED_BYTES: usize = 16 * 1024;
+/// Memory that is reserved for a body without a declared size before its first byte. Most are smaller.
+const BODY_BYTES_FIRST: usize = 4 * 1024;
 
-/// Memory for the large answers of all requests.
-pub(crate) struct AnswerMemory {
-    bytes_max: usize,
-    bytes_left: Cell<usize>,
+/// Why a request's body could not be read to its end.
+#[derive(Debug, Display)]
+pub(crate) enum BodyError {
+    /// The body is larger than its limit.
+    #[display("the body is too large")]
+    TooLarge,
+    /// The connection failed, or the body's framing is invalid.
+    #[display("the body can't be read: {_0}")]
+    Connection(hyper::Error),
+    /// There is no room for the body.
+    #[display("the host holds as many bodies as it has memory for")]
+    NoMemory {
+        /// When there is likely to be room.
+        retry_after: Duration,
+    },
+    /// The body came too slowly while others waited for its memory.
+    #[display("the body comes too slowly while others wait for its memory")]
+    Dropped,
 }
 
-impl AnswerMemory {
-    /// Creates the answer memory of a host with this much memory.
-    pub(crate) fn new(host_memory_bytes: u64) -> Rc<Self> {
-        let bytes_max = usize::try_from(host_memory_bytes / MEMORY_FRACTION).unwrap_or(usize::MAX);
-        Rc::new(Self { bytes_max, bytes_left: Cell::new(bytes_max) })
+/// Reads a request's body to its end. Its memory is reserved before it is read: all of it where the size
+/// is declared, so that a body that is begun can end.
+pub(crate) async fn read_body(
+    memory: &Rc<HostMemory>,
+    team: Option<&TeamId>,
+    mut body: Incoming,
+    bytes_max: usize,
+) -> Result<(Bytes, Option<Reservation>), BodyError> {
+    if body.is_end_stream() {
+        return Ok((Bytes::new(), None));
     }
-
-    /// Returns the bytes that the large answers occupy.
-    pub(crate) fn used_bytes(&self) -> usize {
-        self.bytes_max - self.bytes_left.get()
+    let declared = body.size_hint().exact();
+    let declared = declared.map(|bytes| usize::try_from(bytes).unwrap_or(usize::MAX));
+    if declared.is_some_and(|bytes| bytes > bytes_max) {
+        return Err(BodyError::TooLarge);
     }
-}
-
-/// Memory that an answer occupies until it is dropped.
-pub(crate) struct Reservation {
-    memory: Rc<AnswerMemory>,
-    bytes: usize,
-}
-
-impl Reservation {
-    fn grow_to(&mut self, bytes: usize) -> Result<(), AnswerError> {
-        let more = bytes.saturating_sub(self.bytes);
-        let left = self.memory.bytes_left.get().checked_sub(more).ok_or(AnswerError::NoMemory)?;
-        self.memory.bytes_left.set(left);
-        self.bytes += more;
+    let signal = Rc::new(DropSignal::default());
+    let mut reserved = declared.unwrap_or(BODY_BYTES_FIRST.min(bytes_max));
+    let reservation = memory
+        .wait_for_body(team, reserved, &signal)
+        .await
+        .map_err(|denied| BodyError::NoMemory { retry_after: denied.retry_after })?;
+    // Others may wait for memory while this one is read, so progress counts from here.
+    reservation.set_phase(Phase::Moving);
+    let mut bytes = BytesMut::with_capacity(reserved);
+    let read = async {
+        while let Some(frame) = body.frame().await {
+            // Trailers concern only the connection to the caller.
+            let Ok(data) = frame.map_err(BodyError::Connection)?.into_data() else { continue };
+            let size = bytes.len() + data.len();
+            if size > bytes_max {
+                return Err(BodyError::TooLarge);
+            }
+            if size > reserved {
+                reserved = (2 * size).min(bytes_max);
+                reservation
+                    .wait_to_grow(reserved)
+                    .await
+                    .map_err(|denied| BodyError::NoMemory { retry_after: denied.retry_after })?;
+                bytes.reserve(reserved - bytes.len());
+            }
+            reservation.record_progress(data.len());
+            // Copied, because a frame holds the connection's buffer that it is a part of.
+            bytes.extend_from_slice(&data);
+        }
         Ok(())
-    }
-}
-
-impl Drop for Reservation {
-    fn drop(&mut self) {
-        self.memory.bytes_left.set(self.memory.bytes_left.get() + self.bytes);
-    }
+    };
+    let dropped = async {
+        signal.wait().await;
+        Err(BodyError::Dropped)
+    };
+    smol::future::or(read, dropped).await?;
+    reservation.set_phase(Phase::Working);
+    Ok((bytes.freeze(), Some(reservation)))
 }
 
 /// Why an answer could not be read to its end.
@@ -65,18 +105,28 @@
     /// The answer is larger than [`ANSWER_BYTES_MAX`].
     #[display("the answer has more than {ANSWER_BYTES_MAX} bytes")]
     TooLarge,
-    /// The large answers of other requests occupy the memory.
-    #[display("the memory for large answers is used up")]
+    /// Other requests occupy the memory.
+    #[display("the memory for answers is used up")]
     NoMemory,
 }
 
 /// Reads an answer to its end.
 pub(crate) async fn read_whole(
     mut body: Incoming,
-    memory: &Rc<AnswerMemory>,
-) -> Result<(Bytes, Reservation), AnswerError> {
-    let mut bytes = BytesMut::new();
-    let mut reservation = Reservation { memory: memory.clone(), bytes: 0 };
+    memory: &Rc<HostMemory>,
+) -> Result<(Bytes, Option<Reservation>), AnswerError> {
+    let declared = body.size_hint().exact().unwrap_or(0);
+    let declared = usize::try_from(declared).unwrap_or(usize::MAX);
+    if declared > ANSWER_BYTES_MAX {
+        return Err(AnswerError::TooLarge);
+    }
+    let mut reservation = None;
+    let mut reserved = UNCOUNTED_BYTES;
+    if declared > reserved {
+        reserve_answer(memory, &mut reservation, declared)?;
+        reserved = declared;
+    }
+    let mut bytes = BytesMut::with_capacity(declared);
     while let Some(frame) = body.frame().await {
         // Trailers concern only the connection to the upstream.
         let Ok(data) = frame.map_err(AnswerError::Connection)?.into_data() else { continue };
@@ -84,11 +134,30 @@
         if size > ANSWER_BYTES_MAX {
             return Err(AnswerError::TooLarge);
         }
-        if size > UNCOUNTED_BYTES {
-            // The buffer doubles when it grows.
-            reservation.grow_to(2 * size)?;
+        if size > reserved {
+            reserved = 2 * size;
+            reserve_answer(memory, &mut reservation, reserved)?;
+            bytes.reserve(reserved - bytes.len());
         }
         bytes.extend_from_slice(&data);
     }
     Ok((bytes.freeze(), reservation))
 }
+
+/// Reserves memory for an answer, or more of it.
+fn reserve_answer(
+    memory: &Rc<HostMemory>,
+    reservation: &mut Option<Reservation>,
+    bytes: usize,
+) -> Result<(), AnswerError> {
+    if let Some(reservation) = reservation {
+        let resized = reservation.resize(Class::Answer, bytes);
+        return resized.map_err(|_| AnswerError::NoMemory);
+    }
+    let signal = Rc::new(DropSignal::default());
+    let reserved =
+        memory.reserve(Class::Answer, None, bytes, &signal).map_err(|_| AnswerError::NoMemory)?;
+    reserved.set_phase(Phase::Working);
+    *reservation = Some(reserved);
+    Ok(())
+}
--- a/crates/gateway/src/call/exchange.rs
+++ b/crates/gateway/src/call/exchange.rs
@@ -200,7 +200,7 @@
     // Chunks of a few bytes each may need as many bytes for their framing.
     connection.limit_received(2 * ANSWER_BYTES_MAX);
     let may_give_up = call.route.kind.is_repeatable() && !connection.is_relayed();
-    let reading = read_whole(body, &gateway.answer_memory);
+    let reading = read_whole(body, &gateway.memory);
     match relay::wait_for_upstream(gateway, call.deadline, may_give_up, reading).await? {
         None => Err(SendError::TimedOut),
         Some(Err(error)) => {
@@ -212,7 +212,7 @@
         }
         Some(Ok((bytes, reservation))) => {
             relay::release_connection(gateway, &call.service, connection);
-            Ok((head, AnswerBody::Complete { bytes, _reservation: Some(reservation) }))
+            Ok((head, AnswerBody::Complete { bytes, reservation }))
         }
     }
 }
--- a/crates/gateway/src/call/mod.rs
+++ b/crates/gateway/src/call/mod.rs
@@ -12,7 +12,7 @@
 pub(crate) use {
     body::{AnswerBody, AnswerTruncated, TrackedAnswerBody},
     budget::Settlements,
-    buffer::{ANSWER_BYTES_MAX, AnswerMemory},
+    buffer::{ANSWER_BYTES_MAX, BodyError, read_body},
     exchange::remove_connection_headers,
     retained::PROMPT_BYTES_MAX,
 };
@@ -25,14 +25,15 @@
         dialect::CallMetadata,
         gateway::Gateway,
         http::{CallerGone, SendError},
+        inbound::InboundConnection,
+        memory::Reservation,
         store::Collection,
         stream_origins,
         time::within,
     },
     bytes::Bytes,
     http::{HeaderValue, Request, header, request, uri::PathAndQuery},
-    http_body_util::{BodyExt, LengthLimitError, Limited},
-    hyper::body::{Body, Incoming},
+    hyper::body::Incoming,
     rand::RngExt,
     serde_json::json,
     std::{
@@ -69,6 +70,8 @@
     pub(crate) service: ServiceId,
     /// What upstreams get: the caller's body, after the turns before it if the route keeps them.
     pub(crate) body: Bytes,
+    /// Memory of the body; `None` if it is empty.
+    pub(crate) memory: Option<Reservation>,
     /// What is needed to keep the turn; `None` if the route keeps no turns.
     pub(crate) retained: Option<retained::RetainedCall>,
     pub(crate) arrived: Instant,
@@ -135,7 +138,11 @@
 }
 
 /// Processes a caller's request and returns the answer, which may be a refusal.
-pub(crate) async fn answer(gateway: Rc<Gateway>, request: Request<Incoming>) -> Answer {
+pub(crate) async fn answer(
+    gateway: Rc<Gateway>,
+    connection: &InboundConnection,
+    request: Request<Incoming>,
+) -> Answer {
     let arrived = Instant::now();
     let (head, body) = request.into_parts();
     let metadata = match gateway.adapter.dialect.read_call(&head) {
@@ -147,6 +154,7 @@
         Ok(call) => call,
         Err(refusal) => return refuse(&gateway, &request_id, arrived, None, &refusal),
     };
+    connection.set_body_unread(false);
     if let Err(refusal) = retained::prepare(&gateway, &mut call).await {
         return refuse(&gateway, &request_id, arrived, Some(&call), &refusal);
     }
@@ -283,7 +291,15 @@
         Refusal::not_run(Reason::NoUpstream, "the route has no service at present")
             .retry_after(RETRY_AFTER_DEFAULT)
     })?;
-    let body = read_body(body, table.limits.body_bytes_max, deadline).await?;
+    let body_bytes_max = table.limits.body_bytes_max;
+    let team_id = team.as_ref().map(|team| &team.id);
+    let reading = read_body(&gateway.memory, team_id, body, body_bytes_max);
+    let (body, memory) = match within(deadline, reading).await {
+        Some(read) => read.map_err(|error| body_refusal(error, body_bytes_max))?,
+        None => {
+            return Err(Refusal::not_run(Reason::SlowRequest, "the body did not come in time"));
+        }
+    };
     Ok(Call {
         head,
         metadata,
@@ -291,6 +307,7 @@
         team,
         service,
         body,
+        memory,
         retained: None,
         arrived,
         deadline,
@@ -319,19 +336,17 @@
     Ok((route.clone(), team.cloned()))
 }
 
-async fn read_body(body: Incoming, max: usize, deadline: Instant) -> Result<Bytes, Refusal> {
-    if body.is_end_stream() {
-        return Ok(Bytes::new());
-    }
-    match within(deadline, Limited::new(body, max).collect()).await {
-        Some(Ok(body)) => Ok(body.to_bytes()),
-        Some(Err(error)) if error.is::<LengthLimitError>() => {
-            Err(Refusal::not_run(Reason::TooLarge, format!("the body is over {max} bytes")))
+fn body_refusal(error: BodyError, bytes_max: usize) -> Refusal {
+    let detail = error.to_string();
+    match error {
+        BodyError::TooLarge => {
+            Refusal::not_run(Reason::TooLarge, format!("the body is over {bytes_max} bytes"))
         }
-        Some(Err(error)) => {
-            Err(Refusal::not_run(Reason::BadRequest, format!("the body can't be read: {error}")))
+        BodyError::Connection(_) => Refusal::not_run(Reason::BadRequest, detail),
+        BodyError::NoMemory { retry_after } => {
+            Refusal::not_run(Reason::Overloaded, detail).retry_after(retry_after)
         }
-        None => Err(Refusal::not_run(Reason::SlowRequest, "the body did not come in time")),
+        BodyError::Dropped => Refusal::not_run(Reason::SlowRequest, detail),
     }
 }
 
--- a/crates/gateway/src/call/retained.rs
+++ b/crates/gateway/src/call/retained.rs
@@ -5,12 +5,14 @@
     super::{Call, RETRY_AFTER_DEFAULT},
     crate::{
         gateway::Gateway,
+        memory::DropSignal,
         turns::{self, CachedTurn, NotRetained, RetainedTurn},
     },
     bytes::{BufMut, Bytes, BytesMut},
     memchr::memchr,
     std::rc::Rc,
     trefoilring_core::{
+        memory::Phase,
         turns::{TreeId, TurnHead},
         verdict::{Reason, Refusal},
     },
@@ -59,6 +61,9 @@
     };
     let input = call.body.clone();
     if let Some(previous) = &previous {
+        let size = prompt_bytes(previous, &input)?;
+        // The prompt is held beside its parts, which the cache of turns counts.
+        reserve_prompt(gateway, call, input.len() + size).await?;
         call.body = prompt(previous, &input)?;
     }
     let tree = previous.as_ref().map_or(tree, |previous| previous.turn.head.tree.clone());
@@ -92,15 +97,46 @@
     call.team.as_ref().map_or("", |team| &team.id)
 }
 
-/// Returns the inputs and outputs of all turns before a request, and its own input.
-fn prompt(previous: &CachedTurn, input: &Bytes) -> Result<Bytes, Refusal> {
-    let mut chain: Vec<&RetainedTurn> = previous.chain().map(|turn| &turn.turn).collect();
-    chain.reverse();
-    let size = chain.iter().map(|turn| turn.bytes()).sum::<usize>() + input.len();
+/// Returns the size of a prompt with the turns before it.
+fn prompt_bytes(previous: &CachedTurn, input: &Bytes) -> Result<usize, Refusal> {
+    let size = previous.chain().map(|turn| turn.turn.bytes()).sum::<usize>() + input.len();
     if size > PROMPT_BYTES_MAX {
         let detail = format!("the prompt has {size} bytes with the turns before it");
         return Err(Refusal::not_run(Reason::TooLarge, detail));
     }
+    Ok(size)
+}
+
+async fn reserve_prompt(
+    gateway: &Rc<Gateway>,
+    call: &mut Call,
+    bytes: usize,
+) -> Result<(), Refusal> {
+    let reserved = match call.memory.take() {
+        Some(reservation) => {
+            let grown = reservation.wait_to_grow(bytes).await;
+            grown.map(|()| reservation)
+        }
+        None => {
+            let team = call.team.as_ref().map(|team| &team.id);
+            let signal = Rc::new(DropSignal::default());
+            let reserved = gateway.memory.wait_for_body(team, bytes, &signal).await;
+            reserved.inspect(|reservation| reservation.set_phase(Phase::Working))
+        }
+    };
+    let reservation = reserved.map_err(|denied| {
+        let detail = "the host holds as many prompts as it has memory for";
+        Refusal::not_run(Reason::Overloaded, detail).retry_after(denied.retry_after)
+    })?;
+    call.memory = Some(reservation);
+    Ok(())
+}
+
+/// Returns the inputs and outputs of all turns before a request, and its own input.
+fn prompt(previous: &CachedTurn, input: &Bytes) -> Result<Bytes, Refusal> {
+    let size = prompt_bytes(previous, input)?;
+    let mut chain: Vec<&RetainedTurn> = previous.chain().map(|turn| &turn.turn).collect();
+    chain.reverse();
     let mut prompt = BytesMut::with_capacity(size);
     for turn in chain {
         prompt.put_slice(&turn.input);
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -3,12 +3,14 @@
 use {
     crate::{
         allowance::Borrowings,
-        call::{AnswerMemory, Settlements},
+        call::Settlements,
         callers,
         crashes::{self, CrashWatch},
         dialect::Dialect,
         http::{ActiveConnection, ConnectionPool},
+        inbound::InboundConnection,
         ledger::{self, PARTITION_COUNT, Partition},
+        memory::HostMemory,
         outage_notes::OutageNoteStore,
         peers, registrations,
         relay::{self, Relay},
@@ -144,7 +146,7 @@
     pub(crate) outage_notes: OutageNoteStore,
     pub(crate) turns: Turns,
     pub(crate) settlements: RefCell<Settlements>,
-    pub(crate) answer_memory: Rc<AnswerMemory>,
+    pub(crate) memory: Rc<HostMemory>,
     pub(crate) origin_notes: RefCell<OriginNotes>,
     /// Peer addresses of suspect hosts: they did not answer the last request or ping.
     pub(crate) suspects: RefCell<HashSet<SocketAddr>>,
@@ -160,7 +162,9 @@
     pub(crate) seeds: RefCell<Vec<SocketAddr>>,
     /// Start time of this process in milliseconds since the Unix epoch.
     pub(crate) incarnation: Incarnation,
-    pub(crate) callers: RefCell<Slab<Rc<callers::CallerConnection>>>,
+    pub(crate) callers: RefCell<Slab<Rc<InboundConnection>>>,
+    /// Connections of other hosts, and those for readiness and metrics.
+    pub(crate) other_connections: RefCell<Slab<Rc<InboundConnection>>>,
     pub(crate) metrics: Metrics,
     pub(crate) decisions: Decisions,
     /// Addresses that this gateway listens on; `None` until all are bound.
@@ -231,7 +235,7 @@
             outage_notes: OutageNoteStore::open(&settings.host, settings.data_folder.clone())?,
             turns: Turns::open(&settings)?,
             settlements: RefCell::default(),
-            answer_memory: AnswerMemory::new(settings.memory_bytes_max),
+            memory: HostMemory::new(settings.memory_bytes_max, decisions.clone()),
             origin_notes: RefCell::default(),
             suspects: RefCell::default(),
             relays: RefCell::default(),
@@ -240,6 +244,7 @@
             seeds: RefCell::new(settings.seeds.clone()),
             incarnation: wall_us() / 1000,
             callers: RefCell::default(),
+            other_connections: RefCell::default(),
             metrics: Metrics::default(),
             decisions,
             stop_accepting: Event::new(),
@@ -390,7 +395,7 @@
         }
     }
 
-    /// Closes callers' connections that have been idle or slow for too long, and expired idle
+    /// Closes connections to this host that have been idle or slow for too long, and expired idle
     /// connections to upstreams, the store and other hosts.
     async fn close_stale_connections(self: Rc<Self>) {
         loop {
@@ -398,8 +403,10 @@
             let limits =
                 self.routing_table.borrow().as_ref().map(|table| table.limits).unwrap_or_default();
             let now = Instant::now();
-            for (_, connection) in self.callers.borrow().iter() {
-                connection.close_if_timed_out(now, &limits);
+            for connections in [&self.callers, &self.other_connections] {
+                for (_, connection) in connections.borrow().iter() {
+                    connection.close_if_timed_out(now, &limits);
+                }
             }
             self.connections.close_expired();
             self.peer_connections.close_expired();
--- a/crates/gateway/src/listen.rs
+++ b/crates/gateway/src/listen.rs
@@ -1,17 +1,31 @@
 //! Accepts connections and serves each in its own task.
 
 use {
-    crate::gateway::Gateway,
+    crate::{
+        gateway::Gateway,
+        inbound::{Accepted, IDLE_BYTES},
+        memory::DropSignal,
+        time::within,
+    },
     smol::{
         Timer,
         net::{TcpListener, TcpStream},
     },
-    std::{future::Future, io, net::SocketAddr, rc::Rc, time::Duration},
+    std::{
+        future::Future,
+        io,
+        net::SocketAddr,
+        rc::Rc,
+        time::{Duration, Instant},
+    },
+    trefoilring_core::memory::Class,
 };
 
 /// Pause after a failed accept. If the process has run out of file descriptors, open connections
 /// can end in the meantime.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// How long a new connection waits until one that is dropped for it is closed.
+const DROP_WAIT: Duration = Duration::from_millis(20);
 
 /// Binds an address and serves all connections to it while the gateway runs. Returns the bound
 /// address.
@@ -22,7 +36,7 @@
 ) -> io::Result<SocketAddr>
 where
     F: Future<Output = ()> + 'static,
-    S: Fn(Rc<Gateway>, TcpStream) -> F + 'static,
+    S: Fn(Rc<Gateway>, Accepted) -> F + 'static,
 {
     let listener = trefoilring_net::listen(address)?;
     let bound = listener.local_addr()?;
@@ -35,11 +49,14 @@
 pub(crate) async fn accept_all<F, S>(gateway: &Rc<Gateway>, listener: &TcpListener, serve: S)
 where
     F: Future<Output = ()> + 'static,
-    S: Fn(Rc<Gateway>, TcpStream) -> F,
+    S: Fn(Rc<Gateway>, Accepted) -> F,
 {
     loop {
         match listener.accept().await {
-            Ok((stream, _)) => gateway.spawn(serve(gateway.clone(), stream)),
+            Ok((stream, _)) => match open_account(gateway, stream).await {
+                Some(accepted) => gateway.spawn(serve(gateway.clone(), accepted)),
+                None => gateway.metrics.count("connections_refused", 1),
+            },
             Err(error) => {
                 log::warn!("failed to accept a connection; retrying after a pause: {error}");
                 Timer::after(ACCEPT_PAUSE).await;
@@ -47,3 +64,20 @@
         }
     }
 }
+
+/// Reserves the memory of a new connection. Returns `None` if there are too many others, none of which
+/// is idle. The connection is closed then: its peer has no answer that could be taken for another one.
+async fn open_account(gateway: &Rc<Gateway>, stream: TcpStream) -> Option<Accepted> {
+    let signal = Rc::new(DropSignal::default());
+    let reserve = || gateway.memory.reserve(Class::Connection, None, IDLE_BYTES, &signal);
+    let released = gateway.memory.released().listen();
+    let reservation = match reserve() {
+        Ok(reservation) => reservation,
+        Err(denied) if denied.victims.is_empty() => return None,
+        Err(_) => {
+            within(Instant::now() + DROP_WAIT, released).await;
+            reserve().ok()?
+        }
+    };
+    Some(Accepted { stream, reservation, signal })
+}
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -16,20 +16,30 @@
 use {
     self::message::{DecodeError, MessageFormat},
     crate::{
-        allowance, call::AnswerBody, crashes, gateway::Gateway, leaving, ledger, listen::listen,
-        relay, roster, stream_origins, turns, upstream_limits, watch,
+        allowance,
+        call::{AnswerBody, AnswerTruncated, BodyError, read_body},
+        crashes,
+        gateway::Gateway,
+        inbound::{self, Accepted, InboundConnection},
+        leaving, ledger,
+        listen::listen,
+        relay, roster, stream_origins,
+        time::within,
+        turns, upstream_limits, watch,
     },
     bytes::Bytes,
-    http::{Request, Response, StatusCode, header},
-    http_body_util::{BodyExt, Limited},
-    hyper::{body::Incoming, server::conn::http1, service::service_fn},
-    smol::net::TcpStream,
-    smol_hyper::rt::FuturesIo,
+    http::{HeaderValue, Request, Response, StatusCode, header},
+    hyper::{
+        body::{Body, Frame, Incoming, SizeHint},
+        service::service_fn,
+    },
     std::{
         convert::Infallible,
         io,
         net::SocketAddr,
+        pin::Pin,
         rc::Rc,
+        task::{Context, Poll},
         time::{Duration, Instant},
     },
 };
@@ -38,7 +48,10 @@
 /// request and an answer.
 const MESSAGE_BYTES_MAX: usize = 16 * 1024 * 1024;
 
-/// Maximum time for processing another host's request. The callers that wait for the result time
+/// Maximum size of a request's head. That of a request that is passed on has the caller's headers.
+const HEAD_BYTES_MAX: usize = 32 * 1024;
+
+/// Maximum time for reading, and for processing another host's request. The callers that wait for the result time
 /// out earlier.
 const REQUEST_WAIT_MAX: Duration = Duration::from_secs(5);
 
@@ -47,23 +60,68 @@
     listen(gateway, gateway.settings.peers_listen, serve).await
 }
 
-async fn serve(gateway: Rc<Gateway>, stream: TcpStream) {
-    crate::http::set_options(&stream);
-    let service = service_fn(|request: Request<Incoming>| {
-        let gateway = gateway.clone();
-        async move { Ok::<_, Infallible>(respond(&gateway, request).await) }
-    });
-    let serving = http1::Builder::new()
-        .auto_date_header(false)
-        .serve_connection(FuturesIo::new(stream), service);
-    if let Err(error) = serving.await {
-        log::debug!("peer connection closed with an error: {error}");
+async fn serve(gateway: Rc<Gateway>, accepted: Accepted) {
+    let service_gateway = gateway.clone();
+    let create_service = move |connection: Rc<InboundConnection>| {
+        service_fn(move |request: Request<Incoming>| {
+            let (gateway, connection) = (service_gateway.clone(), connection.clone());
+            Box::pin(async move {
+                connection.on_request_start(request.body());
+                let answering = Answering(connection);
+                let mut response = respond(&gateway, &answering.0, request).await;
+                if answering.0.is_body_unread() {
+                    let close = HeaderValue::from_static("close");
+                    response.headers_mut().insert(header::CONNECTION, close);
+                }
+                Ok::<_, Infallible>(response.map(|body| ReplyBody { body, _answering: answering }))
+            })
+        })
+    };
+    inbound::serve(&gateway.other_connections, accepted, HEAD_BYTES_MAX, create_service).await;
+}
+
+/// Marks a connection as answering until its reply has been passed on.
+struct Answering(Rc<InboundConnection>);
+
+impl Drop for Answering {
+    fn drop(&mut self) {
+        self.0.on_request_end();
     }
 }
 
-async fn respond(gateway: &Rc<Gateway>, request: Request<Incoming>) -> Response<AnswerBody> {
+/// The body of a reply to another host.
+struct ReplyBody {
+    body: AnswerBody,
+    _answering: Answering,
+}
+
+impl Body for ReplyBody {
+    type Data = Bytes;
+    type Error = AnswerTruncated;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, AnswerTruncated>>> {
+        Pin::new(&mut self.body).poll_frame(cx)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
+async fn respond(
+    gateway: &Rc<Gateway>,
+    connection: &InboundConnection,
+    request: Request<Incoming>,
+) -> Response<AnswerBody> {
     if relay::is_relayed(&request) {
-        return relay::pass_on(gateway, request).await;
+        return relay::pass_on(gateway, connection, request).await;
     }
     let error_response = |status: StatusCode| {
         let mut response = Response::new(AnswerBody::from(Bytes::new()));
@@ -71,10 +129,19 @@
         response
     };
     let format = MessageFormat::from_content_type(request.headers().get(header::CONTENT_TYPE));
-    let Ok(body) = Limited::new(request.into_body(), MESSAGE_BYTES_MAX).collect().await else {
-        return error_response(StatusCode::PAYLOAD_TOO_LARGE);
+    let reading = read_body(&gateway.memory, None, request.into_body(), MESSAGE_BYTES_MAX);
+    let (body, _memory) = match within(Instant::now() + REQUEST_WAIT_MAX, reading).await {
+        Some(Ok(read)) => read,
+        Some(Err(BodyError::TooLarge)) => return error_response(StatusCode::PAYLOAD_TOO_LARGE),
+        Some(Err(BodyError::Connection(_))) => return error_response(StatusCode::BAD_REQUEST),
+        Some(Err(BodyError::NoMemory { .. })) => {
+            return error_response(StatusCode::SERVICE_UNAVAILABLE);
+        }
+        Some(Err(BodyError::Dropped)) | None => {
+            return error_response(StatusCode::REQUEST_TIMEOUT);
+        }
     };
-    let body = body.to_bytes();
+    connection.set_body_unread(false);
     let reply = match message::decode_request(format, &body) {
         Ok(peer_request) => reply_to(gateway, peer_request).await,
         Err(DecodeError::Unsupported { kind, error }) => {
--- a/crates/gateway/src/relay/helper.rs
+++ b/crates/gateway/src/relay/helper.rs
@@ -4,18 +4,20 @@
     super::{FAILURE, Failure, TIME_LEFT_MS, UPSTREAM, record_connects},
     crate::{
         call::{
-            ANSWER_BYTES_MAX, AnswerBody, AnswerTruncated, PROMPT_BYTES_MAX,
+            ANSWER_BYTES_MAX, AnswerBody, AnswerTruncated, PROMPT_BYTES_MAX, read_body,
             remove_connection_headers,
         },
         gateway::{Gateway, Stage},
         http::{ActiveConnection, RequestName, SendError, UnreadAnswer},
+        inbound::InboundConnection,
         leaving,
+        memory::Reservation,
         time::within,
     },
     bytes::Bytes,
     futures_lite::stream,
     http::{HeaderValue, Request, Response, StatusCode, header, request},
-    http_body_util::{BodyExt, Full, Limited},
+    http_body_util::{BodyExt, Full},
     hyper::body::Incoming,
     serde_json::json,
     std::{
@@ -70,9 +72,10 @@
 /// Passes a request on to the upstream that it names, never to another host.
 pub(crate) async fn pass_on(
     gateway: &Rc<Gateway>,
+    connection: &InboundConnection,
     request: Request<Incoming>,
 ) -> Response<AnswerBody> {
-    match try_pass_on(gateway, request).await {
+    match try_pass_on(gateway, connection, request).await {
         Ok(response) => {
             gateway.metrics.count("passed_on", 1);
             response
@@ -91,6 +94,7 @@
 
 async fn try_pass_on(
     gateway: &Rc<Gateway>,
+    caller: &InboundConnection,
     request: Request<Incoming>,
 ) -> Result<Response<AnswerBody>, Failure> {
     let (head, body) = request.into_parts();
@@ -113,8 +117,10 @@
             return Err(Failure::Rejected);
         }
     };
-    let body = within(relayed.deadline, Limited::new(body, PROMPT_BYTES_MAX).collect()).await;
-    let body = body.and_then(Result::ok).ok_or(Failure::Rejected)?.to_bytes();
+    let reading = read_body(&gateway.memory, None, body, PROMPT_BYTES_MAX);
+    let read = within(relayed.deadline, reading).await;
+    let (body, memory) = read.and_then(Result::ok).ok_or(Failure::Rejected)?;
+    caller.set_body_unread(false);
     let metadata = gateway.adapter.dialect.read_call(&relayed.head);
     let sent_at = Instant::now();
     let mut request = Request::from_parts(relayed.head, Full::new(body));
@@ -170,6 +176,7 @@
         deadline: relayed.deadline,
         source: Some((body, connection)),
         _open: open,
+        _memory: memory,
     };
     let frames = stream::unfold(passing, |mut passing| async move {
         let next = passing.next().await?;
@@ -219,6 +226,8 @@
     /// `None` once the body has ended or broken off.
     source: Option<(Incoming, ActiveConnection)>,
     _open: OpenGuard,
+    /// Memory of the request's body, which its connection may still send.
+    _memory: Option<Reservation>,
 }
 
 impl PassedOnBody {
--- a/crates/gateway/src/status.rs
+++ b/crates/gateway/src/status.rs
@@ -1,17 +1,22 @@
 //! Serves readiness checks for the platform and metrics for operators.
 
 use {
-    crate::{gateway::Gateway, listen::listen, store::Collection},
+    crate::{
+        gateway::Gateway,
+        inbound::{self, Accepted, InboundConnection},
+        listen::listen,
+        store::Collection,
+    },
     bytes::Bytes,
-    http::{Request, Response, StatusCode},
+    http::{HeaderValue, Request, Response, StatusCode, header},
     http_body_util::Full,
-    hyper::{body::Incoming, server::conn::http1, service::service_fn},
-    smol::net::TcpStream,
-    smol_hyper::rt::FuturesIo,
+    hyper::{body::Incoming, service::service_fn},
     std::{convert::Infallible, io, net::SocketAddr, rc::Rc},
 };
 
 const METRICS_PATH: &str = "/metrics";
+/// Maximum size of a request's head.
+const HEAD_BYTES_MAX: usize = 8 * 1024;
 
 /// Listens for readiness checks and metrics requests. Returns both addresses.
 pub(crate) async fn start(gateway: &Rc<Gateway>) -> io::Result<(Option<SocketAddr>, SocketAddr)> {
@@ -22,17 +27,20 @@
     Ok((ready, listen(gateway, gateway.settings.metrics_listen, serve).await?))
 }
 
-async fn serve(gateway: Rc<Gateway>, stream: TcpStream) {
-    let service = service_fn(|request: Request<Incoming>| {
-        let answer = answer(&gateway, request.uri().path());
-        async move { Ok::<_, Infallible>(answer) }
-    });
-    let serving = http1::Builder::new()
-        .auto_date_header(false)
-        .serve_connection(FuturesIo::new(stream), service);
-    if let Err(error) = serving.await {
-        log::debug!("status connection closed with an error: {error}");
-    }
+async fn serve(gateway: Rc<Gateway>, accepted: Accepted) {
+    let service_gateway = gateway.clone();
+    let create_service = |connection: Rc<InboundConnection>| {
+        service_fn(move |request: Request<Incoming>| {
+            connection.on_request_start(request.body());
+            let mut answer = answer(&service_gateway, request.uri().path());
+            if connection.is_body_unread() {
+                answer.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+            }
+            connection.on_request_end();
+            async move { Ok::<_, Infallible>(answer) }
+        })
+    };
+    inbound::serve(&gateway.other_connections, accepted, HEAD_BYTES_MAX, create_service).await;
 }
 
 fn answer(gateway: &Gateway, path: &str) -> Response<Full<Bytes>> {
@@ -68,7 +76,10 @@
         ("upstreams", gateway.placement.borrow().ids().count() as u64),
         ("has_store_reader", u64::from(gateway.watches.has_reader())),
         ("is_store_reader", u64::from(gateway.watches.is_followed())),
-        ("answer_bytes", gateway.answer_memory.used_bytes() as u64),
+        ("answer_bytes", gateway.memory.answer_bytes() as u64),
+        ("memory_bytes", gateway.memory.used_bytes() as u64),
+        ("memory_connection_bytes", gateway.memory.connection_bytes() as u64),
+        ("memory_dropped", gateway.memory.dropped()),
         ("store_calls", store_calls.values().sum()),
         (
             "configuration_version",
