Count what streams and large events hold, and copy answers of the store and hosts

A stream could buffer an event of up to 1 MiB and the whole output of a turn that is kept, for each caller, outside of the account. Answers of the store and of other hosts were collected frame by frame, and each frame of a byte held the buffer that it was a part of.

Streams reserve more than 16 KB of either in the account; a stream without room breaks off and may be taken up elsewhere. Answers of the store and of other hosts are copied into one buffer; they are not counted yet. Passed: the 20 tests of trefoilring-gateway.

--- a/crates/gateway/src/call/buffer.rs
+++ b/crates/gateway/src/call/buffer.rs
@@ -120,12 +120,8 @@
     if declared > ANSWER_BYTES_MAX {
         return Err(AnswerError::TooLarge);
     }
-    let mut reservation = None;
-    let mut reserved = UNCOUNTED_BYTES;
-    if declared > reserved {
-        reserve_answer(memory, &mut reservation, declared)?;
-        reserved = declared;
-    }
+    let mut held = HeldAnswer::new(memory);
+    held.grow_to(declared)?;
     let mut bytes = BytesMut::with_capacity(declared);
     while let Some(frame) = body.frame().await {
         // Trailers concern only the connection to the upstream.
@@ -134,30 +130,51 @@
         if size > ANSWER_BYTES_MAX {
             return Err(AnswerError::TooLarge);
         }
-        if size > reserved {
-            reserved = 2 * size;
-            reserve_answer(memory, &mut reservation, reserved)?;
-            bytes.reserve(reserved - bytes.len());
+        if size > bytes.capacity() {
+            // The buffer doubles when it grows.
+            held.grow_to(2 * size)?;
+            bytes.reserve(2 * size - bytes.len());
         }
         bytes.extend_from_slice(&data);
     }
-    Ok((bytes.freeze(), reservation))
+    Ok((bytes.freeze(), held.reservation))
 }
 
-/// Reserves memory for an answer, or more of it.
-fn reserve_answer(
-    memory: &Rc<HostMemory>,
-    reservation: &mut Option<Reservation>,
-    bytes: usize,
-) -> Result<(), AnswerError> {
-    if let Some(reservation) = reservation {
-        let resized = reservation.resize(Class::Answer, bytes);
-        return resized.map_err(|_| AnswerError::NoMemory);
+/// Memory of what an upstream has sent and the caller has not got yet.
+pub(super) struct HeldAnswer {
+    memory: Rc<HostMemory>,
+    /// `None` while no more than [`UNCOUNTED_BYTES`] are held.
+    reservation: Option<Reservation>,
+    reserved_bytes: usize,
+}
+
+impl HeldAnswer {
+    pub(super) fn new(memory: &Rc<HostMemory>) -> Self {
+        Self { memory: memory.clone(), reservation: None, reserved_bytes: UNCOUNTED_BYTES }
+    }
+
+    /// Reserves memory for `bytes` in total, unless it is reserved already.
+    ///
+    /// # Errors
+    ///
+    /// Fails if there is no room at the moment.
+    pub(super) fn grow_to(&mut self, bytes: usize) -> Result<(), AnswerError> {
+        if bytes <= self.reserved_bytes {
+            return Ok(());
+        }
+        match &self.reservation {
+            Some(reservation) => {
+                reservation.resize(Class::Answer, bytes).map_err(|_| AnswerError::NoMemory)?
+            }
+            None => {
+                let signal = Rc::new(DropSignal::default());
+                let reserved = self.memory.reserve(Class::Answer, None, bytes, &signal);
+                let reservation = reserved.map_err(|_| AnswerError::NoMemory)?;
+                reservation.set_phase(Phase::Working);
+                self.reservation = Some(reservation);
+            }
+        }
+        self.reserved_bytes = bytes;
+        Ok(())
     }
-    let signal = Rc::new(DropSignal::default());
-    let reserved =
-        memory.reserve(Class::Answer, None, bytes, &signal).map_err(|_| AnswerError::NoMemory)?;
-    reserved.set_phase(Phase::Working);
-    *reservation = Some(reserved);
-    Ok(())
 }
--- a/crates/gateway/src/call/events.rs
+++ b/crates/gateway/src/call/events.rs
@@ -67,6 +67,11 @@
         !self.bytes.is_empty()
     }
 
+    /// Returns the number of bytes in the buffer.
+    pub(crate) fn buffered_bytes(&self) -> usize {
+        self.bytes.len()
+    }
+
     /// Returns whether the events were followed by the head of another answer. A stream without a
     /// length has no other mark of its end, so it has broken off.
     pub(crate) fn is_foreign(&self) -> bool {
--- a/crates/gateway/src/call/streaming.rs
+++ b/crates/gateway/src/call/streaming.rs
@@ -7,6 +7,7 @@
         attempts::{Attempt, UpstreamSelector},
         body::AnswerTruncated,
         budget::TurnCharge,
+        buffer::HeldAnswer,
         events::{EVENT_BYTES_MAX, EventSplitter},
         exchange::{
             ReceivedAnswer, SendOutcome, caller_answer, is_upstream_error, read_to_end, send,
@@ -63,6 +64,8 @@
     event_count: u64,
     /// Data of the events that were passed on, if the turn is kept.
     output: BytesMut,
+    /// Memory of the buffered event and of `output`.
+    held: HeldAnswer,
     /// The upstream that completed the stream.
     completed_by: Option<UpstreamId>,
     resumes: u32,
@@ -168,6 +171,7 @@
         last_event: call.metadata.last_event,
         event_count: 0,
         output: BytesMut::new(),
+        held: HeldAnswer::new(&gateway.memory),
         completed_by: None,
         resumes: 0,
         status,
@@ -324,13 +328,24 @@
                 Err(StreamEnd::Broken)
             }
             Some(Some(Ok(frame))) => match frame.into_data() {
-                Ok(bytes) => self.splitter.push(&bytes).map_err(|_| StreamEnd::Broken),
+                Ok(bytes) => self.buffer(&bytes),
                 // Trailers are not forwarded: they concern only the connection to the upstream.
                 Err(_) => Ok(()),
             },
         }
     }
 
+    fn buffer(&mut self, bytes: &[u8]) -> Result<(), StreamEnd> {
+        let buffered = self.splitter.buffered_bytes() + bytes.len();
+        // Both buffers double when they grow.
+        let held = self.held.grow_to(2 * (buffered + self.output.len()));
+        held.map_err(|error| {
+            log::debug!("stream of request {} broke: {error}", self.call.metadata.request_id);
+            StreamEnd::Broken
+        })?;
+        self.splitter.push(bytes).map_err(|_| StreamEnd::Broken)
+    }
+
     /// Resumes a broken stream, at the same upstream if it is alive. Returns whether it succeeded.
     async fn resume(&mut self) -> bool {
         self.splitter.clear();
--- a/crates/gateway/src/http.rs
+++ b/crates/gateway/src/http.rs
@@ -9,7 +9,7 @@
 
 use {
     crate::time::within,
-    bytes::Bytes,
+    bytes::{Bytes, BytesMut},
     derive_more::Display,
     http::{Request, Response, StatusCode, header},
     http_body_util::{BodyExt, Full, Limited},
@@ -23,6 +23,7 @@
         any::Any,
         cell::RefCell,
         collections::{HashMap, VecDeque},
+        error::Error,
         io,
         net::SocketAddr,
         rc::Rc,
@@ -419,8 +420,7 @@
         let UnreadAnswer { response, connection } = self.send(address, request, deadline).await?;
         connection.limit_received(body_max + BYTES_BEFORE_BODY_MAX);
         let status = response.status();
-        let body = Limited::new(response.into_body(), body_max).collect();
-        match within(deadline, body).await {
+        match within(deadline, read_limited(response.into_body(), body_max)).await {
             None => Err(SendError::TimedOut),
             Some(Err(error)) => {
                 log::debug!("failed to read the answer of {address}: {error}");
@@ -428,12 +428,28 @@
             }
             Some(Ok(body)) => {
                 self.release(connection);
-                Ok((status, body.to_bytes()))
+                Ok((status, body))
             }
         }
     }
 }
 
+/// Reads a body to its end. Its frames are copied, because each holds the buffer that it is a part of, and
+/// a peer may send one for each byte.
+async fn read_limited(
+    body: Incoming,
+    bytes_max: usize,
+) -> Result<Bytes, Box<dyn Error + Send + Sync>> {
+    let mut body = Limited::new(body, bytes_max);
+    let mut bytes = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        if let Ok(data) = frame?.into_data() {
+            bytes.extend_from_slice(&data);
+        }
+    }
+    Ok(bytes.freeze())
+}
+
 /// Sets the socket options of a connection: no delay for small writes, and detection of peers that
 /// no longer answer.
 pub(crate) fn set_options(stream: &TcpStream) {
