Bound the memory of request bodies at the product's own interface

Each of 4,096 connections could hold a body of 8 MiB, and those that stopped short of its end kept it for the body timeout of 30 s.

--- a/crates/config/src/settings/flags.rs
+++ b/crates/config/src/settings/flags.rs
@@ -66,6 +66,12 @@
         "Maximum time that a planned stop waits for requests in flight",
     ),
     flag("max-body-bytes", "BYTES", Some("8388608"), "Maximum size of a request body"),
+    flag(
+        "max-bodies-bytes",
+        "BYTES",
+        Some("268435456"),
+        "Maximum size of all request bodies together",
+    ),
     flag("max-headers", "N", Some("64"), "Maximum number of headers in a request"),
     flag(
         "max-head-bytes",
--- a/crates/config/src/settings/mod.rs
+++ b/crates/config/src/settings/mod.rs
@@ -71,6 +71,8 @@
 pub struct CallerLimits {
     /// Maximum size of a request body.
     pub max_body_bytes: usize,
+    /// Maximum size of all request bodies together.
+    pub max_bodies_bytes: usize,
     /// Maximum number of headers in a request.
     pub max_headers: usize,
     /// Maximum size of the request line and headers together.
@@ -252,6 +254,7 @@
 
 fn read_caller_limits(checker: &mut Checker<'_>) -> Option<CallerLimits> {
     let max_body_bytes = checker.count("max-body-bytes", 1024..=268_435_456);
+    let max_bodies_bytes = checker.count("max-bodies-bytes", 1_048_576..=1_099_511_627_776);
     let max_headers = checker.count("max-headers", 8..=128);
     let max_head_bytes = checker.count("max-head-bytes", 512..=8191);
     let max_connections = checker.count("max-connections", 1..=1_000_000);
@@ -262,6 +265,7 @@
     let metrics = checker.choice("metrics", &[("open", true), ("off", false)]);
     Some(CallerLimits {
         max_body_bytes: max_body_bytes?,
+        max_bodies_bytes: max_bodies_bytes?,
         max_headers: max_headers?,
         max_head_bytes: max_head_bytes?,
         max_connections: max_connections?,
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -14,6 +14,7 @@
 mod handler;
 mod head;
 mod implicit;
+mod memory;
 mod options;
 mod path;
 mod problem;
--- a/crates/edge/src/options.rs
+++ b/crates/edge/src/options.rs
@@ -16,6 +16,9 @@
 pub struct EdgeOptions {
     /// Maximum size of a request body, in bytes.
     pub max_body_bytes: usize,
+    /// Maximum size of the bodies of all requests together, in bytes. A body that finds no room waits
+    /// unread for a moment and is then refused with a 503 reply. At least `max_body_bytes`.
+    pub max_bodies_bytes: usize,
     /// Maximum number of headers of a request.
     pub max_headers: usize,
     /// Maximum size of a head (request line and headers), in bytes.
@@ -38,6 +41,7 @@
     fn default() -> Self {
         Self {
             max_body_bytes: 8 * 1024 * 1024,
+            max_bodies_bytes: 256 * 1024 * 1024,
             max_headers: 64,
             max_head_bytes: MAX_HEAD_BYTES,
             head_timeout: Duration::from_secs(5),
@@ -57,6 +61,12 @@
         self
     }
 
+    /// Sets the maximum size of all bodies together.
+    pub fn max_bodies_bytes(mut self, bytes: usize) -> Self {
+        self.max_bodies_bytes = bytes;
+        self
+    }
+
     /// Sets the maximum number of headers, at most [`MAX_HEADERS`].
     pub fn max_headers(mut self, count: usize) -> Self {
         self.max_headers = count.min(MAX_HEADERS);
--- a/crates/edge/src/receive.rs
+++ b/crates/edge/src/receive.rs
@@ -4,6 +4,7 @@
     crate::{
         conn::Conn,
         head::{Framing, HEAD_TERMINATOR, Head, RawHead},
+        memory::{BodyMemory, BodyReservation},
         options::EdgeOptions,
         problem::Problem,
         stop::StopReceiver,
@@ -15,8 +16,8 @@
         future::or,
         io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt},
     },
-    std::time::Duration,
-    trefoilring_core::verdict::Reason,
+    std::{sync::Arc, time::Duration},
+    trefoilring_core::verdict::{Reason, Refusal},
 };
 
 const CONTINUE: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
@@ -116,21 +117,48 @@
     conn: &Conn<S>,
     head: &Head,
     options: &EdgeOptions,
-) -> Result<Vec<u8>, Problem>
+    memory: &Arc<BodyMemory>,
+) -> Result<(Vec<u8>, Option<BodyReservation>), Problem>
 where
     S: AsyncRead + AsyncWrite + Send + Unpin + 'static,
 {
     let max_bytes = options.max_body_bytes;
     match head.framing {
-        Framing::None | Framing::Length(0) => return Ok(Vec::new()),
+        Framing::None | Framing::Length(0) => return Ok((Vec::new(), None)),
         Framing::Length(bytes) if bytes > max_bytes as u64 => return Err(too_large(max_bytes)),
         Framing::Length(_) | Framing::Chunked => {}
     }
     let timed_out = problem_after_timeout(options.body_timeout, "the body");
-    or(async { read_body(conn, head, max_bytes).await }, async { Err(timed_out.await) }).await
+    let read = async {
+        let first_bytes = match head.framing {
+            // All of it, so that a body that is begun can end.
+            Framing::Length(bytes) => usize::try_from(bytes).unwrap_or(max_bytes),
+            Framing::None | Framing::Chunked => BODY_READ_BYTES.min(max_bytes),
+        };
+        let reservation = memory.reserve(first_bytes).await.map_err(no_memory)?;
+        let dropped = async {
+            reservation.wait_until_dropped().await;
+            let detail = "the body comes too slowly while others wait for its memory";
+            Err(Problem::not_run(Reason::SlowRequest, detail))
+        };
+        let body = or(read_body(conn, head, max_bytes, &reservation), dropped).await?;
+        reservation.set_complete();
+        Ok((body, Some(reservation)))
+    };
+    or(read, async { Err(timed_out.await) }).await
+}
+
+fn no_memory(retry_after: Duration) -> Problem {
+    let detail = "the host holds as many bodies as it has memory for";
+    Refusal::not_run(Reason::Overloaded, detail).retry_after(retry_after).into()
 }
 
-async fn read_body<S>(conn: &Conn<S>, head: &Head, max_bytes: usize) -> Result<Vec<u8>, Problem>
+async fn read_body<S>(
+    conn: &Conn<S>,
+    head: &Head,
+    max_bytes: usize,
+    reservation: &BodyReservation,
+) -> Result<Vec<u8>, Problem>
 where
     S: AsyncRead + AsyncWrite + Send + Unpin + 'static,
 {
@@ -143,7 +171,7 @@
     let Some((mut request, _)) = decoded else {
         return Err(unreadable_body("the connection ended"));
     };
-    let bytes = read_bounded(&mut request, max_bytes).await?;
+    let bytes = read_bounded(&mut request, max_bytes, reservation).await?;
     match head.framing {
         Framing::Length(expected) if expected != bytes.len() as u64 => {
             let detail = format!("it ended after {} of {expected} bytes", bytes.len());
@@ -153,9 +181,13 @@
     }
 }
 
-async fn read_bounded(request: &mut Request, max_bytes: usize) -> Result<Vec<u8>, Problem> {
+async fn read_bounded(
+    request: &mut Request,
+    max_bytes: usize,
+    reservation: &BodyReservation,
+) -> Result<Vec<u8>, Problem> {
     let mut body = request.take_body();
-    let mut bytes = Vec::with_capacity(body.len().unwrap_or_default().min(max_bytes));
+    let mut bytes = Vec::with_capacity(body.len().unwrap_or(BODY_READ_BYTES).min(max_bytes));
     let mut part = vec![0; BODY_READ_BYTES];
     loop {
         let count = body.read(&mut part).await.map_err(unreadable_body)?;
@@ -165,6 +197,13 @@
         if bytes.len() + count > max_bytes {
             return Err(too_large(max_bytes));
         }
+        let size = bytes.len() + count;
+        if size > bytes.capacity() {
+            let reserved = (2 * size).min(max_bytes);
+            reservation.grow(reserved).await.map_err(no_memory)?;
+            bytes.reserve_exact(reserved - bytes.len());
+        }
+        reservation.record_progress(count);
         bytes.extend_from_slice(&part[..count]);
     }
 }
--- a/crates/edge/src/server.rs
+++ b/crates/edge/src/server.rs
@@ -6,6 +6,7 @@
         conn::Conn,
         handler::{self, GuardedReply, Handler},
         head::Head,
+        memory::BodyMemory,
         options::EdgeOptions,
         problem::Problem,
         receive::{self, NextRequest},
@@ -66,6 +67,7 @@
     options: EdgeOptions,
     handler: Handler<B>,
     open_connections: AtomicUsize,
+    memory: Arc<BodyMemory>,
 }
 
 impl<B: Backend> Edge<B> {
@@ -75,7 +77,8 @@
         let serves_metrics = options.serves_metrics;
         let handler = Handler { backend, executor, serves_metrics };
         let open_connections = AtomicUsize::new(0);
-        Self { shared: Arc::new(Shared { options, handler, open_connections }) }
+        let memory = BodyMemory::new(options.max_bodies_bytes.max(options.max_body_bytes));
+        Self { shared: Arc::new(Shared { options, handler, open_connections, memory }) }
     }
 
     /// Returns the number of open connections, including those that are being refused.
@@ -172,10 +175,12 @@
         // A request refused here may leave unread bytes of its body on the connection.
         let received = async {
             let request = handler::admit(&handler.backend, head).await?;
-            let body = receive::request_body(conn, &request.head, options).await?;
-            Ok((request, body))
+            let memory = &self.shared.memory;
+            let (body, memory) =
+                receive::request_body(conn, &request.head, options, memory).await?;
+            Ok((request, body, memory))
         };
-        let (request, body) = match received.await {
+        let (request, body, memory) = match received.await {
             Ok(received) => received,
             Err(problem) => {
                 self.refuse_and_linger(conn, problem, method).await;
@@ -189,6 +194,7 @@
             None
         };
         let Some(guarded) = or(work, disconnected).await else { return false };
+        drop(memory);
         let mut guarded = guarded.unwrap_or_else(|problem| Reply::from(problem).into());
         let must_close = must_close || stop.is_stopped();
         guarded.streamable.reply = guarded.streamable.reply.with("Trefoil-Request", &*id);
--- a/crates/host/src/host.rs
+++ b/crates/host/src/host.rs
@@ -276,6 +276,7 @@
     let limits = &settings.callers;
     EdgeOptions::default()
         .max_body_bytes(limits.max_body_bytes)
+        .max_bodies_bytes(limits.max_bodies_bytes)
         .max_headers(limits.max_headers)
         .max_head_bytes(limits.max_head_bytes)
         .max_connections(limits.max_connections)
