Admit programs by the time that they have left

Callers saw: with 1.5 times the programs that the tools can finish, 9 to 20 of 65 programs a second ended in their target, and with five times as many 1 to 7.

Cause: a fixed target delay of 100 ms, which is more than the programs' targets leave, and a refused fraction that follows delays which hosts with one program a second know up to a second late, so that queues swing.

Change: a host learns in proportion to targets what programs need of each service, and compares the time in queues with what a program's target leaves for it (the pressure). Above half of that, one program begins for about each that ends, counted by the requests of programs under way; the pressure corrects that slightly. A program that was refused and has lost its slack takes no place from one that can end in time. Less urgent programs have a reserve. The host goes on for some time when it loses sight of the delays. Retry-After follows the queue and the refusals ahead. Answers to programs' requests are recorded where the line answer is written. Decision line program_refused; metrics programs_admitted, programs_refused.

--- a/crates/gateway/src/call/mod.rs
+++ b/crates/gateway/src/call/mod.rs
@@ -213,28 +213,87 @@
     answered
 }
 
-/// Refuses the first turn of a program while the services that programs use are full.
+/// Refuses the first turn of a program that would not end in time, or in whose place others would.
 fn admit_program(
     gateway: &Gateway,
     call: &Call,
     charge: Option<&budget::TurnCharge>,
 ) -> Result<(), Refusal> {
     let now = Instant::now();
-    let Some(program) = &call.metadata.program else { return Ok(()) };
+    let Some(program) = call.metadata.program.as_ref().filter(|_| counts_for_admission(call))
+    else {
+        return Ok(());
+    };
     let mut admission = gateway.admission.borrow_mut();
     let delay_of = |service: &ServiceId| gateway.placement.borrow().queue_delay(now, service);
+    if charge.is_some_and(|charge| charge.opens_program) {
+        let priority = call.team.as_ref().and_then(|team| team.priority);
+        let priority = priority.unwrap_or(call.route.priority);
+        let new = NewProgram { id: &program.id, priority, time_left: program.finish_in };
+        if let Err(refusal) = admission.check(now, &new, delay_of, rand::rng().random()) {
+            log_program_refusal(gateway, call, &new, &refusal);
+            let ProgramRefusal { service, delay, retry_after, .. } = refusal;
+            let detail = match service {
+                Some(service) => {
+                    format!(
+                        "no new program begins: requests wait {} ms at {service}",
+                        delay.as_millis()
+                    )
+                }
+                None => "no new program begins: the services were full lately".into(),
+            };
+            return Err(Refusal::not_run(Reason::Overloaded, detail).retry_after(retry_after));
+        }
+        gateway.metrics.count("programs_admitted", 1);
+    }
     admission.observe(now, &call.service, delay_of);
-    if charge.is_none_or(|charge| !charge.opens_program) {
-        return Ok(());
+    Ok(())
+}
+
+/// Returns whether a request counts for what programs need. First turns are known by their budgets, so
+/// turns without budgets would count for programs that do not.
+fn counts_for_admission(call: &Call) -> bool {
+    let program = call.metadata.program.as_ref();
+    program
+        .is_some_and(|program| call.metadata.generation.is_none() || program.token_budget.is_some())
+}
+
+/// Writes the decision line of a program that may not begin.
+fn log_program_refusal(
+    gateway: &Gateway,
+    call: &Call,
+    program: &NewProgram<'_>,
+    refusal: &ProgramRefusal,
+) {
+    gateway.metrics.count("programs_refused", 1);
+    gateway.decisions.log(
+        LineRate::Failure,
+        "program_refused",
+        json!({
+            "request": call.metadata.request_id,
+            "program": program.id,
+            "route": call.route.id,
+            "priority": program.priority,
+            "time_left_ms": program.time_left.map(|left| left.as_millis() as u64),
+            "service": refusal.service,
+            "delay_ms": refusal.delay.as_millis() as u64,
+            "pressure": refusal.pressure,
+            "view_age_ms": refusal.view_age.map(|age| age.as_millis() as u64),
+            "credits": refusal.credits,
+            "unqueued_share": refusal.unqueued_share,
+            "retry_after_ms": refusal.retry_after.as_millis() as u64,
+        }),
+    );
+}
+
+/// Records what a request of a program took, from which the host learns what programs need.
+fn record_program_answer(gateway: &Gateway, call: &Call) {
+    if !counts_for_admission(call) {
+        return;
     }
-    let priority = call.team.as_ref().and_then(|team| team.priority);
-    let program = NewProgram { id: &program.id, priority: priority.unwrap_or(call.route.priority) };
-    let admitted = admission.check(now, &program, delay_of, rand::rng().random());
-    admitted.map_err(|ProgramRefusal { service, delay, retry_after }| {
-        let detail =
-            format!("no new program begins: requests wait {} ms at {service}", delay.as_millis());
-        Refusal::not_run(Reason::Overloaded, detail).retry_after(retry_after)
-    })
+    let now = Instant::now();
+    let delay = gateway.placement.borrow().queue_delay(now, &call.service);
+    gateway.admission.borrow_mut().record_answer(now, call.arrived.elapsed(), delay);
 }
 
 /// Delivers a request in a task of its own, which continues if the caller disconnects. Cancelling a
@@ -382,6 +441,7 @@
 ) {
     gateway.metrics.count("answered", 1);
     gateway.usual_durations.borrow_mut().record(&call.route.id, call.arrived.elapsed());
+    record_program_answer(gateway, call);
     gateway.decisions.log(
         LineRate::Routine,
         "answer",
