--- a/crates/gateway/src/call/attempts.rs
+++ b/crates/gateway/src/call/attempts.rs
@@ -208,6 +208,7 @@
                     call.deadline,
                 )
                 .await;
+                evacuations::until_confirmed(gateway).await;
                 if is_allowed && !attempt.has_upstream_left() {
                     return Ok(Some(attempt));
                 }
