Leave out the first watches of hosts that start together

Operators paid for a watch of the hosts by each gateway that starts, and of the configuration by those that start first, which were given up a second later when the gateway had found the host that reads for its failure domain.

A host now lists the hosts once its record is written, at most 150 ms later, and watches what it has listed of hosts and configuration from 1.2 s after its first look for a reader, unless others read through it, the store fails or the list lacks its own record. A change of that time is known at its end, within the 3 s in which configurations must be in force; upstreams are watched at once.

--- a/crates/gateway/src/roster.rs
+++ b/crates/gateway/src/roster.rs
@@ -45,6 +45,7 @@
 
 async fn run(gateway: Rc<Gateway>) {
     let mut revision = register(&gateway, None).await;
+    gateway.watches.on_registered();
     if gateway.settings.callers_listen.is_none() {
         keep_registered(&gateway).await;
         return;
--- a/crates/gateway/src/watch/mod.rs
+++ b/crates/gateway/src/watch/mod.rs
@@ -75,6 +75,9 @@
     let watches = &gateway.watches;
     let watched = watches.of(collection);
     let mut backoff = Backoff::default();
+    if collection == Collection::Hosts && gateway.settings.callers_listen.is_some() {
+        watches.until_registered().await;
+    }
     let mut delay = match collection {
         Collection::Hosts => WatchDelay::for_hosts(),
         Collection::Upstreams => WatchDelay::for_upstreams(),
@@ -84,6 +87,10 @@
     };
     loop {
         watches.until_reading(collection).await;
+        let is_listed = collection != Collection::Hosts || gateway.roster.borrow().is_listed();
+        if is_listed && watches.has_delayed_first_watch(collection).await {
+            continue;
+        }
         let sent_at = Instant::now();
         let outcome = match watched.revision.get() {
             None => watches.unless_interrupted(collection, list(&gateway, collection)).await,
--- a/crates/gateway/src/watch/sharing.rs
+++ b/crates/gateway/src/watch/sharing.rs
@@ -45,6 +45,16 @@
 const READER_DELAY_MAX: Duration = Duration::from_millis(800);
 /// Interval at which a host that reads the store itself looks for a reader.
 const RECHECK_INTERVAL: Duration = Duration::from_secs(1);
+/// Collections that a host does not watch at once after it has listed them at its start. Upstreams are
+/// not among them: new versions are expected to be known by all hosts within a second.
+const DELAYED_AT_START: [Collection; 2] = [Collection::Configuration, Collection::Hosts];
+/// Time after the first look for a reader for which a host that has listed these does not watch
+/// them. Hosts that start together find a reader at their second look. A change of that time is
+/// known at the end of it at the latest, within the 3 s in which hosts must act on changes.
+const FIRST_WATCH_DELAY: Duration = Duration::from_millis(1200);
+/// Maximum time for which the first listing of the hosts waits for this host's registration. A listing
+/// with its own record is all that a host needs to join the others.
+const REGISTRATION_WAIT_MAX: Duration = Duration::from_millis(150);
 
 /// How this host watches the store.
 #[derive(Default)]
@@ -70,6 +80,12 @@
     followed_since: Cell<Option<Instant>>,
     /// Notified when the store has answered, or has failed to.
     answered: Event,
+    /// Time until which a host that has just started does not watch what it has listed.
+    first_watch_at: Cell<Option<Instant>>,
+    /// Whether this host has written its record.
+    is_registered: Cell<bool>,
+    /// Notified when this host has written its record.
+    registered: Event,
     /// Whether this host has looked for a reader since its start. Before that it reads only the list
     /// of hosts.
     has_looked: Cell<bool>,
@@ -217,6 +233,37 @@
         self.followed_since.get().is_some_and(|since| since.elapsed() < FOLLOW_WAIT)
     }
 
+    /// Records that this host has written its record.
+    pub(crate) fn on_registered(&self) {
+        self.is_registered.set(true);
+        self.registered.notify(usize::MAX);
+    }
+
+    /// Waits until this host is registered, or [`REGISTRATION_WAIT_MAX`].
+    pub(super) async fn until_registered(&self) {
+        let registered = self.registered.listen();
+        if !self.is_registered.get() {
+            within(Instant::now() + REGISTRATION_WAIT_MAX, registered).await;
+        }
+    }
+
+    /// Waits while the first watch of a collection that was listed at the start can be left out. Returns
+    /// whether it has waited, so that the source may have changed.
+    pub(super) async fn has_delayed_first_watch(&self, collection: Collection) -> bool {
+        let interrupted = self.interrupted.listen();
+        let watched = self.of(collection);
+        let is_calm = watched.revision.get().is_some()
+            && !watched.is_behind_reader()
+            && !watched.outage.get().is_ongoing()
+            && !self.is_followed();
+        let until = self.first_watch_at.get().filter(|at| is_calm && Instant::now() < *at);
+        let Some(until) = until.filter(|_| DELAYED_AT_START.contains(&collection)) else {
+            return false;
+        };
+        within(until, interrupted).await;
+        true
+    }
+
     /// Returns whether a collection must be read from the store now.
     fn reads_store(&self, collection: Collection) -> bool {
         let is_own = self.of(collection).is_own.get();
@@ -279,6 +326,7 @@
     let watches = &gateway.watches;
     SHARED.into_iter().for_each(|collection| start_own_collection(&gateway, collection));
     let deadline = Instant::now() + START_WAIT_MAX;
+    watches.first_watch_at.set(Some(deadline));
     let hosts = &watches.hosts;
     while hosts.revision.get().is_none()
         && !hosts.outage.get().is_ongoing()
@@ -289,6 +337,7 @@
         let source = choose_source(&gateway, now);
         set_reader(&gateway, &source);
         if !watches.has_looked.replace(true) {
+            watches.first_watch_at.set(Some(now + FIRST_WATCH_DELAY));
             watches.resumed.notify(usize::MAX);
         }
         match source {
