Order the host's wait queue by what is lost if a request waits

Callers saw programs miss their targets by one call of a tool that waited, oldest first, behind calls of programs that had time, and behind first turns.

Cause: the wait queue knew only when a wait began.

Change: requests of programs that have less than 500 ms left until their target have a head start of 200 ms over those of other programs and of no program, and first turns are 100 ms behind these. Head starts are shorter than the waits, so nobody is starved. A request that has a head start over all that wait is tried at once. Whether a request joins the queue follows from how far the first one is ahead of it. Line wait has urgency and target_in_ms.

--- a/crates/core/src/placement/mod.rs
+++ b/crates/core/src/placement/mod.rs
@@ -24,7 +24,7 @@
     rate_limit::LendOutcome,
     reach::{ReachChange, UpstreamReach},
     upstream::{LoadReport, Outcome, UpstreamRecord},
-    wait_queue::{QueueWait, WaitQueues},
+    wait_queue::{QueueWait, Urgency, WaitQueues},
 };
 
 use {
--- a/crates/core/src/placement/wait_queue/tests.rs
+++ b/crates/core/src/placement/wait_queue/tests.rs
@@ -22,6 +22,9 @@
     attempts: usize,
     /// Number of requests that were refused, retried once by the caller, and refused again.
     refused_twice: usize,
+    /// Requests of programs that are about to end.
+    about_to_end: usize,
+    about_to_end_refused: usize,
 }
 
 impl SimulationResult {
@@ -33,6 +36,7 @@
 /// A request that is waiting or ready for an attempt.
 struct SimulatedRequest {
     number: usize,
+    urgency: Urgency,
     host: usize,
     arrived: Instant,
     wait: Option<QueueWait>,
@@ -51,6 +55,18 @@
     rate: impl Fn(Duration) -> f64,
     queues_requests: bool,
     retry_after: Option<RetryAfter>,
+) -> SimulationResult {
+    let urgency_of = |_| Urgency::ActiveProgram;
+    simulate_urgencies(length, rate, queues_requests, retry_after, urgency_of)
+}
+
+/// As [`simulate`], with an urgency for each request by its number.
+fn simulate_urgencies(
+    length: Duration,
+    rate: impl Fn(Duration) -> f64,
+    queues_requests: bool,
+    retry_after: Option<RetryAfter>,
+    urgency_of: impl Fn(usize) -> Urgency,
 ) -> SimulationResult {
     let start = Instant::now();
     let mut rng = StdRng::seed_from_u64(SEED);
@@ -90,8 +106,11 @@
             request_count += 1;
             let host = rng.random_range(0..HOSTS);
             let (wait, retry_at, is_retry) = (None, now, false);
+            let urgency = urgency_of(request_count);
+            result.about_to_end += usize::from(urgency == Urgency::AboutToEnd);
             ready.push(SimulatedRequest {
                 number: request_count,
+                urgency,
                 host,
                 arrived: now,
                 wait,
@@ -103,16 +122,19 @@
         for mut request in ready {
             let queues = &mut hosts[request.host];
             let is_first = request.wait.is_none();
-            let must_queue = queues_requests && is_first && queues.has_waiting(&service);
+            let must_queue = queues_requests
+                && is_first
+                && queues.is_behind_others(now, &service, request.urgency, None);
             result.attempts += usize::from(!must_queue);
             if !must_queue && queued.len() < QUEUE {
                 queued.push_back(request.host);
                 result.accepted += 1;
                 continue;
             }
-            let begin = || queues.begin_wait(now, request.arrived + TIME_TO_DEADLINE, true);
+            let begin =
+                || queues.begin_wait(now, request.arrived + TIME_TO_DEADLINE, request.urgency);
             let mut wait = request.wait.unwrap_or_else(begin);
-            let is_admitted = queues_requests && (!is_first || queues.admits(now, &service, &wait));
+            let is_admitted = queues_requests && (!is_first || queues.admits(&service, &wait));
             match wait.next_attempt(now, rng.random()).filter(|_| is_admitted) {
                 Some(retry_at) => {
                     queues.enqueue(&service, &wait, request.number);
@@ -121,6 +143,8 @@
                 }
                 None => {
                     result.refused_after.push(now - request.arrived);
+                    result.about_to_end_refused +=
+                        usize::from(request.urgency == Urgency::AboutToEnd);
                     result.refused_twice += usize::from(request.is_retry);
                     if let (Some(retry_after), false) = (retry_after, request.is_retry) {
                         let retry_at = now + retry_after(queues.oldest_wait(now, &service));
@@ -205,28 +229,27 @@
     let mut queues = WaitQueues::default();
     let mut waits = Vec::new();
     for number in 0..20 {
-        let wait = queues.begin_wait(start, start + TIME_TO_DEADLINE, true);
-        assert!(queues.admits(start, &service, &wait));
+        let wait = queues.begin_wait(start, start + TIME_TO_DEADLINE, Urgency::ActiveProgram);
+        assert!(queues.admits(&service, &wait));
         queues.enqueue(&service, &wait, number);
         waits.push(wait);
     }
     let later = start + Duration::from_millis(410);
-    let new_wait = queues.begin_wait(later, later + TIME_TO_DEADLINE, true);
+    let new_wait = queues.begin_wait(later, later + TIME_TO_DEADLINE, Urgency::ActiveProgram);
     assert_eq!(queues.oldest_wait(later, &service), later - start);
-    assert!(!queues.admits(later, &service, &new_wait));
+    assert!(!queues.admits(&service, &new_wait));
     for (number, wait) in waits.iter().enumerate() {
         assert_eq!(queues.front_waker(&service), Some(&number), "the oldest request is first");
         queues.dequeue(&service, wait);
     }
-    assert!(queues.admits(later, &service, &new_wait) && !queues.has_waiting(&service));
+    assert!(queues.admits(&service, &new_wait) && !queues.has_waiting(&service));
 }
 
 #[test]
 fn wait_is_bounded_by_the_maximum_and_a_fraction_of_the_time_left() {
     let now = Instant::now();
-    let total_wait = |time_left, in_active_program| {
-        let mut wait =
-            WaitQueues::<()>::default().begin_wait(now, now + time_left, in_active_program);
+    let total_wait = |time_left, urgency| {
+        let mut wait = WaitQueues::<()>::default().begin_wait(now, now + time_left, urgency);
         let mut at = now;
         while let Some(next) = wait.next_attempt(at, 0.5) {
             assert!(next > at);
@@ -234,8 +257,81 @@
         }
         at - now
     };
-    assert_eq!(total_wait(TIME_TO_DEADLINE, true), wait::ACTIVE_PROGRAM_WAIT_MAX);
-    assert_eq!(total_wait(TIME_TO_DEADLINE, false), DEFAULT_WAIT_MAX);
-    assert_eq!(total_wait(Duration::from_millis(200), true), Duration::from_millis(60));
-    assert_eq!(total_wait(Duration::ZERO, true), Duration::ZERO);
+    assert_eq!(total_wait(TIME_TO_DEADLINE, Urgency::ActiveProgram), wait::ACTIVE_PROGRAM_WAIT_MAX);
+    assert_eq!(total_wait(TIME_TO_DEADLINE, Urgency::NoProgram), DEFAULT_WAIT_MAX);
+    assert_eq!(
+        total_wait(Duration::from_millis(200), Urgency::ActiveProgram),
+        Duration::from_millis(60)
+    );
+    assert_eq!(total_wait(Duration::ZERO, Urgency::ActiveProgram), Duration::ZERO);
+}
+
+/// Guards against programs that miss their targets by one call behind calls that have time.
+#[test]
+fn programs_about_to_end_are_first_and_first_turns_last() {
+    let start = Instant::now();
+    let service = ServiceId::from("tools");
+    let deadline = start + TIME_TO_DEADLINE;
+    let about_to_end = Urgency::of_active_program(Some(Duration::from_millis(200)));
+    let order = [Urgency::FirstTurn, Urgency::NoProgram, Urgency::ActiveProgram, about_to_end];
+    let mut queues = WaitQueues::default();
+    let mut waits = Vec::new();
+    for urgency in order {
+        // A request with a head start does not wait for those behind it.
+        let is_behind = queues.is_behind_others(start, &service, urgency, None);
+        assert_eq!(is_behind, urgency == Urgency::ActiveProgram, "{urgency:?}");
+        let wait = queues.begin_wait(start, deadline, urgency);
+        queues.enqueue(&service, &wait, urgency);
+        waits.push((urgency, wait));
+    }
+    let mut served = Vec::new();
+    while let Some(&urgency) = queues.front_waker(&service) {
+        let (_, wait) = waits.iter().find(|(other, _)| *other == urgency).expect("queued");
+        queues.dequeue(&service, wait);
+        served.push(urgency);
+    }
+    use Urgency::{AboutToEnd, ActiveProgram, FirstTurn, NoProgram};
+    assert_eq!(served, [AboutToEnd, NoProgram, ActiveProgram, FirstTurn]);
+    let unknown = Urgency::of_active_program(None);
+    assert_eq!((about_to_end, unknown), (AboutToEnd, ActiveProgram));
+}
+
+/// Guards against programs that are refused shortly before their ends because others fill the queue.
+/// Some are still refused: hosts compete for freed slots without regard to what waits at others.
+#[test]
+fn overload_refuses_half_as_many_programs_about_to_end_as_without_an_order() {
+    let length = Duration::from_secs(20);
+    let about_to_end = |number: usize| match number.is_multiple_of(5) {
+        true => Urgency::AboutToEnd,
+        false => Urgency::ActiveProgram,
+    };
+    let without_order = simulate(length, |_| 200.0, true, None);
+    let result = simulate_urgencies(length, |_| 200.0, true, None, about_to_end);
+    let refused = result.about_to_end_refused as f64 / result.about_to_end as f64;
+    let refused_without_order =
+        without_order.refused_after.len() as f64 / without_order.requests() as f64;
+    assert!(refused * 2.0 <= refused_without_order, "{refused}, {refused_without_order} without");
+    let capacity = 100 * length.as_secs() as usize;
+    assert!(result.accepted * 100 >= capacity * 98, "{} accepted", result.accepted);
+}
+
+/// Guards against first turns and calls with time that are held for their whole wait, because others
+/// come all the time.
+#[test]
+fn head_starts_are_shorter_than_waits() {
+    let start = Instant::now();
+    let service = ServiceId::from("tools");
+    for (patient, urgent) in [
+        (Urgency::FirstTurn, Urgency::ActiveProgram),
+        (Urgency::ActiveProgram, Urgency::AboutToEnd),
+    ] {
+        let mut queues = WaitQueues::default();
+        let deadline = start + TIME_TO_DEADLINE;
+        let wait = queues.begin_wait(start, deadline, patient);
+        queues.enqueue(&service, &wait, patient);
+        let now = wait.expires_at - Duration::from_millis(40);
+        let later = queues.begin_wait(now, deadline, urgent);
+        queues.enqueue(&service, &later, urgent);
+        assert_eq!(queues.front_waker(&service), Some(&patient), "{patient:?}");
+    }
 }
--- a/crates/gateway/src/call/attempts.rs
+++ b/crates/gateway/src/call/attempts.rs
@@ -23,7 +23,7 @@
         ids::{ServiceId, SoftwareVersion, UpstreamId},
         placement::{
             BrokenAttempts, Choice, Outcome, PlacementRequest, QueueWait, RetryDecision,
-            UpstreamKey,
+            UpstreamKey, Urgency,
         },
         stream_origins::StreamOrigin,
         verdict::{Reason, Refusal, Verdict},
@@ -142,8 +142,7 @@
 
 /// Selects the upstreams for the attempts of one request.
 pub(super) struct UpstreamSelector {
-    /// Whether the request belongs to an active program.
-    is_active_program: bool,
+    urgency: Urgency,
     /// Software version that the upstream must have, if the request continues a stream.
     version: Option<SoftwareVersion>,
     /// Upstreams that rejected an attempt because they were full. Cleared after each wait.
@@ -156,10 +155,10 @@
 }
 
 impl UpstreamSelector {
-    pub(super) fn new(is_active_program: bool, version: Option<SoftwareVersion>) -> Self {
+    pub(super) fn new(urgency: Urgency, version: Option<SoftwareVersion>) -> Self {
         let broken_attempts = BrokenAttempts::default();
         Self {
-            is_active_program,
+            urgency,
             version,
             full_upstreams: Vec::new(),
             failed_upstreams: Vec::new(),
@@ -270,8 +269,8 @@
             && self.wait.is_none()
             && self.full_upstreams.is_empty()
             && self.failed_upstreams.is_empty();
-        if is_new && gateway.wait_queues.borrow().has_waiting(&call.service) {
-            // Waiting requests come first.
+        if is_new && self.is_behind_others(gateway, call) {
+            // Waiting requests come first, unless this one has a head start over them.
             return Choice::AllRefused;
         }
         upstream_limits::borrow_if_useful(gateway, &call.service);
@@ -288,8 +287,13 @@
         self.choose_upstream(gateway, call, &excluded)
     }
 
-    fn choose_upstream(&self, gateway: &Gateway, call: &Call, excluded: &[UpstreamKey]) -> Choice {
+    fn is_behind_others(&self, gateway: &Gateway, call: &Call) -> bool {
         let wait_queues = gateway.wait_queues.borrow();
+        let wait = self.wait.as_ref();
+        wait_queues.is_behind_others(Instant::now(), &call.service, self.urgency, wait)
+    }
+
+    fn choose_upstream(&self, gateway: &Gateway, call: &Call, excluded: &[UpstreamKey]) -> Choice {
         let now = Instant::now();
         let new_versions = match call.route.kind.is_stream() {
             true => gateway.origin_notes.borrow().origins.new_versions(now, &call.service),
@@ -302,7 +306,7 @@
             version: self.version.as_deref(),
             avoided_versions: &new_versions,
             refused_by: excluded,
-            is_behind_others: wait_queues.has_older(&call.service, self.wait.as_ref()),
+            is_behind_others: self.is_behind_others(gateway, call),
         };
         gateway.placement.borrow_mut().choose(now, &request)
     }
@@ -339,16 +343,16 @@
         let mut wait = match self.wait {
             Some(wait) => wait,
             None => {
-                let wait = wait_queues.begin_wait(now, call.deadline, self.is_active_program);
-                if !wait_queues.admits(now, &call.service, &wait) {
+                let wait = wait_queues.begin_wait(now, call.deadline, self.urgency);
+                if !wait_queues.admits(&call.service, &wait) {
                     return None;
                 }
-                log_wait(gateway, call, self.full_upstreams.len());
+                log_wait(gateway, call, self.urgency, self.full_upstreams.len());
                 wait
             }
         };
         let mut retry_at = wait.next_attempt(now, rand::rng().random())?;
-        if !wait_queues.has_older(&call.service, Some(&wait))
+        if !wait_queues.is_behind_others(now, &call.service, self.urgency, Some(&wait))
             && let Some(at) = next_within_limits
         {
             retry_at = retry_at.min(at.max(now + TOKEN_WAIT_MIN));
@@ -382,7 +386,7 @@
     }
 }
 
-fn log_wait(gateway: &Gateway, call: &Call, full: usize) {
+fn log_wait(gateway: &Gateway, call: &Call, urgency: Urgency, full: usize) {
     gateway.metrics.count("waited_for_upstream", 1);
     let (upstreams, load) = gateway.placement.borrow().service_load(Instant::now(), &call.service);
     gateway.decisions.log(
@@ -392,6 +396,8 @@
             "request": call.metadata.request_id,
             "program": call.metadata.program.as_ref().map(|program| &program.id),
             "service": call.service,
+            "urgency": urgency,
+            "target_in_ms": call.target_in().map(|left| left.as_millis() as u64),
             "full": full,
             "upstreams": upstreams,
             "service_load": load,
--- a/crates/gateway/src/call/exchange.rs
+++ b/crates/gateway/src/call/exchange.rs
@@ -22,7 +22,11 @@
     http_body_util::{BodyExt, Full},
     hyper::body::Incoming,
     std::{rc::Rc, time::Instant},
-    trefoilring_core::{ids::ServiceId, placement::Outcome, verdict::Refusal},
+    trefoilring_core::{
+        ids::ServiceId,
+        placement::{Outcome, Urgency},
+        verdict::Refusal,
+    },
 };
 
 /// Maximum size of an answer that is read only so that its connection can be reused.
@@ -50,7 +54,11 @@
 
 /// Delivers a request whose answer is read completely before it is passed on.
 pub(super) async fn deliver(gateway: &Rc<Gateway>, call: &Call) -> Result<Answer, Refusal> {
-    let mut selector = UpstreamSelector::new(call.metadata.program.is_some(), None);
+    let urgency = match call.metadata.program {
+        Some(_) => Urgency::of_active_program(call.target_in()),
+        None => Urgency::NoProgram,
+    };
+    let mut selector = UpstreamSelector::new(urgency, None);
     let (mut possible_runs, mut error_answer) = (0, None);
     loop {
         let attempt = match selector.next(gateway, call, possible_runs).await {
--- a/crates/gateway/src/call/mod.rs
+++ b/crates/gateway/src/call/mod.rs
@@ -129,6 +129,12 @@
         self.caller_gone.clone()
     }
 
+    /// Returns the time left until the target of the request's program, if the caller names one.
+    pub(crate) fn target_in(&self) -> Option<Duration> {
+        let target_in = self.metadata.program.as_ref()?.finish_in?;
+        Some(target_in.saturating_sub(self.arrived.elapsed()))
+    }
+
     pub(crate) fn time_left(&self) -> Duration {
         self.deadline.saturating_duration_since(Instant::now())
     }
--- a/crates/gateway/src/call/streaming.rs
+++ b/crates/gateway/src/call/streaming.rs
@@ -31,7 +31,7 @@
     trefoilring_core::{
         budget::TokenCount,
         ids::UpstreamId,
-        placement::Outcome,
+        placement::{Outcome, Urgency},
         stream_origins::StreamOrigin,
         verdict::{Refusal, Verdict},
     },
@@ -90,9 +90,13 @@
     call: &Rc<Call>,
     charge: Option<TurnCharge>,
 ) -> Result<Answer, Refusal> {
-    let is_active_program = charge.as_ref().is_some_and(|charge| !charge.opens_program);
+    let urgency = match &charge {
+        Some(charge) if charge.opens_program => Urgency::FirstTurn,
+        Some(_) => Urgency::of_active_program(call.target_in()),
+        None => Urgency::NoProgram,
+    };
     let version = call.origin.as_ref().map(|origin| origin.version.clone());
-    let mut selector = UpstreamSelector::new(is_active_program, version);
+    let mut selector = UpstreamSelector::new(urgency, version);
     let (mut possible_runs, mut retry_attempt) = (0, None);
     loop {
         let attempt = match retry_attempt.take() {
@@ -352,7 +356,8 @@
     /// if none does.
     async fn request_rest(&mut self, broken: Attempt) -> Option<()> {
         let version = self.origin.as_ref().map(|origin| origin.version.clone());
-        let mut selector = UpstreamSelector::new(true, version);
+        let urgency = Urgency::of_active_program(self.call.target_in());
+        let mut selector = UpstreamSelector::new(urgency, version);
         let mut retry_attempt = selector.on_broken(&self.call, broken).await.ok()?;
         loop {
             let attempt = match retry_attempt.take() {
