--- a/crates/core/src/placement/mod.rs
+++ b/crates/core/src/placement/mod.rs
@@ -28,7 +28,7 @@
     rate_limit::LendOutcome,
     reach::{ReachChange, UpstreamReach},
     upstream::{LoadReport, Outcome, UpstreamRecord},
-    wait_queue::{QueueWait, WaitQueues},
+    wait_queue::{QueueWait, Urgency, WaitQueues},
 };
 
 use {
