--- a/crates/core/src/placement/wait_queue.rs
+++ b/crates/core/src/placement/wait_queue.rs
@@ -217,7 +217,7 @@
 
     /// Returns the wakers of all requests, for when other upstreams can be used than before.
     pub fn wakers(&self) -> impl Iterator<Item = &W> {
-        self.queues.values().flat_map(BTreeMap::values)
+        self.queues.values().flat_map(BTreeMap::values).map(|queued| &queued.waker)
     }
 }
 
