Let a host that hears nothing begin one program as a probe, not one that hears

Cause: the probe went by the last program that began, not by what the host heard.

Change: a program begins without a credit once none has begun and no answer to a program's request has come for 500 ms, and after 8 s without one in any case. A program takes a credit if it would end in time at a pressure of 0.7, not 0.5, so that queues may vary around the target.

--- a/crates/core/src/admission/mod.rs
+++ b/crates/core/src/admission/mod.rs
@@ -38,6 +38,9 @@
 /// Pressure at which one program begins for each that ends: the queues keep the services busy, and
 /// programs end in time although queues vary.
 const PRESSURE_TARGET: f64 = 0.5;
+/// Pressure at which a program that takes a credit would still end in time. Above the target, because
+/// queues vary around it.
+const PRESSURE_IN_TIME: f64 = 0.7;
 /// Pressure above which no program begins. It lies above 1.0 because fewer begin than end meanwhile, so
 /// queues become shorter while a program runs.
 const PRESSURE_MAX: f64 = 1.2;
@@ -54,9 +57,12 @@
 const LIMIT_TIME: Duration = Duration::from_secs(2);
 /// How long the limit lasts at most while the host knows no delays.
 const LIMIT_TIME_UNKNOWN: Duration = Duration::from_secs(8);
-/// Time after which one program begins without a credit if none has. The host learns from it whether
-/// the services still are full.
-const PROBE_INTERVAL: Duration = Duration::from_secs(2);
+/// Time after which one program begins without a credit if none has, and no answer to a program's request
+/// has come. The host learns from it whether the services still are full. With 1.0 s, hosts that see one
+/// program a second leave the services idle after an overload.
+const PROBE_INTERVAL: Duration = Duration::from_millis(500);
+/// The same while answers come. They say that the services are full, but may mislead.
+const PROBE_INTERVAL_ANSWERED: Duration = Duration::from_secs(8);
 /// Time in queues that any program tolerates, as a fraction of its time without queues. A program that
 /// ends a little late still has value, and short queues are usual.
 const TOLERANCE_MIN: f64 = 0.2;
@@ -206,7 +212,7 @@
             queues.as_ref().map(|queues| self.pressure(queues, target, program.time_left));
         self.update_limit(now, pressure);
         let may_begin = self.limited_at.is_none()
-            || (self.ends_at_target_pressure(target, program.time_left)
+            || (self.ends_in_time(target, program.time_left)
                 && (self.is_probe_due(now)
                     || (self.has_credit(program.priority)
                         && pressure.is_none_or(|pressure| pressure <= PRESSURE_MAX))));
@@ -248,21 +254,21 @@
     }
 
     fn is_probe_due(&self, now: Instant) -> bool {
-        self.began_at.is_none_or(|at| now.saturating_duration_since(at) >= PROBE_INTERVAL)
+        let is_past = |at: Option<Instant>, interval| {
+            at.is_none_or(|at| now.saturating_duration_since(at) >= interval)
+        };
+        is_past(self.began_at, PROBE_INTERVAL_ANSWERED)
+            || is_past(self.began_at.max(self.answered_at), PROBE_INTERVAL)
     }
 
-    /// Returns whether a program would end in time at the pressure at which the queues are held for
-    /// programs at their first try. Of two programs that compete for a credit, one that was refused
-    /// before and has lost much of its time is the less likely to end in time.
-    fn ends_at_target_pressure(
-        &self,
-        target: Option<Duration>,
-        time_left: Option<Duration>,
-    ) -> bool {
+    /// Returns whether a program would end in time at [`PRESSURE_IN_TIME`], as seen by one at its first
+    /// try. Of two programs that compete for a credit, one that was refused before and has lost much of
+    /// its time is the less likely to end in time.
+    fn ends_in_time(&self, target: Option<Duration>, time_left: Option<Duration>) -> bool {
         let (Some(target), Some(time_left)) = (target, time_left) else { return true };
         let Some(unqueued_share) = self.needs.unqueued_share() else { return true };
         let tolerated = tolerated_s(target, target, unqueued_share);
-        tolerated_s(target, time_left, unqueued_share) >= PRESSURE_TARGET * tolerated
+        tolerated_s(target, time_left, unqueued_share) >= PRESSURE_IN_TIME * tolerated
     }
 
     fn has_credit(&self, priority: u8) -> bool {
