--- a/crates/core/src/placement/cold/tests.rs
+++ b/crates/core/src/placement/cold/tests.rs
@@ -48,6 +48,7 @@
         avoided_versions: &[],
         refused_by: &[],
         is_behind_others: false,
+        ..PlacementRequest::default()
     }
 }
 
--- a/crates/core/src/placement/evacuation/tests.rs
+++ b/crates/core/src/placement/evacuation/tests.rs
@@ -118,6 +118,7 @@
             avoided_versions: &[],
             refused_by: &[],
             is_behind_others: false,
+            ..PlacementRequest::default()
         };
         let placement = &mut self.hosts[host];
         let Choice::Use(key) = placement.choose(self.now, &request) else {
@@ -219,6 +220,7 @@
         avoided_versions: &[],
         refused_by: &[],
         is_behind_others: false,
+        ..PlacementRequest::default()
     };
     assert_eq!(placement.choose(now, &request), Choice::Use(two));
     placement.set_evacuated_domains(now, 1, &domains(&["a", "b"]));
