Begin another epoch of a ledger that a takeover has fenced and left to its owner

The owner did not learn of the fence, so no note host stored its outage note, and it granted no overdraft.

The core test plays the fence and the outage.

--- a/crates/core/src/budget/mod.rs
+++ b/crates/core/src/budget/mod.rs
@@ -39,7 +39,10 @@
 
 pub use {
     account::{AccountReplica, RecordedAccount},
-    notes::{FenceReply, LedgerPosition, NoteHost, OutageNotes, is_fenced, may_lack_overdraft},
+    notes::{
+        FenceReply, LedgerPosition, NoteHost, OutageNotes, is_epoch_fenced, is_fenced,
+        may_lack_overdraft,
+    },
     standby::{
         LedgerReplica, ReplicaStatus, ReplicaUpdate, ReplicationId, Standby, VoteOption, Witness,
     },
--- a/crates/core/src/budget/notes.rs
+++ b/crates/core/src/budget/notes.rs
@@ -70,6 +70,11 @@
         self.noted
     }
 
+    /// Returns the first epoch that is not fenced.
+    pub fn fenced_before(&self) -> Epoch {
+        self.fenced_before
+    }
+
     /// Returns whether the notes include a position.
     pub fn covers(&self, position: LedgerPosition) -> bool {
         self.noted.is_some_and(|noted| noted.epoch == position.epoch && noted >= position)
@@ -83,6 +88,16 @@
     pub note_host: NoteHost,
     /// The last position that it has noted.
     pub noted: Option<LedgerPosition>,
+    /// It notes nothing for epochs before this one. Builds before this field do not name it.
+    #[serde(default)]
+    pub fenced_before: Epoch,
+}
+
+/// Returns whether a note host notes nothing more for an epoch. A host that wanted to take the ledger
+/// over has fenced it, and may have left the ledger to its owner afterwards. The owner can have no
+/// outage noted until it begins another epoch.
+pub fn is_epoch_fenced(epoch: Epoch, replies: &[FenceReply]) -> bool {
+    replies.iter().any(|reply| reply.fenced_before > epoch)
 }
 
 /// Returns the number of note hosts that have to note an outage: a majority.
--- a/crates/core/src/budget/standby/tests.rs
+++ b/crates/core/src/budget/standby/tests.rs
@@ -152,7 +152,11 @@
 fn no_record_is_written_until_the_replication_has_ended() {
     let mut turns = Turns::default();
     let Outage { mut owner, now, position, record } = Outage::begin(&mut turns);
-    let replies = [FenceReply { note_host: note_hosts()[0].clone(), noted: Some(position) }];
+    let replies = [FenceReply {
+        note_host: note_hosts()[0].clone(),
+        noted: Some(position),
+        fenced_before: 0,
+    }];
     owner.begin_replication(now);
     begin_replica(&mut owner, now);
     assert_eq!(owner.replication_ending_since(), None);
@@ -168,7 +172,7 @@
     let complete = owner.next_record(now, 4000).expect("a record");
     let replies: Vec<FenceReply> = note_hosts()
         .into_iter()
-        .map(|note_host| FenceReply { note_host, noted: Some(position) })
+        .map(|note_host| FenceReply { note_host, noted: Some(position), fenced_before: 0 })
         .collect();
     assert_eq!(may_lack_overdraft(&complete, &replies), Some(false));
 }
--- a/crates/core/src/budget/tests.rs
+++ b/crates/core/src/budget/tests.rs
@@ -112,11 +112,16 @@
 fn note(ledger: &mut Ledger, by: &[NoteHost]) -> Vec<FenceReply> {
     let position = ledger.propose_outage_position().expect("the ledger has note hosts");
     ledger.on_outage_noted(position, by);
-    by.iter().map(|host| FenceReply { note_host: host.clone(), noted: Some(position) }).collect()
+    by.iter()
+        .map(|host| FenceReply { note_host: host.clone(), noted: Some(position), fenced_before: 0 })
+        .collect()
 }
 
 fn empty_replies(hosts: &[NoteHost]) -> Vec<FenceReply> {
-    hosts.iter().map(|host| FenceReply { note_host: host.clone(), noted: None }).collect()
+    hosts
+        .iter()
+        .map(|host| FenceReply { note_host: host.clone(), noted: None, fenced_before: 0 })
+        .collect()
 }
 
 #[test]
@@ -429,6 +434,7 @@
                     .iter()
                     .filter(|host| is_in(asked, host))
                     .map(|host| FenceReply {
+                        fenced_before: 0,
                         note_host: host.clone(),
                         noted: is_in(noted_by, host).then_some(position),
                     })
@@ -775,6 +781,31 @@
     assert_eq!(turns.charge_until_refused(&mut ledger, now, budget), refused);
 }
 
+/// Guards against an owner whose epoch was fenced by a takeover that was given up: it could have no
+/// outage noted until it was replaced.
+#[test]
+fn owner_whose_epoch_was_fenced_can_have_an_outage_noted_in_its_next_epoch() {
+    let now = Instant::now();
+    let mut ledger = new_ledger(now);
+    let record = write(&mut ledger, now);
+    let mut notes = OutageNotes::default();
+    let check = |notes: &mut OutageNotes, epoch| {
+        let noted = notes.fence(epoch);
+        [FenceReply { note_host: note_host(1), noted, fenced_before: notes.fenced_before() }]
+    };
+    assert!(!is_epoch_fenced(ledger.epoch(), &check(&mut notes, ledger.epoch())));
+    // A host begins to take the ledger over, and finds that its owner is alive.
+    notes.fence(record.epoch + 1);
+    let position = LedgerPosition { epoch: ledger.epoch(), sequence: 9 };
+    assert!(!notes.note(position));
+    assert!(is_epoch_fenced(ledger.epoch(), &check(&mut notes, ledger.epoch())));
+    assert!(ledger.renew(note_hosts()));
+    write(&mut ledger, now);
+    assert!(!is_epoch_fenced(ledger.epoch(), &check(&mut notes, ledger.epoch())));
+    begin_outage(&mut ledger, now);
+    assert!(notes.note(ledger.propose_outage_position().expect("the ledger has note hosts")));
+}
+
 #[test]
 fn accounts_expire_after_the_idle_time_and_margin() {
     let (now, mut turns) = (Instant::now(), Turns::default());
--- a/crates/core/src/budget/tests/cluster.rs
+++ b/crates/core/src/budget/tests/cluster.rs
@@ -435,7 +435,7 @@
                 let noted = self.hosts[other].notes.fence(epoch);
                 let note_host = self.hosts[other].note_host();
                 if self.arrives(other, host) {
-                    replies.push(FenceReply { note_host, noted });
+                    replies.push(FenceReply { note_host, noted, fenced_before: epoch });
                 }
             }
         }
--- a/crates/gateway/src/ledger/notes.rs
+++ b/crates/gateway/src/ledger/notes.rs
@@ -21,7 +21,7 @@
         time::{Duration, Instant},
     },
     trefoilring_core::{
-        budget::{FenceReply, LedgerPosition, NoteHost},
+        budget::{FenceReply, LedgerPosition, NoteHost, is_epoch_fenced},
         ids::{Epoch, HostId},
     },
     trefoilring_observe::decisions::LineRate,
@@ -231,7 +231,7 @@
 }
 
 /// Looks for better note hosts, if those of an owned ledger were replaced, have lost their notes or
-/// do not answer.
+/// do not answer. Has another epoch begun if a host has fenced this one and left the ledger here.
 async fn check_note_hosts(
     gateway: Rc<Gateway>,
     partition: usize,
@@ -242,7 +242,12 @@
     let replies = fence(&gateway, partition, epoch, present_names.collect()).await;
     let has_replied =
         |note_host: &NoteHost| replies.iter().any(|reply| reply.note_host == *note_host);
+    let is_fenced = is_epoch_fenced(epoch, &replies);
     if present.len() == LEDGER_HOST_COUNT && present.iter().all(has_replied) {
+        if is_fenced {
+            let progress = &mut gateway.ledgers.borrow_mut()[partition].note_progress;
+            progress.replacement = Some((epoch, present));
+        }
         return;
     }
     refresh_roster(&gateway, partition).await;
@@ -256,7 +261,7 @@
     note_hosts.extend(missing.take(LEDGER_HOST_COUNT.saturating_sub(note_hosts.len())));
     let sorted = |note_hosts: &[NoteHost]| note_hosts.iter().cloned().collect::<BTreeSet<_>>();
     let progress = &mut gateway.ledgers.borrow_mut()[partition].note_progress;
-    match sorted(&note_hosts) == sorted(&present) {
+    match sorted(&note_hosts) == sorted(&present) && !is_fenced {
         true => progress.next_check_at = Some(Instant::now() + NOTE_HOSTS_RETRY_INTERVAL),
         false => progress.replacement = Some((epoch, note_hosts)),
     }
--- a/crates/gateway/src/outage_notes.rs
+++ b/crates/gateway/src/outage_notes.rs
@@ -92,8 +92,9 @@
         let _guard = self.write_lock.lock().await;
         let mut notes = self.notes_of(partition);
         let noted = notes.fence(epoch);
+        let fenced_before = notes.fenced_before();
         let is_durable = notes == self.notes_of(partition) || self.replace(partition, notes).await;
-        is_durable.then_some(FenceReply { note_host, noted })
+        is_durable.then_some(FenceReply { note_host, noted, fenced_before })
     }
 
     fn notes_of(&self, partition: usize) -> OutageNotes {
