--- a/crates/core/src/budget/mod.rs
+++ b/crates/core/src/budget/mod.rs
@@ -606,6 +606,12 @@
         now < self.lost_first_turns_until
     }
 
+    /// Returns for how long a lost owner's first turns count, so that this owner grants none and first
+    /// turns wait for writes.
+    pub fn lost_first_turns_for(&self, now: Instant) -> Duration {
+        self.lost_first_turns_until.saturating_duration_since(now)
+    }
+
     /// Returns the name under which this ledger writes its records.
     pub fn writer(&self) -> &str {
         &self.writer
--- a/crates/core/src/budget/standby.rs
+++ b/crates/core/src/budget/standby.rs
@@ -154,7 +154,7 @@
     /// flight.
     pub fn next_update(&mut self, now: Instant) -> Option<ReplicaUpdate> {
         let lost_overdrafts_for = self.lost_overdrafts_until.saturating_duration_since(now);
-        let lost_first_turns_for = self.lost_first_turns_until.saturating_duration_since(now);
+        let lost_first_turns_for = self.lost_first_turns_for(now);
         let failing_for = self
             .store_failing_since
             .map_or(Duration::ZERO, |since| now.saturating_duration_since(since));
