--- a/crates/core/src/budget/mod.rs
+++ b/crates/core/src/budget/mod.rs
@@ -39,7 +39,10 @@
 
 pub use {
     account::{AccountReplica, RecordedAccount},
-    notes::{FenceReply, LedgerPosition, NoteHost, OutageNotes, is_fenced, may_lack_overdraft},
+    notes::{
+        FenceReply, LedgerPosition, NoteHost, OutageNotes, is_epoch_fenced, is_fenced,
+        may_lack_overdraft,
+    },
     standby::{
         LedgerReplica, ReplicaStatus, ReplicaUpdate, ReplicationId, Standby, VoteOption, Witness,
     },
@@ -603,6 +606,12 @@
         now < self.lost_first_turns_until
     }
 
+    /// Returns for how long a lost owner's first turns count, so that this owner grants none and first
+    /// turns wait for writes.
+    pub fn lost_first_turns_for(&self, now: Instant) -> Duration {
+        self.lost_first_turns_until.saturating_duration_since(now)
+    }
+
     /// Returns the name under which this ledger writes its records.
     pub fn writer(&self) -> &str {
         &self.writer
