--- a/crates/cli/tests/crowds/main.rs
+++ b/crates/cli/tests/crowds/main.rs
@@ -332,3 +332,18 @@
         ]
     });
 }
+
+/// Measures what the account costs ordinary requests; checks nothing. Compare release builds of two
+/// versions, in turn.
+#[test]
+#[ignore = "a measurement"]
+fn cost_of_ordinary_requests() {
+    let _lock = site::lock();
+    smol::block_on(async {
+        let site = Site::start(false).await;
+        for body_bytes in [5, 2_000, 200_000] {
+            let cost_us = site.measure_requests(3000, body_bytes).await;
+            println!("bodies of {body_bytes} bytes: {cost_us} us a request");
+        }
+    });
+}
--- a/crates/cli/tests/crowds/site.rs
+++ b/crates/cli/tests/crowds/site.rs
@@ -10,6 +10,7 @@
         net::{TcpListener, TcpStream},
     },
     std::{
+        env,
         fs::{self, File},
         io::{Read, Write},
         net::{Ipv4Addr, SocketAddr},
@@ -24,6 +25,8 @@
 };
 
 const TREFOILRING_BINARY: &str = env!("CARGO_BIN_EXE_trefoilring");
+/// Names another binary to measure, such as a release build or an earlier version.
+const BINARY_VARIABLE: &str = "TREFOILRING_CROWDS_BINARY";
 /// Memory of the host, which its resident memory must stay below.
 pub const MEMORY_MB: u64 = 64;
 /// Descriptor limit of the process.
@@ -41,6 +44,8 @@
 const WORK: Duration = Duration::from_secs(1);
 /// Timeout of all waits. Far above any expected wait.
 const TIMEOUT: Duration = Duration::from_secs(60);
+/// Unit of the processor times in `/proc`.
+const TICK_US: u64 = 10_000;
 const KEY: &str = "key-of-the-crowd";
 
 /// The tests of this target run one at a time, because they load the machine.
@@ -53,7 +58,7 @@
 
 pub struct Site {
     store: StoreStandin,
-    _worker: WorkerStandin,
+    worker: WorkerStandin,
     _large: Task<()>,
     _endless: EndlessStandin,
     process: Child,
@@ -96,13 +101,12 @@
             store.put("servers", service, record);
         }
         let ports = free_ports(4);
-        let folder =
-            std::env::temp_dir().join(format!("crowd-{}-{}", std::process::id(), ports[0]));
+        let folder = env::temp_dir().join(format!("crowd-{}-{}", std::process::id(), ports[0]));
         fs::create_dir_all(&folder).expect("the temporary folder is writable");
         let process = start_process(&folder, &ports, store.address, has_disk);
         let site = Self {
             store,
-            _worker: worker,
+            worker,
             _large: smol::spawn(answer_at_length(listener)),
             _endless: endless,
             process,
@@ -151,6 +155,36 @@
         Usage { peak_mb: field_mb("VmHWM:"), resident_mb: field_mb("VmRSS:"), descriptors }
     }
 
+    /// Sends ordinary requests one after the other on one connection, with bodies of this size. Returns the
+    /// processor time that the host took for each, in microseconds.
+    pub async fn measure_requests(&self, count: usize, body_bytes: usize) -> u64 {
+        self.worker.set_fault(WorkerFault::None);
+        let mut stream = TcpStream::connect(self.callers()).await.expect("the host listens");
+        let before = self.cpu_ticks();
+        for number in 0..count {
+            let head = request_head("/look/x", number);
+            let body = "x".repeat(body_bytes);
+            let request = format!("{head}Content-Length: {body_bytes}\r\n\r\n{body}");
+            stream.write_all(request.as_bytes()).await.expect("the host reads");
+            let (mut answer, mut block) = (Vec::new(), [0; 4096]);
+            while !answer.ends_with(b"served by i-1") {
+                let read = stream.read(&mut block).await.expect("an answer");
+                assert!(read > 0, "{}", String::from_utf8_lossy(&answer));
+                answer.extend_from_slice(&block[..read]);
+            }
+        }
+        (self.cpu_ticks() - before) * TICK_US / count as u64
+    }
+
+    fn cpu_ticks(&self) -> u64 {
+        let stat = fs::read_to_string(format!("/proc/{}/stat", self.process.id()));
+        let stat = stat.expect("the process runs");
+        let (_, fields) = stat.rsplit_once(") ").expect("the name ends");
+        // Fields 14 and 15 are the user and the system time; the name is the second.
+        let times = fields.split(' ').skip(11).take(2);
+        times.map(|time| time.parse::<u64>().expect("a number")).sum()
+    }
+
     /// Waits until one ordinary request is answered, and readiness and metrics are.
     pub async fn wait_until_served(&self) {
         let (address, ports) = (self.callers(), self.ports.clone());
@@ -231,7 +265,8 @@
     let log = |name: &str| File::create(folder.join(name)).expect("the folder is writable");
     Command::new("sh")
         .args(["-c", &format!("ulimit -n {DESCRIPTOR_LIMIT} && exec \"$@\""), "sh"])
-        .args([TREFOILRING_BINARY, "serve", "--platform"])
+        .arg(env::var(BINARY_VARIABLE).unwrap_or_else(|_| TREFOILRING_BINARY.into()))
+        .args(["serve", "--platform"])
         .arg(settings)
         .stdout(Stdio::from(log("host.jsonl")))
         .stderr(Stdio::from(log("host.log")))
