Bound the targets and the Retry-After that admission works with

Callers may name any time left. One of 2^64 ms would overflow the time at which a program counts, and one of zero would give a Retry-After of zero; both were found by reading.

--- a/crates/core/src/admission/mod.rs
+++ b/crates/core/src/admission/mod.rs
@@ -76,6 +76,8 @@
 const LESS_URGENT: usize = 2;
 /// Fraction of the credits that is set aside for each less urgent priority, so that none is starved.
 const RESERVED_SHARE: f64 = 0.05;
+/// Maximum time until a target that counts. Callers may name any; longer ones say that nothing is urgent.
+const TARGET_MAX: Duration = Duration::from_secs(3600);
 /// How long a refused program is remembered: longer than callers try.
 const REFUSED_TTL: Duration = Duration::from_secs(10);
 /// Maximum number of refused programs that are remembered: over 10 s of all programs of a large site.
@@ -205,14 +207,16 @@
     ) -> Result<(), ProgramRefusal> {
         self.needs.advance(now);
         let id = NameHash::new(program.id);
+        let time_left = program.time_left.map(|time_left| time_left.min(TARGET_MAX));
+        // A program that has no time left at its first try says nothing of what programs need.
+        let named = time_left.filter(|time_left| !time_left.is_zero());
         let refused_before = self.refused.get(&id).filter(|refused| refused.is_recent(now));
-        let target = refused_before.map_or(program.time_left, |refused| refused.target);
+        let target = refused_before.map_or(named, |refused| refused.target);
         let queues = self.queues(delay_of);
-        let pressure =
-            queues.as_ref().map(|queues| self.pressure(queues, target, program.time_left));
+        let pressure = queues.as_ref().map(|queues| self.pressure(queues, target, time_left));
         self.update_limit(now, pressure);
         let may_begin = self.limited_at.is_none()
-            || (self.ends_in_time(target, program.time_left)
+            || (self.ends_in_time(target, time_left)
                 && (self.is_probe_due(now)
                     || (self.has_credit(program.priority)
                         && pressure.is_none_or(|pressure| pressure <= PRESSURE_MAX))));
@@ -233,7 +237,7 @@
             view_age: self.answered_at.map(|at| now.saturating_duration_since(at)),
             credits: self.credits,
             unqueued_share: self.needs.unqueued_share(),
-            retry_after: self.retry_after(now, delay, program.time_left, jitter),
+            retry_after: self.retry_after(now, delay, time_left, jitter),
         })
     }
 
@@ -354,7 +358,9 @@
             .map_or(RETRY_AFTER_MAX, |left| left.mul_f64(RETRY_AFTER_FRACTION_MAX))
             .min(RETRY_AFTER_MAX);
         let credits = Duration::try_from_secs_f64(credits_s).unwrap_or(RETRY_AFTER_MAX);
-        let ahead = (delay + credits).max(RETRY_AFTER_MIN).min(max);
+        // A caller that has hardly any time left must not come again at once either.
+        let max = max.max(RETRY_AFTER_MIN / 2);
+        let ahead = (delay.saturating_add(credits)).max(RETRY_AFTER_MIN).min(max);
         // Half of the time spreads the callers.
         ahead.mul_f64(0.5 + 0.5 * jitter)
     }
--- a/crates/core/src/admission/needs.rs
+++ b/crates/core/src/admission/needs.rs
@@ -106,7 +106,7 @@
     }
 
     fn has_targets(&self) -> bool {
-        self.is_known && self.programs_with_target > 0.0
+        self.is_known && self.programs_with_target >= PROGRAMS_FORGOTTEN
     }
 
     /// Decays the sums, and counts the programs that are due.
--- a/crates/core/src/admission/tests.rs
+++ b/crates/core/src/admission/tests.rs
@@ -221,3 +221,24 @@
     let share = host.needs.unqueued_share().expect("learned");
     assert!((0.4..0.6).contains(&share), "{share}");
 }
+
+/// Guards against values of callers that end the process or make every program wait.
+#[test]
+fn extreme_targets_are_bounded() {
+    for time_left in [Duration::ZERO, Duration::MAX, Duration::from_nanos(1)] {
+        let (mut host, mut now) = (Admission::default(), Instant::now());
+        for number in 0..20 {
+            let id = format!("program-{number}");
+            let program = new_program(&id, 255, time_left);
+            assert!(host.check(now, &program, tools(ms(0)), 0.5).is_ok(), "{time_left:?}");
+            run(&mut host, now, ms(0));
+            now += TARGET_MAX;
+        }
+        for number in 0..20 {
+            let id = format!("queued-{number}");
+            let refused = host.check(now, &new_program(&id, 255, time_left), tools(ms(900)), 0.0);
+            let bounds = RETRY_AFTER_MIN / 4..=RETRY_AFTER_MAX;
+            assert!(refused.is_ok() || bounds.contains(&refused.expect_err("refused").retry_after));
+        }
+    }
+}
