Keep a body that waits to grow, and idle connections of other hosts

By reading: a body that waited for memory made no progress meanwhile and could be dropped to make room for itself, with 408. The idle timeout of callers, which may be shorter than the four seconds for which hosts keep their connections, closed those of other hosts as well, perhaps under a request. Heads of requests that are passed on had 32 KB whatever max_header_bytes is.

A reservation that grows does not make room for itself; connections of other hosts are kept for at least 15 s; their heads may have 16 KB more than callers'. Connections with a head count 24 KB beside it, by the crowd of half-sent heads.

--- a/crates/core/src/memory/mod.rs
+++ b/crates/core/src/memory/mod.rs
@@ -9,7 +9,7 @@
 //! class may fill the account up to a level of its own, higher for what is smaller or further on: new
 //! large bodies stop first, answers of requests that have run come after them, and small requests
 //! always find room. Connections have a part of their own, and use the rest of the memory only where
-//! all of them are being answered. Where a reservation does not fit, those that
+//! all of them are being answered or have just begun. Where a reservation does not fit, those that
 //! hold much and make little progress are dropped, as long as that makes room. Without overload nobody
 //! is dropped here, however slow; the timeouts of the configuration apply.
 
@@ -210,7 +210,7 @@
         owner: Option<TeamId>,
         bytes: usize,
     ) -> Result<HolderKey, Denied> {
-        self.check(now, class, owner.as_ref(), 0, bytes)?;
+        self.check(now, class, owner.as_ref(), None, bytes)?;
         self.move_sums(class, owner.as_ref(), 0, bytes);
         if class == Class::Connection {
             self.connections += 1;
@@ -227,7 +227,7 @@
         let Some(holder) = self.holders.get(key) else { return Ok(()) };
         let (class, owner, before) = (holder.class, holder.owner.clone(), holder.bytes);
         if bytes > before {
-            self.check(now, class, owner.as_ref(), before, bytes)?;
+            self.check(now, class, owner.as_ref(), Some((key, before)), bytes)?;
         }
         self.move_sums(class, owner.as_ref(), before, bytes);
         self.holders[key].bytes = bytes;
@@ -263,15 +263,17 @@
         }
     }
 
-    /// Checks that a reservation may grow from `before` to `bytes`.
+    /// Checks that there is room for a reservation, or for one to grow that has the size `grown` names.
     fn check(
         &self,
         now: Instant,
         class: Class,
         owner: Option<&TeamId>,
-        before: usize,
+        grown: Option<(HolderKey, usize)>,
         bytes: usize,
     ) -> Result<(), Denied> {
+        let (key, before) = grown.unzip();
+        let before = before.unwrap_or(0);
         let (missing, is_owners) = self.missing(class, owner, before, bytes);
         let is_new_connection = class == Class::Connection && before == 0;
         let has_too_many = is_new_connection && self.connections >= self.connections_max;
@@ -279,9 +281,9 @@
             return Ok(());
         }
         let owner = owner.filter(|_| is_owners);
-        let victims = self.victims(now, class, owner, missing.max(1));
+        let victims = self.victims(now, class, owner, key, missing.max(1));
         if class == Class::Connection && !has_too_many && victims.is_empty() {
-            // All connections are being answered: they may use what bodies leave.
+            // All connections are being answered or have just begun: they may use what bodies leave.
             if self.bytes + missing <= self.bytes_max / 8 * MEDIUM_EIGHTHS {
                 return Ok(());
             }
@@ -335,17 +337,19 @@
     }
 
     /// Returns the holders whose end releases enough bytes, worst first. Returns none if all that may be
-    /// dropped hold too little.
+    /// dropped hold too little. One that grows does not make room for itself.
     fn victims(
         &self,
         now: Instant,
         class: Class,
         owner: Option<&TeamId>,
+        grown: Option<HolderKey>,
         bytes: usize,
     ) -> Vec<HolderKey> {
         let is_connection = class == Class::Connection;
-        let candidates = self.holders.iter().filter(|(_, holder)| {
-            (holder.class == Class::Connection) == is_connection
+        let candidates = self.holders.iter().filter(|(key, holder)| {
+            Some(*key) != grown
+                && (holder.class == Class::Connection) == is_connection
                 && (owner.is_none() || holder.owner.as_ref() == owner)
         });
         let mut stalled: Vec<_> = candidates
--- a/crates/core/src/memory/tests.rs
+++ b/crates/core/src/memory/tests.rs
@@ -68,6 +68,18 @@
     account.reserve(now, Class::Body, None, MB).expect("there is room");
 }
 
+/// Guards against a body that is dropped because it waits for memory itself.
+#[test]
+fn body_that_waits_to_grow_does_not_make_room_for_itself() {
+    let now = Instant::now();
+    let mut account = account(now);
+    let grown = account.reserve(now, Class::Body, None, MB).expect("there is room");
+    while account.reserve(now, Class::Body, None, MB).is_ok() {}
+    let later = now + 2 * STALL_MAX;
+    let denied = account.resize(later, grown, 2 * MB).expect_err("it is full");
+    assert!(!denied.victims.is_empty() && !denied.victims.contains(&grown));
+}
+
 /// Guards against connections without a byte and half-sent heads that keep others out.
 #[test]
 fn idle_connections_make_room_for_new_ones() {
--- a/crates/gateway/src/callers.rs
+++ b/crates/gateway/src/callers.rs
@@ -33,10 +33,7 @@
 
 async fn serve(gateway: Rc<Gateway>, accepted: Accepted) {
     gateway.metrics.count("caller_connections", 1);
-    let head_bytes_max = gateway.routing_table.borrow().as_ref().map_or_else(
-        || CallerLimits::default().head_bytes_max,
-        |table| table.limits.head_bytes_max,
-    );
+    let head_bytes_max = head_bytes_max(&gateway);
     let service_gateway = gateway.clone();
     let create_service = move |connection: Rc<InboundConnection>| {
         service_fn(move |request: http::Request<Incoming>| {
@@ -57,6 +54,15 @@
     inbound::serve(&gateway.callers, accepted, head_bytes_max, create_service).await;
 }
 
+/// Returns the maximum size of a caller's head.
+pub(crate) fn head_bytes_max(gateway: &Gateway) -> usize {
+    gateway
+        .routing_table
+        .borrow()
+        .as_ref()
+        .map_or_else(|| CallerLimits::default().head_bytes_max, |table| table.limits.head_bytes_max)
+}
+
 /// Counts a request as open until its answer has been passed to the connection completely.
 pub(crate) struct OpenRequest {
     gateway: Rc<Gateway>,
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -43,7 +43,7 @@
         planned_stop::UsualDurations,
         registrations::Registrations,
         roster::Roster,
-        routing::RoutingTable,
+        routing::{CallerLimits, RoutingTable},
         shares::Shares,
     },
     trefoilring_observe::{
@@ -68,6 +68,8 @@
 /// Timeout for connecting to another host. Short, because requests wait for the connection and a
 /// lost packet is retransmitted only after a second.
 const PEER_CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
+/// Minimum time that an idle connection of another host is kept. Hosts keep theirs for four seconds.
+const OTHER_IDLE_TIMEOUT_MIN: Duration = Duration::from_secs(15);
 /// Interval at which connections are checked for timeouts.
 const CONNECTION_CHECK_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -403,10 +405,14 @@
             let limits =
                 self.routing_table.borrow().as_ref().map(|table| table.limits).unwrap_or_default();
             let now = Instant::now();
-            for connections in [&self.callers, &self.other_connections] {
-                for (_, connection) in connections.borrow().iter() {
-                    connection.close_if_timed_out(now, &limits);
-                }
+            for (_, connection) in self.callers.borrow().iter() {
+                connection.close_if_timed_out(now, &limits);
+            }
+            // Other hosts close their idle connections first, so that none is lost under a request.
+            let idle_timeout = limits.idle_timeout.max(OTHER_IDLE_TIMEOUT_MIN);
+            let limits = CallerLimits { idle_timeout, ..limits };
+            for (_, connection) in self.other_connections.borrow().iter() {
+                connection.close_if_timed_out(now, &limits);
             }
             self.connections.close_expired();
             self.peer_connections.close_expired();
--- a/crates/gateway/src/inbound.rs
+++ b/crates/gateway/src/inbound.rs
@@ -40,8 +40,9 @@
 const BLOCK_BYTES: usize = 8 * 1024;
 /// Memory of a connection that has not sent a byte. Measured in `docs/CAPACITY.md`.
 pub(crate) const IDLE_BYTES: usize = 4 * 1024;
-/// Memory of a connection beside what it may buffer of a head.
-const ACTIVE_BYTES: usize = 16 * 1024;
+/// Memory of a connection beside what it may buffer of a head: its task, the write buffer and the state of
+/// a request. The crowd of half-sent heads costs 27 to 52 KB for each, with heads of up to 16 KB.
+const ACTIVE_BYTES: usize = 24 * 1024;
 /// How long a connection reads and discards what its peer still sends after a refusal. Closing a
 /// connection with unread bytes resets it, and the peer may never see the refusal.
 const LINGER_MAX: Duration = Duration::from_secs(1);
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -18,7 +18,7 @@
     crate::{
         allowance,
         call::{AnswerBody, AnswerTruncated, BodyError, read_body},
-        crashes,
+        callers, crashes,
         gateway::Gateway,
         inbound::{self, Accepted, InboundConnection},
         leaving, ledger,
@@ -48,8 +48,8 @@
 /// request and an answer.
 const MESSAGE_BYTES_MAX: usize = 16 * 1024 * 1024;
 
-/// Maximum size of a request's head. That of a request that is passed on has the caller's headers.
-const HEAD_BYTES_MAX: usize = 32 * 1024;
+/// Maximum size of a head beside the headers of a caller, which a request that is passed on has.
+const HEAD_BYTES_MAX: usize = 16 * 1024;
 
 /// Maximum time for reading, and for processing another host's request. The callers that wait for the result time
 /// out earlier.
@@ -77,7 +77,8 @@
             })
         })
     };
-    inbound::serve(&gateway.other_connections, accepted, HEAD_BYTES_MAX, create_service).await;
+    let head_bytes_max = HEAD_BYTES_MAX + callers::head_bytes_max(&gateway);
+    inbound::serve(&gateway.other_connections, accepted, head_bytes_max, create_service).await;
 }
 
 /// Marks a connection as answering until its reply has been passed on.
