Place requests by one cost in time, and shared prompt parts at few upstreams

Callers saw late turns.

Placement now takes the upstream with the least cost in ms (placement::cost): the time of a request at the load there, by the reported slowdown; the prompt tokens to be read, which hold up the requests beside it; the price of another failure domain; trouble. It replaces the sum of load fractions and penalties (DOMAIN_PREFERENCE, LIMITED_PREFERENCE), the fixed load up to which sessions stay, and the margin for sessions of other hosts. Shared parts have holders by rendezvous hashing over a width learned from their share of the turns (placement::parts). The load of other hosts leans from the last report to the service's mean. The fourth figure of the load report is read; absurd figures are bounded. A choice no longer allocates lists.

PromptPart moves to core. An unknown time of a service counts as 100 ms.

Unequal speeds are not learned yet.

--- a/crates/core/src/placement/mod.rs
+++ b/crates/core/src/placement/mod.rs
@@ -2,14 +2,19 @@
 //!
 //! Load pattern: many hosts send to the same few upstreams without coordination. Each host tracks
 //! its own requests in flight, and reads the load of an upstream from its answers. The load
-//! estimate adds its own requests to the reported load of other hosts, which decays with its age,
-//! so that a stale report has little effect. A session stays at the upstream that has its prompt in
-//! cache, until that upstream is full or penalized. An upstream that fails fast appears idle, and a
-//! slow one shows a high load only after a delay. Errors and slow events therefore add a penalty in
-//! units of load, which decays within seconds.
+//! estimate adds its own requests to the reported load of other hosts, which leans to the service's
+//! mean with its age, so that a stale report has little effect and an upstream that the host has not
+//! heard from does not count as idle. The upstream with the least [`cost`] gets the request. Prompt
+//! tokens that an upstream has in cache need not be read there: those of its sessions and of the
+//! shared [`parts`] that it holds. An upstream that fails fast appears idle, and a slow one shows a
+//! high load only after a delay. Errors and slow events therefore add a penalty, which decays within
+//! seconds.
 
 mod broken_attempts;
+mod cost;
+mod decay;
 mod helpers;
+mod parts;
 mod rate_limit;
 mod reach;
 mod upstream;
@@ -21,6 +26,7 @@
 pub use {
     broken_attempts::{BrokenAttempts, RetryDecision},
     helpers::Helpers,
+    parts::PromptPart,
     rate_limit::LendOutcome,
     reach::{ReachChange, UpstreamReach},
     upstream::{LoadReport, Outcome, UpstreamRecord},
@@ -33,6 +39,9 @@
         rendezvous::NameHash,
         shares::AllowanceHosts,
     },
+    cost::{CostInputs, PromptTokens},
+    decay::DecayedMean,
+    parts::{SharedParts, SharedPrefix},
     rate_limit::RateLimit,
     slotmap::{SlotMap, new_key_type},
     std::{
@@ -47,10 +56,6 @@
     pub struct UpstreamKey;
 }
 
-/// Additional load, as a fraction of the slots, up to which an upstream in the host's own failure
-/// domain is preferred over one in another domain. Traffic to another domain adds delay and cost,
-/// but these are worth about a tenth of the slots.
-const DOMAIN_PREFERENCE: f64 = 0.15;
 /// A pause between events counts as slow if it is longer than this multiple of the typical pause.
 /// Pauses are about twice as long as typical while the engine prefills other prompts, and in a full
 /// batch.
@@ -59,15 +64,6 @@
 const TYPICAL_PAUSE_WEIGHT: f64 = 0.02;
 /// Weight of one request in the moving average of a service's time.
 const SERVICE_TIME_WEIGHT: f64 = 0.05;
-/// Additional load, as a fraction of the slots, up to which a limited upstream is preferred. What its
-/// limit allows at this host is lost if it is not used soon.
-const LIMITED_PREFERENCE: f64 = 0.15;
-/// Load of its session's upstream from which on a request leaves it for a limited upstream.
-const LEAVE_FOR_LIMITED_LOAD_MIN: f64 = 0.5;
-/// Load above the mean of the service, as a fraction of the slots, up to which an upstream takes the
-/// sessions for which it ranks first. Below [`DOMAIN_PREFERENCE`], so that an upstream of another
-/// domain takes them only if it is less busy than the mean.
-const RANKED_LOAD_MARGIN: f64 = 0.1;
 /// Maximum number of sessions stored: about one minute of sessions at the load that the system is
 /// designed for.
 const SESSIONS_MAX: usize = 16_384;
@@ -81,6 +77,11 @@
     pub service: &'a str,
     /// Session that the request continues, or the request's program if the caller names no session.
     pub session: Option<&'a str>,
+    /// Parts of the prompt in order; the last one belongs to the request or its session alone. Empty if
+    /// the request names none.
+    pub prompt: &'a [PromptPart],
+    /// Maximum number of tokens that the request generates; 0 if it is not known.
+    pub output_tokens: u64,
     /// Upstream that ran the turn before this one, if the stored turn names it. Preferred to what
     /// this host remembers of the session, which may have continued at other hosts since.
     pub previous_upstream: Option<&'a str>,
@@ -118,6 +119,13 @@
     used_at: Instant,
 }
 
+/// An upstream that may run a request.
+#[derive(Clone, Copy, Debug)]
+struct Candidate {
+    key: UpstreamKey,
+    cost_ms: f64,
+}
+
 /// Selects upstreams for the requests of this host, and tracks their load.
 #[derive(Debug)]
 pub struct Placement {
@@ -132,6 +140,12 @@
     /// Moving average of the time that a request takes at an upstream without a queue, by service, in
     /// seconds.
     service_times_s: HashMap<ServiceId, f64>,
+    /// Loads that other hosts cause at the upstreams of a service, as these report them.
+    remote_loads: HashMap<ServiceId, DecayedMean>,
+    /// Shared parts of the prompts of each service.
+    shared_parts: HashMap<ServiceId, SharedParts>,
+    /// Space for the candidates of a choice, so that choices don't allocate. Empty between them.
+    candidates: Vec<Candidate>,
     /// The hosts between which the limits of upstreams are split.
     limit_hosts: AllowanceHosts,
 }
@@ -147,6 +161,9 @@
             sessions: HashMap::new(),
             typical_pauses_s: HashMap::new(),
             service_times_s: HashMap::new(),
+            remote_loads: HashMap::new(),
+            shared_parts: HashMap::new(),
+            candidates: Vec::new(),
             limit_hosts: AllowanceHosts::default(),
         }
     }
@@ -234,83 +251,170 @@
         self.upstreams.values().filter(|upstream| upstream.says_leaving).count()
     }
 
-    /// Selects an upstream for a request, and stores it as the upstream of the request's session.
+    /// Selects the upstream where a request costs least, and stores it as the upstream of the
+    /// request's session.
     pub fn choose(&mut self, now: Instant, request: &PlacementRequest<'_>) -> Choice {
-        let keys = self.by_service.get(request.service).into_iter().flatten();
-        let keys: Vec<UpstreamKey> = keys
-            .filter(|key| {
-                let version = &self.upstreams[**key].record.version;
-                request.version.is_none_or(|required| **version == *required)
-            })
-            .copied()
-            .collect();
-        let accepts_work = |key: &&UpstreamKey| self.upstreams[**key].accepts_work(now);
-        let mut usable: Vec<UpstreamKey> = keys.iter().filter(accepts_work).copied().collect();
-        if usable.is_empty() {
-            // If all upstreams are ejected, use them anyway.
-            let is_not_leaving = |key: &&UpstreamKey| !self.upstreams[**key].is_leaving();
-            usable = keys.iter().filter(is_not_leaving).copied().collect();
-        }
-        if usable.is_empty() {
-            return Choice::NoUpstream;
+        let weight_min = self.record_turn(now, request);
+        let mut candidates = std::mem::take(&mut self.candidates);
+        let choice = match self.find_candidates(now, request, &mut candidates) {
+            false => Choice::NoUpstream,
+            true => match self.best_candidate(now, request, weight_min, &mut candidates) {
+                Some(key) => Choice::Use(key),
+                None => Choice::AllRefused,
+            },
+        };
+        candidates.clear();
+        self.candidates = candidates;
+        if let Choice::Use(key) = choice
+            && let Some(session) = request.session.filter(|_| request.object.is_none())
+        {
+            self.record_session(now, session, key);
         }
-        if !request.avoided_versions.is_empty() {
-            let is_avoided = |key: &UpstreamKey| {
-                request.avoided_versions.contains(&self.upstreams[*key].record.version)
-            };
-            if usable.iter().any(|key| !is_avoided(key)) {
-                usable.retain(|key| !is_avoided(key));
-            }
+        choice
+    }
+
+    /// Records a request with a shared prompt part. Returns the minimum weight of the part's holders.
+    fn record_turn(
+        &mut self,
+        now: Instant,
+        request: &PlacementRequest<'_>,
+    ) -> Option<(SharedPrefix, u64)> {
+        let prefix = SharedPrefix::of(request.prompt)?;
+        let keys = self.by_service.get(request.service)?;
+        if !self.shared_parts.contains_key(request.service) {
+            self.shared_parts.insert(request.service.into(), SharedParts::default());
         }
-        usable.retain(|&key| {
-            let upstream = &self.upstreams[key];
-            let is_left_to_others = request.is_behind_others && upstream.rate_limit.is_some();
-            !request.refused_by.contains(&key)
-                && !is_left_to_others
-                && upstream.is_within_limit(now)
-        });
-        let Some(best) = self.least_loaded(now, &usable, request.session) else {
-            return Choice::AllRefused;
+        let holders = keys.iter().map(|key| &self.upstreams[*key]);
+        let holders = holders.filter(|one| !one.is_leaving()).map(|one| one.hash);
+        let weight_min =
+            self.shared_parts.get_mut(request.service)?.record_turn(now, prefix, holders)?;
+        Some((prefix, weight_min))
+    }
+
+    /// Collects the upstreams that may run a request now. Returns false if none could even if it
+    /// waited.
+    fn find_candidates(
+        &self,
+        now: Instant,
+        request: &PlacementRequest<'_>,
+        candidates: &mut Vec<Candidate>,
+    ) -> bool {
+        let keys = self.by_service.get(request.service).map_or(&[][..], Vec::as_slice);
+        let has_version = |upstream: &Upstream| {
+            let version = &upstream.record.version;
+            request.version.is_none_or(|required| **version == *required)
         };
-        let preferred = match request.object {
-            Some(object) => self.object_upstream(now, &usable, object),
-            None => self.session_upstream(now, &usable, request),
+        let of_version = || {
+            let all = keys.iter().map(|key| (*key, &self.upstreams[*key]));
+            all.filter(|(_, upstream)| has_version(upstream))
         };
-        // What a limit allows is lost if it is not used, and is used while others are busy.
-        let leaves_for_limited = |session_upstream: &UpstreamKey| {
-            self.upstreams[best].rate_limit.is_some()
-                && self.upstreams[*session_upstream].load(now) >= LEAVE_FOR_LIMITED_LOAD_MIN
+        // If all upstreams are ejected, they are used anyway.
+        let are_all_ejected = !of_version().any(|(_, upstream)| upstream.accepts_work(now));
+        let usable = || {
+            of_version().filter(|(_, upstream)| {
+                upstream.accepts_work(now) || are_all_ejected && !upstream.is_leaving()
+            })
         };
-        let chosen = preferred.filter(|key| !leaves_for_limited(key)).unwrap_or(best);
-        if let Some(session) = request.session.filter(|_| request.object.is_none()) {
-            self.record_session(now, session, chosen);
+        if usable().next().is_none() {
+            return false;
         }
-        Choice::Use(chosen)
+        let is_avoided =
+            |upstream: &Upstream| request.avoided_versions.contains(&upstream.record.version);
+        let are_all_avoided = usable().all(|(_, upstream)| is_avoided(upstream));
+        let is_within_limits = |upstream: &Upstream| {
+            let is_left_to_others = request.is_behind_others && upstream.rate_limit.is_some();
+            !is_left_to_others && upstream.is_within_limit(now)
+        };
+        let admitted = usable().filter(|(key, upstream)| {
+            (are_all_avoided || !is_avoided(upstream))
+                && !request.refused_by.contains(key)
+                && is_within_limits(upstream)
+        });
+        candidates.extend(admitted.map(|(key, _)| Candidate { key, cost_ms: 0.0 }));
+        true
     }
 
-    fn least_loaded(
+    /// Returns the candidate where a request costs least. Ties, and small differences for sessions that
+    /// other hosts could not find, are decided by rendezvous hashing, so that hosts choose alike.
+    fn best_candidate(
         &self,
         now: Instant,
-        usable: &[UpstreamKey],
-        session: Option<&str>,
+        request: &PlacementRequest<'_>,
+        holders: Option<(SharedPrefix, u64)>,
+        candidates: &mut [Candidate],
     ) -> Option<UpstreamKey> {
-        let session = session.map(NameHash::new);
-        let cost = |key: UpstreamKey| {
-            let upstream = &self.upstreams[key];
-            let domain_cost =
-                if upstream.record.domain == self.domain { 0.0 } else { DOMAIN_PREFERENCE };
-            let point = NameHash::new(&upstream.record.id);
-            // Breaks ties by rendezvous hashing, so that all hosts choose the same upstream for a
-            // session that is new to them.
-            let tie_break = session.map_or(0, |session| u64::MAX - session.weight(point));
-            let limit_gain = if upstream.rate_limit.is_some() { LIMITED_PREFERENCE } else { 0.0 };
-            (upstream.load(now) + upstream.penalty(now) + domain_cost - limit_gain, tie_break)
+        let mean_load = self.mean_remote_load(now, request.service);
+        if let Some(object) = request.object
+            && let Some(key) = self.object_upstream(now, mean_load, candidates, object)
+        {
+            return Some(key);
+        }
+        let time_ms = self.time_ms(request.service);
+        let known = self.session_upstream(request);
+        let tokens = PromptTokens::of(request.prompt, holders.map(|(prefix, _)| prefix));
+        let unread_tokens = |key: UpstreamKey, upstream: &Upstream| {
+            let has_sound_cache = upstream.has_sound_cache(now);
+            let holds_shared = |(prefix, weight_min): (SharedPrefix, u64)| {
+                prefix.hash.weight(upstream.hash) >= weight_min
+            };
+            if request.session.is_none() || known == Some(key) && has_sound_cache {
+                0
+            } else if holders.is_some_and(holds_shared) && has_sound_cache {
+                tokens.own
+            } else {
+                tokens.total()
+            }
         };
-        let by_cost = |a: &UpstreamKey, b: &UpstreamKey| {
-            let ((a_cost, a_tie), (b_cost, b_tie)) = (cost(*a), cost(*b));
-            a_cost.total_cmp(&b_cost).then(a_tie.cmp(&b_tie))
+        let (mut least_ms, mut running) = (f64::INFINITY, 0.0);
+        for candidate in candidates.iter_mut() {
+            let upstream = &self.upstreams[candidate.key];
+            let unread_tokens = unread_tokens(candidate.key, upstream);
+            let inputs = self.cost_inputs(now, mean_load, upstream, unread_tokens);
+            candidate.cost_ms = cost::cost_ms(time_ms, &inputs);
+            if candidate.cost_ms < least_ms {
+                (least_ms, running) = (candidate.cost_ms, inputs.running);
+            }
+        }
+        let is_lost = known.is_none() && !request.is_retained && request.session.is_some();
+        let margin_ms = if is_lost { cost::ranked_margin_ms(tokens, running) } else { 0.0 };
+        let session = request.session.map(NameHash::new);
+        let eligible = candidates.iter().filter(|one| one.cost_ms <= least_ms + margin_ms);
+        let weight = |candidate: &&Candidate| {
+            session.map(|session| session.weight(self.upstreams[candidate.key].hash))
         };
-        usable.iter().copied().min_by(by_cost)
+        // The first of equal weights.
+        eligible.rev().max_by_key(weight).map(|candidate| candidate.key)
+    }
+
+    fn cost_inputs(
+        &self,
+        now: Instant,
+        mean_load: f64,
+        upstream: &Upstream,
+        unread_tokens: u64,
+    ) -> CostInputs {
+        let slots = f64::from(upstream.record.slots);
+        let load = upstream.load(now, mean_load);
+        CostInputs {
+            load: load + 1.0 / slots,
+            running: load.min(1.0) * slots,
+            slowdown: upstream.slowdown(now),
+            unread_tokens,
+            is_far: upstream.record.domain != self.domain,
+            penalty: upstream.penalty(now),
+            is_limited: upstream.rate_limit.is_some(),
+        }
+    }
+
+    /// Returns the mean load that other hosts cause at the upstreams of a service, as a fraction of
+    /// their slots.
+    fn mean_remote_load(&self, now: Instant, service: &str) -> f64 {
+        self.remote_loads.get(service).map_or(0.0, |mean| mean.value(now))
+    }
+
+    /// Returns the time that a request of a service takes without a queue.
+    fn time_ms(&self, service: &str) -> f64 {
+        self.service_times_s.get(service).map_or(cost::TIME_DEFAULT_MS, |time_s| time_s * 1000.0)
     }
 
     /// Returns the upstream that ranks first for an object among those that have capacity left. All
@@ -319,60 +423,21 @@
     fn object_upstream(
         &self,
         now: Instant,
-        usable: &[UpstreamKey],
+        mean_load: f64,
+        candidates: &[Candidate],
         object: &str,
     ) -> Option<UpstreamKey> {
         let object = NameHash::new(object);
-        let with_capacity = usable.iter().copied().filter(|key| {
-            let upstream = &self.upstreams[*key];
-            upstream.keeps_affinity(now)
-        });
-        with_capacity
-            .max_by_key(|key| object.weight(NameHash::new(&self.upstreams[*key].record.id)))
+        let keys = candidates.iter().map(|candidate| candidate.key);
+        let with_capacity = keys.filter(|key| self.upstreams[*key].keeps_affinity(now, mean_load));
+        with_capacity.max_by_key(|key| object.weight(self.upstreams[*key].hash))
     }
 
-    /// Returns the upstream that has the session's prompt in cache, or probably has, if it has
-    /// capacity left.
-    fn session_upstream(
-        &self,
-        now: Instant,
-        usable: &[UpstreamKey],
-        request: &PlacementRequest<'_>,
-    ) -> Option<UpstreamKey> {
+    /// Returns the upstream that has the prompt of the request's session in cache.
+    fn session_upstream(&self, request: &PlacementRequest<'_>) -> Option<UpstreamKey> {
         let session = request.session?;
         let named = request.previous_upstream.and_then(|id| self.by_id.get(id).copied());
-        let known = named.or_else(|| Some(self.sessions.get(session)?.upstream));
-        match known {
-            Some(upstream) => {
-                let has_affinity =
-                    usable.contains(&upstream) && self.upstreams[upstream].keeps_affinity(now);
-                has_affinity.then_some(upstream)
-            }
-            None if request.is_retained => None,
-            None => self.ranked_upstream(now, usable, session),
-        }
-    }
-
-    /// Returns the upstream that ranks first for a session among those that are not much busier than
-    /// the mean. Hosts rank alike, so the turns of a session that come to several hosts meet at one
-    /// upstream as far as the hosts see similar loads.
-    fn ranked_upstream(
-        &self,
-        now: Instant,
-        usable: &[UpstreamKey],
-        session: &str,
-    ) -> Option<UpstreamKey> {
-        let session = NameHash::new(session);
-        let load_sum: f64 = usable.iter().map(|key| self.upstreams[*key].load(now)).sum();
-        let load_max = load_sum / usable.len() as f64 + RANKED_LOAD_MARGIN;
-        let is_eligible = |key: &UpstreamKey| {
-            let upstream = &self.upstreams[*key];
-            let domain_cost =
-                if upstream.record.domain == self.domain { 0.0 } else { DOMAIN_PREFERENCE };
-            upstream.load(now) + upstream.penalty(now) + domain_cost <= load_max
-        };
-        let eligible = usable.iter().copied().filter(is_eligible);
-        eligible.max_by_key(|key| session.weight(NameHash::new(&self.upstreams[*key].record.id)))
+        named.or_else(|| Some(self.sessions.get(session)?.upstream))
     }
 
     fn record_session(&mut self, now: Instant, session: &str, upstream: UpstreamKey) {
@@ -465,7 +530,10 @@
         if throttled.is_empty() {
             return Vec::new();
         }
-        let cost = |upstream: &Upstream| upstream.load(now) + upstream.penalty(now);
+        let (mean_load, time_ms) = (self.mean_remote_load(now, service), self.time_ms(service));
+        let cost = |upstream: &Upstream| {
+            cost::cost_ms(time_ms, &self.cost_inputs(now, mean_load, upstream, 0))
+        };
         let usable_costs = accepting().filter(|one| one.is_within_limit(now)).map(cost);
         let least_cost = usable_costs.fold(f64::INFINITY, f64::min);
         let should_borrow = |(upstream, limit): &(&Upstream, &RateLimit)| {
@@ -564,8 +632,16 @@
 
     /// Records the load that an answer reported.
     pub fn record_load(&mut self, now: Instant, key: UpstreamKey, load: LoadReport) {
-        if let Some(upstream) = self.upstreams.get_mut(key) {
-            upstream.record_load(now, load);
+        let Some(upstream) = self.upstreams.get_mut(key) else { return };
+        upstream.record_load(now, load);
+        let (service, remote_load) = (&upstream.record.service, upstream.remote_load());
+        match self.remote_loads.get_mut(service) {
+            Some(mean) => mean.add(now, remote_load),
+            None => {
+                let mut mean = DecayedMean::default();
+                mean.add(now, remote_load);
+                self.remote_loads.insert(service.clone(), mean);
+            }
         }
     }
 
@@ -624,7 +700,8 @@
     pub fn service_load(&self, now: Instant, service: &str) -> (usize, f64) {
         let keys = self.by_service.get(service).map_or(&[][..], Vec::as_slice);
         let usable = keys.iter().filter(|key| self.upstreams[**key].accepts_work(now));
-        let loads: Vec<f64> = usable.map(|key| self.upstreams[*key].load(now)).collect();
+        let mean_load = self.mean_remote_load(now, service);
+        let loads: Vec<f64> = usable.map(|key| self.upstreams[*key].load(now, mean_load)).collect();
         (loads.len(), loads.iter().sum::<f64>() / loads.len().max(1) as f64)
     }
 }
--- a/crates/core/src/placement/rate_limit/tests.rs
+++ b/crates/core/src/placement/rate_limit/tests.rs
@@ -182,7 +182,11 @@
                 let limit_per_s = self.limits_per_s[*upstream];
                 placement.record_limit(now, *key, *sent_at, limit_per_s);
                 let running = loads[*upstream];
-                placement.record_load(now, *key, LoadReport { running, waiting: 0, slots: SLOTS });
+                placement.record_load(
+                    now,
+                    *key,
+                    LoadReport { running, waiting: 0, slots: SLOTS, slowdown: None },
+                );
                 match limit_per_s {
                     Some(_) => {
                         host.told_at.entry(*upstream).or_insert(now);
--- a/crates/core/src/placement/tests.rs
+++ b/crates/core/src/placement/tests.rs
@@ -76,7 +76,11 @@
     let now = Instant::now();
     let mut placement = placement(&[record("one", "a"), record("two", "a")]);
     let one = key(&placement, "one");
-    placement.record_load(now, one, LoadReport { running: 3, waiting: 0, slots: 4 });
+    placement.record_load(
+        now,
+        one,
+        LoadReport { running: 3, waiting: 0, slots: 4, slowdown: None },
+    );
     assert_eq!(choose_id(&mut placement, now, None), "two");
     let two = key(&placement, "two");
     placement.record_sent(Instant::now(), two);
@@ -418,7 +422,11 @@
             // Each host is wrong by up to one request.
             let running = 6 + ((number + shift) % 3) as u32;
             let key = key(host, id);
-            host.record_load(now, key, LoadReport { running, waiting: 0, slots: 12 });
+            host.record_load(
+                now,
+                key,
+                LoadReport { running, waiting: 0, slots: 12, slowdown: None },
+            );
         }
     }
     let chosen = hosts.each_mut().map(|host| -> Vec<String> {
@@ -432,3 +440,82 @@
         assert!((20..=50).contains(&count), "{id} is chosen for {count}, expected about 33");
     }
 }
+
+/// Guards against an upstream that one absurd figure puts out of use, or makes look idle for good.
+#[test]
+fn absurd_reports_count_for_a_moment_only() {
+    let now = Instant::now();
+    let report =
+        |running, waiting, slots, slowdown| LoadReport { running, waiting, slots, slowdown };
+    let absurd = [
+        report(u32::MAX, u32::MAX, 0, None),
+        report(u32::MAX, 0, u32::MAX, Some(1e300)),
+        report(0, 0, 4, Some(f64::NAN)),
+        report(0, 0, 4, Some(f64::INFINITY)),
+        report(0, 0, 4, Some(1e300)),
+    ];
+    for report in absurd {
+        let mut placement = placement(&[record("one", "a"), record("two", "a")]);
+        let (one, two) = (key(&placement, "one"), key(&placement, "two"));
+        placement.record_load(now, one, report);
+        placement.record_sent(now, two);
+        assert_eq!(placement.record(one).map(|record| record.slots), Some(4), "{report:?}");
+        let later = now + Duration::from_secs(5);
+        assert_eq!(choose_id(&mut placement, later, None), "one", "{report:?}");
+    }
+}
+
+/// Guards against new work for an engine whose report says that work takes long there now.
+#[test]
+fn upstream_that_reports_a_slowdown_gets_no_new_work_until_it_is_over() {
+    let now = Instant::now();
+    let mut placement = placement(&[record("one", "a"), record("two", "a")]);
+    let one = key(&placement, "one");
+    let report = |percent: f64| LoadReport {
+        running: 0,
+        waiting: 0,
+        slots: 4,
+        slowdown: Some(percent / 100.0),
+    };
+    placement.record_load(now, one, report(250.0));
+    let two = key(&placement, "two");
+    placement.record_sent(now, two);
+    assert_eq!(choose_id(&mut placement, now, None), "two");
+    assert_eq!(choose_id(&mut placement, now + Duration::from_secs(3), None), "one");
+    placement.record_load(now, one, report(100.0));
+    assert_eq!(choose_id(&mut placement, now, None), "one");
+}
+
+/// Guards against prompt parts that every upstream reads: sessions with the same part meet at few
+/// upstreams, the same ones from all hosts.
+#[test]
+fn sessions_with_a_shared_part_meet_at_few_upstreams() {
+    const PARTS: u64 = 10;
+    let now = Instant::now();
+    let ids: Vec<String> = (0..20).map(|number| format!("i-{number}")).collect();
+    let records: Vec<_> = ids.iter().map(|id| record(id, "a")).collect();
+    let mut used: BTreeMap<u64, BTreeSet<UpstreamId>> = BTreeMap::new();
+    let mut hosts = [placement(&records), placement(&records)];
+    for number in 0..2000 {
+        let part = number % PARTS;
+        let prompt = [
+            PromptPart { id: part, tokens: 12_600 },
+            PromptPart { id: PARTS + number, tokens: 1200 },
+        ];
+        let session = format!("session-{number}");
+        let request = PlacementRequest {
+            service: "llm",
+            session: Some(&session),
+            prompt: &prompt,
+            is_retained: true,
+            ..PlacementRequest::default()
+        };
+        let host = &mut hosts[(number / PARTS % 2) as usize];
+        let Choice::Use(key) = host.choose(now, &request) else { panic!("no upstream") };
+        let id = host.record(key).expect("a known upstream").id.clone();
+        if number >= 500 {
+            used.entry(part).or_default().insert(id);
+        }
+    }
+    assert!(used.values().all(|upstreams| (2..=4).contains(&upstreams.len())), "{used:?}");
+}
--- a/crates/core/src/placement/upstream.rs
+++ b/crates/core/src/placement/upstream.rs
@@ -1,17 +1,18 @@
 //! State and load estimate of one upstream at this host.
 
 use {
-    super::rate_limit::RateLimit,
-    crate::ids::{DomainId, Incarnation, ServiceId, SoftwareVersion, UpstreamId},
+    super::{decay::remaining, rate_limit::RateLimit},
+    crate::{
+        ids::{DomainId, Incarnation, ServiceId, SoftwareVersion, UpstreamId},
+        rendezvous::NameHash,
+    },
     std::{
         net::SocketAddr,
         time::{Duration, Instant},
     },
 };
 
-/// Load, as a fraction of the slots, up to which a session stays at its upstream. Above it, waiting
-/// costs more than prefilling the prompt again: prefilling 13,000 tokens takes 40 ms, waiting in
-/// the queue about 200 ms.
+/// Load, as a fraction of the slots, up to which an upstream keeps its objects.
 const AFFINITY_LOAD_MAX: f64 = 0.9;
 /// Number of consecutive failures after which an upstream is ejected.
 const FAILURES_MAX: u32 = 3;
@@ -33,8 +34,9 @@
 /// Maximum penalty, equal to the load of a full upstream.
 const PENALTY_MAX: f64 = 1.0;
 /// Half-life of a penalty.
-const PENALTY_HALF_LIFE_S: f64 = 2.0;
-/// Penalty at which sessions leave an upstream: a few slow events, or part of an error's penalty.
+const PENALTY_HALF_LIFE: Duration = Duration::from_secs(2);
+/// Penalty from which on an upstream's cache is not counted on: a few slow events, or part of an
+/// error's penalty.
 const AFFINITY_PENALTY_MAX: f64 = 0.2;
 /// Weight of one report in the moving average of an upstream's load.
 const REPORT_WEIGHT: f64 = 0.7;
@@ -42,8 +44,16 @@
 const REPORTED_LOAD_TTL: Duration = Duration::from_millis(1500);
 /// Load that counts for an upstream whose queue is full, as a fraction of its slots.
 const FULL_LOAD: f64 = 2.0;
-/// Half-life of the reported load that other hosts cause.
-const REPORT_HALF_LIFE_S: f64 = 0.4;
+/// Half-life of the difference between an upstream's reported load and its service's mean.
+const REPORT_HALF_LIFE: Duration = Duration::from_millis(400);
+/// Half-life of a reported slowdown: neighbours slow an engine down for some hundred ms at a time.
+const SLOWDOWN_HALF_LIFE: Duration = Duration::from_millis(400);
+/// Reported loads above this multiple of the slots count as this. Upstreams queue up to 36 requests.
+const REPORTED_LOAD_MAX: u32 = 4;
+/// Maximum number of slots that an upstream can report. A larger number leaves the known one unchanged.
+const SLOTS_MAX: u32 = 4096;
+/// Range of the slowdowns that count.
+const SLOWDOWN_RANGE: (f64, f64) = (0.1, 10.0);
 
 /// An upstream as listed by the platform.
 #[derive(Clone, Debug, PartialEq, serde::Deserialize, serde::Serialize)]
@@ -84,7 +94,7 @@
 }
 
 /// The load that an upstream reports in an answer.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct LoadReport {
     /// Number of running requests.
     pub running: u32,
@@ -92,6 +102,8 @@
     pub waiting: u32,
     /// Maximum number of requests that it runs concurrently. Zero leaves the known value unchanged.
     pub slots: u32,
+    /// How much longer work takes there now than usual, which is 1.0. `None` if it is not reported.
+    pub slowdown: Option<f64>,
 }
 
 /// How a request at an upstream ended.
@@ -112,11 +124,15 @@
 #[derive(Debug)]
 pub(super) struct Upstream {
     pub(super) record: UpstreamRecord,
+    /// Hash of the record's id.
+    pub(super) hash: NameHash,
     /// Requests of this host in flight at the upstream.
     local_requests: u32,
     /// Requests of other hosts at the upstream, as of the last report.
     remote_requests: f64,
     reported_at: Option<Instant>,
+    /// The slowdown that was reported last.
+    reported_slowdown: Option<(Instant, f64)>,
     /// Moving average of the requests running or waiting, as a fraction of the slots, as reported.
     reported_load: Option<f64>,
     consecutive_failures: u32,
@@ -136,10 +152,12 @@
 impl Upstream {
     pub(super) fn new(record: UpstreamRecord) -> Self {
         Self {
+            hash: NameHash::new(&record.id),
             record,
             local_requests: 0,
             remote_requests: 0.0,
             reported_at: None,
+            reported_slowdown: None,
             reported_load: None,
             consecutive_failures: 0,
             penalty: 0.0,
@@ -166,23 +184,44 @@
         !self.is_leaving() && self.ejected_until.is_none_or(|until| until <= now)
     }
 
-    /// Returns the estimated number of requests running or waiting, as a fraction of the slots.
-    pub(super) fn load(&self, now: Instant) -> f64 {
-        let age = self.reported_at.map_or(Duration::ZERO, |at| now.duration_since(at));
-        let remote_requests =
-            self.remote_requests * 0.5_f64.powf(age.as_secs_f64() / REPORT_HALF_LIFE_S);
-        (f64::from(self.local_requests) + remote_requests) / f64::from(self.record.slots)
+    /// Returns the estimated number of requests running or waiting, as a fraction of the slots. The
+    /// requests of other hosts lean from the last report to `mean_load`, that of the service.
+    pub(super) fn load(&self, now: Instant, mean_load: f64) -> f64 {
+        let slots = f64::from(self.record.slots);
+        let mean_requests = mean_load * slots;
+        let remote_requests = self.reported_at.map_or(mean_requests, |at| {
+            let weight = remaining(now, at, REPORT_HALF_LIFE);
+            mean_requests + (self.remote_requests - mean_requests) * weight
+        });
+        (f64::from(self.local_requests) + remote_requests) / slots
+    }
+
+    /// Returns the load that other hosts caused as of the last report, as a fraction of the slots.
+    pub(super) fn remote_load(&self) -> f64 {
+        self.remote_requests / f64::from(self.record.slots)
+    }
+
+    /// Returns how much longer work takes at the upstream than usual, by its last report.
+    pub(super) fn slowdown(&self, now: Instant) -> f64 {
+        self.reported_slowdown.map_or(1.0, |(at, slowdown)| {
+            1.0 + (slowdown - 1.0) * remaining(now, at, SLOWDOWN_HALF_LIFE)
+        })
     }
 
     /// Returns the current penalty for errors and slow events, in units of load.
     pub(super) fn penalty(&self, now: Instant) -> f64 {
-        let age = self.penalty_at.map_or(Duration::ZERO, |at| now.duration_since(at));
-        self.penalty * 0.5_f64.powf(age.as_secs_f64() / PENALTY_HALF_LIFE_S)
+        self.penalty_at.map_or(0.0, |at| self.penalty * remaining(now, at, PENALTY_HALF_LIFE))
     }
 
-    /// Returns whether sessions may stay at the upstream.
-    pub(super) fn keeps_affinity(&self, now: Instant) -> bool {
-        self.load(now) < AFFINITY_LOAD_MAX && self.penalty(now) < AFFINITY_PENALTY_MAX
+    /// Returns whether the upstream keeps its objects.
+    pub(super) fn keeps_affinity(&self, now: Instant, mean_load: f64) -> bool {
+        self.load(now, mean_load) < AFFINITY_LOAD_MAX && self.has_sound_cache(now)
+    }
+
+    /// Returns whether the upstream's cache can be counted on: an upstream in trouble may have started
+    /// again.
+    pub(super) fn has_sound_cache(&self, now: Instant) -> bool {
+        self.penalty(now) < AFFINITY_PENALTY_MAX
     }
 
     /// Records a pause between events that was much longer than typical for the service.
@@ -237,11 +276,16 @@
     }
 
     pub(super) fn record_load(&mut self, now: Instant, load: LoadReport) {
-        let total = load.running.saturating_add(load.waiting);
+        if (1..=SLOTS_MAX).contains(&load.slots) {
+            self.record.slots = load.slots;
+        }
+        let total_max = self.record.slots.saturating_mul(REPORTED_LOAD_MAX);
+        let total = load.running.saturating_add(load.waiting).min(total_max);
         self.remote_requests = f64::from(total.saturating_sub(self.local_requests));
         self.reported_at = Some(now);
-        if load.slots > 0 {
-            self.record.slots = load.slots;
+        if let Some(slowdown) = load.slowdown.filter(|slowdown| slowdown.is_finite()) {
+            let (min, max) = SLOWDOWN_RANGE;
+            self.reported_slowdown = Some((now, slowdown.clamp(min, max)));
         }
         self.average_load(f64::from(total) / f64::from(self.record.slots));
     }
--- a/crates/core/src/rendezvous.rs
+++ b/crates/core/src/rendezvous.rs
@@ -22,6 +22,11 @@
         Self(u64::from_le_bytes(prefix))
     }
 
+    /// Hashes a sequence of numbers.
+    pub fn of_numbers(numbers: impl IntoIterator<Item = u64>) -> Self {
+        Self(numbers.into_iter().fold(0, |hash, number| mix(hash.rotate_left(1) ^ mix(number))))
+    }
+
     /// Returns the weight of `candidate`, where `self` is the key. The arguments can't be swapped.
     /// Two candidates have equal weights with a probability of 2^-64; callers must break such ties
     /// by the candidates' names.
--- a/crates/core/tests/admission_overload.rs
+++ b/crates/core/tests/admission_overload.rs
@@ -232,6 +232,7 @@
             running: upstream.running as u32,
             waiting: upstream.queue.len() as u32,
             slots: service.slots as u32,
+            slowdown: None,
         };
         let host = self.programs[program].host;
         if let Some((_, key, _)) = self.programs[program].at {
--- a/crates/gateway/src/call/attempts.rs
+++ b/crates/gateway/src/call/attempts.rs
@@ -296,9 +296,12 @@
             false => Vec::new(),
         };
         let previous_upstream = call.retained.as_ref().and_then(RetainedCall::previous_upstream);
+        let generation = call.metadata.generation.as_ref();
         let request = PlacementRequest {
             service: &call.service,
             session: call.session(),
+            prompt: generation.map_or(&[], |generation| &generation.prompt),
+            output_tokens: generation.map_or(0, |generation| generation.output_tokens_max),
             previous_upstream: previous_upstream.map(|upstream| &**upstream),
             is_retained: call.retained.is_some(),
             object: call.object(),
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -6,7 +6,10 @@
 use {
     http::{HeaderMap, Response, request, response},
     std::time::Duration,
-    trefoilring_core::{placement::LoadReport, verdict::Refusal},
+    trefoilring_core::{
+        placement::{LoadReport, PromptPart},
+        verdict::Refusal,
+    },
 };
 
 /// Metadata in the head of a caller's request.
@@ -58,15 +61,6 @@
     pub prompt: Vec<PromptPart>,
 }
 
-/// A part of a prompt that other requests may have in common.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct PromptPart {
-    /// Id of the part, the same in all requests that share it.
-    pub id: u64,
-    /// Length of the part in tokens.
-    pub tokens: u64,
-}
-
 /// Values that the adapter adds to the caller's head when it is forwarded to an upstream.
 #[derive(Clone, Copy, Debug)]
 pub struct Forwarding<'a> {
