--- a/crates/core/src/placement/upstream.rs
+++ b/crates/core/src/placement/upstream.rs
@@ -48,8 +48,9 @@
 const REPORT_HALF_LIFE: Duration = Duration::from_millis(400);
 /// Half-life of a reported slowdown: neighbours slow an engine down for some hundred ms at a time.
 const SLOWDOWN_HALF_LIFE: Duration = Duration::from_millis(400);
-/// Reported loads above this multiple of the slots count as this. Upstreams queue up to 36 requests.
-const REPORTED_LOAD_MAX: u32 = 4;
+/// Reported loads above this multiple of the slots count as this. Far above what upstreams with few slots
+/// report, which queue up to 36 requests.
+const REPORTED_LOAD_MAX: u32 = 64;
 /// Maximum number of slots that an upstream can report. A larger number leaves the known one unchanged.
 const SLOTS_MAX: u32 = 4096;
 /// Range of the slowdowns that count.
