--- a/crates/core/benches/sched_decision.rs
+++ b/crates/core/benches/sched_decision.rs
@@ -12,6 +12,7 @@
     trefoilring_core::{
         catalog::{Catalog, Team},
         message::Usage,
+        placement::{Choice, LoadReport, Placement, PlacementRequest, PromptPart, UpstreamRecord},
         sched::{
             Command, Dispatcher, DispatcherOptions, LimitPolicy, Outcome, SlotRelease, SlotRequest,
             Ticket, UpstreamView,
@@ -35,6 +36,8 @@
     let full = Size { programs: 49_000, upstreams: 600, teams: 32_000 };
     let tenth = Size { programs: 4_900, upstreams: 60, teams: 3_200 };
     println!("seed {SEED}; {MEASURED} requests per row; times in nanoseconds");
+    measure_placement(full.upstreams, full.programs);
+    measure_placement(tenth.upstreams, tenth.programs);
     for calls_per_slot in [0.8, 1.1] {
         let small = measure(&tenth, calls_per_slot);
         let large = measure(&full, calls_per_slot);
@@ -46,6 +49,55 @@
     }
 }
 
+/// Measures choices of [`Placement`] at one service of `upstreams` with `programs` sessions. Prints the median and the 99th percentile.
+fn measure_placement(upstreams: usize, programs: usize) {
+    const SHARED_PARTS: u64 = 16;
+    let mut rng = StdRng::seed_from_u64(SEED);
+    let mut placement = Placement::new("zone-0".into());
+    let mut now = Instant::now();
+    for number in 0..upstreams {
+        placement.upsert(UpstreamRecord {
+            id: format!("engine-{number}").as_str().into(),
+            service: "llm".into(),
+            address: ([127, 0, 0, 1], 9000).into(),
+            domain: format!("zone-{}", number % 11).as_str().into(),
+            version: "v1".into(),
+            slots: SLOTS,
+            is_leaving: false,
+            incarnation: None,
+        });
+    }
+    let sessions: Vec<String> = (0..programs).map(|number| format!("session-{number}")).collect();
+    let mut times = Vec::with_capacity(MEASURED);
+    for _ in 0..MEASURED {
+        now += Duration::from_micros(250);
+        let number = rng.random_range(0..programs);
+        let prompt = [
+            PromptPart { id: number as u64 % SHARED_PARTS, tokens: 12_600 },
+            PromptPart { id: 1000 + number as u64, tokens: 1200 },
+        ];
+        let request = PlacementRequest {
+            service: "llm",
+            session: Some(&sessions[number]),
+            prompt: &prompt,
+            ..PlacementRequest::default()
+        };
+        let begun = Instant::now();
+        let choice = placement.choose(now, &request);
+        times.push(begun.elapsed().as_nanos());
+        let Choice::Use(key) = choice else { panic!("all upstreams accept work") };
+        let running = rng.random_range(0..SLOTS);
+        let report = LoadReport { running, waiting: 0, slots: SLOTS, slowdown: Some(1.0) };
+        placement.record_load(now, key, report);
+    }
+    times.sort_unstable();
+    println!(
+        "placement, {upstreams} upstreams: median {} ns, p99 {} ns",
+        times[MEASURED / 2],
+        times[MEASURED * 99 / 100]
+    );
+}
+
 /// Fills a dispatcher with programs, then measures request and release together. `calls_per_slot`
 /// counts running and waiting calls. Returns the median in nanoseconds.
 fn measure(size: &Size, calls_per_slot: f64) -> u128 {
