--- a/crates/core/src/placement/decay.rs
+++ b/crates/core/src/placement/decay.rs
@@ -2,6 +2,9 @@
 
 use std::time::{Duration, Instant};
 
+/// Number of half-lives after which nothing is left of a value.
+const NEGLIGIBLE_HALF_LIVES: u32 = 20;
+
 /// A sum of weights that decays with time.
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct Decayed {
@@ -24,8 +27,11 @@
 
 /// Returns the fraction of a value of time `at` that remains.
 pub(super) fn remaining(now: Instant, at: Instant, half_life: Duration) -> f64 {
-    let age = now.saturating_duration_since(at).as_secs_f64();
-    (-age / half_life.as_secs_f64()).exp2()
+    let age = now.saturating_duration_since(at);
+    if age > half_life * NEGLIGIBLE_HALF_LIVES {
+        return 0.0;
+    }
+    (-age.as_secs_f64() / half_life.as_secs_f64()).exp2()
 }
 
 /// A mean of recent values that leans to an assumed one while there are few.
--- a/crates/core/src/placement/mod.rs
+++ b/crates/core/src/placement/mod.rs
@@ -74,6 +74,8 @@
 /// Maximum number of sessions stored: about one minute of sessions at the load that the system is
 /// designed for.
 const SESSIONS_MAX: usize = 16_384;
+/// Minimum interval between two passes over all sessions, which take some 100 us.
+const FORGET_INTERVAL: Duration = Duration::from_secs(1);
 /// How long a session is stored after its last turn.
 const SESSION_TTL: Duration = Duration::from_secs(60);
 
@@ -142,6 +144,8 @@
     /// Invariant: contains each upstream of `by_id` exactly once, under its service.
     by_service: HashMap<ServiceId, Vec<UpstreamKey>>,
     sessions: HashMap<String, Session>,
+    /// When old sessions may be forgotten next; `None` if none have been yet.
+    forget_sessions_at: Option<Instant>,
     /// Moving average of the pause between stream events, by service, in seconds.
     typical_pauses_s: HashMap<ServiceId, f64>,
     /// Moving average of the time that a request takes at an upstream without a queue, by service, in
@@ -166,6 +170,7 @@
             by_id: HashMap::new(),
             by_service: HashMap::new(),
             sessions: HashMap::new(),
+            forget_sessions_at: None,
             typical_pauses_s: HashMap::new(),
             service_times_s: HashMap::new(),
             remote_loads: HashMap::new(),
@@ -452,7 +457,9 @@
             *existing = Session { upstream, used_at: now };
             return;
         }
-        if self.sessions.len() >= SESSIONS_MAX {
+        if self.sessions.len() >= SESSIONS_MAX && self.forget_sessions_at.is_none_or(|at| at <= now)
+        {
+            self.forget_sessions_at = Some(now + FORGET_INTERVAL);
             self.sessions.retain(|_, session| now.duration_since(session.used_at) < SESSION_TTL);
         }
         if self.sessions.len() < SESSIONS_MAX {
--- a/crates/core/src/placement/upstream.rs
+++ b/crates/core/src/placement/upstream.rs
@@ -151,7 +151,9 @@
     reported_slowdown: Option<(Instant, f64)>,
     mean_slowdown: DecayedMean,
     /// How long work takes here in general, as a multiple of the service's mean.
-    relative_time: DecayedMean,
+    relative_times: DecayedMean,
+    /// Value of `relative_times` when the last time was recorded. Leans to one from then on.
+    relative_time: Option<(Instant, f64)>,
     /// Moving average of the requests running or waiting, as a fraction of the slots, as reported.
     reported_load: Option<f64>,
     consecutive_failures: u32,
@@ -178,7 +180,8 @@
             reported_at: None,
             reported_slowdown: None,
             mean_slowdown: DecayedMean::new(SPEED_HALF_LIFE, 1.0, SLOWDOWN_ASSUMED_REPORTS),
-            relative_time: DecayedMean::new(SPEED_HALF_LIFE, 1.0, SPEED_ASSUMED_PAUSES),
+            relative_time: None,
+            relative_times: DecayedMean::new(SPEED_HALF_LIFE, 1.0, SPEED_ASSUMED_PAUSES),
             reported_load: None,
             consecutive_failures: 0,
             penalty: 0.0,
@@ -229,14 +232,18 @@
         let present = self.reported_slowdown.map_or(1.0, |(at, slowdown)| {
             1.0 + (slowdown - 1.0) * remaining(now, at, SLOWDOWN_HALF_LIFE)
         });
-        present * self.relative_time.value(now)
+        let general = self
+            .relative_time
+            .map_or(1.0, |(at, time)| 1.0 + (time - 1.0) * remaining(now, at, SPEED_HALF_LIFE));
+        present * general
     }
 
     /// Records a time as a multiple of the service's usual one. It counts for `weight` pauses.
     pub(super) fn record_relative_time(&mut self, now: Instant, relative: f64, weight: f64) {
         let (min, max) = RELATIVE_TIME_RANGE;
         if relative.is_finite() {
-            self.relative_time.add(now, relative.clamp(min, max), weight);
+            self.relative_times.add(now, relative.clamp(min, max), weight);
+            self.relative_time = Some((now, self.relative_times.value(now)));
         }
     }
 
@@ -253,7 +260,7 @@
     /// Returns whether the upstream's cache can be counted on: an upstream in trouble may have started
     /// again.
     pub(super) fn has_sound_cache(&self, now: Instant) -> bool {
-        self.penalty(now) < AFFINITY_PENALTY_MAX
+        self.penalty < AFFINITY_PENALTY_MAX || self.penalty(now) < AFFINITY_PENALTY_MAX
     }
 
     /// Records a pause between events that was much longer than typical for the service.
