--- a/crates/core/src/placement/cold.rs
+++ b/crates/core/src/placement/cold.rs
@@ -206,8 +206,9 @@
         let is_throttled = |upstream: &&Upstream| {
             upstream.cold.limit(now).is_some_and(|limit| !limit.has_token(now))
         };
+        let mean_load = self.mean_remote_load(now, service);
         let cost = |upstream: &Upstream| {
-            upstream.load(now) + upstream.return_load(now) + upstream.penalty(now)
+            upstream.load(now, mean_load) + upstream.return_load(now) + upstream.penalty(now)
         };
         let mut throttled = accepting().filter(is_throttled).peekable();
         if throttled.peek().is_none() {
--- a/crates/core/src/placement/evacuation.rs
+++ b/crates/core/src/placement/evacuation.rs
@@ -151,8 +151,10 @@
             let is_evacuated = domains.contains(&upstream.record.domain);
             let was_evacuated = std::mem::replace(&mut upstream.is_evacuated, is_evacuated);
             if is_evacuated && !was_evacuated {
-                let load = upstream.reported_load(now).unwrap_or_else(|| upstream.load(now));
                 let service = upstream.record.service.clone();
+                let mean_load = self.remote_loads.get(&service).map_or(0.0, |mean| mean.value(now));
+                let reported = upstream.reported_load(now);
+                let load = reported.unwrap_or_else(|| upstream.load(now, mean_load));
                 *moved_requests.entry(service).or_default() +=
                     load * f64::from(upstream.record.slots);
             }
--- a/crates/core/src/placement/evacuation/tests.rs
+++ b/crates/core/src/placement/evacuation/tests.rs
@@ -99,7 +99,7 @@
         let Some((_, host, id)) = self.running.pop_front() else { return };
         let running = self.running_at.get_mut(&id).expect("the request runs there");
         *running -= 1;
-        let load = LoadReport { running: *running, waiting: 0, slots: SLOTS };
+        let load = LoadReport { running: *running, waiting: 0, slots: SLOTS, slowdown: None };
         let placement = &mut self.hosts[host];
         let (key, _) = placement.find(&id).expect("no upstream is removed");
         placement.record_load(self.now, key, load);
@@ -255,7 +255,11 @@
         placement.upsert(record(domain, domain));
         let key = placement.by_id[domain];
         placement.record_sent(now, key);
-        placement.record_load(now, key, LoadReport { running: 4, waiting: 0, slots: 4 });
+        placement.record_load(
+            now,
+            key,
+            LoadReport { running: 4, waiting: 0, slots: 4, slowdown: None },
+        );
         placement.record_duration(now, key, SECOND);
     }
     assert_eq!(placement.queue_delay(now, "llm"), Some(Duration::ZERO));
