--- a/crates/core/benches/sched_decision.rs
+++ b/crates/core/benches/sched_decision.rs
@@ -65,6 +65,7 @@
             slots: SLOTS,
             is_leaving: false,
             incarnation: None,
+            cold_left: None,
         });
     }
     let sessions: Vec<String> = (0..programs).map(|number| format!("session-{number}")).collect();
