Learn what programs need without those that name far targets

A program with a target of an hour kept all that began after it from counting for 25 minutes, so that programs seemed to need several times what they do and were refused at moderate load, and once it counted the mean target was so long that nothing was refused in overload. Programs wait in the order in which they count, and targets above 60 s count as none. Before any program counts, the delays of services are compared by plain counts.

--- a/crates/core/src/admission/mod.rs
+++ b/crates/core/src/admission/mod.rs
@@ -335,7 +335,7 @@
             let Some(delay) = delay_of(service) else { continue };
             let queued_s = requests * delay.as_secs_f64();
             total_s += queued_s;
-            if longest.is_none_or(|(longest_s, ..)| queued_s > longest_s) {
+            if longest.is_none_or(|(longest_s, ..)| queued_s.total_cmp(&longest_s).is_gt()) {
                 longest = Some((queued_s, service, delay));
             }
         }
--- a/crates/core/src/admission/needs.rs
+++ b/crates/core/src/admission/needs.rs
@@ -21,6 +21,9 @@
 /// 0.6 to 0.9 of their targets, so about half of the requests have been made then. Ratios are too low in a
 /// burst if programs count earlier, and too high at hosts that have seen few programs if they count later.
 const COUNTED_AFTER: f64 = 0.42;
+/// Maximum target from which something is learned. Programs with later ones count as if they named none: one
+/// target of an hour would outweigh those of a thousand programs of seconds.
+const LEARNED_TARGET_MAX: Duration = Duration::from_secs(60);
 /// Maximum number of programs that do not count yet: two seconds of the programs of all hosts.
 const PENDING_MAX: usize = 256;
 /// Minimum number of programs from which ratios are used. With 0.7, they were up to 1.6 times too high.
@@ -39,7 +42,8 @@
     /// Whether enough programs have counted once. At first only requests of programs count that do not
     /// count themselves yet, and ratios would be several times too high.
     is_known: bool,
-    /// Programs that have begun and do not count yet, by the time at which they will.
+    /// Programs that have begun and do not count yet, by the time at which they will. Invariant: ordered by
+    /// that time.
     pending: VecDeque<(Instant, Option<Duration>)>,
     programs: f64,
     /// Sum of the targets of `programs`, as far as they have named one, in seconds.
@@ -55,9 +59,11 @@
     /// Records that a program begins, with the time left until its target.
     pub(super) fn record_begin(&mut self, now: Instant, target: Option<Duration>) {
         self.advance(now);
+        let target = target.filter(|target| *target <= LEARNED_TARGET_MAX);
         let counted_at = now + target.unwrap_or(Duration::ZERO).mul_f64(COUNTED_AFTER);
         if self.pending.len() < PENDING_MAX {
-            self.pending.push_back((counted_at, target));
+            let position = self.pending.partition_point(|(at, _)| *at <= counted_at);
+            self.pending.insert(position, (counted_at, target));
         }
     }
 
@@ -100,9 +106,11 @@
             .then(|| Duration::from_secs_f64(self.targets_s / self.programs_with_target))
     }
 
-    /// Returns the number of requests of a program to each service.
+    /// Returns the number of requests of a program to each service, and that of all requests before any
+    /// program counts.
     pub(super) fn requests_by_service(&self) -> impl Iterator<Item = (&ServiceId, f64)> {
-        self.requests.iter().map(|(service, count)| (service, count / self.programs))
+        let programs = if self.programs > 0.0 { self.programs } else { 1.0 };
+        self.requests.iter().map(move |(service, count)| (service, count / programs))
     }
 
     fn has_targets(&self) -> bool {
--- a/crates/core/src/admission/tests.rs
+++ b/crates/core/src/admission/tests.rs
@@ -242,3 +242,30 @@
         }
     }
 }
+
+/// Guards against one program with a far target that keeps those after it from counting, so that what a
+/// program needs seems to grow, and makes the mean target so long that queues seem short.
+#[test]
+fn one_far_target_does_not_change_what_programs_need() {
+    let pressure_after = |far: Option<Duration>| {
+        let (mut host, mut now) = (Admission::default(), Instant::now());
+        if let Some(far) = far {
+            let admitted = host.check(now, &new_program("far", 0, far), tools(ms(0)), 0.5);
+            assert!(admitted.is_ok());
+        }
+        for number in 0..120 {
+            let id = format!("program-{number}");
+            let program = new_program(&id, 0, Duration::from_secs(3));
+            assert!(host.check(now, &program, tools(ms(0)), 0.5).is_ok(), "{id}");
+            run(&mut host, now, ms(0));
+            now += Duration::from_secs(1);
+        }
+        let queues = host.queues(tools(ms(100))).expect("the tools are used");
+        host.pressure(&queues, Some(Duration::from_secs(3)), None)
+    };
+    let usual = pressure_after(None);
+    for far in [Duration::from_secs(60), Duration::from_secs(3600), Duration::MAX] {
+        let pressure = pressure_after(Some(far));
+        assert!((0.8..1.25).contains(&(pressure / usual)), "{far:?}: {pressure}, usually {usual}");
+    }
+}
