Don't refuse requests for a head start alone

Calls of no program and first turns were refused at once as soon as one request of a program about to end was queued, since its head start of 200 or 300 ms is longer than their wait. A queue is long if its first request is far ahead and has waited for long.

--- a/crates/core/src/placement/wait_queue.rs
+++ b/crates/core/src/placement/wait_queue.rs
@@ -8,8 +8,8 @@
 //!
 //! The oldest request is first, but requests of programs that are about to end have a head start over
 //! others, and first turns have none: a program that misses its target by one call has wasted all its
-//! work, and one that has not begun has wasted none. Head starts are shorter than the waits, so that
-//! nobody is starved.
+//! work, and one that has not begun has wasted none. Head starts are shorter than the waits of the
+//! programs under way, so that these are not starved by each other.
 
 use {
     crate::{ids::ServiceId, wait},
@@ -181,11 +181,13 @@
     }
 
     /// Returns whether the queue is short enough for a new request to be tried before its wait is over.
-    /// The request is first after about the time by which the first one is ahead of it.
+    /// The first one in the queue has waited for long, and is far ahead of it, if the queue is not.
     pub fn admits(&self, service: &str, wait: &QueueWait) -> bool {
-        let ahead = self.first_position(service).map_or(Duration::ZERO, |first| {
-            wait.position.counts_from.saturating_duration_since(first.counts_from)
-        });
+        let first = self.queues.get(service).and_then(|queue| queue.first_key_value());
+        let Some((first, queued)) = first else { return true };
+        let ahead = wait.position.counts_from.saturating_duration_since(first.counts_from);
+        // A head start alone does not make the queue long.
+        let ahead = ahead.min(wait.started_at.saturating_duration_since(queued.started_at));
         let max = wait.expires_at.saturating_duration_since(wait.started_at);
         ahead <= max.mul_f64(OLDEST_WAIT_FRACTION_MAX)
     }
--- a/crates/core/src/placement/wait_queue/tests.rs
+++ b/crates/core/src/placement/wait_queue/tests.rs
@@ -335,3 +335,20 @@
         assert_eq!(queues.front_waker(&service), Some(&patient), "{patient:?}");
     }
 }
+
+/// Guards against requests that are refused at once behind a single one with a head start.
+#[test]
+fn head_start_alone_refuses_no_request() {
+    let start = Instant::now();
+    let service = ServiceId::from("tools");
+    for patient in [Urgency::ActiveProgram, Urgency::NoProgram, Urgency::FirstTurn] {
+        let mut queues = WaitQueues::default();
+        let deadline = start + TIME_TO_DEADLINE;
+        let first = queues.begin_wait(start, deadline, Urgency::AboutToEnd);
+        queues.enqueue(&service, &first, ());
+        let soon = queues.begin_wait(start + Duration::from_millis(20), deadline, patient);
+        assert!(queues.admits(&service, &soon), "{patient:?}");
+        let late = queues.begin_wait(start + Duration::from_millis(490), deadline, patient);
+        assert!(!queues.admits(&service, &late), "{patient:?}: the queue is long");
+    }
+}
