Count trouble of upstreams as load

Found by reading: an engine that fails fast and reports itself idle could cost less than sound ones at half their load, because trouble added a part of a request's time and reading a prompt costs more the more requests run. A broken answer counts as the load of a full upstream again.

--- a/crates/core/src/placement/cost.rs
+++ b/crates/core/src/placement/cost.rs
@@ -34,7 +34,8 @@
 
 /// What the cost at an upstream depends on.
 pub(super) struct CostInputs {
-    /// Requests running or waiting at the upstream, as a fraction of its slots, with this one.
+    /// Requests running or waiting at the upstream, as a fraction of its slots, with this one and with the
+    /// load that trouble counts for.
     pub(super) load: f64,
     /// Requests that run beside this one, which slow down while its prompt is read.
     pub(super) running: f64,
@@ -44,8 +45,6 @@
     pub(super) unread_tokens: u64,
     /// Whether the upstream is in another failure domain than this host.
     pub(super) is_far: bool,
-    /// Penalty for errors and slow events; one broken answer is 1.
-    pub(super) penalty: f64,
     /// Whether the upstream limits its requests.
     pub(super) is_limited: bool,
 }
@@ -55,10 +54,8 @@
     let queued = 1.0 + inputs.load * BATCH_SHARE + queue(inputs.load);
     let work_ms = time_ms * queued + read_ms(inputs.unread_tokens) * (1.0 + inputs.running);
     let domain_ms = if inputs.is_far { DOMAIN_MS } else { 0.0 };
-    // A single slow event is noise, and several are trouble.
-    let trouble_ms = time_ms * inputs.penalty * inputs.penalty;
     let limited_ms = if inputs.is_limited { time_ms * LIMITED_SHARE } else { 0.0 };
-    inputs.slowdown * work_ms + domain_ms + trouble_ms - limited_ms
+    inputs.slowdown * work_ms + domain_ms - limited_ms
 }
 
 /// Returns the time in the queue as a multiple of a request's time: zero while slots are free, and
--- a/crates/core/src/placement/mod.rs
+++ b/crates/core/src/placement/mod.rs
@@ -424,14 +424,17 @@
         unread_tokens: u64,
     ) -> CostInputs {
         let slots = f64::from(upstream.record.slots);
-        let load = upstream.load(now, mean_load) + upstream.return_load(now);
+        let penalty = upstream.penalty(now);
+        // A broken answer counts as a full upstream: one that fails fast appears idle, and reading prompts
+        // seems cheap there. A single slow event is noise, and several are trouble.
+        let trouble = penalty * penalty;
+        let load = upstream.load(now, mean_load) + upstream.return_load(now) + trouble;
         CostInputs {
             load: load + 1.0 / slots,
             running: load.min(1.0) * slots,
             slowdown: upstream.slowdown(now),
             unread_tokens,
             is_far: upstream.record.domain != self.domain,
-            penalty: upstream.penalty(now),
             is_limited: upstream.rate_limit.is_some(),
         }
     }
