Copy the last part of an answer

Found by reading: the last slice kept the whole answer of up to 8 MiB in memory until its caller had read it, after its reservation had ended. No test shows it.

--- a/crates/gateway/src/call/body.rs
+++ b/crates/gateway/src/call/body.rs
@@ -94,7 +94,13 @@
                 if let Some(reservation) = reservation {
                     reservation.record_progress(size);
                 }
-                Poll::Ready(Some(Ok(Frame::data(bytes.split_to(size)))))
+                let frame = match size < bytes.len() {
+                    true => bytes.split_to(size),
+                    // A slice would keep the whole answer in memory until the caller has read it, after the
+                    // reservation has ended with this body.
+                    false => Bytes::copy_from_slice(&std::mem::take(bytes)),
+                };
+                Poll::Ready(Some(Ok(Frame::data(frame))))
             }
             Self::Events(events) => {
                 events.as_mut().poll_next(cx).map(|next| next.map(|next| next.map(Frame::data)))
