--- a/crates/gateway/src/call/mod.rs
+++ b/crates/gateway/src/call/mod.rs
@@ -240,7 +240,9 @@
     };
     let mut admission = gateway.admission.borrow_mut();
     let delay_of = |service: &ServiceId| gateway.placement.borrow().queue_delay(now, service);
-    if charge.is_some_and(|charge| charge.opens_program) {
+    // A program that continues a kept turn has work to lose, although its ledger does not know it yet.
+    let continues_turn = call.metadata.previous_turn.is_some();
+    if !continues_turn && charge.is_some_and(|charge| charge.opens_program) {
         let priority = call.team.as_ref().and_then(|team| team.priority);
         let priority = priority.unwrap_or(call.route.priority);
         let new = NewProgram { id: &program.id, priority, time_left: program.finish_in };
