--- a/crates/core/src/budget/account.rs
+++ b/crates/core/src/budget/account.rs
@@ -41,9 +41,6 @@
     /// Number of former owners that may have granted an overdraft.
     #[serde(rename = "d", default, skip_serializing_if = "is_zero")]
     pub lost_overdrafts: u64,
-    /// Whether a former owner may have granted a first turn that is in no record.
-    #[serde(rename = "f", default, skip_serializing_if = "std::ops::Not::not")]
-    pub lost_first_turn: bool,
 }
 
 fn is_zero(number: &u64) -> bool {
@@ -86,9 +83,6 @@
     uncertain: TokenCount,
     /// Number of former owners that may have granted an overdraft.
     lost_overdrafts: u64,
-    /// Whether a former owner may have granted a first turn that is in no record.
-    #[serde(default)]
-    lost_first_turn: bool,
     /// Records that a successor may read, in the order of their sequences. Never empty. Every grant
     /// stays within what each of them reserves.
     holds: Vec<Hold>,
@@ -139,14 +133,8 @@
 
 impl Account {
     /// Creates the account of a program without turns. `lost_overdrafts` former owners may have
-    /// granted it an overdraft, and one of them a first turn if `lost_first_turn`. The records that
-    /// do not list the account let `reserved` tokens be granted.
-    pub(super) fn new(
-        now: Instant,
-        lost_overdrafts: u64,
-        lost_first_turn: bool,
-        reserved: TokenCount,
-    ) -> Self {
+    /// granted it an overdraft.
+    pub(super) fn new(now: Instant, lost_overdrafts: u64) -> Self {
         Self::from_replica(
             now,
             AccountReplica {
@@ -155,8 +143,7 @@
                 open_tokens: 0,
                 uncertain: 0,
                 lost_overdrafts,
-                lost_first_turn,
-                holds: vec![Hold { next_turn_number: 1, reserved, ..Hold::default() }],
+                holds: vec![Hold { next_turn_number: 1, ..Hold::default() }],
                 next_turn_number: 1,
                 idle_max: IDLE_MAX_DEFAULT,
             },
@@ -181,7 +168,6 @@
                 open_tokens: recorded.open.iter().map(|(_, charged)| charged).sum(),
                 uncertain: recorded.uncertain.saturating_add(recorded.reserved),
                 lost_overdrafts: lost_overdrafts(recorded.lost_overdrafts),
-                lost_first_turn: recorded.lost_first_turn,
                 holds: vec![Hold { next_turn_number: 1, ..Hold::default() }],
                 next_turn_number: 1,
                 idle_max,
@@ -239,9 +225,7 @@
         }
         // A program may exceed its budget by one turn, so as many of the uncertain tokens don't
         // count.
-        let lost_first_turn = if self.state.lost_first_turn { turn_max } else { 0 };
         let lost = self.state.lost_overdrafts.saturating_mul(overdraft_max(budget));
-        let lost = lost.saturating_add(lost_first_turn);
         let uncertain = self.state.uncertain.saturating_add(lost).saturating_sub(turn_max);
         if charged_after.saturating_add(uncertain) > budget {
             return ChargeOutcome::PossiblySpent;
@@ -364,7 +348,6 @@
             uncertain: state.uncertain,
             reserved,
             lost_overdrafts: state.lost_overdrafts,
-            lost_first_turn: state.lost_first_turn,
         }
     }
 
--- a/crates/core/src/budget/mod.rs
+++ b/crates/core/src/budget/mod.rs
@@ -14,13 +14,6 @@
 //! former owners together. So the bound holds over any number of owners, one after the other and at
 //! the same time, and depends neither on clocks nor on which hosts are believed to be alive.
 //!
-//! A record also lets its writer grant **first turns**: one turn to each program that it does not list,
-//! for [`FIRST_TURNS_VALIDITY`] after the write began, so that programs begin without a write of their
-//! own. A successor counts one such turn for each program that the record does not list, until
-//! programs that began then can't resume. The one turn by which a program may exceed its budget
-//! covers it. Until then the successor grants no first turns itself, so that all owners that are lost
-//! in series count as one. This alone depends on clocks: they must run at about the same rate.
-//!
 //! While the store is unavailable, the owner grants an **overdraft**: up to half of the budget beyond
 //! what the record reserves. It does so only once a majority of the ledger's hosts has stored an
 //! [outage note](OutageNotes). A successor that learns of such a note, or cannot learn that there is
@@ -78,12 +71,6 @@
 /// that take a ledger from each other in turn reserve nothing, because each change of the owner
 /// makes the reservations uncertain.
 const WRITES_BEFORE_RESERVATIONS: u64 = 3;
-/// Time after the begin of a successful write for which the owner grants first turns. Well below
-/// [`RETENTION_MARGIN`], within which a successor must count them, and several times the interval at
-/// which a ledger in use is written.
-const FIRST_TURNS_VALIDITY: Duration = Duration::from_secs(2);
-/// Maximum number of records with an unknown outcome whose begin is remembered.
-const BUILT_MAX: usize = 16;
 /// Time for which accounts are kept after the programs' idle time has passed.
 const RETENTION_MARGIN: Duration = Duration::from_secs(10);
 
@@ -170,14 +157,6 @@
     /// Builds before this field granted one each.
     #[serde(default)]
     pub grants_overdraft_once: bool,
-    /// Whether the writer may grant one turn to each program that is not listed. Builds before this
-    /// field grant none, and do not count those of others.
-    #[serde(default)]
-    pub first_turns: bool,
-    /// How long after this write a former owner may have granted first turns to programs that are not
-    /// listed, in milliseconds.
-    #[serde(default)]
-    pub lost_first_turns_for_ms: u64,
     /// The accounts by program.
     #[serde(default)]
     pub accounts: BTreeMap<ProgramId, RecordedAccount>,
@@ -212,14 +191,6 @@
     lost_overdrafts: u64,
     /// Time until which that applies. Programs can't resume after it.
     lost_overdrafts_until: Instant,
-    /// Time until which a former owner may have granted first turns to programs without an account.
-    lost_first_turns_until: Instant,
-    /// When the records with an unknown outcome were built, by sequence. Invariant: at most
-    /// [`BUILT_MAX`].
-    built_at: BTreeMap<u64, Instant>,
-    /// Time until which this owner may grant first turns. Invariant: while it is set, the stored record
-    /// and all that may still be stored let it do so, or list the account.
-    first_turns_until: Option<Instant>,
     /// Set until a write succeeds.
     store_failing_since: Option<Instant>,
     /// Whether the store has answered a read since the last failure.
@@ -272,14 +243,6 @@
             ledger.lost_overdrafts = lost_overdrafts(former_lost_overdrafts);
             ledger.lost_overdrafts_until = now + lost_for;
         }
-        let is_undecodable = record.is_none() && may_lack_overdraft;
-        let lost_first_turns_for = match record.is_some_and(|record| record.first_turns) {
-            false if !is_undecodable => {
-                Duration::from_millis(record.map_or(0, |record| record.lost_first_turns_for_ms))
-            }
-            _ => idle_max + RETENTION_MARGIN,
-        };
-        ledger.lost_first_turns_until = now + lost_first_turns_for;
         let Some(record) = record else { return ledger };
         for (program, &settled) in &record.charged {
             let recorded = RecordedAccount { settled, ..RecordedAccount::default() };
@@ -304,9 +267,6 @@
             idle_max,
             lost_overdrafts: 0,
             lost_overdrafts_until: now,
-            lost_first_turns_until: now,
-            built_at: BTreeMap::new(),
-            first_turns_until: None,
             store_failing_since: None,
             is_store_reached: false,
             proposed_sequence: 0,
@@ -329,10 +289,7 @@
             true => self.lost_overdrafts,
             false => 0,
         };
-        let lost_first_turn = self.has_lost_first_turns(now);
-        let grants_first_turn = self.first_turns_until.is_some_and(|until| now < until);
-        let reserved = if grants_first_turn { charge.turn_max } else { 0 };
-        let open_account = || Account::new(now, lost_overdrafts, lost_first_turn, reserved);
+        let open_account = || Account::new(now, lost_overdrafts);
         let account = self.accounts.entry(charge.program.clone()).or_insert_with(open_account);
         let outcome = account.charge(now, charge, is_overdraft_allowed, self.sequence);
         if let (ChargeOutcome::Granted { .. }, Some(replication)) = (outcome, &mut self.replication)
@@ -409,8 +366,6 @@
         self.note_hosts = note_hosts;
         self.stored_count = 0;
         self.noted_sequence = 0;
-        // The next records let no first turns be granted.
-        self.first_turns_until = None;
     }
 
     /// Settles a turn: frees the tokens that it did not use.
@@ -505,12 +460,6 @@
             .iter_mut()
             .map(|(program, account)| (program.clone(), account.build_record(sequence, reserving)));
         let lost_for = self.lost_overdrafts_until.saturating_duration_since(now);
-        let lost_first_turns_for = self.lost_first_turns_until.saturating_duration_since(now);
-        let first_turns = reserving == Reserving::NextTurns && lost_first_turns_for.is_zero();
-        if self.built_at.len() >= BUILT_MAX {
-            self.built_at.pop_first();
-        }
-        self.built_at.insert(sequence, now);
         Some(LedgerRecord {
             writer: self.writer.clone(),
             epoch: self.epoch,
@@ -520,8 +469,6 @@
             lost_overdrafts: if lost_for.is_zero() { 0 } else { self.lost_overdrafts },
             lost_overdrafts_for_ms: lost_for.as_millis() as u64,
             grants_overdraft_once: true,
-            first_turns,
-            lost_first_turns_for_ms: lost_first_turns_for.as_millis() as u64,
             accounts: accounts.collect(),
             charged: BTreeMap::new(),
         })
@@ -537,12 +484,6 @@
         self.promoted_from = None;
         // Another epoch may have begun during the write.
         self.stored_count += u64::from(record.epoch == self.epoch);
-        let built_at = self.built_at.get(&record.sequence).copied();
-        self.built_at.retain(|sequence, _| *sequence > record.sequence);
-        if record.epoch == self.epoch && !self.is_releasing() {
-            let built_at = built_at.filter(|_| record.first_turns);
-            self.first_turns_until = built_at.map(|at| at + FIRST_TURNS_VALIDITY);
-        }
         for program in record.accounts.keys() {
             if let Some(account) = self.accounts.get_mut(program) {
                 account.on_stored(record.sequence);
@@ -570,10 +511,8 @@
         self.store_failing_since.get_or_insert(began);
         self.is_store_reached = false;
         if self.releasing_after.take().is_some() && may_succeed_late {
-            // A successor that reads the released record does not ask for overdrafts, and counts no
-            // first turns.
+            // A successor that reads the released record does not ask for overdrafts.
             self.stored_count = 0;
-            self.first_turns_until = None;
         }
         if !may_succeed_late {
             for program in record.accounts.keys() {
@@ -601,17 +540,6 @@
         now < self.lost_overdrafts_until
     }
 
-    /// Returns whether a lost owner may have granted first turns to programs without an account.
-    fn has_lost_first_turns(&self, now: Instant) -> bool {
-        now < self.lost_first_turns_until
-    }
-
-    /// Returns for how long a lost owner's first turns count, so that this owner grants none and first
-    /// turns wait for writes.
-    pub fn lost_first_turns_for(&self, now: Instant) -> Duration {
-        self.lost_first_turns_until.saturating_duration_since(now)
-    }
-
     /// Returns the name under which this ledger writes its records.
     pub fn writer(&self) -> &str {
         &self.writer
--- a/crates/core/src/budget/standby.rs
+++ b/crates/core/src/budget/standby.rs
@@ -78,9 +78,6 @@
     /// How long that applies.
     #[serde(deserialize_with = "durations::bounded")]
     pub lost_overdrafts_for: Duration,
-    /// How long a former owner may have granted first turns to programs without an account.
-    #[serde(default, deserialize_with = "durations::bounded")]
-    pub lost_first_turns_for: Duration,
     /// Idle time used for accounts that are read from a record.
     #[serde(deserialize_with = "durations::bounded")]
     pub idle_max: Duration,
@@ -154,7 +151,6 @@
     /// flight.
     pub fn next_update(&mut self, now: Instant) -> Option<ReplicaUpdate> {
         let lost_overdrafts_for = self.lost_overdrafts_until.saturating_duration_since(now);
-        let lost_first_turns_for = self.lost_first_turns_for(now);
         let failing_for = self
             .store_failing_since
             .map_or(Duration::ZERO, |since| now.saturating_duration_since(since));
@@ -181,7 +177,6 @@
             note_hosts: self.note_hosts.clone(),
             lost_overdrafts: self.lost_overdrafts,
             lost_overdrafts_for,
-            lost_first_turns_for,
             idle_max: self.idle_max,
             accounts: accounts.collect(),
         };
@@ -240,7 +235,6 @@
             stored_count: 1,
             lost_overdrafts: replica.lost_overdrafts,
             lost_overdrafts_until: replica.lost_overdrafts_until,
-            lost_first_turns_until: replica.lost_first_turns_until,
             store_failing_since: replica.store_failing_since,
             promoted_from: Some(replica.id.writer),
             ..Self::empty(now, writer, replica.idle_max)
@@ -276,7 +270,6 @@
     note_hosts: Vec<NoteHost>,
     lost_overdrafts: u64,
     lost_overdrafts_until: Instant,
-    lost_first_turns_until: Instant,
     idle_max: Duration,
     accounts: BTreeMap<ProgramId, AccountReplica>,
 }
@@ -294,7 +287,6 @@
             note_hosts: update.note_hosts.clone(),
             lost_overdrafts: update.lost_overdrafts,
             lost_overdrafts_until: now,
-            lost_first_turns_until: now,
             idle_max: update.idle_max,
             accounts: BTreeMap::new(),
         };
@@ -314,7 +306,6 @@
         self.sequence = update.sequence;
         self.lost_overdrafts = update.lost_overdrafts;
         self.lost_overdrafts_until = now + update.lost_overdrafts_for;
-        self.lost_first_turns_until = now + update.lost_first_turns_for;
         self.accounts.extend(update.accounts);
         true
     }
--- a/crates/gateway/src/ledger/takeover.rs
+++ b/crates/gateway/src/ledger/takeover.rs
@@ -175,7 +175,6 @@
             "fenced": evidence.replies,
             "is_in_doubt": evidence.may_lack_overdraft,
             "accounts": ledger.len(),
-            "first_turns_wait_ms": ledger.lost_first_turns_for(now).as_millis() as u64,
             "revision": stored.as_ref().map(|stored| stored.revision),
             "took_ms": began.elapsed().as_millis() as u64,
         }),
