--- a/crates/cli/tests/crowds/main.rs
+++ b/crates/cli/tests/crowds/main.rs
@@ -20,6 +20,7 @@
         },
         time::{Duration, Instant},
     },
+    trefoilring_standin::fleet::heads,
 };
 
 /// How long a crowd may take to send, at most. Members whose bytes are not read stay where they are.
@@ -309,11 +310,7 @@
 fn streams_that_are_not_read() {
     check_callers(200, |number| {
         let head = request_head("/endless/x", number);
-        let turn = format!(
-            "Trefoilring-Program-Id: p-{number}\r\nTrefoilring-Session-Id: p-{number}\r\n\
-             Trefoilring-Token-Budget: 1000000000\r\n\
-             Trefoilring-Token-Usage: 1460,100000000\r\n"
-        );
+        let turn = heads::turn_headers(&format!("p-{number}"), 1_000_000_000, 1460, 100_000_000);
         vec![bytes(format!("{head}{turn}Content-Length: 0\r\n\r\n"))]
     });
 }
--- a/crates/cli/tests/crowds/site.rs
+++ b/crates/cli/tests/crowds/site.rs
@@ -21,6 +21,7 @@
     },
     trefoilring_standin::fleet::{
         EndlessPart, EndlessStandin, Pace, StoreStandin, WorkerFault, WorkerStandin, client, entry,
+        heads,
     },
 };
 
@@ -204,10 +205,8 @@
 
 /// Returns the head of a request to a service, without its framing headers and its last empty line.
 pub fn request_head(path: &str, number: usize) -> String {
-    format!(
-        "POST {path} HTTP/1.1\r\nHost: soak.example\r\nTrefoilring-Request-Id: crowd-{number}\r\n\
-         Trefoilring-Deadline-Ms: {DEADLINE_MS}\r\nAuthorization: Token {KEY}\r\n"
-    )
+    let id = format!("crowd-{number}");
+    heads::request_head("POST", path, "soak.example", &id, DEADLINE_MS, KEY)
 }
 
 fn send_ordinary(address: SocketAddr) -> bool {
@@ -288,12 +287,9 @@
         stream.read_exact(&mut byte).await?;
         head.push(byte[0]);
     }
-    let head = String::from_utf8_lossy(&head).to_ascii_lowercase();
-    let id = head.lines().find_map(|line| line.strip_prefix("trefoilring-request-id:"));
     let answer = format!(
-        "HTTP/1.1 200 OK\r\nTrefoilring-Request-Id:{}\r\nTrefoilring-Server-Stamp: stamp-large\r\n\
-         Connection: close\r\nContent-Length: {LARGE_ANSWER_BYTES}\r\n\r\n{}",
-        id.unwrap_or_default(),
+        "{}Connection: close\r\nContent-Length: {LARGE_ANSWER_BYTES}\r\n\r\n{}",
+        heads::answer_head(&head, "stamp-large"),
         "x".repeat(LARGE_ANSWER_BYTES),
     );
     stream.write_all(answer.as_bytes()).await
--- a/crates/cli/tests/evacuation_pause.rs
+++ b/crates/cli/tests/evacuation_pause.rs
@@ -9,7 +9,7 @@
         thread,
         time::{Duration, Instant},
     },
-    trefoilring_standin::fleet::{StoreStandin, WorkerStandin, client},
+    trefoilring_standin::fleet::{StoreStandin, WorkerStandin, client, heads},
 };
 
 const KEY: &str = "key-of-team";
@@ -75,10 +75,9 @@
 fn send(address: SocketAddr, id: usize) -> TcpStream {
     let mut stream = TcpStream::connect(address).expect("the kernel accepts connections");
     stream.set_read_timeout(Some(TIMEOUT)).expect("a timeout above zero");
-    let request = format!(
-        "GET /look/x HTTP/1.1\r\nHost: soak.example\r\nTrefoilring-Request-Id: {id:016x}\r\n\
-         Trefoilring-Deadline-Ms: 3000\r\nAuthorization: Token {KEY}\r\nConnection: close\r\n\r\n"
-    );
+    let id = format!("{id:016x}");
+    let head = heads::request_head("GET", "/look/x", "soak.example", &id, 3000, KEY);
+    let request = format!("{head}Connection: close\r\n\r\n");
     stream.write_all(request.as_bytes()).expect("the kernel takes a small request");
     stream
 }
--- a/crates/standin/src/fleet/endless.rs
+++ b/crates/standin/src/fleet/endless.rs
@@ -1,6 +1,7 @@
 //! A server in trouble: it answers each request with bytes that have no end.
 
 use {
+    super::heads::answer_head,
     event_listener::Event,
     futures_lite::{AsyncReadExt, AsyncWriteExt, io::copy},
     smol::{
@@ -184,26 +185,14 @@
         }
         self.answers_begun.fetch_add(1, Ordering::SeqCst);
         self.answers_open.fetch_add(1, Ordering::SeqCst);
-        let written = self.write_without_end(&mut stream, &answer_head(&head), part, pace).await;
+        let written = self
+            .write_without_end(&mut stream, &answer_head(&head, "stamp-endless"), part, pace)
+            .await;
         self.answers_open.fetch_sub(1, Ordering::SeqCst);
         written
     }
 }
 
-/// Returns the head of an answer to this request, without its last empty line.
-fn answer_head(request: &[u8]) -> String {
-    let request = String::from_utf8_lossy(request);
-    let id = request.lines().find_map(|line| {
-        let (name, value) = line.split_once(':')?;
-        name.eq_ignore_ascii_case("trefoilring-request-id").then(|| value.trim())
-    });
-    format!(
-        "HTTP/1.1 200 OK\r\nTrefoilring-Request-Id: {}\r\n\
-         Trefoilring-Server-Stamp: stamp-endless\r\n",
-        id.unwrap_or_default()
-    )
-}
-
 impl Server {
     async fn write_without_end(
         &self,
--- a/crates/standin/src/fleet/mod.rs
+++ b/crates/standin/src/fleet/mod.rs
@@ -8,6 +8,7 @@
 
 pub mod client;
 mod endless;
+pub mod heads;
 mod pool;
 mod proxy;
 mod store;
