--- a/crates/core/src/placement/mod.rs
+++ b/crates/core/src/placement/mod.rs
@@ -95,8 +95,6 @@
     /// Parts of the prompt in order; the last one belongs to the request or its session alone. Empty if
     /// the request names none.
     pub prompt: &'a [PromptPart],
-    /// Maximum number of tokens that the request generates; 0 if it is not known.
-    pub output_tokens: u64,
     /// Upstream that ran the turn before this one, if the stored turn names it. Preferred to what
     /// this host remembers of the session, which may have continued at other hosts since.
     pub previous_upstream: Option<&'a str>,
--- a/crates/core/tests/placement_replay.rs
+++ b/crates/core/tests/placement_replay.rs
@@ -328,7 +328,6 @@
                     service: "llm",
                     session: Some(&session),
                     prompt: &prompt,
-                    output_tokens: OUTPUT_TOKENS,
                     previous_upstream: previous.as_deref(),
                     is_retained: self.settings.is_retained,
                     ..PlacementRequest::default()
--- a/crates/gateway/src/call/attempts.rs
+++ b/crates/gateway/src/call/attempts.rs
@@ -309,7 +309,6 @@
             service: &call.service,
             session: call.session(),
             prompt: generation.map_or(&[], |generation| &generation.prompt),
-            output_tokens: generation.map_or(0, |generation| generation.output_tokens_max),
             previous_upstream: previous_upstream.map(|upstream| &**upstream),
             is_retained: call.retained.is_some(),
             object: call.object(),
