--- a/review/harness-2/src/bin/replaced.rs
+++ b/review/harness-2/src/bin/replaced.rs
@@ -1,7 +1,9 @@
 //! Kept turns while two store machines are replaced for good, one after the other. See `claim.txt`.
 
 use review_2::{
-    has_trouble, random,
+    has_trouble,
+    http::Request,
+    random,
     record::Record,
     site::{Options, Site, give_up},
     turns::{RETAIN_S, Turn, configuration},
@@ -45,7 +47,7 @@
     let workers: Vec<Worker> = (0..3)
         .map(|n| {
             let id = format!("i-{:08x}", random() as u32);
-            let (ip, never) = (site.stand_in_ip(), Arc::new(|_: &str| false));
+            let (ip, never) = (site.stand_in_ip(), Arc::new(|_: &Request| false));
             Worker::start(&site.store, &ip, "models", zones[n], &id, runs.clone(), never)
                 .unwrap_or_else(|error| give_up(&format!("no worker: {error}")))
         })
--- a/review/harness-2/src/bin/retention.rs
+++ b/review/harness-2/src/bin/retention.rs
@@ -4,6 +4,7 @@
 use review_2::{
     client::{self, Answer},
     has_trouble,
+    http::Request,
     json::{Value, object},
     random,
     record::Record,
@@ -50,7 +51,7 @@
     let workers: Vec<Worker> = (0..3)
         .map(|n| {
             let id = format!("i-{:08x}", random() as u32);
-            let (ip, never) = (site.stand_in_ip(), Arc::new(|_: &str| false));
+            let (ip, never) = (site.stand_in_ip(), Arc::new(|_: &Request| false));
             Worker::start(&site.store, &ip, "models", zones[n], &id, runs.clone(), never)
                 .unwrap_or_else(|error| give_up(&format!("no worker: {error}")))
         })
