Replace store hosts that do not answer as holders of turns

Cause: a store host fetches the turns that it should hold when the list of hosts changes, but a host that was gone kept its rank in that list until a gateway had missed it for 15 s. Its trees had one copy until then, while its loss counts as made up for a few seconds after its successor's start.

A store host that answers no question for a second now ranks last among the holders until it answers, and all others are asked again by the new ranks. Pulls that began before such a change do not count any more; until now one could settle a host that had been asked by the former ranks. Store hosts batch changes of the list for half a second at most, not 4 s.

Related paths read: writing and finding turns (by reachability), note hosts of ledgers (checked every 2 s), retirement (counts copies that hosts list at that moment).

--- a/crates/core/src/store_backoff.rs
+++ b/crates/core/src/store_backoff.rs
@@ -18,11 +18,15 @@
 /// Maximum delay for batching changes to upstreams. An upstream must receive no work later than 2 s
 /// after it reports that it is leaving.
 const UPSTREAM_CHANGES_DELAY_MAX: Duration = Duration::from_millis(800);
-/// Initial delay for batching changes to hosts. New hosts announce themselves directly to the
-/// others, and nothing else depends on seeing these changes early.
+/// Initial delay for batching changes to hosts at hosts that serve callers. New hosts announce
+/// themselves directly to them, and nothing else there depends on seeing these changes early.
 const HOST_CHANGES_DELAY_MIN: Duration = Duration::from_secs(1);
 /// Maximum delay for batching changes to hosts.
 const HOST_CHANGES_DELAY_MAX: Duration = Duration::from_secs(4);
+/// Initial delay for batching changes to hosts at store hosts.
+const HOLDER_CHANGES_DELAY_MIN: Duration = Duration::from_millis(200);
+/// Maximum delay for batching changes to hosts at store hosts.
+const HOLDER_CHANGES_DELAY_MAX: Duration = Duration::from_millis(500);
 
 /// Exponential backoff with jitter for failed calls.
 #[derive(Clone, Copy, Debug)]
@@ -67,6 +71,12 @@
         Self::new(HOST_CHANGES_DELAY_MIN, HOST_CHANGES_DELAY_MAX)
     }
 
+    /// Creates the delay for watches of hosts at a store host, which must make copies again soon after
+    /// a host has been replaced.
+    pub fn for_hosts_with_copies() -> Self {
+        Self::new(HOLDER_CHANGES_DELAY_MIN, HOLDER_CHANGES_DELAY_MAX)
+    }
+
     /// Creates a delay that is always zero.
     pub fn disabled() -> Self {
         Self::new(Duration::ZERO, Duration::ZERO)
--- a/crates/core/src/turns/mod.rs
+++ b/crates/core/src/turns/mod.rs
@@ -23,7 +23,7 @@
     holders::{StoreHost, rank_holders},
     index::{InsertError, TurnIndex},
     lookup::{HolderReply, is_certainly_absent},
-    pull::{PullPeer, PullRound},
+    pull::{PullNumber, PullPeer, PullRound},
     write_round::{TooFewHosts, WriteRound},
 };
 
--- a/crates/gateway/src/turns/mod.rs
+++ b/crates/gateway/src/turns/mod.rs
@@ -154,6 +154,11 @@
         self.store.as_ref().is_none_or(|store| store.pull.borrow().has_recovered())
     }
 
+    /// Returns the number of store hosts that do not answer and whose place others take.
+    pub(crate) fn replaced_holder_count(&self) -> usize {
+        self.store.as_ref().map_or(0, |store| store.pull.borrow().unresponsive_count())
+    }
+
     fn is_slow(&self, address: SocketAddr) -> bool {
         self.slow_until.borrow().get(&address).is_some_and(|until| Instant::now() < *until)
     }
--- a/crates/gateway/src/turns/pull.rs
+++ b/crates/gateway/src/turns/pull.rs
@@ -18,15 +18,17 @@
     },
     trefoilring_core::{
         ids::{HostId, RequestId},
-        turns::{PullPeer, TreeId, rank_holders},
+        turns::{PullNumber, PullPeer, TreeId, rank_holders},
     },
     trefoilring_observe::decisions::LineRate,
 };
 
 /// Pause before hosts that did not reply are asked again.
 const RETRY_PAUSE: Duration = Duration::from_millis(300);
-/// Timeout of a request. A full reply takes a slow host some hundred milliseconds.
-const REQUEST_TIMEOUT: Duration = Duration::from_secs(2);
+/// Timeout of a request for turns. A full reply takes a slow host some hundred milliseconds.
+const FETCH_TIMEOUT: Duration = Duration::from_secs(2);
+/// Timeout of a request for the list of turns.
+const LIST_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Starts to fetch turns after each change of the other hosts.
 pub(super) fn start(gateway: &Rc<Gateway>) {
@@ -59,28 +61,27 @@
     let Some(store) = &gateway.turns.store else { return };
     loop {
         let must_pull = store.must_pull.listen();
-        let unasked: Vec<(HostId, PullPeer)> = {
+        let (unasked, number): (Vec<HostId>, PullNumber) = {
             let pull = store.pull.borrow();
-            let peers = pull.unasked().filter_map(|host| Some((host, pull.peer(host)?)));
-            peers.map(|(host, peer)| (host.clone(), peer.clone())).collect()
+            (pull.unasked().cloned().collect(), pull.number())
         };
         if unasked.is_empty() {
             must_pull.await;
             continue;
         }
-        join_all(unasked.iter().map(|(host, peer)| pull_from(&gateway, host, peer))).await;
+        join_all(unasked.iter().map(|host| pull_from(&gateway, host, number))).await;
         if !store.pull.borrow().is_settled() {
             within(Instant::now() + RETRY_PAUSE, must_pull).await;
         }
     }
 }
 
-async fn pull_from(gateway: &Rc<Gateway>, host: &HostId, asked: &PullPeer) {
+async fn pull_from(gateway: &Rc<Gateway>, host: &HostId, number: PullNumber) {
     let Some(store) = &gateway.turns.store else { return };
     let began = Instant::now();
     let Some(address) = roster::address_of(gateway, host) else { return };
-    let outcome = pull_trees(gateway, address).await;
-    let has_just_recovered = outcome.is_ok() && store.pull.borrow_mut().on_pulled(host, asked);
+    let outcome = pull_trees(gateway, host, address).await;
+    let has_just_recovered = outcome.is_ok() && store.pull.borrow_mut().on_pulled(host, number);
     gateway.decisions.log(
         LineRate::Rare,
         "turns_pulled",
@@ -99,9 +100,31 @@
 }
 
 /// Fetches the turns of a host that this one should hold. Returns their number.
-async fn pull_trees(gateway: &Rc<Gateway>, address: SocketAddr) -> Result<usize, &'static str> {
-    let held = list_held(gateway, address).await.ok_or("the host did not list its turns")?;
-    fetch(gateway, address, missing(gateway, &held)).await
+async fn pull_trees(
+    gateway: &Rc<Gateway>,
+    host: &HostId,
+    address: SocketAddr,
+) -> Result<usize, &'static str> {
+    let asked_at = Instant::now();
+    let held = list_held(gateway, address).await;
+    record_answer(gateway, host, asked_at, held.is_some());
+    fetch(gateway, address, missing(gateway, &held.ok_or("the host did not list its turns")?)).await
+}
+
+/// Records whether a host has answered a question. One that does not is replaced as a holder.
+fn record_answer(gateway: &Gateway, host: &HostId, asked_at: Instant, has_answered: bool) {
+    let Some(store) = &gateway.turns.store else { return };
+    let mut pull = store.pull.borrow_mut();
+    if has_answered {
+        pull.on_answered(host);
+    } else if pull.on_unanswered(host, asked_at, Instant::now()) {
+        gateway.decisions.log(
+            LineRate::Rare,
+            "turn_holder_replaced",
+            json!({"peer": host, "held": store.turn_count()}),
+        );
+        store.must_pull.notify(usize::MAX);
+    }
 }
 
 /// Returns the turns that a host holds, by tree. Returns `None` if it does not list all of them.
@@ -113,8 +136,9 @@
     loop {
         let after = held.last().map(|(tree, _)| tree.clone());
         let request = PeerRequest::HeldTurns { after };
-        let Some(PeerReply::HeldTurns { trees, has_more }) = send(gateway, address, &request).await
-        else {
+        let deadline = Instant::now() + LIST_TIMEOUT;
+        let reply = peers::send_request(gateway, address, &request, deadline).await;
+        let Some(PeerReply::HeldTurns { trees, has_more }) = reply else {
             return None;
         };
         let is_last = !has_more || trees.is_empty();
@@ -128,7 +152,10 @@
 /// Returns the turns that this host should hold but does not, each after the one that it continues.
 fn missing(gateway: &Gateway, trees: &[(TreeId, Vec<RequestId>)]) -> Vec<RequestId> {
     let Some(store) = &gateway.turns.store else { return Vec::new() };
-    let hosts = store_hosts(gateway);
+    let mut hosts = store_hosts(gateway);
+    for host in &mut hosts {
+        host.is_leaving |= store.pull.borrow().is_replaced(&host.host);
+    }
     let is_holder = |tree: &TreeId| {
         let holders = rank_holders(tree, &hosts).into_iter().take(copies(gateway));
         holders.into_iter().any(|holder| holder.host == gateway.settings.host)
@@ -147,7 +174,8 @@
     let mut fetched = 0;
     while !ids.is_empty() {
         let request = PeerRequest::FetchTurns { ids: ids.clone() };
-        let reply = send(gateway, address, &request).await;
+        let deadline = Instant::now() + FETCH_TIMEOUT;
+        let reply = peers::send_request(gateway, address, &request, deadline).await;
         let Some(PeerReply::Turns { turns, tried }) = reply else {
             return Err("the host did not send its turns");
         };
@@ -163,11 +191,3 @@
     }
     Ok(fetched)
 }
-
-async fn send(
-    gateway: &Rc<Gateway>,
-    address: SocketAddr,
-    request: &PeerRequest,
-) -> Option<PeerReply> {
-    peers::send_request(gateway, address, request, Instant::now() + REQUEST_TIMEOUT).await
-}
--- a/crates/gateway/src/watch/mod.rs
+++ b/crates/gateway/src/watch/mod.rs
@@ -79,6 +79,9 @@
         watches.until_registered().await;
     }
     let mut delay = match collection {
+        Collection::Hosts if turns::own_record(&gateway).is_some() => {
+            WatchDelay::for_hosts_with_copies()
+        }
         Collection::Hosts => WatchDelay::for_hosts(),
         Collection::Upstreams => WatchDelay::for_upstreams(),
         Collection::Configuration
