Let store hosts follow the others from their start

Cause: to save calls of the store, a store host followed the list of the others only once it had stored a turn or found its disk empty. The host that ranked next had done neither, so it learned of no loss and fetched nothing.

Store hosts now follow the list from their start, and the state in which they do not is gone.

Related paths read: hosts that serve callers (always followed), note hosts of ledgers (asked by their owner, whatever they hold), retirement (was late where nobody fetched, never wrong).

--- a/crates/gateway/src/turns/mod.rs
+++ b/crates/gateway/src/turns/mod.rs
@@ -168,23 +168,14 @@
     }
 }
 
-/// Starts the tasks of a store host.
+/// Starts the tasks of a store host. It follows the other hosts from its start: it may have to take the
+/// place of one that is lost before it has stored a turn itself.
 pub(crate) fn start(gateway: &Rc<Gateway>) {
-    let Some(store) = &gateway.turns.store else { return };
-    store::start(gateway);
-    watch::start_own_collection(gateway, Collection::Retirements);
-    if store.needs_peers() {
-        activate(gateway);
-    }
-}
-
-/// Starts to follow the other hosts. Not done before this host has something to do with turns, since
-/// the store bills each call.
-fn activate(gateway: &Rc<Gateway>) {
-    let Some(store) = &gateway.turns.store else { return };
-    if store.is_active.replace(true) {
+    if gateway.turns.store.is_none() {
         return;
     }
+    store::start(gateway);
+    watch::start_own_collection(gateway, Collection::Retirements);
     if gateway.settings.callers_listen.is_none() {
         watch::start_own_collection(gateway, Collection::Hosts);
     }
--- a/crates/gateway/src/turns/retire.rs
+++ b/crates/gateway/src/turns/retire.rs
@@ -1,7 +1,7 @@
 //! Empties this host before operators remove it.
 
 use {
-    super::{activate, copies, pull::list_held, register_again},
+    super::{copies, pull::list_held, register_again},
     crate::{gateway::Gateway, ledger, store::RetirementState},
     futures_util::future::join_all,
     serde_json::json,
@@ -28,7 +28,6 @@
         json!({"what": "begun", "turns": store.turn_count()}),
     );
     // The other hosts see the new record and fetch what they should hold without this host.
-    activate(gateway);
     register_again(gateway);
     ledger::release_all(gateway);
     gateway.spawn(run(gateway.clone()));
--- a/crates/gateway/src/turns/store.rs
+++ b/crates/gateway/src/turns/store.rs
@@ -1,7 +1,7 @@
 //! Stores turns on this host's disk.
 
 use {
-    super::{RetainedTurn, TurnLookup, TurnWriteOutcome, activate},
+    super::{RetainedTurn, TurnLookup, TurnWriteOutcome},
     crate::{files, gateway::Gateway, settings::GatewaySettings, time::within},
     event_listener::Event,
     serde_json::json,
@@ -61,8 +61,6 @@
     pub(super) pull: RefCell<PullRound>,
     /// Notified when the other hosts have changed, or this host must ask them again.
     pub(super) must_pull: Event,
-    /// Whether this host follows the other hosts.
-    pub(super) is_active: Cell<bool>,
     /// Whether operators have asked to empty this host.
     pub(super) is_leaving: Cell<bool>,
     /// Whether this host takes turns.
@@ -123,7 +121,6 @@
             has_pending: Event::new(),
             pull: RefCell::new(PullRound::new(identity.has_recovered)),
             must_pull: Event::new(),
-            is_active: Cell::new(false),
             is_leaving: Cell::new(false),
             is_accepting: Cell::new(true),
         })
@@ -134,11 +131,6 @@
         self.identity.get().disk
     }
 
-    /// Returns whether this host has turns, or may have to fetch some.
-    pub(super) fn needs_peers(&self) -> bool {
-        !self.index.borrow().is_empty() || !self.identity.get().has_recovered
-    }
-
     /// Returns whether a turn is stored.
     pub(super) fn contains(&self, id: &str) -> bool {
         self.index.borrow().contains(id)
@@ -392,7 +384,6 @@
     if !store.is_accepting.get() {
         return TurnWriteOutcome::Leaving;
     }
-    activate(gateway);
     let (began, count) = (Instant::now(), turns.len());
     let outcome = store.write(turns).await;
     let took = began.elapsed();
