Let streams go on at upstreams that leave if their version has no other

Cause: placement excludes an upstream from the moment at which it is known to leave, also for a stream that can go on at its version only.

core::placement::departure now tells how long such an upstream may still get a request: drain_ms (from the settings, two seconds without it) from the latest time at which it had certainly not reported, or from the first answer that said so, less the way. A stream whose version has no other upstream goes on there within that time; new requests do not, and evacuated domains stay excluded. A host that passes requests on for a stranded one checks the same.

Related paths read: requests through other hosts (mended here), streams that go on within an answer (the same choice), entries that are removed without a report (open, ROADMAP).

--- a/crates/core/src/placement/mod.rs
+++ b/crates/core/src/placement/mod.rs
@@ -14,6 +14,7 @@
 mod cold;
 mod cost;
 mod decay;
+mod departure;
 mod evacuation;
 mod helpers;
 mod parts;
@@ -167,6 +168,8 @@
     /// Work that moves because of evacuations, by service.
     moved_loads: HashMap<ServiceId, MovedLoad>,
     cold_services: ColdServices,
+    /// How long upstreams serve after they have reported that they are about to stop.
+    drain_time: Duration,
 }
 
 impl Placement {
@@ -188,6 +191,7 @@
             evacuated_domains: EvacuatedDomains::default(),
             moved_loads: HashMap::new(),
             cold_services: ColdServices::default(),
+            drain_time: departure::DRAIN_TIME,
         }
     }
 
@@ -254,13 +258,6 @@
         Some((key, &self.upstreams.get(key)?.record))
     }
 
-    /// Records that an upstream has said in an answer that it is about to stop. This holds until it
-    /// starts again, which gives it another key. Returns whether it is new.
-    pub fn record_leaving(&mut self, key: UpstreamKey) -> bool {
-        let Some(upstream) = self.upstreams.get_mut(key) else { return false };
-        !std::mem::replace(&mut upstream.says_leaving, true)
-    }
-
     /// Returns whether an upstream gets no new requests: it is about to stop, its domain is evacuated,
     /// or it is no longer known.
     pub fn is_excluded(&self, key: UpstreamKey) -> bool {
@@ -270,12 +267,12 @@
     /// Returns whether an upstream has said in an answer that it is about to stop, or is no longer
     /// known.
     pub fn has_said_leaving(&self, key: UpstreamKey) -> bool {
-        self.upstreams.get(key).is_none_or(|upstream| upstream.says_leaving)
+        self.upstreams.get(key).is_none_or(Upstream::says_leaving)
     }
 
     /// Returns the number of upstreams that have said in an answer that they are about to stop.
     pub fn leaving_count(&self) -> usize {
-        self.upstreams.values().filter(|upstream| upstream.says_leaving).count()
+        self.upstreams.values().filter(|upstream| upstream.says_leaving()).count()
     }
 
     /// Selects the upstream where a request costs least, and stores it as the upstream of the
@@ -337,9 +334,14 @@
         };
         // If all upstreams are ejected, they are used anyway.
         let are_all_ejected = !of_version().any(|(_, upstream)| upstream.accepts_work(now));
+        // A stream can go on at its version only.
+        let can_go_on_elsewhere =
+            request.version.is_none() || of_version().any(|(_, upstream)| !upstream.is_excluded());
         let usable = || {
             of_version().filter(|(_, upstream)| {
-                upstream.accepts_work(now) || are_all_ejected && !upstream.is_excluded()
+                upstream.accepts_work(now)
+                    || are_all_ejected && !upstream.is_excluded()
+                    || !can_go_on_elsewhere && upstream.serves_out(now, self.drain_time)
             })
         };
         if usable().next().is_none() {
--- a/crates/core/src/placement/tests.rs
+++ b/crates/core/src/placement/tests.rs
@@ -284,19 +284,19 @@
     let mut placement = placement(&[record("near", "a"), record("far", "b")]);
     let near = key(&placement, "near");
     assert_eq!(choose_id(&mut placement, now, Some("session")), "near");
-    assert!(placement.record_leaving(near));
-    assert!(!placement.record_leaving(near), "it is known");
+    assert!(placement.record_leaving(now, near, None));
+    assert!(!placement.record_leaving(now, near, None), "it is known");
     assert_eq!(choose_id(&mut placement, now, Some("session")), "far", "the session moves");
     // Its entry does not say so, now or later.
     placement.upsert(UpstreamRecord { slots: 5, ..record("near", "a") });
     assert!(placement.is_excluded(near));
     let far = key(&placement, "far");
-    placement.record_leaving(far);
+    placement.record_leaving(now, far, None);
     assert_eq!(choose_id(&mut placement, now, None), "NoUpstream");
     placement.upsert(UpstreamRecord { incarnation: Some(2), ..record("near", "a") });
     assert_eq!(choose_id(&mut placement, now, None), "near");
     // An answer of the former process comes late.
-    assert!(!placement.record_leaving(near));
+    assert!(!placement.record_leaving(now, near, None));
     assert_eq!(choose_id(&mut placement, now, None), "near");
     assert_eq!(placement.leaving_count(), 1);
 }
@@ -546,3 +546,57 @@
     }
     assert!((1..=2).contains(&sent["slow"]), "{sent:?}");
 }
+
+fn choose_version(placement: &mut Placement, now: Instant, version: &str) -> String {
+    let request =
+        PlacementRequest { service: "llm", version: Some(version), ..PlacementRequest::default() };
+    match placement.choose(now, &request) {
+        Choice::Use(key) => placement.record(key).expect("it is known").id.to_string(),
+        other => format!("{other:?}"),
+    }
+}
+
+/// Guards against streams that can't be taken up while all upstreams of their version leave, although
+/// these go on serving.
+#[test]
+fn stream_goes_on_at_a_leaving_upstream_while_it_serves_if_its_version_has_no_other() {
+    let start = Instant::now();
+    let at = |millis| start + Duration::from_millis(millis);
+    let leaving = |id: &str, version: &str| UpstreamRecord {
+        version: version.into(),
+        is_leaving: true,
+        ..record(id, "a")
+    };
+    let mut placement = placement(&[
+        UpstreamRecord { version: "v2".into(), ..record("two", "a") },
+        record("one", "a"),
+        record("other", "a"),
+    ]);
+    placement.upsert(leaving("one", "v1"));
+    placement.record_departure("one", Some(at(0)));
+    assert_eq!(choose_version(&mut placement, at(100), "v1"), "other", "it accepts work");
+    placement.upsert(leaving("other", "v1"));
+    placement.record_departure("other", Some(at(1000)));
+    assert_ne!(choose_version(&mut placement, at(1100), "v1"), "NoUpstream");
+    assert_eq!(choose_id(&mut placement, at(1100), None), "two", "new streams go elsewhere");
+    assert_eq!(choose_version(&mut placement, at(2000), "v1"), "other", "one may have ended");
+    assert_eq!(
+        choose_version(&mut placement, at(2800), "v1"),
+        "NoUpstream",
+        "a request takes time"
+    );
+    // An answer of an upstream said so before its entry did.
+    let two = key(&placement, "two");
+    placement.record_leaving(at(4000), two, Some(at(2500)));
+    assert_eq!(choose_version(&mut placement, at(4000), "v2"), "two");
+    assert_eq!(choose_version(&mut placement, at(4300), "v2"), "NoUpstream");
+    placement.upsert(leaving("two", "v2"));
+    placement.record_departure("two", Some(at(4200)));
+    assert_eq!(choose_version(&mut placement, at(5600), "v2"), "two");
+    assert_eq!(choose_version(&mut placement, at(5800), "v2"), "NoUpstream", "since the answer");
+    // Nothing is known of when it began to leave.
+    placement.upsert(UpstreamRecord { incarnation: Some(2), ..leaving("two", "v2") });
+    assert_eq!(choose_version(&mut placement, at(6000), "v2"), "NoUpstream");
+    placement.set_drain_time(Duration::from_secs(5));
+    assert_ne!(choose_version(&mut placement, at(4000), "v1"), "NoUpstream");
+}
--- a/crates/core/src/placement/upstream.rs
+++ b/crates/core/src/placement/upstream.rs
@@ -4,6 +4,7 @@
     super::{
         cold::ColdState,
         decay::{DecayedMean, remaining},
+        departure::Departure,
         rate_limit::RateLimit,
     },
     crate::{
@@ -172,8 +173,7 @@
     penalty_at: Option<Instant>,
     ejected_until: Option<Instant>,
     next_ejection: Duration,
-    /// Whether the process has said in an answer that it is about to stop.
-    pub(super) says_leaving: bool,
+    pub(super) departure: Departure,
     /// The request rate that the upstream names as its limit.
     pub(super) rate_limit: Option<RateLimit>,
     /// When the latest request was sent whose answer named no limit.
@@ -203,7 +203,7 @@
             penalty_at: None,
             ejected_until: None,
             next_ejection: EJECTION_MIN,
-            says_leaving: false,
+            departure: Departure::default(),
             rate_limit: None,
             unlimited_at: None,
             is_evacuated: false,
@@ -233,7 +233,7 @@
 
     /// Returns whether the upstream is about to stop, by its record or its answers.
     pub(super) fn is_leaving(&self) -> bool {
-        self.record.is_leaving || self.says_leaving
+        self.record.is_leaving || self.says_leaving()
     }
 
     pub(super) fn accepts_work(&self, now: Instant) -> bool {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -221,7 +221,7 @@
             relay_connections: ConnectionPool::new(executor.clone(), PEER_CONNECT_TIMEOUT),
             relay: Relay::default(),
             routing_table: RefCell::default(),
-            placement: RefCell::new(Placement::new(settings.domain.clone())),
+            placement: RefCell::new(create_placement(&settings)),
             registrations: RefCell::default(),
             registrations_changed: Event::new(),
             wait_queues: RefCell::default(),
@@ -455,3 +455,11 @@
             && self.routing_table.borrow().is_some()
     }
 }
+
+fn create_placement(settings: &GatewaySettings) -> Placement {
+    let mut placement = Placement::new(settings.domain.clone());
+    if let Some(drain_time) = settings.drain_time {
+        placement.set_drain_time(drain_time);
+    }
+    placement
+}
--- a/crates/gateway/src/leaving.rs
+++ b/crates/gateway/src/leaving.rs
@@ -5,6 +5,7 @@
     crate::{
         gateway::Gateway,
         peers::{self, PeerRequest},
+        store::Collection,
     },
     serde_json::json,
     std::{rc::Rc, time::Instant},
@@ -51,15 +52,17 @@
     key: UpstreamKey,
     told_by: &str,
 ) -> Option<(UpstreamId, Option<Incarnation>)> {
+    let now = Instant::now();
+    let entries_age = gateway.watches.of(Collection::Upstreams).age();
     let (id, incarnation) = {
         let mut placement = gateway.placement.borrow_mut();
-        if !placement.record_leaving(key) {
+        let unreported_until = entries_age.and_then(|age| now.checked_sub(age));
+        if !placement.record_leaving(now, key, unreported_until) {
             return None;
         }
         let record = placement.record(key)?;
         (record.id.clone(), record.incarnation)
     };
-    let now = Instant::now();
     gateway.registrations.borrow_mut().on_leaving(now, &id, incarnation);
     gateway.crash_watch.borrow_mut().record_departure(now, &id);
     gateway.decisions.log(
--- a/crates/gateway/src/registrations.rs
+++ b/crates/gateway/src/registrations.rs
@@ -2,7 +2,13 @@
 //! upstreams may return. `trefoilring_core::registrations` decides.
 
 use {
-    crate::{cold, gateway::Gateway, store::StoredObject, stream_origins, time::within},
+    crate::{
+        cold,
+        gateway::Gateway,
+        store::{Collection, StoredObject},
+        stream_origins,
+        time::within,
+    },
     serde_json::{Value, json},
     std::{
         collections::HashSet,
@@ -49,10 +55,15 @@
     gateway.registrations_changed.notify(usize::MAX);
 }
 
-/// Applies an upstream's object in the store.
-pub(crate) fn on_object(gateway: &Rc<Gateway>, object: &StoredObject) {
+/// Applies an upstream's object in the store, which was written at most `change_age` ago if that is
+/// known.
+pub(crate) fn on_object(
+    gateway: &Rc<Gateway>,
+    object: &StoredObject,
+    change_age: Option<Duration>,
+) {
     match gateway.adapter.object_parser.parse_upstream(&object.name, &object.content) {
-        Ok(entry) => on_entry(gateway, entry, json!(object.revision)),
+        Ok(entry) => on_entry(gateway, entry, json!(object.revision), change_age),
         Err(error) => {
             // An upstream without a valid entry can't be used.
             log::warn!(
@@ -67,7 +78,12 @@
 }
 
 /// Applies an upstream's entry. `source` is its revision in the store, or where else it comes from.
-pub(crate) fn on_entry(gateway: &Rc<Gateway>, entry: UpstreamEntry, source: Value) {
+pub(crate) fn on_entry(
+    gateway: &Rc<Gateway>,
+    entry: UpstreamEntry,
+    source: Value,
+    change_age: Option<Duration>,
+) {
     let (id, heartbeat) = (entry.record.id.clone(), entry.heartbeat);
     let decision = gateway.registrations.borrow_mut().on_entry(Instant::now(), entry);
     let record = match decision {
@@ -106,7 +122,19 @@
         revision: source.as_u64(),
         is_news: gateway.has_received_upstreams.get(),
     };
-    let is_changed = gateway.placement.borrow_mut().upsert(record);
+    let now = Instant::now();
+    let is_changed = {
+        let mut placement = gateway.placement.borrow_mut();
+        let begins_to_leave = record.is_leaving
+            && placement.find(&id).is_some_and(|(_, known)| {
+                known.incarnation == record.incarnation && !known.is_leaving
+            });
+        let is_changed = placement.upsert(record);
+        if begins_to_leave {
+            placement.record_departure(&id, change_age.and_then(|age| now.checked_sub(age)));
+        }
+        is_changed
+    };
     cold::on_entry(gateway, &id, cold_entry);
     if is_changed {
         stream_origins::refresh_versions(gateway);
@@ -118,7 +146,9 @@
 pub(crate) fn on_listing(gateway: &Rc<Gateway>, objects: &[StoredObject], change_age: Duration) {
     let listed: HashSet<&str> = objects.iter().map(|object| object.name.as_str()).collect();
     let unlisted = gateway.registrations.borrow().unlisted(&listed);
-    objects.iter().for_each(|object| on_object(gateway, object));
+    // Before the first answer of the store nothing is known of the age.
+    let known_age = gateway.watches.of(Collection::Upstreams).age().map(|_| change_age);
+    objects.iter().for_each(|object| on_object(gateway, object, known_age));
     gateway.has_received_upstreams.set(true);
     on_delisted(gateway, &unlisted, change_age);
 }
--- a/crates/gateway/src/relay/helper.rs
+++ b/crates/gateway/src/relay/helper.rs
@@ -122,12 +122,12 @@
     let read = within(relayed.deadline, reading).await;
     let (body, memory) = read.and_then(Result::ok).ok_or(Failure::Rejected)?;
     caller.set_body_unread(false);
-    if gateway.placement.borrow().is_excluded(destination.key) || evacuations::must_wait(gateway) {
+    let metadata = gateway.adapter.dialect.read_call(&relayed.head);
+    if !may_send(gateway, &relayed, destination.key) || evacuations::must_wait(gateway) {
         // Its domain was evacuated, or it has begun to leave, while the body came in; or this process
         // was suspended and may not know.
         return Err(Failure::Rejected);
     }
-    let metadata = gateway.adapter.dialect.read_call(&relayed.head);
     let sent_at = Instant::now();
     let mut request = Request::from_parts(relayed.head, Full::new(body));
     if let Ok(metadata) = &metadata {
@@ -196,10 +196,24 @@
     if gateway.relay.is_stranded() || gateway.stage.get() != Stage::Serving {
         return None;
     }
+    let (key, service, address) = {
+        let placement = gateway.placement.borrow();
+        let (key, record) = placement.find(&relayed.upstream)?;
+        (key, record.service.clone(), record.address)
+    };
+    may_send(gateway, relayed, key).then_some(Destination { key, service, address })
+}
+
+/// Returns whether a relayed request may go to an upstream. One that leaves gets only streams that are
+/// taken up: the stranded host has found no other upstream where they can go on.
+fn may_send(gateway: &Gateway, relayed: &RelayedRequest, key: UpstreamKey) -> bool {
     let placement = gateway.placement.borrow();
-    let (key, record) = placement.find(&relayed.upstream)?;
-    let (service, address) = (record.service.clone(), record.address);
-    (!placement.is_excluded(key)).then_some(Destination { key, service, address })
+    if !placement.is_excluded(key) {
+        return true;
+    }
+    let metadata = gateway.adapter.dialect.read_call(&relayed.head);
+    let is_taken_up = metadata.is_ok_and(|metadata| metadata.last_event.is_some());
+    is_taken_up && placement.serves_out(Instant::now(), key)
 }
 
 /// Counts a request as passed on until its answer has ended.
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -42,4 +42,7 @@
     /// Time from the acknowledgement of an evacuation until no request may reach the domain; `None`
     /// where there are no evacuations.
     pub evacuation_time_max: Option<Duration>,
+    /// How long an upstream serves after it has reported that it is about to stop; `None` for the
+    /// default.
+    pub drain_time: Option<Duration>,
 }
--- a/crates/gateway/src/watch/mod.rs
+++ b/crates/gateway/src/watch/mod.rs
@@ -293,7 +293,7 @@
             (Collection::Upstreams, Change::Put(object)) => {
                 // It may have been removed and have registered again since the last read.
                 delisted.retain(|id: &UpstreamId| **id != *object.name);
-                registrations::on_object(gateway, &object);
+                registrations::on_object(gateway, &object, Some(change_age));
             }
             (Collection::Upstreams, Change::Removed(name)) => {
                 delisted.push(UpstreamId::from(name));
@@ -402,7 +402,7 @@
             {
                 for record in records {
                     let entry = UpstreamEntry { record, heartbeat: None };
-                    registrations::on_entry(gateway, entry, json!("peer"));
+                    registrations::on_entry(gateway, entry, json!("peer"), None);
                 }
                 gateway.has_received_upstreams.set(true);
             }
