Keep what is known of crashing requests over the end of all processes

Cause: the crash log was in memory alone, collected by hosts that serve callers and have no disks. A host that starts asked others, which had forgotten at the same moment.

Hosts with disks now collect the crashes of a service, where there are any, and write their log to crashes.json before they reply to a report; a host that starts asks until one with a disk has replied. Evidence is kept as well as blame: with kills between the crashes, content would never be blamed. Contents that were cleared are remembered for as long as blame lasts, so that a host that was down does not bring its blame back.

--- a/crates/core/src/crashes/mod.rs
+++ b/crates/core/src/crashes/mod.rs
@@ -12,11 +12,18 @@
 //! - No other content that took part in as many crashes was running beside it.
 //! - Crashes are so rare while it does not run that the sequence is not a coincidence.
 //!
-//! A single complete answer clears content, because content that crashes upstreams gets none.
+//! A single complete answer clears content, because content that crashes upstreams gets none. What
+//! was cleared is not blamed again by the word of a host that has not heard of it.
+//!
+//! Hosts with disks keep the log as a [`CrashLogRecord`], so that it outlives all processes.
+
+mod record;
 
 #[cfg(test)]
 mod tests;
 
+pub use record::CrashLogRecord;
+
 use {
     crate::ids::{ContentHash, ServiceId, UpstreamId},
     std::{
@@ -113,6 +120,9 @@
     suspects: HashMap<ContentHash, Vec<SuspectAttempt>>,
     /// Blamed contents, and when they may run again. Invariant: at most [`BLAMED_MAX`].
     blamed: HashMap<ContentHash, Instant>,
+    /// Contents that were blamed until a complete answer cleared them, and when that was. Invariant:
+    /// at most [`BLAMED_MAX`].
+    cleared: HashMap<ContentHash, Instant>,
 }
 
 /// Hashes content from its parts. The same parts give the same hash at all hosts and versions.
@@ -179,9 +189,14 @@
         true
     }
 
-    /// Blames a content that another host has blamed, for the rest of that time. Returns whether
-    /// this host did not blame it before.
+    /// Blames a content that another host has blamed, for the rest of that time, unless it was cleared
+    /// since. Returns whether this host did not blame it before.
     pub fn adopt_blame(&mut self, now: Instant, content: ContentHash, rest: Duration) -> bool {
+        let blamed_for = BLAME_DURATION.saturating_sub(rest);
+        let is_cleared = |at: &Instant| now.saturating_duration_since(*at) <= blamed_for;
+        if self.cleared.get(&content).is_some_and(is_cleared) {
+            return false;
+        }
         let was_blamed = self.blamed_for(now, content).is_some();
         if !was_blamed {
             self.blame(content, now + rest.min(BLAME_DURATION));
@@ -195,6 +210,12 @@
         self.blamed.remove(&content).is_some() || was_suspected
     }
 
+    /// Remembers that blamed content was cleared, so that the blame is not adopted again from a host
+    /// that has not heard of that.
+    pub fn record_cleared(&mut self, now: Instant, content: ContentHash) {
+        insert_bounded(&mut self.cleared, content, now);
+    }
+
     /// Returns the blamed contents, each with the time for which it must not be sent.
     pub fn blamed(&self, now: Instant) -> Vec<(ContentHash, Duration)> {
         let left = |until: Instant| until.saturating_duration_since(now);
@@ -216,6 +237,7 @@
             !attempts.is_empty()
         });
         self.blamed.retain(|_, until| *until > now);
+        self.cleared.retain(|_, at| now.saturating_duration_since(*at) < BLAME_DURATION);
     }
 
     fn crash_number(&mut self, crash: &UpstreamCrash, at: Instant) -> CrashNumber {
@@ -274,12 +296,8 @@
     }
 
     fn blame(&mut self, content: ContentHash, until: Instant) {
-        if self.blamed.len() >= BLAMED_MAX
-            && let Some((&oldest, _)) = self.blamed.iter().min_by_key(|(_, until)| **until)
-        {
-            self.blamed.remove(&oldest);
-        }
-        self.blamed.insert(content, until);
+        self.cleared.remove(&content);
+        insert_bounded(&mut self.blamed, content, until);
     }
 
     fn is_culprit(&self, content: ContentHash, crashes_min: usize, coincidence_max: f64) -> bool {
@@ -378,6 +396,17 @@
     }
 }
 
+/// Inserts a content. If there are [`BLAMED_MAX`] already, the one with the earliest time goes.
+fn insert_bounded(contents: &mut HashMap<ContentHash, Instant>, content: ContentHash, at: Instant) {
+    if contents.len() >= BLAMED_MAX
+        && !contents.contains_key(&content)
+        && let Some((&oldest, _)) = contents.iter().min_by_key(|(_, at)| **at)
+    {
+        contents.remove(&oldest);
+    }
+    contents.insert(content, at);
+}
+
 impl SuspectAttempt {
     fn exposure(&self) -> Duration {
         self.broke_at.saturating_duration_since(self.sent_at)
--- a/crates/core/src/crashes/tests.rs
+++ b/crates/core/src/crashes/tests.rs
@@ -388,3 +388,87 @@
         }
     }
 }
+
+/// Passes a log on to a process that starts `down_for` after the former one ended.
+fn restart(harness: &mut Harness, down_for: Duration) {
+    let record = harness.log.to_record(harness.now());
+    let json = serde_json::to_vec(&record).expect("serializable");
+    let record: CrashLogRecord = serde_json::from_slice(&json).expect("the same");
+    harness.advance(down_for);
+    harness.log = CrashLog::from_record(harness.now(), record, Some(down_for));
+}
+
+/// Guards against content that crashes upstreams again after each loss of all processes: what was known
+/// of it was in memory alone.
+#[test]
+fn content_is_blamed_over_restarts() {
+    let mut harness = Harness::new();
+    let mut crashes = 0;
+    while !harness.is_blamed(CULPRIT) {
+        harness.advance(Duration::from_millis(700));
+        harness.crash(&[CULPRIT]);
+        crashes += 1;
+        restart(&mut harness, Duration::from_secs(1));
+        assert!(crashes <= 3, "each restart begins anew");
+    }
+    for _ in 0..20 {
+        restart(&mut harness, Duration::from_secs(1));
+        assert!(harness.is_blamed(CULPRIT));
+    }
+}
+
+#[test]
+fn record_of_a_log_expires_with_what_it_says() {
+    let blaming = || {
+        let mut harness = Harness::new();
+        for _ in 0..3 {
+            harness.advance(Duration::from_millis(200));
+            harness.crash(&[CULPRIT]);
+        }
+        assert!(harness.is_blamed(CULPRIT));
+        harness
+    };
+    let mut harness = blaming();
+    restart(&mut harness, EVIDENCE_TTL);
+    assert_eq!(harness.log.crash_count(CULPRIT), 0);
+    let left = harness.log.blamed_for(harness.now(), CULPRIT).expect("blame lasts longer");
+    assert_eq!(left.as_secs(), (BLAME_DURATION - EVIDENCE_TTL).as_secs());
+    // The clock may have stepped, but not by hours.
+    let mut harness = blaming();
+    restart(&mut harness, 2 * BLAME_DURATION);
+    assert!(harness.is_blamed(CULPRIT));
+    let mut harness = blaming();
+    restart(&mut harness, Duration::from_secs(3600));
+    assert!(harness.log.is_empty());
+    // The clock has gone back.
+    let harness = blaming();
+    let record = harness.log.to_record(harness.now());
+    let log = CrashLog::from_record(harness.now(), record, None);
+    assert_eq!(log.crash_count(CULPRIT), harness.log.crash_count(CULPRIT));
+    assert!(log.blamed_for(harness.now(), CULPRIT).is_some());
+}
+
+/// Guards against sound content that is refused since a host that was away has not heard that it was
+/// cleared.
+#[test]
+fn cleared_content_is_not_blamed_by_the_word_of_others() {
+    let mut harness = Harness::new();
+    for _ in 0..3 {
+        harness.advance(Duration::from_millis(200));
+        harness.crash(&[CULPRIT]);
+    }
+    let mut other = Harness { log: harness.log.clone(), ..harness };
+    harness.advance(Duration::from_secs(2));
+    harness.log.clear(CULPRIT);
+    harness.log.record_cleared(harness.now(), CULPRIT);
+    // The other host restarts without having heard of it.
+    restart(&mut other, Duration::from_secs(30));
+    harness.advance(Duration::from_secs(28));
+    restart(&mut harness, Duration::ZERO);
+    for (content, rest) in other.log.blamed(other.now()) {
+        assert!(!harness.log.adopt_blame(harness.now(), content, rest));
+    }
+    assert!(!harness.is_blamed(CULPRIT));
+    // It crashes upstreams after all.
+    assert!(harness.log.adopt_blame(harness.now(), CULPRIT, BLAME_DURATION));
+}
--- a/crates/gateway/src/crashes/mod.rs
+++ b/crates/gateway/src/crashes/mod.rs
@@ -2,12 +2,15 @@
 //!
 //! When a connection breaks, this module checks whether the upstream's process has ended. If it
 //! has, the attempts that it cut off are reported to the hosts that collect the crashes of the
-//! service ([`reports`]). `trefoilring_core::crashes` decides which content is to blame.
+//! service ([`reports`]). `trefoilring_core::crashes` decides which content is to blame. Hosts with
+//! disks keep what they know there ([`disk`]).
 
+mod disk;
 mod reports;
 
-pub(crate) use reports::{
-    CrashReport, adopt_blame, blamed_contents, clear_content, collect_report, start,
+pub(crate) use {
+    disk::CrashLogFile,
+    reports::{CrashReport, adopt_blame, blamed_contents, clear_content, collect_report, start},
 };
 
 use {
@@ -81,6 +84,11 @@
 }
 
 impl CrashWatch {
+    /// Creates the watch of a host that has kept a log of former crashes.
+    pub(crate) fn new(log: CrashLog) -> Self {
+        Self { log, ..Self::default() }
+    }
+
     /// Returns whether the content took part in a crash.
     pub(crate) fn is_suspect(&self, call: &Call) -> bool {
         !self.log.is_empty() && self.log.is_suspect(call.content())
@@ -323,8 +331,12 @@
         if !watch.log.clear(content) {
             return;
         }
+        if was_blamed {
+            watch.log.record_cleared(Instant::now(), content);
+        }
         was_blamed
     };
+    disk::save_later(gateway);
     log_content(gateway, content, "cleared", "answer");
     reports::announce_cleared(gateway, &call.service, content, was_blamed);
 }
--- a/crates/gateway/src/crashes/reports.rs
+++ b/crates/gateway/src/crashes/reports.rs
@@ -1,17 +1,19 @@
 //! Reports of crashes between hosts.
 //!
 //! Two hosts collect the crashes of a service, chosen by rendezvous hashing, so that a crash costs
-//! two messages for each host that had requests at the upstream, at any number of hosts. Only the
-//! blame of content, which is rare, is announced to all hosts. Each host also asks another one for
-//! its blamed contents at intervals, which covers restarts and lost announcements.
+//! two messages for each host that had requests at the upstream, at any number of hosts. They are
+//! hosts with disks, where there are any: those outlive the loss of all processes. Only the blame of
+//! content, which is rare, is announced to all hosts. Each host also asks another one for its blamed
+//! contents at intervals, which covers restarts and lost announcements.
 
 use {
-    super::log_content,
+    super::{disk, log_content},
     crate::{
         gateway::Gateway,
         peers::{self, PeerReply, PeerRequest},
         time::within,
     },
+    futures_util::future::join_all,
     rand::{RngExt, seq::IndexedRandom},
     serde_json::json,
     smol::{Timer, channel::Sender},
@@ -148,6 +150,7 @@
     let is_collector = collectors.contains(&None);
     if is_collector {
         judge(gateway, &contents);
+        disk::save_later(gateway);
     }
     let others: Vec<SocketAddr> = collectors.into_iter().flatten().collect();
     if others.is_empty() {
@@ -204,8 +207,9 @@
     }
 }
 
-/// Records a report of another host. Returns the contents in it that are blamed.
-pub(crate) fn collect_report(
+/// Records a report of another host, on disk if there is one. Returns the contents in it that are
+/// blamed.
+pub(crate) async fn collect_report(
     gateway: &Rc<Gateway>,
     report: CrashReport,
 ) -> Vec<(ContentHash, Duration)> {
@@ -214,7 +218,8 @@
     let contents: Vec<ContentHash> = crash.attempts.iter().map(|attempt| attempt.content).collect();
     gateway.crash_watch.borrow_mut().log.record(now, &crash);
     judge(gateway, &contents);
-    let log = &gateway.crash_watch.borrow().log;
+    disk::save(gateway).await;
+    let (now, log) = (Instant::now(), &gateway.crash_watch.borrow().log);
     let blamed = |content: &ContentHash| Some((*content, log.blamed_for(now, *content)?));
     contents.iter().filter_map(blamed).collect()
 }
@@ -233,20 +238,31 @@
 }
 
 /// Blames contents that another host blames.
-pub(crate) fn adopt_blame(gateway: &Gateway, contents: Vec<(ContentHash, Duration)>) {
+pub(crate) fn adopt_blame(gateway: &Rc<Gateway>, contents: Vec<(ContentHash, Duration)>) {
     let now = Instant::now();
+    let mut has_changed = false;
     for (content, rest) in contents {
         if gateway.crash_watch.borrow_mut().log.adopt_blame(now, content, rest) {
             log_content(gateway, content, "blamed", "peer");
+            has_changed = true;
         }
     }
+    if has_changed {
+        disk::save_later(gateway);
+    }
 }
 
 /// Clears a content that got a complete answer at another host.
-pub(crate) fn clear_content(gateway: &Gateway, content: ContentHash) {
-    if gateway.crash_watch.borrow_mut().log.clear(content) {
+pub(crate) fn clear_content(gateway: &Rc<Gateway>, content: ContentHash) {
+    let was_suspected = {
+        let log = &mut gateway.crash_watch.borrow_mut().log;
+        log.record_cleared(Instant::now(), content);
+        log.clear(content)
+    };
+    if was_suspected {
         log_content(gateway, content, "cleared", "peer");
     }
+    disk::save_later(gateway);
 }
 
 /// Returns the contents that this host blames.
@@ -318,26 +334,32 @@
     }
 }
 
-/// Asks hosts with and without callers, since those without often outlive the others. Returns
-/// whether one has replied, or there is no other host.
+/// Asks hosts with disks and others. Returns whether one with a disk has replied, or any other if none
+/// has a disk, or there is no other host. Hosts without disks may have forgotten all at the same
+/// moment.
 async fn sync_at_start(gateway: &Rc<Gateway>) -> bool {
-    let (with_callers, without_callers): (Vec<_>, Vec<_>) = {
+    let (with_disk, without_disk): (Vec<_>, Vec<_>) = {
         let roster = gateway.roster.borrow();
         if roster.is_listed() && roster.peers().next().is_none() {
             return true;
         }
-        let records = roster.peers().map(|(_, record)| (record.address, record.serves_callers));
-        records.partition(|(_, serves_callers)| *serves_callers)
+        let records =
+            roster.peers().map(|(_, record)| (record.address, record.turn_store.is_some()));
+        records.partition(|(_, has_disk)| *has_disk)
     };
-    let mut has_reply = false;
-    for group in [with_callers, without_callers] {
-        let asked: Vec<SocketAddr> =
-            group.sample(&mut rand::rng(), COLLECTORS).map(|(address, _)| *address).collect();
-        for address in asked {
-            has_reply |= sync_with(gateway, address).await;
-        }
+    let has_reply_without_disk = sync_with_some(gateway, &without_disk).await;
+    match with_disk.is_empty() {
+        true => has_reply_without_disk,
+        false => sync_with_some(gateway, &with_disk).await,
     }
-    has_reply
+}
+
+/// Asks some hosts of a group. Returns whether one has replied.
+async fn sync_with_some(gateway: &Rc<Gateway>, group: &[(SocketAddr, bool)]) -> bool {
+    let asked: Vec<SocketAddr> =
+        group.sample(&mut rand::rng(), COLLECTORS).map(|(address, _)| *address).collect();
+    let replies = join_all(asked.into_iter().map(|address| sync_with(gateway, address))).await;
+    replies.contains(&true)
 }
 
 async fn sync_with(gateway: &Rc<Gateway>, address: SocketAddr) -> bool {
@@ -360,13 +382,24 @@
     }
 }
 
-/// Returns the hosts that collect the crashes of a service. `None` stands for this host.
+/// Returns the hosts that collect the crashes of a service: those with disks that can be reached, and
+/// any others if there are none. `None` stands for this host.
 fn collectors(gateway: &Gateway, service: &str) -> Vec<Option<SocketAddr>> {
     let roster = gateway.roster.borrow();
-    let reachable = roster.lenders().filter(|(_, address)| !peers::is_suspect(gateway, *address));
-    let others = reachable.map(|(host, address)| Collector { host, address: Some(address) });
+    let is_reachable = |address: SocketAddr| !peers::is_suspect(gateway, address);
+    let other = |(host, address)| Collector { host, address: Some(address) };
     let own = Collector { host: &gateway.settings.host, address: None };
-    let candidates: Vec<Collector<'_>> = others.chain([own]).collect();
+    let has_disk = gateway.settings.data_folder.is_some();
+    let with_disks = roster.turn_stores().map(|(host, record, _)| (&**host, record.address));
+    let with_disks = with_disks.filter(|(_, address)| is_reachable(*address)).map(other);
+    let mut candidates: Vec<Collector<'_>> = with_disks.collect();
+    if candidates.is_empty() && !has_disk {
+        let others = roster.lenders().map(|(host, address)| (&**host, address));
+        candidates.extend(others.filter(|(_, address)| is_reachable(*address)).map(other));
+        candidates.push(own);
+    } else if has_disk {
+        candidates.push(own);
+    }
     let ranked = rank(service, &candidates);
     ranked.into_iter().take(COLLECTORS).map(|collector| collector.address).collect()
 }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -5,7 +5,7 @@
         allowance::Borrowings,
         call::Settlements,
         callers,
-        crashes::{self, CrashWatch},
+        crashes::{self, CrashLogFile, CrashWatch},
         dialect::Dialect,
         evacuations::{self, EvacuationWatch},
         http::{ActiveConnection, ConnectionPool},
@@ -141,6 +141,7 @@
     pub(crate) wait_queues: RefCell<WaitQueues<Rc<Event>>>,
     pub(crate) admission: RefCell<Admission>,
     pub(crate) crash_watch: RefCell<CrashWatch>,
+    pub(crate) crash_log_file: CrashLogFile,
     pub(crate) roster: RefCell<Roster>,
     pub(crate) shares: RefCell<Shares>,
     pub(crate) borrowings: RefCell<Borrowings>,
@@ -214,6 +215,7 @@
     ) -> io::Result<()> {
         let executor = Rc::new(LocalExecutor::new());
         let connections = Rc::new(ConnectionPool::new(executor.clone(), CONNECT_TIMEOUT));
+        let (crash_log_file, crash_log) = CrashLogFile::open(settings.data_folder.clone());
         let gateway = Rc::new(Self {
             adapter: create_adapter(connections.clone()),
             connections,
@@ -226,7 +228,8 @@
             registrations_changed: Event::new(),
             wait_queues: RefCell::default(),
             admission: RefCell::default(),
-            crash_watch: RefCell::default(),
+            crash_watch: RefCell::new(CrashWatch::new(crash_log)),
+            crash_log_file,
             roster: RefCell::new(Roster::new(
                 Instant::now(),
                 settings.host.clone(),
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -225,7 +225,7 @@
             PeerReply::Configuration { object: watch::newer_configuration(gateway, newer_than) }
         }
         PeerRequest::ReportCrash { report } => {
-            PeerReply::Blamed { contents: crashes::collect_report(gateway, report) }
+            PeerReply::Blamed { contents: crashes::collect_report(gateway, report).await }
         }
         PeerRequest::BlameContents { contents } => {
             crashes::adopt_blame(gateway, contents);
--- a/crates/gateway/src/status.rs
+++ b/crates/gateway/src/status.rs
@@ -72,6 +72,7 @@
         ("turns_stored", gateway.turns.stored_count() as u64),
         ("turns_recovered", u64::from(gateway.turns.has_recovered())),
         ("turn_holders_replaced", gateway.turns.replaced_holder_count() as u64),
+        ("has_synced_blame", u64::from(gateway.has_synced_blame.get())),
         ("stranded", u64::from(gateway.relay.is_stranded())),
         ("upstreams_leaving", gateway.placement.borrow().leaving_count() as u64),
         ("upstreams_cold", gateway.placement.borrow().cold_count(Instant::now()) as u64),
