Keep the idle times of accounts in the records of ledgers

Cause: the record had no idle time for its accounts. The next owner gave all of them that of the route whose charge had caused the takeover, and dropped them when that was over. In the same way a turn of a route with a shorter time shortened its own program's, and the time for which overdrafts of lost owners count could be less than that for which a replica may be promoted.

Records now name the idle time of accounts that differ from the ledger's, and the ledger's, which is the longest that any owner has heard of; charges name the longest of all routes. Both only grow. Records without the fields count as 60 s or more.

Related paths read: replicas of standbys and stored turns (carry their times), outage notes (have none), crashes.json (ages).

--- a/crates/core/src/budget/account.rs
+++ b/crates/core/src/budget/account.rs
@@ -2,14 +2,13 @@
 
 use {
     super::{Charge, ChargeOutcome, RETENTION_MARGIN, TokenCount, TurnId},
+    crate::durations::DURATION_MAX,
     std::{
         collections::{BTreeMap, BTreeSet},
         time::{Duration, Instant},
     },
 };
 
-/// Default idle time of a program that has not set one.
-const IDLE_MAX_DEFAULT: Duration = Duration::from_secs(60);
 /// Number of turns of a program that a record reserves. With two, a program whose turns follow each
 /// other faster than the record is written rarely waits. A successor counts them as uncertain.
 const RESERVED_TURNS: u64 = 2;
@@ -41,6 +40,10 @@
     /// Number of former owners that may have granted an overdraft.
     #[serde(rename = "d", default, skip_serializing_if = "is_zero")]
     pub lost_overdrafts: u64,
+    /// How long the program may be idle and still resume, in milliseconds. Zero stands for the time of
+    /// the whole ledger.
+    #[serde(rename = "i", default, skip_serializing_if = "is_zero")]
+    pub idle_max_ms: u64,
 }
 
 fn is_zero(number: &u64) -> bool {
@@ -88,6 +91,7 @@
     holds: Vec<Hold>,
     /// Number of the next turn that this owner grants. Starts at 1.
     next_turn_number: u64,
+    /// How long the program may be idle and still resume: the longest time of its turns' charges.
     idle_max: Duration,
 }
 
@@ -145,13 +149,14 @@
                 lost_overdrafts,
                 holds: vec![Hold { next_turn_number: 1, ..Hold::default() }],
                 next_turn_number: 1,
-                idle_max: IDLE_MAX_DEFAULT,
+                idle_max: Duration::ZERO,
             },
         )
     }
 
-    /// Creates the account of a successor. `lost_overdrafts` returns how many overdrafts former owners
-    /// may have granted, from the number that the record names.
+    /// Creates the account of a successor. `idle_max` applies if the record names none for the account.
+    /// `lost_overdrafts` returns how many overdrafts former owners may have granted, from the number
+    /// that the record names.
     pub(super) fn from_record(
         now: Instant,
         recorded: &RecordedAccount,
@@ -170,7 +175,7 @@
                 lost_overdrafts: lost_overdrafts(recorded.lost_overdrafts),
                 holds: vec![Hold { next_turn_number: 1, ..Hold::default() }],
                 next_turn_number: 1,
-                idle_max,
+                idle_max: duration_of_ms(recorded.idle_max_ms).unwrap_or(idle_max),
             },
         )
     }
@@ -204,7 +209,8 @@
         let Charge { turn, budget, turn_max, .. } = *charge;
         self.limits = Some(Limits { budget, turn_max });
         self.last_used_at = now;
-        self.state.idle_max = charge.idle_max;
+        // A turn of a route with a shorter time does not shorten that of the turns before.
+        self.state.idle_max = self.state.idle_max.max(charge.idle_max);
         if let Some(open) = self.state.open.get(&turn) {
             return ChargeOutcome::Granted { is_new: self.charged() == open.charged };
         }
@@ -330,7 +336,13 @@
 
     /// Returns the account for a record that is about to be written. Until the outcome of the write
     /// is known, grants stay within what this record and the stored one reserve.
-    pub(super) fn build_record(&mut self, sequence: u64, reserving: Reserving) -> RecordedAccount {
+    /// `ledger_idle_max` is the idle time that the record names for all accounts.
+    pub(super) fn build_record(
+        &mut self,
+        sequence: u64,
+        reserving: Reserving,
+        ledger_idle_max: Duration,
+    ) -> RecordedAccount {
         let reserved = self.reservation(reserving);
         let state = &mut self.state;
         if state.holds.len() >= HOLDS_MAX {
@@ -348,6 +360,10 @@
             uncertain: state.uncertain,
             reserved,
             lost_overdrafts: state.lost_overdrafts,
+            idle_max_ms: match state.idle_max == ledger_idle_max {
+                true => 0,
+                false => state.idle_max.as_millis() as u64,
+            },
         }
     }
 
@@ -381,6 +397,11 @@
     }
 }
 
+/// Returns the duration that a record names; `None` for zero.
+pub(super) fn duration_of_ms(ms: u64) -> Option<Duration> {
+    (ms > 0).then(|| Duration::from_millis(ms).min(DURATION_MAX))
+}
+
 /// Replaces the last two holds by one that allows no more than either of them.
 fn merge_last_two(holds: &mut Vec<Hold>) {
     let (Some(last), Some(previous)) = (holds.pop(), holds.pop()) else { return };
--- a/crates/core/src/budget/mod.rs
+++ b/crates/core/src/budget/mod.rs
@@ -46,7 +46,7 @@
         durations,
         ids::{Epoch, ProgramId},
     },
-    account::{Account, Reserving},
+    account::{Account, Reserving, duration_of_ms},
     standby::Replication,
     std::{
         collections::{BTreeMap, HashMap},
@@ -71,6 +71,8 @@
 /// that take a ledger from each other in turn reserve nothing, because each change of the owner
 /// makes the reservations uncertain.
 const WRITES_BEFORE_RESERVATIONS: u64 = 3;
+/// Idle time of programs that is assumed where a record names none.
+const IDLE_MAX_DEFAULT: Duration = Duration::from_secs(60);
 /// Time for which accounts are kept after the programs' idle time has passed.
 const RETENTION_MARGIN: Duration = Duration::from_secs(10);
 
@@ -88,6 +90,17 @@
     /// How long the program may be idle and still resume.
     #[serde(deserialize_with = "durations::bounded")]
     pub idle_max: Duration,
+    /// The longest such time of any program that the charging host knows. Zero in charges of hosts
+    /// that do not say.
+    #[serde(default, deserialize_with = "durations::bounded")]
+    pub longest_idle_max: Duration,
+}
+
+impl Charge {
+    /// Returns how long any program may be idle and still resume, as far as this charge tells.
+    pub fn ledger_idle_max(&self) -> Duration {
+        self.idle_max.max(self.longest_idle_max)
+    }
 }
 
 /// The end of a turn that was charged.
@@ -157,6 +170,11 @@
     /// Builds before this field granted one each.
     #[serde(default)]
     pub grants_overdraft_once: bool,
+    /// How long programs may be idle and still resume, in milliseconds: that of the accounts that name
+    /// no time of their own, and no less than that of any program. Zero in records of builds before
+    /// this field.
+    #[serde(default)]
+    pub idle_max_ms: u64,
     /// The accounts by program.
     #[serde(default)]
     pub accounts: BTreeMap<ProgramId, RecordedAccount>,
@@ -185,7 +203,8 @@
     /// Number of records stored in this epoch.
     stored_count: u64,
     accounts: HashMap<ProgramId, Account>,
-    /// Idle time used for accounts that are read from a record.
+    /// The longest time for which a program may be idle and still resume, as far as this owner and the
+    /// former ones know. Never decreases.
     idle_max: Duration,
     /// Number of former owners that may have granted an overdraft to programs without an account.
     lost_overdrafts: u64,
@@ -214,13 +233,17 @@
 }
 
 impl Ledger {
-    /// Creates the ledger of a host that takes it over.
+    /// Creates the ledger of a host that takes it over. `idle_max` is the longest time for which a
+    /// program may be idle and still resume, as far as this host knows. It does not limit what the
+    /// record says of its accounts: the charge that has caused the takeover may be of another route.
     pub fn take_over(
         now: Instant,
         writer: String,
         inputs: TakeoverInputs<'_>,
         idle_max: Duration,
     ) -> Self {
+        let recorded = inputs.record.and_then(|record| duration_of_ms(record.idle_max_ms));
+        let idle_max = idle_max.max(recorded.unwrap_or(IDLE_MAX_DEFAULT));
         let TakeoverInputs { record, may_lack_overdraft, note_hosts } = inputs;
         let grants_once = record.is_some_and(|record| record.grants_overdraft_once);
         let lost_overdrafts = |former: u64| match (may_lack_overdraft, grants_once) {
@@ -289,6 +312,7 @@
             true => self.lost_overdrafts,
             false => 0,
         };
+        self.idle_max = self.idle_max.max(charge.ledger_idle_max());
         let open_account = || Account::new(now, lost_overdrafts);
         let account = self.accounts.entry(charge.program.clone()).or_insert_with(open_account);
         let outcome = account.charge(now, charge, is_overdraft_allowed, self.sequence);
@@ -454,11 +478,10 @@
             (false, false) => (Reserving::WaitingTurns, self.note_hosts.clone()),
             (false, true) => (Reserving::NextTurns, self.note_hosts.clone()),
         };
-        let sequence = self.sequence;
-        let accounts = self
-            .accounts
-            .iter_mut()
-            .map(|(program, account)| (program.clone(), account.build_record(sequence, reserving)));
+        let (sequence, idle_max) = (self.sequence, self.idle_max);
+        let accounts = self.accounts.iter_mut().map(|(program, account)| {
+            (program.clone(), account.build_record(sequence, reserving, idle_max))
+        });
         let lost_for = self.lost_overdrafts_until.saturating_duration_since(now);
         Some(LedgerRecord {
             writer: self.writer.clone(),
@@ -469,6 +492,7 @@
             lost_overdrafts: if lost_for.is_zero() { 0 } else { self.lost_overdrafts },
             lost_overdrafts_for_ms: lost_for.as_millis() as u64,
             grants_overdraft_once: true,
+            idle_max_ms: idle_max.as_millis() as u64,
             accounts: accounts.collect(),
             charged: BTreeMap::new(),
         })
--- a/crates/core/src/budget/standby.rs
+++ b/crates/core/src/budget/standby.rs
@@ -78,7 +78,7 @@
     /// How long that applies.
     #[serde(deserialize_with = "durations::bounded")]
     pub lost_overdrafts_for: Duration,
-    /// Idle time used for accounts that are read from a record.
+    /// The longest time for which a program may be idle and still resume.
     #[serde(deserialize_with = "durations::bounded")]
     pub idle_max: Duration,
     /// Current state of the changed accounts.
--- a/crates/core/src/budget/standby/tests.rs
+++ b/crates/core/src/budget/standby/tests.rs
@@ -27,6 +27,7 @@
             budget: BUDGET,
             turn_max: TURN,
             idle_max: IDLE,
+            longest_idle_max: IDLE,
         }
     }
 
--- a/crates/core/src/budget/tests.rs
+++ b/crates/core/src/budget/tests.rs
@@ -21,7 +21,14 @@
 impl Turns {
     fn charge(&mut self, program: &str, budget: TokenCount) -> Charge {
         self.0 += 1;
-        Charge { program: program.into(), turn: self.0, budget, turn_max: TURN, idle_max: IDLE }
+        Charge {
+            program: program.into(),
+            turn: self.0,
+            budget,
+            turn_max: TURN,
+            idle_max: IDLE,
+            longest_idle_max: IDLE,
+        }
     }
 
     /// Charges turns until one is not granted; returns the number granted.
@@ -847,3 +854,115 @@
     assert_eq!(serde_json::from_str::<LedgerRecord>(&text).expect("a record"), record);
     assert_eq!((record.epoch, record.lost_overdrafts), (1, 1));
 }
+
+const SHORT_IDLE: Duration = Duration::from_secs(3);
+
+/// Lets a program use its budget up on a route with a long idle time. Returns the record.
+fn record_with_spent_budget(now: Instant) -> LedgerRecord {
+    let (mut ledger, mut turns) = (new_ledger(now), Turns::default());
+    write(&mut ledger, now);
+    let (granted, refusal) = turns.charge_until_refused(&mut ledger, now, 4 * TURN);
+    assert_eq!((granted, refusal), (4, ChargeOutcome::InsufficientBudget));
+    write(&mut ledger, now)
+}
+
+/// Returns a charge of another program, on a route with a short idle time, as a host sends it that
+/// knows no other route.
+fn charge_of_short_route(turns: &mut Turns) -> Charge {
+    Charge {
+        idle_max: SHORT_IDLE,
+        longest_idle_max: Duration::ZERO,
+        ..turns.charge("short", 4 * TURN)
+    }
+}
+
+/// Guards against budgets that are handed out twice: an owner that takes a ledger over gave all accounts
+/// the idle time of the route whose charge came first.
+#[test]
+fn takeover_by_a_charge_of_another_route_keeps_the_idle_times_of_all_accounts() {
+    let start = Instant::now();
+    let (mut record, mut turns) = (record_with_spent_budget(start), Turns(100));
+    // Several owners in series, each taken over for a program of the short route.
+    let mut now = start;
+    for number in 2..5 {
+        let first = charge_of_short_route(&mut turns);
+        let host = format!("host-{number}@1");
+        let inputs = TakeoverInputs {
+            record: Some(&record),
+            may_lack_overdraft: false,
+            note_hosts: note_hosts(),
+        };
+        let mut ledger = Ledger::take_over(now, host, inputs, first.ledger_idle_max());
+        ledger.charge(now, &first);
+        write(&mut ledger, now);
+        // Within the idle time of the program that has spent its budget, and beyond the others'.
+        now += Duration::from_secs(50);
+        write(&mut ledger, now);
+        assert_eq!(ledger.len(), 1, "the account of the short route has expired");
+        let outcome = turns.charge_until_refused(&mut ledger, now, 4 * TURN);
+        assert_eq!(outcome, (0, ChargeOutcome::InsufficientBudget), "owner {number}");
+        record = write(&mut ledger, now);
+    }
+}
+
+#[test]
+fn turn_of_a_route_with_a_short_idle_time_does_not_shorten_that_of_its_program() {
+    let start = Instant::now();
+    let (mut ledger, mut turns) = (new_ledger(start), Turns::default());
+    write(&mut ledger, start);
+    for idle_max in [IDLE, SHORT_IDLE] {
+        let charge = Charge { idle_max, ..turns.charge("p", 2 * TURN) };
+        if ledger.charge(start, &charge) == ChargeOutcome::WriteRequired {
+            write(&mut ledger, start);
+            assert!(is_granted(&ledger.charge(start, &charge)));
+        }
+    }
+    let later = start + Duration::from_secs(50);
+    write(&mut ledger, later);
+    let (granted, _) = turns.charge_until_refused(&mut ledger, later, 2 * TURN);
+    assert_eq!(granted, 0);
+}
+
+/// Guards against overdrafts of programs without an account that are forgotten early.
+#[test]
+fn lost_overdrafts_last_as_long_as_the_longest_idle_time() {
+    let start = Instant::now();
+    let (record, mut turns) = (record_with_spent_budget(start), Turns(100));
+    let longest = 3 * IDLE;
+    for (recorded_ms, charged, expected) in [
+        (IDLE.as_millis() as u64, Duration::ZERO, IDLE),
+        (longest.as_millis() as u64, Duration::ZERO, longest),
+        (0, Duration::ZERO, IDLE_MAX_DEFAULT),
+        (0, longest, longest),
+    ] {
+        let record = LedgerRecord { idle_max_ms: recorded_ms, ..record.clone() };
+        let charge = Charge { longest_idle_max: charged, ..charge_of_short_route(&mut turns) };
+        let inputs = TakeoverInputs {
+            record: Some(&record),
+            may_lack_overdraft: true,
+            note_hosts: note_hosts(),
+        };
+        let ledger = Ledger::take_over(start, "host-2@1".into(), inputs, charge.ledger_idle_max());
+        assert!(ledger.has_lost_overdrafts(start + expected), "{recorded_ms} {charged:?}");
+        assert!(!ledger.has_lost_overdrafts(start + expected + RETENTION_MARGIN));
+    }
+}
+
+#[test]
+fn records_of_builds_without_idle_times_are_read() {
+    let start = Instant::now();
+    let mut json = serde_json::to_value(record_with_spent_budget(start)).expect("serializable");
+    json.as_object_mut().expect("an object").remove("idle_max_ms");
+    assert!(json["accounts"]["p"].get("i").is_none(), "accounts name only what differs");
+    let record: LedgerRecord = serde_json::from_value(json).expect("a record of a former build");
+    let mut turns = Turns(100);
+    let inputs = TakeoverInputs {
+        record: Some(&record),
+        may_lack_overdraft: false,
+        note_hosts: note_hosts(),
+    };
+    let mut ledger = Ledger::take_over(start, "host-2@1".into(), inputs, SHORT_IDLE);
+    let later = start + Duration::from_secs(50);
+    write(&mut ledger, later);
+    assert_eq!(turns.charge_until_refused(&mut ledger, later, 4 * TURN).0, 0);
+}
--- a/crates/core/src/budget/tests/cluster.rs
+++ b/crates/core/src/budget/tests/cluster.rs
@@ -164,6 +164,7 @@
             budget: self.budget,
             turn_max: TURN,
             idle_max: IDLE,
+            longest_idle_max: IDLE,
         };
         self.next_turn += 1;
         let now = self.now;
--- a/crates/core/src/routing/mod.rs
+++ b/crates/core/src/routing/mod.rs
@@ -261,6 +261,11 @@
         retaining.map(|route| route.retention()).max()
     }
 
+    /// Returns the longest time for which programs may be idle and still resume, on any route.
+    pub fn longest_idle_max(&self) -> Duration {
+        self.routes.values().flatten().map(|route| route.retention()).max().unwrap_or_default()
+    }
+
     /// Returns the number of routes.
     pub fn route_count(&self) -> usize {
         self.routes.values().map(Vec::len).sum()
--- a/crates/gateway/src/call/budget.rs
+++ b/crates/gateway/src/call/budget.rs
@@ -122,6 +122,10 @@
     };
     let program: ProgramId = program.id.as_str().into();
     let began = Instant::now();
+    let longest_idle_max = {
+        let table = gateway.routing_table.borrow();
+        table.as_ref().map(|table| table.longest_idle_max()).unwrap_or_default()
+    };
     let ledger_hosts = ledger_hosts_by_reachability(gateway, ledger::partition_of(&program));
     for (host_index, RankedHost { address, .. }) in ledger_hosts.into_iter().enumerate() {
         // Not the turn that was cancelled at another host.
@@ -131,6 +135,7 @@
             budget,
             turn_max: generation.output_tokens_max,
             idle_max: call.route.retention(),
+            longest_idle_max,
         };
         let mut turn_charge = TurnCharge {
             gateway: gateway.clone(),
--- a/crates/gateway/src/ledger/mod.rs
+++ b/crates/gateway/src/ledger/mod.rs
@@ -129,7 +129,7 @@
     deadline: Instant,
 ) -> ChargeDecision {
     let partition = partition_of(&charge.program);
-    match load(gateway, partition, charge.idle_max, deadline).await {
+    match load(gateway, partition, charge.ledger_idle_max(), deadline).await {
         Loaded::Owned => {}
         Loaded::Pending => return ChargeDecision::Undecided,
         Loaded::OwnedElsewhere { owner } => return ChargeDecision::OwnedElsewhere { owner },
