Take answers without a final status for broken

Callers got 101 and codes from 600 on as answers when an upstream in trouble sent them. Statuses below 100 and of other lengths were not read as answers before either (000, 099, 20, 2000, abc).

Only codes from 200 to 599 are final ones here: no request asks for another protocol. Others count as an answer that broke off, at the host that sends and at one that passes the answer on.

The test of the statuses fails without the change: 101 is passed on.

--- a/crates/gateway/src/call/exchange.rs
+++ b/crates/gateway/src/call/exchange.rs
@@ -136,6 +136,9 @@
         Err(error) => return SendOutcome::Unknown(error),
     };
     let (head, body) = response.into_parts();
+    if !is_final_status(head.status) {
+        return SendOutcome::Unknown(SendError::Broken);
+    }
     let AnswerMetadata {
         matches_request,
         names_other_request,
@@ -185,6 +188,12 @@
     SendOutcome::Answered(Box::new(ReceivedAnswer { head, body, connection }))
 }
 
+/// Returns whether a status is that of an answer. No request asks for another protocol, so 101 is none,
+/// and codes from 600 on are not defined. Lower ones than 100 are not read at all.
+pub(crate) fn is_final_status(status: StatusCode) -> bool {
+    (200..600).contains(&status.as_u16())
+}
+
 /// Reads and discards the rest of an answer, so that its connection can be reused.
 async fn drain(
     gateway: Rc<Gateway>,
--- a/crates/gateway/src/call/mod.rs
+++ b/crates/gateway/src/call/mod.rs
@@ -13,7 +13,7 @@
     body::{AnswerBody, AnswerTruncated, TrackedAnswerBody},
     budget::Settlements,
     buffer::{ANSWER_BYTES_MAX, BodyError, read_body},
-    exchange::remove_connection_headers,
+    exchange::{is_final_status, remove_connection_headers},
     retained::PROMPT_BYTES_MAX,
 };
 
--- a/crates/gateway/src/relay/helper.rs
+++ b/crates/gateway/src/relay/helper.rs
@@ -4,8 +4,8 @@
     super::{FAILURE, Failure, TIME_LEFT_MS, UPSTREAM, record_connects},
     crate::{
         call::{
-            ANSWER_BYTES_MAX, AnswerBody, AnswerTruncated, PROMPT_BYTES_MAX, read_body,
-            remove_connection_headers,
+            ANSWER_BYTES_MAX, AnswerBody, AnswerTruncated, PROMPT_BYTES_MAX, is_final_status,
+            read_body, remove_connection_headers,
         },
         evacuations,
         gateway::{Gateway, Stage},
@@ -154,6 +154,9 @@
     })?;
     gateway.relay.record_alive();
     let (mut head, body) = response.into_parts();
+    if !is_final_status(head.status) {
+        return Err(Failure::Broken);
+    }
     if let Ok(metadata) = metadata {
         // The limit and the load also hold for this host.
         let answer = gateway.adapter.dialect.read_answer(&metadata.request_id, &head);
