Do not replace holders of turns for the pause of the host that asks

A store host that was suspended while it waited for answers would have taken all others for unresponsive when it went on, and fetched trees of theirs: the time without an answer counted from the question. It counts from the first failure now, so that a second question must fail a second later. Questions time out after 0.6 s, so that a host that is gone is still replaced within about two seconds.

--- a/crates/core/src/turns/pull.rs
+++ b/crates/core/src/turns/pull.rs
@@ -14,8 +14,9 @@
     },
 };
 
-/// How long a host answers no question before others take its place as a holder. Shorter than the
-/// time after which the loss of a replaced host counts as made up for.
+/// Time from the first question that a host has not answered until others take its place as a holder, if
+/// it answers none meanwhile. Shorter than the time after which the loss of a replaced host counts as
+/// made up for.
 const REPLACEMENT_DELAY: Duration = Duration::from_secs(1);
 
 /// Number of the question that a host is asked after a change. Answers to earlier ones may lack
@@ -41,8 +42,8 @@
     unasked: BTreeSet<HostId>,
     /// Increases whenever all hosts must be asked again.
     number: PullNumber,
-    /// Hosts that have not answered, with the time of the first question. Invariant: each is in
-    /// `peers`.
+    /// Hosts that have not answered, with the time at which the first question had failed. Invariant:
+    /// each is in `peers`.
     unanswered_since: BTreeMap<HostId, Instant>,
     /// Hosts that have not answered for [`REPLACEMENT_DELAY`]. Invariant: each is in
     /// `unanswered_since`.
@@ -109,13 +110,14 @@
         self.unresponsive.remove(host);
     }
 
-    /// Records that a host has not answered a question that it was asked at `asked_at`. Returns
-    /// whether others, perhaps this host, take its place from now on.
-    pub fn on_unanswered(&mut self, host: &HostId, asked_at: Instant, now: Instant) -> bool {
+    /// Records that a host has not answered a question. Returns whether others, perhaps this host, take
+    /// its place from now on. One question is not enough, however long it took: this host may have been
+    /// suspended itself.
+    pub fn on_unanswered(&mut self, host: &HostId, now: Instant) -> bool {
         if !self.peers.contains_key(host) {
             return false;
         }
-        let since = *self.unanswered_since.entry(host.clone()).or_insert(asked_at);
+        let since = *self.unanswered_since.entry(host.clone()).or_insert(now);
         if now.saturating_duration_since(since) < REPLACEMENT_DELAY
             || !self.unresponsive.insert(host.clone())
         {
--- a/crates/core/src/turns/tests/cluster.rs
+++ b/crates/core/src/turns/tests/cluster.rs
@@ -267,11 +267,10 @@
         if !self.hosts[host].is_up {
             return;
         }
-        let asked_at = self.now;
         let Some(peer) = self.find(&peer_id).filter(|peer| self.hosts[*peer].is_up) else {
             self.now += UNANSWERED;
             if self.mutation != Mutation::UnresponsiveHostsStayHolders {
-                self.hosts[host].pull.on_unanswered(&peer_id, asked_at, self.now);
+                self.hosts[host].pull.on_unanswered(&peer_id, self.now);
             }
             return;
         };
--- a/crates/core/src/turns/tests/mod.rs
+++ b/crates/core/src/turns/tests/mod.rs
@@ -224,19 +224,20 @@
     round.set_peers(peers);
     let first = round.number();
     round.on_pulled(&s1, first);
-    assert!(!round.on_unanswered(&s2, at(0), at(300)), "it may have paused");
+    assert!(!round.on_unanswered(&s2, at(300)), "it may have paused, or this host");
+    assert!(!round.on_unanswered(&s2, at(1000)));
     assert!(!round.is_replaced(&s2));
-    assert!(round.on_unanswered(&s2, at(600), at(1000)));
+    assert!(round.on_unanswered(&s2, at(1300)));
     assert!(round.is_replaced(&s2));
-    assert!(!round.on_unanswered(&s2, at(1300), at(1600)), "it has been replaced already");
+    assert!(!round.on_unanswered(&s2, at(1600)), "it has been replaced already");
     assert_eq!(round.unasked().count(), 2, "its trees may be this host's now");
     round.on_pulled(&s1, first);
     assert_eq!(round.unasked().count(), 2, "asked before it was replaced");
     round.on_answered(&s2);
     assert!(!round.is_replaced(&s2));
-    assert!(!round.on_unanswered(&s2, at(5000), at(5300)), "the time begins anew");
-    assert!(round.on_unanswered(&s2, at(5600), at(6000)));
+    assert!(!round.on_unanswered(&s2, at(5300)), "the time begins anew");
+    assert!(round.on_unanswered(&s2, at(6300)));
     round.set_peers(BTreeMap::from([(s1.clone(), peer(1)), (s2.clone(), peer(2))]));
     assert!(!round.is_replaced(&s2), "it has started again");
-    assert!(!round.on_unanswered(&"unknown".into(), at(0), at(9000)));
+    assert!(!round.on_unanswered(&"unknown".into(), at(9000)));
 }
--- a/crates/gateway/src/turns/pull.rs
+++ b/crates/gateway/src/turns/pull.rs
@@ -27,8 +27,8 @@
 const RETRY_PAUSE: Duration = Duration::from_millis(300);
 /// Timeout of a request for turns. A full reply takes a slow host some hundred milliseconds.
 const FETCH_TIMEOUT: Duration = Duration::from_secs(2);
-/// Timeout of a request for the list of turns.
-const LIST_TIMEOUT: Duration = Duration::from_secs(1);
+/// Timeout of a request for the list of turns. Several of them fail before a host is replaced.
+const LIST_TIMEOUT: Duration = Duration::from_millis(600);
 
 /// Starts to fetch turns after each change of the other hosts.
 pub(super) fn start(gateway: &Rc<Gateway>) {
@@ -105,19 +105,19 @@
     host: &HostId,
     address: SocketAddr,
 ) -> Result<usize, &'static str> {
-    let asked_at = Instant::now();
     let held = list_held(gateway, address).await;
-    record_answer(gateway, host, asked_at, held.is_some());
-    fetch(gateway, address, missing(gateway, &held.ok_or("the host did not list its turns")?)).await
+    record_answer(gateway, host, held.is_some());
+    let held = held.ok_or("the host did not list its turns")?;
+    fetch(gateway, address, missing(gateway, &held)).await
 }
 
 /// Records whether a host has answered a question. One that does not is replaced as a holder.
-fn record_answer(gateway: &Gateway, host: &HostId, asked_at: Instant, has_answered: bool) {
+fn record_answer(gateway: &Gateway, host: &HostId, has_answered: bool) {
     let Some(store) = &gateway.turns.store else { return };
     let mut pull = store.pull.borrow_mut();
     if has_answered {
         pull.on_answered(host);
-    } else if pull.on_unanswered(host, asked_at, Instant::now()) {
+    } else if pull.on_unanswered(host, Instant::now()) {
         gateway.decisions.log(
             LineRate::Rare,
             "turn_holder_replaced",
