Let the model of ledgers play programs that return after pauses

The model had one program, one idle time and runs of some seconds. It now also plays pauses up to the program's idle time, owners that take the ledger over for programs whose idle time is shorter, and their charges.

--- a/crates/core/src/budget/tests/cluster.rs
+++ b/crates/core/src/budget/tests/cluster.rs
@@ -29,6 +29,8 @@
     reaches_store: bool,
     /// Hosts that it reaches.
     peers: BTreeSet<usize>,
+    /// Whether too few note hosts have fenced the former epochs of the owned ledger.
+    is_unfenced: bool,
     /// Whether its process is suspended: it does nothing and answers nothing until it wakes.
     is_suspended: bool,
 }
@@ -98,6 +100,11 @@
     uses_all_tokens: bool,
     turns: Vec<Turn>,
     next_turn: TurnId,
+    /// Whether programs of a route with a short idle time use the ledger as well. Hosts then know only
+    /// the route of the charge that they handle.
+    has_short_route: bool,
+    /// Last time at which a turn of the program was granted.
+    last_turn_at: Instant,
     counts: Counts,
 }
 
@@ -113,9 +120,10 @@
         });
         let hosts = hosts.collect();
         let budget = rng.random_range(2..14) * 880;
+        let now = Instant::now();
         Self {
             rng,
-            now: Instant::now(),
+            now,
             hosts,
             record: None,
             revision: 0,
@@ -125,6 +133,8 @@
             uses_all_tokens: false,
             turns: Vec::new(),
             next_turn: 1,
+            has_short_route: false,
+            last_turn_at: now,
             counts: Counts::default(),
         }
     }
@@ -164,7 +174,7 @@
             budget: self.budget,
             turn_max: TURN,
             idle_max: IDLE,
-            longest_idle_max: IDLE,
+            longest_idle_max: if self.has_short_route { Duration::ZERO } else { IDLE },
         };
         self.next_turn += 1;
         let now = self.now;
@@ -191,7 +201,10 @@
                     false => self.rng.random_range(0..=TURN / 29) * 29,
                 };
                 match is_started {
-                    true => self.push_turn(charge, TurnState::Running, used),
+                    true => {
+                        self.last_turn_at = now;
+                        self.push_turn(charge, TurnState::Running, used);
+                    }
                     false => self.push_turn(charge, TurnState::Cancelled, 0),
                 }
             }
@@ -465,10 +478,15 @@
             note_hosts,
         };
         let now = self.now;
+        let idle_max = match self.has_short_route && self.rng.random() {
+            true => SHORT_IDLE,
+            false => IDLE,
+        };
         let host = &mut self.hosts[host];
+        host.is_unfenced = may_lack.is_none();
         let writer = format!("host-{}@{}", host.number, host.incarnation);
         host.incarnation += 1;
-        host.owned = Some((Ledger::take_over(now, writer, inputs, IDLE), revision));
+        host.owned = Some((Ledger::take_over(now, writer, inputs, idle_max), revision));
         self.counts.takeovers += 1;
     }
 
@@ -703,6 +721,44 @@
         }
     }
 
+    /// Charges a turn of another program, on the route with a short idle time.
+    fn charge_on_short_route(&mut self, host: usize) {
+        let charge = Charge {
+            program: "short".into(),
+            turn: self.next_turn,
+            budget: self.budget,
+            turn_max: TURN,
+            idle_max: SHORT_IDLE,
+            longest_idle_max: Duration::ZERO,
+        };
+        self.next_turn += 1;
+        let now = self.now;
+        if let Some((ledger, _)) = &mut self.hosts[host].owned {
+            ledger.charge(now, &charge);
+        }
+    }
+
+    /// Lets the program pause for long, but no longer than it may and still return. Owners write what has
+    /// changed at the beginning, as they do within half a second of each charge.
+    fn pause(&mut self) {
+        for host in self.awake_hosts() {
+            if self.hosts[host].owned.as_ref().is_some_and(|(ledger, _)| ledger.needs_write()) {
+                self.write(host);
+            }
+        }
+        let idle = self.now.duration_since(self.last_turn_at);
+        let left_s = IDLE.saturating_sub(idle).as_secs();
+        if left_s > 0 {
+            self.now += Duration::from_secs(self.rng.random_range(0..left_s));
+        }
+        // Owners try to fence the former epochs all the time.
+        for host in self.hosts.iter_mut().filter(|host| host.is_unfenced) {
+            if let Some((ledger, _)) = &mut host.owned {
+                ledger.extend_lost_overdrafts(self.now);
+            }
+        }
+    }
+
     /// Ends all faults, lets one host take the ledger over and charges turns until one is refused.
     fn finish(&mut self) {
         for host in &mut self.hosts {
@@ -762,6 +818,30 @@
     assert!(promotions > RUNS / 10, "{promotions} promotions");
 }
 
+/// Programs that return within their idle time, while the ledger changes its owner for programs whose idle
+/// time is shorter.
+#[test]
+fn budget_holds_when_programs_return_after_pauses() {
+    let mut counts = Counts::default();
+    for seed in SEED..SEED + RUNS {
+        let run = Cluster::run(seed, |cluster| {
+            cluster.has_short_route = true;
+            cluster.begin_in_calm();
+            for _ in 0..ACTIONS {
+                let host = cluster.random_host();
+                match cluster.rng.random_range(0..20) {
+                    0 if !cluster.hosts[host].is_suspended => cluster.charge_on_short_route(host),
+                    1 => cluster.pause(),
+                    _ => cluster.random_action(),
+                }
+            }
+        });
+        counts.takeovers += run.takeovers;
+        counts.spent += run.spent;
+    }
+    assert!(counts.takeovers > RUNS && counts.spent > RUNS / 10, "{}", counts.takeovers);
+}
+
 /// Losses of any host's memory or disk, freezes, cuts, outages, late writes and late messages, in
 /// series and overlapping, with several owners at a time.
 #[test]
--- a/crates/core/src/placement/upstream.rs
+++ b/crates/core/src/placement/upstream.rs
@@ -173,6 +173,7 @@
     penalty_at: Option<Instant>,
     ejected_until: Option<Instant>,
     next_ejection: Duration,
+    /// When it has begun to leave, if it has.
     pub(super) departure: Departure,
     /// The request rate that the upstream names as its limit.
     pub(super) rate_limit: Option<RateLimit>,
