Let owners grant turns only with a record that the store has accepted lately

A program could get its whole budget again: a superseded owner that had not heard of that granted a turn from its reservation, long after its successor had begun to count the program's idle time. Found by reading, beside the model; no caller has reported it.

Cause: what a former owner may still grant from its reservation was not bounded in time, but the account at the successor is.

An owner that can reach the store now grants a turn only if the store has accepted a record of its in the last five seconds; else the turn waits for a write, which fails if the owner was superseded. Five seconds are less than the ten for which accounts are kept beyond a program's idle time.

budget::tests::budget_holds_for_a_program_that_a_superseded_owner_serves_meanwhile fails without the change: 6 turns of a budget for 4. The models of core::budget pass. Without the store such an owner still goes on (ROADMAP).

--- a/crates/core/src/budget/account.rs
+++ b/crates/core/src/budget/account.rs
@@ -104,6 +104,17 @@
     NextTurns,
 }
 
+/// What the owner of the ledger knows when a turn is charged.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct ChargeTerms {
+    /// Whether turns may be granted beyond what the records reserve.
+    pub(super) is_overdraft_allowed: bool,
+    /// Whether the owner has certainly not been superseded for long.
+    pub(super) is_confirmed: bool,
+    /// Sequence of the last record that was built.
+    pub(super) sequence: u64,
+}
+
 #[derive(Debug)]
 pub(super) struct Account {
     state: AccountReplica,
@@ -197,15 +208,14 @@
         self.state.clone()
     }
 
-    /// Charges a turn. `is_overdraft_allowed` allows grants beyond what the records reserve.
-    /// `sequence` is that of the last record that was built.
+    /// Charges a turn.
     pub(super) fn charge(
         &mut self,
         now: Instant,
         charge: &Charge,
-        is_overdraft_allowed: bool,
-        sequence: u64,
+        terms: ChargeTerms,
     ) -> ChargeOutcome {
+        let ChargeTerms { is_overdraft_allowed, is_confirmed, sequence } = terms;
         let Charge { turn, budget, turn_max, .. } = *charge;
         self.limits = Some(Limits { budget, turn_max });
         self.last_used_at = now;
@@ -239,7 +249,7 @@
         // A successor counts one overdraft for all owners before it, so only the first may grant it.
         let may_grant_overdraft = is_overdraft_allowed && self.state.lost_overdrafts == 0;
         let overdraft = if may_grant_overdraft { overdraft_max(budget) } else { 0 };
-        if turn_max > self.available(overdraft) {
+        if !is_confirmed || turn_max > self.available(overdraft) {
             self.waiting_turns.insert(turn);
             return ChargeOutcome::WriteRequired;
         }
--- a/crates/core/src/budget/mod.rs
+++ b/crates/core/src/budget/mod.rs
@@ -46,7 +46,7 @@
         durations,
         ids::{Epoch, ProgramId},
     },
-    account::{Account, Reserving, duration_of_ms},
+    account::{Account, ChargeTerms, Reserving, duration_of_ms},
     standby::Replication,
     std::{
         collections::{BTreeMap, HashMap},
@@ -73,6 +73,10 @@
 const WRITES_BEFORE_RESERVATIONS: u64 = 3;
 /// Idle time of programs that is assumed where a record names none.
 const IDLE_MAX_DEFAULT: Duration = Duration::from_secs(60);
+/// How long an owner that can reach the store grants turns after the store has accepted a record of
+/// its. Shorter than [`RETENTION_MARGIN`]: a successor keeps the account of a program for long enough
+/// that seems to be idle while a superseded owner serves it.
+const CONFIRMED_FOR: Duration = Duration::from_secs(5);
 /// Time for which accounts are kept after the programs' idle time has passed.
 const RETENTION_MARGIN: Duration = Duration::from_secs(10);
 
@@ -214,6 +218,13 @@
     store_failing_since: Option<Instant>,
     /// Whether the store has answered a read since the last failure.
     is_store_reached: bool,
+    /// When the last record was built.
+    built_at: Instant,
+    /// When the last record was built that the store has accepted. No other owner had taken the ledger
+    /// over by then.
+    confirmed_at: Instant,
+    /// Whether a turn waits until the store has confirmed the ownership.
+    must_confirm: bool,
     /// Sequence of the last write that this owner has asked the note hosts to note.
     proposed_sequence: u64,
     /// Sequence of the last write that a majority of the note hosts has noted. Invariant: at most
@@ -292,6 +303,9 @@
             lost_overdrafts_until: now,
             store_failing_since: None,
             is_store_reached: false,
+            built_at: now,
+            confirmed_at: now,
+            must_confirm: false,
             proposed_sequence: 0,
             noted_sequence: 0,
             replication: None,
@@ -315,7 +329,11 @@
         self.idle_max = self.idle_max.max(charge.ledger_idle_max());
         let open_account = || Account::new(now, lost_overdrafts);
         let account = self.accounts.entry(charge.program.clone()).or_insert_with(open_account);
-        let outcome = account.charge(now, charge, is_overdraft_allowed, self.sequence);
+        let is_confirmed = self.store_failing_since.is_some()
+            || now.saturating_duration_since(self.confirmed_at) < CONFIRMED_FOR;
+        let terms = ChargeTerms { is_overdraft_allowed, is_confirmed, sequence: self.sequence };
+        let outcome = account.charge(now, charge, terms);
+        self.must_confirm |= outcome == ChargeOutcome::WriteRequired && !is_confirmed;
         if let (ChargeOutcome::Granted { .. }, Some(replication)) = (outcome, &mut self.replication)
         {
             replication.mark_changed(&charge.program);
@@ -421,6 +439,7 @@
         let reserving =
             if self.reserves_turns() { Reserving::NextTurns } else { Reserving::WaitingTurns };
         self.store_failing_since.is_some()
+            || self.must_confirm
             || self.should_rewrite_record()
             || self.is_releasing()
             || self.replication.is_some()
@@ -472,6 +491,7 @@
             self.sequence = self.sequence.max(self.proposed_sequence);
         }
         self.sequence += 1;
+        self.built_at = now;
         let (reserving, note_hosts) = match (self.is_releasing(), self.reserves_turns()) {
             // A released owner grants no overdraft.
             (true, _) => (Reserving::Nothing, Vec::new()),
@@ -503,6 +523,8 @@
     /// Records that were built earlier or for another epoch can't be stored any more.
     pub fn on_write_succeeded(&mut self, now: Instant, record: &LedgerRecord) {
         self.on_store_reached(now);
+        self.confirmed_at = self.built_at;
+        self.must_confirm = false;
         self.store_failing_since = None;
         self.next_replication_at = None;
         self.promoted_from = None;
--- a/crates/core/src/budget/tests.rs
+++ b/crates/core/src/budget/tests.rs
@@ -966,3 +966,27 @@
     write(&mut ledger, later);
     assert_eq!(turns.charge_until_refused(&mut ledger, later, 4 * TURN).0, 0);
 }
+
+/// A host that can't reach the successor charges a turn at the former owner, which still has a
+/// reservation and has not heard that it was superseded. To the successor the program is idle.
+#[test]
+fn budget_holds_for_a_program_that_a_superseded_owner_serves_meanwhile() {
+    let (start, budget) = (Instant::now(), 4 * TURN);
+    let at = |seconds| start + Duration::from_secs(seconds);
+    let (mut owner, mut turns) = (new_ledger(start), Turns::default());
+    let first = turns.charge("p", budget);
+    for _ in 0..=WRITES_BEFORE_RESERVATIONS {
+        owner.charge(start, &first);
+        write(&mut owner, start);
+    }
+    let mut granted = u64::from(is_granted(&owner.charge(start, &first)));
+    let mut successor = take_over(start, "host-2@1", Some(&write(&mut owner, start)));
+    write(&mut successor, start);
+    granted += u64::from(is_granted(&owner.charge(at(50), &turns.charge("p", budget))));
+    // The successor writes for other programs.
+    successor.charge(at(80), &turns.charge("q", budget));
+    write(&mut successor, at(80));
+    // 50 s after its last turn the program returns.
+    granted += turns.charge_until_refused(&mut successor, at(100), budget).0;
+    assert!(granted <= budget / TURN + 1, "{granted} turns of a budget for {}", budget / TURN);
+}
