--- a/crates/cli/tests/crowds/site.rs
+++ b/crates/cli/tests/crowds/site.rs
@@ -1,7 +1,10 @@
 //! One gateway process before stand-ins that run in the test process.
 
 use {
-    crate::process::{free_ports, get, is_ready},
+    crate::{
+        memory::MemorySampler,
+        process::{free_ports, get, is_ready},
+    },
     http::StatusCode,
     serde_json::Value,
     smol::{
@@ -31,7 +34,7 @@
 /// Memory of the host, which its resident memory must stay below.
 pub const MEMORY_MB: u64 = 64;
 /// Descriptor limit of the process.
-const DESCRIPTOR_LIMIT: usize = 2200;
+pub const DESCRIPTOR_LIMIT: usize = 2200;
 /// Descriptors that the process may have open. The rest is for connections to upstreams, other hosts
 /// and the store.
 pub const DESCRIPTORS_MAX: usize = 2000;
@@ -60,8 +63,9 @@
 pub struct Site {
     store: StoreStandin,
     worker: WorkerStandin,
-    _large: Task<()>,
-    _endless: EndlessStandin,
+    large: SocketAddr,
+    _answer_at_length: Task<()>,
+    endless: EndlessStandin,
     process: Child,
     ports: Vec<u16>,
     folder: PathBuf,
@@ -70,6 +74,7 @@
 /// What `/proc` says of the process.
 #[derive(Clone, Copy, Debug)]
 pub struct Usage {
+    /// Peak of the resident memory alone.
     pub peak_mb: u64,
     pub resident_mb: u64,
     pub descriptors: usize,
@@ -108,8 +113,9 @@
         let site = Self {
             store,
             worker,
-            _large: smol::spawn(answer_at_length(listener)),
-            _endless: endless,
+            large,
+            _answer_at_length: smol::spawn(answer_at_length(listener)),
+            endless,
             process,
             ports,
             folder,
@@ -142,18 +148,15 @@
         }
     }
 
+    /// Starts to sample the memory of the host.
+    pub fn sample_memory(&self) -> MemorySampler {
+        let upstreams = [self.store.address, self.worker.address, self.large, self.endless.address];
+        MemorySampler::start(self.process.id(), &self.ports, &upstreams.map(|one| one.port()))
+    }
+
     /// Reads the use of memory and descriptors. Fails if the process has ended.
     pub fn usage(&mut self) -> Usage {
-        assert_eq!(self.process.try_wait().expect("a child process"), None, "the host has ended");
-        let id = self.process.id();
-        let status = fs::read_to_string(format!("/proc/{id}/status")).expect("the process runs");
-        let field_mb = |name: &str| {
-            let line = status.lines().find_map(|line| line.strip_prefix(name)).expect("the field");
-            let kb: u64 = line.trim().trim_end_matches(" kB").parse().expect("a number");
-            kb / 1024
-        };
-        let descriptors = fs::read_dir(format!("/proc/{id}/fd")).expect("the process runs").count();
-        Usage { peak_mb: field_mb("VmHWM:"), resident_mb: field_mb("VmRSS:"), descriptors }
+        usage_of(&mut self.process)
     }
 
     /// Sends ordinary requests one after the other on one connection, with bodies of this size. Returns the
@@ -203,6 +206,25 @@
     }
 }
 
+/// Reads the use of memory and descriptors of a process. Fails if it has ended.
+pub fn usage_of(process: &mut Child) -> Usage {
+    assert_eq!(process.try_wait().expect("a child process"), None, "the host has ended");
+    let id = process.id();
+    let status = fs::read_to_string(format!("/proc/{id}/status")).expect("the process runs");
+    let field_mb = |name: &str| {
+        let line = status.lines().find_map(|line| line.strip_prefix(name)).expect("the field");
+        let kb: u64 = line.trim().trim_end_matches(" kB").parse().expect("a number");
+        kb / 1024
+    };
+    let descriptors = fs::read_dir(format!("/proc/{id}/fd")).expect("the process runs").count();
+    Usage { peak_mb: field_mb("VmHWM:"), resident_mb: field_mb("VmRSS:"), descriptors }
+}
+
+/// Returns the program to test.
+pub fn binary() -> String {
+    env::var(BINARY_VARIABLE).unwrap_or_else(|_| TREFOILRING_BINARY.into())
+}
+
 /// Returns the head of a request to a service, without its framing headers and its last empty line.
 pub fn request_head(path: &str, number: usize) -> String {
     let id = format!("crowd-{number}");
@@ -264,7 +286,7 @@
     let log = |name: &str| File::create(folder.join(name)).expect("the folder is writable");
     Command::new("sh")
         .args(["-c", &format!("ulimit -n {DESCRIPTOR_LIMIT} && exec \"$@\""), "sh"])
-        .arg(env::var(BINARY_VARIABLE).unwrap_or_else(|_| TREFOILRING_BINARY.into()))
+        .arg(binary())
         .args(["serve", "--platform"])
         .arg(settings)
         .stdout(Stdio::from(log("host.jsonl")))
