Bound what may arrive at a connection, and count it as memory of the host

What callers saw: the process of a host was killed while clients that nobody controls sent to it, and with it the requests of all others.

Cause: bytes that have arrived unread count as memory of a process, and nothing bounded them. The kernel lets a receive buffer grow to megabytes while its peer sends faster than it is read. A refused caller is read on for a second, a body without room waits unread, and up to 1,024 connections at each of four ports wait to be accepted, each with a buffer of its own. The account of memory counted none of them.

Change: listeners set the receive buffer, which accepted connections inherit: memory_mb / 8,192, 8 to 64 KB. The kernel doubles it, and each connection reserves the doubled size beside its own buffers, so the number of connections follows from the memory. The backlogs are 256, 128, 32 and 32, an eighth of the memory at most, which the account leaves out.

Why it works: a peer can't have more bytes unread than the window that its buffer gives it (crates/net/tests/unread.rs), and no connection is accepted without room for that much.

--- a/crates/gateway/src/callers.rs
+++ b/crates/gateway/src/callers.rs
@@ -17,7 +17,8 @@
 /// Listens for callers, if this host serves them.
 pub(crate) async fn start(gateway: &Rc<Gateway>) -> io::Result<Option<SocketAddr>> {
     let Some(address) = gateway.settings.callers_listen else { return Ok(None) };
-    let listener = trefoilring_net::listen(address)?;
+    let options = gateway.memory.sockets().callers();
+    let listener = trefoilring_net::listen_with(address, &options)?;
     let bound = listener.local_addr()?;
     gateway.spawn(accept(gateway.clone(), listener));
     Ok(Some(bound))
--- a/crates/gateway/src/inbound.rs
+++ b/crates/gateway/src/inbound.rs
@@ -112,7 +112,8 @@
         if !self.is_answering.get() && self.head_began_at.get().is_none() {
             self.head_began_at.set(Some(now));
             self.reservation.set_phase(Phase::Moving);
-            let bytes = ACTIVE_BYTES + self.head_bytes_max;
+            let unread_bytes_max = self.reservation.unread_bytes_max();
+            let bytes = ACTIVE_BYTES + self.head_bytes_max + unread_bytes_max;
             if self
                 .reservation
                 .resize(Class::Connection, bytes)
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -29,6 +29,7 @@
 mod relay;
 mod roster;
 pub mod settings;
+mod sockets;
 mod status;
 pub mod store;
 mod stream_origins;
--- a/crates/gateway/src/listen.rs
+++ b/crates/gateway/src/listen.rs
@@ -19,6 +19,7 @@
         time::{Duration, Instant},
     },
     trefoilring_core::memory::Class,
+    trefoilring_net::ListenOptions,
 };
 
 /// Pause after a failed accept. If the process has run out of file descriptors, open connections
@@ -32,13 +33,14 @@
 pub(crate) async fn listen<F, S>(
     gateway: &Rc<Gateway>,
     address: SocketAddr,
+    options: &ListenOptions,
     serve: S,
 ) -> io::Result<SocketAddr>
 where
     F: Future<Output = ()> + 'static,
     S: Fn(Rc<Gateway>, Accepted) -> F + 'static,
 {
-    let listener = trefoilring_net::listen(address)?;
+    let listener = trefoilring_net::listen_with(address, options)?;
     let bound = listener.local_addr()?;
     let task_gateway = gateway.clone();
     gateway.spawn(async move { accept_all(&task_gateway, &listener, serve).await });
@@ -69,7 +71,8 @@
 /// is idle. The connection is closed then: its peer has no answer that could be taken for another one.
 async fn open_account(gateway: &Rc<Gateway>, stream: TcpStream) -> Option<Accepted> {
     let signal = Rc::new(DropSignal::default());
-    let reserve = || gateway.memory.reserve(Class::Connection, None, IDLE_BYTES, &signal);
+    let bytes = IDLE_BYTES + gateway.memory.sockets().unread_bytes_max();
+    let reserve = || gateway.memory.reserve(Class::Connection, None, bytes, &signal);
     let released = gateway.memory.released().listen();
     let reservation = match reserve() {
         Ok(reservation) => reservation,
--- a/crates/gateway/src/memory.rs
+++ b/crates/gateway/src/memory.rs
@@ -1,7 +1,7 @@
 //! The memory of this host, shared by callers, upstreams and other hosts.
 
 use {
-    crate::time::within,
+    crate::{sockets::SocketLimits, time::within},
     event_listener::Event,
     rustix::process::{Resource, getrlimit},
     serde_json::json,
@@ -19,7 +19,7 @@
 };
 
 /// What a host needs for itself: its code, the routing table, the lists of hosts and upstreams, and
-/// connections to them. Measured in `docs/CAPACITY.md`.
+/// idle connections to them. Measured in `docs/CAPACITY.md`.
 const OWN_BYTES: u64 = 26 * 1024 * 1024;
 /// Part of the memory that remembered turns take, see `turns::cache`.
 const TURNS_FRACTION: u64 = 10;
@@ -64,6 +64,7 @@
 /// The memory account of this host.
 pub(crate) struct HostMemory {
     account: RefCell<Account>,
+    sockets: SocketLimits,
     signals: RefCell<SecondaryMap<HolderKey, Rc<DropSignal>>>,
     /// Notified when memory was released.
     released: Event,
@@ -75,8 +76,10 @@
 impl HostMemory {
     /// Creates the account of a host with this much memory.
     pub(crate) fn new(host_memory_bytes: u64, decisions: Decisions) -> Rc<Self> {
+        let sockets = SocketLimits::new(host_memory_bytes);
         let bytes = host_memory_bytes
             .saturating_sub(OWN_BYTES + host_memory_bytes / TURNS_FRACTION)
+            .saturating_sub(sockets.unaccepted_bytes_max() as u64)
             .max(host_memory_bytes / ACCOUNT_FRACTION_MIN);
         let descriptors = getrlimit(Resource::Nofile).current.unwrap_or(u64::MAX);
         let connections = descriptors - descriptors / DESCRIPTORS_KEPT_FRACTION;
@@ -86,6 +89,7 @@
         );
         Rc::new(Self {
             account: RefCell::new(account),
+            sockets,
             signals: RefCell::default(),
             released: Event::new(),
             waiting: Cell::new(0),
@@ -94,6 +98,11 @@
         })
     }
 
+    /// Returns what the host's sockets may hold.
+    pub(crate) fn sockets(&self) -> SocketLimits {
+        self.sockets
+    }
+
     /// Returns the bytes that bodies and answers hold.
     pub(crate) fn used_bytes(&self) -> usize {
         self.account.borrow().used_bytes()
@@ -241,6 +250,11 @@
         self.memory.wait(|| self.resize(Class::Body, bytes)).await
     }
 
+    /// Returns how many bytes may have arrived at a connection without being read.
+    pub(crate) fn unread_bytes_max(&self) -> usize {
+        self.memory.sockets.unread_bytes_max()
+    }
+
     /// Records that the peer has sent or read bytes.
     pub(crate) fn record_progress(&self, bytes: usize) {
         self.memory.account.borrow_mut().record_progress(Instant::now(), self.key, bytes);
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -57,7 +57,8 @@
 
 /// Listens for connections of other hosts. Returns the bound address.
 pub(crate) async fn start(gateway: &Rc<Gateway>) -> io::Result<SocketAddr> {
-    listen(gateway, gateway.settings.peers_listen, serve).await
+    let options = gateway.memory.sockets().peers();
+    listen(gateway, gateway.settings.peers_listen, &options, serve).await
 }
 
 async fn serve(gateway: Rc<Gateway>, accepted: Accepted) {
--- a/crates/gateway/src/status.rs
+++ b/crates/gateway/src/status.rs
@@ -20,11 +20,12 @@
 
 /// Listens for readiness checks and metrics requests. Returns both addresses.
 pub(crate) async fn start(gateway: &Rc<Gateway>) -> io::Result<(Option<SocketAddr>, SocketAddr)> {
+    let options = gateway.memory.sockets().status();
     let ready = match gateway.settings.ready_listen {
-        Some(address) => Some(listen(gateway, address, serve).await?),
+        Some(address) => Some(listen(gateway, address, &options, serve).await?),
         None => None,
     };
-    Ok((ready, listen(gateway, gateway.settings.metrics_listen, serve).await?))
+    Ok((ready, listen(gateway, gateway.settings.metrics_listen, &options, serve).await?))
 }
 
 async fn serve(gateway: Rc<Gateway>, accepted: Accepted) {
