Bound what may arrive from upstreams, the store and other hosts

What callers saw: with callers that do not read their answers, the memory of a host still held more than its account knew: the events and answers that wait in the connections to upstreams.

Cause: a connection that the host opens has a receive buffer that the kernel sizes, and whose bytes no reservation covers. A request has one such connection.

Evidence: crates/net/tests/unread.rs, opened_connection_holds_no_more_than_its_buffer: a buffer that is not set holds more than the bound (buffer_that_is_not_set_holds_more, for the same bytes).

Change: trefoilring_net::connect sets the buffer before it connects, to the size that accepted connections have. The reservation of a caller's connection includes one more buffer from a request's first byte until its answer has been passed on.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -214,13 +214,18 @@
         on_bound: impl FnOnce(BoundAddresses),
     ) -> io::Result<()> {
         let executor = Rc::new(LocalExecutor::new());
-        let connections = Rc::new(ConnectionPool::new(executor.clone(), CONNECT_TIMEOUT));
+        let memory = HostMemory::new(settings.memory_bytes_max, decisions.clone());
+        let create_pool = |timeout| {
+            let pool = ConnectionPool::new(executor.clone(), timeout);
+            pool.with_options(memory.sockets().connect())
+        };
+        let connections = Rc::new(create_pool(CONNECT_TIMEOUT));
         let (crash_log_file, crash_log) = CrashLogFile::open(settings.data_folder.clone());
         let gateway = Rc::new(Self {
             adapter: create_adapter(connections.clone()),
             connections,
-            peer_connections: ConnectionPool::new(executor.clone(), PEER_CONNECT_TIMEOUT),
-            relay_connections: ConnectionPool::new(executor.clone(), PEER_CONNECT_TIMEOUT),
+            peer_connections: create_pool(PEER_CONNECT_TIMEOUT),
+            relay_connections: create_pool(PEER_CONNECT_TIMEOUT),
             relay: Relay::default(),
             routing_table: RefCell::default(),
             placement: RefCell::new(create_placement(&settings)),
@@ -242,7 +247,7 @@
             outage_notes: OutageNoteStore::open(&settings.host, settings.data_folder.clone())?,
             turns: Turns::open(&settings)?,
             settlements: RefCell::default(),
-            memory: HostMemory::new(settings.memory_bytes_max, decisions.clone()),
+            memory,
             origin_notes: RefCell::default(),
             suspects: RefCell::default(),
             relays: RefCell::default(),
--- a/crates/gateway/src/http.rs
+++ b/crates/gateway/src/http.rs
@@ -33,6 +33,7 @@
         },
         time::{Duration, Instant},
     },
+    trefoilring_net::{ConnectOptions, connect},
 };
 
 /// How long written bytes may stay unacknowledged before the kernel closes a connection. Longer
@@ -145,6 +146,7 @@
 pub struct ConnectionPool {
     executor: Rc<LocalExecutor<'static>>,
     connect_timeout: Duration,
+    options: ConnectOptions,
     idle: RefCell<HashMap<SocketAddr, Vec<IdleConnection>>>,
     counts: RefCell<ConnectionCounts>,
     /// Outcomes of the latest connection attempts: the address, and whether it was connected.
@@ -215,12 +217,19 @@
         Self {
             executor,
             connect_timeout,
+            options: ConnectOptions::default(),
             idle: RefCell::default(),
             counts: RefCell::default(),
             connects: RefCell::default(),
         }
     }
 
+    /// Sets the options of its connections.
+    #[must_use]
+    pub(crate) fn with_options(self, options: ConnectOptions) -> Self {
+        Self { options, ..self }
+    }
+
     /// Returns the counters since the start.
     pub fn counts(&self) -> ConnectionCounts {
         *self.counts.borrow()
@@ -319,7 +328,7 @@
         deadline: Instant,
     ) -> Result<Connection, ListenerState> {
         let deadline = deadline.min(Instant::now() + self.connect_timeout);
-        let connected = within(deadline, TcpStream::connect(address)).await;
+        let connected = within(deadline, connect(address, &self.options)).await;
         let stream = match connected {
             Some(Ok(stream)) => stream,
             Some(Err(error)) => {
--- a/crates/gateway/src/inbound.rs
+++ b/crates/gateway/src/inbound.rs
@@ -112,8 +112,8 @@
         if !self.is_answering.get() && self.head_began_at.get().is_none() {
             self.head_began_at.set(Some(now));
             self.reservation.set_phase(Phase::Moving);
-            let unread_bytes_max = self.reservation.unread_bytes_max();
-            let bytes = ACTIVE_BYTES + self.head_bytes_max + unread_bytes_max;
+            // The request will use a connection to an upstream as well.
+            let bytes = self.buffer_bytes() + self.reservation.unread_bytes_max();
             if self
                 .reservation
                 .resize(Class::Connection, bytes)
@@ -125,6 +125,11 @@
         }
     }
 
+    /// Returns the memory of a connection that has received a request.
+    fn buffer_bytes(&self) -> usize {
+        ACTIVE_BYTES + self.head_bytes_max + self.reservation.unread_bytes_max()
+    }
+
     /// Called when the head of a request has been received.
     pub(crate) fn on_request_start<B: Body>(&self, body: &B) {
         self.is_answering.set(true);
@@ -138,6 +143,8 @@
         self.is_answering.set(false);
         self.active_at.set(Instant::now());
         self.reservation.set_phase(Phase::Moving);
+        // A smaller reservation always fits.
+        let _ = self.reservation.resize(Class::Connection, self.buffer_bytes());
     }
 }
 
--- a/crates/gateway/src/sockets.rs
+++ b/crates/gateway/src/sockets.rs
@@ -1,7 +1,7 @@
 //! Receive buffers and backlogs of this host's sockets. Bytes that have arrived and have not been read
 //! count as memory of the host, so their maximum follows from the memory.
 
-use trefoilring_net::{ListenOptions, unread_bytes_max};
+use trefoilring_net::{ConnectOptions, ListenOptions, unread_bytes_max};
 
 /// Part of the memory that a receive buffer has.
 const RECEIVE_BUFFER_FRACTION: u64 = 8 * 1024;
@@ -41,6 +41,11 @@
         self.listen(STATUS_BACKLOG)
     }
 
+    /// Returns the options of connections to upstreams, the store and other hosts.
+    pub(crate) fn connect(&self) -> ConnectOptions {
+        ConnectOptions { receive_buffer_bytes: self.receive_buffer_bytes }
+    }
+
     /// Returns how many bytes may have arrived at a connection without being read.
     pub(crate) fn unread_bytes_max(&self) -> usize {
         unread_bytes_max(self.receive_buffer_bytes)
--- /dev/null
+++ b/crates/net/src/connect.rs
@@ -0,0 +1,51 @@
+//! Connections to other processes.
+
+use {
+    crate::RECEIVE_BUFFER_BYTES,
+    smol::{Async, net::TcpStream},
+    socket2::{Domain, Protocol, Socket, Type},
+    std::{
+        io,
+        net::{self, SocketAddr},
+    },
+};
+
+/// What a connection may hold before it is read.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct ConnectOptions {
+    /// Size of its receive buffer in bytes, as requested from the kernel.
+    pub receive_buffer_bytes: usize,
+}
+
+impl Default for ConnectOptions {
+    fn default() -> Self {
+        Self { receive_buffer_bytes: RECEIVE_BUFFER_BYTES }
+    }
+}
+
+/// Connects to an address.
+///
+/// # Errors
+///
+/// Fails if the peer refuses the connection or can't be reached, or the socket can't be created.
+pub async fn connect(address: SocketAddr, options: &ConnectOptions) -> io::Result<TcpStream> {
+    let socket = Socket::new(Domain::for_address(address), Type::STREAM, Some(Protocol::TCP))?;
+    socket.set_recv_buffer_size(options.receive_buffer_bytes)?;
+    socket.set_nonblocking(true)?;
+    if let Err(error) = socket.connect(&address.into())
+        && !is_in_progress(&error)
+    {
+        return Err(error);
+    }
+    let stream = Async::new(net::TcpStream::from(socket))?;
+    stream.writable().await?;
+    match stream.get_ref().take_error()? {
+        Some(error) => Err(error),
+        None => Ok(stream.into()),
+    }
+}
+
+fn is_in_progress(error: &io::Error) -> bool {
+    error.kind() == io::ErrorKind::WouldBlock
+        || error.raw_os_error() == Some(rustix::io::Errno::INPROGRESS.raw_os_error())
+}
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -9,9 +9,13 @@
 //! and each connection has one, also while it waits to be accepted. One that is set before the
 //! connection is established keeps its size.
 
+mod connect;
 mod read_turns;
 
-pub use read_turns::ReadTurns;
+pub use {
+    connect::{ConnectOptions, connect},
+    read_turns::ReadTurns,
+};
 
 use {
     smol::{Async, net::TcpListener},
--- a/crates/net/tests/unread.rs
+++ b/crates/net/tests/unread.rs
@@ -8,7 +8,9 @@
         thread,
         time::Duration,
     },
-    trefoilring_net::{ListenOptions, RECEIVE_BUFFER_BYTES, listen_with, unread_bytes_max},
+    trefoilring_net::{
+        ConnectOptions, ListenOptions, RECEIVE_BUFFER_BYTES, connect, listen_with, unread_bytes_max,
+    },
 };
 
 /// Pause in which the kernel may pass on what was sent.
@@ -46,7 +48,28 @@
     assert!((1..=unread_bytes_max(RECEIVE_BUFFER_BYTES)).contains(&unread), "{unread}");
 }
 
-/// What the bound above is compared with: a connection whose buffer nobody sets.
+#[test]
+fn opened_connection_holds_no_more_than_its_buffer() {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
+    let address = listener.local_addr().unwrap();
+    let stream = block_on(connect(address, &ConnectOptions::default())).unwrap();
+    let (peer, _) = listener.accept().unwrap();
+    fill(&peer);
+    let unread = unread_bytes(&stream);
+    assert!((1..=unread_bytes_max(RECEIVE_BUFFER_BYTES)).contains(&unread), "{unread}");
+}
+
+/// Guards against a listener that is gone and is taken for one that accepts.
+#[test]
+fn refused_connection_is_an_error() {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
+    let address = listener.local_addr().unwrap();
+    drop(listener);
+    let refused = block_on(connect(address, &ConnectOptions::default())).unwrap_err();
+    assert_eq!(refused.kind(), ErrorKind::ConnectionRefused);
+}
+
+/// What the two bounds above are compared with: connections whose buffers nobody sets.
 #[test]
 fn buffer_that_is_not_set_holds_more() {
     let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
