Hold no state of a request while a refused one is read on

What callers saw: the process of a host with the product's own interface grew by some 100 KB for each connection whose request it had refused, for the second for which it reads on.

Cause: the state of a request (authentication, body, run, reply) was part of its connection's task, and the refusal was written and the rest read on from within it.

Change: the state is boxed and ends with the refusal; the connection's task then writes it and reads on.

--- a/crates/edge/src/server.rs
+++ b/crates/edge/src/server.rs
@@ -148,8 +148,15 @@
             match receive::next_head(&conn, options, &stop, stop_grace).await {
                 Ok(NextRequest::Head(head)) => {
                     stop_grace = Duration::ZERO;
-                    if !self.answer(&conn, head, &stop).await {
-                        break;
+                    let method = head.method;
+                    // Boxed, so that a connection has the state of a request only while there is one.
+                    match Box::pin(self.answer(&conn, head, &stop)).await {
+                        Ok(true) => {}
+                        Ok(false) => break,
+                        Err(problem) => {
+                            self.refuse_and_linger(&conn, problem, method).await;
+                            break;
+                        }
                     }
                 }
                 Ok(NextRequest::Closed) => break,
@@ -164,7 +171,17 @@
     }
 
     /// Answers one request. Returns whether the connection can be used for another one.
-    async fn answer<S>(&self, conn: &Conn<S>, head: Head, stop: &StopReceiver) -> bool
+    ///
+    /// # Errors
+    ///
+    /// Returns the problem of a request that is refused before it runs. Bytes of its body may be unread
+    /// on the connection.
+    async fn answer<S>(
+        &self,
+        conn: &Conn<S>,
+        head: Head,
+        stop: &StopReceiver,
+    ) -> Result<bool, Problem>
     where
         S: AsyncRead + AsyncWrite + Send + Unpin + 'static,
     {
@@ -172,28 +189,16 @@
         let handler = &self.shared.handler;
         let method = head.method;
         let must_close = reply::must_close_after_reply(&head);
-        // A request refused here may leave unread bytes of its body on the connection.
-        let received = async {
-            let request = handler::admit(&handler.backend, head).await?;
-            let memory = &self.shared.memory;
-            let (body, memory) =
-                receive::request_body(conn, &request.head, options, memory).await?;
-            Ok((request, body, memory))
-        };
-        let (request, body, memory) = match received.await {
-            Ok(received) => received,
-            Err(problem) => {
-                self.refuse_and_linger(conn, problem, method).await;
-                return false;
-            }
-        };
+        let request = handler::admit(&handler.backend, head).await?;
+        let (body, memory) =
+            receive::request_body(conn, &request.head, options, &self.shared.memory).await?;
         let id = request.id.clone();
         let work = async { Some(handler.run(request, body).await) };
         let disconnected = async {
             conn.wait_for_disconnect().await;
             None
         };
-        let Some(guarded) = or(work, disconnected).await else { return false };
+        let Some(guarded) = or(work, disconnected).await else { return Ok(false) };
         drop(memory);
         let mut guarded = guarded.unwrap_or_else(|problem| Reply::from(problem).into());
         let must_close = must_close || stop.is_stopped();
@@ -201,7 +206,7 @@
         if must_close {
             guarded.streamable.reply = guarded.streamable.reply.with("Connection", "close");
         }
-        self.write(conn, guarded, method).await.is_ok() && !must_close
+        Ok(self.write(conn, guarded, method).await.is_ok() && !must_close)
     }
 
     /// Writes a reply to the caller while the backend still supplies its body. Fails if the caller
