Bound the messages that hosts with the own interface receive from others

What callers saw: 60 connections to the port for other hosts, each with a message of 15 MiB that stops short of its end, took a host to 921 MB.

Cause: a message may have 16 MiB and is buffered until it is complete; nothing bounded how many there were, nor the connections.

What finds no room has its connection closed, as have messages that stall for a second while others need their memory; the link of the other host connects again, as after any failure. Connections of other hosts are limited to 1,024.

--- a/crates/host/src/host.rs
+++ b/crates/host/src/host.rs
@@ -36,7 +36,7 @@
     trefoilring_config::settings::Settings,
     trefoilring_core::{catalog::Catalog, event::Kind, ids::Member},
     trefoilring_edge::{Edge, EdgeOptions, StopReceiver, StopSender, stop_signal},
-    trefoilring_proto::Peer,
+    trefoilring_proto::{FrameMemory, Peer},
 };
 
 /// Timeout for a call to the Object API.
@@ -44,6 +44,8 @@
 /// Timeout for the handover of journals after the running requests have ended, as a multiple of the
 /// lease duration.
 const HANDOVER_LEASES: u32 = 6;
+/// Maximum number of connections that peers have to this host. Each of them has one.
+const MAX_PEER_CONNECTIONS: usize = 1024;
 /// Time that entry hosts have to fetch the last chunks of calls that ran here.
 const RELAY_DRAIN_TIMEOUT: Duration = Duration::from_secs(15);
 /// Polling interval while waiting for a drain request or for a drain to finish.
@@ -288,11 +290,16 @@
 }
 
 async fn accept_peers(shared: Arc<Shared>, listener: TcpListener, stop: StopReceiver) {
+    let memory = Arc::new(FrameMemory::new(shared.settings.callers.max_bodies_bytes));
     let accept = async {
         let mut incoming = listener.incoming();
         while let Some(stream) = incoming.next().await {
             match stream {
-                Ok(stream) => shared.spawn(serve_peer(shared.clone(), stream)),
+                // The memory is referenced once here and once by each connection.
+                Ok(_) if Arc::strong_count(&memory) > MAX_PEER_CONNECTIONS => {
+                    log::warn!("refused a connection of a peer: there are {MAX_PEER_CONNECTIONS}");
+                }
+                Ok(stream) => shared.spawn(serve_peer(shared.clone(), stream, memory.clone())),
                 Err(error) => log::warn!("failed to accept a peer connection: {error}"),
             }
         }
@@ -300,8 +307,8 @@
     smol::future::or(accept, stop.wait()).await;
 }
 
-async fn serve_peer(shared: Arc<Shared>, stream: smol::net::TcpStream) {
-    let channel = trefoilring_proto::accept(stream);
+async fn serve_peer(shared: Arc<Shared>, stream: smol::net::TcpStream, memory: Arc<FrameMemory>) {
+    let channel = trefoilring_proto::accept(stream, memory);
     let mut requests = std::pin::pin!(channel.execute(PeerServer::new(shared.clone()).serve()));
     while let Some(response) = Compat::new(requests.next()).await {
         shared.spawn(Compat::new(response));
--- a/crates/proto/src/connection.rs
+++ b/crates/proto/src/connection.rs
@@ -4,6 +4,7 @@
 use {
     crate::{
         codec::MessagePack,
+        frames::{FrameCodec, FrameMemory},
         service::{PeerClient, PeerRequest, PeerResponse},
     },
     async_compat::{Compat, CompatExt},
@@ -22,12 +23,8 @@
         context::Context,
         server::BaseChannel,
     },
-    tokio_util::codec::LengthDelimitedCodec,
 };
 
-/// Maximum size of a message. Must exceed the encoded sizes of the largest journal entry (1 MiB)
-/// and of the largest history. The encoding includes field names.
-const MAX_FRAME_BYTES: usize = 16 << 20;
 /// Timeout for connecting to a peer.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
 /// Maximum number of calls in flight over one link.
@@ -148,7 +145,7 @@
         stream.set_nodelay(true)?;
         let mut config = client::Config::default();
         config.max_in_flight_requests = MAX_IN_FLIGHT;
-        let client = PeerClient::new(config, transport(stream));
+        let client = PeerClient::new(config, transport(stream, FrameCodec::new(None)));
         let dispatch = Compat::new(client.dispatch);
         self.executor
             .spawn(async move {
@@ -165,6 +162,7 @@
 /// because the response futures are only known to be `Send` for a concrete server type.
 pub fn accept(
     stream: TcpStream,
+    memory: Arc<FrameMemory>,
 ) -> BaseChannel<
     PeerRequest,
     PeerResponse,
@@ -173,18 +171,18 @@
     if let Err(error) = stream.set_nodelay(true) {
         log::debug!("failed to set TCP_NODELAY: {error}");
     }
-    BaseChannel::with_defaults(transport(stream))
+    let codec = FrameCodec::new(Some((memory, stream.clone())));
+    BaseChannel::with_defaults(transport(stream, codec))
 }
 
 fn transport<Item, SinkItem>(
     stream: TcpStream,
+    codec: FrameCodec,
 ) -> impl Transport<SinkItem, Item, Error = io::Error> + Send + Unpin + 'static
 where
     Item: DeserializeOwned + Send + Unpin + 'static,
     SinkItem: Serialize + Send + Unpin + 'static,
 {
-    let mut codec = LengthDelimitedCodec::new();
-    codec.set_max_frame_length(MAX_FRAME_BYTES);
     let framed = tokio_util::codec::Framed::new(stream.compat(), codec);
-    tarpc::serde_transport::new(framed, MessagePack::<Item, SinkItem>::default())
+    tokio_serde::Framed::new(framed, MessagePack::<Item, SinkItem>::default())
 }
--- a/crates/proto/src/lib.rs
+++ b/crates/proto/src/lib.rs
@@ -6,11 +6,13 @@
 
 mod codec;
 mod connection;
+mod frames;
 mod message;
 mod service;
 
 pub use {
     connection::{Link, LinkError, accept},
+    frames::FrameMemory,
     message::{
         CallHandle, ChunkBatch, ClaimRequest, ConfigPart, CopyRequest, DiscardRequest, Handover,
         ProgramRequest, TakeTokens,
