Receive in buffers of memory_mb / 4,096, with shorter backlogs

What callers saw: with buffers of memory_mb / 8,192 a request with a large body cost the host up to twice the processor time, because the body comes in more and smaller reads.

Change: the buffers have twice the size, 16 to 64 KB, and the backlogs are 128 for callers and 64 for other hosts, so that what is not accepted still holds an eighth of the memory at most.

--- a/crates/gateway/src/sockets.rs
+++ b/crates/gateway/src/sockets.rs
@@ -4,14 +4,14 @@
 use trefoilring_net::{ConnectOptions, ListenOptions, unread_bytes_max};
 
 /// Part of the memory that a receive buffer has.
-const RECEIVE_BUFFER_FRACTION: u64 = 8 * 1024;
-const RECEIVE_BUFFER_BYTES_MIN: u64 = 8 * 1024;
-/// Beyond this size, links of a site do not carry more.
+const RECEIVE_BUFFER_FRACTION: u64 = 4 * 1024;
+const RECEIVE_BUFFER_BYTES_MIN: u64 = 16 * 1024;
+/// Receives tens of megabytes a second even where a round trip takes milliseconds.
 const RECEIVE_BUFFER_BYTES_MAX: u64 = 64 * 1024;
 /// Maximum numbers of connections that wait to be accepted. Callers of a lost host and hosts after a
 /// restart connect in bursts, the platform and the operators one at a time.
-const CALLERS_BACKLOG: u32 = 256;
-const PEERS_BACKLOG: u32 = 128;
+const CALLERS_BACKLOG: u32 = 128;
+const PEERS_BACKLOG: u32 = 64;
 const STATUS_BACKLOG: u32 = 32;
 
 /// What the sockets of a host may hold.
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -32,7 +32,7 @@
 pub const BACKLOG: u32 = 1024;
 /// Size of the receive buffers of connections, as requested from the kernel. The head and the body of
 /// most requests fit.
-pub const RECEIVE_BUFFER_BYTES: usize = 8 * 1024;
+pub const RECEIVE_BUFFER_BYTES: usize = 16 * 1024;
 
 /// What the connections of a listener may hold before they are read.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
