Show that a long program can't go on at a gateway with a small link

Cause: a store host has 300 ms for its whole reply with a program's turns, and a second and a third holder are asked for the same turns after 40 ms each, over the same link.

--- a/review/stand-3/src/lib.rs
+++ b/review/stand-3/src/lib.rs
@@ -571,18 +571,26 @@
 /// Starts a proxy to an address, through which the connecting side sends over `link`. Returns the
 /// proxy's address.
 pub fn start_proxy(to: SocketAddr, link: Arc<Link>) -> SocketAddr {
+    start_duplex_proxy(to, link, None)
+}
+
+/// Like [`start_proxy`], and the connecting side receives over `back`.
+pub fn start_duplex_proxy(to: SocketAddr, link: Arc<Link>, back: Option<Arc<Link>>) -> SocketAddr {
     let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("a port");
     let address = listener.local_addr().expect("it is bound");
     std::thread::spawn(move || {
         for near in listener.incoming().flatten() {
-            let link = link.clone();
+            let (link, back) = (link.clone(), back.clone());
             std::thread::spawn(move || {
                 let Ok(far) = TcpStream::connect(to) else { return };
                 let _ = (near.set_nodelay(true), far.set_nodelay(true));
                 let (Ok(near_back), Ok(far_back)) = (near.try_clone(), far.try_clone()) else {
                     return;
                 };
-                std::thread::spawn(move || copy(far_back, near_back, |_| ()));
+                std::thread::spawn(move || {
+                    let pass = |bytes| back.as_ref().map_or((), |back| back.pass(bytes));
+                    copy(far_back, near_back, pass);
+                });
                 copy(near, far, |bytes| link.pass(bytes));
             });
         }
