Show that clients that read slowly lose their answers

Cause: connections of clients have TCP_USER_TIMEOUT of 2 s, which on Linux also counts the time in which the peer's receive window is closed.

--- /dev/null
+++ b/review/15/run.sh
@@ -0,0 +1,2 @@
+#!/usr/bin/env bash
+cd "$(dirname "$0")" && . ../run-3.sh take_up
--- a/review/stand-3/src/bin/far_turn.rs
+++ b/review/stand-3/src/bin/far_turn.rs
@@ -65,8 +65,12 @@
     let folder = TemporaryFolder::create("review-3-far-turn");
     let store = smol::block_on(StoreStandin::start()).expect("a port");
     store.put("config", "main", configuration());
-    let work =
-        Work { time: Duration::from_millis(20), events: Some(9), pause: Duration::from_millis(2) };
+    let work = Work {
+        time: Duration::from_millis(20),
+        events: Some(9),
+        pause: Duration::from_millis(2),
+        answer_bytes: 0,
+    };
     let workers: Vec<Worker> =
         (0..6).map(|number| Worker::start(&format!("i-{number}"), work.clone())).collect();
     for (number, worker) in workers.iter().enumerate() {
--- a/review/stand-3/src/bin/memory.rs
+++ b/review/stand-3/src/bin/memory.rs
@@ -70,7 +70,12 @@
     let store = smol::block_on(StoreStandin::start()).expect("a port");
     store.put("config", "main", configuration());
     let zones = ["hcm-a", "hcm-b", "hcm-c"];
-    let work = Work { time: Duration::from_millis(300), events: Some(9), pause: Duration::ZERO };
+    let work = Work {
+        time: Duration::from_millis(300),
+        events: Some(9),
+        pause: Duration::ZERO,
+        answer_bytes: 0,
+    };
     let workers: Vec<Worker> =
         (0..6).map(|number| Worker::start(&format!("i-{number}"), work.clone())).collect();
     for (number, worker) in workers.iter().enumerate() {
--- a/review/stand-3/src/bin/take_up.rs
+++ b/review/stand-3/src/bin/take_up.rs
@@ -72,6 +72,7 @@
         time: Duration::from_millis(40),
         events: Some(EVENTS),
         pause: Duration::from_millis(120),
+        answer_bytes: 0,
     };
     let workers: Vec<Worker> =
         (0..6).map(|number| Worker::start(&format!("i-{number}"), work.clone())).collect();
--- a/review/stand-3/src/lib.rs
+++ b/review/stand-3/src/lib.rs
@@ -436,6 +436,8 @@
     pub events: Option<usize>,
     /// Pause before each event.
     pub pause: Duration,
+    /// Size of a plain answer.
+    pub answer_bytes: usize,
 }
 
 /// A sound worker on loopback that runs each request once and keeps connections open.
@@ -519,8 +521,10 @@
         let start =
             format!("HTTP/1.1 200 OK\r\n{start}Trefoilring-Server-Stamp: {worker}.{id}\r\n");
         let Some(events) = work.events else {
-            let answer = format!("{start}Content-Length: 7\r\n\r\nserved\n");
-            if stream.write_all(answer.as_bytes()).is_err() {
+            let size = work.answer_bytes;
+            let head = format!("{start}Content-Length: {size}\r\n\r\n");
+            let body = vec![b'y'; size];
+            if stream.write_all(head.as_bytes()).and_then(|()| stream.write_all(&body)).is_err() {
                 return;
             }
             continue;
