Show that streams of unreported leaving upstreams are refused

Cause: an upstream whose entry is gone is forgotten with its address, although it serves for `drain_ms`; streams of its version then find no upstream. docs/ROADMAP.md names the limit.

Change: review/15 with its script takes the place of the case of `retained` with `can_resume`, a lesser one: no sheet has both on a route.

--- a/review/15/run.sh
+++ b/review/15/run.sh
@@ -1,2 +1,2 @@
 #!/usr/bin/env bash
-cd "$(dirname "$0")" && . ../run-3.sh take_up
+cd "$(dirname "$0")" && . ../run-3.sh unreported
--- a/review/stand-3/src/lib.rs
+++ b/review/stand-3/src/lib.rs
@@ -9,7 +9,10 @@
         net::{Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream},
         path::{Path, PathBuf},
         process::{Child, ChildStderr, Command, Stdio},
-        sync::{Arc, Mutex},
+        sync::{
+            Arc, Mutex,
+            atomic::{AtomicBool, Ordering},
+        },
         time::{Duration, Instant, SystemTime, UNIX_EPOCH},
     },
 };
@@ -444,6 +447,8 @@
 pub struct Worker {
     pub id: String,
     pub address: SocketAddr,
+    /// Whether it says in its answers that it leaves.
+    pub is_leaving: Arc<AtomicBool>,
     runs: Arc<Mutex<Vec<Run>>>,
 }
 
@@ -452,14 +457,16 @@
         let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("a port");
         let address = listener.local_addr().expect("it is bound");
         let runs: Arc<Mutex<Vec<Run>>> = Arc::default();
-        let (worker, log) = (id.to_string(), runs.clone());
+        let is_leaving: Arc<AtomicBool> = Arc::default();
+        let (worker, log, leaving) = (id.to_string(), runs.clone(), is_leaving.clone());
         std::thread::spawn(move || {
             for stream in listener.incoming().flatten() {
                 let (worker, log, work) = (worker.clone(), log.clone(), work.clone());
-                std::thread::spawn(move || serve_worker(stream, &worker, &log, &work));
+                let leaving = leaving.clone();
+                std::thread::spawn(move || serve_worker(stream, &worker, &log, &work, &leaving));
             }
         });
-        Self { id: id.into(), address, runs }
+        Self { id: id.into(), address, is_leaving, runs }
     }
 
     pub fn runs(&self) -> Vec<Run> {
@@ -467,7 +474,13 @@
     }
 }
 
-fn serve_worker(mut stream: TcpStream, worker: &str, log: &Mutex<Vec<Run>>, work: &Work) {
+fn serve_worker(
+    mut stream: TcpStream,
+    worker: &str,
+    log: &Mutex<Vec<Run>>,
+    work: &Work,
+    is_leaving: &AtomicBool,
+) {
     let _ = stream.set_nodelay(true);
     let mut bytes = Vec::new();
     let mut block = vec![0; 65536];
@@ -501,7 +514,11 @@
         }
         let id = field("trefoilring-request-id").unwrap_or_default();
         let expected = field("trefoilring-expect-instance");
-        let start = format!("Trefoilring-Request-Id: {id}\r\nTrefoilring-Server-Load: 1,0,16\r\n");
+        let mut start =
+            format!("Trefoilring-Request-Id: {id}\r\nTrefoilring-Server-Load: 1,0,16\r\n");
+        if is_leaving.load(Ordering::SeqCst) {
+            start.push_str("Server-Leaving: 1\r\n");
+        }
         if expected.is_some_and(|expected| expected != worker) {
             let head = format!("HTTP/1.1 421 Misdirected\r\n{start}Content-Length: 0\r\n\r\n");
             if stream.write_all(head.as_bytes()).is_err() {
