Judge transfers of turns between hosts by their progress

Cause: a store host had 300 ms for its whole reply, whatever its size and the link, and was joined by another one after 40 ms, so that several copies shared the link and none was whole in time. What had come was dropped, and the hosts that had been cut off counted as out of reach. Writes of turns had the same fault: 1.5 s in total, another copy after 60 ms.

Change: exchanges that carry turns end by silence or at the caller's deadline. core::turns::ChainSearch takes the bytes from one holder at a time and replaces it if it is silent while another one replies; a model of links in virtual time plays rates of 5 to 200 Mbit/s, shared and interrupted links, and lost holders. Parts have the size that a link carries in 50 ms. What has come stays in the cache of turns. Four chains are fetched at a time. Pulls and writes follow the same rule.

--- a/crates/core/src/turns/mod.rs
+++ b/crates/core/src/turns/mod.rs
@@ -14,6 +14,8 @@
 mod index;
 mod lookup;
 mod pull;
+mod search;
+mod transfer_rate;
 mod write_round;
 
 #[cfg(test)]
@@ -24,6 +26,8 @@
     index::{InsertError, TurnIndex},
     lookup::{HolderReply, is_certainly_absent},
     pull::{PullNumber, PullPeer, PullRound},
+    search::ChainSearch,
+    transfer_rate::{PART_BYTES_MAX, TransferRate},
     write_round::{TooFewHosts, WriteRound},
 };
 
--- a/crates/core/src/turns/tests/mod.rs
+++ b/crates/core/src/turns/tests/mod.rs
@@ -1,4 +1,6 @@
 mod cluster;
+mod search;
+mod transfer_rate;
 
 use {
     super::*,
--- a/crates/gateway/src/http.rs
+++ b/crates/gateway/src/http.rs
@@ -5,8 +5,11 @@
 //! if nothing of a request was written to it, the request is sent on another connection. After any
 //! other failure of a connection the request may have run.
 
+mod progress;
 mod received;
 
+pub(crate) use progress::Progress;
+
 use {
     crate::time::within,
     bytes::{Bytes, BytesMut},
@@ -17,7 +20,7 @@
         body::Incoming,
         client::conn::http1::{self, SendRequest},
     },
-    received::{LimitedStream, ReceiveLimit},
+    received::{ConnectionControl, LimitedStream},
     smol::{LocalExecutor, net::TcpStream},
     std::{
         any::Any,
@@ -108,7 +111,7 @@
 /// A connection that can send a request.
 struct Connection {
     sender: SendRequest<Full<Bytes>>,
-    limit: ReceiveLimit,
+    control: ConnectionControl,
     /// Names of the latest requests that were sent on it, oldest first.
     requests: VecDeque<RequestName>,
     /// Number of requests that were sent on it.
@@ -200,7 +203,7 @@
     /// Limits the bytes that the connection may receive from now on. It is closed if it receives
     /// more. The framing of a body counts as well as its content.
     pub fn limit_received(&self, bytes: usize) {
-        self.connection.limit.set(bytes);
+        self.connection.control.limit_received(bytes);
     }
 }
 
@@ -260,7 +263,8 @@
                 return Err(SendError::CallerGone);
             }
             connection.record_request(name);
-            connection.limit.set(BYTES_BEFORE_BODY_MAX);
+            connection.control.limit_received(BYTES_BEFORE_BODY_MAX);
+            connection.control.set_progress(request.extensions().get().cloned());
             let sent = connection.sender.try_send_request(request);
             match within(deadline, sent).await {
                 None => return Err(SendError::TimedOut),
@@ -346,11 +350,11 @@
         };
         set_options(&stream);
         self.record_connect(address, true);
-        let limit = ReceiveLimit::new(BYTES_BEFORE_BODY_MAX);
+        let control = ConnectionControl::new(BYTES_BEFORE_BODY_MAX);
         let handshake = http1::Builder::new()
             .max_header_size(ANSWER_HEAD_BYTES_MAX)
             .max_buf_size(RECEIVE_BUFFER_BYTES_MAX)
-            .handshake(LimitedStream::new(stream, limit.clone()))
+            .handshake(LimitedStream::new(stream, control.clone()))
             .await;
         let (sender, connection) = handshake.map_err(|_| ListenerState::Unknown)?;
         let run = async move {
@@ -359,7 +363,7 @@
             }
         };
         self.executor.spawn(run).detach();
-        Ok(Connection { sender, limit, requests: VecDeque::new(), request_count: 0 })
+        Ok(Connection { sender, control, requests: VecDeque::new(), request_count: 0 })
     }
 
     fn record_connect(&self, address: SocketAddr, is_connected: bool) {
@@ -395,7 +399,8 @@
         if connection.sender.is_closed() || idle_timeout.is_zero() {
             return;
         }
-        connection.limit.set(BYTES_BEFORE_BODY_MAX);
+        connection.control.limit_received(BYTES_BEFORE_BODY_MAX);
+        connection.control.set_progress(None);
         let mut idle = self.idle.borrow_mut();
         let connections = idle.entry(address).or_default();
         if connections.len() < idle_max.min(IDLE_CONNECTIONS_MAX) {
--- a/crates/gateway/src/peers/client.rs
+++ b/crates/gateway/src/peers/client.rs
@@ -2,7 +2,12 @@
 
 use {
     super::message::{PeerReply, PeerRequest},
-    crate::{gateway::Gateway, http::SendError, roster, time::within},
+    crate::{
+        gateway::Gateway,
+        http::{Progress, SendError},
+        roster,
+        time::within,
+    },
     bytes::Bytes,
     http::{Method, Request, StatusCode, header},
     http_body_util::Full,
@@ -34,6 +39,8 @@
 const ANNOUNCEMENT_TIMEOUT: Duration = Duration::from_millis(500);
 /// Number of hosts to which an announcement is sent at the same time.
 const CONCURRENT_ANNOUNCEMENTS: usize = 16;
+/// Timeout of a message that makes progress, as a last resort.
+const BULK_TIMEOUT: Duration = Duration::from_secs(60);
 /// Timeout of a ping.
 const PING_TIMEOUT: Duration = Duration::from_millis(250);
 
@@ -46,11 +53,31 @@
     deadline: Instant,
 ) -> Option<PeerReply> {
     let reply = try_send_request(gateway, address, request, deadline).await;
-    if reply.is_none() {
+    record_outcome(gateway, address, reply.is_some());
+    reply
+}
+
+/// Like [`send_request`], for messages whose time depends on their size and on the link: a host is
+/// waited for as long as bytes pass, and given up once none have for `silence_max`.
+pub(crate) async fn send_bulk_request(
+    gateway: &Rc<Gateway>,
+    address: SocketAddr,
+    request: &PeerRequest,
+    progress: &Progress,
+    silence_max: Duration,
+) -> Option<PeerReply> {
+    let deadline = Instant::now() + BULK_TIMEOUT;
+    let sent = exchange(gateway, address, request, Some(progress.clone()), deadline);
+    let reply = progress.wait_for(silence_max, sent).await.flatten();
+    record_outcome(gateway, address, reply.is_some());
+    reply
+}
+
+fn record_outcome(gateway: &Rc<Gateway>, address: SocketAddr, is_answered: bool) {
+    if !is_answered {
         gateway.metrics.count("peer_unanswered", 1);
         mark_suspect(gateway, address);
     }
-    reply
 }
 
 async fn try_send_request(
@@ -58,6 +85,16 @@
     address: SocketAddr,
     request: &PeerRequest,
     deadline: Instant,
+) -> Option<PeerReply> {
+    exchange(gateway, address, request, None, deadline).await
+}
+
+async fn exchange(
+    gateway: &Gateway,
+    address: SocketAddr,
+    request: &PeerRequest,
+    progress: Option<Progress>,
+    deadline: Instant,
 ) -> Option<PeerReply> {
     let format = request.format();
     let body = match format.encode(request) {
@@ -73,6 +110,9 @@
     if let Ok(host) = header::HeaderValue::from_str(&address.to_string()) {
         http_request.headers_mut().insert(header::HOST, host);
     }
+    if let Some(progress) = progress {
+        http_request.extensions_mut().insert(progress);
+    }
     let call = gateway.peer_connections.send_and_read(
         address,
         http_request,
@@ -123,7 +163,7 @@
         .collect();
     let mut unreachable_count = 0;
     for relay in relays.sample(&mut rand::rng(), RELAYS_MAX) {
-        match send_through(gateway, *relay, address, request.clone(), timeout).await {
+        match send_through(gateway, *relay, address, request.clone(), timeout, None).await {
             RelayOutcome::Replied(reply) => return Some(reply),
             RelayOutcome::Unreachable => unreachable_count += 1,
             RelayOutcome::NoRelay => {}
@@ -151,31 +191,61 @@
     to: SocketAddr,
     request: PeerRequest,
     timeout: Duration,
+    progress: Option<&Progress>,
 ) -> RelayOutcome {
     let host = roster::host_at(gateway, to);
     let relayed = PeerRequest::Relay { to, host, request: Box::new(request), wait: timeout };
-    let deadline = Instant::now() + timeout + RELAY_MARGIN;
-    match send_request(gateway, relay, &relayed, deadline).await {
+    let wait_max = timeout + RELAY_MARGIN;
+    let reply = match progress {
+        Some(progress) => send_bulk_request(gateway, relay, &relayed, progress, wait_max).await,
+        None => send_request(gateway, relay, &relayed, Instant::now() + wait_max).await,
+    };
+    match reply {
         Some(PeerReply::Relayed { reply: Some(reply) }) => RelayOutcome::Replied(*reply),
         Some(PeerReply::Relayed { reply: None }) => RelayOutcome::Unreachable,
         _ => RelayOutcome::NoRelay,
     }
 }
 
-/// Sends a request to a store host directly, or through the relay that reached it at the last ping
-/// if this host does not. Unlike [`send_request_or_relay`] it looks for no relay, so that callers
+/// How long the reply to a message of some size is waited for.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Patience {
+    /// How long no bytes may pass.
+    pub(crate) silence_max: Duration,
+    /// Timeout of a relay for the whole reply, which it passes on once it has it.
+    pub(crate) relayed_max: Duration,
+}
+
+/// Sends a message of any size to a store host directly, or through the relay that reached it at the last
+/// ping if this host does not. Unlike [`send_request_or_relay`] it looks for no relay, so that callers
 /// learn at once that a host is out of reach.
-pub(crate) async fn send_directly_or_relay(
+pub(crate) async fn send_bulk_or_relay(
     gateway: &Rc<Gateway>,
     address: SocketAddr,
     request: PeerRequest,
-    timeout: Duration,
+    progress: &Progress,
+    patience: Patience,
 ) -> Option<PeerReply> {
-    let relay = gateway.relays.borrow().get(&address).copied();
-    let Some(relay) = relay.filter(|_| is_suspect(gateway, address)) else {
-        return send_request(gateway, address, &request, Instant::now() + timeout).await;
+    let Some(relay) = relay_to(gateway, address) else {
+        return send_bulk_request(gateway, address, &request, progress, patience.silence_max).await;
     };
-    match send_through(gateway, relay, address, request, timeout).await {
+    let timeout = patience.relayed_max;
+    let outcome = send_through(gateway, relay, address, request, timeout, Some(progress)).await;
+    reply_through(gateway, address, outcome)
+}
+
+/// Returns the relay for requests to a store host that this host does not reach.
+fn relay_to(gateway: &Gateway, address: SocketAddr) -> Option<SocketAddr> {
+    let relay = gateway.relays.borrow().get(&address).copied();
+    relay.filter(|_| is_suspect(gateway, address))
+}
+
+fn reply_through(
+    gateway: &Gateway,
+    address: SocketAddr,
+    outcome: RelayOutcome,
+) -> Option<PeerReply> {
+    match outcome {
         RelayOutcome::Replied(reply) => {
             gateway.metrics.count("peer_requests_relayed", 1);
             Some(reply)
@@ -206,7 +276,7 @@
     let candidates = known.into_iter();
     for relay in candidates.chain(others.sample(&mut rand::rng(), RELAY_PROBES).copied()) {
         let ping = PeerRequest::Ping;
-        let outcome = send_through(gateway, relay, address, ping, PING_TIMEOUT).await;
+        let outcome = send_through(gateway, relay, address, ping, PING_TIMEOUT, None).await;
         if matches!(outcome, RelayOutcome::Replied(_)) {
             if gateway.relays.borrow_mut().insert(address, relay).is_none() {
                 gateway.decisions.log(
--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/peers/message.rs
@@ -145,10 +145,20 @@
     /// Stores turns, each after the one that it continues. Sent only to hosts that announce a store
     /// of turns, as are the other requests about turns.
     StoreTurns { turns: Vec<RetainedTurn> },
-    /// Requests a turn of a team and those before it.
-    FindTurn { id: RequestId, team: TeamId },
-    /// Requests turns that the receiver holds.
-    FetchTurns { ids: Vec<RequestId> },
+    /// Requests a turn of a team and those before it, until they have `bytes_max`. With 0, asks only
+    /// whether the receiver holds the turn. Hosts of a build before this field send a megabyte.
+    FindTurn {
+        id: RequestId,
+        team: TeamId,
+        #[serde(default)]
+        bytes_max: Option<usize>,
+    },
+    /// Requests turns that the receiver holds, until they have `bytes_max`.
+    FetchTurns {
+        ids: Vec<RequestId>,
+        #[serde(default)]
+        bytes_max: Option<usize>,
+    },
     /// Requests which turns the receiver holds, by tree, of the trees after this one.
     HeldTurns { after: Option<TreeId> },
     /// Requests the versions of all services that the receiver knows.
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -5,8 +5,8 @@
 
 pub(crate) use {
     client::{
-        announce, is_in_reach, is_lost, is_suspect, mark_suspect, send_announcement,
-        send_directly_or_relay, send_request, send_request_or_relay,
+        Patience, announce, is_in_reach, is_lost, is_suspect, mark_suspect, send_announcement,
+        send_bulk_or_relay, send_bulk_request, send_request, send_request_or_relay,
     },
     message::{
         ChargeDecision, CollectionNews, Ownership, PeerReply, PeerRequest, SettlementStatus,
@@ -42,6 +42,7 @@
         task::{Context, Poll},
         time::{Duration, Instant},
     },
+    trefoilring_core::turns::PART_BYTES_MAX,
 };
 
 /// Maximum size of a message. A configuration has at most one megabyte; a turn has the input of a
@@ -277,11 +278,13 @@
         PeerRequest::StoreTurns { turns } => {
             PeerReply::TurnsStored { outcome: turns::store_here(gateway, turns).await }
         }
-        PeerRequest::FindTurn { id, team } => {
-            PeerReply::TurnLookup { lookup: turns::find_here(gateway, &id, &team).await }
+        PeerRequest::FindTurn { id, team, bytes_max } => {
+            let bytes_max = bytes_max.unwrap_or(PART_BYTES_MAX).min(PART_BYTES_MAX);
+            PeerReply::TurnLookup { lookup: turns::find_here(gateway, &id, &team, bytes_max).await }
         }
-        PeerRequest::FetchTurns { ids } => {
-            let (turns, tried) = turns::fetch_here(gateway, &ids).await;
+        PeerRequest::FetchTurns { ids, bytes_max } => {
+            let bytes_max = bytes_max.unwrap_or(PART_BYTES_MAX).min(PART_BYTES_MAX);
+            let (turns, tried) = turns::fetch_here(gateway, &ids, bytes_max).await;
             PeerReply::Turns { turns, tried }
         }
         PeerRequest::HeldTurns { after } => {
--- a/crates/gateway/src/turns/cache.rs
+++ b/crates/gateway/src/turns/cache.rs
@@ -25,11 +25,35 @@
     }
 }
 
-/// The turns that were used last. A turn that is dropped stays in memory while turns that continue
-/// it are remembered.
+/// The newest turns of a chain whose other turns have not been fetched, the newest first.
+#[derive(Debug)]
+pub(super) struct PartialChain {
+    /// Invariant: not empty; each turn continues the next one.
+    pub(super) turns: Vec<RetainedTurn>,
+}
+
+#[derive(Debug)]
+enum Entry {
+    Turn(Rc<CachedTurn>),
+    Partial(PartialChain),
+}
+
+impl Entry {
+    fn counted_bytes(&self) -> usize {
+        match self {
+            Self::Turn(turn) => turn.counted_bytes(),
+            Self::Partial(partial) => {
+                partial.turns.iter().map(|turn| turn.bytes() + OVERHEAD_BYTES).sum()
+            }
+        }
+    }
+}
+
+/// The turns that were used last, and the chains that have come in part, by their newest turns. A turn
+/// that is dropped stays in memory while turns that continue it are remembered.
 #[derive(Debug)]
 pub(super) struct TurnCache {
-    turns: LruCache<RequestId, Rc<CachedTurn>>,
+    entries: LruCache<RequestId, Entry>,
     bytes: usize,
     bytes_max: usize,
 }
@@ -37,20 +61,53 @@
 impl TurnCache {
     pub(super) fn new(memory_bytes_max: u64) -> Self {
         let bytes_max = usize::try_from(memory_bytes_max / MEMORY_FRACTION).unwrap_or(usize::MAX);
-        Self { turns: LruCache::unbounded(), bytes: 0, bytes_max }
+        Self { entries: LruCache::unbounded(), bytes: 0, bytes_max }
     }
 
     pub(super) fn get(&mut self, id: &str) -> Option<Rc<CachedTurn>> {
-        self.turns.get(id).cloned()
+        match self.entries.get(id)? {
+            Entry::Turn(turn) => Some(turn.clone()),
+            Entry::Partial(_) => None,
+        }
     }
 
     pub(super) fn insert(&mut self, turn: Rc<CachedTurn>) {
-        self.bytes += turn.counted_bytes();
-        if let Some(replaced) = self.turns.put(turn.turn.head.id.clone(), turn) {
+        self.put(turn.turn.head.id.clone(), Entry::Turn(turn));
+    }
+
+    /// Keeps what has come of a chain, unless the whole chain is remembered.
+    pub(super) fn insert_partial(&mut self, partial: PartialChain) {
+        let Some(newest) = partial.turns.first() else { return };
+        let id = newest.head.id.clone();
+        if self.get(&id).is_none() {
+            self.put(id, Entry::Partial(partial));
+        }
+    }
+
+    /// Removes what has come of a chain of the team.
+    pub(super) fn take_partial(&mut self, id: &str, team: &str) -> Option<PartialChain> {
+        let is_of_team = |partial: &PartialChain| {
+            partial.turns.first().is_some_and(|newest| *newest.head.team == *team)
+        };
+        match self.entries.peek(id)? {
+            Entry::Partial(partial) if is_of_team(partial) => {}
+            _ => return None,
+        }
+        let entry = self.entries.pop(id)?;
+        self.bytes -= entry.counted_bytes();
+        match entry {
+            Entry::Partial(partial) => Some(partial),
+            Entry::Turn(_) => None,
+        }
+    }
+
+    fn put(&mut self, id: RequestId, entry: Entry) {
+        self.bytes += entry.counted_bytes();
+        if let Some(replaced) = self.entries.put(id, entry) {
             self.bytes -= replaced.counted_bytes();
         }
         while self.bytes > self.bytes_max {
-            let Some((_, dropped)) = self.turns.pop_lru() else { return };
+            let Some((_, dropped)) = self.entries.pop_lru() else { return };
             self.bytes -= dropped.counted_bytes();
         }
     }
--- a/crates/gateway/src/turns/find.rs
+++ b/crates/gateway/src/turns/find.rs
@@ -2,8 +2,9 @@
 
 use {
     super::{
-        CachedTurn, Holder, RetainedTurn, TurnLookup, copies, find_here, holders_by_reachability,
-        own_record,
+        CachedTurn, Holder, RetainedTurn, TurnLookup, copies,
+        fetch::{ChainFetch, Question},
+        find_here, holders_by_reachability, own_record,
     },
     crate::{
         gateway::Gateway,
@@ -12,30 +13,27 @@
         store::{Collection, StoredObject},
         time::within,
     },
-    futures_util::{StreamExt, future::join_all, stream::FuturesUnordered},
+    futures_util::future::LocalBoxFuture,
     serde_json::json,
     smol::Timer,
     std::{
         collections::BTreeMap,
-        net::SocketAddr,
         rc::Rc,
         time::{Duration, Instant},
     },
     trefoilring_core::{
-        ids::{HostId, RequestId},
+        ids::{HostId, TeamId},
         roster::AwayRecord,
-        turns::{HolderReply, is_certainly_absent},
+        turns::{ChainSearch, HolderReply, is_certainly_absent},
         verdict::{Reason, Refusal},
     },
     trefoilring_observe::{decisions::LineRate, log::wall_us},
 };
 
-/// Timeout of a question to one store host.
-const FIND_TIMEOUT: Duration = Duration::from_millis(300);
-/// Maximum number of turns in a chain. A reply that leads further is not followed.
-const CHAIN_TURNS_MAX: usize = 10_000;
-/// How long one store host is waited for before another one is asked as well.
-const HEDGE_DELAY: Duration = Duration::from_millis(40);
+/// How long nothing may come from a store host until its reply is given up.
+const SILENCE_MAX: Duration = Duration::from_millis(300);
+/// Timeout of a part that a relay receives whole before it passes it on.
+const RELAYED_PART_TIMEOUT: Duration = Duration::from_millis(1500);
 /// Minimum interval between two reads of the list of hosts, which the store bills. Only requests
 /// that name no turn that can be found need one.
 const LIST_INTERVAL: Duration = Duration::from_millis(100);
@@ -52,8 +50,8 @@
 
 /// What became of a search.
 enum Search {
-    /// The turn and those before it, the newest first.
-    Found(Vec<RetainedTurn>),
+    /// The turn and those before it have been fetched.
+    Found,
     /// It is certain that the turn does not exist.
     Absent,
     /// The turn was not found, but it may exist.
@@ -81,27 +79,24 @@
     }
     let began = Instant::now();
     let holders = holders_by_reachability(gateway, tree);
-    let (preferred, others) = holders.split_at(holders.len().min(copies(gateway)));
-    let mut replies = BTreeMap::new();
-    let mut found = ask_in_turn(gateway, preferred, id, team, deadline, &mut replies).await;
-    if found.is_none() {
-        found = ask_all(gateway, others, id, team, deadline, &mut replies).await;
-    }
-    let is_in_doubt = !replies.values().all(HolderReply::rules_turn_out);
-    let search = match found {
-        Some(turns) => Search::Found(turns),
-        // A host that holds the turn may be among those that have not replied.
-        None if is_in_doubt => Search::Unknown,
-        None => search_listed(gateway, id, team, deadline, replies).await,
+    let holder_count = holders.len();
+    let ask = |question: Question| {
+        let (gateway, team) = (gateway.clone(), TeamId::from(team));
+        let reply: LocalBoxFuture<'static, _> = Box::pin(ask(gateway, team, question));
+        reply
     };
-    let (outcome, result) = match search {
-        Search::Found(turns) => match remember_chain(gateway, turns) {
+    let turns = &gateway.turns;
+    let mut fetch = ChainFetch::new(&turns.cache, &turns.transfers, &ask, id, team);
+    let search = within(deadline, search(gateway, &mut fetch, holders, deadline)).await;
+    let (outcome, result) = match search.unwrap_or(Search::Unknown) {
+        Search::Found => match remember_chain(gateway, fetch.take()) {
             Some(chain) => ("found", Ok(chain)),
             None => ("unknown", Err(unknown())),
         },
         Search::Absent => ("absent", Err(not_found())),
         Search::Unknown => ("unknown", Err(unknown())),
     };
+    let report = fetch.report;
     gateway.metrics.count(&format!("turn_lookups.{outcome}"), 1);
     gateway.decisions.log(
         if result.is_ok() { LineRate::Routine } else { LineRate::Failure },
@@ -110,7 +105,11 @@
             "turn": id,
             "team": team,
             "outcome": outcome,
-            "holders": holders.len(),
+            "holders": holder_count,
+            "bytes": report.bytes,
+            "resumed_bytes": report.resumed_bytes,
+            "parts": report.parts,
+            "sources": report.sources,
             "took_ms": began.elapsed().as_millis() as u64,
         }),
     );
@@ -127,118 +126,63 @@
     Refusal::not_run(Reason::StoreUnavailable, detail).retry_after(RETRY_AFTER)
 }
 
-/// Asks hosts in order of preference. A host that takes long does not hold up the next one.
-async fn ask_in_turn(
-    gateway: &Rc<Gateway>,
-    holders: &[Holder],
-    id: &str,
-    team: &str,
-    deadline: Instant,
-    replies: &mut BTreeMap<HostId, HolderReply>,
-) -> Option<Vec<RetainedTurn>> {
-    let mut untried = holders.iter();
-    let mut asked = FuturesUnordered::new();
-    loop {
-        match untried.next() {
-            Some(holder) => asked.push(ask_for_chain(gateway, holder, id, team, deadline)),
-            None if asked.is_empty() => return None,
-            None => {}
-        }
-        let hedge_at = match untried.len() {
-            0 => deadline,
-            _ => Instant::now() + HEDGE_DELAY,
-        };
-        match within(hedge_at, asked.next()).await {
-            Some(Some((_, Ok(turns)))) => return Some(turns),
-            Some(Some((host, Err(reply)))) => {
-                replies.insert(host, reply);
-            }
-            Some(None) => {}
-            None if Instant::now() >= deadline => return None,
-            None => {}
-        }
+/// Asks one host for a turn and those before it.
+async fn ask(
+    gateway: Rc<Gateway>,
+    team: TeamId,
+    Question { holder, turn, bytes_max, progress }: Question,
+) -> Option<TurnLookup> {
+    let Some(address) = holder.address else {
+        return Some(find_here(&gateway, &turn, &team, bytes_max).await);
+    };
+    if !peers::is_in_reach(&gateway, address) && peers::is_lost(&gateway, address) {
+        return None;
     }
-}
-
-async fn ask_all(
-    gateway: &Rc<Gateway>,
-    holders: &[Holder],
-    id: &str,
-    team: &str,
-    deadline: Instant,
-    replies: &mut BTreeMap<HostId, HolderReply>,
-) -> Option<Vec<RetainedTurn>> {
-    let questions = holders.iter().map(|holder| ask_for_chain(gateway, holder, id, team, deadline));
-    let mut found = None;
-    for (host, outcome) in join_all(questions).await {
-        match outcome {
-            Ok(turns) => found = Some(turns),
-            Err(reply) => {
-                replies.insert(host, reply);
-            }
-        }
+    let request = PeerRequest::FindTurn { id: turn, team, bytes_max: Some(bytes_max) };
+    let patience = peers::Patience {
+        silence_max: SILENCE_MAX,
+        relayed_max: if bytes_max == 0 { SILENCE_MAX } else { RELAYED_PART_TIMEOUT },
+    };
+    match peers::send_bulk_or_relay(&gateway, address, request, &progress, patience).await {
+        Some(PeerReply::TurnLookup { lookup }) => Some(lookup),
+        _ => None,
     }
-    found
 }
 
-/// Requests a turn and all those before it from one host.
-async fn ask_for_chain(
+/// Searches the store hosts for a turn, and fetches it and those before it.
+async fn search(
     gateway: &Rc<Gateway>,
-    holder: &Holder,
-    id: &str,
-    team: &str,
+    fetch: &mut ChainFetch<'_>,
+    holders: Vec<Holder>,
     deadline: Instant,
-) -> (HostId, Result<Vec<RetainedTurn>, HolderReply>) {
-    let (mut chain, mut next) = (Vec::new(), RequestId::from(id));
-    loop {
-        match ask(gateway, holder.address, &next, team, deadline).await {
-            Some(TurnLookup::Found { turns, rest }) => {
-                chain.extend(turns);
-                match rest {
-                    _ if !is_chain(&chain, id, team) => {
-                        log::error!("host {} replied with another turn than {id}", holder.host);
-                        return (holder.host.clone(), Err(HolderReply::Unknown));
-                    }
-                    Some(rest) => next = rest,
-                    None => return (holder.host.clone(), Ok(chain)),
-                }
-            }
-            Some(TurnLookup::Absent { is_complete }) if chain.is_empty() => {
-                return (holder.host.clone(), Err(HolderReply::Absent { is_complete }));
-            }
-            // The rest of a chain may be forgotten meanwhile.
-            Some(TurnLookup::Absent { .. } | TurnLookup::Unreadable) | None => {
-                return (holder.host.clone(), Err(HolderReply::Unknown));
-            }
-        }
+) -> Search {
+    let preferred = copies(gateway);
+    let Err(replies) = fetch_from(fetch, holders, preferred).await else { return Search::Found };
+    if !replies.values().all(HolderReply::rules_turn_out) {
+        // A host that holds the turn may be among those that have not replied.
+        return Search::Unknown;
     }
+    search_listed(gateway, fetch, deadline, replies).await
 }
 
-/// Returns whether turns are the beginning of a chain of the team, the newest first.
-fn is_chain(turns: &[RetainedTurn], id: &str, team: &str) -> bool {
-    let follows = |pair: &[RetainedTurn]| pair[0].head.previous.as_ref() == Some(&pair[1].head.id);
-    turns.first().is_some_and(|newest| *newest.head.id == *id)
-        && turns.len() <= CHAIN_TURNS_MAX
-        && turns.iter().all(|turn| *turn.head.team == *team)
-        && turns.windows(2).all(follows)
-}
-
-async fn ask(
-    gateway: &Rc<Gateway>,
-    address: Option<SocketAddr>,
-    id: &RequestId,
-    team: &str,
-    deadline: Instant,
-) -> Option<TurnLookup> {
-    let Some(address) = address else { return Some(find_here(gateway, id, team).await) };
-    if !peers::is_in_reach(gateway, address) && peers::is_lost(gateway, address) {
-        return None;
-    }
-    let request = PeerRequest::FindTurn { id: id.clone(), team: team.into() };
-    let timeout = FIND_TIMEOUT.min(deadline.saturating_duration_since(Instant::now()));
-    match peers::send_directly_or_relay(gateway, address, request, timeout).await {
-        Some(PeerReply::TurnLookup { lookup }) => Some(lookup),
-        _ => None,
+/// Fetches a chain from the hosts that hold it. The first `preferred` of them probably do.
+///
+/// # Errors
+///
+/// Returns the replies of the hosts if none has sent the whole chain.
+async fn fetch_from(
+    fetch: &mut ChainFetch<'_>,
+    holders: Vec<Holder>,
+    preferred: usize,
+) -> Result<(), BTreeMap<HostId, HolderReply>> {
+    let mut hosts: Vec<HostId> = holders.iter().map(|holder| holder.host.clone()).collect();
+    let others = hosts.split_off(hosts.len().min(preferred));
+    let by_host: BTreeMap<HostId, Holder> =
+        holders.into_iter().map(|holder| (holder.host.clone(), holder)).collect();
+    let mut search = ChainSearch::new(Instant::now(), hosts, others);
+    match fetch.run(&mut search, &by_host).await {
+        true => Ok(()),
+        false => Err(search.into_replies()),
     }
 }
 
@@ -246,16 +190,16 @@
 /// lately may hold the turn, and one that is out of reach for long has not been asked.
 async fn search_listed(
     gateway: &Rc<Gateway>,
-    id: &str,
-    team: &str,
+    fetch: &mut ChainFetch<'_>,
     deadline: Instant,
     mut replies: BTreeMap<HostId, HolderReply>,
 ) -> Search {
     let Some(listed) = read_listed(gateway, deadline).await else { return Search::Unknown };
     let is_unasked = |holder: &&Holder| !replies.contains_key(&holder.host);
     let unasked: Vec<Holder> = listed.iter().filter(is_unasked).cloned().collect();
-    if let Some(turns) = ask_all(gateway, &unasked, id, team, deadline, &mut replies).await {
-        return Search::Found(turns);
+    match fetch_from(fetch, unasked, 0).await {
+        Ok(()) => return Search::Found,
+        Err(late) => replies.extend(late),
     }
     // Hosts that replied but are no longer listed were removed together with their disks.
     let listed: Vec<HostId> = listed.into_iter().map(|holder| holder.host).collect();
@@ -311,11 +255,13 @@
     Some(record.turn_store.is_some().then_some(holder))
 }
 
-/// Remembers a chain, which is given the newest turn first. Returns the newest turn; `None` if the
-/// chain is empty.
-fn remember_chain(gateway: &Gateway, turns: Vec<RetainedTurn>) -> Option<Rc<CachedTurn>> {
+/// Remembers a chain: its turns, the newest first, and the turn before them if it was remembered. Returns
+/// the newest turn; `None` if the chain is empty.
+fn remember_chain(
+    gateway: &Gateway,
+    (turns, mut previous): (Vec<RetainedTurn>, Option<Rc<CachedTurn>>),
+) -> Option<Rc<CachedTurn>> {
     let mut cache = gateway.turns.cache.borrow_mut();
-    let mut previous: Option<Rc<CachedTurn>> = None;
     for turn in turns.into_iter().rev() {
         let cached = match cache.get(&turn.head.id).filter(|cached| cached.turn == turn) {
             Some(cached) => cached,
--- a/crates/gateway/src/turns/mod.rs
+++ b/crates/gateway/src/turns/mod.rs
@@ -7,6 +7,7 @@
 //! when it is certain that none does; `docs/decisions/0024-retained-turns.md` has the reasons.
 
 mod cache;
+mod fetch;
 mod find;
 mod pull;
 mod retain;
@@ -30,6 +31,7 @@
     },
     bytes::Bytes,
     cache::TurnCache,
+    fetch::Transfers,
     std::{
         cell::{Cell, RefCell},
         collections::HashMap,
@@ -96,7 +98,7 @@
 #[derive(Clone, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
 #[serde(rename_all = "snake_case")]
 pub(crate) enum TurnLookup {
-    /// The turn and those before it, the newest first.
+    /// The turn and those before it, the newest first, as many as were asked for.
     Found {
         turns: Vec<RetainedTurn>,
         /// The turn before the last one of `turns`, if the chain did not fit.
@@ -114,6 +116,7 @@
 /// The turns that a host remembers and stores.
 pub(crate) struct Turns {
     cache: RefCell<TurnCache>,
+    transfers: Transfers,
     /// `None` at a host without a disk.
     store: Option<TurnStore>,
     /// Peer addresses of store hosts that were slow, with the time until which they are asked last.
@@ -137,6 +140,7 @@
         };
         Ok(Self {
             cache: RefCell::new(TurnCache::new(settings.memory_bytes_max)),
+            transfers: Transfers::default(),
             store,
             slow_until: RefCell::default(),
             away: RefCell::default(),
--- a/crates/gateway/src/turns/pull.rs
+++ b/crates/gateway/src/turns/pull.rs
@@ -1,9 +1,10 @@
 //! Fetches the turns that this host should hold from the other store hosts.
 
 use {
-    super::{TurnWriteOutcome, copies, store_hosts},
+    super::{RetainedTurn, TurnWriteOutcome, copies, store_hosts},
     crate::{
         gateway::Gateway,
+        http::Progress,
         peers::{self, PeerReply, PeerRequest},
         roster,
         time::within,
@@ -25,10 +26,11 @@
 
 /// Pause before hosts that did not reply are asked again.
 const RETRY_PAUSE: Duration = Duration::from_millis(300);
-/// Timeout of a request for turns. A full reply takes a slow host some hundred milliseconds.
-const FETCH_TIMEOUT: Duration = Duration::from_secs(2);
-/// Timeout of a request for the list of turns. Several of them fail before a host is replaced.
-const LIST_TIMEOUT: Duration = Duration::from_millis(600);
+/// How long nothing may come of turns that were requested. Reading them takes a slow host some hundred
+/// milliseconds.
+const FETCH_SILENCE_MAX: Duration = Duration::from_secs(2);
+/// How long nothing may come of the list of turns. Several requests fail before a host is replaced.
+const LIST_SILENCE_MAX: Duration = Duration::from_millis(600);
 
 /// Starts to fetch turns after each change of the other hosts.
 pub(super) fn start(gateway: &Rc<Gateway>) {
@@ -136,8 +138,14 @@
     loop {
         let after = held.last().map(|(tree, _)| tree.clone());
         let request = PeerRequest::HeldTurns { after };
-        let deadline = Instant::now() + LIST_TIMEOUT;
-        let reply = peers::send_request(gateway, address, &request, deadline).await;
+        let reply = peers::send_bulk_request(
+            gateway,
+            address,
+            &request,
+            &Progress::begin(),
+            LIST_SILENCE_MAX,
+        )
+        .await;
         let Some(PeerReply::HeldTurns { trees, has_more }) = reply else {
             return None;
         };
@@ -173,12 +181,24 @@
     let Some(store) = &gateway.turns.store else { return Ok(0) };
     let mut fetched = 0;
     while !ids.is_empty() {
-        let request = PeerRequest::FetchTurns { ids: ids.clone() };
-        let deadline = Instant::now() + FETCH_TIMEOUT;
-        let reply = peers::send_request(gateway, address, &request, deadline).await;
+        let transfers = &gateway.turns.transfers;
+        let slot = transfers.begin().await;
+        let bytes_max = Some(transfers.part_bytes());
+        let request = PeerRequest::FetchTurns { ids: ids.clone(), bytes_max };
+        let began = Instant::now();
+        let reply = peers::send_bulk_request(
+            gateway,
+            address,
+            &request,
+            &Progress::begin(),
+            FETCH_SILENCE_MAX,
+        )
+        .await;
         let Some(PeerReply::Turns { turns, tried }) = reply else {
             return Err("the host did not send its turns");
         };
+        transfers.on_received(turns.iter().map(RetainedTurn::bytes).sum(), began.elapsed());
+        drop(slot);
         if tried == 0 {
             return Err("the host can't read a turn");
         }
--- a/crates/gateway/src/turns/retain.rs
+++ b/crates/gateway/src/turns/retain.rs
@@ -7,6 +7,7 @@
     },
     crate::{
         gateway::Gateway,
+        http::Progress,
         peers::{self, PeerReply, PeerRequest},
         time::within,
     },
@@ -21,16 +22,18 @@
     },
     trefoilring_core::{
         ids::HostId,
-        turns::{TooFewHosts, WriteRound},
+        turns::{PART_BYTES_MAX, TooFewHosts, WriteRound},
     },
     trefoilring_observe::decisions::LineRate,
 };
 
-/// How long the writes are waited for before another host is asked as well. Longer than a few syncs
-/// of a slow disk.
+/// How long no write may make progress, beside the time that its bytes should take, before another
+/// host is asked as well. Longer than a few syncs of a slow disk.
 const HEDGE_DELAY: Duration = Duration::from_millis(60);
-/// Timeout of a write at one host.
-const WRITE_TIMEOUT: Duration = Duration::from_millis(1500);
+/// How long a write at one host may make no progress.
+const WRITE_SILENCE_MAX: Duration = Duration::from_millis(1500);
+/// Size of the messages in which a chain is sent.
+const CHAIN_MESSAGE_BYTES: usize = PART_BYTES_MAX;
 /// Writes that take longer are logged.
 const SLOW_WRITE: Duration = Duration::from_millis(50);
 
@@ -97,11 +100,21 @@
         holders.into_iter().map(|holder| (holder.host.clone(), holder)).collect();
     let (mut round, first) = WriteRound::begin(copies(gateway), ranked)?;
     let mut writes = FuturesUnordered::new();
+    let mut progress: HashMap<HostId, Progress> = HashMap::new();
     let mut to_ask = first;
+    let hedge_delay = HEDGE_DELAY + gateway.turns.transfers.duration_to_send(turn.turn.bytes());
+    // While bytes pass, another copy on the same link would only make these writes late.
+    let hedge_at = |progress: &HashMap<HostId, Progress>, hedged_at: Instant| {
+        let last_progress = progress.values().map(Progress::last_at);
+        last_progress.fold(hedged_at, Instant::max) + hedge_delay
+    };
+    let mut hedged_at = Instant::now();
     loop {
         for holder in to_ask.drain(..).filter_map(|host| by_host.get(&host)) {
             *asked_count += 1;
-            writes.push(write_at(gateway.clone(), holder.clone(), turn.clone(), deadline));
+            let begun = Progress::begin();
+            progress.insert(holder.host.clone(), begun.clone());
+            writes.push(write_at(gateway.clone(), holder.clone(), turn.clone(), begun));
         }
         if round.is_durable() {
             return Ok(());
@@ -109,13 +122,23 @@
         if round.is_hopeless() {
             return Err(NotRetained::NotStored);
         }
-        let hedge_at = deadline.min(Instant::now() + HEDGE_DELAY);
-        match within(hedge_at, writes.next()).await {
-            Some(Some((host, true))) => round.on_stored(&host),
-            Some(Some((host, false))) => to_ask.extend(round.on_failed(&host)),
+        let next_hedge_at = hedge_at(&progress, hedged_at);
+        match within(deadline.min(next_hedge_at), writes.next()).await {
+            Some(Some((host, is_stored))) => {
+                progress.remove(&host);
+                hedged_at = Instant::now();
+                match is_stored {
+                    true => round.on_stored(&host),
+                    false => to_ask.extend(round.on_failed(&host)),
+                }
+            }
             Some(None) => return Err(NotRetained::NotStored),
             None if Instant::now() >= deadline => return Err(NotRetained::TimedOut),
-            None => to_ask.extend(round.on_slow()),
+            None if Instant::now() >= hedge_at(&progress, hedged_at) => {
+                hedged_at = Instant::now();
+                to_ask.extend(round.on_slow());
+            }
+            None => {}
         }
     }
 }
@@ -126,35 +149,61 @@
     gateway: Rc<Gateway>,
     holder: Holder,
     turn: Rc<CachedTurn>,
-    deadline: Instant,
+    progress: Progress,
 ) -> (HostId, bool) {
-    let mut turns = vec![turn.turn.clone()];
-    let mut outcome = send(&gateway, &holder, turns.clone(), deadline).await;
+    let mut outcome = send(&gateway, &holder, vec![turn.turn.clone()], &progress).await;
     if outcome == Some(TurnWriteOutcome::MissingPrevious) {
-        turns = turn.chain().map(|turn| turn.turn.clone()).collect();
-        turns.reverse();
         gateway.metrics.count("turn_chains_written", 1);
-        outcome = send(&gateway, &holder, turns, deadline).await;
+        for turns in chain_messages(&turn) {
+            outcome = send(&gateway, &holder, turns, &progress).await;
+            if outcome != Some(TurnWriteOutcome::Stored) {
+                break;
+            }
+        }
     }
     (holder.host, outcome == Some(TurnWriteOutcome::Stored))
 }
 
+/// Returns a turn and those before it, the oldest first, in messages of a bounded size.
+fn chain_messages(turn: &CachedTurn) -> Vec<Vec<RetainedTurn>> {
+    let mut chain: Vec<&RetainedTurn> = turn.chain().map(|turn| &turn.turn).collect();
+    chain.reverse();
+    let (mut messages, mut bytes): (Vec<Vec<RetainedTurn>>, usize) = (Vec::new(), 0);
+    for turn in chain {
+        bytes += turn.bytes();
+        if messages.is_empty() || bytes > CHAIN_MESSAGE_BYTES {
+            messages.push(Vec::new());
+            bytes = turn.bytes();
+        }
+        if let Some(message) = messages.last_mut() {
+            message.push(turn.clone());
+        }
+    }
+    messages
+}
+
 async fn send(
     gateway: &Rc<Gateway>,
     holder: &Holder,
     turns: Vec<RetainedTurn>,
-    deadline: Instant,
+    progress: &Progress,
 ) -> Option<TurnWriteOutcome> {
     let Some(address) = holder.address else { return Some(store_here(gateway, turns).await) };
-    let began = Instant::now();
-    let timeout = WRITE_TIMEOUT.min(deadline.saturating_duration_since(began));
+    let bytes: usize = turns.iter().map(RetainedTurn::bytes).sum();
     let request = PeerRequest::StoreTurns { turns };
+    let patience =
+        peers::Patience { silence_max: WRITE_SILENCE_MAX, relayed_max: WRITE_SILENCE_MAX };
+    let (transfers, began) = (&gateway.turns.transfers, Instant::now());
     // A host whose disk stalls is in reach, so only its turns go elsewhere for a while.
-    let slow_guard = SlowGuard { gateway, address, began };
-    let reply = peers::send_directly_or_relay(gateway, address, request, timeout).await;
+    let slow_after = HEDGE_DELAY + transfers.duration_to_send(bytes);
+    let slow_guard = SlowGuard { gateway, address, slow_at: began + slow_after };
+    let reply = peers::send_bulk_or_relay(gateway, address, request, progress, patience).await;
     drop(slow_guard);
     match reply {
-        Some(PeerReply::TurnsStored { outcome }) => Some(outcome),
+        Some(PeerReply::TurnsStored { outcome }) => {
+            transfers.on_sent(bytes, began.elapsed());
+            Some(outcome)
+        }
         _ => None,
     }
 }
@@ -163,12 +212,13 @@
 struct SlowGuard<'a> {
     gateway: &'a Gateway,
     address: SocketAddr,
-    began: Instant,
+    /// When the host has taken longer than usual.
+    slow_at: Instant,
 }
 
 impl Drop for SlowGuard<'_> {
     fn drop(&mut self) {
-        if self.began.elapsed() >= HEDGE_DELAY {
+        if Instant::now() >= self.slow_at {
             self.gateway.turns.record_slow(self.address);
         }
     }
--- a/crates/gateway/src/turns/store.rs
+++ b/crates/gateway/src/turns/store.rs
@@ -33,8 +33,8 @@
 const DISK_TENTHS: u64 = 9;
 /// Maximum size of the turns that wait to be written. A disk that stalls must not fill the memory.
 const PENDING_BYTES_MAX: usize = 24 * 1024 * 1024;
-/// Size from which on a reply gets no more turns.
-const REPLY_BYTES: usize = 1024 * 1024;
+/// Maximum number of turns in a reply.
+const REPLY_TURNS_MAX: usize = 1024;
 /// Maximum number of turns in a list of held turns.
 const LISTED_TURNS_MAX: usize = 4096;
 /// Interval at which turns are forgotten whose time has passed.
@@ -225,14 +225,18 @@
         TurnWriteOutcome::Stored
     }
 
-    /// Reads turns from the disk, as many as fit into a reply but at least one. Returns an error if
-    /// one of them can't be read.
-    async fn read(&self, turns: Vec<(RequestId, Location)>) -> Result<Vec<RetainedTurn>, ()> {
+    /// Reads turns from the disk until they have `bytes_max`, but at least one. Returns an error if one of
+    /// them can't be read.
+    async fn read(
+        &self,
+        turns: Vec<(RequestId, Location)>,
+        bytes_max: usize,
+    ) -> Result<Vec<RetainedTurn>, ()> {
         let reader = self.reader.clone();
         let outcome = smol::unblock(move || {
             let (mut read, mut bytes) = (Vec::new(), 0);
             for (id, location) in turns {
-                if bytes >= REPLY_BYTES {
+                if bytes >= bytes_max && !read.is_empty() {
                     break;
                 }
                 let turn = read_turn(&reader, location).map_err(|error| (id, error))?;
@@ -399,8 +403,14 @@
     outcome
 }
 
-/// Reads a turn of a team and those before it from this host's disk.
-pub(crate) async fn find_here(gateway: &Rc<Gateway>, id: &str, team: &str) -> TurnLookup {
+/// Reads a turn of a team and those before it from this host's disk, until they have `bytes_max`. With no
+/// bytes to read, only tells whether this host holds the turn.
+pub(crate) async fn find_here(
+    gateway: &Rc<Gateway>,
+    id: &str,
+    team: &str,
+    bytes_max: usize,
+) -> TurnLookup {
     // A host without a store has nothing to lose.
     let Some(store) = &gateway.turns.store else { return TurnLookup::Absent { is_complete: true } };
     let chain: Vec<(RequestId, Location)> = {
@@ -408,7 +418,8 @@
         match index.get(id) {
             // Another team's turn looks like one that does not exist.
             Some((head, _)) if *head.team == *team => {
-                index.chain(id).map(|(head, location)| (head.id.clone(), location)).collect()
+                let chain = index.chain(id).take(REPLY_TURNS_MAX);
+                chain.map(|(head, location)| (head.id.clone(), location)).collect()
             }
             _ => Vec::new(),
         }
@@ -416,7 +427,10 @@
     if chain.is_empty() {
         return TurnLookup::Absent { is_complete: store.pull.borrow().has_recovered() };
     }
-    match store.read(chain).await {
+    if bytes_max == 0 {
+        return TurnLookup::Found { turns: Vec::new(), rest: Some(id.into()) };
+    }
+    match store.read(chain, bytes_max).await {
         Ok(turns) => {
             let rest = turns.last().and_then(|turn| turn.head.previous.clone());
             TurnLookup::Found { turns, rest }
@@ -425,9 +439,13 @@
     }
 }
 
-/// Reads turns from this host's disk, as many as fit into a reply, without those that it does not
-/// hold. Returns them with the number of ids that were looked up.
-pub(crate) async fn fetch_here(gateway: &Gateway, ids: &[RequestId]) -> (Vec<RetainedTurn>, usize) {
+/// Reads turns from this host's disk until they have `bytes_max`, without those that it does not hold.
+/// Returns them with the number of ids that were looked up.
+pub(crate) async fn fetch_here(
+    gateway: &Gateway,
+    ids: &[RequestId],
+    bytes_max: usize,
+) -> (Vec<RetainedTurn>, usize) {
     let Some(store) = &gateway.turns.store else { return (Vec::new(), ids.len()) };
     let held: Vec<(RequestId, Location)> = {
         let index = store.index.borrow();
@@ -438,7 +456,7 @@
         // The first one is not held any more.
         return (Vec::new(), ids.len().min(1));
     }
-    match store.read(held).await {
+    match store.read(held, bytes_max).await {
         Ok(turns) => {
             let tried = turns.len();
             (turns, tried)
--- a/crates/standin/src/fleet/mod.rs
+++ b/crates/standin/src/fleet/mod.rs
@@ -17,7 +17,7 @@
 pub use {
     endless::{ENDLESS_PARTS, EndlessPart, EndlessStandin, Pace},
     pool::{DRAIN_TIME, PoolOptions, WorkerPool},
-    proxy::{LinkFault, LinkProxy},
+    proxy::{LinkFault, LinkProxy, LinkRate},
     store::{ReplacedAddresses, StoreFault, StoreStandin},
     worker::{RecordedRequest, SERVICE, WorkerFault, WorkerStandin, entry, event_versions},
 };
--- a/crates/standin/src/fleet/proxy.rs
+++ b/crates/standin/src/fleet/proxy.rs
@@ -12,7 +12,7 @@
         io,
         net::{Ipv4Addr, SocketAddr},
         sync::{Arc, Mutex, PoisonError},
-        time::Duration,
+        time::{Duration, Instant},
     },
 };
 
@@ -41,6 +41,51 @@
     Unreachable,
 }
 
+/// The rate of a link, which the proxies on it share. Each direction has it for itself.
+#[derive(Debug)]
+pub struct LinkRate {
+    bytes_per_s: f64,
+    requests: Mutex<Carried>,
+    responses: Mutex<Carried>,
+}
+
+#[derive(Debug)]
+struct Carried {
+    bytes: u64,
+    /// When the link has sent all of them.
+    free_at: Instant,
+}
+
+impl LinkRate {
+    /// Creates a link with a rate in Mbit/s.
+    pub fn new(mbit_per_s: f64) -> Arc<Self> {
+        let idle = || Mutex::new(Carried { bytes: 0, free_at: Instant::now() });
+        Arc::new(Self { bytes_per_s: mbit_per_s * 125_000.0, requests: idle(), responses: idle() })
+    }
+
+    /// Returns the number of bytes that were sent to servers, and from them.
+    pub fn carried_bytes(&self) -> (u64, u64) {
+        let bytes = |one: &Mutex<Carried>| one.lock().unwrap_or_else(PoisonError::into_inner).bytes;
+        (bytes(&self.requests), bytes(&self.responses))
+    }
+
+    /// Waits until the link has sent `bytes`.
+    async fn pass(&self, direction: Direction, bytes: usize) {
+        let until = {
+            let carried = match direction {
+                Direction::Request => &self.requests,
+                Direction::Response => &self.responses,
+            };
+            let mut carried = carried.lock().unwrap_or_else(PoisonError::into_inner);
+            carried.bytes += bytes as u64;
+            let duration = Duration::from_secs_f64(bytes as f64 / self.bytes_per_s);
+            carried.free_at = carried.free_at.max(Instant::now()) + duration;
+            carried.free_at
+        };
+        Timer::at(until).await;
+    }
+}
+
 /// A proxy before one server.
 pub struct LinkProxy {
     /// Listening address.
@@ -51,6 +96,7 @@
 
 struct Link {
     server: SocketAddr,
+    rate: Option<Arc<LinkRate>>,
     fault: Mutex<LinkFault>,
     /// Notified when the fault changes.
     changed: Event,
@@ -71,10 +117,24 @@
     ///
     /// Fails if no port can be bound.
     pub async fn start(server: SocketAddr) -> io::Result<Self> {
+        Self::start_link(server, None)
+    }
+
+    /// Starts a proxy on a link with a rate.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no port can be bound.
+    pub async fn start_with_rate(server: SocketAddr, rate: &Arc<LinkRate>) -> io::Result<Self> {
+        Self::start_link(server, Some(rate.clone()))
+    }
+
+    fn start_link(server: SocketAddr, rate: Option<Arc<LinkRate>>) -> io::Result<Self> {
         let listener = trefoilring_net::listen((Ipv4Addr::LOCALHOST, 0).into())?;
         let address = listener.local_addr()?;
         let link = Arc::new(Link {
             server,
+            rate,
             fault: Mutex::default(),
             changed: Event::new(),
             reset: Event::new(),
@@ -182,6 +242,9 @@
     async fn forward(&self, client: TcpStream) -> io::Result<()> {
         let reset = self.reset.listen();
         let server = TcpStream::connect(self.server).await?;
+        // The link has the delays of the test alone.
+        client.set_nodelay(true)?;
+        server.set_nodelay(true)?;
         let requests = self.copy(Direction::Request, client.clone(), server.clone());
         let responses = self.copy(Direction::Response, server, client);
         let reset = async {
@@ -204,6 +267,9 @@
                 return Ok(());
             }
             self.wait_until_open(direction).await;
+            if let Some(rate) = &self.rate {
+                rate.pass(direction, received).await;
+            }
             to.write_all(&block[..received]).await?;
         }
     }
