Keep upstreams without an entry for streams that can go on nowhere else

Cause: a host forgot an upstream with its address as soon as its entry was gone, so that a stream of the version had no upstream to go on at.

Change: placement keeps such an upstream out of use until drain_ms after its entry was certainly there, less the time of the way, for streams of its version that can go on nowhere else. One that had reported gets no more time by the removal. A later process of the id, or an upstream listed at the address, ends it. A host that is asked for a stream's origin names the upstreams of the service that leave, and for how long they serve, for hosts that have started since.

--- a/crates/core/src/placement/mod.rs
+++ b/crates/core/src/placement/mod.rs
@@ -206,12 +206,14 @@
             }
             if existing.record.is_same_process(&record) {
                 let has_changed = existing.record.differs_from(&record);
+                existing.departure.on_listed();
                 existing.is_evacuated = self.evacuated_domains.contains(&record.domain);
                 existing.record = record;
                 return has_changed;
             }
             self.remove(&record.id);
         }
+        self.remove_replaced(record.address);
         let (id, service) = (record.id.clone(), record.service.clone());
         let mut upstream = Upstream::new(record);
         upstream.is_evacuated = self.evacuated_domains.contains(&upstream.record.domain);
@@ -232,22 +234,25 @@
         true
     }
 
-    /// Returns the number of known upstreams of a service.
+    /// Returns the number of upstreams of a service that have entries.
     pub fn upstream_count(&self, service: &str) -> usize {
-        self.by_service.get(service).map_or(0, Vec::len)
+        let keys = self.by_service.get(service).map_or(&[][..], Vec::as_slice);
+        keys.iter().filter(|key| !self.upstreams[**key].departure.is_delisted).count()
     }
 
-    /// Returns the ids of all known upstreams.
+    /// Returns the ids of all upstreams that have entries.
     pub fn ids(&self) -> impl Iterator<Item = &UpstreamId> {
-        self.by_id.keys()
+        self.records().map(|record| &record.id)
     }
 
-    /// Returns the records of all known upstreams.
+    /// Returns the records of all upstreams that have entries.
     pub fn records(&self) -> impl Iterator<Item = &UpstreamRecord> {
-        self.upstreams.values().map(|upstream| &upstream.record)
+        let listed = self.upstreams.values().filter(|upstream| !upstream.departure.is_delisted);
+        listed.map(|upstream| &upstream.record)
     }
 
-    /// Returns the record of an upstream, if it is still known.
+    /// Returns the record of an upstream, if it is still known. One without an entry is known until it
+    /// no longer gets any request, see [`Self::delist`].
     pub fn record(&self, key: UpstreamKey) -> Option<&UpstreamRecord> {
         self.upstreams.get(key).map(|upstream| &upstream.record)
     }
@@ -264,10 +269,11 @@
         self.upstreams.get(key).is_none_or(Upstream::is_excluded)
     }
 
-    /// Returns whether an upstream has said in an answer that it is about to stop, or is no longer
-    /// known.
+    /// Returns whether an upstream has said in an answer that it is about to stop, or has no entry any
+    /// more.
     pub fn has_said_leaving(&self, key: UpstreamKey) -> bool {
-        self.upstreams.get(key).is_none_or(Upstream::says_leaving)
+        let has_said = |one: &Upstream| one.says_leaving() || one.departure.is_delisted;
+        self.upstreams.get(key).is_none_or(has_said)
     }
 
     /// Returns the number of upstreams that have said in an answer that they are about to stop.
--- a/crates/core/src/placement/tests.rs
+++ b/crates/core/src/placement/tests.rs
@@ -600,3 +600,132 @@
     placement.set_drain_time(Duration::from_secs(5));
     assert_ne!(choose_version(&mut placement, at(4000), "v1"), "NoUpstream");
 }
+
+/// Guards against streams that can go on nowhere once the entries of their version's upstreams are gone
+/// without a report, although these serve for the drain time.
+#[test]
+fn upstream_without_an_entry_gets_streams_of_its_version_alone_while_it_serves() {
+    let start = Instant::now();
+    let at = |millis| start + Duration::from_millis(millis);
+    let two = UpstreamRecord { version: "v2".into(), ..record("two", "a") };
+    let mut placement = placement(&[two, record("one", "a")]);
+    placement.record_missing("one", Some(at(0)));
+    assert_eq!(choose_version(&mut placement, at(300), "v1"), "one", "it may return");
+    // A later listing without the entry says nothing new.
+    placement.record_missing("one", Some(at(400)));
+    assert!(placement.delist(at(500), "one"));
+    assert!(!placement.delist(at(500), "one"));
+    assert_eq!(placement.ids().count(), 1);
+    assert_eq!(placement.records().count(), 1);
+    assert_eq!(choose_version(&mut placement, at(1000), "v1"), "one");
+    assert_eq!(choose_id(&mut placement, at(1000), None), "two", "new streams go elsewhere");
+    let one = key(&placement, "one");
+    assert!(placement.has_said_leaving(one), "no request is sent to it again");
+    assert_eq!(placement.next_departure(), Some(at(1750)));
+    placement.remove_departed(at(1749));
+    assert_eq!(choose_version(&mut placement, at(1749), "v1"), "one");
+    assert_eq!(choose_version(&mut placement, at(1750), "v1"), "NoUpstream");
+    placement.remove_departed(at(1750));
+    assert!(placement.find("one").is_none());
+    assert_eq!(placement.next_departure(), None);
+}
+
+#[test]
+fn upstream_without_an_entry_is_forgotten_if_nothing_is_known_of_its_removal() {
+    let now = Instant::now();
+    let mut placement = placement(&[record("one", "a"), record("two", "a")]);
+    placement.record_missing("one", None);
+    assert!(placement.delist(now, "one"));
+    assert!(placement.find("one").is_none());
+    assert!(!placement.delist(now, "unknown"));
+}
+
+/// Guards against requests for an upstream after its drain time: its entry may be gone long after its
+/// report.
+#[test]
+fn removal_of_the_entry_gives_an_upstream_that_has_reported_no_more_time() {
+    let start = Instant::now();
+    let at = |millis| start + Duration::from_millis(millis);
+    let mut placement = placement(&[record("reported", "a"), record("said", "a")]);
+    placement.upsert(UpstreamRecord { is_leaving: true, ..record("reported", "a") });
+    placement.record_departure("reported", Some(at(0)));
+    let said = key(&placement, "said");
+    placement.record_leaving(at(0), said, Some(at(0)));
+    for id in ["reported", "said"] {
+        placement.record_missing(id, Some(at(1500)));
+        assert!(placement.delist(at(1500), id));
+    }
+    assert_eq!(placement.next_departure(), Some(at(1750)));
+    assert_eq!(choose_version(&mut placement, at(1800), "v1"), "NoUpstream");
+}
+
+/// Returns the record of an upstream at an address of its own.
+fn record_at(id: &str, port: u16) -> UpstreamRecord {
+    UpstreamRecord { address: ([127, 0, 0, 1], port).into(), ..record(id, "a") }
+}
+
+#[test]
+fn next_owner_of_an_id_or_address_ends_the_time_of_an_upstream_without_an_entry() {
+    let now = Instant::now();
+    let delisted = || {
+        let mut placement = placement(&[record_at("one", 1), record_at("two", 2)]);
+        placement.record_missing("one", Some(now));
+        placement.delist(now, "one");
+        placement
+    };
+    let former = record_at("one", 1);
+    let of_address = UpstreamRecord { address: former.address, ..record_at("three", 3) };
+    let mut placement = delisted();
+    placement.upsert(record_at("four", 4));
+    assert!(placement.find("one").is_some());
+    placement.upsert(of_address);
+    assert!(placement.find("one").is_none());
+    let mut placement = delisted();
+    let old = key(&placement, "one");
+    let v2 = "v2".into();
+    placement.upsert(UpstreamRecord { incarnation: Some(2), version: v2, ..former.clone() });
+    assert_ne!(key(&placement, "one"), old);
+    assert!(!placement.serves_out(now, old) && !placement.is_excluded(key(&placement, "one")));
+    // The same process is in use again.
+    let mut placement = delisted();
+    assert!(placement.upsert(former));
+    assert!(!placement.is_excluded(key(&placement, "one")));
+    assert_eq!((placement.ids().count(), placement.next_departure()), (2, None));
+}
+
+/// Guards against streams that can go on nowhere at a host that has started since their upstreams left.
+#[test]
+fn host_learns_from_another_how_long_an_upstream_that_leaves_serves() {
+    let start = Instant::now();
+    let at = |millis| start + Duration::from_millis(millis);
+    let mut other = placement(&[record_at("one", 1), record_at("two", 2), record_at("gone", 3)]);
+    other.record_missing("one", Some(at(0)));
+    other.delist(at(100), "one");
+    other.record_missing("gone", None);
+    other.delist(at(100), "gone");
+    let departing = other.departing(at(500), "llm");
+    let names: Vec<_> = departing.iter().map(|(record, left)| (&*record.id, *left)).collect();
+    assert_eq!(names, [("one", Duration::from_millis(1250))]);
+    let (one, left) = departing.into_iter().next().expect("one leaves");
+
+    let v2 = UpstreamRecord { version: "v2".into(), ..record_at("two", 2) };
+    let mut placement = placement(&[v2]);
+    assert!(placement.adopt_departing(at(520), one.clone(), at(500) + left));
+    assert!(!placement.adopt_departing(at(520), one.clone(), at(500) + left));
+    assert_eq!(placement.ids().count(), 1, "it has no entry here");
+    assert!(placement.can_continue(at(1749), "llm", "v1"));
+    assert!(!placement.can_continue(at(1750), "llm", "v1"));
+    assert_eq!(choose_id(&mut placement, at(600), None), "two");
+    assert_eq!(choose_version(&mut placement, at(1749), "v1"), "one");
+    assert_eq!(choose_version(&mut placement, at(1750), "v1"), "NoUpstream");
+    placement.remove_departed(at(1750));
+    assert!(!placement.adopt_departing(at(1750), one.clone(), at(500) + left), "it is over");
+    // Nobody serves for longer than the drain time.
+    assert!(placement.adopt_departing(at(2000), one.clone(), at(9000)));
+    assert_eq!(placement.next_departure(), Some(at(3750)));
+    // One that has an entry is used by that.
+    let two = key(&placement, "two");
+    let told = placement.record(two).expect("it is known").clone();
+    assert!(!placement.adopt_departing(at(2000), told, at(3000)));
+    assert!(!placement.is_excluded(two));
+}
--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/peers/message.rs
@@ -270,8 +270,13 @@
         /// Whether there are more trees after the last one.
         has_more: bool,
     },
-    /// What the host knows of a stream.
-    StreamOrigin { report: OriginReport },
+    /// What the host knows of a stream, and the upstreams of the service that leave and may still get
+    /// streams, with how much longer.
+    StreamOrigin {
+        report: OriginReport,
+        #[serde(default)]
+        departing: Vec<(UpstreamRecord, Duration)>,
+    },
     /// The versions of all services that the host knows.
     Versions { versions: Vec<StreamOrigin> },
     /// The host's list of upstreams.
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -274,6 +274,7 @@
         }
         PeerRequest::StreamOrigin { request, service } => PeerReply::StreamOrigin {
             report: stream_origins::report(gateway, request.as_deref(), &service),
+            departing: gateway.placement.borrow().departing(Instant::now(), &service),
         },
         PeerRequest::StoreTurns { turns } => {
             PeerReply::TurnsStored { outcome: turns::store_here(gateway, turns).await }
--- a/crates/gateway/src/registrations.rs
+++ b/crates/gateway/src/registrations.rs
@@ -17,12 +17,15 @@
     },
     trefoilring_core::{
         ids::UpstreamId,
-        placement::ColdEntry,
+        placement::{ColdEntry, UpstreamRecord},
         registrations::{Delisting, EntryDecision, UpstreamEntry},
     },
     trefoilring_observe::decisions::LineRate,
 };
 
+/// Maximum number of upstreams that leave which are taken over from one reply of another host.
+const DEPARTING_MAX: usize = 64;
+
 /// Starts the removal of upstreams that do not return.
 pub(crate) fn start(gateway: &Rc<Gateway>) {
     gateway.spawn(remove_overdue(gateway.clone()));
@@ -31,15 +34,17 @@
 async fn remove_overdue(gateway: Rc<Gateway>) {
     loop {
         let changed = gateway.registrations_changed.listen();
-        let next = gateway.registrations.borrow().next_removal(Instant::now());
-        match next {
+        let next_removal = gateway.registrations.borrow().next_removal(Instant::now());
+        let next_departure = gateway.placement.borrow().next_departure();
+        match next_removal.into_iter().chain(next_departure).min() {
             Some(at) => {
                 within(at, changed).await;
             }
             None => changed.await,
         }
         let overdue = gateway.registrations.borrow_mut().take_overdue(Instant::now());
-        overdue.iter().for_each(|id| remove(&gateway, id, json!({"what": "did not return"})));
+        overdue.iter().for_each(|id| delist(&gateway, id, json!({"what": "did not return"})));
+        gateway.placement.borrow_mut().remove_departed(Instant::now());
     }
 }
 
@@ -159,9 +164,15 @@
         return;
     }
     let now = Instant::now();
+    // Before the first answer of the store nothing is known of the age.
+    let known_age = gateway.watches.of(Collection::Upstreams).age().map(|_| change_age);
+    let listed_until = known_age.and_then(|age| now.checked_sub(age));
+    for id in ids {
+        gateway.placement.borrow_mut().record_missing(id, listed_until);
+    }
     let delisting = gateway.registrations.borrow_mut().on_delisted(now, ids, change_age);
     let Delisting { removed, missing } = delisting;
-    removed.iter().for_each(|id| remove(gateway, id, json!({"what": "delisted"})));
+    removed.iter().for_each(|id| delist(gateway, id, json!({"what": "delisted"})));
     for (id, until) in &missing {
         gateway.decisions.log(
             LineRate::Failure,
@@ -180,10 +191,47 @@
     }
 }
 
-fn remove(gateway: &Rc<Gateway>, id: &str, mut line: Value) {
-    if !gateway.placement.borrow_mut().remove(id) {
-        return;
+/// Records the upstreams that leave and that another host may send requests, each for this much longer
+/// since `asked_at`.
+pub(crate) fn on_departing(
+    gateway: &Rc<Gateway>,
+    departing: Vec<(UpstreamRecord, Duration)>,
+    asked_at: Instant,
+) {
+    let now = Instant::now();
+    for (record, left) in departing.into_iter().take(DEPARTING_MAX) {
+        let Some(ends_at) = asked_at.checked_add(left) else { continue };
+        let line = json!({
+            "upstream": record.id,
+            "service": record.service,
+            "version": record.version,
+            "what": "departing",
+            "left_ms": left.as_millis() as u64,
+        });
+        if gateway.placement.borrow_mut().adopt_departing(now, record, ends_at) {
+            gateway.decisions.log(LineRate::Failure, "upstream", line);
+            gateway.registrations_changed.notify(usize::MAX);
+        }
     }
+}
+
+/// Takes an upstream out of use whose entry names no upstream.
+fn remove(gateway: &Rc<Gateway>, id: &str, line: Value) {
+    if gateway.placement.borrow_mut().remove(id) {
+        on_out_of_use(gateway, id, line);
+    }
+}
+
+/// Takes an upstream out of use whose entry is gone. It still gets streams of its version that can go
+/// on nowhere else, while it serves.
+fn delist(gateway: &Rc<Gateway>, id: &str, line: Value) {
+    if gateway.placement.borrow_mut().delist(Instant::now(), id) {
+        on_out_of_use(gateway, id, line);
+        gateway.registrations_changed.notify(usize::MAX);
+    }
+}
+
+fn on_out_of_use(gateway: &Rc<Gateway>, id: &str, mut line: Value) {
     stream_origins::refresh_versions(gateway);
     gateway.crash_watch.borrow_mut().record_departure(Instant::now(), &id.into());
     line["upstream"] = id.into();
--- a/crates/gateway/src/stream_origins.rs
+++ b/crates/gateway/src/stream_origins.rs
@@ -9,6 +9,7 @@
         call::{Call, RETRY_AFTER_DEFAULT},
         gateway::Gateway,
         peers::{self, PeerReply, PeerRequest},
+        registrations,
     },
     futures_util::future::join_all,
     serde_json::json,
@@ -199,7 +200,12 @@
     let own = report(gateway, request, &call.service);
     let services: Vec<ServiceId> = call.route.services().cloned().collect();
     let is_known = own.origin.is_some() || own.is_ambiguous;
-    let (is_alone, replies) = match is_known {
+    // Others may know upstreams of the version that have left before this host has started.
+    let has_upstream = own.origin.as_ref().is_none_or(|origin| {
+        let placement = gateway.placement.borrow();
+        placement.can_continue(Instant::now(), &origin.service, &origin.version)
+    });
+    let (is_alone, replies) = match is_known && has_upstream {
         true => (false, Vec::new()),
         false => ask_holders(gateway, call, request).await,
     };
@@ -247,10 +253,14 @@
         request: request.map(RequestId::from),
         service: call.service.clone(),
     };
-    let deadline = call.deadline.min(Instant::now() + LOOKUP_TIMEOUT);
+    let asked_at = Instant::now();
+    let deadline = call.deadline.min(asked_at + LOOKUP_TIMEOUT);
     let questions = holders.into_iter().map(async |holder| {
         match peers::send_request(gateway, holder, &question, deadline).await {
-            Some(PeerReply::StreamOrigin { report }) => Some(report),
+            Some(PeerReply::StreamOrigin { report, departing }) => {
+                registrations::on_departing(gateway, departing, asked_at);
+                Some(report)
+            }
             _ => None,
         }
     });
