--- a/crates/gateway/src/call/mod.rs
+++ b/crates/gateway/src/call/mod.rs
@@ -161,6 +161,7 @@
         Err(refusal) => return refuse(&gateway, &request_id, arrived, None, &refusal),
     };
     connection.set_body_unread(false);
+    connection.wait_for_reader(call.deadline);
     if let Err(refusal) = retained::prepare(&gateway, &mut call).await {
         return refuse(&gateway, &request_id, arrived, Some(&call), &refusal);
     }
--- a/crates/gateway/src/http.rs
+++ b/crates/gateway/src/http.rs
@@ -41,7 +41,7 @@
 
 /// How long written bytes may stay unacknowledged before the kernel closes a connection. Longer
 /// than a few retransmissions, shorter than the callers' timeouts.
-const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(2000);
+pub(crate) const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(2000);
 /// Interval of keep-alive probes on a silent connection: a peer may disappear without a reset.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 /// Number of unanswered keep-alive probes after which the kernel closes a connection.
@@ -484,6 +484,15 @@
     }
 }
 
+/// Sets how long written bytes may stay unacknowledged, or may not be sent because the peer does not
+/// read.
+pub(crate) fn set_unacknowledged_timeout(stream: &TcpStream, timeout: Duration) {
+    let socket = socket2::SockRef::from(stream);
+    if let Err(error) = socket.set_tcp_user_timeout(Some(timeout)) {
+        log::debug!("failed to set socket option TCP_USER_TIMEOUT; keeping the former: {error}");
+    }
+}
+
 /// Returns how long the connection of an answer may stay idle: the timeout that the peer announces,
 /// minus a margin.
 fn idle_timeout<B>(response: &Response<B>) -> Duration {
--- a/crates/gateway/src/inbound.rs
+++ b/crates/gateway/src/inbound.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        http::set_options,
+        http::{self, set_options},
         memory::{DropSignal, Reservation},
         time::within,
     },
@@ -60,12 +60,26 @@
     /// Whether a part of the present request's body has not been read.
     is_body_unread: Cell<bool>,
     head_bytes_max: usize,
+    /// The connection, for its options.
+    stream: TcpStream,
+    /// How long sent bytes may stay unacknowledged, or unread once the peer's buffer is full.
+    unread_max: Cell<Duration>,
     close_sender: Sender<()>,
     reservation: Reservation,
     signal: Rc<DropSignal>,
 }
 
 impl InboundConnection {
+    /// Lets the peer read the answer to its request as slowly as it likes until a deadline. The kernel
+    /// counts the time in which the peer's buffer is full like that in which the peer is silent.
+    pub(crate) fn wait_for_reader(&self, deadline: Instant) {
+        let left = deadline.saturating_duration_since(Instant::now());
+        if left > self.unread_max.get() {
+            self.unread_max.set(left);
+            http::set_unacknowledged_timeout(&self.stream, left);
+        }
+    }
+
     /// Closes the connection after the answer that is in progress, if there is one.
     pub(crate) fn close(&self) {
         // The channel holds one message; a second request to close has no further effect.
@@ -176,6 +190,8 @@
         is_answering: Cell::new(false),
         is_body_unread: Cell::new(false),
         head_bytes_max,
+        stream: stream.clone(),
+        unread_max: Cell::new(http::UNACKNOWLEDGED_TIMEOUT),
         close_sender,
         reservation,
         signal,
--- a/crates/gateway/src/relay/helper.rs
+++ b/crates/gateway/src/relay/helper.rs
@@ -122,6 +122,7 @@
     let read = within(relayed.deadline, reading).await;
     let (body, memory) = read.and_then(Result::ok).ok_or(Failure::Rejected)?;
     caller.set_body_unread(false);
+    caller.wait_for_reader(relayed.deadline);
     let metadata = gateway.adapter.dialect.read_call(&relayed.head);
     if !may_send(gateway, &relayed, destination.key) || evacuations::must_wait(gateway) {
         // Its domain was evacuated, or it has begun to leave, while the body came in; or this process
