Write the log on a thread of its own, with bounds

Cause: the logger wrote each line on the thread that logged it, which is the one that serves, and without any limit.

Evidence: 2,000 lines of 1 KB into an unread pipe: the former logger did not return within 60 s.

Change: tracing-appender writes the lines on its own thread; 256 lines of up to 2 KB wait at most, others are dropped and counted. Each place in the code has a rate, by the limiter of decision lines, which is a module of its own now with its test.

--- a/crates/cli/src/serve.rs
+++ b/crates/cli/src/serve.rs
@@ -57,7 +57,7 @@
 fn serve_on_platform(path: &Path) -> Result<(), Box<dyn std::error::Error>> {
     let settings = read_settings(path)?;
     let host = settings.gateway.host.to_string();
-    observe::log::init(LevelFilter::Info, &host)?;
+    let _log_writer = observe::log::init(LevelFilter::Info, &host)?;
     let decisions = Decisions::start(&host, std::io::stdout())?;
     let commands = commands(path.to_path_buf())?;
     let path = path.to_path_buf();
@@ -73,7 +73,7 @@
 
 fn serve(settings: Settings) -> Result<(), Box<dyn std::error::Error>> {
     let level = settings.log_level.to_string().parse()?;
-    observe::log::init(level, &settings.host)?;
+    let _log_writer = observe::log::init(level, &settings.host)?;
     let stop = stop_signals()?;
     let host = Host::start(settings).map_err(|report| format!("{report:?}"))?;
     // A process that started this one with port 0 reads the bound addresses from this line.
--- a/crates/gateway/src/status.rs
+++ b/crates/gateway/src/status.rs
@@ -68,6 +68,7 @@
         ("requests_open", gateway.requests_open.get() as u64),
         ("caller_connections_open", gateway.callers.borrow().len() as u64),
         ("decision_lines_dropped", gateway.decisions.dropped()),
+        ("log_lines_dropped", trefoilring_observe::log::dropped()),
         ("hosts", gateway.roster.borrow().peers().count() as u64 + 1),
         ("peers_out_of_reach", gateway.suspects.borrow().len() as u64),
         ("turns_stored", gateway.turns.stored_count() as u64),
--- a/crates/observe/src/decisions.rs
+++ b/crates/observe/src/decisions.rs
@@ -6,10 +6,9 @@
 //! suppressed. [`Decisions::dropped`] returns the number of lines that a full buffer has dropped.
 
 use {
-    crate::log::wall_us,
+    crate::{log::wall_us, rate::RateLimits},
     serde::Serialize,
     std::{
-        collections::HashMap,
         io::{self, Write},
         sync::{Arc, Condvar, Mutex},
         time::{Duration, Instant},
@@ -20,8 +19,6 @@
 const BUFFER_BYTES_MAX: usize = 256 * 1024;
 /// How long the writer collects lines before each write, to limit thread wake-ups.
 const BATCH_INTERVAL: Duration = Duration::from_millis(200);
-/// Period over which the lines of a kind are counted for its rate limit.
-const RATE_WINDOW: Duration = Duration::from_secs(1);
 
 /// Selects the rate limit of a kind of decision line.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -60,21 +57,13 @@
 #[derive(Default)]
 struct State {
     buffer: Vec<u8>,
-    /// Rate limiters by kind of line.
-    kinds: HashMap<&'static str, KindLimiter>,
+    /// Rate limits by kind of line.
+    rates: RateLimits<&'static str>,
     is_closed: bool,
     /// Lines dropped because the buffer was full.
     dropped: u64,
 }
 
-/// Limits the rate of one kind of line.
-struct KindLimiter {
-    window_start: Instant,
-    lines: u32,
-    /// Lines suppressed by the rate limit since the last admitted one.
-    suppressed: u64,
-}
-
 #[derive(Serialize)]
 struct Line<'a, T> {
     wall_us: u64,
@@ -87,7 +76,7 @@
     fields: T,
 }
 
-fn is_zero(count: &u64) -> bool {
+pub(crate) fn is_zero(count: &u64) -> bool {
     *count == 0
 }
 
@@ -117,7 +106,10 @@
     /// `fields` must serialize as a map.
     pub fn log(&self, line_rate: LineRate, kind: &'static str, fields: impl Serialize) {
         let Ok(mut state) = self.shared.state.lock() else { return };
-        let Some(left_out) = state.admit(Instant::now(), line_rate, kind) else { return };
+        let Some(left_out) = state.rates.admit(Instant::now(), kind, line_rate.lines_per_s())
+        else {
+            return;
+        };
         let line = Line { wall_us: wall_us(), host: &self.host, kind, left_out, fields };
         let Ok(mut text) = serde_json::to_vec(&line) else {
             debug_assert!(false, "fields of {kind} must serialize as a map");
@@ -157,25 +149,6 @@
     }
 }
 
-impl State {
-    /// Applies the rate limit to one line. Returns the number of lines of the kind suppressed
-    /// since the last admitted one, or `None` if this line is suppressed too.
-    fn admit(&mut self, now: Instant, line_rate: LineRate, kind: &'static str) -> Option<u64> {
-        let new_limiter = KindLimiter { window_start: now, lines: 0, suppressed: 0 };
-        let limiter = self.kinds.entry(kind).or_insert(new_limiter);
-        if now.duration_since(limiter.window_start) >= RATE_WINDOW {
-            limiter.window_start = now;
-            limiter.lines = 0;
-        }
-        if limiter.lines >= line_rate.lines_per_s() {
-            limiter.suppressed += 1;
-            return None;
-        }
-        limiter.lines += 1;
-        Some(std::mem::take(&mut limiter.suppressed))
-    }
-}
-
 fn write_batches(shared: &Shared, mut out: impl Write) {
     loop {
         let Ok(state) = shared.state.lock() else { return };
--- a/crates/observe/src/decisions/tests.rs
+++ b/crates/observe/src/decisions/tests.rs
@@ -16,26 +16,6 @@
     assert!(lines[0].get("left_out").is_none());
 }
 
-#[test]
-fn lines_over_the_rate_of_their_kind_are_counted() {
-    let mut state = State::default();
-    let now = Instant::now();
-    let limit = LineRate::Routine.lines_per_s();
-    for _ in 0..limit {
-        assert_eq!(state.admit(now, LineRate::Routine, "call"), Some(0));
-    }
-    for _ in 0..7 {
-        assert_eq!(state.admit(now, LineRate::Routine, "call"), None);
-    }
-    assert_eq!(
-        state.admit(now, LineRate::Failure, "refusal"),
-        Some(0),
-        "each kind has its own limit"
-    );
-    assert_eq!(state.admit(now + RATE_WINDOW, LineRate::Routine, "call"), Some(7));
-    assert_eq!(state.admit(now + RATE_WINDOW, LineRate::Routine, "call"), Some(0));
-}
-
 #[test]
 fn lines_beyond_a_full_buffer_are_dropped_and_counted() {
     let decisions = Decisions::without_writer("host-1");
--- a/crates/observe/src/lib.rs
+++ b/crates/observe/src/lib.rs
@@ -3,3 +3,4 @@
 pub mod decisions;
 pub mod log;
 pub mod metrics;
+mod rate;
