Encode turns once for all store hosts, and count them as memory

Cause: each store host that was asked to keep a turn got an encoded copy of its own, and none was in the account of the host's memory.

Evidence: path::small_links::turn_on_its_way_to_store_hosts_counts_as_memory fails before.

Change: one encoded copy goes to all hosts, and its memory is reserved with the prompt before the turn runs.

--- a/crates/gateway/src/call/retained.rs
+++ b/crates/gateway/src/call/retained.rs
@@ -68,10 +68,12 @@
         Some(id) => Some(turns::find(gateway, id, team_of(call), &tree, call.deadline).await?),
     };
     let input = call.body.clone();
+    // The prompt is held beside its parts, which the cache of turns counts.
+    let prompt_size = previous.as_ref().map(|previous| prompt_bytes(previous, &input));
+    let prompt_size = prompt_size.transpose()?.unwrap_or_default();
+    // The turn is encoded once more, for the hosts that will keep it.
+    reserve(gateway, call, 2 * input.len() + prompt_size).await?;
     if let Some(previous) = &previous {
-        let size = prompt_bytes(previous, &input)?;
-        // The prompt is held beside its parts, which the cache of turns counts.
-        reserve_prompt(gateway, call, input.len() + size).await?;
         call.body = prompt(previous, &input)?;
     }
     let tree = previous.as_ref().map_or(tree, |previous| previous.turn.head.tree.clone());
@@ -117,11 +119,8 @@
     Ok(size)
 }
 
-async fn reserve_prompt(
-    gateway: &Rc<Gateway>,
-    call: &mut Call,
-    bytes: usize,
-) -> Result<(), Refusal> {
+/// Reserves the memory of a request that is kept.
+async fn reserve(gateway: &Rc<Gateway>, call: &mut Call, bytes: usize) -> Result<(), Refusal> {
     let reserved = match call.memory.take() {
         Some(reservation) => {
             let grown = reservation.wait_to_grow(bytes).await;
@@ -135,7 +134,7 @@
         }
     };
     let reservation = reserved.map_err(|denied| {
-        let detail = "the host holds as many prompts as it has memory for";
+        let detail = "the host holds as many prompts and turns as it has memory for";
         Refusal::not_run(Reason::Overloaded, detail).retry_after(denied.retry_after)
     })?;
     call.memory = Some(reservation);
--- a/crates/gateway/src/peers/client.rs
+++ b/crates/gateway/src/peers/client.rs
@@ -1,7 +1,7 @@
 //! Sends requests to other hosts, directly or through a relay, and tracks unreachable hosts.
 
 use {
-    super::message::{PeerReply, PeerRequest},
+    super::message::{MessageFormat, PeerReply, PeerRequest},
     crate::{
         gateway::Gateway,
         http::{Progress, SendError},
@@ -65,14 +65,48 @@
     request: &PeerRequest,
     progress: &Progress,
     silence_max: Duration,
+) -> Option<PeerReply> {
+    let (format, body) = encode(request)?;
+    send_bulk(gateway, address, format, body, progress, silence_max).await
+}
+
+async fn send_bulk(
+    gateway: &Rc<Gateway>,
+    address: SocketAddr,
+    format: MessageFormat,
+    body: Bytes,
+    progress: &Progress,
+    silence_max: Duration,
 ) -> Option<PeerReply> {
     let deadline = Instant::now() + BULK_TIMEOUT;
-    let sent = exchange(gateway, address, request, Some(progress.clone()), deadline);
+    let sent = exchange(gateway, address, format, body, Some(progress.clone()), deadline);
     let reply = progress.wait_for(silence_max, sent).await.flatten();
     record_outcome(gateway, address, reply.is_some());
     reply
 }
 
+/// A message that is encoded once, however many hosts get it.
+pub(crate) struct EncodedRequest {
+    request: PeerRequest,
+    body: Bytes,
+}
+
+impl EncodedRequest {
+    /// Encodes a message. Returns `None` if it can't be encoded.
+    pub(crate) fn new(request: PeerRequest) -> Option<Self> {
+        let (_, body) = encode(&request)?;
+        Some(Self { request, body })
+    }
+}
+
+fn encode(request: &PeerRequest) -> Option<(MessageFormat, Bytes)> {
+    let format = request.format();
+    let encoded = format.encode(request);
+    let body =
+        encoded.inspect_err(|error| log::error!("failed to serialize a peer request: {error}"));
+    Some((format, Bytes::from(body.ok()?)))
+}
+
 fn record_outcome(gateway: &Rc<Gateway>, address: SocketAddr, is_answered: bool) {
     if !is_answered {
         gateway.metrics.count("peer_unanswered", 1);
@@ -86,25 +120,19 @@
     request: &PeerRequest,
     deadline: Instant,
 ) -> Option<PeerReply> {
-    exchange(gateway, address, request, None, deadline).await
+    let (format, body) = encode(request)?;
+    exchange(gateway, address, format, body, None, deadline).await
 }
 
 async fn exchange(
     gateway: &Gateway,
     address: SocketAddr,
-    request: &PeerRequest,
+    format: MessageFormat,
+    body: Bytes,
     progress: Option<Progress>,
     deadline: Instant,
 ) -> Option<PeerReply> {
-    let format = request.format();
-    let body = match format.encode(request) {
-        Ok(body) => body,
-        Err(error) => {
-            log::error!("failed to serialize a peer request: {error}");
-            return None;
-        }
-    };
-    let mut http_request = Request::new(Full::new(Bytes::from(body)));
+    let mut http_request = Request::new(Full::new(body));
     *http_request.method_mut() = Method::POST;
     http_request.headers_mut().insert(header::CONTENT_TYPE, format.content_type());
     if let Ok(host) = header::HeaderValue::from_str(&address.to_string()) {
@@ -222,14 +250,15 @@
 pub(crate) async fn send_bulk_or_relay(
     gateway: &Rc<Gateway>,
     address: SocketAddr,
-    request: PeerRequest,
+    encoded: &EncodedRequest,
     progress: &Progress,
     patience: Patience,
 ) -> Option<PeerReply> {
     let Some(relay) = relay_to(gateway, address) else {
-        return send_bulk_request(gateway, address, &request, progress, patience.silence_max).await;
+        let (format, body) = (encoded.request.format(), encoded.body.clone());
+        return send_bulk(gateway, address, format, body, progress, patience.silence_max).await;
     };
-    let timeout = patience.relayed_max;
+    let (request, timeout) = (encoded.request.clone(), patience.relayed_max);
     let outcome = send_through(gateway, relay, address, request, timeout, Some(progress)).await;
     reply_through(gateway, address, outcome)
 }
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -5,8 +5,9 @@
 
 pub(crate) use {
     client::{
-        Patience, announce, is_in_reach, is_lost, is_suspect, mark_suspect, send_announcement,
-        send_bulk_or_relay, send_bulk_request, send_request, send_request_or_relay,
+        EncodedRequest, Patience, announce, is_in_reach, is_lost, is_suspect, mark_suspect,
+        send_announcement, send_bulk_or_relay, send_bulk_request, send_request,
+        send_request_or_relay,
     },
     message::{
         ChargeDecision, CollectionNews, Ownership, PeerReply, PeerRequest, SettlementStatus,
--- a/crates/gateway/src/turns/find.rs
+++ b/crates/gateway/src/turns/find.rs
@@ -8,7 +8,7 @@
     },
     crate::{
         gateway::Gateway,
-        peers::{self, PeerReply, PeerRequest},
+        peers::{self, EncodedRequest, PeerReply, PeerRequest},
         roster,
         store::{Collection, StoredObject},
         time::within,
@@ -139,11 +139,12 @@
         return None;
     }
     let request = PeerRequest::FindTurn { id: turn, team, bytes_max: Some(bytes_max) };
+    let request = EncodedRequest::new(request)?;
     let patience = peers::Patience {
         silence_max: SILENCE_MAX,
         relayed_max: if bytes_max == 0 { SILENCE_MAX } else { RELAYED_PART_TIMEOUT },
     };
-    match peers::send_bulk_or_relay(&gateway, address, request, &progress, patience).await {
+    match peers::send_bulk_or_relay(&gateway, address, &request, &progress, patience).await {
         Some(PeerReply::TurnLookup { lookup }) => Some(lookup),
         _ => None,
     }
--- a/crates/gateway/src/turns/retain.rs
+++ b/crates/gateway/src/turns/retain.rs
@@ -8,7 +8,7 @@
     crate::{
         gateway::Gateway,
         http::Progress,
-        peers::{self, PeerReply, PeerRequest},
+        peers::{self, EncodedRequest, PeerReply, PeerRequest},
         time::within,
     },
     derive_more::{Display, Error, From},
@@ -99,6 +99,8 @@
     let by_host: HashMap<HostId, Holder> =
         holders.into_iter().map(|holder| (holder.host.clone(), holder)).collect();
     let (mut round, first) = WriteRound::begin(copies(gateway), ranked)?;
+    let message = TurnMessage::new(vec![turn.turn.clone()]).ok_or(NotRetained::NotStored)?;
+    let message = Rc::new(message);
     let mut writes = FuturesUnordered::new();
     let mut progress: HashMap<HostId, Progress> = HashMap::new();
     let mut to_ask = first;
@@ -114,7 +116,8 @@
             *asked_count += 1;
             let begun = Progress::begin();
             progress.insert(holder.host.clone(), begun.clone());
-            writes.push(write_at(gateway.clone(), holder.clone(), turn.clone(), begun));
+            let (message, turn) = (message.clone(), turn.clone());
+            writes.push(write_at(gateway.clone(), holder.clone(), message, turn, begun));
         }
         if round.is_durable() {
             return Ok(());
@@ -148,14 +151,16 @@
 async fn write_at(
     gateway: Rc<Gateway>,
     holder: Holder,
+    message: Rc<TurnMessage>,
     turn: Rc<CachedTurn>,
     progress: Progress,
 ) -> (HostId, bool) {
-    let mut outcome = send(&gateway, &holder, vec![turn.turn.clone()], &progress).await;
+    let mut outcome = send(&gateway, &holder, &message, &progress).await;
     if outcome == Some(TurnWriteOutcome::MissingPrevious) {
         gateway.metrics.count("turn_chains_written", 1);
         for turns in chain_messages(&turn) {
-            outcome = send(&gateway, &holder, turns, &progress).await;
+            let Some(message) = TurnMessage::new(turns) else { return (holder.host, false) };
+            outcome = send(&gateway, &holder, &message, &progress).await;
             if outcome != Some(TurnWriteOutcome::Stored) {
                 break;
             }
@@ -182,26 +187,42 @@
     messages
 }
 
+/// Turns to store, encoded once for all hosts that get them.
+struct TurnMessage {
+    turns: Vec<RetainedTurn>,
+    bytes: usize,
+    request: EncodedRequest,
+}
+
+impl TurnMessage {
+    fn new(turns: Vec<RetainedTurn>) -> Option<Self> {
+        let bytes = turns.iter().map(RetainedTurn::bytes).sum();
+        let request = EncodedRequest::new(PeerRequest::StoreTurns { turns: turns.clone() })?;
+        Some(Self { turns, bytes, request })
+    }
+}
+
 async fn send(
     gateway: &Rc<Gateway>,
     holder: &Holder,
-    turns: Vec<RetainedTurn>,
+    message: &TurnMessage,
     progress: &Progress,
 ) -> Option<TurnWriteOutcome> {
-    let Some(address) = holder.address else { return Some(store_here(gateway, turns).await) };
-    let bytes: usize = turns.iter().map(RetainedTurn::bytes).sum();
-    let request = PeerRequest::StoreTurns { turns };
+    let TurnMessage { turns, bytes, request } = message;
+    let Some(address) = holder.address else {
+        return Some(store_here(gateway, turns.clone()).await);
+    };
     let patience =
         peers::Patience { silence_max: WRITE_SILENCE_MAX, relayed_max: WRITE_SILENCE_MAX };
     let (transfers, began) = (&gateway.turns.transfers, Instant::now());
     // A host whose disk stalls is in reach, so only its turns go elsewhere for a while.
-    let slow_after = HEDGE_DELAY + transfers.duration_to_send(bytes);
+    let slow_after = HEDGE_DELAY + transfers.duration_to_send(*bytes);
     let slow_guard = SlowGuard { gateway, address, slow_at: began + slow_after };
     let reply = peers::send_bulk_or_relay(gateway, address, request, progress, patience).await;
     drop(slow_guard);
     match reply {
         Some(PeerReply::TurnsStored { outcome }) => {
-            transfers.on_sent(bytes, began.elapsed());
+            transfers.on_sent(*bytes, began.elapsed());
             Some(outcome)
         }
         _ => None,
