--- a/crates/gateway/src/turns/retain.rs
+++ b/crates/gateway/src/turns/retain.rs
@@ -106,11 +106,11 @@
     let mut to_ask = first;
     let hedge_delay = HEDGE_DELAY + gateway.turns.transfers.duration_to_send(turn.turn.bytes());
     // While bytes pass, another copy on the same link would only make these writes late.
-    let hedge_at = |progress: &HashMap<HostId, Progress>, hedged_at: Instant| {
+    let hedge_at = |progress: &HashMap<HostId, Progress>, last_event_at: Instant| {
         let last_progress = progress.values().map(Progress::last_at);
-        last_progress.fold(hedged_at, Instant::max) + hedge_delay
+        last_progress.fold(last_event_at, Instant::max) + hedge_delay
     };
-    let mut hedged_at = Instant::now();
+    let mut last_event_at = Instant::now();
     loop {
         for holder in to_ask.drain(..).filter_map(|host| by_host.get(&host)) {
             *asked_count += 1;
@@ -125,11 +125,11 @@
         if round.is_hopeless() {
             return Err(NotRetained::NotStored);
         }
-        let next_hedge_at = hedge_at(&progress, hedged_at);
+        let next_hedge_at = hedge_at(&progress, last_event_at);
         match within(deadline.min(next_hedge_at), writes.next()).await {
             Some(Some((host, is_stored))) => {
                 progress.remove(&host);
-                hedged_at = Instant::now();
+                last_event_at = Instant::now();
                 match is_stored {
                     true => round.on_stored(&host),
                     false => to_ask.extend(round.on_failed(&host)),
@@ -137,8 +137,8 @@
             }
             Some(None) => return Err(NotRetained::NotStored),
             None if Instant::now() >= deadline => return Err(NotRetained::TimedOut),
-            None if Instant::now() >= hedge_at(&progress, hedged_at) => {
-                hedged_at = Instant::now();
+            None if Instant::now() >= hedge_at(&progress, last_event_at) => {
+                last_event_at = Instant::now();
                 to_ask.extend(round.on_slow());
             }
             None => {}
