Keep what was known when an entry was first missed

A host that learned its upstreams from another one before the store's first answer could send a stream to an upstream after its drain time.

Cause: what is noted when an entry is first missed was an optional time. 'Missed, nothing known of when' and 'not missed' were the same value, so a second listing without the entry set its own, later time. That gave an upstream without an entry up to drain_ms more from then on, while it may have been gone for longer.

Change: core::placement::departure notes the missing entry as a fact of its own, with the time or without. Whatever comes first holds until the entry is back.

--- a/crates/core/src/placement/departure.rs
+++ b/crates/core/src/placement/departure.rs
@@ -23,6 +23,14 @@
 /// Time before the end of that in which a request gets to the upstream.
 const TRAVEL_TIME: Duration = Duration::from_millis(250);
 
+/// An upstream's entry that is missing. What was known when it was first missed holds: a later listing
+/// without the entry says nothing of when it was removed.
+#[derive(Clone, Copy, Debug)]
+struct MissingEntry {
+    /// The entry was there until this time. `None` if nothing is known of that.
+    listed_until: Option<Instant>,
+}
+
 /// When an upstream has begun to leave.
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct Departure {
@@ -30,9 +38,8 @@
     unreported_until: Option<Instant>,
     /// When an answer, or another host, first said that it leaves.
     said_at: Option<Instant>,
-    /// The entry was there until this time and is missing. `None` if it is there, or nothing is known
-    /// of the time.
-    listed_until: Option<Instant>,
+    /// `None` if the entry is there, or was never seen.
+    missing: Option<MissingEntry>,
     /// Whether the upstream is no longer in use since its entry is gone. Invariant: it leaves, and its
     /// record says so.
     pub(super) is_delisted: bool,
@@ -45,7 +52,7 @@
 
     /// Records that the entry is there, which says that the upstream does not leave.
     pub(super) fn on_listed(&mut self) {
-        self.listed_until = None;
+        self.missing = None;
         self.is_delisted = false;
     }
 
@@ -99,7 +106,7 @@
     pub fn record_missing(&mut self, id: &str, listed_until: Option<Instant>) {
         if let Some(key) = self.by_id.get(id) {
             let departure = &mut self.upstreams[*key].departure;
-            departure.listed_until = departure.listed_until.or(listed_until);
+            departure.missing.get_or_insert(MissingEntry { listed_until });
         }
     }
 
@@ -112,7 +119,8 @@
             return false;
         }
         if !upstream.is_leaving() {
-            upstream.departure.unreported_until = upstream.departure.listed_until;
+            upstream.departure.unreported_until =
+                upstream.departure.missing.and_then(|missing| missing.listed_until);
         }
         upstream.record.is_leaving = true;
         upstream.departure.is_delisted = true;
--- a/crates/core/src/placement/tests.rs
+++ b/crates/core/src/placement/tests.rs
@@ -640,6 +640,27 @@
     assert!(!placement.delist(now, "unknown"));
 }
 
+/// Guards against streams for an upstream after its drain time: it may have been gone for long when a host
+/// that learned of it from another one misses its entry, and the listings after that tell no more.
+#[test]
+fn later_listing_does_not_tell_since_when_an_entry_is_missing() {
+    let start = Instant::now();
+    let at = |millis| start + Duration::from_millis(millis);
+    let mut placement = placement(&[record("one", "a"), record("two", "a")]);
+    placement.record_missing("one", None);
+    placement.record_missing("one", Some(at(1500)));
+    assert!(placement.delist(at(1600), "one"));
+    assert_eq!(placement.next_departure(), None);
+    assert_eq!(choose_version(&mut placement, at(1600), "v1"), "two");
+    assert!(placement.find("one").is_none());
+    // An entry that comes back and is missed again is another matter.
+    placement.record_missing("two", None);
+    placement.upsert(UpstreamRecord { is_leaving: false, ..record("two", "a") });
+    placement.record_missing("two", Some(at(2000)));
+    assert!(placement.delist(at(2100), "two"));
+    assert_eq!(placement.next_departure(), Some(at(3750)));
+}
+
 /// Guards against requests for an upstream after its drain time: its entry may be gone long after its
 /// report.
 #[test]
