Let no two hosts that leave count each other's copies, and end each retirement

(1) Store hosts that operators empty at the same time could both report that they are empty while each counted the other's copies. With both gone, a turn had fewer copies than it needs, and the next lost disk took it: a program's history was lost. (2) A turn that a gateway with an old list of hosts wrote to a host that leaves, after the others had asked it for its turns, was fetched by nobody: the retirement never ended.

Cause: (1) copies were counted at all hosts with a disk, whether they stay or not. (2) Hosts ask each other again only when the list of hosts changes. (3) On the way: turns that were still being written when the own turns were listed, and stored before the last look at what is pending, were not checked.

Change: core::turns::Retirement decides, without I/O. Only hosts that stay count; a host says with the list of its turns whether it may leave, so that of two that leave, the later one learns of the other whatever the lists of hosts say. What nobody has fetched for 3 s, the host sends itself, in parts, with the slots of other transfers. A check counts as the last one only if nothing was pending when it began.

Evidence: turns::tests::cluster plays retirements question by question now. If too few hosts stay, none of them is reported as empty; before, one of them was.

--- a/crates/core/src/turns/mod.rs
+++ b/crates/core/src/turns/mod.rs
@@ -14,6 +14,7 @@
 mod index;
 mod lookup;
 mod pull;
+mod retirement;
 mod search;
 mod transfer_rate;
 mod write_round;
@@ -26,6 +27,7 @@
     index::{InsertError, TurnIndex},
     lookup::{HolderReply, is_certainly_absent},
     pull::{PullNumber, PullPeer, PullRound},
+    retirement::{HeldTrees, HeldTurns, OwnTurns, Retirement, RetirementStep, SENDING_DELAY},
     search::ChainSearch,
     transfer_rate::{PART_BYTES_MAX, TransferRate},
     write_round::{TooFewHosts, WriteRound},
--- a/crates/core/src/turns/tests/cluster.rs
+++ b/crates/core/src/turns/tests/cluster.rs
@@ -4,7 +4,7 @@
 use {
     super::*,
     rand::{RngExt, SeedableRng, rngs::StdRng, seq::IndexedRandom},
-    std::collections::BTreeSet,
+    std::collections::{BTreeSet, HashMap},
 };
 
 const SEEDS: u64 = 250;
@@ -13,6 +13,12 @@
 const GATEWAYS: usize = 2;
 /// Time that a question takes that is not answered.
 const UNANSWERED: Duration = Duration::from_millis(400);
+/// Time between two checks of a host that leaves.
+const CHECK_INTERVAL: Duration = Duration::from_millis(400);
+/// Maximum number of questions of hosts that leave in one step.
+const RETIREMENT_STEPS_MAX: usize = 12;
+/// Number of turns that have ended before hosts leave at once.
+const TURNS_BEFORE_RETIREMENTS: usize = 30;
 /// Bound of the rounds in which hosts fetch what they should hold.
 const SETTLING_ROUNDS_MAX: usize = 1000;
 
@@ -29,6 +35,9 @@
     AwayHostsAreNotListed,
     StoresWithoutPrevious,
     RetiresAtOnce,
+    CountsLeavingHosts,
+    LeavingHostsDoNotSaySo,
+    SendsNoTurns,
     UnresponsiveHostsStayHolders,
 }
 
@@ -51,10 +60,26 @@
     pull: PullRound,
     is_leaving: bool,
     accepts: bool,
+    retirement: Retirement,
+    /// The check of the retirement that is under way.
+    check: Option<Check>,
+    /// Whether the platform has been told that the host may be removed.
+    is_done: bool,
     /// The list that the host has read last.
     has_read: BTreeMap<HostId, Listed>,
 }
 
+/// A host that leaves asks the others one after the other, while everything else goes on.
+struct Check {
+    own: OwnTurns,
+    to_ask: Vec<HostId>,
+    held: HashMap<HostId, HeldTurns>,
+}
+
+fn held_trees(index: &TurnIndex<()>) -> HeldTrees {
+    index.trees().map(|tree| (tree.clone(), index.tree(tree).to_vec())).collect()
+}
+
 struct Cluster {
     rng: StdRng,
     mutation: Mutation,
@@ -127,6 +152,9 @@
             pull: PullRound::new(is_first_start),
             is_leaving: false,
             accepts: true,
+            retirement: Retirement::begin(self.now),
+            check: None,
+            is_done: false,
             has_read: BTreeMap::new(),
         };
         self.hosts.push(host);
@@ -333,6 +361,8 @@
         host_state.is_up = true;
         host_state.incarnation = number;
         host_state.accepts = !host_state.is_leaving;
+        host_state.retirement = Retirement::begin(self.now);
+        host_state.check = None;
         let has_recovered = host_state.pull.has_recovered() && !loses_disk;
         if loses_disk {
             host_state.disk = number;
@@ -352,25 +382,131 @@
         may_lose
     }
 
-    /// Removes a leaving host once each of its turns is at enough others.
-    fn finish_retirement(&mut self, host: usize) {
-        let own = self.hosts[host].id.clone();
-        let is_held = |turn: &RequestId| {
-            let others = self.hosts.iter().filter(|other| other.id != own && other.is_up);
-            others.filter(|other| other.index.contains(turn)).count() > self.losses_max
+    fn retire(&mut self, host: usize) {
+        let staying = self.hosts.iter().filter(|host| !host.is_leaving).count();
+        if staying > self.copies() && self.hosts[host].is_up {
+            self.hosts[host].is_leaving = true;
+            self.register(host);
+        }
+    }
+
+    /// Goes on with the retirements, in turn.
+    fn continue_retirements(&mut self) {
+        for _ in 0..self.rng.random_range(1..=RETIREMENT_STEPS_MAX) {
+            let leaving = self.hosts.iter().enumerate();
+            let leaving = leaving.filter(|(_, host)| host.is_leaving && host.is_up);
+            let leaving: Vec<usize> = leaving.map(|(index, _)| index).collect();
+            if let Some(host) = leaving.choose(&mut self.rng) {
+                self.continue_retirement(*host);
+            }
+        }
+    }
+
+    /// Goes on with the retirement of a host that leaves.
+    fn continue_retirement(&mut self, host: usize) {
+        if self.hosts[host].is_done {
+            let removed = self.hosts.remove(host);
+            self.list.remove(&removed.id);
+            return;
+        }
+        let Some(mut check) = self.hosts[host].check.take() else {
+            let state = &self.hosts[host];
+            let own = OwnTurns { trees: held_trees(&state.index), is_final: !state.accepts };
+            let others = state.has_read.keys().filter(|id| **id != state.id);
+            let to_ask = others.cloned().collect();
+            self.hosts[host].check = Some(Check { own, to_ask, held: HashMap::new() });
+            return;
         };
-        let index = &self.hosts[host].index;
-        let is_done = self.mutation == Mutation::RetiresAtOnce
-            || index.trees().all(|tree| index.tree(tree).iter().all(is_held));
-        if !self.hosts[host].accepts && is_done {
-            self.hosts.remove(host);
-            self.list.remove(&own);
+        if let Some(id) = check.to_ask.pop() {
+            if let Some(other) = self.find(&id).filter(|other| self.hosts[*other].is_up) {
+                let other = &self.hosts[other];
+                let may_leave =
+                    other.is_leaving && self.mutation != Mutation::LeavingHostsDoNotSaySo;
+                check.held.insert(id, HeldTurns { trees: held_trees(&other.index), may_leave });
+            }
+            self.hosts[host].check = Some(check);
+            return;
         }
-        if let Some(host) = self.find(&own) {
-            self.hosts[host].accepts = false;
+        self.conclude(host, check);
+    }
+
+    fn conclude(&mut self, host: usize, mut check: Check) {
+        let mut hosts: Vec<StoreHost> = self.hosts[host]
+            .has_read
+            .iter()
+            .map(|(id, listed)| StoreHost {
+                host: id.clone(),
+                domain: listed.domain.as_str().into(),
+                is_leaving: listed.is_leaving,
+            })
+            .collect();
+        if self.mutation == Mutation::CountsLeavingHosts {
+            hosts.iter_mut().for_each(|host| host.is_leaving = false);
+            check.held.values_mut().for_each(|held| held.may_leave = false);
+        }
+        self.now += CHECK_INTERVAL;
+        let copies = self.copies();
+        let retirement = &mut self.hosts[host].retirement;
+        let mut step = retirement.on_checked(self.now, &check.own, &hosts, &check.held, copies);
+        if self.mutation == Mutation::RetiresAtOnce {
+            step = RetirementStep::Finish;
+        }
+        match step {
+            RetirementStep::Wait | RetirementStep::WaitForHosts => {}
+            RetirementStep::Send(_) if self.mutation == Mutation::SendsNoTurns => {}
+            RetirementStep::Send(to_send) => {
+                for (id, turns) in to_send {
+                    self.send_turns(host, &id, &turns);
+                }
+            }
+            RetirementStep::StopAccepting => self.hosts[host].accepts = false,
+            RetirementStep::Finish => self.hosts[host].is_done = true,
         }
     }
 
+    fn send_turns(&mut self, from: usize, to: &HostId, turns: &[RequestId]) {
+        let Some(to) = self.find(to).filter(|to| self.hosts[*to].is_up) else { return };
+        for turn in turns {
+            let (head, ()) = self.hosts[from].index.get(turn).expect("an own turn");
+            let head = head.clone();
+            if self.hosts[to].index.insert(self.now, head, ()).is_err() {
+                return;
+            }
+        }
+    }
+
+    /// Lets all retirements end for which enough hosts stay.
+    fn finish_retirements(&mut self) -> Result<(), String> {
+        for _ in 0..SETTLING_ROUNDS_MAX {
+            let staying = self.hosts.iter().filter(|host| !host.is_leaving).count();
+            let leaving = self.hosts.iter().position(|host| host.is_leaving);
+            let Some(leaving) = leaving.filter(|_| staying >= self.copies()) else {
+                return Ok(());
+            };
+            let count = self.hosts.len();
+            self.continue_retirement(leaving);
+            if self.hosts.len() < count {
+                (0..self.hosts.len()).for_each(|host| self.read_list(host));
+            }
+            (0..self.hosts.len()).for_each(|host| self.pull(host));
+        }
+        Err("a retirement does not end".into())
+    }
+
+    /// Loses disks, those first that hold the turn with the fewest copies.
+    fn lose_rarest_turn(&mut self) {
+        let hosts = &self.hosts;
+        let holds = |host: usize, turn: &TurnHead| hosts[host].index.contains(&turn.id);
+        let all = 0..hosts.len();
+        let rarest = self
+            .ended
+            .iter()
+            .min_by_key(|turn| all.clone().filter(|host| holds(*host, turn)).count());
+        let Some(turn) = rarest.cloned() else { return };
+        let holders: Vec<usize> = all.filter(|host| holds(*host, &turn)).collect();
+        holders.into_iter().take(self.losses_max).for_each(|host| self.restart(host, true));
+    }
+
     /// Looks a turn up at all listed hosts. Returns whether it was found, and whether it was said
     /// not to exist.
     fn look_up(&self, gateway: usize, turn: &str) -> (bool, bool) {
@@ -416,16 +552,8 @@
                 self.read_list(added);
             }
             52..53 if self.hosts.len() < 9 => self.add_host(false),
-            53..55 if self.hosts.len() > self.losses_max + 2 && self.hosts[host].is_up => {
-                self.hosts[host].is_leaving = true;
-                self.register(host);
-            }
-            55..60 => {
-                let leaving = self.hosts.iter().position(|host| host.is_leaving && host.is_up);
-                if let Some(leaving) = leaving {
-                    self.finish_retirement(leaving);
-                }
-            }
+            53..55 => self.retire(host),
+            55..60 => self.continue_retirements(),
             60..66 => {
                 // A gateway finds a host out of reach for long.
                 let is_out_of_reach =
@@ -464,6 +592,7 @@
     /// Brings all hosts back and checks that each turn is found with its chain.
     fn check_end(&mut self) -> Result<(), String> {
         self.settle();
+        self.finish_retirements()?;
         for turn in &self.ended {
             let (is_found, is_denied) = self.look_up(0, &turn.id);
             if !is_found {
@@ -493,6 +622,47 @@
     }
 }
 
+/// Several hosts leave at once, while turns are written by gateways that do not know of it yet. Then disks
+/// are lost.
+fn run_retirements(seed: u64, mutation: Mutation) -> Result<usize, String> {
+    let mut cluster = Cluster::new(seed, mutation);
+    (0..cluster.losses_max + 1).for_each(|_| cluster.add_host(false));
+    (0..TURNS_BEFORE_RETIREMENTS).for_each(|_| cluster.append());
+    cluster.settle();
+    let leaving = cluster.rng.random_range(1..=cluster.losses_max + 1);
+    (0..leaving).for_each(|host| cluster.retire(host));
+    for _ in 0..STEPS {
+        if cluster.hosts.iter().all(|host| !host.is_leaving) {
+            break;
+        }
+        let (host, gateway) = (
+            cluster.rng.random_range(0..cluster.hosts.len()),
+            cluster.rng.random_range(0..GATEWAYS),
+        );
+        match cluster.rng.random_range(0..100) {
+            0..20 => cluster.append(),
+            20..21 => cluster.rosters[gateway] = cluster.list.clone(),
+            21..30 => cluster.read_list(host),
+            30..80 => cluster.pull(host),
+            _ => cluster.continue_retirements(),
+        }
+    }
+    if cluster.hosts.iter().all(|host| !host.is_leaving) {
+        cluster.lose_rarest_turn();
+    }
+    cluster.check_end()?;
+    Ok(cluster.ended.len())
+}
+
+#[test]
+fn no_ended_turn_is_lost_when_several_hosts_leave_at_once() {
+    for seed in 0..SEEDS {
+        if let Err(failure) = run_retirements(seed, Mutation::None) {
+            panic!("seed {seed}: {failure}");
+        }
+    }
+}
+
 #[test]
 fn no_ended_turn_is_lost_or_denied() {
     let mut ended = 0;
@@ -521,11 +691,15 @@
         Mutation::RetiresAtOnce,
         Mutation::UnresponsiveHostsStayHolders,
     ];
-    for mutation in mutations {
-        let seen = (0..SEEDS).find_map(|seed| Some((seed, Cluster::run(seed, mutation).err()?)));
-        match seen {
-            Some((seed, failure)) => println!("{mutation:?}: seed {seed}: {failure}"),
-            None => panic!("{mutation:?} is not noticed"),
-        }
+    mutations.into_iter().for_each(|mutation| check_noticed(mutation, Cluster::run));
+    let mutations =
+        [Mutation::CountsLeavingHosts, Mutation::LeavingHostsDoNotSaySo, Mutation::SendsNoTurns];
+    mutations.into_iter().for_each(|mutation| check_noticed(mutation, run_retirements));
+}
+
+fn check_noticed(mutation: Mutation, run: fn(u64, Mutation) -> Result<usize, String>) {
+    match (0..SEEDS).find_map(|seed| Some((seed, run(seed, mutation).err()?))) {
+        Some((seed, failure)) => println!("{mutation:?}: seed {seed}: {failure}"),
+        None => panic!("{mutation:?} is not noticed"),
     }
 }
--- a/crates/core/src/turns/tests/mod.rs
+++ b/crates/core/src/turns/tests/mod.rs
@@ -1,4 +1,5 @@
 mod cluster;
+mod retirement;
 mod search;
 mod transfer_rate;
 
--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/peers/message.rs
@@ -35,7 +35,7 @@
         placement::{LendOutcome, UpstreamRecord},
         roster::HostRecord,
         stream_origins::{OriginReport, StreamOrigin},
-        turns::TreeId,
+        turns::{HeldTrees, TreeId},
     },
 };
 
@@ -266,9 +266,12 @@
     Turns { turns: Vec<RetainedTurn>, tried: usize },
     /// The turns that the host holds, each after the one that it continues. Ordered by tree.
     HeldTurns {
-        trees: Vec<(TreeId, Vec<RequestId>)>,
+        trees: HeldTrees,
         /// Whether there are more trees after the last one.
         has_more: bool,
+        /// Whether the host leaves, or does not know whether it does.
+        #[serde(default)]
+        may_leave: bool,
     },
     /// What the host knows of a stream, and the upstreams of the service that leave and may still get
     /// streams, with how much longer.
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -291,7 +291,7 @@
         }
         PeerRequest::HeldTurns { after } => {
             let (trees, has_more) = turns::held_here(gateway, after.as_deref());
-            PeerReply::HeldTurns { trees, has_more }
+            PeerReply::HeldTurns { trees, has_more, may_leave: turns::may_leave(gateway) }
         }
         PeerRequest::Versions => PeerReply::Versions {
             versions: gateway.origin_notes.borrow().origins.all_versions(Instant::now()),
--- a/crates/gateway/src/turns/mod.rs
+++ b/crates/gateway/src/turns/mod.rs
@@ -19,6 +19,7 @@
     find::{find, has_enough_stores, not_found},
     pull::refresh_peers,
     retain::{NotRetained, retain},
+    retire::may_leave,
     store::{TurnStore, fetch_here, find_here, held_here, store_here},
 };
 
--- a/crates/gateway/src/turns/pull.rs
+++ b/crates/gateway/src/turns/pull.rs
@@ -19,7 +19,7 @@
     },
     trefoilring_core::{
         ids::{HostId, RequestId},
-        turns::{PullNumber, PullPeer, TreeId, rank_holders},
+        turns::{HeldTurns, PullNumber, PullPeer, TreeId, rank_holders},
     },
     trefoilring_observe::decisions::LineRate,
 };
@@ -110,7 +110,7 @@
     let held = list_held(gateway, address).await;
     record_answer(gateway, host, held.is_some());
     let held = held.ok_or("the host did not list its turns")?;
-    fetch(gateway, address, missing(gateway, &held)).await
+    fetch(gateway, address, missing(gateway, &held.trees)).await
 }
 
 /// Records whether a host has answered a question. One that does not is replaced as a holder.
@@ -129,14 +129,11 @@
     }
 }
 
-/// Returns the turns that a host holds, by tree. Returns `None` if it does not list all of them.
-pub(super) async fn list_held(
-    gateway: &Rc<Gateway>,
-    address: SocketAddr,
-) -> Option<Vec<(TreeId, Vec<RequestId>)>> {
-    let mut held: Vec<(TreeId, Vec<RequestId>)> = Vec::new();
+/// Returns the turns that a host holds. Returns `None` if it does not list all of them.
+pub(super) async fn list_held(gateway: &Rc<Gateway>, address: SocketAddr) -> Option<HeldTurns> {
+    let mut held = HeldTurns::default();
     loop {
-        let after = held.last().map(|(tree, _)| tree.clone());
+        let after = held.trees.last().map(|(tree, _)| tree.clone());
         let request = PeerRequest::HeldTurns { after };
         let reply = peers::send_bulk_request(
             gateway,
@@ -146,11 +143,12 @@
             LIST_SILENCE_MAX,
         )
         .await;
-        let Some(PeerReply::HeldTurns { trees, has_more }) = reply else {
+        let Some(PeerReply::HeldTurns { trees, has_more, may_leave }) = reply else {
             return None;
         };
         let is_last = !has_more || trees.is_empty();
-        held.extend(trees);
+        held.trees.extend(trees);
+        held.may_leave |= may_leave;
         if is_last {
             return Some(held);
         }
--- a/crates/gateway/src/turns/retain.rs
+++ b/crates/gateway/src/turns/retain.rs
@@ -169,6 +169,17 @@
     (holder.host, outcome == Some(TurnWriteOutcome::Stored))
 }
 
+/// Sends turns to a host. Returns whether it has stored them.
+pub(super) async fn store_at(
+    gateway: &Rc<Gateway>,
+    holder: &Holder,
+    turns: Vec<RetainedTurn>,
+) -> bool {
+    let Some(message) = TurnMessage::new(turns) else { return false };
+    let outcome = send(gateway, holder, &message, &Progress::begin()).await;
+    outcome == Some(TurnWriteOutcome::Stored)
+}
+
 /// Returns a turn and those before it, the oldest first, in messages of a bounded size.
 fn chain_messages(turn: &CachedTurn) -> Vec<Vec<RetainedTurn>> {
     let mut chain: Vec<&RetainedTurn> = turn.chain().map(|turn| &turn.turn).collect();
--- a/crates/gateway/src/turns/store.rs
+++ b/crates/gateway/src/turns/store.rs
@@ -17,7 +17,7 @@
     },
     trefoilring_core::{
         ids::RequestId,
-        turns::{DiskId, InsertError, PullRound, TreeId, TurnHead, TurnIndex},
+        turns::{DiskId, HeldTrees, InsertError, PullRound, TreeId, TurnHead, TurnIndex},
     },
     trefoilring_observe::decisions::LineRate,
     trefoilring_turnlog::{
@@ -141,10 +141,24 @@
         self.index.borrow().len()
     }
 
-    /// Returns the ids of all turns.
-    pub(super) fn turn_ids(&self) -> Vec<RequestId> {
+    /// Returns the turns of the trees after `after`, about as many as asked for, and whether there are more.
+    pub(super) fn held(&self, after: Option<&str>, turns_max: usize) -> (HeldTrees, bool) {
         let index = self.index.borrow();
-        index.trees().flat_map(|tree| index.tree(tree).to_vec()).collect()
+        let mut trees: Vec<&TreeId> =
+            index.trees().filter(|tree| after.is_none_or(|after| ***tree > *after)).collect();
+        trees.sort_unstable();
+        let (mut listed, mut count) = (Vec::new(), 0);
+        let total = trees.len();
+        for tree in trees {
+            if count >= turns_max {
+                break;
+            }
+            let turns = index.tree(tree).to_vec();
+            count += turns.len();
+            listed.push((tree.clone(), turns));
+        }
+        let has_more = listed.len() < total;
+        (listed, has_more)
     }
 
     /// Returns whether turns wait to be written.
@@ -466,25 +480,7 @@
 }
 
 /// Returns the turns that this host holds, of the trees after `after`, and whether there are more.
-pub(crate) fn held_here(
-    gateway: &Gateway,
-    after: Option<&str>,
-) -> (Vec<(TreeId, Vec<RequestId>)>, bool) {
+pub(crate) fn held_here(gateway: &Gateway, after: Option<&str>) -> (HeldTrees, bool) {
     let Some(store) = &gateway.turns.store else { return (Vec::new(), false) };
-    let index = store.index.borrow();
-    let mut trees: Vec<&TreeId> =
-        index.trees().filter(|tree| after.is_none_or(|after| ***tree > *after)).collect();
-    trees.sort_unstable();
-    let (mut listed, mut count) = (Vec::new(), 0);
-    let total = trees.len();
-    for tree in trees {
-        if count >= LISTED_TURNS_MAX {
-            break;
-        }
-        let turns = index.tree(tree).to_vec();
-        count += turns.len();
-        listed.push((tree.clone(), turns));
-    }
-    let has_more = listed.len() < total;
-    (listed, has_more)
+    store.held(after, LISTED_TURNS_MAX)
 }
