Read messages of other hosts for as long as their bytes come

What callers saw: a turn of 4 MB at a host with a link of 10 Mbit/s was not kept: its answer was cut off after 1.5 s, and the writes to two store hosts, 6.4 s of bytes, never ended, however long the caller waited. Several writers of large turns over one link of 30 Mbit/s are the same case.

Cause: two total times. A store host gave a message 5 s for all of its bytes, and dropped what had come. And the writer, which waits for 1.5 s without progress, saw none while the kernel held the message in its send buffer (up to 4 MB at once).

Change: a host reads a message until no byte has come for 5 s. Connections to other processes hold at most 64 KB that the kernel has not sent (TCP_NOTSENT_LOWAT, Linux), so what a writer sees of its progress is what the link carries.

--- a/crates/gateway/src/call/buffer.rs
+++ b/crates/gateway/src/call/buffer.rs
@@ -45,7 +45,7 @@
 pub(crate) async fn read_body(
     memory: &Rc<HostMemory>,
     team: Option<&TeamId>,
-    mut body: Incoming,
+    mut body: impl Body<Data = Bytes, Error = hyper::Error> + Unpin,
     bytes_max: usize,
 ) -> Result<(Bytes, Option<Reservation>), BodyError> {
     if body.is_end_stream() {
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -21,15 +21,15 @@
         call::{AnswerBody, AnswerTruncated, BodyError, read_body},
         callers, cold, crashes,
         gateway::Gateway,
+        http::Progress,
         inbound::{self, Accepted, InboundConnection},
         leaving, ledger,
         listen::listen,
-        relay, roster, stream_origins,
-        time::within,
-        turns, upstream_limits, watch,
+        relay, roster, stream_origins, turns, upstream_limits, watch,
     },
     bytes::Bytes,
     http::{HeaderValue, Request, Response, StatusCode, header},
+    http_body_util::BodyExt,
     hyper::{
         body::{Body, Frame, Incoming, SizeHint},
         service::service_fn,
@@ -53,10 +53,14 @@
 /// Maximum size of a head beside the headers of a caller, which a request that is passed on has.
 const HEAD_BYTES_MAX: usize = 16 * 1024;
 
-/// Maximum time for reading, and for processing another host's request. The callers that wait for the result time
-/// out earlier.
+/// Maximum time for processing another host's request. The callers that wait for the result time out
+/// earlier.
 const REQUEST_WAIT_MAX: Duration = Duration::from_secs(5);
 
+/// How long nothing may come of another host's request. How long all of it takes depends on its size and
+/// on the link.
+const REQUEST_SILENCE_MAX: Duration = Duration::from_secs(5);
+
 /// Listens for connections of other hosts. Returns the bound address.
 pub(crate) async fn start(gateway: &Rc<Gateway>) -> io::Result<SocketAddr> {
     let options = gateway.memory.sockets().peers();
@@ -133,8 +137,13 @@
         response
     };
     let format = MessageFormat::from_content_type(request.headers().get(header::CONTENT_TYPE));
-    let reading = read_body(&gateway.memory, None, request.into_body(), MESSAGE_BYTES_MAX);
-    let (body, _memory) = match within(Instant::now() + REQUEST_WAIT_MAX, reading).await {
+    let progress = Progress::begin();
+    let body = request.into_body().map_frame(|frame| {
+        progress.record();
+        frame
+    });
+    let reading = read_body(&gateway.memory, None, body, MESSAGE_BYTES_MAX);
+    let (body, _memory) = match progress.wait_for(REQUEST_SILENCE_MAX, reading).await {
         Some(Ok(read)) => read,
         Some(Err(BodyError::TooLarge)) => return error_response(StatusCode::PAYLOAD_TOO_LARGE),
         Some(Err(BodyError::Connection(_))) => return error_response(StatusCode::BAD_REQUEST),
--- a/crates/net/src/connect.rs
+++ b/crates/net/src/connect.rs
@@ -23,6 +23,11 @@
     }
 }
 
+/// Bytes that the kernel takes before it has sent them. Without this bound it takes up to some megabytes,
+/// and the one who writes them can't tell a link that carries them slowly from one that carries none.
+#[cfg(any(target_os = "android", target_os = "linux"))]
+const UNSENT_BYTES_MAX: u32 = 64 * 1024;
+
 /// Connects to an address.
 ///
 /// # Errors
@@ -31,6 +36,8 @@
 pub async fn connect(address: SocketAddr, options: &ConnectOptions) -> io::Result<TcpStream> {
     let socket = Socket::new(Domain::for_address(address), Type::STREAM, Some(Protocol::TCP))?;
     socket.set_recv_buffer_size(options.receive_buffer_bytes)?;
+    #[cfg(any(target_os = "android", target_os = "linux"))]
+    socket.set_tcp_notsent_lowat(UNSENT_BYTES_MAX)?;
     socket.set_nonblocking(true)?;
     if let Err(error) = socket.connect(&address.into())
         && !is_in_progress(&error)
