Say once how delisted upstreams are removed and how long a source is silent

Two removals of upstreams without an entry differ in their condition only, and the search for a chain compared the same silence twice. No behavior changes; the 37 tests of placement and of the search pass.

--- a/crates/core/src/placement/departure.rs
+++ b/crates/core/src/placement/departure.rs
@@ -187,25 +187,20 @@
 
     /// Removes the upstreams without an entry that no longer get any request.
     pub fn remove_departed(&mut self, now: Instant) {
-        let has_departed = |upstream: &Upstream| {
-            let departure = &upstream.departure;
-            departure.is_delisted && departure.is_over(now, self.drain_time)
-        };
-        let departed = self.upstreams.values().filter(|upstream| has_departed(upstream));
-        let departed: Vec<UpstreamId> = departed.map(|one| one.record.id.clone()).collect();
-        departed.iter().for_each(|id| {
-            self.remove(id);
-        });
+        let drain_time = self.drain_time;
+        self.remove_delisted(|upstream| upstream.departure.is_over(now, drain_time));
     }
 
     /// Removes the upstreams without an entry whose address another process has now.
     pub(super) fn remove_replaced(&mut self, address: SocketAddr) {
-        let is_replaced = |upstream: &&Upstream| {
-            upstream.departure.is_delisted && upstream.record.address == address
-        };
-        let replaced = self.upstreams.values().filter(is_replaced);
-        let replaced: Vec<UpstreamId> = replaced.map(|one| one.record.id.clone()).collect();
-        replaced.iter().for_each(|id| {
+        self.remove_delisted(|upstream| upstream.record.address == address);
+    }
+
+    fn remove_delisted(&mut self, condition: impl Fn(&Upstream) -> bool) {
+        let delisted = self.upstreams.values().filter(|upstream| upstream.departure.is_delisted);
+        let removed = delisted.filter(|upstream| condition(upstream));
+        let removed: Vec<UpstreamId> = removed.map(|one| one.record.id.clone()).collect();
+        removed.iter().for_each(|id| {
             self.remove(id);
         });
     }
--- a/crates/core/src/turns/search.rs
+++ b/crates/core/src/turns/search.rs
@@ -78,8 +78,7 @@
             self.set_source(now, standby);
         }
         let heard_at = self.heard_at;
-        if self.is_silent(now)
-            && now.saturating_duration_since(heard_at) >= self.silence_max
+        if self.is_silent_for(now, self.silence_max)
             && let Some(standby) = self.take_standby(|replied_at| replied_at > heard_at)
         {
             let silent = self.source.replace(standby);
@@ -116,7 +115,11 @@
 
     /// Returns whether there is a source, and nothing has come from it for a while.
     pub fn is_silent(&self, now: Instant) -> bool {
-        self.source.is_some() && now.saturating_duration_since(self.heard_at) >= HEDGE_DELAY
+        self.is_silent_for(now, HEDGE_DELAY)
+    }
+
+    fn is_silent_for(&self, now: Instant, silence: Duration) -> bool {
+        self.source.is_some() && now.saturating_duration_since(self.heard_at) >= silence
     }
 
     /// Records when bytes of the source came last.
