Bound what the kernel has not sent on connections between hosts alone

Cause: with most of the upload not yet taken by the kernel, the writer meets the reset before it has read the answer.

Change: the bound is an option of a connection, set for messages to other hosts only: they are read to their end.

Evidence: that test and turn_whose_bytes_take_long_is_kept pass.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -215,17 +215,19 @@
     ) -> io::Result<()> {
         let executor = Rc::new(LocalExecutor::new());
         let memory = HostMemory::new(settings.memory_bytes_max, decisions.clone());
-        let create_pool = |timeout| {
-            let pool = ConnectionPool::new(executor.clone(), timeout);
-            pool.with_options(memory.sockets().connect())
-        };
-        let connections = Rc::new(create_pool(CONNECT_TIMEOUT));
+        let create_pool =
+            |timeout, options| ConnectionPool::new(executor.clone(), timeout).with_options(options);
+        let options = memory.sockets().connect();
+        let connections = Rc::new(create_pool(CONNECT_TIMEOUT, options));
         let (crash_log_file, crash_log) = CrashLogFile::open(settings.data_folder.clone());
         let gateway = Rc::new(Self {
             adapter: create_adapter(connections.clone()),
             connections,
-            peer_connections: create_pool(PEER_CONNECT_TIMEOUT),
-            relay_connections: create_pool(PEER_CONNECT_TIMEOUT),
+            peer_connections: create_pool(
+                PEER_CONNECT_TIMEOUT,
+                memory.sockets().connect_to_peers(),
+            ),
+            relay_connections: create_pool(PEER_CONNECT_TIMEOUT, options),
             relay: Relay::default(),
             routing_table: RefCell::default(),
             placement: RefCell::new(create_placement(&settings)),
--- a/crates/gateway/src/sockets.rs
+++ b/crates/gateway/src/sockets.rs
@@ -8,6 +8,9 @@
 const RECEIVE_BUFFER_BYTES_MIN: u64 = 16 * 1024;
 /// Receives tens of megabytes a second even where a round trip takes milliseconds.
 const RECEIVE_BUFFER_BYTES_MAX: u64 = 64 * 1024;
+/// Bytes of a message to another host that the kernel takes before it has sent them. The progress of a
+/// message shows what the link carries.
+const PEER_UNSENT_BYTES_MAX: u32 = 64 * 1024;
 /// Maximum numbers of connections that wait to be accepted. Callers of a lost host and hosts after a
 /// restart connect in bursts, the platform and the operators one at a time.
 const CALLERS_BACKLOG: u32 = 128;
@@ -41,9 +44,14 @@
         self.listen(STATUS_BACKLOG)
     }
 
-    /// Returns the options of connections to upstreams, the store and other hosts.
+    /// Returns the options of connections to upstreams and the store.
     pub(crate) fn connect(&self) -> ConnectOptions {
-        ConnectOptions { receive_buffer_bytes: self.receive_buffer_bytes }
+        ConnectOptions { receive_buffer_bytes: self.receive_buffer_bytes, unsent_bytes_max: None }
+    }
+
+    /// Returns the options of connections to other hosts, which read each message to its end.
+    pub(crate) fn connect_to_peers(&self) -> ConnectOptions {
+        ConnectOptions { unsent_bytes_max: Some(PEER_UNSENT_BYTES_MAX), ..self.connect() }
     }
 
     /// Returns how many bytes may have arrived at a connection without being read.
--- a/crates/net/src/connect.rs
+++ b/crates/net/src/connect.rs
@@ -10,24 +10,24 @@
     },
 };
 
-/// What a connection may hold before it is read.
+/// What a connection may hold before it is read or sent.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct ConnectOptions {
     /// Size of its receive buffer in bytes, as requested from the kernel.
     pub receive_buffer_bytes: usize,
+    /// Bytes that the kernel takes before it has sent them, on Linux. Without a bound it takes up to some
+    /// megabytes, and the one who writes them can't tell a link that carries them slowly from one that
+    /// carries none. With a bound, an answer that comes before all is written, from a peer that then
+    /// closes the connection, is more often lost.
+    pub unsent_bytes_max: Option<u32>,
 }
 
 impl Default for ConnectOptions {
     fn default() -> Self {
-        Self { receive_buffer_bytes: RECEIVE_BUFFER_BYTES }
+        Self { receive_buffer_bytes: RECEIVE_BUFFER_BYTES, unsent_bytes_max: None }
     }
 }
 
-/// Bytes that the kernel takes before it has sent them. Without this bound it takes up to some megabytes,
-/// and the one who writes them can't tell a link that carries them slowly from one that carries none.
-#[cfg(any(target_os = "android", target_os = "linux"))]
-const UNSENT_BYTES_MAX: u32 = 64 * 1024;
-
 /// Connects to an address.
 ///
 /// # Errors
@@ -37,7 +37,9 @@
     let socket = Socket::new(Domain::for_address(address), Type::STREAM, Some(Protocol::TCP))?;
     socket.set_recv_buffer_size(options.receive_buffer_bytes)?;
     #[cfg(any(target_os = "android", target_os = "linux"))]
-    socket.set_tcp_notsent_lowat(UNSENT_BYTES_MAX)?;
+    if let Some(bytes) = options.unsent_bytes_max {
+        socket.set_tcp_notsent_lowat(bytes)?;
+    }
     socket.set_nonblocking(true)?;
     if let Err(error) = socket.connect(&address.into())
         && !is_in_progress(&error)
