Keep ports of cut links taken, and give each test site its own address

What callers saw, in tests: request_that_crashes_workers_is_refused_by_most_hosts_that_are_cut_off answered 502 and 504 for 20 s to requests that crash nothing, in about one of three runs of all path tests, and other tests were red once and not again.

Cause, traced with decision lines in a run of all path tests: a host that is cut off from all six workers sent its requests to "w-8" at 127.0.0.1:33849, found a listener there, and got broken answers and later none. That was the port of the proxy of a cut link. The stand-in had freed it, and the kernel gave it to a stand-in of another test in the same process. So the cut link appeared to work, and the host was not stranded.

Change: a proxy holds its port by a socket that is bound and does not listen. Each site of the path tests has a loopback address of its own (Linux), so nothing that one test frees can be given to another.

--- a/crates/standin/src/fleet/endless.rs
+++ b/crates/standin/src/fleet/endless.rs
@@ -1,7 +1,7 @@
 //! A server in trouble: it answers each request with bytes that have no end.
 
 use {
-    super::heads::answer_head,
+    super::{heads::answer_head, loopback},
     event_listener::Event,
     futures_lite::{AsyncReadExt, AsyncWriteExt, io::copy},
     smol::{
@@ -10,7 +10,7 @@
     },
     std::{
         io,
-        net::{Ipv4Addr, SocketAddr},
+        net::SocketAddr,
         sync::{
             Arc, Mutex, PoisonError,
             atomic::{AtomicUsize, Ordering},
@@ -110,7 +110,7 @@
     ///
     /// Fails if no port can be bound.
     pub async fn start(healthy: Option<SocketAddr>) -> io::Result<Self> {
-        let listener = trefoilring_net::listen((Ipv4Addr::LOCALHOST, 0).into())?;
+        let listener = trefoilring_net::listen((loopback::address(), 0).into())?;
         let address = listener.local_addr()?;
         let server = Arc::new(Server {
             healthy,
--- a/crates/standin/src/fleet/mod.rs
+++ b/crates/standin/src/fleet/mod.rs
@@ -9,6 +9,7 @@
 pub mod client;
 mod endless;
 pub mod heads;
+pub mod loopback;
 mod pool;
 mod proxy;
 mod store;
@@ -33,7 +34,7 @@
         convert::Infallible,
         future::Future,
         io,
-        net::{Ipv4Addr, SocketAddr},
+        net::{IpAddr, SocketAddr},
         sync::{
             Arc,
             atomic::{AtomicUsize, Ordering},
@@ -60,9 +61,9 @@
     _task: Task<()>,
 }
 
-/// Serves on a loopback port that the kernel assigns.
-async fn serve(handler: Arc<impl Handler>) -> io::Result<Server> {
-    let listener = trefoilring_net::listen((Ipv4Addr::LOCALHOST, 0).into())?;
+/// Serves at a loopback address, on a port that the kernel assigns.
+async fn serve(address: IpAddr, handler: Arc<impl Handler>) -> io::Result<Server> {
+    let listener = trefoilring_net::listen((address, 0).into())?;
     let address = listener.local_addr()?;
     let accepted = Arc::new(AtomicUsize::default());
     let accept_count = accepted.clone();
--- a/crates/standin/src/fleet/pool.rs
+++ b/crates/standin/src/fleet/pool.rs
@@ -179,13 +179,11 @@
     async fn start_worker(&self, index: usize) -> io::Result<(String, WorkerStandin)> {
         let id = format!("w-{}", self.next_id.fetch_add(1, Ordering::Relaxed));
         let versions = self.options.versions;
-        let worker = match versions.len() {
-            0 => WorkerStandin::start(&id).await?,
-            count => {
-                let version = versions[(index + self.lock().releases[index]) % count];
-                WorkerStandin::start_version(&id, version).await?
-            }
+        let version = match versions.len() {
+            0 => None,
+            count => Some(versions[(index + self.lock().releases[index]) % count]),
         };
+        let worker = WorkerStandin::start_at(self.store.address.ip(), &id, version).await?;
         let proxy = LinkProxy::start(worker.address).await?;
         proxy.set_fault(self.lock().link_fault);
         {
--- a/crates/standin/src/fleet/proxy.rs
+++ b/crates/standin/src/fleet/proxy.rs
@@ -10,7 +10,7 @@
     socket2::{Domain, Protocol, Socket},
     std::{
         io,
-        net::{Ipv4Addr, SocketAddr},
+        net::{IpAddr, SocketAddr},
         sync::{Arc, Mutex, PoisonError},
         time::{Duration, Instant},
     },
@@ -95,6 +95,8 @@
 }
 
 struct Link {
+    /// Keeps the port taken while no process listens: whoever got it would answer in place of nobody.
+    _port: Socket,
     server: SocketAddr,
     rate: Option<Arc<LinkRate>>,
     fault: Mutex<LinkFault>,
@@ -130,9 +132,10 @@
     }
 
     fn start_link(server: SocketAddr, rate: Option<Arc<LinkRate>>) -> io::Result<Self> {
-        let listener = trefoilring_net::listen((Ipv4Addr::LOCALHOST, 0).into())?;
-        let address = listener.local_addr()?;
+        let (port, address) = take_port(server.ip())?;
+        let listener = trefoilring_net::listen(address)?;
         let link = Arc::new(Link {
+            _port: port,
             server,
             rate,
             fault: Mutex::default(),
@@ -155,6 +158,18 @@
     }
 }
 
+/// Takes a port at an address without listening. Listeners may be opened at it and closed.
+fn take_port(address: IpAddr) -> io::Result<(Socket, SocketAddr)> {
+    let address = SocketAddr::new(address, 0);
+    let domain = Domain::for_address(address);
+    let socket = Socket::new(domain, socket2::Type::STREAM, Some(Protocol::TCP))?;
+    socket.set_reuse_address(true)?;
+    socket.bind(&address.into())?;
+    let taken = socket.local_addr()?.as_socket();
+    let taken = taken.ok_or(io::ErrorKind::AddrNotAvailable)?;
+    Ok((socket, taken))
+}
+
 /// Listens while the fault allows it.
 async fn run(link: Arc<Link>, address: SocketAddr, first: TcpListener) {
     let mut connections = Vec::new();
--- a/crates/standin/src/fleet/store.rs
+++ b/crates/standin/src/fleet/store.rs
@@ -3,7 +3,7 @@
 //! [`objects`](crate::objects).
 
 use {
-    super::{Body, Handler, Server, full_body, serve},
+    super::{Body, Handler, Server, full_body, loopback, serve},
     bytes::Bytes,
     http::{Method, Request, Response, StatusCode},
     serde_json::{Value, json},
@@ -11,7 +11,7 @@
     std::{
         collections::BTreeMap,
         io,
-        net::SocketAddr,
+        net::{IpAddr, SocketAddr},
         sync::{Arc, Mutex, MutexGuard, PoisonError},
         time::{Duration, Instant},
     },
@@ -85,7 +85,8 @@
     ///
     /// Fails if no port can be bound.
     pub async fn start() -> io::Result<Self> {
-        Self::open(Arc::new(Store { state: Mutex::default() }), ReplacedAddresses::default()).await
+        let store = Arc::new(Store { state: Mutex::default() });
+        Self::open(loopback::address().into(), store, ReplacedAddresses::default()).await
     }
 
     /// Opens another listening address for the same store, with its own fault.
@@ -104,12 +105,16 @@
     ///
     /// Fails if no port can be bound.
     pub async fn open_view(&self, replaced_addresses: ReplacedAddresses) -> io::Result<Self> {
-        Self::open(self.endpoint.store.clone(), replaced_addresses).await
+        Self::open(self.address.ip(), self.endpoint.store.clone(), replaced_addresses).await
     }
 
-    async fn open(store: Arc<Store>, replaced_addresses: ReplacedAddresses) -> io::Result<Self> {
+    async fn open(
+        address: IpAddr,
+        store: Arc<Store>,
+        replaced_addresses: ReplacedAddresses,
+    ) -> io::Result<Self> {
         let endpoint = Arc::new(Endpoint { store, fault: Mutex::default(), replaced_addresses });
-        let server = serve(endpoint.clone()).await?;
+        let server = serve(address, endpoint.clone()).await?;
         Ok(Self { address: server.address, endpoint, _server: server })
     }
 
--- a/crates/standin/src/fleet/worker.rs
+++ b/crates/standin/src/fleet/worker.rs
@@ -2,7 +2,7 @@
 //! requests it has run.
 
 use {
-    super::{Body, Handler, Server, full_body, serve},
+    super::{Body, Handler, Server, full_body, loopback, serve},
     bytes::Bytes,
     futures_lite::{StreamExt, stream},
     http::{HeaderMap, Request, Response, StatusCode},
@@ -16,7 +16,7 @@
     std::{
         collections::HashSet,
         io,
-        net::SocketAddr,
+        net::{IpAddr, SocketAddr},
         sync::{Arc, Mutex, MutexGuard, PoisonError, atomic::Ordering},
         time::{Duration, Instant},
     },
@@ -146,7 +146,7 @@
     ///
     /// Fails if no port can be bound.
     pub async fn start(id: &str) -> io::Result<Self> {
-        Self::start_worker(id, DEFAULT_VERSION, false).await
+        Self::start_at(loopback::address().into(), id, None).await
     }
 
     /// Starts a worker whose software has a version. The events of its streams name the version, see
@@ -156,14 +156,21 @@
     ///
     /// Fails if no port can be bound.
     pub async fn start_version(id: &str, version: &str) -> io::Result<Self> {
-        Self::start_worker(id, version, true).await
+        Self::start_at(loopback::address().into(), id, Some(version)).await
     }
 
-    async fn start_worker(id: &str, version: &str, marks_events: bool) -> io::Result<Self> {
+    /// Starts a worker at a loopback address. The events of its streams name the version if there is one.
+    pub(super) async fn start_at(
+        address: IpAddr,
+        id: &str,
+        version: Option<&str>,
+    ) -> io::Result<Self> {
         let (crash_sender, crashes) = smol::channel::bounded(1);
+        let marks_events = version.is_some();
+        let version = version.unwrap_or(DEFAULT_VERSION);
         let (id, version, state) = (id.into(), version.into(), Mutex::default());
         let worker = Arc::new(Worker { id, version, marks_events, state, crash_sender });
-        let server = serve(worker.clone()).await?;
+        let server = serve(address, worker.clone()).await?;
         Ok(Self { address: server.address, worker, crashes, server })
     }
 
