Give the hosts of the soak and of crowds an address of their own

Cause: the tests choose free ports at 127.0.0.1, and processes take them a moment later. The cases beside them choose theirs from the same range in the same way.

Change: hosts of these tests listen at a loopback address that follows from the id of the test's process (Linux).

--- a/crates/cli/tests/crowds/own_interface.rs
+++ b/crates/cli/tests/crowds/own_interface.rs
@@ -4,13 +4,13 @@
 use {
     crate::{
         memory::MemorySampler,
-        process::free_ports,
+        process::{free_ports, own_address},
         site::{DESCRIPTOR_LIMIT, Usage, usage_of},
     },
     std::{
         env, fs,
         io::{Read, Write},
-        net::{Ipv4Addr, SocketAddr, TcpStream},
+        net::{SocketAddr, TcpStream},
         path::PathBuf,
         process::{Child, Command, Stdio},
         time::{Duration, Instant},
@@ -71,7 +71,7 @@
         let ports = free_ports(2);
         let folder = env::temp_dir().join(format!("crowd-{}-{}", std::process::id(), ports[0]));
         fs::create_dir_all(&folder).expect("the temporary folder is writable");
-        let address = |port: u16| format!("127.0.0.1:{port}");
+        let address = |port: u16| format!("{}:{port}", own_address());
         let log = fs::File::create(folder.join("host.log")).expect("the folder is writable");
         let process = Command::new("sh")
             .args(["-c", &format!("ulimit -n {DESCRIPTOR_LIMIT} && exec \"$@\""), "sh"])
@@ -94,11 +94,11 @@
     }
 
     pub fn callers(&self) -> SocketAddr {
-        (Ipv4Addr::LOCALHOST, self.ports[0]).into()
+        (own_address(), self.ports[0]).into()
     }
 
     pub fn peers(&self) -> SocketAddr {
-        (Ipv4Addr::LOCALHOST, self.ports[1]).into()
+        (own_address(), self.ports[1]).into()
     }
 
     /// Starts to sample the memory of the host.
--- a/crates/cli/tests/crowds/site.rs
+++ b/crates/cli/tests/crowds/site.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         memory::MemorySampler,
-        process::{free_ports, get, is_ready},
+        process::{free_ports, get, is_ready, own_address},
     },
     http::StatusCode,
     serde_json::Value,
@@ -125,19 +125,19 @@
     }
 
     pub fn callers(&self) -> SocketAddr {
-        (Ipv4Addr::LOCALHOST, self.ports[0]).into()
+        (own_address(), self.ports[0]).into()
     }
 
     pub fn ready(&self) -> SocketAddr {
-        (Ipv4Addr::LOCALHOST, self.ports[1]).into()
+        (own_address(), self.ports[1]).into()
     }
 
     pub fn peers(&self) -> SocketAddr {
-        (Ipv4Addr::LOCALHOST, self.ports[2]).into()
+        (own_address(), self.ports[2]).into()
     }
 
     pub fn metrics(&self) -> SocketAddr {
-        (Ipv4Addr::LOCALHOST, self.ports[3]).into()
+        (own_address(), self.ports[3]).into()
     }
 
     async fn wait_until_ready(&self) {
@@ -274,9 +274,10 @@
         true => format!("data_folder = {:?}\n", folder.join("data")),
         false => String::new(),
     };
+    let ip = own_address();
     let text = format!(
-        "host = \"host-1\"\ndomain = \"a\"\nip = \"127.0.0.1\"\n\
-         callers_listen = \"127.0.0.1:{callers}\"\nready_listen = \"127.0.0.1:{ready}\"\n\
+        "host = \"host-1\"\ndomain = \"a\"\nip = \"{ip}\"\n\
+         callers_listen = \"{ip}:{callers}\"\nready_listen = \"{ip}:{ready}\"\n\
          metrics_port = {metrics}\npeers_port = {peers}\nstore_address = \"{store}\"\n\
          store_history_s = 20\nseeds = []\nis_first_start = true\nstop_grace_s = 8\n\
          memory_mb = {MEMORY_MB}\n{disk}",
--- a/crates/cli/tests/soak/site.rs
+++ b/crates/cli/tests/soak/site.rs
@@ -3,7 +3,7 @@
 use {
     super::{
         TIMEOUT,
-        process::{free_ports, get, is_ready},
+        process::{free_ports, get, is_ready, own_address},
     },
     smol::Timer,
     std::{
@@ -163,16 +163,17 @@
 
     fn write_settings(&self, number: usize, host: &Host, is_first_start: bool) -> PathBuf {
         let [callers, ready, peers, metrics] = host.ports[..] else { unreachable!("four ports") };
+        let ip = own_address();
         let listen = match number < GATEWAYS {
-            true => format!(
-                "callers_listen = \"127.0.0.1:{callers}\"\nready_listen = \"127.0.0.1:{ready}\"\n"
-            ),
+            true => {
+                format!("callers_listen = \"{ip}:{callers}\"\nready_listen = \"{ip}:{ready}\"\n")
+            }
             false => {
                 format!("data_folder = {:?}\n", self.data_folder(host))
             }
         };
         let text = format!(
-            "host = \"{}\"\ndomain = \"{}\"\nip = \"127.0.0.1\"\n{listen}metrics_port = {metrics}\n\
+            "host = \"{}\"\ndomain = \"{}\"\nip = \"{ip}\"\n{listen}metrics_port = {metrics}\n\
              peers_port = {peers}\nstore_address = \"{}\"\nstore_history_s = 20\nseeds = []\n\
              is_first_start = {is_first_start}\nstop_grace_s = {}\nmemory_mb = 110\n",
             host.name,
@@ -187,7 +188,7 @@
 
     pub fn callers_addresses(&self) -> Vec<SocketAddr> {
         let hosts = self.hosts.borrow();
-        hosts[..GATEWAYS].iter().map(|host| ([127, 0, 0, 1], host.ports[0]).into()).collect()
+        hosts[..GATEWAYS].iter().map(|host| (own_address(), host.ports[0]).into()).collect()
     }
 
     pub fn runs(&self) -> Vec<RecordedRequest> {
--- a/crates/cli/tests/support/process.rs
+++ b/crates/cli/tests/support/process.rs
@@ -4,7 +4,7 @@
     rand::RngExt,
     std::{
         io::{Read, Write},
-        net::TcpStream,
+        net::{Ipv4Addr, TcpStream},
         ops::Range,
         time::Duration,
     },
@@ -22,7 +22,7 @@
 /// Returns the answer to a request, or an empty text if none comes.
 pub fn get(port: u16, path: &str) -> String {
     let mut answer = String::new();
-    let Ok(mut stream) = TcpStream::connect(("127.0.0.1", port)) else { return answer };
+    let Ok(mut stream) = TcpStream::connect((own_address(), port)) else { return answer };
     let timeout = Some(Duration::from_secs(1));
     stream.set_read_timeout(timeout).expect("a timeout above zero");
     let request = format!("GET {path} HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
@@ -34,6 +34,14 @@
     }
 }
 
+/// Returns the loopback address of the hosts of this process. Another process that chooses ports in the same
+/// way, such as a second run of the tests, can't take theirs between the choice and their start. Systems
+/// other than Linux have one loopback address.
+pub fn own_address() -> Ipv4Addr {
+    let [.., high, low] = std::process::id().to_be_bytes();
+    if cfg!(target_os = "linux") { Ipv4Addr::new(127, 2, high, low) } else { Ipv4Addr::LOCALHOST }
+}
+
 /// Returns ports that are free now, outside the range from which the kernel assigns ports: a host
 /// keeps its ports over its restarts, and nothing may take them meanwhile.
 pub fn free_ports(count: usize) -> Vec<u16> {
@@ -41,7 +49,7 @@
     let mut ports = Vec::new();
     while ports.len() < count {
         let port = random.random_range(HOST_PORTS);
-        if !ports.contains(&port) && std::net::TcpListener::bind(("127.0.0.1", port)).is_ok() {
+        if !ports.contains(&port) && std::net::TcpListener::bind((own_address(), port)).is_ok() {
             ports.push(port);
         }
     }
