Give no port to two sites of the soak's process

Cause: several tests of the process choose free ports side by side, and a port stays free until its host has started.

Change: a port is given once in a process.

--- a/crates/cli/tests/support/process.rs
+++ b/crates/cli/tests/support/process.rs
@@ -3,9 +3,11 @@
 use {
     rand::RngExt,
     std::{
+        collections::BTreeSet,
         io::{Read, Write},
         net::{Ipv4Addr, TcpStream},
         ops::Range,
+        sync::{Mutex, PoisonError},
         time::Duration,
     },
     trefoilring_standin::fleet::client,
@@ -42,14 +44,20 @@
     if cfg!(target_os = "linux") { Ipv4Addr::new(127, 2, high, low) } else { Ipv4Addr::LOCALHOST }
 }
 
+/// Ports that this process has given to hosts.
+static GIVEN_PORTS: Mutex<BTreeSet<u16>> = Mutex::new(BTreeSet::new());
+
 /// Returns ports that are free now, outside the range from which the kernel assigns ports: a host
-/// keeps its ports over its restarts, and nothing may take them meanwhile.
+/// keeps its ports over its restarts, and nothing may take them meanwhile. Sites of tests that run side by
+/// side get different ones, whether their hosts have started or not.
 pub fn free_ports(count: usize) -> Vec<u16> {
     let mut random = rand::rng();
+    let mut given = GIVEN_PORTS.lock().unwrap_or_else(PoisonError::into_inner);
     let mut ports = Vec::new();
     while ports.len() < count {
         let port = random.random_range(HOST_PORTS);
-        if !ports.contains(&port) && std::net::TcpListener::bind((own_address(), port)).is_ok() {
+        if !given.contains(&port) && std::net::TcpListener::bind((own_address(), port)).is_ok() {
+            given.insert(port);
             ports.push(port);
         }
     }
