--- a/crates/core/src/budget/mod.rs
+++ b/crates/core/src/budget/mod.rs
@@ -33,7 +33,7 @@
 pub use {
     account::{AccountReplica, RecordedAccount},
     notes::{
-        FenceReply, LedgerPosition, NoteHost, OutageNotes, is_epoch_fenced, is_fenced,
+        FIRST_EPOCH, FenceReply, LedgerPosition, NoteHost, OutageNotes, is_epoch_fenced, is_fenced,
         may_lack_overdraft,
     },
     standby::{
@@ -293,7 +293,7 @@
     fn empty(now: Instant, writer: String, idle_max: Duration) -> Self {
         Self {
             writer,
-            epoch: 1,
+            epoch: FIRST_EPOCH,
             note_hosts: Vec::new(),
             sequence: 0,
             stored_count: 0,
--- a/crates/core/src/budget/notes.rs
+++ b/crates/core/src/budget/notes.rs
@@ -9,6 +9,9 @@
 
 use {super::LedgerRecord, crate::ids::Epoch, derive_more::Display};
 
+/// The epoch of a ledger's first owner.
+pub const FIRST_EPOCH: Epoch = 1;
+
 /// Identifies the notes of one host. Changes when the host loses them.
 #[derive(
     Clone,
@@ -64,9 +67,12 @@
         true
     }
 
-    /// Notes nothing more for epochs before `epoch`. Returns the last position noted.
+    /// Notes nothing more for epochs before `epoch`. Returns the last position noted. Changes nothing for
+    /// [`FIRST_EPOCH`], so that the first owner of a ledger waits for no disk.
     pub fn fence(&mut self, epoch: Epoch) -> Option<LedgerPosition> {
-        self.fenced_before = self.fenced_before.max(epoch);
+        if epoch > FIRST_EPOCH {
+            self.fenced_before = self.fenced_before.max(epoch);
+        }
         self.noted
     }
 
--- a/crates/gateway/src/ledger/takeover.rs
+++ b/crates/gateway/src/ledger/takeover.rs
@@ -22,7 +22,7 @@
     },
     trefoilring_core::{
         budget::{
-            FenceReply, Ledger, LedgerRecord, NoteHost, TakeoverInputs, is_fenced,
+            FIRST_EPOCH, FenceReply, Ledger, LedgerRecord, NoteHost, TakeoverInputs, is_fenced,
             may_lack_overdraft,
         },
         ids::HostId,
@@ -211,7 +211,7 @@
         let former_hosts = record.iter().flat_map(|record| &record.note_hosts);
         let former_hosts = former_hosts.map(|note_host| HostId::from(note_host.host.as_str()));
         let asked = candidates.iter().cloned().chain(former_hosts).collect();
-        let epoch = record.map_or(0, |record| record.epoch) + 1;
+        let epoch = record.map_or(FIRST_EPOCH, |record| record.epoch + 1);
         let replies = fence(gateway, partition, epoch, asked).await;
         let lacks = record.map_or(Some(false), |record| may_lack_overdraft(record, &replies));
         if lacks.is_some() || Instant::now() >= end {
@@ -240,7 +240,8 @@
             ledger.extend_lost_overdrafts(Instant::now());
         }
         let hosts = record.note_hosts.iter().map(|note_host| note_host.host.as_str().into());
-        let replies = fence(&gateway, partition, record.epoch + 1, hosts.collect()).await;
+        let epoch = record.epoch + 1;
+        let replies = fence(&gateway, partition, epoch, hosts.collect()).await;
         if is_fenced(&record, &replies) {
             return;
         }
--- a/crates/gateway/src/outage_notes/tests.rs
+++ b/crates/gateway/src/outage_notes/tests.rs
@@ -1,4 +1,12 @@
-use {super::*, smol::block_on};
+use {
+    super::*,
+    smol::{block_on, future},
+    std::{
+        thread,
+        time::{Duration, Instant},
+    },
+    trefoilring_core::budget::FIRST_EPOCH,
+};
 
 /// Returns the path of a temporary folder that does not exist.
 fn folder(test: &str) -> PathBuf {
@@ -54,6 +62,54 @@
     fs::remove_dir_all(folder).unwrap();
 }
 
+/// Guards against first owners without note hosts on slow disks, which granted nothing in an outage.
+#[test]
+fn fence_for_the_first_owner_waits_for_no_disk() {
+    let folder = folder("first-fence");
+    let notes = open(&folder);
+    let _running_write = block_on(notes.write_lock.lock_arc());
+    let reply = block_on(future::poll_once(notes.fence(0, FIRST_EPOCH))).flatten();
+    assert_eq!(reply.map(|reply| reply.noted), Some(None));
+    assert_eq!(block_on(future::poll_once(notes.fence(0, FIRST_EPOCH + 1))), None);
+    fs::remove_dir_all(folder).unwrap();
+}
+
+/// Guards against a fence that never becomes durable on a slow disk, where each request times out before
+/// its write has ended.
+#[test]
+fn fence_becomes_durable_although_each_request_times_out() {
+    let folder = folder("fence-times-out");
+    let notes = open(&folder);
+    let deadline = Instant::now() + Duration::from_secs(20);
+    let reply = loop {
+        if let Some(reply) = block_on(future::poll_once(notes.fence(0, 3))) {
+            break reply;
+        }
+        assert!(Instant::now() < deadline, "the fence is not durable");
+        thread::sleep(Duration::from_millis(10));
+    };
+    assert_eq!(reply.unwrap().fenced_before, 3);
+    fs::remove_dir_all(folder).unwrap();
+}
+
+/// Guards against one write for each ledger, which took longer than successors wait for a slow disk.
+#[test]
+fn changes_during_a_write_share_the_next_one() {
+    let folder = folder("notes-share-a-write");
+    let notes = open(&folder);
+    let running_write = block_on(notes.write_lock.lock_arc());
+    let mut fences: Vec<_> = (0..4).map(|ledger| Box::pin(notes.fence(ledger, 3))).collect();
+    for fence in &mut fences {
+        assert_eq!(block_on(future::poll_once(fence.as_mut())), None);
+    }
+    drop(running_write);
+    assert!(block_on(fences.remove(0)).is_some());
+    for fence in fences {
+        assert!(block_on(future::poll_once(fence)).flatten().is_some());
+    }
+    fs::remove_dir_all(folder).unwrap();
+}
+
 /// Guards against a successor that takes lost notes for the answer that nothing was noted.
 #[test]
 fn missing_or_corrupt_notes_get_another_id() {
