Take no host that waits for its disk or for the store for a lost one

Callers got 503 for 20 s at a site in which every host ran: ledgers moved from owners that were well to the next host, in circles.

Cause: a host that does not reply to one request in time counted as out of reach. A request to fence an epoch or to store an outage note waits for the disk, one to release a ledger for the store, longer than the sender does.

Change: these requests are answered in time with "not yet", and the work goes on. core::peer_reach decides who is suspect: a host that has replied to any request since the unanswered one was sent is not. A check for better note hosts asks for up to 3 s.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod membership;
 pub mod memory;
 pub mod message;
+pub mod peer_reach;
 pub mod placement;
 pub mod planned_stop;
 pub mod program;
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -31,7 +31,7 @@
     smol::{LocalExecutor, Timer, channel::Receiver},
     std::{
         cell::{Cell, RefCell},
-        collections::{HashMap, HashSet},
+        collections::HashMap,
         io,
         net::SocketAddr,
         rc::Rc,
@@ -40,6 +40,7 @@
     trefoilring_core::{
         admission::Admission,
         ids::Incarnation,
+        peer_reach::PeerReach,
         placement::{Placement, WaitQueues},
         planned_stop::UsualDurations,
         registrations::Registrations,
@@ -152,8 +153,8 @@
     pub(crate) settlements: RefCell<Settlements>,
     pub(crate) memory: Rc<HostMemory>,
     pub(crate) origin_notes: RefCell<OriginNotes>,
-    /// Peer addresses of suspect hosts: they did not answer the last request or ping.
-    pub(crate) suspects: RefCell<HashSet<SocketAddr>>,
+    /// Reach of the other hosts, by peer address.
+    pub(crate) peer_reach: RefCell<PeerReach<SocketAddr>>,
     /// Peer addresses of suspect store hosts that another host reaches, with that host's.
     pub(crate) relays: RefCell<HashMap<SocketAddr, SocketAddr>>,
     /// Peer addresses of lost hosts: a relay could not reach them either. The value is the time
@@ -251,7 +252,7 @@
             settlements: RefCell::default(),
             memory,
             origin_notes: RefCell::default(),
-            suspects: RefCell::default(),
+            peer_reach: RefCell::default(),
             relays: RefCell::default(),
             lost_until: RefCell::default(),
             configuration: RefCell::default(),
--- a/crates/gateway/src/ledger/mod.rs
+++ b/crates/gateway/src/ledger/mod.rs
@@ -14,7 +14,7 @@
 
 pub(crate) use {
     hosts::{LEDGER_HOST_COUNT, RankedHost, ranked_hosts},
-    notes::{fence_here, store_outage_note},
+    notes::{NOTE_WRITE_WAIT_MAX, fence_here, store_outage_note},
     release::{release, release_all},
     standby::{apply_update as apply_replica_update, decide_vote, end_replication},
     takeover::ownership,
--- a/crates/gateway/src/ledger/notes.rs
+++ b/crates/gateway/src/ledger/notes.rs
@@ -15,6 +15,7 @@
         time::within,
     },
     serde_json::json,
+    smol::Timer,
     std::{
         collections::BTreeSet,
         rc::Rc,
@@ -32,8 +33,15 @@
 const NOTE_TIMEOUT: Duration = Duration::from_millis(400);
 /// How long a host that is asked to store a note waits for the store to show that it is available.
 const STORE_PROBE_TIMEOUT: Duration = Duration::from_millis(250);
+/// How long a note host waits for its disk before it replies that the note is not stored. The write goes
+/// on, and a repeated request finds the note. Without a reply the host would be taken for a lost one.
+pub(crate) const NOTE_WRITE_WAIT_MAX: Duration = Duration::from_millis(100);
 /// Timeout of a request to fence an epoch. Takeovers wait for it.
 const FENCE_TIMEOUT: Duration = Duration::from_millis(100);
+/// How long a note host waits for its disk before it replies that the epoch is not fenced yet.
+const FENCE_WRITE_WAIT_MAX: Duration = Duration::from_millis(50);
+/// How long a check for better note hosts waits for those whose disk is slow.
+const NOTE_HOSTS_CHECK_MAX: Duration = Duration::from_secs(3);
 /// Pause after the note hosts have not stored a note.
 const RETRY_PAUSE: Duration = Duration::from_millis(500);
 /// Interval at which an owner checks that its note hosts answer and have kept their notes. Until it
@@ -106,7 +114,7 @@
     }
     // Noted last, so that nothing is noted while the others reach the store.
     if !noted_by.is_empty() || note_hosts.len() == 1 {
-        noted_by.extend(store_outage_note(&gateway, partition, position).await);
+        noted_by.extend(store_outage_note(&gateway, partition, position, NOTE_TIMEOUT).await);
     }
     let mut partitions = gateway.ledgers.borrow_mut();
     let state = &mut partitions[partition];
@@ -128,11 +136,12 @@
 }
 
 /// Stores an outage note on request of an owner, unless this host reaches the store and could take
-/// the ledger over instead. Returns this host's identity if the note is durable.
+/// the ledger over instead. Returns this host's identity if the note is durable within `wait_max`.
 pub(crate) async fn store_outage_note(
-    gateway: &Gateway,
+    gateway: &Rc<Gateway>,
     partition: usize,
     position: LedgerPosition,
+    wait_max: Duration,
 ) -> Option<NoteHost> {
     if partition >= PARTITION_COUNT {
         return None;
@@ -142,13 +151,26 @@
     if let Some(Ok(_)) = within(Instant::now() + STORE_PROBE_TIMEOUT, read).await {
         return None;
     }
+    let (outcome_sender, outcome) = smol::channel::bounded(1);
+    gateway.spawn(write_outage_note(gateway.clone(), partition, position, outcome_sender));
+    let outcome = within(Instant::now() + wait_max, outcome.recv()).await?.ok()?;
+    gateway.outage_notes.note_host().filter(|_| outcome != NoteOutcome::NotStored)
+}
+
+/// Writes an outage note, whether or not the request for it times out: the witness must learn of it.
+async fn write_outage_note(
+    gateway: Rc<Gateway>,
+    partition: usize,
+    position: LedgerPosition,
+    outcome_sender: smol::channel::Sender<NoteOutcome>,
+) {
     let outcome = gateway.outage_notes.store_note(partition, position).await;
     if outcome == NoteOutcome::Written
         && let Some(state) = gateway.ledgers.borrow_mut().get_mut(partition)
     {
         state.standby.witness.on_note_stored(position);
     }
-    gateway.outage_notes.note_host().filter(|_| outcome != NoteOutcome::NotStored)
+    outcome_sender.try_send(outcome).ok();
 }
 
 /// Fences the epochs before `epoch` at hosts. Returns the replies of those that answered in time.
@@ -162,7 +184,7 @@
         let gateway = gateway.clone();
         gateway.clone().executor.spawn(async move {
             if host == gateway.settings.host {
-                return gateway.outage_notes.fence(partition, epoch).await;
+                return fence_here(&gateway, partition, epoch).await;
             }
             let address = roster::address_of(&gateway, &host)?;
             let request = PeerRequest::FenceLedger { partition, epoch };
@@ -189,7 +211,8 @@
     if partition >= PARTITION_COUNT {
         return None;
     }
-    gateway.outage_notes.fence(partition, epoch).await
+    let fenced = gateway.outage_notes.fence(partition, epoch);
+    within(Instant::now() + FENCE_WRITE_WAIT_MAX, fenced).await.flatten()
 }
 
 /// Returns the names of the hosts that may store outage notes for a ledger, in order of preference.
@@ -252,8 +275,16 @@
     }
     refresh_roster(&gateway, partition).await;
     let candidates = candidates(&gateway, partition);
-    let replies = fence(&gateway, partition, epoch, candidates.iter().cloned().collect()).await;
-    let mut note_hosts = choose_note_hosts(&candidates, &replies);
+    let end = Instant::now() + NOTE_HOSTS_CHECK_MAX;
+    let (replies, mut note_hosts) = loop {
+        let replies = fence(&gateway, partition, epoch, candidates.iter().cloned().collect()).await;
+        let note_hosts = choose_note_hosts(&candidates, &replies);
+        let wanted_count = LEDGER_HOST_COUNT.min(candidates.len());
+        if note_hosts.len() >= wanted_count || Instant::now() >= end {
+            break (replies, note_hosts);
+        }
+        Timer::after(FENCE_TIMEOUT).await;
+    };
     // A host that does not answer may come back with its notes.
     let is_known =
         |note_host: &NoteHost| replies.iter().any(|reply| reply.note_host.host == note_host.host);
--- a/crates/gateway/src/ledger/release.rs
+++ b/crates/gateway/src/ledger/release.rs
@@ -12,7 +12,8 @@
     trefoilring_observe::decisions::LineRate,
 };
 
-/// Maximum time for the last write. Longer than a write with a slow store takes.
+/// How long a host that stops waits for the last write before it tries again. Longer than a write with a
+/// slow store takes.
 const RELEASE_TIMEOUT: Duration = Duration::from_millis(600);
 
 /// Pause after a release that failed.
@@ -20,9 +21,14 @@
 
 /// Releases a ledger that this host owns as the given writer: writes a record without reservations
 /// and gives up ownership. Returns whether this host does not own the ledger as that writer any
-/// more.
-pub(crate) async fn release(gateway: &Rc<Gateway>, partition: usize, writer: &str) -> bool {
-    let deadline = Instant::now() + RELEASE_TIMEOUT;
+/// more. The write may go on after the timeout.
+pub(crate) async fn release(
+    gateway: &Rc<Gateway>,
+    partition: usize,
+    writer: &str,
+    timeout: Duration,
+) -> bool {
+    let deadline = Instant::now() + timeout;
     let mut has_begun = false;
     loop {
         let changed = {
@@ -59,7 +65,7 @@
                 let partitions = gateway.ledgers.borrow();
                 partitions[partition].owned_writer()
             } {
-                if !release(&gateway, partition, &writer).await {
+                if !release(&gateway, partition, &writer, RELEASE_TIMEOUT).await {
                     Timer::after(RETRY_PAUSE).await;
                 }
             }
--- a/crates/gateway/src/peers/client.rs
+++ b/crates/gateway/src/peers/client.rs
@@ -52,8 +52,9 @@
     request: &PeerRequest,
     deadline: Instant,
 ) -> Option<PeerReply> {
+    let sent_at = Instant::now();
     let reply = try_send_request(gateway, address, request, deadline).await;
-    record_outcome(gateway, address, reply.is_some());
+    record_outcome(gateway, address, sent_at, reply.is_some());
     reply
 }
 
@@ -78,10 +79,11 @@
     progress: &Progress,
     silence_max: Duration,
 ) -> Option<PeerReply> {
-    let deadline = Instant::now() + BULK_TIMEOUT;
+    let sent_at = Instant::now();
+    let deadline = sent_at + BULK_TIMEOUT;
     let sent = exchange(gateway, address, format, body, Some(progress.clone()), deadline);
     let reply = progress.wait_for(silence_max, sent).await.flatten();
-    record_outcome(gateway, address, reply.is_some());
+    record_outcome(gateway, address, sent_at, reply.is_some());
     reply
 }
 
@@ -107,10 +109,14 @@
     Some((format, Bytes::from(body.ok()?)))
 }
 
-fn record_outcome(gateway: &Rc<Gateway>, address: SocketAddr, is_answered: bool) {
-    if !is_answered {
-        gateway.metrics.count("peer_unanswered", 1);
-        mark_suspect(gateway, address);
+fn record_outcome(gateway: &Rc<Gateway>, address: SocketAddr, sent_at: Instant, is_answered: bool) {
+    if is_answered {
+        gateway.peer_reach.borrow_mut().on_reply(Instant::now(), address);
+        return;
+    }
+    gateway.metrics.count("peer_unanswered", 1);
+    if gateway.peer_reach.borrow_mut().on_unanswered(sent_at, address) {
+        start_pings(gateway, address);
     }
 }
 
@@ -371,31 +377,35 @@
 
 /// Marks a host as suspect until it answers a ping.
 pub(crate) fn mark_suspect(gateway: &Rc<Gateway>, address: SocketAddr) {
-    if gateway.suspects.borrow_mut().insert(address) {
-        gateway.decisions.log(
-            LineRate::Failure,
-            "peer",
-            json!({"address": address, "what": "out of reach"}),
-        );
-        gateway.spawn(ping_until_answered(gateway.clone(), address));
+    if gateway.peer_reach.borrow_mut().mark_suspect(address) {
+        start_pings(gateway, address);
     }
 }
 
+fn start_pings(gateway: &Rc<Gateway>, address: SocketAddr) {
+    gateway.decisions.log(
+        LineRate::Failure,
+        "peer",
+        json!({"address": address, "what": "out of reach"}),
+    );
+    gateway.spawn(ping_until_answered(gateway.clone(), address));
+}
+
 /// Pings a suspect host until it answers, so that requests need not wait for timeouts.
 async fn ping_until_answered(gateway: Rc<Gateway>, address: SocketAddr) {
     let mut pause = PING_INTERVAL;
-    while gateway.suspects.borrow().contains(&address) {
+    while is_suspect(&gateway, address) {
         find_relay(&gateway, address).await;
         smol::Timer::after(pause).await;
         pause = (pause * 2).min(PING_INTERVAL_MAX);
         if !roster::has_host_at(&gateway, address) {
-            gateway.suspects.borrow_mut().remove(&address);
+            gateway.peer_reach.borrow_mut().forget(address);
             gateway.relays.borrow_mut().remove(&address);
             return;
         }
         let deadline = Instant::now() + PING_TIMEOUT;
         if try_send_request(&gateway, address, &PeerRequest::Ping, deadline).await.is_some() {
-            gateway.suspects.borrow_mut().remove(&address);
+            gateway.peer_reach.borrow_mut().clear_suspect(address);
             gateway.relays.borrow_mut().remove(&address);
             gateway.decisions.log(
                 LineRate::Failure,
@@ -408,5 +418,5 @@
 
 /// Returns whether a host is suspect: it did not answer the last request or ping.
 pub(crate) fn is_suspect(gateway: &Gateway, address: SocketAddr) -> bool {
-    gateway.suspects.borrow().contains(&address)
+    gateway.peer_reach.borrow().is_suspect(address)
 }
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -57,6 +57,10 @@
 /// earlier.
 const REQUEST_WAIT_MAX: Duration = Duration::from_secs(5);
 
+/// How long the reply to a request to release a ledger waits for the store. Shorter than the sender's
+/// timeout, so that a missing reply means that this host is lost, not that the store is slow.
+const RELEASE_WAIT_MAX: Duration = Duration::from_millis(200);
+
 /// How long nothing may come of another host's request. How long all of it takes depends on its size and
 /// on the link.
 const REQUEST_SILENCE_MAX: Duration = Duration::from_secs(5);
@@ -203,14 +207,16 @@
             let deadline = Instant::now() + wait.min(REQUEST_WAIT_MAX);
             PeerReply::Settled { status: ledger::settle(gateway, &settlements, deadline).await }
         }
-        PeerRequest::NoteOutage { partition, position } => PeerReply::OutageNoted {
-            by: ledger::store_outage_note(gateway, partition, position).await,
-        },
+        PeerRequest::NoteOutage { partition, position } => {
+            let wait_max = ledger::NOTE_WRITE_WAIT_MAX;
+            let by = ledger::store_outage_note(gateway, partition, position, wait_max).await;
+            PeerReply::OutageNoted { by }
+        }
         PeerRequest::FenceLedger { partition, epoch } => {
             PeerReply::LedgerFenced { reply: ledger::fence_here(gateway, partition, epoch).await }
         }
         PeerRequest::ReleaseLedger { partition, writer } => {
-            ledger::release(gateway, partition, &writer).await;
+            ledger::release(gateway, partition, &writer, RELEASE_WAIT_MAX).await;
             PeerReply::Done
         }
         PeerRequest::LedgerOwnership { partition, writer } => {
--- a/crates/gateway/src/status.rs
+++ b/crates/gateway/src/status.rs
@@ -70,7 +70,7 @@
         ("decision_lines_dropped", gateway.decisions.dropped()),
         ("log_lines_dropped", trefoilring_observe::log::dropped()),
         ("hosts", gateway.roster.borrow().peers().count() as u64 + 1),
-        ("peers_out_of_reach", gateway.suspects.borrow().len() as u64),
+        ("peers_out_of_reach", gateway.peer_reach.borrow().suspect_count() as u64),
         ("turns_stored", gateway.turns.stored_count() as u64),
         ("turns_recovered", u64::from(gateway.turns.has_recovered())),
         ("turn_holders_replaced", gateway.turns.replaced_holder_count() as u64),
